--- /dev/null
+++ b/Makefile
@@ -0,0 +1,59 @@
+# Each target does all of its set-up on a fresh machine.
+BUILD ?= build
+SAN_BUILD ?= build-asan
+JOBS ?= $(shell nproc)
+PACKAGES = liburcu-dev libtirpc-dev rpcsvc-proto libcivetweb-dev libpopt-dev \
+	libglib2.0-dev libgtest-dev libcurl4-openssl-dev libjansson-dev \
+	libxxhash-dev libtomlplusplus-dev spin clang-format clang-tidy \
+	pkg-config cmake make gcc g++
+SOURCES = $(shell git ls-files -co --exclude-standard 'packages/*.[ch]' \
+	'packages/*.cc' 'tests/*.[ch]' 'tests/*.cc' 'examples/*.c' \
+	| grep -v /generated/)
+
+all: build
+
+setup:
+	@sh tools/setup.sh $(PACKAGES)
+
+build: setup
+	@cmake -S . -B $(BUILD) >$(BUILD).cmake.log 2>&1 || \
+		{ cat $(BUILD).cmake.log; exit 1; }
+	@rm -f $(BUILD).cmake.log
+	cmake --build $(BUILD) -j $(JOBS)
+
+format: setup
+	clang-format -i $(SOURCES)
+
+format-check: setup
+	clang-format --dry-run -Werror $(SOURCES)
+
+lint: build
+	@git ls-files -co --exclude-standard 'packages/*.c' 'tests/*.c' | \
+		grep -v /generated/ | \
+		xargs -P $(JOBS) -n 4 clang-tidy -p $(BUILD) --quiet 2>/dev/null
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
+
+sanitize: setup
+	cmake -S . -B $(SAN_BUILD) -DLILACFIELD_SANITIZE=address,undefined \
+		>/dev/null
+	cmake --build $(SAN_BUILD) -j $(JOBS)
+	ctest --test-dir $(SAN_BUILD) --output-on-failure -j $(JOBS)
+
+check: format-check lint test sanitize
+
+demo: build
+	tests/demo/demo.sh $(BUILD)
+
+bench: build
+	$(BUILD)/tests/bench/bench
+
+prove: setup
+	models/prove.sh
+
+clean:
+	rm -rf $(BUILD) $(SAN_BUILD)
+
+.PHONY: all setup build format format-check lint test sanitize check demo \
+	bench prove clean
--- /dev/null
+++ b/packages/adapters/metrics.c
@@ -0,0 +1,1 @@
+#include "adapters/metrics.h"
--- /dev/null
+++ b/packages/adapters/peer_rpc.c
@@ -0,0 +1,1 @@
+#include "adapters/peer_rpc.h"
--- /dev/null
+++ b/packages/adapters/platform_http.c
@@ -0,0 +1,1 @@
+#include "adapters/platform_http.h"
--- /dev/null
+++ b/packages/adapters/settings.c
@@ -0,0 +1,1 @@
+#include "adapters/settings.h"
--- /dev/null
+++ b/packages/adapters/trace.c
@@ -0,0 +1,1 @@
+#include "adapters/trace.h"
--- /dev/null
+++ b/packages/core/budget.c
@@ -0,0 +1,1 @@
+#include "core/budget.h"
--- /dev/null
+++ b/packages/core/build_options.h
@@ -0,0 +1,39 @@
+/*
+ * build_options - limits fixed when the programs are built
+ *
+ * Every fixed bound on memory that outside input can ask for stands here.
+ */
+#ifndef CORE_BUILD_OPTIONS_H
+#define CORE_BUILD_OPTIONS_H
+
+/* Names of services, places, nodes and backend servers, with the NUL. */
+#define NAME_SIZE 64
+
+/* A request id, a ticket or a command id as text, with the NUL. */
+#define ID_SIZE 128
+
+/* Largest request or answer body that a node carries, in bytes. */
+#define BODY_MAX_BYTES (1024 * 1024)
+
+/* Largest configuration document, in bytes. */
+#define CONFIG_MAX_BYTES (16 * 1024 * 1024)
+
+/* Command ids that the configuration document remembers. */
+#define CONFIG_COMMANDS_KEPT 64
+
+/* Shifts that may stand at one time. */
+#define CONFIG_MAX_SHIFTS 256
+
+/* Largest cap of a shift, in requests a second. */
+#define SHIFT_MAX_CAP_PER_S 65536
+
+/* Answers of non-idempotent requests that a node keeps for resends. */
+#define LEDGER_MAX_ENTRIES 65536
+
+/* Requests that may wait at one place's gate for one service. */
+#define GATE_MAX_WAITING 1024
+
+/* Attempts of one request, the first included. */
+#define REQUEST_MAX_ATTEMPTS 3
+
+#endif
--- /dev/null
+++ b/packages/core/gate.c
@@ -0,0 +1,1 @@
+#include "core/gate.h"
--- /dev/null
+++ b/packages/core/query.c
@@ -0,0 +1,1 @@
+#include "core/query.h"
--- /dev/null
+++ b/packages/core/seat.c
@@ -0,0 +1,1 @@
+#include "core/seat.h"
--- /dev/null
+++ b/packages/core/seat.h
@@ -0,0 +1,75 @@
+/*
+ * seat - the right to admit a part of a shift's cap, held under a lease
+ *
+ * Each shift has as many seats as its receiving place has configured nodes. A
+ * seat is a row in the platform's table; who holds it may admit the seat's part
+ * of the cap at the receiving place, counted exactly over any one second. Pure:
+ * the owner reads and writes the row and passes results in. Not thread-safe.
+ *
+ * No clocks of two machines are compared: the holder counts its lease from
+ * before it sent the write; another node takes a seat only after it has seen
+ * the row unchanged for lease and drift on its own clock.
+ */
+#ifndef CORE_SEAT_H
+#define CORE_SEAT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/build_options.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define SEAT_LEASE_US (6 * 1000 * 1000ull)
+#define SEAT_RENEW_US (2 * 1000 * 1000ull)
+#define SEAT_DRIFT_US (1 * 1000 * 1000ull)
+#define SEAT_WINDOW_US (1 * 1000 * 1000ull)
+
+struct seat;
+
+/* What the owner should do with the seat's row now. */
+enum seat_action {
+	SEAT_IDLE,
+	SEAT_READ, /* read the row, then seat_saw_row() */
+	SEAT_WRITE, /* write value at version, then seat_wrote() */
+};
+
+struct seat_step {
+	enum seat_action action;
+	uint64_t expected_version; /* for SEAT_WRITE */
+	char value[ID_SIZE]; /* for SEAT_WRITE */
+};
+
+/* holder names this node and its incarnation; unique for ever. */
+struct seat *seat_new(const char *holder, uint32_t part_per_s);
+void seat_free(struct seat *seat);
+
+/* Part of a cap for the seat of this rank among count; the parts add to cap. */
+uint32_t seat_part(uint32_t cap_per_s, uint32_t rank, uint32_t count);
+
+/* preferred: this node's own seat; others' are taken only when they lapse. */
+void seat_next_step(struct seat *seat, bool preferred, uint64_t now_us,
+		    struct seat_step *step);
+
+/* The row as read; value is NULL where the row doesn't exist. */
+void seat_saw_row(struct seat *seat, uint64_t version, const char *value,
+		  uint64_t now_us);
+
+/* The write that was sent at sent_us succeeded (version) or did not (0). */
+void seat_wrote(struct seat *seat, uint64_t version, uint64_t sent_us,
+		uint64_t now_us);
+
+/* Whether the lease holds at this moment. */
+bool seat_holds(const struct seat *seat, uint64_t now_us);
+
+/* Admit one shifted request: the lease holds and the part isn't used up. */
+bool seat_admit(struct seat *seat, uint64_t now_us);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/core/steer.c
@@ -0,0 +1,1 @@
+#include "core/steer.h"
--- /dev/null
+++ b/packages/core/ticket.c
@@ -0,0 +1,1 @@
+#include "core/ticket.h"
--- /dev/null
+++ b/packages/node/main.c
@@ -0,0 +1,4 @@
+int main(void)
+{
+	return 0;
+}
--- /dev/null
+++ b/packages/node/node.c
@@ -0,0 +1,1 @@
+#include "adapters/log.h"
