Declare the administration answers and widen the query

Cause: the node needs to know which live inputs the operators' answers are built from before they are written. Weighed: one function a table, ruled out because the node would then repeat the choice by verb; a shift's id in the 64-byte name, ruled out because ids have 127 bytes.

--- a/packages/core/query.h
+++ b/packages/core/query.h
@@ -2,13 +2,15 @@
  * query - the operators' query and command language
  *
  * One sentence a command; docs/LANGUAGE.md has the grammar. A syntax error
- * names the word it stumbled on, its position and what was expected.
+ * names the word it stumbled on, its position and what was expected. Pure: no
+ * file is read and no time is taken.
  */
 #ifndef CORE_QUERY_H
 #define CORE_QUERY_H
 
 #include <glib.h>
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "core/build_options.h"
@@ -18,6 +20,9 @@
 extern "C" {
 #endif
 
+/* Longest sentence, in bytes. */
+#define QUERY_MAX_BYTES 1024
+
 enum query_verb {
 	QUERY_WHERE, /* where does SERVICE from PLACE go */
 	QUERY_SHOW_PLACES,
@@ -43,13 +48,17 @@
 	OBJECT_SERVICE,
 };
 
+/* Texts that the sentence doesn't give are empty. */
 struct query {
 	enum query_verb verb;
-	enum query_object object; /* of drain and undrain */
-	char name[NAME_SIZE]; /* of the object, or the shift to cancel */
-	char service[NAME_SIZE];
+	enum query_object object; /* of drain, undrain, stop and start */
+	char name[NAME_SIZE]; /* of the object */
+	char service[NAME_SIZE]; /* of where and shift; filter of show */
 	char from[NAME_SIZE];
 	char to[NAME_SIZE];
+	char place[NAME_SIZE]; /* filter of show */
+	char shift[ID_SIZE]; /* to add (empty: the command's id) or cancel */
+	char file[QUERY_MAX_BYTES]; /* that load names; lilacctl reads it */
 	uint32_t share_permille;
 	uint32_t cap_per_s;
 };
@@ -62,13 +71,26 @@
 
 /*
  * Apply a command under its id to a copy of the configuration; the new one has
- * no version yet. RESULT_CONFLICT, RESULT_UNKNOWN_NAME or RESULT_OUT_OF_RANGE
- * on failure.
+ * no version yet. The caller has asked config_find_command() before: an id that
+ * the document knows is not applied again. RESULT_CONFLICT, RESULT_UNKNOWN_NAME
+ * or RESULT_OUT_OF_RANGE on failure. COMMAND_LOAD goes to query_load().
  */
 struct config *query_apply(const struct config *config,
 			   const struct query *query, const char *command_id,
 			   GError **error);
 
+/*
+ * The document (JSON, len bytes) that replaces the configuration under the
+ * command's id; the command ids that config knows are kept in place of the
+ * document's own. config is NULL where there is none yet. RESULT_CONFIG_INVALID
+ * or RESULT_CONFLICT on failure.
+ */
+struct config *query_load(const struct config *config, const char *document,
+			  size_t len, const char *command_id, GError **error);
+
+/* What a command has made true, as one line of text for g_free(). */
+char *query_describe(const struct query *query, const char *command_id);
+
 #ifdef __cplusplus
 }
 #endif
