--- a/packages/core/gate.h
+++ b/packages/core/gate.h
@@ -31,6 +31,7 @@
 struct gate_backend_spec {
 	const char *name;
 	uint32_t slots; /* that this node may use: gate_share() of the whole */
+	uint32_t total_slots; /* of the whole backend server; 0: as slots */
 	bool leaving; /* any sign of leaving: operator, platform, itself */
 	bool cold; /* appeared just now; ramps from few requests up */
 };
@@ -112,7 +113,11 @@
 void gate_finish(struct gate *gate, uint32_t backend, enum gate_outcome outcome,
 		 uint64_t service_us, uint64_t now_us);
 
-/* The next waiter that may run or must be refused now; false if none. */
+/*
+ * The next waiter that may run or must be refused now; false if none. Call it
+ * until it is false after every other call that changes the gate, an offer
+ * that has to wait among them, and when gate_next_due_us() has come.
+ */
 bool gate_next(struct gate *gate, uint64_t now_us, struct gate_grant *grant);
 
 /* Take a waiter out; false if a grant was already handed out for it. */
