--- a/packages/core/build_options.h
+++ b/packages/core/build_options.h
@@ -30,6 +30,9 @@
 /* Answers of non-idempotent requests that a node keeps for resends. */
 #define LEDGER_MAX_ENTRIES 65536
 
+/* Bytes of kept answers in one ledger. */
+#define LEDGER_MAX_ANSWER_BYTES (64 * 1024 * 1024ull)
+
 /* Requests that may wait at one place's gate for one service. */
 #define GATE_MAX_WAITING 1024
 
--- a/packages/core/result.c
+++ b/packages/core/result.c
@@ -33,6 +33,7 @@
 	{ RESULT_IN_PROGRESS, "in-progress", 409 },
 	{ RESULT_TIMED_OUT, "timed-out", 504 },
 	{ RESULT_ATTEMPTS_FAILED, "attempts-failed", 502 },
+	{ RESULT_ANSWER_DROPPED, "answer-dropped", 410 },
 	{ RESULT_SYNTAX, "syntax", 400 },
 	{ RESULT_CONFLICT, "conflict", 409 },
 	{ RESULT_UNKNOWN_NAME, "unknown-name", 404 },
--- a/packages/core/result.h
+++ b/packages/core/result.h
@@ -42,6 +42,7 @@
 	RESULT_IN_PROGRESS = 203,
 	RESULT_TIMED_OUT = 204,
 	RESULT_ATTEMPTS_FAILED = 205,
+	RESULT_ANSWER_DROPPED = 206, /* it ran; its answer isn't kept */
 
 	/* Operators' commands */
 	RESULT_SYNTAX = 301,
