--- /dev/null
+++ b/models/prove.sh
@@ -0,0 +1,90 @@
+#!/bin/sh
+# prove.sh - search the models, each sound and with each of its seeded faults
+#
+# usage: prove.sh [MODEL]
+#
+# A sound variant must be searched to the end without an error; a faulty one
+# must be caught by an assertion. Prints a line a variant and exits non-zero if
+# one isn't as expected. Spin's files go to a temporary directory. At most JOBS
+# searches run at once (4).
+set -u
+
+here=$(cd "$(dirname "$0")" && pwd)
+depth=1000000
+
+variants()
+{
+	cat <<-'END'
+	at_most_once SOUND clean
+	at_most_once PORTABLE clean
+	at_most_once NO_INCARNATION_CHECK caught
+	at_most_once NO_NODE_CHECK caught
+	at_most_once ELSEWHERE_NOT_RUN caught
+	at_most_once OLD_NOT_RUN caught
+	at_most_once LEDGER_EVICT caught
+	at_most_once REFUSAL_KEEPS_TICKET caught
+	at_most_once NO_FENCE caught
+	at_most_once NO_TOMBSTONE caught
+	at_most_once NO_HOP_INCARNATION caught
+	at_most_once TIMEOUT_NOT_RUN caught
+	at_most_once REUSED_CONNECTION caught
+	at_most_once MIXED caught
+	END
+}
+
+# One variant: model, variant, expected.
+prove_one()
+{
+	dir=$(mktemp -d "$PROVE_DIR/$1.$2.XXXXXX") || exit 1
+	cd "$dir" || exit 1
+	start=$(date +%s.%N)
+	if spin -D"$2" -a "$here/$1.pml" >spin.out 2>&1 &&
+	   gcc -w -O2 -DSAFETY -DVECTORSZ=4096 -o pan pan.c >gcc.out 2>&1
+	then
+		./pan -m$depth -w22 >pan.out 2>&1
+	else
+		cat spin.out gcc.out 2>/dev/null >pan.out
+	fi
+	end=$(date +%s.%N)
+
+	if grep -q 'assertion violated' pan.out
+	then
+		found=caught
+	elif grep -q 'errors: 0$' pan.out &&
+	     ! grep -Eq 'too small|not completed|out of memory' pan.out
+	then
+		found=clean
+	else
+		found=broken
+	fi
+	states=$(sed -n 's/ *\([0-9.e+]*\) states, stored.*/\1/p' pan.out)
+	verdict=ok
+	test "$found" = "$3" || verdict=FAILED
+	printf '%-14s %-22s expected=%-6s found=%-6s states=%-9s seconds=%s %s\n' \
+		"$1" "$2" "$3" "$found" "${states:-none}" \
+		"$(echo "$end $start" | awk '{ printf "%.1f", $1 - $2 }')" "$verdict"
+	if test $verdict = FAILED
+	then
+		touch "$PROVE_DIR/failed"
+		tail -n 20 pan.out
+	fi
+	rm -f pan pan.?
+}
+
+if test "${1:-}" = --one
+then
+	prove_one "$2" "$3" "$4"
+	exit 0
+fi
+
+PROVE_DIR=$(mktemp -d) || exit 1
+export PROVE_DIR
+trap 'rm -rf "$PROVE_DIR"' EXIT
+variants | grep "^${1:-}" |
+	xargs -P "${JOBS:-4}" -L 1 sh "$0" --one
+if test -e "$PROVE_DIR/failed"
+then
+	echo "prove: FAILED" >&2
+	exit 1
+fi
+echo "prove: all variants as expected"
