--- a/packages/core/admin.h
+++ b/packages/core/admin.h
@@ -81,9 +81,6 @@
 /* The body as JSON text; RESULT_BAD_REQUEST if the document isn't JSON. */
 char *admin_request_format(const struct admin_request *request, GError **error);
 
-/* Whether the text may serve as the id of a command or a shift. */
-bool admin_id_is_valid(const char *id);
-
 /* A refusal or failure; retry_after_us is left out where it is 0. */
 char *admin_answer_error(enum result code, const char *message,
 			 uint64_t retry_after_us);
--- a/packages/core/query.h
+++ b/packages/core/query.h
@@ -69,6 +69,16 @@
 /* Whether it changes the configuration. */
 bool query_is_command(const struct query *query);
 
+/* Whether the text may serve as the id of a command or a shift. */
+bool query_id_is_valid(const char *id);
+
+/*
+ * Index of the object in the configuration, or CONFIG_NONE and an error of
+ * RESULT_UNKNOWN_NAME.
+ */
+uint32_t query_find(const struct config *config, enum query_object object,
+		    const char *name, GError **error);
+
 /*
  * Apply a command under its id to a copy of the configuration; the new one has
  * no version yet. The caller has asked config_find_command() before: an id that
