--- a/packages/adapters/log.h
+++ b/packages/adapters/log.h
@@ -22,12 +22,19 @@
 	LOG_DEBUG,
 };
 
-/* Lines go to path, or to stderr where path is empty. Thread-safe after it. */
+/*
+ * Lines go to path, or to stderr where path is empty. Thread-safe after it. A
+ * line that a full pipe can't take at once is dropped; a later line says how
+ * many were, as lost_lines=N. Messages of libraries are event=library.
+ */
 bool log_open(const char *node, const char *path, enum log_level most,
 	      GError **error);
 void log_close(void);
 
-/* format holds "key=value" pairs; a value with blanks comes in quotes. */
+/*
+ * format holds "key=value" pairs. %s values are quoted and escaped where they
+ * need it (see pairs.h), so text of callers can be passed as it is.
+ */
 void log_event(enum log_level level, const char *event, const char *format, ...)
 	G_GNUC_PRINTF(3, 4);
 
--- a/packages/adapters/trace.h
+++ b/packages/adapters/trace.h
@@ -20,20 +20,31 @@
 	bool sampled;
 };
 
+/* Numbers of OTLP's span kinds. */
+enum trace_kind {
+	TRACE_INTERNAL = 1,
+	TRACE_SERVER = 2,
+};
+
 struct trace_span {
 	struct trace_context context; /* of this span */
 	uint8_t parent_span_id[8]; /* zero for a root */
-	const char *name;
+	enum trace_kind kind;
+	const char *name; /* must live until the end */
 	uint64_t start_unix_ns;
 	uint64_t start_us; /* monotonic, for the duration */
 };
 
-/* Spans go to path, a line each; none where it is empty. */
+/*
+ * Spans go to path, a line each; none where it is empty. Requests never wait
+ * for the file: spans that it is too slow for are dropped and counted.
+ */
 bool trace_open(const char *node, const char *path, uint32_t sample_permille,
 		GError **error);
+/* No span may be ended during or after it. Waits a second for a slow file. */
 void trace_close(void);
 
-/* Read a traceparent header; false (and a new root) where it is malformed. */
+/* Read a traceparent header; false, and a new root, where it is malformed. */
 bool trace_context_parse(const char *text, struct trace_context *context);
 
 /* Text for the next hop; text holds TRACEPARENT_SIZE bytes. */
@@ -48,8 +59,8 @@
 			    const struct trace_span *parent);
 
 /*
- * End it; attributes are "key=value" pairs divided by blanks, result is the
- * numbered result code.
+ * End it; attributes are "key=value" pairs divided by blanks, with %s values
+ * quoted where needed (see pairs.h), result is the numbered result code.
  */
 void trace_span_end(const struct trace_span *span, int result,
 		    const char *attributes_format, ...) G_GNUC_PRINTF(3, 4);
