core: choose the place by home, expected time and headroom (first cut)

steer_place keeps what is known of one place (reports, own requests in flight, learned latency, refusals, failures), steer_shift the ramp of a shift, steer the choice. Home is tried without a scan; the scan walks places by one-way time and stops where the link alone is past the best. Places near the least time share requests by spare headroom, so that entry nodes with one stale view don't all fill the same place. steer_place_spec gains a name: an index moves when a place is inserted into the configuration, and what was learned must not move with it.

--- a/packages/core/steer.c
+++ b/packages/core/steer.c
@@ -1,1 +1,606 @@
 #include "core/steer.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "core/steer_place.h"
+#include "core/steer_shift.h"
+
+#define PERMILLE 1000u
+
+/* Places this much over the least expected time share the requests. */
+#define BAND_DIVISOR 4
+#define BAND_SLACK_US 1000ull
+
+/* Places that the throttle may turn one request away from. */
+#define THROTTLED_MOST 4
+
+/* Refusals where no single place says when to come back. */
+#define RETRY_DEFAULT_US (1000 * 1000ull)
+#define RETRY_THROTTLED_US (200 * 1000ull)
+
+/* Each random decision of a request mixes its draw with a salt of its own. */
+enum salt {
+	SALT_SHIFT = 1,
+	SALT_SPREAD,
+	SALT_THROTTLE,
+};
+
+struct steer {
+	struct steer_place *places; /* by one-way time */
+	struct steer_estimate *estimates; /* of the places, while choosing */
+	uint32_t *position; /* by place; CONFIG_NONE where there is none */
+	struct steer_shift *shifts;
+	uint32_t place_count;
+	uint32_t position_count;
+	uint32_t shift_count;
+};
+
+/* One choice while it is made. */
+struct choosing {
+	const struct steer_request *request;
+	uint64_t now_us;
+	uint32_t seen; /* places estimated, the nearest ones */
+	uint32_t throttled; /* positions the throttle turned it away from */
+	uint32_t throttled_positions[THROTTLED_MOST];
+	enum result reason; /* of a refusal; the most telling so far */
+	uint64_t retry_after_us;
+};
+
+static const char *const rule_names[STEER_RULE_COUNT] = {
+	[STEER_HOME] = "home",	     [STEER_LEAST_TIME] = "least-time",
+	[STEER_SHIFT] = "shift",     [STEER_LAST_RESORT] = "last-resort",
+	[STEER_REFUSED] = "refused",
+};
+
+static uint32_t mix(uint32_t draw, enum salt salt)
+{
+	uint32_t mixed = draw + (uint32_t)salt * 0x9e3779b9u;
+
+	mixed ^= mixed >> 16;
+	mixed *= 0x85ebca6bu;
+	mixed ^= mixed >> 13;
+	mixed *= 0xc2b2ae35u;
+	return mixed ^ mixed >> 16;
+}
+
+/* A number below bound, even over the draws. */
+static uint32_t draw_below(uint32_t draw, enum salt salt, uint32_t bound)
+{
+	return (uint32_t)((uint64_t)mix(draw, salt) * bound >> 32);
+}
+
+static uint32_t find_position(const struct steer *steer, uint32_t place)
+{
+	if (place >= steer->position_count)
+		return CONFIG_NONE;
+	return steer->position[place];
+}
+
+static struct steer_place *find_place(const struct steer *steer, uint32_t place)
+{
+	uint32_t position = find_position(steer, place);
+
+	return position == CONFIG_NONE ? NULL : &steer->places[position];
+}
+
+static uint32_t find_shift(const struct steer *steer, uint32_t from,
+			   uint32_t to)
+{
+	uint32_t i;
+
+	for (i = 0; i < steer->shift_count; i++)
+		if (steer->shifts[i].from == from && steer->shifts[i].to == to)
+			return i;
+	return CONFIG_NONE;
+}
+
+/* What was learned before of the place that spec describes, or NULL. */
+static const struct steer_place *find_known(const struct steer *steer,
+					    const struct steer_place_spec *spec)
+{
+	uint32_t i;
+
+	if (!spec->name)
+		return find_place(steer, spec->place);
+	for (i = 0; i < steer->place_count; i++)
+		if (!strcmp(steer->places[i].name, spec->name))
+			return &steer->places[i];
+	return NULL;
+}
+
+static int compare_places(const void *a, const void *b)
+{
+	const struct steer_place *one = a;
+	const struct steer_place *other = b;
+
+	if (one->spec.one_way_us != other->spec.one_way_us)
+		return one->spec.one_way_us < other->spec.one_way_us ? -1 : 1;
+	if (one->spec.place != other->spec.place)
+		return one->spec.place < other->spec.place ? -1 : 1;
+	return 0;
+}
+
+static void index_places(struct steer *steer)
+{
+	uint32_t most = 0;
+	uint32_t i;
+
+	for (i = 0; i < steer->place_count; i++)
+		if (steer->places[i].spec.place >= most)
+			most = steer->places[i].spec.place + 1;
+	g_free(steer->position);
+	steer->position = g_new(uint32_t, most);
+	steer->position_count = most;
+	memset(steer->position, 0xff, most * sizeof(*steer->position));
+	for (i = 0; i < steer->place_count; i++)
+		steer->position[steer->places[i].spec.place] = i;
+}
+
+static bool was_tried(const struct steer_request *request, uint32_t place)
+{
+	uint32_t i;
+
+	for (i = 0; i < request->tried_count; i++)
+		if (request->tried[i] == place)
+			return true;
+	return false;
+}
+
+static bool was_throttled(const struct choosing *choosing, uint32_t position)
+{
+	uint32_t i;
+
+	for (i = 0; i < choosing->throttled; i++)
+		if (choosing->throttled_positions[i] == position)
+			return true;
+	return false;
+}
+
+/* How much a reason tells the caller, where places have several. */
+static int reason_weight(enum result reason)
+{
+	switch (reason) {
+	case RESULT_OVERLOAD:
+		return 3;
+	case RESULT_DEADLINE_TOO_SHORT:
+		return 2;
+	case RESULT_NO_PLACE:
+		return 1;
+	default:
+		return 0;
+	}
+}
+
+static void note_refusal(struct choosing *choosing, enum result reason,
+			 uint64_t retry_after_us)
+{
+	if (reason_weight(reason) > reason_weight(choosing->reason))
+		choosing->reason = reason;
+	if (!choosing->retry_after_us ||
+	    retry_after_us < choosing->retry_after_us)
+		choosing->retry_after_us = retry_after_us;
+}
+
+/* A shift from the request's home to the place whose cap is used up. */
+static bool shift_forbids(struct steer *steer, struct choosing *choosing,
+			  uint32_t place)
+{
+	uint32_t shift;
+
+	if (choosing->request->home == CONFIG_NONE || !steer->shift_count)
+		return false;
+	shift = find_shift(steer, choosing->request->home, place);
+	return shift != CONFIG_NONE &&
+	       !steer_shift_open(&steer->shifts[shift], choosing->now_us);
+}
+
+static void estimate_at(struct steer *steer, struct choosing *choosing,
+			uint32_t position)
+{
+	struct steer_place *place = &steer->places[position];
+	struct steer_estimate *estimate = &steer->estimates[position];
+	const struct steer_request *request = choosing->request;
+
+	if (was_tried(request, place->spec.place) ||
+	    was_throttled(choosing, position)) {
+		estimate->standing = STEER_CLOSED;
+		return;
+	}
+	steer_place_estimate(place, request->class_of, request->deadline_us,
+			     choosing->now_us, estimate);
+	if (estimate->standing == STEER_CLOSED) {
+		note_refusal(choosing, estimate->reason,
+			     estimate->retry_after_us);
+	} else if (shift_forbids(steer, choosing, place->spec.place)) {
+		estimate->standing = STEER_CLOSED;
+		note_refusal(choosing, RESULT_OVERLOAD, RETRY_DEFAULT_US);
+	}
+}
+
+static uint64_t band_us(uint64_t least_us)
+{
+	return least_us + least_us / BAND_DIVISOR + BAND_SLACK_US;
+}
+
+/*
+ * Estimate the places from the nearest on; those whose link alone takes longer
+ * than the best with headroom can't come near it. Returns that best time.
+ */
+static uint64_t estimate_near(struct steer *steer, struct choosing *choosing,
+			      enum steer_standing standing)
+{
+	uint64_t least_us = UINT64_MAX / 2;
+	uint64_t link_us;
+	uint32_t i;
+
+	for (i = 0; i < steer->place_count; i++) {
+		link_us = 2 * steer->places[i].spec.one_way_us;
+		if (link_us > band_us(least_us))
+			break;
+		estimate_at(steer, choosing, i);
+		if (steer->estimates[i].standing == standing &&
+		    steer->estimates[i].expected_us < least_us)
+			least_us = steer->estimates[i].expected_us;
+	}
+	choosing->seen = i;
+	return least_us;
+}
+
+static uint32_t weight_at(const struct steer *steer, uint32_t position,
+			  enum steer_standing standing, uint64_t most_us)
+{
+	const struct steer_estimate *estimate = &steer->estimates[position];
+
+	if (estimate->standing != standing || estimate->expected_us > most_us)
+		return 0;
+	return standing == STEER_HEADROOM ? estimate->spare : 1;
+}
+
+/*
+ * Spread over the places near the least time by spare headroom: entry nodes
+ * that share a stale view would all pick the one best place and fill it.
+ */
+static uint32_t pick_near(const struct steer *steer,
+			  const struct choosing *choosing,
+			  enum steer_standing standing, uint64_t least_us)
+{
+	uint64_t most_us = band_us(least_us);
+	uint64_t sum = 0;
+	uint64_t point;
+	uint32_t i;
+
+	for (i = 0; i < choosing->seen; i++)
+		sum += weight_at(steer, i, standing, most_us);
+	if (!sum)
+		return CONFIG_NONE;
+	if (sum > UINT32_MAX)
+		sum = UINT32_MAX;
+	point = draw_below(choosing->request->draw, SALT_SPREAD, (uint32_t)sum);
+	for (i = 0; i < choosing->seen; i++) {
+		sum = weight_at(steer, i, standing, most_us);
+		if (point < sum)
+			return i;
+		point -= sum;
+	}
+	return CONFIG_NONE;
+}
+
+/* Home without a scan: it has headroom and answers in about its base time. */
+static uint32_t pick_home(struct steer *steer, struct choosing *choosing)
+{
+	uint32_t home = find_position(steer, choosing->request->home);
+	const struct steer_place *place;
+	const struct steer_estimate *estimate;
+	uint64_t base_us;
+	uint64_t excess_us;
+
+	if (home == CONFIG_NONE)
+		return CONFIG_NONE;
+	estimate_at(steer, choosing, home);
+	place = &steer->places[home];
+	estimate = &steer->estimates[home];
+	if (estimate->standing != STEER_HEADROOM)
+		return CONFIG_NONE;
+	base_us = steer_place_base_us(place);
+	excess_us = estimate->expected_us - 2 * place->spec.one_way_us;
+	return steer_is_slow(excess_us, base_us) ? CONFIG_NONE : home;
+}
+
+/*
+ * The place with headroom and the least time, or home where waiting for a slot
+ * there takes less than the way to another.
+ */
+static uint32_t pick_least_time(struct steer *steer, struct choosing *choosing)
+{
+	uint64_t least_us = estimate_near(steer, choosing, STEER_HEADROOM);
+	uint32_t home = find_position(steer, choosing->request->home);
+	uint32_t picked;
+
+	picked = pick_near(steer, choosing, STEER_HEADROOM, least_us);
+	if (picked == CONFIG_NONE || home >= choosing->seen)
+		return picked;
+	if (steer->estimates[home].standing == STEER_QUEUE &&
+	    steer->places[home].reported &&
+	    steer->estimates[home].expected_us <= least_us)
+		return home;
+	return picked;
+}
+
+/* No place is known to have headroom: the shortest queue, or one unheard of. */
+static uint32_t pick_last_resort(const struct steer *steer,
+				 const struct choosing *choosing)
+{
+	uint64_t least_us = UINT64_MAX / 2;
+	uint32_t i;
+
+	for (i = 0; i < choosing->seen; i++)
+		if (steer->estimates[i].standing == STEER_QUEUE &&
+		    steer->estimates[i].expected_us < least_us)
+			least_us = steer->estimates[i].expected_us;
+	return pick_near(steer, choosing, STEER_QUEUE, least_us);
+}
+
+/* The shift whose share the draw falls in, or CONFIG_NONE. */
+static uint32_t draw_shift(struct steer *steer, const struct choosing *choosing)
+{
+	const struct steer_request *request = choosing->request;
+	uint32_t point = draw_below(request->draw, SALT_SHIFT, PERMILLE);
+	struct steer_shift *shift;
+	struct steer_place *to;
+	uint32_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < steer->shift_count; i++) {
+		shift = &steer->shifts[i];
+		if (shift->from != request->home)
+			continue;
+		to = find_place(steer, shift->to);
+		if (to)
+			steer_shift_step(shift, to, choosing->now_us);
+		sum += steer_shift_ramp(shift, to, choosing->now_us);
+		if (point < sum)
+			return i;
+	}
+	return CONFIG_NONE;
+}
+
+/* A request that was refused elsewhere isn't shifted: it goes home. */
+static uint32_t pick_shift(struct steer *steer, struct choosing *choosing)
+{
+	uint32_t shift;
+	uint32_t position;
+
+	if (!steer->shift_count || choosing->request->home == CONFIG_NONE ||
+	    choosing->request->tried_count)
+		return CONFIG_NONE;
+	shift = draw_shift(steer, choosing);
+	if (shift == CONFIG_NONE)
+		return CONFIG_NONE;
+	position = find_position(steer, steer->shifts[shift].to);
+	estimate_at(steer, choosing, position);
+	if (steer->estimates[position].standing != STEER_HEADROOM)
+		return CONFIG_NONE;
+	return position;
+}
+
+/* The best place by the rules in turn, not yet throttled. */
+static uint32_t pick(struct steer *steer, struct choosing *choosing,
+		     enum steer_rule *rule)
+{
+	uint32_t position = pick_shift(steer, choosing);
+
+	*rule = STEER_SHIFT;
+	if (position != CONFIG_NONE)
+		return position;
+	*rule = STEER_HOME;
+	position = pick_home(steer, choosing);
+	if (position != CONFIG_NONE)
+		return position;
+	*rule = STEER_LEAST_TIME;
+	position = pick_least_time(steer, choosing);
+	if (position != CONFIG_NONE)
+		return position;
+	*rule = STEER_LAST_RESORT;
+	return pick_last_resort(steer, choosing);
+}
+
+/*
+ * Pick again while the throttle turns the request away: a place that keeps
+ * refusing costs a hop each time, so most of what it would refuse stays here.
+ */
+static uint32_t pick_unthrottled(struct steer *steer, struct choosing *choosing,
+				 enum steer_rule *rule)
+{
+	uint32_t chance;
+	uint32_t position;
+
+	chance = draw_below(choosing->request->draw, SALT_THROTTLE, 65536);
+	for (;;) {
+		position = pick(steer, choosing, rule);
+		if (position == CONFIG_NONE ||
+		    !steer_place_throttled(&steer->places[position], chance,
+					   choosing->now_us))
+			return position;
+		note_refusal(choosing, RESULT_OVERLOAD, RETRY_THROTTLED_US);
+		if (choosing->throttled == THROTTLED_MOST)
+			return CONFIG_NONE;
+		choosing->throttled_positions[choosing->throttled++] = position;
+	}
+}
+
+static void refuse(struct steer_choice *choice, enum result refusal,
+		   uint64_t retry_after_us)
+{
+	choice->rule = STEER_REFUSED;
+	choice->place = CONFIG_NONE;
+	choice->refusal = refusal;
+	choice->retry_after_us = retry_after_us;
+}
+
+static void send(struct steer *steer, const struct choosing *choosing,
+		 uint32_t position, struct steer_choice *choice)
+{
+	struct steer_place *place = &steer->places[position];
+	uint32_t home = choosing->request->home;
+
+	choice->place = place->spec.place;
+	choice->expected_us = steer->estimates[position].expected_us;
+	steer_place_send(place, choosing->now_us);
+	if (home == CONFIG_NONE || !steer->shift_count)
+		return;
+	choice->shift = find_shift(steer, home, choice->place);
+	if (choice->shift != CONFIG_NONE)
+		steer_shift_send(&steer->shifts[choice->shift]);
+}
+
+const char *steer_rule_name(enum steer_rule rule)
+{
+	if ((unsigned int)rule >= STEER_RULE_COUNT)
+		return "unknown";
+	return rule_names[rule];
+}
+
+struct steer *steer_new(void)
+{
+	return g_new0(struct steer, 1);
+}
+
+void steer_free(struct steer *steer)
+{
+	if (!steer)
+		return;
+	g_free(steer->places);
+	g_free(steer->estimates);
+	g_free(steer->position);
+	g_free(steer->shifts);
+	g_free(steer);
+}
+
+void steer_set_places(struct steer *steer, const struct steer_place_spec *specs,
+		      uint32_t count, uint64_t now_us)
+{
+	struct steer_place *places = g_new0(struct steer_place, count);
+	const struct steer_place *known;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		known = find_known(steer, &specs[i]);
+		if (known) {
+			places[i] = *known;
+			steer_place_configure(&places[i], &specs[i], now_us);
+		} else {
+			steer_place_init(&places[i], &specs[i], now_us);
+		}
+	}
+	if (count)
+		qsort(places, count, sizeof(*places), compare_places);
+	g_free(steer->places);
+	g_free(steer->estimates);
+	steer->places = places;
+	steer->estimates = g_new0(struct steer_estimate, count);
+	steer->place_count = count;
+	index_places(steer);
+}
+
+void steer_set_shifts(struct steer *steer, const struct steer_shift_spec *specs,
+		      uint32_t count, uint64_t now_us)
+{
+	struct steer_shift *shifts = g_new0(struct steer_shift, count);
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < count; i++) {
+		steer_shift_init(&shifts[i], &specs[i], now_us);
+		for (j = 0; j < steer->shift_count; j++) {
+			if (strcmp(steer->shifts[j].id, specs[i].id) != 0)
+				continue;
+			shifts[i] = steer->shifts[j];
+			steer_shift_configure(&shifts[i], &specs[i]);
+		}
+	}
+	g_free(steer->shifts);
+	steer->shifts = shifts;
+	steer->shift_count = count;
+}
+
+void steer_report(struct steer *steer, uint32_t place,
+		  const struct gate_summary *report, uint64_t age_us,
+		  uint64_t now_us)
+{
+	struct steer_place *known = find_place(steer, place);
+
+	if (known)
+		steer_place_report(known, report, age_us, now_us);
+}
+
+void steer_choose(struct steer *steer, const struct steer_request *request,
+		  uint64_t now_us, struct steer_choice *choice)
+{
+	struct choosing choosing = { .request = request, .now_us = now_us };
+	uint32_t position;
+
+	memset(choice, 0, sizeof(*choice));
+	choice->shift = CONFIG_NONE;
+	if (now_us >= request->deadline_us) {
+		refuse(choice, RESULT_DEADLINE_EXPIRED, 0);
+		return;
+	}
+	position = pick_unthrottled(steer, &choosing, &choice->rule);
+	if (position != CONFIG_NONE) {
+		send(steer, &choosing, position, choice);
+		return;
+	}
+	if (!choosing.reason)
+		choosing.reason = RESULT_NO_PLACE;
+	if (!choosing.retry_after_us)
+		choosing.retry_after_us = RETRY_DEFAULT_US;
+	refuse(choice, choosing.reason, choosing.retry_after_us);
+}
+
+void steer_learn(struct steer *steer, const struct steer_feedback *feedback,
+		 uint64_t now_us)
+{
+	struct steer_place *place = find_place(steer, feedback->place);
+	struct steer_shift *shift;
+
+	if (!place)
+		return;
+	steer_place_learn(place, feedback, now_us);
+	if (feedback->shift >= steer->shift_count)
+		return;
+	shift = &steer->shifts[feedback->shift];
+	if (shift->to == feedback->place)
+		steer_shift_learn(shift, place, feedback, now_us);
+}
+
+bool steer_view(const struct steer *steer, uint32_t index, uint64_t now_us,
+		struct steer_place_view *view)
+{
+	const struct steer_place *place;
+
+	if (index >= steer->place_count)
+		return false;
+	place = &steer->places[index];
+	view->place = place->spec.place;
+	view->one_way_us = place->spec.one_way_us;
+	view->report = place->report;
+	view->report_age_us = UINT64_MAX;
+	if (place->reported)
+		view->report_age_us = now_us - place->report_made_us;
+	view->expected_us = steer_place_expected_us(place, now_us);
+	view->drained = place->spec.drained;
+	view->failing = place->failing;
+	return true;
+}
+
+uint32_t steer_shift_share(const struct steer *steer, uint32_t index,
+			   uint64_t now_us)
+{
+	const struct steer_shift *shift;
+
+	if (index >= steer->shift_count)
+		return 0;
+	shift = &steer->shifts[index];
+	return steer_shift_ramp(shift, find_place(steer, shift->to), now_us);
+}
--- a/packages/core/steer.h
+++ b/packages/core/steer.h
@@ -1,9 +1,19 @@
 /*
  * steer - choice of the place for one service's requests at an entry node
  *
- * Expected time decides (link, queue, service, age of what is known), home
- * first while it has headroom, within shifts and links' limits. The place's
- * gate has the last word. Pure; not thread-safe: the owner's lock guards it.
+ * Home comes first while it has headroom and isn't slow. Then the least
+ * expected time decides (link there and back, queue, service, what was
+ * learned), spread by spare headroom over the places that come close to it,
+ * within shifts' and links' limits. The place's gate has the last word.
+ * steer_place has what is known of one place, steer_shift the ramp of a shift.
+ *
+ * A request with home F that goes to T, by share or because F is full, counts
+ * under the shift from F to T where there is one: the cap holds for both.
+ *
+ * Pure; not thread-safe: the owner's lock guards it. One service has one class,
+ * so refusals and throttling are kept by place. steer_choose() takes constant
+ * time while home has headroom, else time in the order of the places that are
+ * near enough to matter, and allocates nothing.
  *
  * Times are microseconds of the clock port.
  */
@@ -26,6 +36,7 @@
 
 /* A place as configuration describes it to one entry node. */
 struct steer_place_spec {
+	const char *name; /* what was learned is kept by it; NULL: by index */
 	uint32_t place; /* index in the configuration */
 	uint64_t one_way_us; /* from this entry node's place */
 	uint32_t link_limit_per_s; /* of this entry node; 0 is no limit */
--- /dev/null
+++ b/packages/core/steer_shift.c
@@ -0,0 +1,182 @@
+#include "core/steer_shift.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Growth in a step: half again, or a little near a share the cap refused. */
+#define GROWTH_DIVISOR 2
+#define CAUTIOUS_GROWTH_PERMILLE 5
+#define CAUTIOUS_FROM_PERCENT 80
+
+#define SLOW_CUT_DIVISOR 4
+#define CAP_CUT_PERCENT 70
+#define CAP_HOLD_US (2 * 1000 * 1000ull)
+/* Refusals of requests sent before a cut don't cut again. */
+#define CUT_INTERVAL_US (500 * 1000ull)
+
+#define LEARN_DIVISOR 8
+/* Part of the receiving place's slots that must be free for a share to grow. */
+#define GROWTH_RESERVE_DIVISOR 8
+
+static uint32_t min_u32(uint32_t a, uint32_t b)
+{
+	return a < b ? a : b;
+}
+
+static uint32_t max_u32(uint32_t a, uint32_t b)
+{
+	return a > b ? a : b;
+}
+
+static uint32_t start_share(const struct steer_shift *shift)
+{
+	return min_u32(STEER_RAMP_START_PERMILLE, shift->share_permille);
+}
+
+static void fall(struct steer_shift *shift, uint32_t ramp, uint64_t hold_us,
+		 uint64_t now_us)
+{
+	shift->ramp_permille = max_u32(ramp, start_share(shift));
+	shift->held_until_us = now_us + hold_us;
+	shift->fell_us = now_us;
+	shift->answered = 0;
+}
+
+static bool fell_just_now(const struct steer_shift *shift, uint64_t now_us)
+{
+	return shift->fell_us && now_us < shift->fell_us + CUT_INTERVAL_US;
+}
+
+static uint32_t grown(const struct steer_shift *shift)
+{
+	uint32_t ramp = shift->ramp_permille;
+	uint32_t cautious = shift->cap_permille * CAUTIOUS_FROM_PERCENT / 100;
+
+	if (!shift->cap_permille || ramp + ramp / GROWTH_DIVISOR <= cautious)
+		ramp += ramp / GROWTH_DIVISOR;
+	else
+		ramp += CAUTIOUS_GROWTH_PERMILLE;
+	return min_u32(ramp, shift->share_permille);
+}
+
+static bool has_room(struct steer_place *to, uint64_t now_us)
+{
+	struct steer_estimate estimate;
+
+	steer_place_estimate(to, SERVICE_INTERACTIVE, UINT64_MAX, now_us,
+			     &estimate);
+	return estimate.standing == STEER_HEADROOM &&
+	       estimate.spare >= to->report.slots / GROWTH_RESERVE_DIVISOR;
+}
+
+static void learn_excess(struct steer_shift *shift,
+			 const struct steer_place *to, uint64_t latency_us)
+{
+	uint64_t link_us = 2 * to->spec.one_way_us;
+	uint64_t sample = latency_us > link_us ? latency_us - link_us : 0;
+
+	if (!shift->excess_us)
+		shift->excess_us = sample;
+	shift->excess_us += sample / LEARN_DIVISOR;
+	shift->excess_us -= shift->excess_us / (LEARN_DIVISOR + 1);
+}
+
+static bool is_slow(const struct steer_shift *shift,
+		    const struct steer_place *to)
+{
+	uint64_t base_us = steer_place_base_us(to);
+
+	return base_us && steer_is_slow(shift->excess_us, base_us);
+}
+
+void steer_shift_init(struct steer_shift *shift,
+		      const struct steer_shift_spec *spec, uint64_t now_us)
+{
+	memset(shift, 0, sizeof(*shift));
+	steer_shift_configure(shift, spec);
+	shift->ramp_permille = start_share(shift);
+	shift->stepped_us = now_us;
+	steer_bucket_fill(&shift->cap_bucket, spec->cap_per_s, now_us);
+}
+
+void steer_shift_configure(struct steer_shift *shift,
+			   const struct steer_shift_spec *spec)
+{
+	g_strlcpy(shift->id, spec->id, sizeof(shift->id));
+	shift->from = spec->from;
+	shift->to = spec->to;
+	shift->share_permille = spec->share_permille;
+	shift->cap_per_s = spec->cap_per_s;
+	shift->ramp_permille =
+		min_u32(shift->ramp_permille, spec->share_permille);
+}
+
+uint32_t steer_shift_ramp(const struct steer_shift *shift,
+			  const struct steer_place *to, uint64_t now_us)
+{
+	if (!to || to->spec.drained || to->failing || !shift->cap_per_s)
+		return 0;
+	if (steer_place_is_silent(to, now_us))
+		return start_share(shift);
+	return shift->ramp_permille;
+}
+
+void steer_shift_step(struct steer_shift *shift, struct steer_place *to,
+		      uint64_t now_us)
+{
+	if (now_us < shift->stepped_us + STEER_RAMP_STEP_US)
+		return;
+	shift->stepped_us = now_us;
+	if (to->failing || steer_place_is_silent(to, now_us))
+		fall(shift, 0, STEER_RAMP_HOLD_US, now_us);
+	else if (shift->answered && now_us >= shift->held_until_us &&
+		 !is_slow(shift, to) && has_room(to, now_us))
+		shift->ramp_permille = grown(shift);
+	shift->answered = 0;
+}
+
+bool steer_shift_open(struct steer_shift *shift, uint64_t now_us)
+{
+	if (!shift->cap_per_s || now_us < shift->closed_until_us)
+		return false;
+	return steer_bucket_has(&shift->cap_bucket, shift->cap_per_s, now_us);
+}
+
+void steer_shift_send(struct steer_shift *shift)
+{
+	steer_bucket_take(&shift->cap_bucket);
+}
+
+void steer_shift_learn(struct steer_shift *shift, const struct steer_place *to,
+		       const struct steer_feedback *feedback, uint64_t now_us)
+{
+	uint64_t retry_us = feedback->retry_after_us;
+	uint32_t ramp = shift->ramp_permille;
+
+	switch (feedback->result) {
+	case RESULT_OK:
+		shift->answered++;
+		learn_excess(shift, to, feedback->latency_us);
+		if (is_slow(shift, to) && !fell_just_now(shift, now_us))
+			fall(shift, ramp / SLOW_CUT_DIVISOR, STEER_RAMP_HOLD_US,
+			     now_us);
+		break;
+	case RESULT_SHIFT_CAP:
+		if (retry_us > STEER_RAMP_HOLD_US)
+			retry_us = STEER_RAMP_HOLD_US;
+		shift->closed_until_us = now_us + retry_us;
+		if (fell_just_now(shift, now_us))
+			break;
+		shift->cap_permille = ramp;
+		fall(shift, ramp * CAP_CUT_PERCENT / 100, CAP_HOLD_US, now_us);
+		break;
+	case RESULT_OVERLOAD:
+	case RESULT_BACKEND_SHED:
+		if (!fell_just_now(shift, now_us))
+			fall(shift, ramp / SLOW_CUT_DIVISOR, STEER_RAMP_HOLD_US,
+			     now_us);
+		break;
+	default:
+		break;
+	}
+}
