--- a/packages/core/steer.c
+++ b/packages/core/steer.c
@@ -438,20 +438,41 @@
 	choice->retry_after_us = retry_after_us;
 }
 
-static void send(struct steer *steer, const struct choosing *choosing,
-		 uint32_t position, struct steer_choice *choice)
+static void describe(struct steer *steer, const struct choosing *choosing,
+		     uint32_t position, struct steer_choice *choice)
 {
-	struct steer_place *place = &steer->places[position];
 	uint32_t home = choosing->request->home;
 
-	choice->place = place->spec.place;
+	choice->place = steer->places[position].spec.place;
 	choice->expected_us = steer->estimates[position].expected_us;
-	steer_place_send(place, choosing->now_us);
-	if (home == CONFIG_NONE || !steer->shift_count)
-		return;
-	choice->shift = find_shift(steer, home, choice->place);
-	if (choice->shift != CONFIG_NONE)
-		steer_shift_send(&steer->shifts[choice->shift]);
+	if (home != CONFIG_NONE && steer->shift_count)
+		choice->shift = find_shift(steer, home, choice->place);
+}
+
+/* The choice, with its position in the places; nothing is accounted yet. */
+static uint32_t decide(struct steer *steer, const struct steer_request *request,
+		       uint64_t now_us, struct steer_choice *choice)
+{
+	struct choosing choosing = { .request = request, .now_us = now_us };
+	uint32_t position;
+
+	memset(choice, 0, sizeof(*choice));
+	choice->shift = CONFIG_NONE;
+	if (now_us >= request->deadline_us) {
+		refuse(choice, RESULT_DEADLINE_EXPIRED, 0);
+		return CONFIG_NONE;
+	}
+	position = pick_unthrottled(steer, &choosing, &choice->rule);
+	if (position != CONFIG_NONE) {
+		describe(steer, &choosing, position, choice);
+		return position;
+	}
+	if (!choosing.reason)
+		choosing.reason = RESULT_NO_PLACE;
+	if (!choosing.retry_after_us)
+		choosing.retry_after_us = RETRY_DEFAULT_US;
+	refuse(choice, choosing.reason, choosing.retry_after_us);
+	return CONFIG_NONE;
 }
 
 const char *steer_rule_name(enum steer_rule rule)
@@ -537,25 +558,19 @@
 void steer_choose(struct steer *steer, const struct steer_request *request,
 		  uint64_t now_us, struct steer_choice *choice)
 {
-	struct choosing choosing = { .request = request, .now_us = now_us };
-	uint32_t position;
+	uint32_t position = decide(steer, request, now_us, choice);
 
-	memset(choice, 0, sizeof(*choice));
-	choice->shift = CONFIG_NONE;
-	if (now_us >= request->deadline_us) {
-		refuse(choice, RESULT_DEADLINE_EXPIRED, 0);
-		return;
-	}
-	position = pick_unthrottled(steer, &choosing, &choice->rule);
-	if (position != CONFIG_NONE) {
-		send(steer, &choosing, position, choice);
+	if (position == CONFIG_NONE)
 		return;
-	}
-	if (!choosing.reason)
-		choosing.reason = RESULT_NO_PLACE;
-	if (!choosing.retry_after_us)
-		choosing.retry_after_us = RETRY_DEFAULT_US;
-	refuse(choice, choosing.reason, choosing.retry_after_us);
+	steer_place_send(&steer->places[position], now_us);
+	if (choice->shift != CONFIG_NONE)
+		steer_shift_send(&steer->shifts[choice->shift]);
+}
+
+void steer_explain(struct steer *steer, const struct steer_request *request,
+		   uint64_t now_us, struct steer_choice *choice)
+{
+	decide(steer, request, now_us, choice);
 }
 
 void steer_learn(struct steer *steer, const struct steer_feedback *feedback,
--- a/packages/core/steer.h
+++ b/packages/core/steer.h
@@ -122,6 +122,10 @@
 void steer_choose(struct steer *steer, const struct steer_request *request,
 		  uint64_t now_us, struct steer_choice *choice);
 
+/* What steer_choose() would answer now; nothing is accounted. */
+void steer_explain(struct steer *steer, const struct steer_request *request,
+		   uint64_t now_us, struct steer_choice *choice);
+
 /* Every choice that named a place is followed by one feedback. */
 void steer_learn(struct steer *steer, const struct steer_feedback *feedback,
 		 uint64_t now_us);
