--- /dev/null
+++ b/packages/core/answer.c
@@ -0,0 +1,35 @@
+#include "core/answer.h"
+
+#include <glib.h>
+
+json_t *answer_number(uint64_t value)
+{
+	return json_integer((json_int_t)MIN(value, (uint64_t)INT64_MAX));
+}
+
+json_t *answer_text(const char *text)
+{
+	char *valid = g_utf8_make_valid(text, -1);
+	json_t *value = json_string(valid);
+
+	g_free(valid);
+	return value;
+}
+
+json_t *answer_new(enum result code, const char *message)
+{
+	json_t *root = json_object();
+
+	json_object_set_new(root, "result", json_integer(code));
+	json_object_set_new(root, "name", json_string(result_name(code)));
+	json_object_set_new(root, "message", answer_text(message));
+	return root;
+}
+
+char *answer_take_text(json_t *root)
+{
+	char *text = json_dumps(root, JSON_COMPACT);
+
+	json_decref(root);
+	return text;
+}
--- /dev/null
+++ b/packages/core/answer.h
@@ -0,0 +1,32 @@
+/*
+ * answer - the members that every JSON answer has, and safe values in them
+ */
+#ifndef CORE_ANSWER_H
+#define CORE_ANSWER_H
+
+#include <jansson.h>
+#include <stdint.h>
+
+#include "core/result.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* An object with "result", "name" and "message". */
+json_t *answer_new(enum result code, const char *message);
+
+/* The object as text for g_free(); the object is released. */
+char *answer_take_text(json_t *root);
+
+/* A number, at most INT64_MAX as JSON holds it. */
+json_t *answer_number(uint64_t value);
+
+/* A text; what isn't valid UTF-8, which JSON can't hold, is replaced. */
+json_t *answer_text(const char *text);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
