core: hold seats of a shift's cap under a lease

The row's value is the holder and a nonce that is new with each write, so that a write whose answer was lost is settled by reading, with the lease counted from when it was sent.

Added to the header: seat_set_part (what was admitted still counts), seat_give_up (a stop frees the row) and the hand-back of a borrowed seat after 60 s; without it a node that was replaced never got its seat back.

--- a/packages/core/seat.c
+++ b/packages/core/seat.c
@@ -1,1 +1,345 @@
 #include "core/seat.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define FREE_VALUE "free"
+
+/* While the row isn't known a read is asked for no more often than this. */
+#define READ_RETRY_US (500 * 1000ull)
+
+/* Writes whose answers may still be lost and found; older ones are given up. */
+#define WRITES_REMEMBERED 8
+
+/* Others leave a free row to the node whose own it is for so long. */
+#define FREE_GRACE_US (2 * SEAT_RENEW_US)
+
+enum row_owner {
+	ROW_UNKNOWN, /* not read, or a write's answer was lost */
+	ROW_ABSENT,
+	ROW_FREE,
+	ROW_OTHER,
+	ROW_OWN,
+};
+
+struct sent_write {
+	uint64_t nonce; /* 0: none */
+	uint64_t sent_us;
+	bool takes; /* the row wasn't own before */
+	bool waits; /* it was another's, whose admissions may be just past */
+};
+
+struct seat {
+	char holder[SEAT_HOLDER_SIZE];
+
+	/* The row as last seen */
+	enum row_owner owner;
+	bool seen;
+	uint64_t version;
+	uint64_t unchanged_since_us;
+	uint64_t read_due_us;
+
+	/* Own writes */
+	struct sent_write writes[WRITES_REMEMBERED];
+	uint64_t nonce; /* of the newest write */
+	uint64_t renew_due_us;
+	uint64_t taken_us; /* when the row became own */
+	bool giving_up;
+
+	/* The lease */
+	bool leased;
+	uint64_t lease_until_us;
+	uint64_t admit_from_us;
+
+	/*
+	 * The last admissions in a ring. It never shrinks: with a part that
+	 * goes down and up again within a second, all of them still count.
+	 */
+	uint64_t *admitted_us;
+	uint32_t size; /* at least the part */
+	uint32_t part;
+	uint32_t count;
+	uint32_t next; /* where the next one goes */
+	uint64_t newest_us;
+};
+
+static bool is_own_value(const struct seat *seat, const char *value)
+{
+	size_t len = strlen(seat->holder);
+
+	return !strncmp(value, seat->holder, len) && value[len] == ' ';
+}
+
+static uint64_t nonce_of(const struct seat *seat, const char *value)
+{
+	return g_ascii_strtoull(value + strlen(seat->holder) + 1, NULL, 10);
+}
+
+static enum row_owner owner_of(const struct seat *seat, const char *value)
+{
+	if (!value)
+		return ROW_ABSENT;
+	if (!strcmp(value, FREE_VALUE))
+		return ROW_FREE;
+	return is_own_value(seat, value) ? ROW_OWN : ROW_OTHER;
+}
+
+static struct sent_write *write_slot(struct seat *seat, uint64_t nonce)
+{
+	return &seat->writes[nonce % WRITES_REMEMBERED];
+}
+
+/* The row holds what our write put there: the lease runs from its sending. */
+static void lease_from(struct seat *seat, const struct sent_write *write)
+{
+	uint64_t until_us = write->sent_us + SEAT_LEASE_US;
+
+	if (write->waits)
+		seat->admit_from_us = write->sent_us + SEAT_WINDOW_US;
+	if (write->takes)
+		seat->taken_us = write->sent_us;
+	if (!seat->leased || until_us > seat->lease_until_us)
+		seat->lease_until_us = until_us;
+	seat->leased = true;
+	seat->renew_due_us = write->sent_us + SEAT_RENEW_US;
+}
+
+static void end_lease(struct seat *seat)
+{
+	seat->leased = false;
+	seat->lease_until_us = 0;
+}
+
+static void ask_write(struct seat *seat, uint64_t now_us,
+		      struct seat_step *step)
+{
+	struct sent_write *write;
+
+	seat->nonce++;
+	write = write_slot(seat, seat->nonce);
+	write->nonce = seat->nonce;
+	write->sent_us = now_us;
+	write->takes = seat->owner != ROW_OWN;
+	write->waits = seat->owner == ROW_OTHER || seat->owner == ROW_FREE;
+	step->action = SEAT_WRITE;
+	step->expected_version = seat->version;
+	g_snprintf(step->value, sizeof(step->value), "%s %" G_GUINT64_FORMAT,
+		   seat->holder, seat->nonce);
+}
+
+/*
+ * The write that frees the row may be held up on its way and land late, after
+ * the row was read and still seen as own. A lease taken up again on that read
+ * would then run beside the next holder's. So no write from before this one
+ * gives a lease any more; one from after it can't land unless this one missed.
+ */
+static void ask_free(struct seat *seat, struct seat_step *step)
+{
+	memset(seat->writes, 0, sizeof(seat->writes));
+	seat->nonce++;
+	end_lease(seat);
+	step->action = SEAT_WRITE;
+	step->expected_version = seat->version;
+	g_strlcpy(step->value, FREE_VALUE, sizeof(step->value));
+}
+
+static void ask_read(struct seat *seat, uint64_t now_us, struct seat_step *step)
+{
+	if (now_us < seat->read_due_us)
+		return;
+	seat->read_due_us = now_us + READ_RETRY_US;
+	step->action = SEAT_READ;
+}
+
+/* How long the row must have stood unchanged before this node may take it. */
+static uint64_t patience_us(const struct seat *seat, bool preferred)
+{
+	if (seat->owner == ROW_OTHER)
+		return SEAT_LEASE_US + SEAT_DRIFT_US;
+	return preferred ? 0 : FREE_GRACE_US;
+}
+
+static bool may_take(const struct seat *seat, bool preferred, uint64_t now_us)
+{
+	if (seat->owner == ROW_UNKNOWN || seat->giving_up)
+		return false;
+	return now_us >=
+	       seat->unchanged_since_us + patience_us(seat, preferred);
+}
+
+static bool should_hand_back(const struct seat *seat, bool preferred,
+			     uint64_t now_us)
+{
+	return seat->giving_up ||
+	       (!preferred && now_us >= seat->taken_us + SEAT_BORROW_US);
+}
+
+static void step_own(struct seat *seat, bool preferred, uint64_t now_us,
+		     struct seat_step *step)
+{
+	if (should_hand_back(seat, preferred, now_us))
+		ask_free(seat, step);
+	else if (now_us >= seat->renew_due_us)
+		ask_write(seat, now_us, step);
+}
+
+/* When the n-th newest admission was, counted from 1; n is at most count. */
+static uint64_t nth_newest(const struct seat *seat, uint32_t n)
+{
+	return seat->admitted_us[(seat->next + seat->size - n) % seat->size];
+}
+
+static void count_admission(struct seat *seat, uint64_t now_us)
+{
+	seat->admitted_us[seat->next] = now_us;
+	seat->newest_us = now_us;
+	seat->next = (seat->next + 1) % seat->size;
+	if (seat->count < seat->size)
+		seat->count++;
+}
+
+/* Whether as many as the part were admitted within the window. */
+static bool is_used_up(const struct seat *seat, uint64_t now_us)
+{
+	if (!seat->part)
+		return true;
+	return seat->count >= seat->part &&
+	       now_us - nth_newest(seat, seat->part) <= SEAT_WINDOW_US;
+}
+
+struct seat *seat_new(const char *holder, uint32_t part_per_s)
+{
+	struct seat *seat;
+
+	if (strlen(holder) >= SEAT_HOLDER_SIZE || strchr(holder, ' '))
+		return NULL;
+	seat = g_new0(struct seat, 1);
+	g_strlcpy(seat->holder, holder, sizeof(seat->holder));
+	seat_set_part(seat, part_per_s);
+	return seat;
+}
+
+void seat_free(struct seat *seat)
+{
+	if (!seat)
+		return;
+	g_free(seat->admitted_us);
+	g_free(seat);
+}
+
+uint32_t seat_part(uint32_t cap_per_s, uint32_t rank, uint32_t count)
+{
+	if (rank >= count)
+		return 0;
+	return cap_per_s / count + (rank < cap_per_s % count ? 1 : 0);
+}
+
+void seat_set_part(struct seat *seat, uint32_t part_per_s)
+{
+	uint64_t *admitted_us;
+	uint32_t i;
+
+	seat->part = part_per_s;
+	if (part_per_s <= seat->size)
+		return;
+	admitted_us = g_new(uint64_t, part_per_s);
+	for (i = 0; i < seat->count; i++)
+		admitted_us[i] = nth_newest(seat, seat->count - i);
+	g_free(seat->admitted_us);
+	seat->admitted_us = admitted_us;
+	seat->size = part_per_s;
+	seat->next = seat->count;
+}
+
+void seat_give_up(struct seat *seat)
+{
+	seat->giving_up = true;
+	end_lease(seat);
+}
+
+void seat_next_step(struct seat *seat, bool preferred, uint64_t now_us,
+		    struct seat_step *step)
+{
+	memset(step, 0, sizeof(*step));
+	if (seat->owner == ROW_OWN)
+		step_own(seat, preferred, now_us, step);
+	else if (may_take(seat, preferred, now_us))
+		ask_write(seat, now_us, step);
+	else if (seat->owner == ROW_UNKNOWN || !seat->giving_up)
+		ask_read(seat, now_us, step);
+}
+
+/* The row is own; the write that made it so gives the lease. */
+static void saw_own_value(struct seat *seat, const char *value, uint64_t now_us)
+{
+	uint64_t nonce = nonce_of(seat, value);
+	const struct sent_write *write = write_slot(seat, nonce);
+
+	seat->owner = ROW_OWN;
+	if (nonce && write->nonce == nonce) {
+		if (!seat->giving_up)
+			lease_from(seat, write);
+		return;
+	}
+	/* It may have taken the row from another, who admitted just before. */
+	if (seat_holds(seat, now_us))
+		return;
+	seat->admit_from_us = now_us + SEAT_WINDOW_US;
+	seat->taken_us = now_us;
+}
+
+void seat_saw_row(struct seat *seat, uint64_t version, const char *value,
+		  uint64_t now_us)
+{
+	seat->read_due_us = now_us + SEAT_RENEW_US;
+	if (!seat->seen || version != seat->version)
+		seat->unchanged_since_us = now_us;
+	seat->seen = true;
+	seat->version = version;
+	seat->owner = owner_of(seat, value);
+	if (seat->owner == ROW_OWN)
+		saw_own_value(seat, value, now_us);
+	else
+		end_lease(seat);
+}
+
+void seat_wrote(struct seat *seat, uint64_t version, uint64_t sent_us,
+		uint64_t now_us)
+{
+	struct sent_write *write = write_slot(seat, seat->nonce);
+	bool is_lease = write->nonce == seat->nonce;
+
+	if (is_lease)
+		write->sent_us = sent_us;
+	seat->read_due_us = now_us;
+	if (!version) {
+		seat->owner = ROW_UNKNOWN;
+		return;
+	}
+	seat->version = version;
+	seat->unchanged_since_us = now_us;
+	if (!is_lease) {
+		seat->owner = ROW_FREE;
+		return;
+	}
+	if (!seat->giving_up)
+		lease_from(seat, write);
+	seat->owner = ROW_OWN;
+}
+
+bool seat_holds(const struct seat *seat, uint64_t now_us)
+{
+	return seat->leased && !seat->giving_up &&
+	       now_us < seat->lease_until_us;
+}
+
+bool seat_admit(struct seat *seat, uint64_t now_us)
+{
+	if (now_us < seat->newest_us)
+		now_us = seat->newest_us;
+	if (!seat_holds(seat, now_us) || now_us < seat->admit_from_us ||
+	    is_used_up(seat, now_us))
+		return false;
+	count_admission(seat, now_us);
+	return true;
+}
--- a/packages/core/seat.h
+++ b/packages/core/seat.h
@@ -8,7 +8,19 @@
  *
  * No clocks of two machines are compared: the holder counts its lease from
  * before it sent the write; another node takes a seat only after it has seen
- * the row unchanged for lease and drift on its own clock.
+ * the row unchanged for lease and drift on its own clock, and admits nothing
+ * for one window after that, so that no second holds admissions of both.
+ *
+ * The row's value is "HOLDER NONCE", or "free" after a holder gave it up; the
+ * nonce is new with each write. A write whose answer was lost is settled by
+ * reading: where the row has the write's nonce, the lease counts from when
+ * that write was sent.
+ *
+ * A node that holds another's seat gives it up after SEAT_BORROW_US, so that
+ * the node whose own it is gets it back.
+ *
+ * now_us comes from a clock that counts suspension, read under the owner's lock
+ * right before the call.
  */
 #ifndef CORE_SEAT_H
 #define CORE_SEAT_H
@@ -27,6 +39,10 @@
 #define SEAT_RENEW_US (2 * 1000 * 1000ull)
 #define SEAT_DRIFT_US (1 * 1000 * 1000ull)
 #define SEAT_WINDOW_US (1 * 1000 * 1000ull)
+#define SEAT_BORROW_US (60 * 1000 * 1000ull)
+
+/* Longest holder's name, with the NUL, that leaves room for the nonce. */
+#define SEAT_HOLDER_SIZE (ID_SIZE - 21)
 
 struct seat;
 
@@ -43,14 +59,26 @@
 	char value[ID_SIZE]; /* for SEAT_WRITE */
 };
 
-/* holder names this node and its incarnation; unique for ever. */
+/* holder names this node and its incarnation, without blanks; unique for ever;
+ * shorter than SEAT_HOLDER_SIZE, else NULL is returned. */
 struct seat *seat_new(const char *holder, uint32_t part_per_s);
 void seat_free(struct seat *seat);
 
 /* Part of a cap for the seat of this rank among count; the parts add to cap. */
 uint32_t seat_part(uint32_t cap_per_s, uint32_t rank, uint32_t count);
 
-/* preferred: this node's own seat; others' are taken only when they lapse. */
+/* A cap was replaced: the part changes, what was admitted still counts. */
+void seat_set_part(struct seat *seat, uint32_t part_per_s);
+
+/* Stop admitting now and, in later steps, hand the row back; for a stop. */
+void seat_give_up(struct seat *seat);
+
+/*
+ * What to do now; the owner calls it a few times a second and has one read or
+ * write of the row under way at a time. While the row is another's it is read
+ * about each SEAT_RENEW_US, so a node should watch few seats besides its own.
+ * preferred: this node's own seat; others' are taken only when they lapse.
+ */
 void seat_next_step(struct seat *seat, bool preferred, uint64_t now_us,
 		    struct seat_step *step);
 
@@ -58,7 +86,10 @@
 void seat_saw_row(struct seat *seat, uint64_t version, const char *value,
 		  uint64_t now_us);
 
-/* The write that was sent at sent_us succeeded (version) or did not (0). */
+/*
+ * The write that was sent at sent_us (read before sending) succeeded (version)
+ * or did not, or may have (0); the row is read again then.
+ */
 void seat_wrote(struct seat *seat, uint64_t version, uint64_t sent_us,
 		uint64_t now_us);
 
