core: order entry nodes for a caller

A table per configuration version holds each region's order of places in tiers of equal distance and the nodes by place; a look-up walks each part by a random start and stride. A fixed stride would send all callers of a dead node to the same next one. Answers of three or more keep one node of another place of the region and one of another region. Drained, leaving and dead nodes are named only where no better one is left: the list lags, and an empty answer helps nobody.

--- /dev/null
+++ b/packages/core/lookup.c
@@ -0,0 +1,403 @@
+#include "core/lookup.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Strides in which a place's nodes are walked, coprime to their number. */
+#define STRIDES_MOST 8
+
+/* Nodes of one place outside home's that one answer names at most. */
+#define REMOTE_PLACE_NODES 2
+
+/* Classes of nodes from the one that callers should use to the last resort. */
+enum node_class {
+	CLASS_USABLE,
+	CLASS_LEAVING, /* or drained: they still answer */
+	CLASS_DEAD,
+	CLASS_COUNT,
+};
+
+struct place_nodes {
+	uint32_t region;
+	uint32_t first; /* in the table's nodes */
+	uint32_t count;
+	uint32_t strides[STRIDES_MOST];
+	uint32_t stride_count;
+};
+
+/* Places that are equally far from a region; the first tier is the region. */
+struct tier {
+	uint32_t first; /* in the region's order */
+	uint32_t count;
+};
+
+/* All places as seen from one region, the nearest first. */
+struct region_order {
+	uint32_t *places;
+	struct tier *tiers;
+	uint32_t tier_count;
+};
+
+struct lookup_table {
+	struct place_nodes *places;
+	uint32_t *nodes; /* by place */
+	bool *drained; /* by node */
+	struct region_order *orders; /* by region; the last has one tier */
+	uint32_t place_count;
+	uint32_t region_count;
+};
+
+/* Nodes found for one answer, of one of its parts. */
+struct found {
+	uint32_t nodes[LOOKUP_MAX_NODES];
+	uint32_t count;
+	uint32_t most;
+};
+
+/* One look-up while it goes on. */
+struct walk {
+	const struct lookup_table *table;
+	const uint8_t *states;
+	uint32_t home;
+	uint32_t draw;
+	enum node_class class_of;
+};
+
+/* A place and its distance, while an order is built. */
+struct distance {
+	bool is_remote;
+	uint64_t one_way_us;
+	uint32_t place;
+};
+
+static uint32_t gcd(uint32_t a, uint32_t b)
+{
+	uint32_t rest;
+
+	while (b) {
+		rest = a % b;
+		a = b;
+		b = rest;
+	}
+	return a;
+}
+
+/*
+ * A walk by a fixed stride would send all callers of a dead node to the same
+ * next one; with several strides they spread over the others.
+ */
+static void find_strides(struct place_nodes *place)
+{
+	uint32_t stride;
+
+	place->strides[0] = 1;
+	place->stride_count = 1;
+	for (stride = 2; stride < place->count; stride++) {
+		if (place->stride_count == STRIDES_MOST)
+			return;
+		if (gcd(stride, place->count) == 1)
+			place->strides[place->stride_count++] = stride;
+	}
+}
+
+static uint32_t count_regions(const struct config *config,
+			      struct lookup_table *table,
+			      uint32_t *first_places)
+{
+	GHashTable *regions = g_hash_table_new(g_str_hash, g_str_equal);
+	uint32_t count = 0;
+	void *known;
+	uint32_t i;
+
+	for (i = 0; i < config->place_count; i++) {
+		if (g_hash_table_lookup_extended(
+			    regions, config->places[i].region, NULL, &known)) {
+			table->places[i].region = GPOINTER_TO_UINT(known);
+			continue;
+		}
+		g_hash_table_insert(regions, config->places[i].region,
+				    GUINT_TO_POINTER(count));
+		table->places[i].region = count;
+		first_places[count++] = i;
+	}
+	g_hash_table_destroy(regions);
+	return count;
+}
+
+static void place_nodes(const struct config *config, struct lookup_table *table)
+{
+	uint32_t first = 0;
+	uint32_t place;
+	uint32_t i;
+
+	for (i = 0; i < config->node_count; i++) {
+		place = config->nodes[i].place;
+		table->places[place].count++;
+		table->drained[i] = config->nodes[i].drained ||
+				    config->places[place].drained;
+	}
+	for (i = 0; i < config->place_count; i++) {
+		table->places[i].first = first;
+		first += table->places[i].count;
+		find_strides(&table->places[i]);
+		table->places[i].count = 0;
+	}
+	for (i = 0; i < config->node_count; i++) {
+		struct place_nodes *place_of =
+			&table->places[config->nodes[i].place];
+
+		table->nodes[place_of->first + place_of->count++] = i;
+	}
+}
+
+static bool is_as_far(const struct distance *one, const struct distance *other)
+{
+	return one->is_remote == other->is_remote &&
+	       (!one->is_remote || one->one_way_us == other->one_way_us);
+}
+
+static int compare_distances(const void *a, const void *b)
+{
+	const struct distance *one = a;
+	const struct distance *other = b;
+
+	if (one->is_remote != other->is_remote)
+		return one->is_remote ? 1 : -1;
+	if (one->is_remote && one->one_way_us != other->one_way_us)
+		return one->one_way_us < other->one_way_us ? -1 : 1;
+	if (one->place != other->place)
+		return one->place < other->place ? -1 : 1;
+	return 0;
+}
+
+static void fill_order(struct region_order *order,
+		       const struct distance *distances, uint32_t count)
+{
+	struct tier *tier = NULL;
+	uint32_t i;
+
+	order->places = g_new(uint32_t, count);
+	order->tiers = g_new0(struct tier, count);
+	for (i = 0; i < count; i++) {
+		order->places[i] = distances[i].place;
+		if (!i || !is_as_far(&distances[i - 1], &distances[i])) {
+			tier = &order->tiers[order->tier_count++];
+			tier->first = i;
+		}
+		tier->count++;
+	}
+}
+
+/* The order of a region, or of callers from nowhere: one tier of all. */
+static void order_region(const struct config *config,
+			 struct lookup_table *table, uint32_t region,
+			 const uint32_t *first_places)
+{
+	struct distance *distances;
+	uint64_t *one_way_us = g_new0(uint64_t, table->region_count + 1);
+	uint32_t i;
+
+	if (region < table->region_count)
+		for (i = 0; i < table->region_count; i++)
+			one_way_us[i] = config_one_way_us(
+				config, first_places[region], first_places[i]);
+	distances = g_new0(struct distance, table->place_count);
+	for (i = 0; i < table->place_count; i++) {
+		distances[i].place = i;
+		distances[i].is_remote = region < table->region_count &&
+					 table->places[i].region != region;
+		distances[i].one_way_us = one_way_us[table->places[i].region];
+	}
+	if (table->place_count)
+		qsort(distances, table->place_count, sizeof(*distances),
+		      compare_distances);
+	fill_order(&table->orders[region], distances, table->place_count);
+	g_free(distances);
+	g_free(one_way_us);
+}
+
+static enum node_class class_of_node(const struct walk *walk, uint32_t node)
+{
+	uint8_t state = walk->states ? walk->states[node] : LOOKUP_ALIVE;
+
+	if (state == LOOKUP_DEAD)
+		return CLASS_DEAD;
+	if (state != LOOKUP_ALIVE || walk->table->drained[node])
+		return CLASS_LEAVING;
+	return CLASS_USABLE;
+}
+
+/* Different places and parts of one look-up use different bits of the draw. */
+static uint32_t mix(uint32_t draw, uint32_t salt)
+{
+	uint32_t mixed = draw + salt * 0x9e3779b9u;
+
+	mixed ^= mixed >> 16;
+	mixed *= 0x85ebca6bu;
+	mixed ^= mixed >> 13;
+	mixed *= 0xc2b2ae35u;
+	return mixed ^ mixed >> 16;
+}
+
+static uint32_t below(uint32_t random, uint32_t bound)
+{
+	return (uint32_t)((uint64_t)random * bound >> 32);
+}
+
+/* Take usable nodes of one place until most of them are found. */
+static void take_place(const struct walk *walk, uint32_t place, uint32_t most,
+		       struct found *found)
+{
+	const struct place_nodes *nodes = &walk->table->places[place];
+	uint32_t taken = 0;
+	uint32_t position;
+	uint32_t stride;
+	uint32_t node;
+	uint32_t i;
+
+	if (!nodes->count)
+		return;
+	position = below(mix(walk->draw, 2 * place), nodes->count);
+	stride = below(mix(walk->draw, 2 * place + 1), nodes->stride_count);
+	stride = nodes->strides[stride];
+	for (i = 0; i < nodes->count && taken < most; i++) {
+		if (found->count == found->most)
+			return;
+		node = walk->table->nodes[nodes->first + position];
+		if (class_of_node(walk, node) == walk->class_of) {
+			found->nodes[found->count++] = node;
+			taken++;
+		}
+		position = (position + stride) % nodes->count;
+	}
+}
+
+static void take_tier(const struct walk *walk, const uint32_t *places,
+		      uint32_t count, struct found *found)
+{
+	uint32_t position = below(mix(walk->draw, 0), count);
+	uint32_t i;
+
+	for (i = 0; i < count && found->count < found->most; i++) {
+		if (places[position] != walk->home)
+			take_place(walk, places[position], REMOTE_PLACE_NODES,
+				   found);
+		position = position + 1 == count ? 0 : position + 1;
+	}
+}
+
+static const struct region_order *order_of(const struct lookup_table *table,
+					   uint32_t home)
+{
+	if (home >= table->place_count)
+		return &table->orders[table->region_count];
+	return &table->orders[table->places[home].region];
+}
+
+static void take_tiers(const struct walk *walk, uint32_t from, uint32_t to,
+		       struct found *found)
+{
+	const struct region_order *order = order_of(walk->table, walk->home);
+	const struct tier *tier;
+	uint32_t i;
+
+	for (i = from; i < to && i < order->tier_count; i++) {
+		tier = &order->tiers[i];
+		take_tier(walk, order->places + tier->first, tier->count,
+			  found);
+	}
+}
+
+static uint32_t min_u32(uint32_t a, uint32_t b)
+{
+	return a < b ? a : b;
+}
+
+static uint32_t append(const struct found *found, uint32_t count,
+		       uint32_t *nodes)
+{
+	memcpy(nodes, found->nodes, count * sizeof(*nodes));
+	return count;
+}
+
+/* Home's nodes first, but one of each other part where the answer has room. */
+static uint32_t join(const struct found *home, const struct found *region,
+		     const struct found *others, uint32_t *nodes, uint32_t most)
+{
+	uint32_t kept_region = most > 2 ? min_u32(region->count, 1) : 0;
+	uint32_t kept_others = most > 2 ? min_u32(others->count, 1) : 0;
+	uint32_t count;
+	uint32_t part;
+
+	part = min_u32(home->count, most - kept_region - kept_others);
+	count = append(home, part, nodes);
+	part = min_u32(region->count, most - count - kept_others);
+	count += append(region, part, nodes + count);
+	part = min_u32(others->count, most - count);
+	return count + append(others, part, nodes + count);
+}
+
+struct lookup_table *lookup_table_new(const struct config *config)
+{
+	struct lookup_table *table = g_new0(struct lookup_table, 1);
+	uint32_t *first_places = g_new0(uint32_t, config->place_count);
+	uint32_t i;
+
+	table->place_count = config->place_count;
+	table->places = g_new0(struct place_nodes, config->place_count);
+	table->nodes = g_new0(uint32_t, config->node_count);
+	table->drained = g_new0(bool, config->node_count);
+	place_nodes(config, table);
+	table->region_count = count_regions(config, table, first_places);
+	table->orders = g_new0(struct region_order, table->region_count + 1);
+	for (i = 0; i <= table->region_count; i++)
+		order_region(config, table, i, first_places);
+	g_free(first_places);
+	return table;
+}
+
+void lookup_table_free(struct lookup_table *table)
+{
+	uint32_t i;
+
+	if (!table)
+		return;
+	for (i = 0; i <= table->region_count; i++) {
+		g_free(table->orders[i].places);
+		g_free(table->orders[i].tiers);
+	}
+	g_free(table->orders);
+	g_free(table->places);
+	g_free(table->nodes);
+	g_free(table->drained);
+	g_free(table);
+}
+
+uint32_t lookup_order(const struct lookup_table *table, uint32_t home,
+		      const uint8_t *states, uint32_t draw, uint32_t *nodes,
+		      uint32_t most)
+{
+	struct walk walk = { table, states, home, draw, CLASS_USABLE };
+	struct found at_home = { .count = 0 };
+	struct found in_region = { .count = 0 };
+	struct found others = { .count = 0 };
+	bool has_home = home < table->place_count;
+	uint32_t count = 0;
+	int class_of;
+
+	most = min_u32(most, LOOKUP_MAX_NODES);
+	at_home.most = most;
+	in_region.most = most;
+	others.most = most;
+	if (!has_home)
+		walk.home = CONFIG_NONE;
+	for (class_of = 0; class_of < CLASS_COUNT && !count; class_of++) {
+		walk.class_of = (enum node_class)class_of;
+		if (has_home)
+			take_place(&walk, home, most, &at_home);
+		take_tiers(&walk, 0, 1, &in_region);
+		take_tiers(&walk, 1, UINT32_MAX, &others);
+		count = join(&at_home, &in_region, &others, nodes, most);
+	}
+	return count;
+}
