--- a/packages/core/steer_shift.c
+++ b/packages/core/steer_shift.c
@@ -15,6 +15,8 @@
 #define CUT_INTERVAL_US (500 * 1000ull)
 
 #define LEARN_DIVISOR 8
+/* The base rises by this part of itself in a step at most. */
+#define BASE_RISE_DIVISOR 64
 /* Part of the receiving place's slots that must be free for a share to grow. */
 #define GROWTH_RESERVE_DIVISOR 8
 
@@ -81,12 +83,30 @@
 	shift->excess_us -= shift->excess_us / (LEARN_DIVISOR + 1);
 }
 
-static bool is_slow(const struct steer_shift *shift,
-		    const struct steer_place *to)
+/*
+ * The time that a request takes at the place when all is well, by what the
+ * place says of its own callers' and by what this node saw. With cold caches
+ * the latter alone is slow from the first request on and would hide that; with
+ * many slow ones the former rises, so the base follows up slowly only.
+ */
+static void learn_base(struct steer_shift *shift, const struct steer_place *to,
+		       bool may_rise)
 {
 	uint64_t base_us = steer_place_base_us(to);
+	uint64_t rise_us = shift->base_us / BASE_RISE_DIVISOR;
 
-	return base_us && steer_is_slow(shift->excess_us, base_us);
+	if (to->report.service_us && to->report.service_us < base_us)
+		base_us = to->report.service_us;
+	if (may_rise && shift->base_us && base_us > shift->base_us + rise_us)
+		base_us = shift->base_us + rise_us;
+	if (may_rise || !shift->base_us || base_us < shift->base_us)
+		shift->base_us = base_us;
+}
+
+static bool is_slow(const struct steer_shift *shift)
+{
+	return shift->base_us &&
+	       steer_is_slow(shift->excess_us, shift->base_us);
 }
 
 void steer_shift_init(struct steer_shift *shift,
@@ -127,10 +147,11 @@
 	if (now_us < shift->stepped_us + STEER_RAMP_STEP_US)
 		return;
 	shift->stepped_us = now_us;
+	learn_base(shift, to, true);
 	if (to->failing || steer_place_is_silent(to, now_us))
 		fall(shift, 0, STEER_RAMP_HOLD_US, now_us);
 	else if (shift->answered && now_us >= shift->held_until_us &&
-		 !is_slow(shift, to) && has_room(to, now_us))
+		 !is_slow(shift) && has_room(to, now_us))
 		shift->ramp_permille = grown(shift);
 	shift->answered = 0;
 }
@@ -156,8 +177,9 @@
 	switch (feedback->result) {
 	case RESULT_OK:
 		shift->answered++;
+		learn_base(shift, to, false);
 		learn_excess(shift, to, feedback->latency_us);
-		if (is_slow(shift, to) && !fell_just_now(shift, now_us))
+		if (is_slow(shift) && !fell_just_now(shift, now_us))
 			fall(shift, ramp / SLOW_CUT_DIVISOR, STEER_RAMP_HOLD_US,
 			     now_us);
 		break;
--- a/packages/core/steer_shift.h
+++ b/packages/core/steer_shift.h
@@ -40,6 +40,7 @@
 	uint64_t fell_us;
 	uint64_t closed_until_us; /* the cap's gate said when to come back */
 	uint64_t excess_us; /* learned of shifted requests, without the link */
+	uint64_t base_us; /* of the place when all is well; 0: not known */
 	uint32_t answered; /* in this step */
 	struct steer_bucket cap_bucket;
 };
