--- a/packages/adapters/pairs.c
+++ b/packages/adapters/pairs.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #define SPEC_SIZE 32
+#define PRECISION_MAX 1000
 #define NUMBER_SIZE 400 /* a double in %f has up to 309 digits */
 #define CUT_MARK " cut=true"
 #define PAIRS_END_SIZE 16 /* a quote, the mark and the NUL */
@@ -18,14 +19,33 @@
 	bool cut; /* nothing more is put */
 };
 
+/* What a conversion takes from the arguments. */
+enum argument {
+	ARGUMENT_NONE,
+	ARGUMENT_INT,
+	ARGUMENT_UNSIGNED,
+	ARGUMENT_64, /* long, long long, size_t and their kin */
+	ARGUMENT_DOUBLE,
+	ARGUMENT_POINTER,
+	ARGUMENT_TEXT,
+};
+
 /* One conversion of a format, such as "%08lx". */
 struct conversion {
-	char spec[SPEC_SIZE];
+	char spec[SPEC_SIZE]; /* a whole number as "ll" */
 	int precision; /* -1: none */
-	unsigned int longs; /* 'l' counted; 'z' and 'j' are one */
-	char type;
+	enum argument argument;
 };
 
+union value {
+	int64_t number;
+	uint64_t count;
+	double real;
+	const void *pointer;
+};
+
+_Static_assert(sizeof(long) == sizeof(int64_t), "ARGUMENT_64");
+
 /* Put the text whole, or nothing of it and of what follows. */
 static void put(struct pairs_writer *writer, const char *text)
 {
@@ -107,88 +127,88 @@
 		put_quote(writer);
 }
 
+static enum argument argument_of(char type, bool is_long)
+{
+	if (!type || type == '%')
+		return ARGUMENT_NONE;
+	if (type == 's')
+		return ARGUMENT_TEXT;
+	if (type == 'p')
+		return ARGUMENT_POINTER;
+	if (strchr("eEfFgGaA", type))
+		return ARGUMENT_DOUBLE;
+	if (is_long)
+		return ARGUMENT_64;
+	return strchr("dic", type) ? ARGUMENT_INT : ARGUMENT_UNSIGNED;
+}
+
+static void finish_spec(struct conversion *conversion, size_t length, char type)
+{
+	char *end = conversion->spec + length;
+	bool whole = type && strchr("diuoxX", type);
+
+	g_snprintf(end, SPEC_SIZE - length, "%s%c", whole ? "ll" : "", type);
+}
+
 /* Read the conversion that follows a '%'; returns what follows it. */
 static const char *read_conversion(const char *format,
 				   struct conversion *conversion)
 {
 	size_t length = 0;
 	bool after_dot = false;
+	bool is_long = false;
 
 	conversion->precision = -1;
-	conversion->longs = 0;
 	conversion->spec[length++] = '%';
-	while (*format && strchr("-+ #0123456789.hlzjt", *format)) {
+	for (; *format && strchr("-+ #0123456789.hlzjt", *format); format++) {
+		if (strchr("hlzjt", *format)) {
+			is_long = is_long || *format != 'h';
+			continue;
+		}
 		if (*format == '.') {
 			after_dot = true;
 			conversion->precision = 0;
-		} else if (after_dot && g_ascii_isdigit(*format)) {
+		} else if (after_dot && conversion->precision < PRECISION_MAX) {
 			conversion->precision =
 				conversion->precision * 10 + (*format - '0');
-		} else if (strchr("lzjt", *format)) {
-			conversion->longs++;
 		}
-		if (length + 2 < SPEC_SIZE)
+		if (length < SPEC_SIZE - 4)
 			conversion->spec[length++] = *format;
-		format++;
 	}
-	conversion->type = *format;
-	conversion->spec[length++] = *format;
-	conversion->spec[length] = '\0';
+	finish_spec(conversion, length, *format);
+	conversion->argument = argument_of(*format, is_long);
 	return *format ? format + 1 : format;
 }
 
 #pragma GCC diagnostic push
 #pragma GCC diagnostic ignored "-Wformat-nonliteral"
 /* The compiler checked the whole format at the caller. */
-static void print_number(char *text, const struct conversion *conversion,
-			 va_list *args)
-{
-	const char *spec = conversion->spec;
-
-	if (strchr("eEfFgGaA", conversion->type)) {
-		g_snprintf(text, NUMBER_SIZE, spec, va_arg(*args, double));
-		return;
-	}
-	if (conversion->type == 'p') {
-		g_snprintf(text, NUMBER_SIZE, spec, va_arg(*args, void *));
-		return;
-	}
-	if (conversion->longs > 1) {
-		g_snprintf(text, NUMBER_SIZE, spec, va_arg(*args, long long));
-		return;
-	}
-	if (conversion->longs == 1) {
-		g_snprintf(text, NUMBER_SIZE, spec, va_arg(*args, long));
-		return;
-	}
-	g_snprintf(text, NUMBER_SIZE, spec, va_arg(*args, int));
-}
-#pragma GCC diagnostic pop
-
-static const char *put_conversion(struct pairs_writer *writer,
-				  const char *format, va_list *args)
+static void put_conversion(struct pairs_writer *writer,
+			   const struct conversion *conversion,
+			   const union value *value)
 {
-	struct conversion conversion;
-	char number[NUMBER_SIZE];
+	char text[NUMBER_SIZE];
 
-	format = read_conversion(format, &conversion);
-	switch (conversion.type) {
-	case '\0':
+	switch (conversion->argument) {
+	case ARGUMENT_NONE:
+		g_strlcpy(text, "%", sizeof(text));
 		break;
-	case '%':
-		put_char(writer, '%');
+	case ARGUMENT_TEXT:
+		put_value(writer, value->pointer, conversion->precision);
+		return;
+	case ARGUMENT_POINTER:
+		g_snprintf(text, sizeof(text), "%p", value->pointer);
 		break;
-	case 's':
-		put_value(writer, va_arg(*args, const char *),
-			  conversion.precision);
+	case ARGUMENT_DOUBLE:
+		g_snprintf(text, sizeof(text), conversion->spec, value->real);
 		break;
 	default:
-		print_number(number, &conversion, args);
-		put(writer, number);
+		g_snprintf(text, sizeof(text), conversion->spec, value->number);
 		break;
 	}
-	return format;
+	put(writer, text);
 }
+#pragma GCC diagnostic pop
 
 /* A cut line still ends in a closed quote, and says that it was cut. */
 static void put_end(struct pairs_writer *writer)
@@ -201,27 +221,54 @@
 			   writer->open ? "\"" : "");
 }
 
+/* Put the text up to the next '%'; what follows it, or NULL at the end. */
+static const char *put_plain(struct pairs_writer *writer, const char *format)
+{
+	for (; *format; format++) {
+		if (*format == '%')
+			return format + 1;
+		if (*format == '"') {
+			writer->quoted = !writer->quoted;
+			put_quote(writer);
+		} else {
+			put_char(writer, *format == '\n' ? ' ' : *format);
+		}
+	}
+	return NULL;
+}
+
 bool pairs_format(char *text, size_t size, const char *format, va_list args)
 {
 	struct pairs_writer writer = { .text = text };
-	va_list rest;
+	struct conversion conversion;
+	union value value = { 0 };
 
 	g_assert(size > PAIRS_END_SIZE);
 	writer.size = size - PAIRS_END_SIZE;
-	va_copy(rest, args);
-	while (*format) {
-		char c = *format++;
-
-		if (c == '%') {
-			format = put_conversion(&writer, format, &rest);
-		} else if (c == '"') {
-			writer.quoted = !writer.quoted;
-			put_quote(&writer);
-		} else {
-			put_char(&writer, c == '\n' ? ' ' : c);
+	while ((format = put_plain(&writer, format))) {
+		format = read_conversion(format, &conversion);
+		switch (conversion.argument) {
+		case ARGUMENT_NONE:
+			break;
+		case ARGUMENT_INT:
+			value.number = va_arg(args, int);
+			break;
+		case ARGUMENT_UNSIGNED:
+			value.count = va_arg(args, unsigned int);
+			break;
+		case ARGUMENT_64:
+			value.number = va_arg(args, int64_t);
+			break;
+		case ARGUMENT_DOUBLE:
+			value.real = va_arg(args, double);
+			break;
+		case ARGUMENT_POINTER:
+		case ARGUMENT_TEXT:
+			value.pointer = va_arg(args, const void *);
+			break;
 		}
+		put_conversion(&writer, &conversion, &value);
 	}
-	va_end(rest);
 	put_end(&writer);
 	return !writer.cut;
 }
--- a/packages/adapters/pairs.h
+++ b/packages/adapters/pairs.h
@@ -25,6 +25,7 @@
  * Write the pairs to text of size bytes (more than 16), NUL included; false
  * where they were cut, which the text says by a last pair "cut=true".
  * Conversions are those of printf without %n and "*".
+ * args is spent after it, as after vprintf().
  */
 bool pairs_format(char *text, size_t size, const char *format, va_list args)
 	G_GNUC_PRINTF(3, 0);
--- a/packages/adapters/peer_rpc.c
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "adapters/peer_rpc.h"
--- a/packages/adapters/peer_rpc.h
+++ b/packages/adapters/peer_rpc.h
@@ -11,6 +11,7 @@
 
 #include <glib.h>
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "core/build_options.h"
@@ -21,6 +22,7 @@
 #endif
 
 #define PEER_MAX_REPORTS 2048
+#define PEER_MAX_SERVICES 256
 #define PEER_MAX_BACKENDS 64
 
 /* What a node says of one service at its own place. */
@@ -50,6 +52,7 @@
 	struct peer_report *reports; /* the sender's own comes first */
 };
 
+/* Free what the message points to; it is empty then. */
 void peer_message_release(struct peer_message *message);
 
 struct peer_handler {
@@ -63,25 +66,54 @@
 
 struct peer_server;
 
-/* Listen on TCP at the IPv4 address and port; one server a process. */
+/* Bounds on what peers, or others who reach the port, can take. */
+struct peer_server_limits {
+	uint32_t connections; /* one more closes the one longest without news */
+	size_t held_bytes; /* of calls and answers under way, together */
+	int64_t idle_us; /* between two calls */
+	int64_t stall_us; /* for one call to come in, or one answer to go */
+};
+
+/*
+ * Listen on TCP at the IPv4 address and port (0: any free one). The handler
+ * runs on the server's thread, so what it waits for holds up all peers.
+ * RESULT_SYSTEM on failure.
+ */
 struct peer_server *peer_server_open(const char *address, uint16_t port,
 				     const struct peer_handler *handler,
 				     GError **error);
+struct peer_server *peer_server_open_limited(
+	const char *address, uint16_t port, const struct peer_handler *handler,
+	const struct peer_server_limits *limits, GError **error);
+
+uint16_t peer_server_port(const struct peer_server *server);
+
+/* Ends calls under way without an answer. */
 void peer_server_close(struct peer_server *server);
 
 struct peer_client;
 
-/* A client keeps one connection, opened at need, closed on any failure. */
+/*
+ * A client keeps one connection, opened at need, closed on any failure. Calls
+ * of several threads go one after the other; the time-out is for each whole
+ * call, its connecting included.
+ */
 struct peer_client *peer_client_new(const char *address, uint16_t port,
 				    uint64_t timeout_us);
 void peer_client_free(struct peer_client *client);
 
-/* RESULT_UNREACHABLE on failure; answer is for peer_message_release(). */
+/*
+ * answer is for peer_message_release(). RESULT_UNREACHABLE on failure, but
+ * RESULT_OUT_OF_RANGE for a message beyond the bounds above.
+ */
 bool peer_client_exchange(struct peer_client *client,
 			  const struct peer_message *message,
 			  struct peer_message *answer, GError **error);
 
-/* Newer configuration text for g_free(); *text is NULL where there is none. */
+/*
+ * Newer configuration text for g_free(); *text is NULL where there is none.
+ * RESULT_UNREACHABLE on failure.
+ */
 bool peer_client_config(struct peer_client *client, uint64_t newer_than,
 			uint64_t *version, char **text, GError **error);
 
