--- a/packages/core/config.c
+++ b/packages/core/config.c
@@ -806,22 +806,42 @@
 	return NULL;
 }
 
-uint64_t config_one_way_us(const struct config *config, uint32_t from,
-			   uint32_t to)
+/* The link between two places' regions, listed either way; NULL if neither. */
+static const struct config_link *link_between(const struct config *config,
+					      uint32_t from, uint32_t to)
 {
 	const char *from_region = config->places[from].region;
 	const char *to_region = config->places[to].region;
 	const struct config_link *link;
 
+	link = find_link(config, from_region, to_region);
+	return link ? link : find_link(config, to_region, from_region);
+}
+
+uint64_t config_one_way_us(const struct config *config, uint32_t from,
+			   uint32_t to)
+{
+	const struct config_link *link;
+
 	if (from == to)
 		return 0;
-	link = find_link(config, from_region, to_region);
-	if (!link)
-		link = find_link(config, to_region, from_region);
+	link = link_between(config, from, to);
 	if (link)
 		return link->one_way_us;
-	return strcmp(from_region, to_region) ? DEFAULT_ONE_WAY_BETWEEN_US :
-						DEFAULT_ONE_WAY_WITHIN_US;
+	return strcmp(config->places[from].region, config->places[to].region) ?
+		       DEFAULT_ONE_WAY_BETWEEN_US :
+		       DEFAULT_ONE_WAY_WITHIN_US;
+}
+
+uint32_t config_link_limit_per_s(const struct config *config, uint32_t from,
+				 uint32_t to)
+{
+	const struct config_link *link;
+
+	if (from == to)
+		return 0;
+	link = link_between(config, from, to);
+	return link ? link->limit_per_s : 0;
 }
 
 static uint32_t find_block(const struct config *config, uint32_t prefix,
--- a/packages/core/config.h
+++ b/packages/core/config.h
@@ -151,6 +151,10 @@
 uint64_t config_one_way_us(const struct config *config, uint32_t from,
 			   uint32_t to);
 
+/* Requests a second that the link between two places bears; 0 is no limit. */
+uint32_t config_link_limit_per_s(const struct config *config, uint32_t from,
+				 uint32_t to);
+
 /* Place of the caller's IPv4 address (host byte order), or CONFIG_NONE. */
 uint32_t config_place_of_address(const struct config *config, uint32_t address);
 
--- a/packages/core/result.c
+++ b/packages/core/result.c
@@ -28,6 +28,7 @@
 	{ RESULT_BACKEND_SHED, "backend-shed", 503 },
 	{ RESULT_SERVICE_STOPPED, "service-stopped", 503 },
 	{ RESULT_CONNECT_FAILED, "connect-failed", 503 },
+	{ RESULT_OTHER_INCARNATION, "other-incarnation", 503 },
 	{ RESULT_OUTCOME_UNKNOWN, "outcome-unknown", 502 },
 	{ RESULT_TICKET_ELSEWHERE, "ticket-elsewhere", 421 },
 	{ RESULT_IN_PROGRESS, "in-progress", 409 },
--- a/packages/core/result.h
+++ b/packages/core/result.h
@@ -35,6 +35,7 @@
 	RESULT_BACKEND_SHED = 114,
 	RESULT_SERVICE_STOPPED = 115,
 	RESULT_CONNECT_FAILED = 116,
+	RESULT_OTHER_INCARNATION = 117, /* the node has restarted since */
 
 	/* Outcome unknown, or known elsewhere */
 	RESULT_OUTCOME_UNKNOWN = 201,
--- a/packages/core/wire.h
+++ b/packages/core/wire.h
@@ -30,6 +30,7 @@
 #define WIRE_HEADER_ATTEMPT "X-Lilac-Attempt"
 #define WIRE_HEADER_ENTRY "X-Lilac-Entry"
 #define WIRE_HEADER_SHIFT "X-Lilac-Shift"
+#define WIRE_HEADER_INCARNATION "X-Lilac-Incarnation"
 
 /* Operators */
 #define WIRE_PATH_COMMAND "/v1/command"
