--- a/packages/core/admin.c
+++ b/packages/core/admin.c
@@ -106,8 +106,8 @@
 
 	document = json_loads(text, JSON_REJECT_DUPLICATES, &json_error);
 	if (!document)
-		g_set_error(error, RESULT_ERROR, RESULT_BAD_REQUEST,
-			    "line %d, column %d: %s", json_error.line,
+		g_set_error(error, RESULT_ERROR, RESULT_CONFIG_INVALID,
+			    "document: line %d, column %d: %s", json_error.line,
 			    json_error.column, json_error.text);
 	return document;
 }
--- a/packages/core/admin.h
+++ b/packages/core/admin.h
@@ -78,7 +78,7 @@
 			 struct admin_request *request, GError **error);
 void admin_request_release(struct admin_request *request);
 
-/* The body as JSON text; RESULT_BAD_REQUEST if the document isn't JSON. */
+/* The body as JSON text; RESULT_CONFIG_INVALID if the document isn't JSON. */
 char *admin_request_format(const struct admin_request *request, GError **error);
 
 /* A refusal or failure; retry_after_us is left out where it is 0. */
--- a/packages/core/query.c
+++ b/packages/core/query.c
@@ -13,7 +13,10 @@
 /* Longest keyword and longest word that is compared with one. */
 #define KEYWORD_MAX_BYTES 16
 
-/* Letters by which a word may differ from the keyword that was meant. */
+/*
+ * Letters by which a word may differ from the keyword that was meant, as long
+ * as more than half of them agree.
+ */
 #define NEAR_MISS_EDITS 2
 
 #define NUMBER_MAX_DIGITS 9
@@ -199,7 +202,7 @@
 	for (; *keywords; keywords++) {
 		uint32_t edits = edit_distance(word, *keywords);
 
-		if (edits < fewest && edits < strlen(*keywords)) {
+		if (edits < fewest && 2 * edits < strlen(*keywords)) {
 			fewest = edits;
 			nearest = *keywords;
 		}
--- a/tests/core/admin_test.cc
+++ b/tests/core/admin_test.cc
@@ -333,11 +333,18 @@
 	}
 }
 
-TEST(AdminRequest, BodyThatIsNoJsonIsNamedByLine)
+TEST(AdminRequest, WhatIsNoJsonIsNamedByLine)
 {
-	struct admin_request request;
+	struct admin_request request = {};
+	char document[] = "{\n\"";
 	GError *error = nullptr;
 
+	request.document = document;
+	EXPECT_FALSE(admin_request_format(&request, &error));
+	EXPECT_EQ(RESULT_CONFIG_INVALID, error->code);
+	EXPECT_TRUE(strstr(error->message, "line 2")) << error->message;
+	g_clear_error(&error);
+
 	EXPECT_FALSE(admin_request_parse("{\n\"", 3, &request, &error));
 	EXPECT_EQ(RESULT_BAD_REQUEST, error->code);
 	EXPECT_TRUE(strstr(error->message, "line 2")) << error->message;
--- a/tests/core/query_test.cc
+++ b/tests/core/query_test.cc
@@ -167,6 +167,7 @@
 	  "expected 'from' at word 3, found 'form'; did you mean 'from'?" },
 	{ "where svc-a FROM p1", RESULT_SYNTAX,
 	  "expected 'from' at word 3, found 'FROM'; did you mean 'from'?" },
+	{ "bad", RESULT_SYNTAX, "expected " VERBS " at word 1, found 'bad'" },
 	{ "where svc-a to p1", RESULT_SYNTAX,
 	  "expected 'from' at word 3, found 'to'" },
 	{ "where svc-a from", RESULT_SYNTAX,
@@ -355,6 +356,10 @@
 	  "shift s-3 stands: service svc-a from p2 to p3, share 1.0%, cap "
 	  "9/s" },
 	{ {}, "stop svc-a", RESULT_OK, "service svc-a is stopped" },
+	{ { "stop svc-a" },
+	  "start svc-a",
+	  RESULT_OK,
+	  "service svc-a is started" },
 	{ {},
 	  "start idle",
 	  RESULT_CONFLICT,
@@ -439,6 +444,21 @@
 	config_free(config);
 }
 
+TEST(Command, ShiftsAreBoundedInNumber)
+{
+	struct config *config = base_config();
+	struct config_shift shift = config->shifts[0];
+	GError *error = nullptr;
+
+	shift.share_permille = 1;
+	while (config->shift_count < CONFIG_MAX_SHIFTS)
+		config_add_shift(config, &shift);
+	EXPECT_FALSE(apply(config, "shift svc-a from p2 to p1 share 1% cap 9/s",
+			   "now", &error));
+	EXPECT_EQ("256 shifts stand already; cancel one", take_message(error));
+	config_free(config);
+}
+
 TEST(Command, IdMustSuitTheDocument)
 {
 	struct config *config = base_config();
