Use POSIX threads' locks in the adapters in place of GLib's

House style says POSIX threads. ThreadSanitizer also knows them: with GLib's own futex locks it saw races where there are none, and would have hidden true ones in that noise.

--- a/packages/adapters/log.c
+++ b/packages/adapters/log.c
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <inttypes.h>
 #include <poll.h>
+#include <pthread.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <string.h>
@@ -17,14 +18,17 @@
 #define NODE_SIZE 64
 
 struct log_state {
-	GMutex lock; /* guards the rest; innermost of all locks */
+	pthread_mutex_t lock; /* guards the rest; innermost of all locks */
 	int fd;
 	bool owns_fd;
 	char node[NODE_SIZE];
 	uint64_t lost; /* lines that nobody could take */
 };
 
-static struct log_state log_state = { .fd = STDERR_FILENO };
+static struct log_state log_state = {
+	.lock = PTHREAD_MUTEX_INITIALIZER,
+	.fd = STDERR_FILENO,
+};
 static gint log_most = LOG_INFO;
 
 static const char *const level_names[] = {
@@ -81,7 +85,7 @@
 	char lost[48] = "";
 	int length;
 
-	g_mutex_lock(&log_state.lock);
+	pthread_mutex_lock(&log_state.lock);
 	if (log_state.lost)
 		g_snprintf(lost, sizeof(lost), " lost_lines=%" PRIu64,
 			   log_state.lost);
@@ -97,7 +101,7 @@
 		log_state.lost = 0;
 	else
 		log_state.lost++;
-	g_mutex_unlock(&log_state.lock);
+	pthread_mutex_unlock(&log_state.lock);
 }
 
 static void G_GNUC_PRINTF(3, 4)
@@ -139,17 +143,15 @@
 	return G_LOG_WRITER_HANDLED;
 }
 
-static gpointer set_writer(gpointer unused)
+static void set_writer(void)
 {
-	(void)unused;
 	g_log_set_writer_func(write_structured, NULL, NULL);
-	return NULL;
 }
 
 bool log_open(const char *node, const char *path, enum log_level most,
 	      GError **error)
 {
-	static GOnce writer_once = G_ONCE_INIT;
+	static pthread_once_t writer_once = PTHREAD_ONCE_INIT;
 	int fd = STDERR_FILENO;
 
 	if (path && *path)
@@ -161,26 +163,26 @@
 		return false;
 	}
 	log_close();
-	g_mutex_lock(&log_state.lock);
+	pthread_mutex_lock(&log_state.lock);
 	log_state.fd = fd;
 	log_state.owns_fd = fd != STDERR_FILENO;
 	g_strlcpy(log_state.node, node, sizeof(log_state.node));
-	g_mutex_unlock(&log_state.lock);
+	pthread_mutex_unlock(&log_state.lock);
 	g_atomic_int_set(&log_most, (gint)most);
 	/* GLib takes a writer once in a process' life. */
-	g_once(&writer_once, set_writer, NULL);
+	pthread_once(&writer_once, set_writer);
 	return true;
 }
 
 void log_close(void)
 {
-	g_mutex_lock(&log_state.lock);
+	pthread_mutex_lock(&log_state.lock);
 	if (log_state.owns_fd)
 		close(log_state.fd);
 	log_state.fd = STDERR_FILENO;
 	log_state.owns_fd = false;
 	log_state.lost = 0;
-	g_mutex_unlock(&log_state.lock);
+	pthread_mutex_unlock(&log_state.lock);
 }
 
 void log_event(enum log_level level, const char *event, const char *format, ...)
--- a/packages/adapters/metrics.c
+++ b/packages/adapters/metrics.c
@@ -1,6 +1,7 @@
 #include "adapters/metrics.h"
 
 #include <inttypes.h>
+#include <pthread.h>
 #include <stdatomic.h>
 #include <stdbool.h>
 #include <string.h>
@@ -31,7 +32,7 @@
 };
 
 /* Sorted by name and labels; the lock guards the array, not the values. */
-static GMutex metrics_lock;
+static pthread_mutex_t metrics_lock = PTHREAD_MUTEX_INITIALIZER;
 static GPtrArray *metrics_all;
 
 static void metric_free(gpointer data)
@@ -92,7 +93,7 @@
 
 	if (!labels)
 		labels = "";
-	g_mutex_lock(&metrics_lock);
+	pthread_mutex_lock(&metrics_lock);
 	if (!metrics_all)
 		metrics_all = g_ptr_array_new_with_free_func(metric_free);
 	at = find_place(name, labels);
@@ -103,7 +104,7 @@
 		metric = metric_new(kind, name, help, labels);
 		g_ptr_array_insert(metrics_all, (gint)at, metric);
 	}
-	g_mutex_unlock(&metrics_lock);
+	pthread_mutex_unlock(&metrics_lock);
 	/* One name of two kinds is a fault of the program, seen at start. */
 	g_assert(metric->kind == kind);
 	return metric;
@@ -116,11 +117,11 @@
 
 void metrics_close(void)
 {
-	g_mutex_lock(&metrics_lock);
+	pthread_mutex_lock(&metrics_lock);
 	if (metrics_all)
 		g_ptr_array_free(metrics_all, TRUE);
 	metrics_all = NULL;
-	g_mutex_unlock(&metrics_lock);
+	pthread_mutex_unlock(&metrics_lock);
 }
 
 struct metric *metric_counter(const char *name, const char *help,
@@ -263,7 +264,7 @@
 	const char *name = "";
 	guint i;
 
-	g_mutex_lock(&metrics_lock);
+	pthread_mutex_lock(&metrics_lock);
 	for (i = 0; metrics_all && i < metrics_all->len; i++) {
 		const struct metric *metric = metrics_all->pdata[i];
 
@@ -272,6 +273,6 @@
 		name = metric->name;
 		format_metric(text, metric);
 	}
-	g_mutex_unlock(&metrics_lock);
+	pthread_mutex_unlock(&metrics_lock);
 	return g_string_free(text, FALSE);
 }
--- a/packages/adapters/peer_client.c
+++ b/packages/adapters/peer_client.c
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <pthread.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -18,7 +19,7 @@
 	char address[NAME_SIZE];
 	uint16_t port;
 	int64_t timeout_us;
-	GMutex lock; /* one call at a time; guards the rest */
+	pthread_mutex_t lock; /* one call at a time; guards the rest */
 	int fd; /* -1: no connection */
 	uint32_t xid;
 };
@@ -32,7 +33,7 @@
 	client->port = port;
 	client->timeout_us = (int64_t)timeout_us;
 	client->fd = -1;
-	g_mutex_init(&client->lock);
+	pthread_mutex_init(&client->lock, NULL);
 	return client;
 }
 
@@ -48,7 +49,7 @@
 	if (!client)
 		return;
 	disconnect(client);
-	g_mutex_clear(&client->lock);
+	pthread_mutex_destroy(&client->lock);
 	g_free(client);
 }
 
@@ -205,10 +206,10 @@
 	GByteArray *call;
 	bool ok;
 
-	g_mutex_lock(&client->lock);
+	pthread_mutex_lock(&client->lock);
 	call = peer_encode_exchange_call(++client->xid, message);
 	if (!call) {
-		g_mutex_unlock(&client->lock);
+		pthread_mutex_unlock(&client->lock);
 		return refuse_too_large(error);
 	}
 	ok = call_locked(client, call, &record, error);
@@ -221,7 +222,7 @@
 	 */
 	if (!ok)
 		disconnect(client);
-	g_mutex_unlock(&client->lock);
+	pthread_mutex_unlock(&client->lock);
 	peer_record_release(&record);
 	g_byte_array_free(call, TRUE);
 	return ok;
@@ -235,7 +236,7 @@
 	bool ok;
 
 	*text = NULL;
-	g_mutex_lock(&client->lock);
+	pthread_mutex_lock(&client->lock);
 	call = peer_encode_config_call(++client->xid, newer_than);
 	ok = call_locked(client, call, &record, error);
 	if (ok &&
@@ -244,7 +245,7 @@
 	/* As for an exchange. */
 	if (!ok)
 		disconnect(client);
-	g_mutex_unlock(&client->lock);
+	pthread_mutex_unlock(&client->lock);
 	peer_record_release(&record);
 	g_byte_array_free(call, TRUE);
 	return ok;
--- a/packages/adapters/peer_server.c
+++ b/packages/adapters/peer_server.c
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <pthread.h>
 #include <string.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
@@ -41,7 +42,7 @@
 	int listen_fd;
 	int wake_fd; /* readable once the server is to end */
 	uint16_t port;
-	GThread *thread;
+	pthread_t thread;
 	/* The thread's own */
 	GPtrArray *connections;
 	size_t held_bytes; /* in calls and answers under way */
@@ -350,7 +351,7 @@
 	return true;
 }
 
-static gpointer run_server(gpointer data)
+static void *run_server(void *data)
 {
 	struct peer_server *server = data;
 	GArray *set = g_array_new(FALSE, FALSE, sizeof(struct pollfd));
@@ -428,6 +429,14 @@
 	g_free(server);
 }
 
+static void set_open_error(GError **error, const char *address, uint16_t port,
+			   int failure)
+{
+	g_set_error(error, RESULT_ERROR, RESULT_SYSTEM,
+		    "peer server on %s:%u: %s", address, port,
+		    g_strerror(failure));
+}
+
 struct peer_server *peer_server_open_limited(
 	const char *address, uint16_t port, const struct peer_handler *handler,
 	const struct peer_server_limits *limits, GError **error)
@@ -442,15 +451,17 @@
 	server->connections = g_ptr_array_new_with_free_func(connection_free);
 	failure = open_listener(server, address, port);
 	if (failure) {
-		g_set_error(error, RESULT_ERROR, RESULT_SYSTEM,
-			    "peer server on %s:%u: %s", address, port,
-			    g_strerror(failure));
+		set_open_error(error, address, port, failure);
 		server_free(server);
 		return NULL;
 	}
 	open_metrics(server);
-	server->thread = g_thread_new("peers", run_server, server);
-	return server;
+	failure = pthread_create(&server->thread, NULL, run_server, server);
+	if (!failure)
+		return server;
+	set_open_error(error, address, port, failure);
+	server_free(server);
+	return NULL;
 }
 
 struct peer_server *peer_server_open(const char *address, uint16_t port,
@@ -474,6 +485,6 @@
 		return;
 	/* An eventfd takes this count always. */
 	(void)!write(server->wake_fd, &one, sizeof(one));
-	g_thread_join(server->thread);
+	pthread_join(server->thread, NULL);
 	server_free(server);
 }
--- a/packages/adapters/platform_http.c
+++ b/packages/adapters/platform_http.c
@@ -1,6 +1,7 @@
 #include "adapters/platform_http.h"
 
 #include <inttypes.h>
+#include <pthread.h>
 #include <string.h>
 
 #include <curl/curl.h>
@@ -24,7 +25,7 @@
 	char *base; /* "http://address:port" */
 	long timeout_ms;
 	/* Handles for reads that keep a connection, free for the next call. */
-	GMutex lock; /* guards idle; held for no I/O */
+	pthread_mutex_t lock; /* guards idle; held for no I/O */
 	GQueue idle;
 };
 
@@ -42,11 +43,9 @@
 	char detail[CURL_ERROR_SIZE];
 };
 
-static gpointer init_curl(gpointer unused)
+static void init_curl(void)
 {
-	(void)unused;
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	return NULL;
 }
 
 /*
@@ -71,9 +70,9 @@
 	CURL *curl = NULL;
 
 	if (!write) {
-		g_mutex_lock(&http->lock);
+		pthread_mutex_lock(&http->lock);
 		curl = g_queue_pop_tail(&http->idle);
-		g_mutex_unlock(&http->lock);
+		pthread_mutex_unlock(&http->lock);
 	}
 	if (!curl)
 		curl = curl_easy_init();
@@ -94,9 +93,9 @@
 		curl_easy_cleanup(curl);
 		return;
 	}
-	g_mutex_lock(&http->lock);
+	pthread_mutex_lock(&http->lock);
 	g_queue_push_tail(&http->idle, curl);
-	g_mutex_unlock(&http->lock);
+	pthread_mutex_unlock(&http->lock);
 }
 
 /*
@@ -415,15 +414,15 @@
 struct platform *platform_http_new(const char *address, uint16_t port,
 				   uint64_t timeout_us)
 {
-	static GOnce curl_once = G_ONCE_INIT;
+	static pthread_once_t curl_once = PTHREAD_ONCE_INIT;
 	struct platform_http *http = g_new0(struct platform_http, 1);
 
-	g_once(&curl_once, init_curl, NULL);
+	pthread_once(&curl_once, init_curl);
 	http->platform.vtable = &http_vtable;
 	http->base = g_strdup_printf("http://%s:%u", address, port);
 	/* To curl, 0 would mean no time-out at all. */
 	http->timeout_ms = MAX(1, (long)(timeout_us / US_PER_MS));
-	g_mutex_init(&http->lock);
+	pthread_mutex_init(&http->lock, NULL);
 	g_queue_init(&http->idle);
 	return &http->platform;
 }
@@ -435,7 +434,7 @@
 	if (!http)
 		return;
 	g_queue_clear_full(&http->idle, curl_easy_cleanup);
-	g_mutex_clear(&http->lock);
+	pthread_mutex_destroy(&http->lock);
 	g_free(http->base);
 	g_free(http);
 }
--- a/packages/adapters/trace.c
+++ b/packages/adapters/trace.c
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <inttypes.h>
 #include <poll.h>
+#include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
@@ -40,42 +41,53 @@
  * up the writer and no request; what doesn't fit is dropped and counted.
  */
 struct trace_writer {
-	GMutex lock; /* guards pending and stopping; innermost */
-	GCond filled;
+	pthread_mutex_t lock; /* guards pending and stopping; innermost */
+	pthread_cond_t filled;
 	GString *pending;
 	bool stopping;
 	int64_t stop_by_us; /* set before stopping */
 	int fd;
-	GThread *thread;
+	pthread_t thread;
 	struct metric *written;
 	struct metric *dropped;
 	char node[NODE_SIZE];
 };
 
-static struct trace_writer writer;
+static struct trace_writer writer = {
+	.lock = PTHREAD_MUTEX_INITIALIZER,
+	.filled = PTHREAD_COND_INITIALIZER,
+};
 static atomic_bool trace_is_open;
 static _Atomic uint32_t sample_permille;
 
-static void free_random(gpointer random)
+static pthread_key_t random_key;
+static pthread_once_t random_once = PTHREAD_ONCE_INIT;
+
+static void free_random(void *random)
 {
 	g_rand_free(random);
 }
 
-static GPrivate thread_random = G_PRIVATE_INIT(free_random);
+static void create_random_key(void)
+{
+	pthread_key_create(&random_key, free_random);
+}
 
 /* The thread's own generator: ids take no lock and no system call. */
 static GRand *get_random(void)
 {
-	GRand *random = g_private_get(&thread_random);
 	guint32 seed[SEED_WORDS];
+	GRand *random;
 
+	pthread_once(&random_once, create_random_key);
+	random = pthread_getspecific(random_key);
 	if (random)
 		return random;
 	/* Up to 256 bytes come whole once the pool is ready. */
 	while (getrandom(seed, sizeof(seed), 0) != sizeof(seed))
 		g_assert(errno == EINTR);
 	random = g_rand_new_with_seed_array(seed, SEED_WORDS);
-	g_private_set(&thread_random, random);
+	pthread_setspecific(random_key, random);
 	return random;
 }
 
@@ -313,15 +325,15 @@
 {
 	bool fits;
 
-	g_mutex_lock(&writer.lock);
+	pthread_mutex_lock(&writer.lock);
 	fits = !writer.stopping &&
 	       writer.pending->len + length + 1 <= BUFFER_MAX_BYTES;
 	if (fits) {
 		g_string_append_len(writer.pending, line, (gssize)length);
 		g_string_append_c(writer.pending, '\n');
-		g_cond_signal(&writer.filled);
+		pthread_cond_signal(&writer.filled);
 	}
-	g_mutex_unlock(&writer.lock);
+	pthread_mutex_unlock(&writer.lock);
 	metric_add(fits ? writer.written : writer.dropped, 1);
 }
 
@@ -349,9 +361,9 @@
 {
 	bool over;
 
-	g_mutex_lock(&writer.lock);
+	pthread_mutex_lock(&writer.lock);
 	over = writer.stopping && g_get_monotonic_time() >= writer.stop_by_us;
-	g_mutex_unlock(&writer.lock);
+	pthread_mutex_unlock(&writer.lock);
 	return over;
 }
 
@@ -389,7 +401,7 @@
 	metric_add(writer.dropped, lines);
 }
 
-static gpointer run_writer(gpointer unused)
+static void *run_writer(void *unused)
 {
 	GString *batch = g_string_new(NULL);
 	bool stopping;
@@ -398,13 +410,13 @@
 	do {
 		GString *filled;
 
-		g_mutex_lock(&writer.lock);
+		pthread_mutex_lock(&writer.lock);
 		while (!writer.pending->len && !writer.stopping)
-			g_cond_wait(&writer.filled, &writer.lock);
+			pthread_cond_wait(&writer.filled, &writer.lock);
 		filled = writer.pending;
 		writer.pending = batch;
 		stopping = writer.stopping;
-		g_mutex_unlock(&writer.lock);
+		pthread_mutex_unlock(&writer.lock);
 		batch = filled;
 		if (!write_whole(batch->str, batch->len))
 			count_dropped_lines(batch);
@@ -414,31 +426,47 @@
 	return NULL;
 }
 
+static bool fail_open(const char *path, int failure, GError **error)
+{
+	g_set_error(error, RESULT_ERROR, RESULT_SYSTEM, "trace file %s: %s",
+		    path, g_strerror(failure));
+	return false;
+}
+
+static void open_metrics(void)
+{
+	writer.written = metric_counter("lilacfield_trace_spans_total",
+					"Spans handed to the trace file.",
+					NULL);
+	writer.dropped = metric_counter("lilacfield_trace_spans_dropped_total",
+					"Spans that the trace file was too "
+					"slow for or didn't take.",
+					NULL);
+}
+
 bool trace_open(const char *node, const char *path, uint32_t permille,
 		GError **error)
 {
+	int failure;
+
 	trace_close();
 	if (!path || !*path)
 		return true;
 	writer.fd = open(path,
 			 O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC | O_NONBLOCK,
 			 0644);
-	if (writer.fd < 0) {
-		g_set_error(error, RESULT_ERROR, RESULT_SYSTEM,
-			    "trace file %s: %s", path, g_strerror(errno));
-		return false;
-	}
+	if (writer.fd < 0)
+		return fail_open(path, errno, error);
 	g_strlcpy(writer.node, node, sizeof(writer.node));
-	writer.written = metric_counter("lilacfield_trace_spans_total",
-					"Spans handed to the trace file.",
-					NULL);
-	writer.dropped = metric_counter("lilacfield_trace_spans_dropped_total",
-					"Spans that the trace file was too "
-					"slow for or didn't take.",
-					NULL);
+	open_metrics();
 	writer.pending = g_string_new(NULL);
 	writer.stopping = false;
-	writer.thread = g_thread_new("trace", run_writer, NULL);
+	failure = pthread_create(&writer.thread, NULL, run_writer, NULL);
+	if (failure) {
+		g_string_free(writer.pending, TRUE);
+		close(writer.fd);
+		return fail_open(path, failure, error);
+	}
 	atomic_store(&sample_permille, permille);
 	atomic_store(&trace_is_open, true);
 	return true;
@@ -449,12 +477,12 @@
 	atomic_store(&sample_permille, 0);
 	if (!atomic_exchange(&trace_is_open, false))
 		return;
-	g_mutex_lock(&writer.lock);
+	pthread_mutex_lock(&writer.lock);
 	writer.stop_by_us = g_get_monotonic_time() + CLOSE_TIMEOUT_US;
 	writer.stopping = true;
-	g_cond_signal(&writer.filled);
-	g_mutex_unlock(&writer.lock);
-	g_thread_join(writer.thread);
+	pthread_cond_signal(&writer.filled);
+	pthread_mutex_unlock(&writer.lock);
+	pthread_join(writer.thread, NULL);
 	g_string_free(writer.pending, TRUE);
 	close(writer.fd);
 }
--- a/tests/adapters/log_test.cc
+++ b/tests/adapters/log_test.cc
@@ -2,7 +2,7 @@
 
 #include <fcntl.h>
 #include <gtest/gtest.h>
-#include <regex>
+#include <sstream>
 #include <sys/stat.h>
 #include <thread>
 #include <vector>
@@ -17,7 +17,11 @@
 
 void expect_line(const std::string &text, const std::string &pattern)
 {
-	EXPECT_TRUE(std::regex_match(text, std::regex(line_head + pattern)))
+	std::string whole = std::string("\\A") + line_head + pattern + "\\z";
+
+	EXPECT_TRUE(g_regex_match_simple(whole.c_str(), text.c_str(),
+					 (GRegexCompileFlags)0,
+					 (GRegexMatchFlags)0))
 		<< text;
 }
 
--- a/tests/adapters/trace_test.cc
+++ b/tests/adapters/trace_test.cc
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <jansson.h>
+#include <mutex>
 #include <set>
 #include <sys/stat.h>
 #include <thread>
@@ -208,24 +209,21 @@
 TEST_F(Trace, IdsOfThreadsDiffer)
 {
 	std::set<std::string> ids;
-	GMutex lock;
+	std::mutex lock;
 	std::vector<std::thread> threads;
 
-	g_mutex_init(&lock);
 	for (int t = 0; t < 4; t++)
 		threads.emplace_back([&]() {
 			for (int i = 0; i < 500; i++) {
 				struct trace_span span;
 
 				trace_span_start(&span, "a", NULL);
-				g_mutex_lock(&lock);
+				std::lock_guard<std::mutex> guard(lock);
 				ids.emplace((char *)span.context.trace_id, 16);
-				g_mutex_unlock(&lock);
 			}
 		});
 	for (std::thread &thread : threads)
 		thread.join();
-	g_mutex_clear(&lock);
 	EXPECT_EQ(2000u, ids.size());
 }
 
