models: the cap of a shift under leases, with thirteen seeded faults

The hold-off is needed: with lease and drift alone the old holder's last admissions and the new one's first fall into one second (NO_WINDOW). The owner has to take now_us for seat_saw_row() after the read's answer, not before the read (WAIT_FROM_SENDING).

--- a/models/prove.sh
+++ b/models/prove.sh
@@ -29,6 +29,20 @@
 	at_most_once TIMEOUT_NOT_RUN caught
 	at_most_once REUSED_CONNECTION caught
 	at_most_once MIXED caught
+	shift_cap SOUND clean
+	shift_cap LEASE_FROM_REPLY caught
+	shift_cap LEASE_FROM_READ caught
+	shift_cap NO_DRIFT caught
+	shift_cap NO_WINDOW caught
+	shift_cap NO_WAIT caught
+	shift_cap WAIT_FROM_SENDING caught
+	shift_cap KEEP_WAIT caught
+	shift_cap NO_ADMIT_CHECK caught
+	shift_cap BLIND_WRITE caught
+	shift_cap LOST_IS_WRITTEN caught
+	shift_cap FREE_KEEPS_LEASE caught
+	shift_cap FREE_KEEPS_WRITES caught
+	shift_cap NO_NEW_NAME caught
 	END
 }
 
@@ -41,7 +55,7 @@
 	if spin -D"$2" -a "$here/$1.pml" >spin.out 2>&1 &&
 	   gcc -w -O2 -DSAFETY -DVECTORSZ=4096 -o pan pan.c >gcc.out 2>&1
 	then
-		./pan -m$depth -w22 >pan.out 2>&1
+		timeout 100 ./pan -m$depth -w22 >pan.out 2>&1
 	else
 		cat spin.out gcc.out 2>/dev/null >pan.out
 	fi
