steer: reserve, trials of a shift's place, throttle by settled requests

Faults put in on purpose into place, ramp and choice (48 of them) showed tests that passed regardless and three faults of the policy:

- The throttle counted requests in flight as not accepted, so a burst of slow requests (archive pulls) was throttled before its first answer.
It counts settled ones now.
- The window grew past a small place's slots in one round trip: a place of two slots that claims sixteen refused 51% of the hops.
- A shift's place that failed got no trials where home served all, so the shift never came back.
It keeps its start share, which the place's trials bound.

--- a/packages/core/steer.c
+++ b/packages/core/steer.c
@@ -188,7 +188,8 @@
 {
 	uint32_t shift;
 
-	if (choosing->request->home == CONFIG_NONE || !steer->shift_count)
+	if (choosing->request->home == CONFIG_NONE || !steer->shift_count ||
+	    choosing->request->home == place)
 		return false;
 	shift = find_shift(steer, choosing->request->home, place);
 	return shift != CONFIG_NONE &&
@@ -201,14 +202,16 @@
 	struct steer_place *place = &steer->places[position];
 	struct steer_estimate *estimate = &steer->estimates[position];
 	const struct steer_request *request = choosing->request;
+	struct steer_ask ask = { request->class_of,
+				 request->home == place->spec.place,
+				 request->deadline_us };
 
 	if (was_tried(request, place->spec.place) ||
 	    was_throttled(choosing, position)) {
 		estimate->standing = STEER_CLOSED;
 		return;
 	}
-	steer_place_estimate(place, request->class_of, request->deadline_us,
-			     choosing->now_us, estimate);
+	steer_place_estimate(place, &ask, choosing->now_us, estimate);
 	if (estimate->standing == STEER_CLOSED) {
 		note_refusal(choosing, estimate->reason,
 			     estimate->retry_after_us);
@@ -445,33 +448,32 @@
 
 	choice->place = steer->places[position].spec.place;
 	choice->expected_us = steer->estimates[position].expected_us;
-	if (home != CONFIG_NONE && steer->shift_count)
+	if (home != CONFIG_NONE && home != choice->place)
 		choice->shift = find_shift(steer, home, choice->place);
 }
 
 /* The choice, with its position in the places; nothing is accounted yet. */
-static uint32_t decide(struct steer *steer, const struct steer_request *request,
-		       uint64_t now_us, struct steer_choice *choice)
+static uint32_t decide(struct steer *steer, struct choosing *choosing,
+		       struct steer_choice *choice)
 {
-	struct choosing choosing = { .request = request, .now_us = now_us };
 	uint32_t position;
 
 	memset(choice, 0, sizeof(*choice));
 	choice->shift = CONFIG_NONE;
-	if (now_us >= request->deadline_us) {
+	if (choosing->now_us >= choosing->request->deadline_us) {
 		refuse(choice, RESULT_DEADLINE_EXPIRED, 0);
 		return CONFIG_NONE;
 	}
-	position = pick_unthrottled(steer, &choosing, &choice->rule);
+	position = pick_unthrottled(steer, choosing, &choice->rule);
 	if (position != CONFIG_NONE) {
-		describe(steer, &choosing, position, choice);
+		describe(steer, choosing, position, choice);
 		return position;
 	}
-	if (!choosing.reason)
-		choosing.reason = RESULT_NO_PLACE;
-	if (!choosing.retry_after_us)
-		choosing.retry_after_us = RETRY_DEFAULT_US;
-	refuse(choice, choosing.reason, choosing.retry_after_us);
+	if (!choosing->reason)
+		choosing->reason = RESULT_NO_PLACE;
+	if (!choosing->retry_after_us)
+		choosing->retry_after_us = RETRY_DEFAULT_US;
+	refuse(choice, choosing->reason, choosing->retry_after_us);
 	return CONFIG_NONE;
 }
 
@@ -558,8 +560,13 @@
 void steer_choose(struct steer *steer, const struct steer_request *request,
 		  uint64_t now_us, struct steer_choice *choice)
 {
-	uint32_t position = decide(steer, request, now_us, choice);
+	struct choosing choosing = { .request = request, .now_us = now_us };
+	uint32_t position = decide(steer, &choosing, choice);
+	uint32_t i;
 
+	for (i = 0; i < choosing.throttled; i++)
+		steer_place_turn_away(
+			&steer->places[choosing.throttled_positions[i]]);
 	if (position == CONFIG_NONE)
 		return;
 	steer_place_send(&steer->places[position], now_us);
@@ -570,7 +577,9 @@
 void steer_explain(struct steer *steer, const struct steer_request *request,
 		   uint64_t now_us, struct steer_choice *choice)
 {
-	decide(steer, request, now_us, choice);
+	struct choosing choosing = { .request = request, .now_us = now_us };
+
+	decide(steer, &choosing, choice);
 }
 
 void steer_learn(struct steer *steer, const struct steer_feedback *feedback,
--- a/packages/core/steer_place.c
+++ b/packages/core/steer_place.c
@@ -29,7 +29,11 @@
 
 #define WINDOW_OPEN UINT32_MAX
 #define WINDOW_CUT_PERCENT 70
-#define WINDOW_CUT_INTERVAL_US (100 * 1000ull)
+/* Refusals of what was sent before a cut come back within link and this. */
+#define WINDOW_CUT_SLACK_US (10 * 1000ull)
+/* Near the width that was refused, growth is this many times slower. */
+#define WINDOW_NEAR_PERCENT 90
+#define WINDOW_NEAR_DIVISOR 8
 /* A window this many times the slots wide bounds nothing. */
 #define WINDOW_OPEN_FACTOR 4
 
@@ -44,8 +48,8 @@
 
 /* Part of the configured slots presumed free where nothing is known. */
 #define PRESUMED_DIVISOR 8
-/* Part of the slots that background requests leave free. */
-#define BACKGROUND_RESERVE_DIVISOR 8
+/* Part of the slots kept free, once or twice. */
+#define RESERVE_DIVISOR 8
 /* A request joins a queue that takes at most this part of its time. */
 #define QUEUE_DIVISOR 2
 
@@ -284,7 +288,7 @@
 		return false;
 	}
 	if (now_us < place->closed_until_us &&
-	    since(place->asked_us, now_us) < CLOSED_TRIAL_US) {
+	    since(place->sent_us, now_us) < CLOSED_TRIAL_US) {
 		close_estimate(estimate, RESULT_OVERLOAD,
 			       place->closed_until_us - now_us);
 		return false;
@@ -342,16 +346,32 @@
 		estimate->standing = STEER_QUEUE;
 }
 
+/*
+ * What isn't headroom to this request. Requests from elsewhere that filled a
+ * place to the brim would leave its own callers to queue, and entry nodes that
+ * fill it by the same report overshoot together: the reserve takes that up.
+ */
+static uint64_t reserve(uint64_t slots, const struct steer_ask *ask)
+{
+	uint64_t parts = 0;
+
+	if (!ask->at_home)
+		parts++;
+	if (ask->class_of == SERVICE_BACKGROUND)
+		parts++;
+	return slots * parts / RESERVE_DIVISOR;
+}
+
 /*
  * Headroom by the report. Other entry nodes see the same report and fill the
  * place meanwhile, so the older it is the less of it is taken as free.
  */
 static void estimate_reported(const struct steer_place *place,
-			      enum service_class class_of, uint64_t deadline_us,
-			      uint64_t now_us, struct steer_estimate *estimate)
+			      const struct steer_ask *ask, uint64_t now_us,
+			      struct steer_estimate *estimate)
 {
 	uint64_t slots = usable_slots(place);
-	uint64_t taken = busy(place);
+	uint64_t taken = busy(place) + reserve(slots, ask);
 	uint64_t age_us = min_u64(report_age_us(place, now_us), STEER_FRESH_US);
 	uint64_t wait_us = queue_wait_us(place);
 	uint64_t whole = 2 * STEER_FRESH_US;
@@ -360,8 +380,6 @@
 		close_estimate(estimate, RESULT_NO_PLACE, NO_SLOTS_RETRY_US);
 		return;
 	}
-	if (class_of == SERVICE_BACKGROUND)
-		taken += slots / BACKGROUND_RESERVE_DIVISOR;
 	if (taken < slots) {
 		estimate->standing = STEER_HEADROOM;
 		estimate->spare =
@@ -370,7 +388,7 @@
 				   whole);
 		return;
 	}
-	if (wait_us <= (deadline_us - now_us) / QUEUE_DIVISOR)
+	if (wait_us <= (ask->deadline_us - now_us) / QUEUE_DIVISOR)
 		estimate->standing = STEER_QUEUE;
 	else
 		close_estimate(estimate, RESULT_OVERLOAD, wait_us);
@@ -410,16 +428,25 @@
 	learn_base(place, sample, now_us);
 }
 
-/* An answer came while the window was in use: one more in a round trip. */
+/*
+ * An answer came while the window was in use: one more in a round trip, or in
+ * several where it nears what was refused. A place of few slots would else
+ * refuse every other request: the window grows past it in one round trip.
+ */
 static void grow_window(struct steer_place *place)
 {
 	uint64_t in_flight_milli = (own_in_flight(place) + 1ull) * MILLI;
+	uint64_t near = place->window_refused_milli * WINDOW_NEAR_PERCENT / 100;
+	uint32_t growth;
 	uint64_t slots = max_u64(place->spec.slots, 1);
 
 	if (place->window_milli == WINDOW_OPEN ||
 	    in_flight_milli * 2 < place->window_milli)
 		return;
-	place->window_milli += MILLI * MILLI / place->window_milli;
+	growth = MILLI * MILLI / place->window_milli;
+	if (place->window_milli >= near)
+		growth = growth / WINDOW_NEAR_DIVISOR + 1;
+	place->window_milli += growth;
 	if (place->window_milli > slots * WINDOW_OPEN_FACTOR * MILLI)
 		place->window_milli = WINDOW_OPEN;
 }
@@ -428,11 +455,15 @@
 static void cut_window(struct steer_place *place, uint64_t now_us)
 {
 	uint64_t window = (own_in_flight(place) + 1ull) * MILLI;
+	uint64_t interval_us =
+		2 * min_u64(place->spec.one_way_us, TIME_MOST_US);
 
-	if (since(place->window_cut_us, now_us) < WINDOW_CUT_INTERVAL_US &&
-	    place->window_cut_us)
+	interval_us += WINDOW_CUT_SLACK_US;
+	if (place->window_cut_us &&
+	    since(place->window_cut_us, now_us) < interval_us)
 		return;
 	window = min_u64(window, place->window_milli);
+	place->window_refused_milli = window;
 	window = max_u64(window * WINDOW_CUT_PERCENT / 100, MILLI);
 	place->window_milli = (uint32_t)window;
 	place->window_cut_us = now_us;
@@ -614,10 +645,10 @@
 }
 
 void steer_place_estimate(struct steer_place *place,
-			  enum service_class class_of, uint64_t deadline_us,
-			  uint64_t now_us, struct steer_estimate *estimate)
+			  const struct steer_ask *ask, uint64_t now_us,
+			  struct steer_estimate *estimate)
 {
-	uint64_t time_us = since(now_us, deadline_us);
+	uint64_t time_us = since(now_us, ask->deadline_us);
 
 	estimate->spare = 0;
 	estimate->reason = RESULT_OK;
@@ -628,7 +659,7 @@
 		return;
 	}
 	end_return(place, now_us);
-	if (!passes_own_guards(place, class_of, now_us, estimate) ||
+	if (!passes_own_guards(place, ask->class_of, now_us, estimate) ||
 	    !passes_rates(place, now_us, estimate))
 		return;
 	if (estimate->expected_us > time_us) {
@@ -637,8 +668,7 @@
 		return;
 	}
 	if (place->reported)
-		estimate_reported(place, class_of, deadline_us, now_us,
-				  estimate);
+		estimate_reported(place, ask, now_us, estimate);
 	else
 		estimate_presumed(place, estimate);
 }
@@ -653,10 +683,12 @@
 	if (place->asked < THROTTLE_LEAST_ASKED || place->asked <= most)
 		return false;
 	over = (place->asked - most) * CHANCES / (place->asked + 1);
-	if (chance >= over)
-		return false;
+	return chance < over;
+}
+
+void steer_place_turn_away(struct steer_place *place)
+{
 	place->asked++;
-	return true;
 }
 
 void steer_place_send(struct steer_place *place, uint64_t now_us)
@@ -664,8 +696,7 @@
 	turn_sent(place, now_us);
 	place->sent[place->sent_bucket % STEER_SENT_BUCKETS]++;
 	place->own_unreported++;
-	place->asked++;
-	place->asked_us = now_us;
+	place->sent_us = now_us;
 	if (place->spec.link_limit_per_s)
 		steer_bucket_take(&place->link_bucket);
 	if (place->silent)
@@ -681,6 +712,7 @@
 {
 	settle_in_flight(place);
 	halve_throttle(place, now_us);
+	place->asked++;
 	switch (feedback->result) {
 	case RESULT_OK:
 		place->accepted++;
@@ -690,9 +722,14 @@
 		break;
 	case RESULT_OVERLOAD:
 	case RESULT_BACKEND_SHED:
+	case RESULT_NO_PLACE:
 		learn_alive(place, now_us);
 		learn_refusal(place, feedback->retry_after_us, now_us);
 		break;
+	case RESULT_DEADLINE_TOO_SHORT:
+		/* Too late for this one only; the throttle counts it. */
+		learn_alive(place, now_us);
+		break;
 	case RESULT_CONNECT_FAILED:
 	case RESULT_OUTCOME_UNKNOWN:
 	case RESULT_TIMED_OUT:
--- a/packages/core/steer_place.h
+++ b/packages/core/steer_place.h
@@ -13,6 +13,8 @@
  *   silence  without reports a place keeps at most the rate it had, halved each
  *            STEER_SILENT_HALF_US, down to STEER_SILENT_FLOOR_PER_S
  *   link     a bucket of the link's requests a second
+ *   reserve  an eighth of the slots is no headroom to requests from elsewhere,
+ *            and another eighth none to background requests
  */
 #ifndef CORE_STEER_PLACE_H
 #define CORE_STEER_PLACE_H
@@ -63,11 +65,12 @@
 	uint64_t base_raised_us;
 
 	uint32_t window_milli; /* UINT32_MAX: open */
+	uint64_t window_refused_milli; /* width when it was last cut */
 	uint64_t window_cut_us;
 	uint64_t closed_until_us;
-	uint64_t asked_us; /* last request sent */
+	uint64_t sent_us; /* last request */
 
-	uint32_t asked; /* decayed counts for the throttle */
+	uint32_t asked; /* settled or turned away; decayed, for the throttle */
 	uint32_t accepted;
 	uint64_t halved_us;
 
@@ -87,6 +90,13 @@
 	struct steer_bucket link_bucket;
 };
 
+/* What a request asks of a place. */
+struct steer_ask {
+	enum service_class class_of;
+	bool at_home; /* the place is the caller's */
+	uint64_t deadline_us;
+};
+
 enum steer_standing {
 	STEER_CLOSED, /* nothing may go there now */
 	STEER_QUEUE, /* it has no headroom, or none is known */
@@ -119,15 +129,18 @@
 			const struct gate_summary *report, uint64_t age_us,
 			uint64_t now_us);
 
-/* What a request of the class may expect there. */
+/* What such a request may expect there. */
 void steer_place_estimate(struct steer_place *place,
-			  enum service_class class_of, uint64_t deadline_us,
-			  uint64_t now_us, struct steer_estimate *estimate);
+			  const struct steer_ask *ask, uint64_t now_us,
+			  struct steer_estimate *estimate);
 
 /* Whether the throttle turns this request away; chance is below 65536. */
 bool steer_place_throttled(struct steer_place *place, uint32_t chance,
 			   uint64_t now_us);
 
+/* The throttle kept a request from the place. */
+void steer_place_turn_away(struct steer_place *place);
+
 /* A request goes there. */
 void steer_place_send(struct steer_place *place, uint64_t now_us);
 
--- a/packages/core/steer_shift.c
+++ b/packages/core/steer_shift.c
@@ -63,10 +63,11 @@
 
 static bool has_room(struct steer_place *to, uint64_t now_us)
 {
+	struct steer_ask ask = { .class_of = SERVICE_INTERACTIVE,
+				 .deadline_us = UINT64_MAX };
 	struct steer_estimate estimate;
 
-	steer_place_estimate(to, SERVICE_INTERACTIVE, UINT64_MAX, now_us,
-			     &estimate);
+	steer_place_estimate(to, &ask, now_us, &estimate);
 	return estimate.standing == STEER_HEADROOM &&
 	       estimate.spare >= to->report.slots / GROWTH_RESERVE_DIVISOR;
 }
@@ -134,9 +135,13 @@
 uint32_t steer_shift_ramp(const struct steer_shift *shift,
 			  const struct steer_place *to, uint64_t now_us)
 {
-	if (!to || to->spec.drained || to->failing || !shift->cap_per_s)
+	if (!to || to->spec.drained || !shift->cap_per_s)
 		return 0;
-	if (steer_place_is_silent(to, now_us))
+	/*
+	 * A failing place gets trials only, but it does get those: home serves
+	 * all else, and without trials the shift would never come back.
+	 */
+	if (to->failing || steer_place_is_silent(to, now_us))
 		return start_share(shift);
 	return shift->ramp_permille;
 }
@@ -151,7 +156,7 @@
 	if (to->failing || steer_place_is_silent(to, now_us))
 		fall(shift, 0, STEER_RAMP_HOLD_US, now_us);
 	else if (shift->answered && now_us >= shift->held_until_us &&
-		 !is_slow(shift) && has_room(to, now_us))
+		 has_room(to, now_us))
 		shift->ramp_permille = grown(shift);
 	shift->answered = 0;
 }
