--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,8 @@
 
 sanitize: setup
 	cmake -S . -B $(SAN_BUILD) -DLILACFIELD_SANITIZE=address,undefined \
-		>/dev/null
+		-DCMAKE_BUILD_TYPE=None -DCMAKE_C_FLAGS="-O1 -g1" \
+		-DCMAKE_CXX_FLAGS="-O0 -g1" >/dev/null
 	cmake --build $(SAN_BUILD) -j $(JOBS)
 	ctest --test-dir $(SAN_BUILD) --output-on-failure -j $(JOBS)
 
--- a/packages/core/config.c
+++ b/packages/core/config.c
@@ -477,8 +477,9 @@
 			       json_object_get(root, list_readers[i].name),
 			       config, error))
 			return false;
-	qsort(config->blocks, config->block_count, sizeof(*config->blocks),
-	      compare_blocks);
+	if (config->block_count)
+		qsort(config->blocks, config->block_count,
+		      sizeof(*config->blocks), compare_blocks);
 	return true;
 }
 
