ctl: ids of a script's sentences depend on what they say

Cause: under --id a sentence's id was its position only. In a script that was corrected and run again a changed line bore the id of the former one, and the node would answer it as taken in before, without any effect. Ways weighed: refusing --id for scripts (a lost answer in the middle could not be settled by sending the script again); a digest beside each id in the configuration row, which also covers an id that is given twice by hand, but changes the document. Taken: position and hash in the id.

--- a/packages/core/query.c
+++ b/packages/core/query.c
@@ -768,14 +768,20 @@
 /* No shift may lose the place that it goes to. */
 static bool check_shifts_kept(const struct change *change)
 {
+	const struct config *config = change->after;
 	uint32_t i;
 
-	for (i = 0; i < change->after->shift_count; i++) {
-		const struct config_shift *shift = &change->after->shifts[i];
+	for (i = 0; i < config->shift_count; i++) {
+		const struct config_shift *shift = &config->shifts[i];
 
-		if (place_serves(change->before, shift->service, shift->to) &&
-		    !check_shift_target(change, shift))
-			return false;
+		if (!place_serves(change->before, shift->service, shift->to) ||
+		    place_serves(config, shift->service, shift->to))
+			continue;
+		return conflict(change,
+				"shift '%s' goes to place '%s', which would no "
+				"longer serve service '%s'; cancel it first",
+				shift->id, config->places[shift->to].name,
+				config->services[shift->service].name);
 	}
 	return true;
 }
--- a/packages/ctl/main.c
+++ b/packages/ctl/main.c
@@ -76,26 +76,39 @@
 	g_free(text);
 }
 
-static bool set_id(struct admin_request *request, const char *given_id,
-		   GError **error)
+/* line counts a script's sentences from 1; 0 is no script. */
+static char *make_id(const struct options *options, uint32_t line,
+		     const struct admin_request *request, GError **error)
 {
-	char *id = given_id ? g_strdup(given_id) : script_new_id(error);
+	if (!options->id)
+		return script_new_id(error);
+	if (line)
+		return script_line_id(options->id, line, request);
+	return g_strdup(options->id);
+}
+
+static bool set_id(const struct options *options, uint32_t line,
+		   struct admin_request *request, GError **error)
+{
+	char *id = make_id(options, line, request, error);
+	bool good;
 
 	if (!id)
 		return false;
-	g_strlcpy(request->id, id, sizeof(request->id));
-	if (query_id_is_valid(id)) {
-		g_free(id);
-		return true;
-	}
-	g_set_error(error, RESULT_ERROR, RESULT_OUT_OF_RANGE,
-		    "id '%s': must be 1 to 127 of A-Z a-z 0-9 . _ -", id);
+	good = query_id_is_valid(id);
+	if (good)
+		g_strlcpy(request->id, id, sizeof(request->id));
+	else
+		g_set_error(error, RESULT_ERROR, RESULT_OUT_OF_RANGE,
+			    "id '%s': must be 1 to 127 of A-Z a-z 0-9 . _ -",
+			    id);
 	g_free(id);
-	return false;
+	return good;
 }
 
+/* On failure nothing is left to release. */
 static bool make_request(const struct options *options, const char *sentence,
-			 const char *given_id, struct admin_request *request,
+			 uint32_t line, struct admin_request *request,
 			 GError **error)
 {
 	struct query query;
@@ -106,29 +119,30 @@
 	g_strlcpy(request->sentence, sentence, sizeof(request->sentence));
 	if (!query_is_command(&query))
 		return true;
-	if (!set_id(request, given_id, error))
-		return false;
 	request->has_expect = options->expect != NO_EXPECT;
 	if (request->has_expect)
 		request->expect = (uint64_t)options->expect;
 	if (query.verb == COMMAND_LOAD) {
 		request->document = script_read_document(query.file, error);
-		return request->document;
+		if (!request->document)
+			return false;
 	}
-	return true;
+	if (set_id(options, line, request, error))
+		return true;
+	admin_request_release(request);
+	return false;
 }
 
 /* Carry out one sentence; the exit status that it calls for. */
 static int run_sentence(const struct session *session, const char *sentence,
-			const char *given_id)
+			uint32_t line)
 {
 	struct admin_request request;
 	struct client_answer answer;
 	GError *error = NULL;
 	int status;
 
-	if (!make_request(session->options, sentence, given_id, &request,
-			  &error)) {
+	if (!make_request(session->options, sentence, line, &request, &error)) {
 		status = report_error(session->options, error);
 		g_error_free(error);
 		return status;
@@ -144,26 +158,17 @@
 /*
  * Carry out the sentences of standard input. A script stops at the first one
  * that fails, since later ones may build on it; a person at a terminal goes on.
- * Under --id ID the sentences' ids are ID.1, ID.2 and so on, so that the whole
- * script can be sent again.
  */
 static int run_lines(const struct session *session)
 {
-	const char *id = session->options->id;
 	bool interactive = isatty(STDIN_FILENO);
-	char line[SCRIPT_LINE_SIZE];
-	uint32_t number = 0;
+	char sentence[SCRIPT_LINE_SIZE];
+	uint32_t line = 0;
 	int status = 0;
 
-	while ((interactive || !status) && script_read_line(stdin, line)) {
-		char *line_id = NULL;
-
-		number++;
-		if (id)
-			line_id = g_strdup_printf("%s.%u", id, number);
-		status = run_sentence(session, line, line_id);
+	while ((interactive || !status) && script_read_line(stdin, sentence)) {
+		status = run_sentence(session, sentence, ++line);
 		fflush(stdout);
-		g_free(line_id);
 	}
 	return status;
 }
@@ -173,7 +178,7 @@
 	char *sentence = script_join_words(words);
 	int status;
 
-	status = run_sentence(session, sentence, session->options->id);
+	status = run_sentence(session, sentence, 0);
 	g_free(sentence);
 	return status;
 }
--- a/packages/ctl/script.c
+++ b/packages/ctl/script.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <string.h>
 #include <sys/random.h>
+#include <xxhash.h>
 
 #include "core/result.h"
 
@@ -64,6 +65,24 @@
 	return g_string_free(id, FALSE);
 }
 
+/*
+ * Failure: an operator corrects a script and runs it again under the same id.
+ * With ids by position alone, a corrected sentence would bear the id of the
+ * former one and be answered as taken in without having any effect. The hash
+ * gives a changed sentence or document another id.
+ */
+char *script_line_id(const char *script_id, uint32_t number,
+		     const struct admin_request *request)
+{
+	const char *document = request->document ? request->document : "";
+	uint64_t hash;
+
+	hash = XXH64(request->sentence, strlen(request->sentence), 0);
+	hash = XXH64(document, strlen(document), hash);
+	return g_strdup_printf("%s.%u.%016" G_GINT64_MODIFIER "x", script_id,
+			       number, hash);
+}
+
 static char *read_stream(FILE *stream, const char *path, GError **error)
 {
 	char *text = g_malloc(CONFIG_MAX_BYTES + 2);
--- a/packages/ctl/script.h
+++ b/packages/ctl/script.h
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 #include <stdio.h>
 
+#include "core/admin.h"
 #include "core/query.h"
 
 #ifdef __cplusplus
@@ -34,6 +35,13 @@
 /* A new random command id, for g_free(). RESULT_SYSTEM on failure. */
 char *script_new_id(GError **error);
 
+/*
+ * The id of the request of a script's n-th sentence, for g_free(). The same
+ * sentence (and document) at the same position of the script has the same id.
+ */
+char *script_line_id(const char *script_id, uint32_t number,
+		     const struct admin_request *request);
+
 /*
  * The whole of a configuration document's file, for g_free().
  * RESULT_SETTINGS_UNREADABLE or RESULT_CONFIG_INVALID (too large) on failure.
--- a/tests/ctl/format_test.cc
+++ b/tests/ctl/format_test.cc
@@ -2,6 +2,7 @@
 #include "ctl/script.h"
 
 #include <gtest/gtest.h>
+#include <set>
 #include <string.h>
 #include <string>
 #include <vector>
@@ -106,3 +107,33 @@
 	g_free(one);
 	g_free(other);
 }
+
+/*
+ * An operator's script fails half way, he corrects it and runs it again under
+ * the same id. A corrected sentence that kept its id would be answered as taken
+ * in before, with no effect: a drain is reported that never happened.
+ */
+TEST(Script, ChangedSentencesGetOtherIds)
+{
+	struct admin_request request = {};
+	char document[] = "{}";
+	std::set<std::string> ids;
+	auto add = [&](uint32_t number) {
+		char *id = script_line_id("w-7", number, &request);
+
+		EXPECT_TRUE(query_id_is_valid(id)) << id;
+		ids.insert(id);
+		g_free(id);
+	};
+
+	g_strlcpy(request.sentence, "drain place p1", sizeof(request.sentence));
+	add(1);
+	add(1);
+	EXPECT_EQ(1u, ids.size());
+	add(2);
+	g_strlcpy(request.sentence, "drain place p2", sizeof(request.sentence));
+	add(1);
+	request.document = document;
+	add(1);
+	EXPECT_EQ(4u, ids.size());
+}
