node: find faults by reading it over, and mend them

- A ticket sent again after "not run" met the tombstones of its own refused attempts, because attempts were numbered from one each time; numbers are now unique for the incarnation.
- The hop ledger never forgot, so after 65,536 hops a gate would have refused all non-idempotent work.
- Peers' calls read the configuration on a thread that RCU didn't know; liburcu's bp flavour registers threads by itself.
- Idle kept connections could occupy all threads: past three quarters they are closed after an answer, and there are 512 threads by default (a thread that never ran costs address space only).
- One frozen backend server held up the probes of all others: four lanes.
- Seats are handed back at a graceful stop.

Epochs of tickets are 20 s in place of 60: 65,536 entries over the last ten epochs carry 327 non-idempotent requests a second at one node instead of 109. The price: a resend after 200 s is told that the outcome is unknown.

--- a/packages/adapters/settings.c
+++ b/packages/adapters/settings.c
@@ -54,7 +54,7 @@
 	  50, 60000, 1000 },
 	{ "seeds", "peers", KIND_PEERS, AT(seeds), false, 0, 0, 0 },
 	{ "limits", "http_threads", KIND_NUMBER, AT(http_threads), false, 4,
-	  4096, 64 },
+	  4096, 512 },
 	{ "limits", "body_max_bytes", KIND_NUMBER, AT(body_max_bytes), false,
 	  1024, BODY_MAX_BYTES, BODY_MAX_BYTES },
 	{ "limits", "header_timeout_ms", KIND_MS, AT(header_timeout_us), false,
--- a/packages/core/ticket.h
+++ b/packages/core/ticket.h
@@ -20,7 +20,7 @@
 #endif
 
 /* An epoch lasts this long; tickets of the last EPOCHS_KEPT are accepted. */
-#define TICKET_EPOCH_US (60 * 1000 * 1000ull)
+#define TICKET_EPOCH_US (20 * 1000 * 1000ull)
 #define TICKET_EPOCHS_KEPT 10
 
 struct ticket {
--- a/packages/node/entry.c
+++ b/packages/node/entry.c
@@ -26,7 +26,7 @@
 	struct request *request;
 	struct answer *answer;
 	struct steer_request steer;
-	uint32_t attempts; /* made so far; numbers them for ever */
+	uint32_t attempts; /* made so far */
 };
 
 static uint32_t home_of(const struct passage *passage)
@@ -298,7 +298,13 @@
 	struct steer_request *steer = &passage->steer;
 	uint64_t start_us = state_now_us(passage->node);
 
-	passage->request->attempt = ++passage->attempts;
+	passage->attempts++;
+	/*
+	 * Never used twice with a ticket: after "not run" a caller may send the
+	 * same ticket again, and the gates remember the attempts they refused.
+	 */
+	passage->request->attempt =
+		(uint32_t)atomic_fetch_add(&passage->node->attempts, 1) + 1;
 	set_shift(passage, choice);
 	serve_at(passage, choice->place);
 	learn(passage, choice, start_us);
--- a/packages/node/hop.c
+++ b/packages/node/hop.c
@@ -276,6 +276,7 @@
 static void serve_once(struct node *node, struct request *request,
 		       struct answer *answer)
 {
+	uint64_t epoch = state_ticket_epoch(node);
 	const struct ledger_answer *kept = NULL;
 	enum result result;
 	char id[ID_SIZE];
@@ -285,8 +286,8 @@
 		return;
 	}
 	pthread_mutex_lock(&node->ledger_lock);
-	result = ledger_start(node->hop_ledger, id, state_ticket_epoch(node),
-			      &kept);
+	ledger_forget(node->hop_ledger, ticket_oldest_epoch(epoch));
+	result = ledger_start(node->hop_ledger, id, epoch, &kept);
 	if (kept)
 		answer_from_kept(answer, kept);
 	pthread_mutex_unlock(&node->ledger_lock);
--- a/packages/node/lookup.c
+++ b/packages/node/lookup.c
@@ -1,7 +1,7 @@
 #include "node/lookup.h"
 
 #include <string.h>
-#include <urcu.h>
+#include <urcu-bp.h>
 
 static uint32_t find_home(const struct snapshot *snapshot, const char *from,
 			  uint32_t address)
--- a/packages/node/loops.c
+++ b/packages/node/loops.c
@@ -3,7 +3,6 @@
 #include <jansson.h>
 #include <string.h>
 #include <time.h>
-#include <urcu.h>
 
 #include "adapters/log.h"
 #include "adapters/peer_rpc.h"
@@ -18,6 +17,9 @@
 #define VMS_INTERVAL_US 1000000
 #define PEER_TIMEOUT_US 1000000
 #define PROBE_TIMEOUT_US 500000
+
+/* Threads that probe, so that a frozen backend server holds up few others. */
+#define PROBE_LANES 4
 #define PROBE_ANSWER_MAX_BYTES 4096
 
 /* Peers of other places that a node exchanges reports with in one round. */
@@ -32,6 +34,7 @@
 	uint64_t interval_us;
 	pthread_t thread;
 	GHashTable *clients; /* struct peer_client by address:port */
+	uint32_t lane; /* of the probes */
 	uint64_t rounds;
 	uint64_t seen_version; /* config loop: last one read or refused */
 	bool platform_down; /* config loop: said so in the log */
@@ -75,12 +78,10 @@
 {
 	struct loop *loop = context;
 
-	rcu_register_thread();
 	do {
 		loop->work(loop);
 		loop->rounds++;
 	} while (wait_for_round(loop));
-	rcu_unregister_thread();
 	return NULL;
 }
 
@@ -444,7 +445,8 @@
 		const struct config_backend *backend =
 			&snapshot->config->backends[i];
 
-		if (backend->place == snapshot->own_place)
+		if (backend->place == snapshot->own_place &&
+		    i % PROBE_LANES == loop->lane)
 			probe_backend(node,
 				      snapshot->services[backend->service],
 				      backend);
@@ -490,13 +492,14 @@
 }
 
 static void start_loop(struct loops *loops, void (*work)(struct loop *),
-		       uint64_t interval_us)
+		       uint64_t interval_us, uint32_t lane)
 {
 	struct loop *loop = &loops->all[loops->count++];
 
 	loop->loops = loops;
 	loop->work = work;
 	loop->interval_us = interval_us;
+	loop->lane = lane;
 	loop->clients = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      free_client);
 	pthread_create(&loop->thread, NULL, run_loop, loop);
@@ -507,20 +510,25 @@
 	const struct settings *settings = node->settings;
 	struct loops *loops = g_new0(struct loops, 1);
 	pthread_condattr_t attributes;
+	uint32_t lane;
 
 	loops->node = node;
-	loops->all = g_new0(struct loop, 6);
+	loops->all = g_new0(struct loop, 5 + PROBE_LANES);
 	pthread_mutex_init(&loops->lock, NULL);
 	pthread_condattr_init(&attributes);
 	pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
 	pthread_cond_init(&loops->wake, &attributes);
 	pthread_condattr_destroy(&attributes);
-	start_loop(loops, poll_config, settings->poll_interval_us);
-	start_loop(loops, poll_vms, VMS_INTERVAL_US);
-	start_loop(loops, keep_seats, SEATS_INTERVAL_US);
-	start_loop(loops, exchange_with_siblings, settings->report_interval_us);
-	start_loop(loops, exchange_with_others, settings->report_interval_us);
-	start_loop(loops, probe_backends, settings->probe_interval_us);
+	start_loop(loops, poll_config, settings->poll_interval_us, 0);
+	start_loop(loops, poll_vms, VMS_INTERVAL_US, 0);
+	start_loop(loops, keep_seats, SEATS_INTERVAL_US, 0);
+	start_loop(loops, exchange_with_siblings, settings->report_interval_us,
+		   0);
+	start_loop(loops, exchange_with_others, settings->report_interval_us,
+		   0);
+	for (lane = 0; lane < PROBE_LANES; lane++)
+		start_loop(loops, probe_backends, settings->probe_interval_us,
+			   lane);
 	return loops;
 }
 
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -2,13 +2,13 @@
 
 #include <inttypes.h>
 #include <time.h>
-#include <urcu.h>
 
 #include "adapters/clock_system.h"
 #include "adapters/log.h"
 #include "adapters/peer_rpc.h"
 #include "adapters/platform_http.h"
 #include "node/loops.h"
+#include "node/seats.h"
 #include "node/server.h"
 #include "node/state.h"
 
@@ -35,7 +35,6 @@
 {
 	struct running_node *running = g_new0(struct running_node, 1);
 
-	rcu_register_thread();
 	running->platform = platform_http_new(settings->platform_address,
 					      settings->platform_port,
 					      settings->platform_timeout_us);
@@ -75,6 +74,7 @@
 	log_event(LOG_INFO, "node-stopping", "in_flight=%u",
 		  atomic_load(&node->in_flight));
 	atomic_store(&node->stopping, true);
+	seats_give_up(node);
 	while (state_now_us(node) < end_us) {
 		if (state_now_us(node) >= least_us &&
 		    !atomic_load(&node->in_flight))
@@ -93,6 +93,5 @@
 		peer_server_close(running->peers);
 	state_free(running->node);
 	platform_http_free(running->platform);
-	rcu_unregister_thread();
 	g_free(running);
 }
--- a/packages/node/seats.c
+++ b/packages/node/seats.c
@@ -169,3 +169,16 @@
 		keep_seat(node, entry, entry->rank == rank);
 	}
 }
+
+void seats_give_up(struct node *node)
+{
+	guint i;
+
+	pthread_mutex_lock(&node->seats_lock);
+	for (i = 0; i < node->seats->len; i++) {
+		struct shift_seat *entry = g_ptr_array_index(node->seats, i);
+
+		seat_give_up(entry->seat);
+	}
+	pthread_mutex_unlock(&node->seats_lock);
+}
--- a/packages/node/seats.h
+++ b/packages/node/seats.h
@@ -15,6 +15,9 @@
 /* Admit one request of the shift on any seat held here. */
 bool seats_admit(struct node *node, const char *shift, uint64_t now_us);
 
+/* Stop admitting and hand the rows back in the next rounds. */
+void seats_give_up(struct node *node);
+
 /* Agree with the configuration in force, and renew, claim or read the rows. */
 void seats_keep(struct node *node);
 
--- a/packages/node/server.c
+++ b/packages/node/server.c
@@ -6,7 +6,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
-#include <urcu.h>
 
 #include "adapters/log.h"
 #include "adapters/metrics.h"
@@ -29,6 +28,7 @@
 	struct node *node;
 	struct mg_context *context;
 	struct metric *bad_input;
+	atomic_uint connections; /* open now */
 };
 
 /* Copy a header that has to fit; false where it is too long. */
@@ -104,6 +104,17 @@
 			       retry_after_us);
 }
 
+/*
+ * Each open connection occupies a thread, also while it is idle. Callers that
+ * keep connections open could so occupy them all, and new ones would wait in
+ * vain; past this share of the threads, connections are closed after an answer.
+ */
+static bool is_crowded(const struct server *server)
+{
+	return atomic_load(&server->connections) >
+	       server->node->settings->http_threads * 3 / 4;
+}
+
 /* One write, so that the answer isn't split over two segments needlessly. */
 static int send_whole(struct server *server, struct mg_connection *conn,
 		      int status, const char *type, const char *body,
@@ -120,7 +131,7 @@
 	 * leaves no kept-alive connection on which a request could arrive at
 	 * the moment of its exit.
 	 */
-	if (atomic_load(&server->node->stopping)) {
+	if (atomic_load(&server->node->stopping) || is_crowded(server)) {
 		mg_disable_connection_keep_alive(conn);
 		append_header(head, "Connection", "close");
 	}
@@ -469,21 +480,20 @@
 					    0));
 }
 
-static void *start_thread(const struct mg_context *context, int type)
+static int open_connection(const struct mg_connection *conn, void **data)
 {
-	(void)context;
-	(void)type;
-	rcu_register_thread();
-	return NULL;
+	struct server *server = mg_get_user_data(mg_get_context(conn));
+
+	(void)data;
+	atomic_fetch_add(&server->connections, 1);
+	return 0;
 }
 
-static void end_thread(const struct mg_context *context, int type,
-		       void *pointer)
+static void close_connection(const struct mg_connection *conn)
 {
-	(void)context;
-	(void)type;
-	(void)pointer;
-	rcu_unregister_thread();
+	struct server *server = mg_get_user_data(mg_get_context(conn));
+
+	atomic_fetch_sub(&server->connections, 1);
 }
 
 static int log_message(const struct mg_connection *conn, const char *message)
@@ -522,8 +532,8 @@
 	const struct settings *settings = node->settings;
 	struct server *server = g_new0(struct server, 1);
 	struct mg_callbacks callbacks = {
-		.init_thread = start_thread,
-		.exit_thread = end_thread,
+		.init_connection = open_connection,
+		.connection_closed = close_connection,
 		.log_message = log_message,
 	};
 	char ports[NAME_SIZE + 8], threads[12], timeout_ms[24];
--- a/packages/node/state.c
+++ b/packages/node/state.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
-#include <urcu.h>
+#include <urcu-bp.h>
 
 #include "adapters/log.h"
 #include "core/result.h"
--- a/packages/node/state.h
+++ b/packages/node/state.h
@@ -94,6 +94,7 @@
 	atomic_uint in_flight; /* callers' and peers' requests */
 	atomic_ullong sequence; /* of reports */
 	atomic_ullong tickets_issued;
+	atomic_uint attempts; /* made at this incarnation */
 
 	struct snapshot *snapshot; /* by RCU */
 	struct node_states *states; /* by RCU; written by one loop only */
--- a/tests/adapters/settings_test.cc
+++ b/tests/adapters/settings_test.cc
@@ -63,7 +63,7 @@
 	EXPECT_EQ(500000u, settings.platform_timeout_us);
 	EXPECT_EQ(1000000u, settings.poll_interval_us);
 	EXPECT_EQ(0u, settings.seed_count);
-	EXPECT_EQ(64u, settings.http_threads);
+	EXPECT_EQ(512u, settings.http_threads);
 	EXPECT_EQ(1048576u, settings.body_max_bytes);
 	EXPECT_EQ(2000000u, settings.header_timeout_us);
 	EXPECT_EQ(100u, settings.retry_share_permille);
--- a/tests/node/command_test.cc
+++ b/tests/node/command_test.cc
@@ -1,6 +1,5 @@
 #include <gtest/gtest.h>
 #include <jansson.h>
-#include <urcu.h>
 
 #include "node/command.h"
 #include "node/fakes.h"
@@ -10,7 +9,6 @@
       protected:
 	void SetUp() override
 	{
-		rcu_register_thread();
 		metrics_open();
 		fake = new fake_node;
 		fake->platform.rows["config/current"] = { 1, fake_document };
@@ -21,7 +19,6 @@
 	{
 		delete fake;
 		metrics_close();
-		rcu_unregister_thread();
 	}
 
 	enum result run(const char *sentence, const char *id,
--- a/tests/node/hop_test.cc
+++ b/tests/node/hop_test.cc
@@ -1,7 +1,6 @@
 #include "node/hop.h"
 
 #include <gtest/gtest.h>
-#include <urcu.h>
 
 #include "node/entry.h"
 #include "node/fakes.h"
@@ -11,7 +10,6 @@
       protected:
 	void SetUp() override
 	{
-		rcu_register_thread();
 		metrics_open();
 		fake = new fake_node;
 		fake->apply(1);
@@ -21,7 +19,6 @@
 	{
 		delete fake;
 		metrics_close();
-		rcu_unregister_thread();
 	}
 
 	enum result serve(const char *ticket, uint32_t attempt,
--- a/tests/node/state_test.cc
+++ b/tests/node/state_test.cc
@@ -1,5 +1,4 @@
 #include <gtest/gtest.h>
-#include <urcu.h>
 
 #include "node/fakes.h"
 
@@ -8,14 +7,12 @@
       protected:
 	void SetUp() override
 	{
-		rcu_register_thread();
 		metrics_open();
 	}
 
 	void TearDown() override
 	{
 		metrics_close();
-		rcu_unregister_thread();
 	}
 };
 
