Add the stand-in for backend servers: many in one process

Each has its own address, slots and faults; they share one run book, which counts how often each request id started, and one history of JSON lines.

Weighed: one CivetWeb context listening on all addresses (one frozen backend server would use up the workers of all, and one can't be taken down alone). A work's run counts from its start, so that cancelled work which runs again shows as doubled.

--- a/tests/standins/fake_platform.c
+++ b/tests/standins/fake_platform.c
@@ -1,5 +1,6 @@
 #include "standins/fake_platform.h"
 
+#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -39,8 +40,8 @@
 };
 
 struct fake_platform {
-	struct mg_context *server;
-	GMutex lock; /* guards all below */
+	struct standin_server *server;
+	pthread_mutex_t lock; /* guards all below */
 	GHashTable *rows; /* "table/key" to struct row */
 	GHashTable *objects; /* name to GBytes */
 	GArray *vm_lists; /* of struct vm_list_version, oldest first */
@@ -143,13 +144,13 @@
 	const struct row *row;
 	json_t *body = NULL;
 
-	g_mutex_lock(&platform->lock);
+	pthread_mutex_lock(&platform->lock);
 	platform->counters.reads++;
 	row = g_hash_table_lookup(platform->rows, path);
 	if (row)
 		body = json_pack("{s:I, s:s}", "version",
 				 (json_int_t)row->version, "value", row->value);
-	g_mutex_unlock(&platform->lock);
+	pthread_mutex_unlock(&platform->lock);
 	if (!body)
 		return answer_plain(conn, 404);
 	return standin_answer_json(conn, 200, NULL, body);
@@ -187,10 +188,10 @@
 		g_free(value);
 		return answer_plain(conn, 400);
 	}
-	g_mutex_lock(&platform->lock);
+	pthread_mutex_lock(&platform->lock);
 	compare_and_set(platform, path, value, strtoull(match, NULL, 10),
 			&result);
-	g_mutex_unlock(&platform->lock);
+	pthread_mutex_unlock(&platform->lock);
 	g_free(value);
 	return send_write_result(conn, &result);
 }
@@ -221,7 +222,7 @@
 		mg_get_var(query, strlen(query), "prefix", prefix,
 			   sizeof(prefix));
 	start = g_strdup_printf("%s/%s", table, prefix);
-	g_mutex_lock(&platform->lock);
+	pthread_mutex_lock(&platform->lock);
 	platform->counters.reads++;
 	paths = g_hash_table_get_keys(platform->rows);
 	paths = g_list_sort(paths, compare_paths);
@@ -236,7 +237,7 @@
 				    g_hash_table_lookup(platform->rows, path)));
 	}
 	g_list_free(paths);
-	g_mutex_unlock(&platform->lock);
+	pthread_mutex_unlock(&platform->lock);
 	g_free(start);
 	return standin_answer_json(conn, 200, NULL,
 				   json_pack("{s:o}", "rows", rows));
@@ -347,9 +348,9 @@
 	g_free(text);
 	if (!writes)
 		return answer_plain(conn, 400);
-	g_mutex_lock(&platform->lock);
+	pthread_mutex_lock(&platform->lock);
 	run_transaction(platform, writes, &result);
-	g_mutex_unlock(&platform->lock);
+	pthread_mutex_unlock(&platform->lock);
 	g_array_unref(writes);
 	return send_write_result(conn, &result);
 }
@@ -361,12 +362,12 @@
 	gconstpointer data;
 	gsize bytes;
 
-	g_mutex_lock(&platform->lock);
+	pthread_mutex_lock(&platform->lock);
 	platform->counters.reads++;
 	object = g_hash_table_lookup(platform->objects, name);
 	if (object)
 		g_bytes_ref(object);
-	g_mutex_unlock(&platform->lock);
+	pthread_mutex_unlock(&platform->lock);
 	if (!object)
 		return answer_plain(conn, 404);
 	data = g_bytes_get_data(object, &bytes);
@@ -384,12 +385,12 @@
 
 	if (!body)
 		return answer_plain(conn, 400);
-	g_mutex_lock(&platform->lock);
+	pthread_mutex_lock(&platform->lock);
 	platform->counters.writes++;
 	g_hash_table_insert(platform->objects, g_strdup(name),
 			    g_bytes_new_take(body, bytes));
 	lost = take_lost_answer(platform);
-	g_mutex_unlock(&platform->lock);
+	pthread_mutex_unlock(&platform->lock);
 	return lost ? standin_drop(conn) : answer_plain(conn, 200);
 }
 
@@ -423,11 +424,11 @@
 	uint64_t lag_us;
 	json_t *vms;
 
-	g_mutex_lock(&platform->lock);
+	pthread_mutex_lock(&platform->lock);
 	platform->counters.reads++;
 	lag_us = MIN(platform->faults.vms_lag_us, now_us);
 	vms = vms_as_of(platform, now_us - lag_us);
-	g_mutex_unlock(&platform->lock);
+	pthread_mutex_unlock(&platform->lock);
 	return standin_answer_json(conn, 200, NULL,
 				   json_pack("{s:o}", "vms", vms));
 }
@@ -470,7 +471,7 @@
 		json_decref(root);
 		return answer_plain(conn, 400);
 	}
-	g_mutex_lock(&platform->lock);
+	pthread_mutex_lock(&platform->lock);
 	set_flag(root, "down", &platform->faults.down);
 	set_flag(root, "refuse", &platform->faults.refuse);
 	set_number(root, "slow_us", &platform->faults.slow_us);
@@ -478,7 +479,7 @@
 	set_number(root, "vms_lag_us", &platform->faults.vms_lag_us);
 	if (json_is_array(json_object_get(root, "vms")))
 		set_vms(platform, json_object_get(root, "vms"));
-	g_mutex_unlock(&platform->lock);
+	pthread_mutex_unlock(&platform->lock);
 	json_decref(root);
 	return answer_plain(conn, 200);
 }
@@ -490,7 +491,7 @@
 	const struct counters *counters = &platform->counters;
 	json_t *body;
 
-	g_mutex_lock(&platform->lock);
+	pthread_mutex_lock(&platform->lock);
 	body = json_pack("{s:b, s:b, s:I, s:I, s:I, s:I, s:I, s:I, s:I}",
 			 "down", faults->down, "refuse", faults->refuse,
 			 "slow_us", (json_int_t)faults->slow_us, "lose_answers",
@@ -500,7 +501,7 @@
 			 (json_int_t)counters->writes, "conflicts",
 			 (json_int_t)counters->conflicts, "lost",
 			 (json_int_t)counters->lost);
-	g_mutex_unlock(&platform->lock);
+	pthread_mutex_unlock(&platform->lock);
 	return standin_answer_json(conn, 200, NULL, body);
 }
 
@@ -536,9 +537,9 @@
 
 	if (!strcmp(uri, PATH_CONTROL))
 		return handle_control(platform, conn);
-	g_mutex_lock(&platform->lock);
+	pthread_mutex_lock(&platform->lock);
 	faults = platform->faults;
-	g_mutex_unlock(&platform->lock);
+	pthread_mutex_unlock(&platform->lock);
 	if (faults.slow_us)
 		g_usleep(faults.slow_us);
 	if (faults.down)
@@ -553,7 +554,7 @@
 	g_hash_table_unref(platform->rows);
 	g_hash_table_unref(platform->objects);
 	g_array_unref(platform->vm_lists);
-	g_mutex_clear(&platform->lock);
+	pthread_mutex_destroy(&platform->lock);
 	g_free(platform);
 }
 
@@ -564,7 +565,7 @@
 	struct fake_platform *platform = g_new0(struct fake_platform, 1);
 	json_t *no_vms = json_array();
 
-	g_mutex_init(&platform->lock);
+	pthread_mutex_init(&platform->lock, NULL);
 	platform->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       row_free);
 	platform->objects = g_hash_table_new_full(
@@ -574,8 +575,8 @@
 	g_array_set_clear_func(platform->vm_lists, vm_list_clear);
 	set_vms(platform, no_vms);
 	json_decref(no_vms);
-	platform->server = standin_listen(endpoint, threads, handle_request,
-					  platform, error);
+	platform->server = standin_server_open(endpoint, threads,
+					       handle_request, platform, error);
 	if (platform->server)
 		return platform;
 	release_state(platform);
@@ -586,6 +587,6 @@
 {
 	if (!platform)
 		return;
-	mg_stop(platform->server);
+	standin_server_close(platform->server);
 	release_state(platform);
 }
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -27,10 +27,15 @@
 bool standin_parse_endpoint(const char *text,
 			    struct standin_endpoint *endpoint);
 
+struct standin_server;
+
 /* Serve every path by the handler; NULL and an error where it can't listen. */
-struct mg_context *standin_listen(const struct standin_endpoint *endpoint,
-				  uint32_t threads, mg_request_handler handler,
-				  void *data, GError **error);
+struct standin_server *
+standin_server_open(const struct standin_endpoint *endpoint, uint32_t threads,
+		    mg_request_handler handler, void *data, GError **error);
+
+/* Cut all connections, as a process that dies does, and stop listening. */
+void standin_server_close(struct standin_server *server);
 
 /* The request's body, for g_free(); NULL where it is too large or cut. */
 char *standin_read_body(struct mg_connection *conn, size_t *bytes);
@@ -46,6 +51,9 @@
 /* Socket of the connection, or -1. */
 int standin_socket(const struct mg_connection *conn);
 
+/* When the connection was opened, on the clock of event_now_us(). */
+uint64_t standin_opened_us(const struct mg_connection *conn);
+
 /* Close the connection without an answer. */
 int standin_drop(struct mg_connection *conn);
 
