node: answer commands as the platform showed them

Cause, from reading and a trial of lilacctl against two nodes: a command that lost five races was called unsettled though nothing had been written; one sent again under its id was described by its present sentence, whatever it had been; the node that took a command put it in force only with its next poll. And a node without slots entered its place's expected wait with 4,294 s.

Now: conflict where every write was refused, unsettled only after a lost answer; "taken in before" for a known id; in force at once where it was taken. One check of names in place of two.

--- a/packages/core/config.c
+++ b/packages/core/config.c
@@ -54,7 +54,7 @@
 	return false;
 }
 
-static bool is_name(const char *text, size_t size)
+bool config_name_is_valid(const char *text, size_t size)
 {
 	size_t len = strlen(text);
 
@@ -70,7 +70,7 @@
 	const char *text =
 		json_string_value(json_object_get(reader->item, member));
 
-	if (!text || !is_name(text, size))
+	if (!text || !config_name_is_valid(text, size))
 		return refuse(reader, member,
 			      "a name of A-Z a-z 0-9 . _ -, not too long");
 	g_strlcpy(name, text, size);
--- a/packages/core/config.h
+++ b/packages/core/config.h
@@ -158,6 +158,9 @@
 /* Place of the caller's IPv4 address (host byte order), or CONFIG_NONE. */
 uint32_t config_place_of_address(const struct config *config, uint32_t address);
 
+/* Whether the text may serve as a name or id that fits size bytes. */
+bool config_name_is_valid(const char *text, size_t size);
+
 /* The name of a class as the document writes it, and back; -1 if none. */
 const char *service_class_name(enum service_class class_of);
 int service_class_from_name(const char *name);
--- a/packages/core/query.c
+++ b/packages/core/query.c
@@ -53,13 +53,6 @@
 	[OBJECT_SERVICE] = "service",
 };
 
-static bool is_name(const char *text, size_t size)
-{
-	size_t len = strlen(text);
-
-	return len && len < size && strspn(text, NAME_CHARACTERS) == len;
-}
-
 /*
  * Words
  */
@@ -272,7 +265,7 @@
 static bool take_text(struct parser *parser, const char *expected, char *text,
 		      size_t size)
 {
-	if (!is_name(parser->word, size))
+	if (!config_name_is_valid(parser->word, size))
 		return stumble(parser, RESULT_SYNTAX, expected, NULL);
 	g_strlcpy(text, parser->word, size);
 	return advance(parser);
@@ -547,7 +540,7 @@
 
 bool query_id_is_valid(const char *id)
 {
-	return is_name(id, ID_SIZE);
+	return config_name_is_valid(id, ID_SIZE);
 }
 
 /*
--- a/packages/node/command.c
+++ b/packages/node/command.c
@@ -73,13 +73,20 @@
 	return false;
 }
 
+/* How far a command has come. */
+struct progress {
+	uint64_t version; /* that it made; 0: not yet */
+	bool repeated; /* the row had taken it in before */
+	bool unsettled; /* a write of it may have taken effect */
+};
+
 /*
- * One compare-and-set. *version is what the command made, or 0 where another
- * command came first and it has to be applied anew.
+ * One compare-and-set. progress->version stays 0 where another command came
+ * first and this one has to be applied anew.
  */
 static bool try_change(struct node *node, const struct query *query,
-		       const struct admin_request *request, uint64_t *version,
-		       GError **error)
+		       const struct admin_request *request,
+		       struct progress *progress, GError **error)
 {
 	struct config *config = NULL;
 	struct config *next = NULL;
@@ -88,13 +95,13 @@
 	char *text;
 	bool good = false;
 
-	*version = 0;
 	if (!read_config(node, &base, &config, error))
 		return false;
 	/* Taken in before: its answer was lost, or it was sent twice. */
 	if (config)
-		*version = config_find_command(config, request->id);
-	if (*version) {
+		progress->version = config_find_command(config, request->id);
+	if (progress->version) {
+		progress->repeated = !progress->unsettled;
 		config_free(config);
 		return true;
 	}
@@ -103,13 +110,19 @@
 	if (next) {
 		text = config_encode(next);
 		good = platform_write(node->platform, CONFIG_TABLE, CONFIG_KEY,
-				      text, base, version, &failure);
+				      text, base, &progress->version, &failure);
 		g_free(text);
 	}
-	config_free(next);
 	config_free(config);
-	if (good || !failure)
-		return good;
+	if (good) {
+		/* In force here at once, and told to peers in their round. */
+		next->version = progress->version;
+		state_apply(node, next, NULL);
+		return true;
+	}
+	config_free(next);
+	if (!failure)
+		return false;
 	/*
 	 * Another command came first, or the answer was lost after the write
 	 * may have taken effect. Both are settled by reading the row again:
@@ -117,6 +130,9 @@
 	 */
 	if (failure->code == RESULT_CONFLICT ||
 	    failure->code == RESULT_UNSETTLED) {
+		progress->version = 0;
+		if (failure->code == RESULT_UNSETTLED)
+			progress->unsettled = true;
 		g_error_free(failure);
 		return true;
 	}
@@ -124,33 +140,54 @@
 	return false;
 }
 
+/* What to say where the tries ended without a version. */
+static void judge_end(const struct progress *progress, GError **error)
+{
+	if (!*error && progress->unsettled)
+		g_set_error(error, RESULT_ERROR, RESULT_UNSETTLED,
+			    "ask for the command's id later");
+	else if (!*error)
+		g_set_error(error, RESULT_ERROR, RESULT_CONFLICT,
+			    "other commands came first each time");
+	/* After a write whose answer was lost, a failure proves nothing. */
+	else if (progress->unsettled)
+		(*error)->code = RESULT_UNSETTLED;
+}
+
+static char *describe(const struct query *query,
+		      const struct admin_request *request,
+		      const struct progress *progress)
+{
+	/* The id may have come with another sentence; that one counts. */
+	if (progress->repeated)
+		return g_strdup_printf("command %s was taken in before",
+				       request->id);
+	return query_describe(query, request->id);
+}
+
 static enum result run_command(struct node *node, const struct query *query,
 			       const struct admin_request *request, char **json)
 {
+	struct progress progress = { 0 };
 	GError *error = NULL;
-	uint64_t version = 0;
 	char *text;
 	int i;
 
-	for (i = 0; i < MOST_TRIES && !version; i++)
-		if (!try_change(node, query, request, &version, &error))
+	for (i = 0; i < MOST_TRIES && !progress.version; i++)
+		if (!try_change(node, query, request, &progress, &error))
 			break;
-	if (!error && !version)
-		g_set_error(&error, RESULT_ERROR, RESULT_UNSETTLED,
-			    "ask for the command's id later");
-	/* After a write whose answer was lost, a failure proves nothing. */
-	if (error && i && error->code == RESULT_PLATFORM_UNAVAILABLE)
-		error->code = RESULT_UNSETTLED;
+	if (!progress.version)
+		judge_end(&progress, &error);
 	log_event(LOG_INFO, "command",
 		  "id=%s sentence=\"%s\" version=%" G_GUINT64_FORMAT
 		  " result=%s",
-		  request->id, request->sentence, version,
+		  request->id, request->sentence, progress.version,
 		  result_name(error ? result_from_number(error->code) :
 				      RESULT_OK));
 	if (error)
 		return fail(error, json);
-	text = query_describe(query, request->id);
-	*json = admin_answer_command(version, request->id, text);
+	text = describe(query, request, &progress);
+	*json = admin_answer_command(progress.version, request->id, text);
 	g_free(text);
 	return RESULT_OK;
 }
--- a/packages/node/state.c
+++ b/packages/node/state.c
@@ -501,7 +501,7 @@
 static void add_summary(struct place_sum *sum,
 			const struct gate_summary *summary, uint64_t age_us)
 {
-	uint64_t weight = MAX(summary->slots, 1);
+	uint64_t weight = summary->slots;
 
 	sum->total.slots += summary->slots;
 	sum->total.in_flight += summary->in_flight;
@@ -550,8 +550,12 @@
 
 		if (!sum->nodes || tables->steer_version != config->version)
 			continue;
-		sum->total.service_us = sum->service_weighted / sum->weight;
-		sum->total.wait_us = sum->wait_weighted / sum->weight;
+		/* Nodes without slots have no times to say. */
+		sum->total.service_us =
+			sum->service_weighted / MAX(sum->weight, 1);
+		sum->total.wait_us = sum->weight ?
+					     sum->wait_weighted / sum->weight :
+					     UINT32_MAX;
 		steer_report(tables->steer, i, &sum->total, sum->age_us,
 			     state_now_us(node));
 	}
--- a/tests/node/command_test.cc
+++ b/tests/node/command_test.cc
@@ -98,6 +98,19 @@
 	EXPECT_EQ(3u, version);
 }
 
+/* Nothing was written, so nothing is unsettled. */
+TEST_F(Command, RaceLostEachTimeIsAConflict)
+{
+	fake->platform.steal = 100;
+	EXPECT_EQ(RESULT_CONFLICT, run("drain place sur-1", "c1"));
+}
+
+TEST_F(Command, IsInForceAtTheNodeThatTookItAtOnce)
+{
+	EXPECT_EQ(RESULT_OK, run("drain place sur-1", "c1"));
+	EXPECT_EQ(2u, state_version(fake->node));
+}
+
 /* Each drains one of the two places; both together would stop the service. */
 TEST_F(Command, SecondOfTwoThatDoNotGoTogetherIsAConflict)
 {
