steer: links shared by places; no stepped return after a few lost reports

Places behind one link took its limit once each; steer_place_spec.link groups them (0: as before, a limit of its own). A place heard of again after two to six seconds was let back in steps of one, two, four requests: one dead node's old report made its whole place look silent for a moment, and its own callers would have paid for that. The stepped return now needs six seconds of silence.

--- a/packages/core/steer.c
+++ b/packages/core/steer.c
@@ -121,6 +121,24 @@
 	return 0;
 }
 
+/* Places behind one link take their requests out of one bucket. */
+static void share_links(struct steer *steer)
+{
+	struct steer_place *place;
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < steer->place_count; i++) {
+		place = &steer->places[i];
+		place->link = &place->link_bucket;
+		for (j = 0; j < i && place->spec.link; j++)
+			if (steer->places[j].spec.link == place->spec.link) {
+				place->link = &steer->places[j].link_bucket;
+				break;
+			}
+	}
+}
+
 static void index_places(struct steer *steer)
 {
 	uint32_t most = 0;
@@ -524,6 +542,7 @@
 	steer->estimates = g_new0(struct steer_estimate, count);
 	steer->place_count = count;
 	index_places(steer);
+	share_links(steer);
 }
 
 void steer_set_shifts(struct steer *steer, const struct steer_shift_spec *specs,
--- a/packages/core/steer.h
+++ b/packages/core/steer.h
@@ -42,6 +42,7 @@
 	uint32_t link_limit_per_s; /* of this entry node; 0 is no limit */
 	uint32_t slots; /* configured, of all backend servers there */
 	bool drained;
+	uint32_t link; /* places of one number share the limit; 0: its own */
 };
 
 /* A shift as one entry node carries it out. */
--- a/packages/core/steer_place.c
+++ b/packages/core/steer_place.c
@@ -307,9 +307,9 @@
 {
 	uint32_t rate = place->spec.link_limit_per_s;
 
-	if (rate && !steer_bucket_has(&place->link_bucket, rate, now_us)) {
+	if (rate && !steer_bucket_has(place->link, rate, now_us)) {
 		close_estimate(estimate, RESULT_OVERLOAD,
-			       bucket_wait_us(&place->link_bucket, rate));
+			       bucket_wait_us(place->link, rate));
 		return false;
 	}
 	notice_silence(place, now_us);
@@ -610,6 +610,7 @@
 		steer_bucket_fill(&place->link_bucket, spec->link_limit_per_s,
 				  now_us);
 	place->spec = *spec;
+	place->link = &place->link_bucket;
 	place->spec.name = NULL;
 	g_strlcpy(place->name, spec->name ? spec->name : "",
 		  sizeof(place->name));
@@ -634,10 +635,11 @@
 	place->own_reported = in_flight - unreported;
 	/*
 	 * Everyone sees a place come back at the same moment and would fill it
-	 * at once, while its caches are cold: it is filled in steps.
+	 * at once, while its caches are cold: it is filled in steps. A few
+	 * reports that were lost are no such return.
 	 */
-	if (place->reported && steer_place_is_silent(place, now_us) &&
-	    since(made_us, now_us) <= STEER_FRESH_US)
+	if (place->reported &&
+	    since(place->report_made_us, made_us) >= STEER_RETURN_AFTER_US)
 		begin_return(place, now_us);
 	place->report = *report;
 	place->report_made_us = made_us;
@@ -698,7 +700,7 @@
 	place->own_unreported++;
 	place->sent_us = now_us;
 	if (place->spec.link_limit_per_s)
-		steer_bucket_take(&place->link_bucket);
+		steer_bucket_take(place->link);
 	if (place->silent)
 		steer_bucket_take(&place->silent_bucket);
 	if (place->failing) {
--- a/packages/core/steer_place.h
+++ b/packages/core/steer_place.h
@@ -32,6 +32,8 @@
 #define STEER_FRESH_US (2 * 1000 * 1000ull)
 #define STEER_SILENT_HALF_US (2 * 1000 * 1000ull)
 #define STEER_SILENT_FLOOR_PER_S 2
+/* Heard of again after so long, a place returns in steps. */
+#define STEER_RETURN_AFTER_US (6 * 1000 * 1000ull)
 #define STEER_STEP_US (1 * 1000 * 1000ull)
 #define STEER_TRIAL_FIRST_US (250 * 1000ull)
 #define STEER_TRIAL_MOST_US (8 * 1000 * 1000ull)
@@ -88,6 +90,8 @@
 	uint32_t silent_per_s; /* rate when it fell silent */
 	struct steer_bucket silent_bucket;
 	struct steer_bucket link_bucket;
+	struct steer_bucket *link; /* its own or that of the place it shares
+				    * the link with */
 };
 
 /* What a request asks of a place. */
--- a/tests/core/steer_test.cc
+++ b/tests/core/steer_test.cc
@@ -32,9 +32,8 @@
 	Steer()
 	{
 		for (uint32_t i = 0; i < PLACES; i++)
-			specs[i] = {
-				names[i], i, one_way_us[i], 0, slots, false
-			};
+			specs[i] = { names[i], i, one_way_us[i], 0, slots,
+				     false,    0 };
 		configure();
 	}
 
@@ -299,7 +298,7 @@
 	};
 
 	for (const auto &c : cases) {
-		struct steer_place_spec spec = { "p", 0, 0, 0, 16, false };
+		struct steer_place_spec spec = { "p", 0, 0, 0, 16, false, 0 };
 		struct gate_summary summary = { c.reported_slots, c.load, 0,
 						service_us, 0 };
 		struct steer_ask ask = { c.class_of, c.at_home, 102 * second };
@@ -433,6 +432,16 @@
 	EXPECT_EQ(1u, choose_all().size());
 }
 
+TEST_F(Steer, FewLostReportsAreNoReturnInSteps)
+{
+	only(HOME);
+	run(100, ms, { 0 });
+	now_us += STEER_RETURN_AFTER_US - 500 * ms;
+	report(HOME, 0);
+	for (uint32_t i = 0; i < slots; i++)
+		EXPECT_EQ(STEER_HOME, choose().rule) << i;
+}
+
 /*
  * A place fails, comes back and fails again, over and over. Each return that
  * took the full load at once would cost as many failed requests as the first.
@@ -564,12 +573,21 @@
 
 TEST_F(Steer, LinkCarriesNoMoreThanItsLimit)
 {
-	specs[FAR].link_limit_per_s = 40;
-	configure();
-	uint32_t sent = run(10000, ms, { full, full, 0 });
+	const struct {
+		uint32_t near_link, far_link, limits;
+	} cases[] = { { 0, 0, 2 }, { 1, 2, 2 }, { 1, 1, 1 } };
+
+	for (const auto &c : cases) {
+		specs[NEAR].link = c.near_link;
+		specs[FAR].link = c.far_link;
+		specs[NEAR].link_limit_per_s = 40;
+		specs[FAR].link_limit_per_s = 40;
+		configure();
+		uint32_t sent = run(10000, ms, { full, 0, 0 });
 
-	EXPECT_GE(sent, 390u);
-	EXPECT_LE(sent, 410u);
+		EXPECT_GE(sent, c.limits * 390u) << c.far_link;
+		EXPECT_LE(sent, c.limits * 410u) << c.far_link;
+	}
 }
 
 /*
@@ -616,7 +634,9 @@
 		struct steer_place_spec specs[4];
 
 		for (uint32_t i = 0; i < 4; i++)
-			specs[i] = { nullptr, i, i ? 500u : 0u, 0, 48, false };
+			specs[i] = {
+				nullptr, i, i ? 500u : 0u, 0, 48, false, 0
+			};
 		steer_set_places(steer, specs, 4, now_us);
 		for (uint32_t i = 0; i < 4; i++) {
 			struct gate_summary summary = { 48, 48 - free_slots[i],
