--- a/packages/node/server.c
+++ b/packages/node/server.c
@@ -57,10 +57,10 @@
 
 	*value = 0;
 	return !text ||
-	       g_ascii_string_to_unsigned(text, 10, 0, INT64_MAX, value, NULL);
+	       g_ascii_string_to_unsigned(text, 10, 0, UINT64_MAX, value, NULL);
 }
 
-/* Read the body whole; RESULT_OK, RESULT_BODY_TOO_LARGE or RESULT_BAD_REQUEST.
+/* RESULT_OK with the whole body, RESULT_BODY_TOO_LARGE or RESULT_BAD_REQUEST.
  */
 static enum result read_body(struct mg_connection *conn, uint64_t most_bytes,
 			     GString *body)
@@ -251,7 +251,7 @@
 		return false;
 	if (!is_token(request->id) || !is_token(request->ticket) ||
 	    !is_token(request->origin) || !is_token(request->shift) ||
-	    attempt > UINT32_MAX)
+	    attempt > UINT32_MAX || left_us > INT64_MAX)
 		return false;
 	if (!*request->id)
 		draw_id(request->id);
--- a/tests/node/server_test.cc
+++ b/tests/node/server_test.cc
@@ -170,6 +170,12 @@
 		{ "not HTTP", "garbage\r\n\r\n", " 4", nullptr },
 		{ "hop without a deadline", get("/v1/hop/historia/x"), " 400 ",
 		  ": 112" },
+		/* A shift's every hop was refused, for half of all nodes. */
+		{ "hop to an incarnation above half of all numbers",
+		  get("/v1/hop/historia/x",
+		      "X-Deadline-Us: 1000000\r\n"
+		      "X-Lilac-Incarnation: 18446744073709551615\r\n"),
+		  " 503 ", ": 117" },
 		{ "fence without a ticket",
 		  post("/v1/fence", "Content-Length: 0\r\n", ""), " 400 ",
 		  ": 112" },
