node: "not run" for a ticket is true for ever, whoever says it

- A refused ticket was taken out of the entry's ledger, so that an earlier copy of the request, held up on the way, ran after the caller had been told that it hadn't.
It now leaves a tombstone; the next try takes a new ticket (API.md).
- The door (stopped service, no time left, unknown service, no configuration, full ledger) said "not run" before the ticket was looked at: also of one that had run, or of another node or a former life.
It now says what became of the ticket, or puts a tombstone first.
- An idempotent request whose first sending broke, and whose second one, on a new connection or at another place, was refused, got that refusal's "not run" although the first one may have run.
It is attempts-failed (205) now.

--- a/packages/node/entry.c
+++ b/packages/node/entry.c
@@ -27,6 +27,7 @@
 	struct answer *answer;
 	struct steer_request steer;
 	uint32_t attempts; /* made so far */
+	bool may_have_run; /* an attempt ended without an answer or proof */
 };
 
 static uint32_t home_of(const struct passage *passage)
@@ -300,13 +301,16 @@
 
 	passage->attempts++;
 	/*
-	 * Never used twice with a ticket: after "not run" a caller may send the
-	 * same ticket again, and the gates remember the attempts they refused.
+	 * Never used twice with a ticket: the gates remember the attempts they
+	 * refused.
 	 */
 	passage->request->attempt =
 		(uint32_t)atomic_fetch_add(&passage->node->attempts, 1) + 1;
 	set_shift(passage, choice);
 	serve_at(passage, choice->place);
+	if (passage->answer->result != RESULT_OK &&
+	    !result_is_not_run(passage->answer->result))
+		passage->may_have_run = true;
 	learn(passage, choice, start_us);
 	steer->tried[steer->tried_count++] = choice->place;
 	log_event(LOG_DEBUG, "attempt",
@@ -353,6 +357,13 @@
 			break;
 		attempt(passage, &choice);
 	}
+	/*
+	 * The last attempt was refused, but an earlier one broke and may have
+	 * run: "not run" would be true of the attempt only.
+	 */
+	if (passage->may_have_run && result_is_not_run(passage->answer->result))
+		answer_set(passage->answer, RESULT_ATTEMPTS_FAILED,
+			   passage->answer->retry_after_us);
 }
 
 static void keep(struct node *node, const char *ticket,
@@ -362,8 +373,14 @@
 	struct ledger_answer kept;
 
 	memset(&kept, 0, sizeof(kept));
+	/*
+	 * Once "not run" is answered the ticket never runs: an earlier copy of
+	 * the request, held up on the way, may come after the refusal of a
+	 * later one, and would make a certificate that its caller was told
+	 * doesn't exist. The next try takes a new ticket.
+	 */
 	if (result_is_not_run(answer->result))
-		state = LEDGER_ABSENT;
+		state = LEDGER_FENCED;
 	if (answer->result == RESULT_OK) {
 		state = LEDGER_DONE;
 		answer_to_kept(answer, &kept);
@@ -404,6 +421,35 @@
 	return true;
 }
 
+/*
+ * Refuse a ticket that wasn't started here in this request. "Not run" is only
+ * true if it didn't run before and won't run later, so a tombstone is put
+ * where the ledger doesn't know it; else the answer says what became of it.
+ */
+static void refuse_ticket(struct node *node, const char *text,
+			  const struct ticket *ticket, enum result refusal,
+			  uint64_t retry_after_us, struct answer *answer)
+{
+	const struct ledger_answer *kept = NULL;
+	enum ledger_state state;
+
+	pthread_mutex_lock(&node->ledger_lock);
+	state = ledger_fence(node->entry_ledger, text, ticket->epoch, &kept);
+	if (kept)
+		answer_from_kept(answer, kept);
+	pthread_mutex_unlock(&node->ledger_lock);
+	if (kept)
+		return;
+	if (state == LEDGER_ABSENT || state == LEDGER_FENCED)
+		answer_set(answer, refusal, retry_after_us);
+	else if (state == LEDGER_RUNNING)
+		answer_set(answer, RESULT_IN_PROGRESS, 0);
+	else if (state == LEDGER_DROPPED)
+		answer_set(answer, RESULT_ANSWER_DROPPED, 0);
+	else
+		answer_set(answer, RESULT_OUTCOME_UNKNOWN, 0);
+}
+
 static bool start_ticket(struct node *node, const char *text,
 			 const struct ticket *ticket, struct answer *answer)
 {
@@ -417,11 +463,27 @@
 	if (kept)
 		answer_from_kept(answer, kept);
 	pthread_mutex_unlock(&node->ledger_lock);
-	if (result != RESULT_OK)
+	if (result == RESULT_OVERLOAD)
+		refuse_ticket(node, text, ticket, result, 0, answer);
+	else if (result != RESULT_OK)
 		answer_set(answer, result, 0);
 	return result == RESULT_OK && !kept;
 }
 
+/* Refuse before anything was looked at but the service and the time. */
+static void refuse_at_door(struct node *node, const struct request *request,
+			   enum result refusal, uint64_t retry_after_us,
+			   struct answer *answer)
+{
+	struct ticket ticket;
+
+	if (!*request->ticket)
+		answer_set(answer, refusal, retry_after_us);
+	else if (check_ticket(node, request, &ticket, answer))
+		refuse_ticket(node, request->ticket, &ticket, refusal,
+			      retry_after_us, answer);
+}
+
 static void run_ticket(struct passage *passage)
 {
 	struct request *request = passage->request;
@@ -435,6 +497,16 @@
 	keep(node, request->ticket, passage->answer);
 }
 
+static void refuse(struct passage *passage, enum result refusal,
+		   uint64_t retry_after_us)
+{
+	if (passage->idempotent)
+		answer_set(passage->answer, refusal, retry_after_us);
+	else
+		refuse_at_door(passage->node, passage->request, refusal,
+			       retry_after_us, passage->answer);
+}
+
 static void serve_known(struct passage *passage)
 {
 	const struct config_service *service =
@@ -446,10 +518,9 @@
 	if (!passage->request->deadline_us)
 		passage->request->deadline_us = now_us + service->timeout_us;
 	if (service->stopped)
-		answer_set(passage->answer, RESULT_SERVICE_STOPPED,
-			   STOPPED_RETRY_AFTER_US);
+		refuse(passage, RESULT_SERVICE_STOPPED, STOPPED_RETRY_AFTER_US);
 	else if (passage->request->deadline_us <= now_us)
-		answer_set(passage->answer, RESULT_DEADLINE_EXPIRED, 0);
+		refuse(passage, RESULT_DEADLINE_EXPIRED, 0);
 	else if (passage->idempotent)
 		run(passage);
 	else
@@ -469,13 +540,15 @@
 				   .snapshot = snapshot_get(node) };
 
 	if (!passage.snapshot) {
-		answer_set(answer, RESULT_NO_CONFIG, NO_CONFIG_RETRY_AFTER_US);
+		refuse_at_door(node, request, RESULT_NO_CONFIG,
+			       NO_CONFIG_RETRY_AFTER_US, answer);
 		return;
 	}
 	passage.index =
 		config_find_service(passage.snapshot->config, request->service);
 	if (passage.index == CONFIG_NONE) {
-		answer_set(answer, RESULT_UNKNOWN_SERVICE, 0);
+		refuse_at_door(node, request, RESULT_UNKNOWN_SERVICE, 0,
+			       answer);
 	} else {
 		passage.service = passage.snapshot->services[passage.index];
 		serve_known(&passage);
--- a/packages/node/hop.c
+++ b/packages/node/hop.c
@@ -222,6 +222,11 @@
 			      got.outcome == HTTP_ANSWERED ? HTTP_BROKEN :
 							     got.outcome,
 			      answer);
+	/* The second sending was refused; the first one may run all the same.
+	 */
+	if (got.repeated && result_is_not_run(answer->result))
+		answer_set(answer, RESULT_ATTEMPTS_FAILED,
+			   answer->retry_after_us);
 	if (answer->result == RESULT_CONNECT_FAILED)
 		view_failed(node->view, hop->target->name, now_us);
 	trace_span_end(&span, answer->result, "target=%s outcome=%s",
--- a/packages/node/place.c
+++ b/packages/node/place.c
@@ -215,6 +215,9 @@
 	}
 	if (is_crossed(http, request))
 		return GATE_BROKEN;
+	/* The second sending was shed; the first one may run all the same. */
+	if (http->status == 503 && http->repeated)
+		return GATE_BROKEN;
 	if (http->status == 503 &&
 	    http_answer_header(http, WIRE_HEADER_BACKEND_NOT_RUN))
 		return GATE_SHED;
