--- a/packages/adapters/peer_server.c
+++ b/packages/adapters/peer_server.c
@@ -264,16 +264,18 @@
 	}
 }
 
-/* A call or an answer in the middle may stall only so long, however it drips.
- */
+static bool is_idle(const struct connection *connection)
+{
+	return !connection->answer && peer_record_is_empty(&connection->call);
+}
+
+/* A call or an answer under way may take only so long, however it drips. */
 static int64_t end_of_patience(const struct peer_server *server,
 			       const struct connection *connection)
 {
-	bool idle = !connection->answer &&
-		    peer_record_is_empty(&connection->call);
-
-	return connection->since_us +
-	       (idle ? server->limits.idle_us : server->limits.stall_us);
+	return connection->since_us + (is_idle(connection) ?
+					       server->limits.idle_us :
+					       server->limits.stall_us);
 }
 
 static void drop_ended(struct peer_server *server, int64_t now_us)
@@ -283,12 +285,15 @@
 	while (i < server->connections->len) {
 		const struct connection *connection =
 			server->connections->pdata[i];
+		bool late = now_us >= end_of_patience(server, connection);
 
-		if (connection->ended ||
-		    now_us >= end_of_patience(server, connection))
-			drop_connection(server, i);
-		else
+		if (!connection->ended && !late) {
 			i++;
+			continue;
+		}
+		if (!connection->ended && !is_idle(connection))
+			metric_add(server->refused, 1);
+		drop_connection(server, i);
 	}
 }
 
@@ -413,7 +418,8 @@
 				       NULL);
 	server->refused = metric_counter("lilacfield_peer_refused_total",
 					 "Calls and connections of peers that "
-					 "were malformed or beyond a bound.",
+					 "were malformed, stalled or beyond a "
+					 "bound.",
 					 NULL);
 	server->open = metric_gauge("lilacfield_peer_connections",
 				    "Open connections of peers.", NULL);
