node: read a load report before its JSON is released

A backend server that said it was leaving went on getting work: 64 requests in 3 s, six seconds after it said so. The probe released the JSON document and then looked at a number in it, saw freed memory and dropped every report, so load and leaving of all backend servers were unknown (report_age_us stayed null).

--- a/packages/node/loops.c
+++ b/packages/node/loops.c
@@ -395,16 +395,18 @@
 {
 	json_t *root;
 	json_t *number;
+	bool good;
 
 	if (answer->outcome != HTTP_ANSWERED || answer->status != 200)
 		return false;
 	root = json_loadb(answer->body, answer->body_bytes, 0, NULL);
 	number = json_object_get(root, "in_flight");
+	good = json_is_integer(number) && json_integer_value(number) >= 0 &&
+	       json_integer_value(number) <= UINT32_MAX;
 	*in_flight = (uint32_t)json_integer_value(number);
 	*leaving = json_is_true(json_object_get(root, "leaving"));
 	json_decref(root);
-	return json_is_integer(number) && json_integer_value(number) >= 0 &&
-	       json_integer_value(number) <= UINT32_MAX;
+	return good;
 }
 
 static void probe_backend(struct node *node, struct service *service,
