--- a/tests/demo/demo.sh
+++ b/tests/demo/demo.sh
@@ -7,7 +7,7 @@
 #
 # Exit status 1 where a promise broke. Everything runs on this machine's
 # loopback network and is stopped at the end.
-set -euo pipefail
+set -Eeuo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 . "$here/users.sh"
 
@@ -66,6 +66,7 @@
 	exit $status
 }
 trap finish EXIT
+trap 'echo "demo.sh: line $LINENO failed: $BASH_COMMAND" >&2' ERR
 trap 'exit 130' INT TERM
 
 say() { printf '\n== %s\n' "$*"; }
@@ -231,11 +232,13 @@
 }
 
 # A backend server that says it leaves gets no new work after a few seconds.
-show_leaving() { # BACKEND
+show_leaving() { # BACKEND PLACE
 	local before after
 	say "$1 says that it is leaving"
 	fleet POST "{\"backend\":\"$1\",\"leaving\":true}" >/dev/null
 	sleep 3
+	"$ctl" --node "$(node_address "n-$2-1"):$http_port" \
+		show backends of "${1%-"$2"-*}" in "$2" || true
 	before=$(fleet_number "$1" started)
 	sleep 3
 	after=$(fleet_number "$1" started)
@@ -253,6 +256,20 @@
 	platform POST '{"down":false}' >/dev/null
 }
 
+# An accepted configuration is in force everywhere within seconds.
+show_in_force() {
+	local i all="at ${#nodes[@]} of ${#nodes[@]} nodes" start_s=$SECONDS
+	for ((i = 0; i < 50; i++)); do
+		control show version | tail -1 >"$dir/version"
+		grep -q "$all" "$dir/version" && break
+		sleep 0.2
+	done
+	cat "$dir/version"
+	echo "after about $((SECONDS - start_s)) s"
+	promise "the configuration is in force at all nodes" \
+		grep -q "$all" "$dir/version"
+}
+
 show_steps() { # SERVICE FROM TO DRAIN_PLACE STOP_NODE BACKEND
 	sleep 3
 	say "where $1 from $2 goes"
@@ -266,13 +283,15 @@
 	control drain place "$4"
 	sleep 2
 	where "$1" "$4"
-	show_leaving "$6"
+	show_leaving "$6" "$3"
 	show_outage
 	say "planned stop of $5 under traffic"
 	stop_node "$5"
+	say "$5 is replaced"
+	start_node "$5"
 	control undrain place "$4"
 	control cancel demo-shift
-	control show version
+	show_in_force
 }
 
 show_calderas() {
