--- a/packages/node/place.c
+++ b/packages/node/place.c
@@ -353,8 +353,7 @@
 		g_strlcpy(answer->place,
 			  snapshot->config->places[snapshot->own_place].name,
 			  NAME_SIZE);
-	if (*request->shift &&
-	    !seats_admit(node, request->shift, state_now_us(node))) {
+	if (*request->shift && !seats_admit(node, request->shift)) {
 		answer_set(answer, RESULT_SHIFT_CAP, SHIFT_RETRY_AFTER_US);
 		return;
 	}
--- a/packages/node/seats.c
+++ b/packages/node/seats.c
@@ -1,5 +1,6 @@
 #include "node/seats.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "adapters/log.h"
@@ -22,12 +23,18 @@
 	return NULL;
 }
 
-bool seats_admit(struct node *node, const char *shift, uint64_t now_us)
+bool seats_admit(struct node *node, const char *shift)
 {
 	bool admitted = false;
+	uint64_t now_us;
 	guint i;
 
 	pthread_mutex_lock(&node->seats_lock);
+	/*
+	 * Read under the lock: a thread that was held up between the clock and
+	 * the lock would else count its admission in a second that is over.
+	 */
+	now_us = state_now_us(node);
 	for (i = 0; !admitted && i < node->seats->len; i++) {
 		struct shift_seat *entry = g_ptr_array_index(node->seats, i);
 
@@ -35,6 +42,9 @@
 			   seat_admit(entry->seat, now_us);
 	}
 	pthread_mutex_unlock(&node->seats_lock);
+	if (admitted)
+		log_event(LOG_DEBUG, "shift-admitted",
+			  "shift=%s at_us=%" PRIu64, shift, now_us);
 	return admitted;
 }
 
--- a/packages/node/seats.h
+++ b/packages/node/seats.h
@@ -13,7 +13,7 @@
 #endif
 
 /* Admit one request of the shift on any seat held here. */
-bool seats_admit(struct node *node, const char *shift, uint64_t now_us);
+bool seats_admit(struct node *node, const char *shift);
 
 /* Stop admitting and hand the rows back in the next rounds. */
 void seats_give_up(struct node *node);
--- a/tests/standins/fake_backend.c
+++ b/tests/standins/fake_backend.c
@@ -67,6 +67,7 @@
 	const char *attempt;
 	uint64_t deadline_us; /* on the clock */
 	uint64_t start_us;
+	uint64_t end_us; /* when its slot was free again */
 	uint64_t service_us;
 	uint32_t runs;
 };
@@ -201,6 +202,8 @@
 	json_object_set_new(event, "runs", json_integer(work->runs));
 	json_object_set_new(event, "start_us",
 			    json_integer((json_int_t)work->start_us));
+	json_object_set_new(event, "end_us",
+			    json_integer((json_int_t)work->end_us));
 	json_object_set_new(event, "outcome",
 			    json_string(outcome_names[outcome]));
 	event_log_write(work->backend->log, event);
@@ -350,7 +353,7 @@
 }
 
 /* Give the slot back; the outcome after the faults had their say. */
-static enum outcome finish(const struct work *work, enum outcome outcome)
+static enum outcome finish(struct work *work, enum outcome outcome)
 {
 	struct fake_backend *backend = work->backend;
 	struct counters *counters = &backend->counters;
@@ -358,6 +361,7 @@
 	pthread_mutex_lock(&backend->lock);
 	outcome = take_unanswered_fault(work, outcome);
 	backend->running--;
+	work->end_us = event_now_us();
 	counters->answered += outcome == OUTCOME_ANSWERED;
 	counters->cancelled += outcome == OUTCOME_CANCELLED;
 	counters->expired += outcome == OUTCOME_EXPIRED;
