gate: learned strength, health, bounded waits, spread refusals

Cause: the first version chose by its own count only and let requests wait until their deadlines.

Choice: own requests in flight, then fresh reports of others' load, then learned latency that fades to the service's mean. A server that is much slower than others is used only when the queue says its slots are needed. Health: failures in a row take a server out; bad answers (not silence) only while half of the slots stay. Shed pauses and shrinks. Cold servers ramp by answers. Waiting: order by latest start; interactive waits are bounded by a few service times, tightly once the queue has stood; background has one turn in eight. Refusals name a time that grows with the part refused and is spread.

Weighed: plain deadline-ordered queue without a bound (late answers under overload), sharing by learned rate (leaves slots unused when needed). Health and queue are modules of their own (gate_backend, gate_queue).

--- a/packages/core/gate.c
+++ b/packages/core/gate.c
@@ -3,56 +3,76 @@
 #include <glib.h>
 #include <string.h>
 
+#include "core/gate_backend.h"
 #include "core/gate_queue.h"
 
 /* What a request is taken to last before the first one has ended. */
 #define DEFAULT_SERVICE_US 20000u
-#define RETRY_AFTER_MIN_US 100000u
-
-struct backend {
-	char name[NAME_SIZE];
-	uint32_t slots;
-	uint32_t in_flight;
-	uint32_t reported_in_flight;
-	uint64_t reported_at_us;
-	uint64_t latency_us;
-	bool has_report;
-	bool present; /* in the set; otherwise only its requests finish */
-	bool leaving; /* by configuration or the platform */
-	bool reported_leaving;
-	bool cold;
-	bool down;
-};
+
+/*
+ * Bounds on waiting, in service times. A queue that was empty a moment ago may
+ * grow to the burst bound; one that has stood for longer is overload, and then
+ * waiting gains nothing but late answers, so that the tight bound holds.
+ */
+#define WAIT_BURST 4.0
+#define WAIT_TIGHT 1.5
+#define WAIT_NON_IDEMPOTENT 8.0
+/* Even the tight bound lets this many wait, or few slots would run idle. */
+#define WAIT_MIN_REQUESTS 4
+#define STANDING_MIN_US (100 * 1000ull)
+#define STANDING_SERVICE_TIMES 5
+
+/* A server this much slower than others is used only if the others queue up. */
+#define SLOW_FACTOR 1.5
+
+/* Without an answer for so long, estimates refuse nobody. */
+#define ESTIMATE_TRUST_US (1 * 1000 * 1000ull)
+
+/* On the score of an unproven server for what can't be sent again. */
+#define UNPROVEN_PENALTY 1000.0
+
+/* What a wait counts at most in the time to come back. */
+#define NO_SLOT_WAIT_US (1 * 1000 * 1000ull)
+#define RETRY_AFTER_MIN_US (100 * 1000ull)
+#define RETRY_AFTER_MAX_US (30 * 1000 * 1000ull)
+#define RETRY_AFTER_GROWTH 15.0
+#define REFUSED_GAIN (1.0 / 32)
 
 struct gate {
 	GPtrArray *backends; /* by handle; a freed one leaves NULL */
 	struct gate_queue queue;
-	uint64_t service_us;
+	struct gate_estimate service;
+	uint64_t seen_us; /* the latest time passed in */
+	uint64_t queue_empty_us; /* last time that nobody urgent waited */
+	double refused_rate;
+	uint32_t refusals; /* spreads the times to come back */
 };
 
-static struct backend *backend_at(const struct gate *gate, uint32_t handle)
+static struct gate_backend *backend_at(const struct gate *gate, uint32_t handle)
 {
 	if (handle >= gate->backends->len)
 		return NULL;
 	return g_ptr_array_index(gate->backends, handle);
 }
 
-static struct backend *find_backend(const struct gate *gate, const char *name)
+/* Any backend server by name, also one that has left the set. */
+static struct gate_backend *find_backend(const struct gate *gate,
+					 const char *name)
 {
-	struct backend *backend;
+	struct gate_backend *backend;
 	uint32_t i;
 
 	for (i = 0; i < gate->backends->len; i++) {
 		backend = backend_at(gate, i);
-		if (backend && backend->present && !strcmp(backend->name, name))
+		if (backend && !strcmp(backend->name, name))
 			return backend;
 	}
 	return NULL;
 }
 
-static struct backend *add_backend(struct gate *gate, const char *name)
+static struct gate_backend *add_backend(struct gate *gate, const char *name)
 {
-	struct backend *backend = g_new0(struct backend, 1);
+	struct gate_backend *backend = g_new0(struct gate_backend, 1);
 	uint32_t i;
 
 	g_strlcpy(backend->name, name, sizeof(backend->name));
@@ -68,7 +88,7 @@
 
 static void drop_unused(struct gate *gate)
 {
-	struct backend *backend;
+	struct gate_backend *backend;
 	uint32_t i;
 
 	for (i = 0; i < gate->backends->len; i++) {
@@ -80,69 +100,352 @@
 	}
 }
 
-static bool is_usable(const struct backend *backend)
+static uint64_t service_us(const struct gate *gate)
 {
-	return backend && backend->present && !backend->leaving &&
-	       !backend->reported_leaving && !backend->down;
+	if (gate->service.weight == 0.0)
+		return DEFAULT_SERVICE_US;
+	return (uint64_t)gate->service.mean_us;
 }
 
-static uint32_t usable_slots(const struct gate *gate)
+static uint32_t usable_slots(const struct gate *gate, uint64_t now_us)
 {
 	uint32_t slots = 0;
 	uint32_t i;
 
 	for (i = 0; i < gate->backends->len; i++)
-		if (is_usable(backend_at(gate, i)))
-			slots += backend_at(gate, i)->slots;
+		if (backend_at(gate, i))
+			slots +=
+				gate_backend_limit(backend_at(gate, i), now_us);
 	return slots;
 }
 
-/* Handle of the least loaded backend server with a free slot. */
-static bool choose_backend(const struct gate *gate, uint32_t *handle)
+/* Requests that end in a microsecond when all usable slots are busy. */
+static double drain_rate(const struct gate *gate, uint64_t now_us)
+{
+	uint64_t mean_us = service_us(gate);
+	const struct gate_backend *backend;
+	double rate = 0.0;
+	uint64_t latency_us;
+	uint32_t i;
+
+	for (i = 0; i < gate->backends->len; i++) {
+		backend = backend_at(gate, i);
+		if (!backend)
+			continue;
+		latency_us = gate_backend_latency_us(backend, mean_us, now_us);
+		rate += (double)gate_backend_limit(backend, now_us) /
+			(double)(latency_us + 1);
+	}
+	return rate;
+}
+
+/* Earliest end of a backend server's pause; UINT64_MAX if none pauses. */
+static uint64_t first_return_us(const struct gate *gate, uint64_t now_us)
+{
+	uint64_t first_us = UINT64_MAX;
+	uint64_t returns_us;
+	uint32_t i;
+
+	for (i = 0; i < gate->backends->len; i++) {
+		if (!backend_at(gate, i))
+			continue;
+		returns_us =
+			gate_backend_returns_us(backend_at(gate, i), now_us);
+		first_us = MIN(first_us, returns_us);
+	}
+	return first_us;
+}
+
+static bool any_serves(const struct gate *gate)
+{
+	uint32_t i;
+
+	for (i = 0; i < gate->backends->len; i++)
+		if (backend_at(gate, i) &&
+		    gate_backend_serves(backend_at(gate, i)))
+			return true;
+	return false;
+}
+
+static uint32_t urgent_waiting(const struct gate *gate)
+{
+	return gate_queue_length(&gate->queue) -
+	       gate_queue_class_length(&gate->queue, SERVICE_BACKGROUND);
+}
+
+/* Requests that get a slot before a new one of this class does. */
+static uint32_t waiting_ahead(const struct gate *gate,
+			      enum service_class class_of)
+{
+	uint32_t background =
+		gate_queue_class_length(&gate->queue, SERVICE_BACKGROUND);
+	uint32_t urgent = urgent_waiting(gate);
+
+	if (class_of == SERVICE_BACKGROUND)
+		return background +
+		       MIN(urgent, background * (GATE_QUEUE_CYCLE - 1));
+	return urgent + MIN(background, urgent / (GATE_QUEUE_CYCLE - 1));
+}
+
+/* Time until a new request of this class gets a slot, all being busy. */
+static uint64_t expected_wait_us(const struct gate *gate,
+				 enum service_class class_of, uint64_t now_us)
+{
+	double rate = drain_rate(gate, now_us);
+	uint64_t returns_us;
+
+	if (rate > 0.0)
+		return (uint64_t)((waiting_ahead(gate, class_of) + 1) / rate);
+	returns_us = first_return_us(gate, now_us);
+	return returns_us == UINT64_MAX ? UINT64_MAX / 4 :
+					  (returns_us - now_us);
+}
+
+/* The longest wait that is worth it for this class, its deadline aside. */
+static uint64_t wait_bound_us(const struct gate *gate,
+			      enum service_class class_of, uint64_t now_us)
+{
+	uint64_t mean_us = service_us(gate);
+	uint64_t standing_us =
+		MAX(STANDING_MIN_US, mean_us * STANDING_SERVICE_TIMES);
+	double rate = drain_rate(gate, now_us);
+	double bound_us;
+
+	if (class_of == SERVICE_BACKGROUND)
+		return UINT64_MAX / 4;
+	if (class_of == SERVICE_NON_IDEMPOTENT)
+		bound_us = WAIT_NON_IDEMPOTENT * (double)mean_us;
+	else if (now_us < gate->queue_empty_us + standing_us)
+		bound_us = WAIT_BURST * (double)mean_us;
+	else
+		bound_us = WAIT_TIGHT * (double)mean_us;
+	if (rate > 0.0)
+		bound_us = MAX(bound_us, WAIT_MIN_REQUESTS / rate);
+	return (uint64_t)bound_us;
+}
+
+static uint64_t best_latency_us(const struct gate *gate, uint64_t now_us)
+{
+	uint64_t mean_us = service_us(gate);
+	const struct gate_backend *backend;
+	uint64_t best_us = UINT64_MAX;
+	uint64_t latency_us;
+	uint32_t i;
+
+	for (i = 0; i < gate->backends->len; i++) {
+		backend = backend_at(gate, i);
+		if (!backend || !gate_backend_limit(backend, now_us))
+			continue;
+		latency_us = gate_backend_latency_us(backend, mean_us, now_us);
+		best_us = MIN(best_us, latency_us);
+	}
+	return best_us == UINT64_MAX ? mean_us : best_us;
+}
+
+/*
+ * Whether time learned may refuse a request. If every request were refused for
+ * being too short, nothing would be learned any more and the refusals would
+ * never end; so estimates without a recent answer refuse nobody.
+ */
+static bool estimates_count(const struct gate *gate, uint64_t now_us)
+{
+	return gate->service.weight > 0.0 &&
+	       now_us < gate->service.learned_at_us + ESTIMATE_TRUST_US;
+}
+
+/*
+ * Whether it is better to wait for one of the faster servers than to start on a
+ * slow one at once: the last in the queue would start there, be answered
+ * sooner, and the queue is short. With a longer queue each slot is needed.
+ */
+static bool better_to_wait(const struct gate *gate,
+			   const struct gate_backend *slow, uint64_t now_us)
+{
+	uint64_t mean_us = service_us(gate);
+	double slow_us = (double)gate_backend_latency_us(slow, mean_us, now_us);
+	double fast_rate = 0.0;
+	double fast_slots = 0.0;
+	double wait_us;
+	double latency_us;
+	const struct gate_backend *backend;
+	uint32_t limit;
+	uint32_t i;
+
+	for (i = 0; i < gate->backends->len; i++) {
+		backend = backend_at(gate, i);
+		limit = backend ? gate_backend_limit(backend, now_us) : 0;
+		if (!limit)
+			continue;
+		latency_us = (double)gate_backend_latency_us(backend, mean_us,
+							     now_us);
+		if (latency_us * SLOW_FACTOR > slow_us)
+			continue;
+		fast_rate += limit / (latency_us + 1);
+		fast_slots += limit;
+	}
+	if (fast_slots == 0.0)
+		return false;
+	wait_us = (urgent_waiting(gate) + 1) / fast_rate;
+	return wait_us + fast_slots / fast_rate < slow_us &&
+	       wait_us < 0.5 * (double)wait_bound_us(gate, SERVICE_INTERACTIVE,
+						     now_us);
+}
+
+/* Handle of the backend server to use now; false if none should be. */
+static bool choose_backend(const struct gate *gate, enum service_class class_of,
+			   uint64_t now_us, uint32_t *handle)
 {
-	const struct backend *backend;
-	const struct backend *best = NULL;
+	uint64_t mean_us = service_us(gate);
+	const struct gate_backend *backend;
+	const struct gate_backend *best = NULL;
+	double best_score = 0.0;
+	double score;
 	uint32_t i;
 
 	for (i = 0; i < gate->backends->len; i++) {
 		backend = backend_at(gate, i);
-		if (!is_usable(backend) || backend->in_flight >= backend->slots)
+		if (!backend ||
+		    backend->in_flight >= gate_backend_limit(backend, now_us))
 			continue;
-		if (best && (uint64_t)backend->in_flight * best->slots >=
-				    (uint64_t)best->in_flight * backend->slots)
+		score = gate_backend_score(backend, mean_us, now_us);
+		/*
+		 * A trial may end without an answer, and a request that isn't
+		 * idempotent can't be sent again then: others come first.
+		 */
+		if (class_of == SERVICE_NON_IDEMPOTENT &&
+		    backend->state != GATE_BACKEND_UP)
+			score *= UNPROVEN_PENALTY;
+		if (best && score >= best_score)
 			continue;
 		best = backend;
+		best_score = score;
 		*handle = i;
 	}
-	return best != NULL;
+	if (!best)
+		return false;
+	return class_of == SERVICE_BACKGROUND ||
+	       !better_to_wait(gate, best, now_us);
 }
 
 static void start_on(struct gate *gate, uint32_t handle,
 		     struct gate_decision *decision)
 {
-	backend_at(gate, handle)->in_flight++;
+	gate_backend_start(backend_at(gate, handle));
+	gate->refused_rate -= REFUSED_GAIN * gate->refused_rate;
 	decision->verdict = GATE_RUN;
 	decision->backend = handle;
 }
 
-static uint64_t expected_wait_us(const struct gate *gate)
+/*
+ * Callers that are refused together must not come back together: the time grows
+ * with the part refused, and a golden-ratio sequence over the refusals spreads
+ * it evenly over half to one and a half of itself.
+ */
+static uint64_t retry_after_us(struct gate *gate, uint64_t now_us)
 {
-	uint32_t slots = usable_slots(gate);
-	uint32_t waiting = gate_queue_length(&gate->queue);
-
-	if (!slots)
-		return UINT32_MAX;
-	return (waiting + 1) * gate->service_us / slots;
+	double base_us =
+		(double)(service_us(gate) +
+			 expected_wait_us(gate, SERVICE_INTERACTIVE, now_us));
+	double spread = (gate->refusals++ * 2654435769u) / 4294967296.0;
+
+	base_us *= 1.0 +
+		   RETRY_AFTER_GROWTH * gate->refused_rate * gate->refused_rate;
+	base_us = CLAMP(base_us, (double)RETRY_AFTER_MIN_US,
+			(double)RETRY_AFTER_MAX_US);
+	return (uint64_t)(base_us * (0.5 + spread));
 }
 
-static void refuse(const struct gate *gate, enum result refusal,
+static void refuse(struct gate *gate, enum result refusal, uint64_t now_us,
 		   struct gate_decision *decision)
 {
+	gate->refused_rate += REFUSED_GAIN * (1.0 - gate->refused_rate);
 	decision->verdict = GATE_REFUSE;
 	decision->refusal = refusal;
-	decision->retry_after_us = RETRY_AFTER_MIN_US;
-	if (usable_slots(gate))
-		decision->retry_after_us += expected_wait_us(gate);
+	decision->retry_after_us = retry_after_us(gate, now_us);
+}
+
+static void note_empty_queue(struct gate *gate, uint64_t now_us)
+{
+	if (!urgent_waiting(gate))
+		gate->queue_empty_us = now_us;
+}
+
+static bool deadline_too_short(const struct gate *gate, uint64_t deadline_us,
+			       uint64_t now_us)
+{
+	return estimates_count(gate, now_us) &&
+	       now_us + best_latency_us(gate, now_us) > deadline_us;
+}
+
+/* Put in the queue, or refuse what wouldn't get a slot in time. */
+static void wait_or_refuse(struct gate *gate,
+			   const struct gate_request *request, uint64_t now_us,
+			   struct gate_decision *decision)
+{
+	uint64_t wait_us = expected_wait_us(gate, request->class_of, now_us);
+	uint64_t bound_us = wait_bound_us(gate, request->class_of, now_us);
+	uint64_t answer_us = best_latency_us(gate, now_us);
+	struct gate_waiter waiter = {
+		.waiter = request->waiter,
+		.class_of = request->class_of,
+		.deadline_us = request->deadline_us,
+		.since_us = now_us,
+	};
+
+	if (gate_queue_length(&gate->queue) >= GATE_MAX_WAITING ||
+	    wait_us > bound_us ||
+	    now_us + wait_us + answer_us > request->deadline_us) {
+		refuse(gate, RESULT_OVERLOAD, now_us, decision);
+		return;
+	}
+	waiter.start_by_us =
+		MIN(request->deadline_us - answer_us, now_us + bound_us);
+	if (gate_queue_push(&gate->queue, &waiter))
+		decision->verdict = GATE_WAIT;
+	else
+		refuse(gate, RESULT_OVERLOAD, now_us, decision);
+}
+
+/* A waiter that no backend server will come back for in time. */
+static bool pop_hopeless(struct gate *gate, uint64_t now_us,
+			 struct gate_waiter *waiter)
+{
+	if (!gate_queue_length(&gate->queue) || usable_slots(gate, now_us))
+		return false;
+	return gate_queue_pop_expired(&gate->queue,
+				      first_return_us(gate, now_us), waiter);
+}
+
+/*
+ * Bad answers at one server are often the fault of what it calls, and then all
+ * servers look bad at once. Taking out one after the other would push the whole
+ * load on the last. So bad answers take a server out only while those left are
+ * at least half of all slots and hold what is in flight; silence always does,
+ * because a silent server answers nobody anyway.
+ */
+static bool may_take_down(const struct gate *gate,
+			  const struct gate_backend *suspect, uint64_t now_us)
+{
+	const struct gate_backend *backend;
+	uint32_t left = 0;
+	uint32_t all = 0;
+	uint32_t in_flight = 0;
+	uint32_t i;
+
+	if (gate_backend_is_silent(suspect) ||
+	    suspect->state == GATE_BACKEND_TRIAL)
+		return true;
+	for (i = 0; i < gate->backends->len; i++) {
+		backend = backend_at(gate, i);
+		if (!backend || !gate_backend_serves(backend))
+			continue;
+		all += backend->slots;
+		if (backend == suspect)
+			continue;
+		left += gate_backend_limit(backend, now_us);
+		in_flight += backend->in_flight;
+	}
+	return left * 2 >= all && left >= in_flight;
 }
 
 uint32_t gate_share(uint32_t slots, uint32_t rank, uint32_t count)
@@ -158,7 +461,6 @@
 
 	gate->backends = g_ptr_array_new_with_free_func(g_free);
 	gate_queue_init(&gate->queue);
-	gate->service_us = DEFAULT_SERVICE_US;
 	return gate;
 }
 
@@ -174,25 +476,18 @@
 void gate_set_backends(struct gate *gate, const struct gate_backend_spec *specs,
 		       uint32_t count, uint64_t now_us)
 {
-	struct backend *backend;
+	struct gate_backend *backend;
 	uint32_t i;
 
-	(void)now_us;
+	gate->seen_us = now_us;
 	for (i = 0; i < gate->backends->len; i++)
 		if (backend_at(gate, i))
 			backend_at(gate, i)->present = false;
 	for (i = 0; i < count; i++) {
-		backend = NULL;
-		for (uint32_t j = 0; j < gate->backends->len && !backend; j++)
-			if (backend_at(gate, j) &&
-			    !strcmp(backend_at(gate, j)->name, specs[i].name))
-				backend = backend_at(gate, j);
+		backend = find_backend(gate, specs[i].name);
 		if (!backend)
 			backend = add_backend(gate, specs[i].name);
-		backend->present = true;
-		backend->slots = specs[i].slots;
-		backend->leaving = specs[i].leaving;
-		backend->cold = specs[i].cold;
+		gate_backend_configure(backend, &specs[i]);
 	}
 	drop_unused(gate);
 }
@@ -200,68 +495,58 @@
 void gate_offer(struct gate *gate, const struct gate_request *request,
 		uint64_t now_us, struct gate_decision *decision)
 {
-	struct gate_waiter waiter = {
-		.waiter = request->waiter,
-		.class_of = request->class_of,
-		.deadline_us = request->deadline_us,
-		.since_us = now_us,
-	};
 	uint32_t handle;
 
 	memset(decision, 0, sizeof(*decision));
-	if (request->deadline_us <= now_us) {
-		refuse(gate, RESULT_DEADLINE_EXPIRED, decision);
-		return;
-	}
-	if (now_us + gate->service_us > request->deadline_us) {
-		refuse(gate, RESULT_DEADLINE_TOO_SHORT, decision);
-		return;
-	}
-	if (!gate_queue_length(&gate->queue) && choose_backend(gate, &handle)) {
+	gate->seen_us = now_us;
+	note_empty_queue(gate, now_us);
+	if (request->deadline_us <= now_us)
+		refuse(gate, RESULT_DEADLINE_EXPIRED, now_us, decision);
+	else if (!any_serves(gate))
+		refuse(gate, RESULT_NO_PLACE, now_us, decision);
+	else if (deadline_too_short(gate, request->deadline_us, now_us))
+		refuse(gate, RESULT_DEADLINE_TOO_SHORT, now_us, decision);
+	else if (!gate_queue_length(&gate->queue) &&
+		 choose_backend(gate, request->class_of, now_us, &handle))
 		start_on(gate, handle, decision);
-		return;
-	}
-	if (gate_queue_length(&gate->queue) >= GATE_MAX_WAITING ||
-	    now_us + expected_wait_us(gate) + gate->service_us >
-		    request->deadline_us) {
-		refuse(gate, RESULT_OVERLOAD, decision);
-		return;
-	}
-	waiter.start_by_us = request->deadline_us - gate->service_us;
-	gate_queue_push(&gate->queue, &waiter);
-	decision->verdict = GATE_WAIT;
+	else
+		wait_or_refuse(gate, request, now_us, decision);
 }
 
 void gate_finish(struct gate *gate, uint32_t handle, enum gate_outcome outcome,
-		 uint64_t service_us, uint64_t now_us)
+		 uint64_t served_us, uint64_t now_us)
 {
-	struct backend *backend = backend_at(gate, handle);
+	struct gate_backend *backend = backend_at(gate, handle);
 
-	(void)now_us;
 	g_return_if_fail(backend && backend->in_flight);
-	backend->in_flight--;
-	if (outcome == GATE_ANSWERED) {
-		backend->latency_us = service_us;
-		gate->service_us += service_us / 8;
-		gate->service_us -= gate->service_us / 8;
-	}
+	gate->seen_us = now_us;
+	if (gate_backend_learn(backend, outcome, served_us, now_us) &&
+	    may_take_down(gate, backend, now_us))
+		gate_backend_take_down(backend, now_us);
+	if (outcome == GATE_ANSWERED)
+		gate_estimate_add(&gate->service, served_us, now_us);
 	drop_unused(gate);
 }
 
 bool gate_next(struct gate *gate, uint64_t now_us, struct gate_grant *grant)
 {
+	const struct gate_waiter *head;
 	struct gate_waiter waiter;
 	uint32_t handle;
 
 	memset(grant, 0, sizeof(*grant));
-	if (gate_queue_pop_expired(&gate->queue, now_us, &waiter)) {
+	gate->seen_us = now_us;
+	if (gate_queue_pop_expired(&gate->queue, now_us, &waiter) ||
+	    pop_hopeless(gate, now_us, &waiter)) {
 		grant->waiter = waiter.waiter;
-		refuse(gate, RESULT_OVERLOAD, &grant->decision);
+		refuse(gate, RESULT_OVERLOAD, now_us, &grant->decision);
 		return true;
 	}
-	if (!gate_queue_head(&gate->queue) || !choose_backend(gate, &handle))
+	head = gate_queue_head(&gate->queue);
+	if (!head || !choose_backend(gate, head->class_of, now_us, &handle))
 		return false;
 	gate_queue_pop(&gate->queue, &waiter);
+	note_empty_queue(gate, now_us);
 	grant->waiter = waiter.waiter;
 	start_on(gate, handle, &grant->decision);
 	return true;
@@ -276,35 +561,32 @@
 {
 	uint64_t due_us = gate_queue_first_due_us(&gate->queue);
 
-	return due_us == UINT64_MAX ? due_us : due_us + 1;
+	if (due_us == UINT64_MAX)
+		return UINT64_MAX;
+	return MIN(due_us + 1, first_return_us(gate, gate->seen_us));
 }
 
 void gate_report(struct gate *gate, const char *backend_name,
 		 uint32_t in_flight, bool leaving, uint64_t now_us)
 {
-	struct backend *backend = find_backend(gate, backend_name);
+	struct gate_backend *backend = find_backend(gate, backend_name);
 
-	if (!backend)
-		return;
-	backend->reported_in_flight = in_flight;
-	backend->reported_leaving = leaving;
-	backend->reported_at_us = now_us;
-	backend->has_report = true;
+	if (backend)
+		gate_backend_report(backend, in_flight, leaving, now_us);
 }
 
 void gate_probe(struct gate *gate, const char *backend_name, bool alive,
 		uint64_t now_us)
 {
-	struct backend *backend = find_backend(gate, backend_name);
+	struct gate_backend *backend = find_backend(gate, backend_name);
 
-	(void)now_us;
 	if (backend)
-		backend->down = !alive;
+		gate_backend_probe(backend, alive, now_us);
 }
 
 const char *gate_backend_name(const struct gate *gate, uint32_t handle)
 {
-	const struct backend *backend = backend_at(gate, handle);
+	const struct gate_backend *backend = backend_at(gate, handle);
 
 	return backend ? backend->name : NULL;
 }
@@ -314,22 +596,22 @@
 {
 	uint32_t i;
 
-	(void)now_us;
 	memset(summary, 0, sizeof(*summary));
 	for (i = 0; i < gate->backends->len; i++)
 		if (backend_at(gate, i))
 			summary->in_flight += backend_at(gate, i)->in_flight;
-	summary->slots = usable_slots(gate);
+	summary->slots = usable_slots(gate, now_us);
 	summary->waiting = gate_queue_length(&gate->queue);
-	summary->service_us = gate->service_us;
+	summary->service_us = service_us(gate);
 	if (summary->in_flight >= summary->slots)
-		summary->wait_us = expected_wait_us(gate);
+		summary->wait_us =
+			expected_wait_us(gate, SERVICE_INTERACTIVE, now_us);
 }
 
 bool gate_view(const struct gate *gate, uint32_t index, uint64_t now_us,
 	       struct gate_backend_view *view)
 {
-	const struct backend *backend;
+	const struct gate_backend *backend;
 	uint32_t i;
 
 	for (i = 0; i < gate->backends->len; i++) {
@@ -340,13 +622,13 @@
 		view->slots = backend->slots;
 		view->in_flight = backend->in_flight;
 		view->reported_in_flight = backend->reported_in_flight;
-		view->report_age_us = backend->has_report ?
+		view->report_age_us = backend->reported ?
 					      now_us - backend->reported_at_us :
 					      UINT64_MAX;
-		view->latency_us = backend->latency_us;
+		view->latency_us = (uint64_t)backend->latency.mean_us;
 		view->leaving = backend->leaving || backend->reported_leaving;
-		view->down = backend->down;
-		view->cold = backend->cold;
+		view->down = backend->state != GATE_BACKEND_UP;
+		view->cold = backend->ramp_slots < backend->slots;
 		return true;
 	}
 	return false;
--- a/packages/core/gate_queue.c
+++ b/packages/core/gate_queue.c
@@ -1,17 +1,16 @@
 #include "core/gate_queue.h"
 
 /*
- * The order in which classes get free slots. Background work has one turn in
- * eight however long the others' queues are, so that it always finishes.
+ * In each turn of the cycle the classes are asked in one of these orders.
+ * Background work comes first in one turn of the cycle however long the others'
+ * queues are, so that it always finishes.
  */
-static const enum service_class class_cycle[] = {
-	SERVICE_INTERACTIVE,	SERVICE_NON_IDEMPOTENT, SERVICE_INTERACTIVE,
-	SERVICE_NON_IDEMPOTENT, SERVICE_INTERACTIVE,	SERVICE_NON_IDEMPOTENT,
-	SERVICE_INTERACTIVE,	SERVICE_BACKGROUND,
+static const enum service_class turn_orders[][SERVICE_CLASS_COUNT] = {
+	{ SERVICE_INTERACTIVE, SERVICE_NON_IDEMPOTENT, SERVICE_BACKGROUND },
+	{ SERVICE_NON_IDEMPOTENT, SERVICE_INTERACTIVE, SERVICE_BACKGROUND },
+	{ SERVICE_BACKGROUND, SERVICE_INTERACTIVE, SERVICE_NON_IDEMPOTENT },
 };
 
-#define CYCLE_LENGTH (sizeof(class_cycle) / sizeof(class_cycle[0]))
-
 static int compare_waiters(const void *left, const void *right, void *data)
 {
 	const struct gate_waiter *a = left;
@@ -35,18 +34,21 @@
 	return g_sequence_get(g_sequence_get_begin_iter(waiters));
 }
 
-/* Position in the cycle of the next class that has waiters; -1 if none. */
-static int next_turn(const struct gate_queue *queue)
+/* The first waiter of the first class that has one in this turn's order. */
+static struct gate_waiter *next_waiter(const struct gate_queue *queue)
 {
-	uint32_t i;
-	uint32_t turn;
+	bool last_turn = queue->turn == GATE_QUEUE_CYCLE - 1;
+	const enum service_class *order =
+		turn_orders[last_turn ? 2 : queue->turn % 2];
+	struct gate_waiter *first;
+	int i;
 
-	for (i = 0; i < CYCLE_LENGTH; i++) {
-		turn = (queue->turn + i) % CYCLE_LENGTH;
-		if (first_of_class(queue, class_cycle[turn]))
-			return (int)turn;
+	for (i = 0; i < SERVICE_CLASS_COUNT; i++) {
+		first = first_of_class(queue, order[i]);
+		if (first)
+			return first;
 	}
-	return -1;
+	return NULL;
 }
 
 static void take_out(struct gate_queue *queue, const struct gate_waiter *found,
@@ -76,15 +78,18 @@
 	g_hash_table_destroy(queue->by_waiter);
 }
 
-void gate_queue_push(struct gate_queue *queue, const struct gate_waiter *waiter)
+bool gate_queue_push(struct gate_queue *queue, const struct gate_waiter *waiter)
 {
-	struct gate_waiter *copy = g_memdup2(waiter, sizeof(*waiter));
+	struct gate_waiter *copy;
 	GSequenceIter *iter;
 
+	if (g_hash_table_contains(queue->by_waiter, waiter->waiter))
+		return false;
+	copy = g_memdup2(waiter, sizeof(*waiter));
 	copy->sequence = queue->next_sequence++;
 	iter = g_sequence_insert_sorted(queue->waiters[copy->class_of], copy,
 					compare_waiters, NULL);
-	g_hash_table_insert(queue->by_waiter, copy->waiter, iter);
+	return g_hash_table_insert(queue->by_waiter, copy->waiter, iter);
 }
 
 bool gate_queue_remove(struct gate_queue *queue, const void *waiter)
@@ -100,20 +105,16 @@
 
 const struct gate_waiter *gate_queue_head(const struct gate_queue *queue)
 {
-	int turn = next_turn(queue);
-
-	if (turn < 0)
-		return NULL;
-	return first_of_class(queue, class_cycle[turn]);
+	return next_waiter(queue);
 }
 
 void gate_queue_pop(struct gate_queue *queue, struct gate_waiter *waiter)
 {
-	int turn = next_turn(queue);
+	const struct gate_waiter *next = next_waiter(queue);
 
-	g_return_if_fail(turn >= 0);
-	take_out(queue, first_of_class(queue, class_cycle[turn]), waiter);
-	queue->turn = ((uint32_t)turn + 1) % CYCLE_LENGTH;
+	g_return_if_fail(next);
+	take_out(queue, next, waiter);
+	queue->turn = (queue->turn + 1) % GATE_QUEUE_CYCLE;
 }
 
 bool gate_queue_pop_expired(struct gate_queue *queue, uint64_t now_us,
--- a/packages/core/gate_queue.h
+++ b/packages/core/gate_queue.h
@@ -18,6 +18,9 @@
 extern "C" {
 #endif
 
+/* Turns in the cycle of classes; background work has one of them. */
+#define GATE_QUEUE_CYCLE 8
+
 struct gate_waiter {
 	void *waiter; /* the caller's */
 	enum service_class class_of;
@@ -37,8 +40,8 @@
 void gate_queue_init(struct gate_queue *queue);
 void gate_queue_release(struct gate_queue *queue);
 
-/* Add a copy of the waiter; its sequence is set here. */
-void gate_queue_push(struct gate_queue *queue,
+/* Add a copy of the waiter; its sequence is set here. False if it waits. */
+bool gate_queue_push(struct gate_queue *queue,
 		     const struct gate_waiter *waiter);
 
 /* Take out by the caller's pointer; false if it isn't waiting. */
--- /dev/null
+++ b/tests/core/gate_test.cc
@@ -0,0 +1,527 @@
+#include "core/gate.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+static const uint64_t MS = 1000;
+static const uint64_t S = 1000 * 1000;
+
+/* A gate under a clock of its own, with shorthands for the usual calls. */
+class GateTest : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		gate = gate_new();
+	}
+
+	void TearDown() override
+	{
+		gate_free(gate);
+	}
+
+	void set(std::vector<gate_backend_spec> specs)
+	{
+		gate_set_backends(gate, specs.data(), specs.size(), now_us);
+	}
+
+	gate_decision offer(enum service_class class_of = SERVICE_INTERACTIVE,
+			    uint64_t timeout_us = 2 * S, void *waiter = nullptr)
+	{
+		gate_request request = { class_of, now_us + timeout_us,
+					 waiter };
+		gate_decision decision;
+
+		gate_offer(gate, &request, now_us, &decision);
+		return decision;
+	}
+
+	/* Offer a request that must run, and say where it does. */
+	std::string run(uint32_t *handle = nullptr)
+	{
+		gate_decision decision =
+			offer(SERVICE_INTERACTIVE, 2 * S, this);
+
+		if (decision.verdict != GATE_RUN) {
+			gate_cancel(gate, this);
+			return "";
+		}
+		if (handle)
+			*handle = decision.backend;
+		return gate_backend_name(gate, decision.backend);
+	}
+
+	void finish(uint32_t handle, enum gate_outcome outcome,
+		    uint64_t service_us = 20 * MS)
+	{
+		gate_finish(gate, handle, outcome, service_us, now_us);
+	}
+
+	/* One request after another, each answered in its server's time. */
+	void answer(int count, uint64_t slow_us, const std::string &slow = "")
+	{
+		for (int i = 0; i < count; i++) {
+			uint32_t handle = 0;
+			std::string name = run(&handle);
+
+			ASSERT_NE("", name);
+			now_us += 20 * MS;
+			finish(handle, GATE_ANSWERED,
+			       name == slow ? slow_us : 20 * MS);
+		}
+	}
+
+	uint32_t usable()
+	{
+		gate_summary summary;
+
+		gate_summarise(gate, now_us, &summary);
+		return summary.slots;
+	}
+
+	struct gate *gate;
+	uint64_t now_us = 100 * S;
+	int waiters[GATE_MAX_WAITING + 64] = {};
+};
+
+struct share_case {
+	uint32_t slots;
+	uint32_t count;
+};
+
+class GateShare : public testing::TestWithParam<share_case>
+{
+};
+
+TEST_P(GateShare, PartsAddUpAndDifferByOneAtMost)
+{
+	const share_case &c = GetParam();
+	uint32_t sum = 0;
+
+	for (uint32_t rank = 0; rank < c.count; rank++) {
+		uint32_t part = gate_share(c.slots, rank, c.count);
+
+		EXPECT_GE(part, c.slots / c.count);
+		EXPECT_LE(part, c.slots / c.count + 1);
+		sum += part;
+	}
+	EXPECT_EQ(c.slots, sum);
+	EXPECT_EQ(0u, gate_share(c.slots, c.count, c.count));
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, GateShare,
+			 testing::Values(share_case{ 7, 2 }, share_case{ 3, 2 },
+					 share_case{ 1, 3 }, share_case{ 0, 2 },
+					 share_case{ 8, 1 },
+					 share_case{ 4000000000u, 7 }));
+
+TEST_F(GateTest, RunsNoMoreThanItsSlots)
+{
+	int runs = 0;
+
+	set({ { "a", 2, 0, false, false }, { "b", 3, 0, false, false } });
+	for (int i = 0; i < 50; i++)
+		runs += offer(SERVICE_BACKGROUND, 60 * S, &waiters[i]).verdict ==
+			GATE_RUN;
+	EXPECT_EQ(5, runs);
+}
+
+TEST_F(GateTest, FasterServerFirstAndSlowOnesWhenSlotsAreNeeded)
+{
+	int on_old = 0;
+
+	set({ { "new", 2, 0, false, false }, { "old", 2, 0, false, false } });
+	for (int i = 0; i < 10; i++) {
+		std::vector<uint32_t> handles;
+		uint32_t handle;
+
+		while (run(&handle) != "")
+			handles.push_back(handle);
+		EXPECT_GE(handles.size(), 2u);
+		now_us += 60 * MS;
+		for (uint32_t each : handles)
+			finish(each, GATE_ANSWERED,
+			       each == 1 ? 60 * MS : 20 * MS);
+	}
+	EXPECT_EQ("new", run());
+	EXPECT_EQ("new", run());
+	for (int i = 0; i < 20; i++)
+		offer(SERVICE_INTERACTIVE, 2 * S, &waiters[i]);
+	struct gate_grant grant;
+	while (gate_next(gate, now_us, &grant))
+		if (grant.decision.verdict == GATE_RUN)
+			on_old++;
+	EXPECT_EQ(2, on_old);
+}
+
+/*
+ * A user would see one server drown in requests. It reports zero load, because
+ * its load page lags or lies, and every node that believes the page sends it
+ * the next request. The node's own count of what it sent is certain.
+ */
+TEST_F(GateTest, ReportOfNoLoadIsNotBelievedAgainstOwnRequests)
+{
+	set({ { "a", 4, 0, false, false }, { "b", 4, 0, false, false } });
+	std::string first = run();
+	std::string second = first == "a" ? "b" : "a";
+
+	gate_report(gate, first.c_str(), 0, false, now_us);
+	EXPECT_EQ(second, run());
+}
+
+TEST_F(GateTest, ReportedLoadOfOthersCountsWhileItIsFresh)
+{
+	set({ { "a", 4, 8, false, false }, { "b", 4, 8, false, false } });
+	gate_report(gate, "a", 8, false, now_us);
+	EXPECT_EQ("b", run());
+	EXPECT_EQ("b", run());
+	now_us += 60 * S;
+	EXPECT_EQ("a", run());
+}
+
+struct leaving_case {
+	const char *name;
+	bool in_spec;
+	bool in_report;
+	bool gone;
+};
+
+class GateLeaving : public GateTest,
+		    public testing::WithParamInterface<leaving_case>
+{
+};
+
+/*
+ * A user would see requests cut off at a server that is going away: it was
+ * known to leave, yet new work went there because one sign of several was
+ * missed. Any one sign must be enough, and its requests still finish.
+ */
+TEST_P(GateLeaving, GetsNothingNewAndFinishesItsOwn)
+{
+	const leaving_case &c = GetParam();
+	uint32_t handle = 0;
+
+	set({ { "a", 2, 0, false, false } });
+	EXPECT_EQ("a", run(&handle));
+	if (c.gone)
+		set({ { "b", 1, 0, false, false } });
+	else
+		set({ { "a", 2, 0, c.in_spec, false },
+		      { "b", 1, 0, false, false } });
+	if (c.in_report)
+		gate_report(gate, "a", 1, true, now_us);
+	EXPECT_EQ("b", run());
+	EXPECT_EQ("", run());
+	EXPECT_STREQ("a", gate_backend_name(gate, handle));
+	finish(handle, GATE_ANSWERED);
+	EXPECT_EQ("", run());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Signs, GateLeaving,
+	testing::Values(leaving_case{ "spec", true, false, false },
+			leaving_case{ "report", false, true, false },
+			leaving_case{ "gone", false, false, true }),
+	[](const testing::TestParamInfo<leaving_case> &info) {
+		return info.param.name;
+	});
+
+struct failure_case {
+	const char *name;
+	enum gate_outcome outcome;
+	int failures; /* in a row that take it down */
+};
+
+class GateFailure : public GateTest,
+		    public testing::WithParamInterface<failure_case>
+{
+};
+
+/*
+ * A user would wait for a dead server again and again while live ones idle.
+ * The server dies, its requests fail one after the other, and its health page
+ * says "alive" still. The failures themselves must take it out, at once.
+ */
+TEST_P(GateFailure, TakesTheServerOutAndBackInSteps)
+{
+	const failure_case &c = GetParam();
+	uint32_t handle = 0;
+	std::vector<uint32_t> good;
+	std::vector<uint32_t> bad;
+
+	set({ { "a", 4, 0, false, false }, { "b", 4, 0, false, false } });
+	while (bad.size() < (size_t)c.failures) {
+		std::string name = run(&handle);
+
+		ASSERT_NE("", name);
+		(name == "a" ? bad : good).push_back(handle);
+	}
+	for (uint32_t each : good)
+		finish(each, GATE_ANSWERED);
+	for (uint32_t each : bad) {
+		EXPECT_EQ(8u, usable());
+		finish(each, c.outcome);
+	}
+	EXPECT_EQ(4u, usable());
+	now_us += 501 * MS;
+	EXPECT_EQ(5u, usable());
+	for (int i = 0; i < 5 && run(&handle) != "a"; i++)
+		good.push_back(handle);
+	ASSERT_STREQ("a", gate_backend_name(gate, handle));
+	EXPECT_EQ(4u, usable());
+	finish(handle, GATE_ANSWERED, 5 * MS);
+	EXPECT_EQ(5u, usable());
+	answer(6, 0);
+	EXPECT_EQ(8u, usable());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Outcomes, GateFailure,
+	testing::Values(failure_case{ "connect", GATE_CONNECT_FAILED, 2 },
+			failure_case{ "broken", GATE_BROKEN, 3 },
+			failure_case{ "timed_out", GATE_TIMED_OUT, 3 }),
+	[](const testing::TestParamInfo<failure_case> &info) {
+		return info.param.name;
+	});
+
+/*
+ * A user would see a whole place refused because a database behind all its
+ * servers answers badly: one server after the other is taken out, and the last
+ * gets the load of all. Bad answers may take out half of the slots at most.
+ */
+TEST_F(GateTest, BadAnswersEverywhereLeaveHalfOfTheSlots)
+{
+	uint32_t handle = 0;
+
+	set({ { "a", 2, 0, false, false },
+	      { "b", 2, 0, false, false },
+	      { "c", 2, 0, false, false },
+	      { "d", 2, 0, false, false } });
+	for (int i = 0; i < 200; i++) {
+		ASSERT_NE("", run(&handle));
+		finish(handle, GATE_BROKEN);
+		EXPECT_GE(usable(), 4u);
+	}
+}
+
+TEST_F(GateTest, ProbesAloneDoNotTakeOutAServerThatAnswers)
+{
+	set({ { "a", 1, 0, false, false } });
+	answer(1, 0);
+	for (int i = 0; i < 5; i++)
+		gate_probe(gate, "a", false, now_us);
+	EXPECT_EQ(1u, usable());
+	now_us += 10 * S;
+	gate_probe(gate, "a", false, now_us);
+	EXPECT_EQ(0u, usable());
+	gate_probe(gate, "a", true, now_us);
+	EXPECT_EQ(1u, usable());
+}
+
+TEST_F(GateTest, ShedPausesTheServerForAShortTime)
+{
+	uint32_t handle = 0;
+
+	set({ { "a", 4, 0, false, false } });
+	EXPECT_EQ("a", run(&handle));
+	finish(handle, GATE_SHED);
+	EXPECT_EQ(0u, usable());
+	now_us += 21 * MS;
+	EXPECT_GE(usable(), 1u);
+	EXPECT_LT(usable(), 4u);
+}
+
+TEST_F(GateTest, ColdServerStartsWithOneSlotAndWarmsUp)
+{
+	set({ { "a", 4, 0, false, true } });
+	EXPECT_EQ(1u, usable());
+	answer(1, 0);
+	set({ { "a", 4, 0, false, true } });
+	answer(5, 0);
+	EXPECT_EQ(4u, usable());
+}
+
+struct refusal_case {
+	const char *name;
+	uint32_t slots;
+	uint64_t timeout_us;
+	enum result refusal;
+};
+
+class GateRefusal : public GateTest,
+		    public testing::WithParamInterface<refusal_case>
+{
+};
+
+TEST_P(GateRefusal, IsGivenAtOnceWithATimeToComeBack)
+{
+	const refusal_case &c = GetParam();
+	gate_decision decision;
+
+	set({ { "a", 1, 0, false, false } });
+	answer(20, 0);
+	set({ { "a", c.slots, 0, false, false } });
+	decision = offer(SERVICE_INTERACTIVE, c.timeout_us);
+	EXPECT_EQ(GATE_REFUSE, decision.verdict);
+	EXPECT_EQ(c.refusal, decision.refusal);
+	EXPECT_GT(decision.retry_after_us, 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Reasons, GateRefusal,
+	testing::Values(
+		refusal_case{ "expired", 1, 0, RESULT_DEADLINE_EXPIRED },
+		refusal_case{ "short", 1, 10 * MS, RESULT_DEADLINE_TOO_SHORT },
+		refusal_case{ "nowhere", 0, 2 * S, RESULT_NO_PLACE }),
+	[](const testing::TestParamInfo<refusal_case> &info) {
+		return info.param.name;
+	});
+
+/*
+ * A user would see every answer come late under a long overload: requests queue
+ * until their deadlines, and all servers work on what nobody awaits any more.
+ * The queue must stay short however far the deadlines are.
+ */
+TEST_F(GateTest, StandingQueueOfInteractiveRequestsStaysShort)
+{
+	uint32_t handle = 0;
+	int waiting = 0;
+	gate_grant grant;
+
+	set({ { "a", 1, 0, false, false } });
+	answer(20, 0);
+	ASSERT_EQ("a", run(&handle));
+	for (int i = 0; i < 600; i++) {
+		if (i % 3 == 2) {
+			now_us += 20 * MS;
+			finish(handle, GATE_ANSWERED);
+			while (gate_next(gate, now_us, &grant)) {
+				waiting--;
+				if (grant.decision.verdict == GATE_RUN)
+					handle = grant.decision.backend;
+			}
+		}
+		waiting += offer(SERVICE_INTERACTIVE, 10 * S, &waiters[i])
+				   .verdict == GATE_WAIT;
+		ASSERT_LE(waiting, i > 100 ? 5 : 10);
+	}
+}
+
+TEST_F(GateTest, LostChanceIsHandedOutAtOnce)
+{
+	gate_grant grant;
+	gate_decision decision;
+	uint64_t due_us;
+
+	set({ { "a", 1, 0, false, false } });
+	answer(20, 0);
+	ASSERT_EQ("a", run());
+	decision = offer(SERVICE_INTERACTIVE, 50 * MS, &waiters[0]);
+	ASSERT_EQ(GATE_WAIT, decision.verdict);
+	EXPECT_FALSE(gate_next(gate, now_us, &grant));
+	due_us = gate_next_due_us(gate);
+	EXPECT_LT(due_us, now_us + 50 * MS);
+	now_us = due_us;
+	ASSERT_TRUE(gate_next(gate, now_us, &grant));
+	EXPECT_EQ(&waiters[0], grant.waiter);
+	EXPECT_EQ(GATE_REFUSE, grant.decision.verdict);
+	EXPECT_FALSE(gate_cancel(gate, &waiters[0]));
+	EXPECT_EQ(UINT64_MAX, gate_next_due_us(gate));
+}
+
+TEST_F(GateTest, WaitersAreRefusedWhenTheLastServerLeaves)
+{
+	gate_grant grant;
+
+	set({ { "a", 1, 0, false, false } });
+	ASSERT_EQ("a", run());
+	ASSERT_EQ(GATE_WAIT,
+		  offer(SERVICE_BACKGROUND, 60 * S, &waiters[0]).verdict);
+	gate_report(gate, "a", 1, true, now_us);
+	ASSERT_TRUE(gate_next(gate, now_us, &grant));
+	EXPECT_EQ(GATE_REFUSE, grant.decision.verdict);
+}
+
+/*
+ * A user would find last night's archive unfinished: urgent requests took every
+ * slot that came free. One grant in eight belongs to background work.
+ */
+TEST_F(GateTest, BackgroundWorkGetsItsTurns)
+{
+	gate_grant grant;
+	uint32_t handle = 0;
+	int background = 0;
+
+	set({ { "a", 1, 0, false, false } });
+	answer(20, 0);
+	ASSERT_EQ("a", run(&handle));
+	for (int i = 0; i < 10; i++)
+		ASSERT_EQ(
+			GATE_WAIT,
+			offer(SERVICE_BACKGROUND, 600 * S, &waiters[i]).verdict);
+	for (int i = 0; i < 64; i++) {
+		offer(SERVICE_NON_IDEMPOTENT, 60 * S, &waiters[100 + i]);
+		finish(handle, GATE_ANSWERED);
+		ASSERT_TRUE(gate_next(gate, now_us, &grant));
+		ASSERT_EQ(GATE_RUN, grant.decision.verdict);
+		handle = grant.decision.backend;
+		background += (int *)grant.waiter < &waiters[10];
+	}
+	EXPECT_EQ(8, background);
+}
+
+TEST_F(GateTest, SameWaiterTwiceIsRefusedNotLost)
+{
+	set({ { "a", 1, 0, false, false } });
+	ASSERT_EQ("a", run());
+	EXPECT_EQ(GATE_WAIT,
+		  offer(SERVICE_BACKGROUND, 60 * S, &waiters[0]).verdict);
+	EXPECT_EQ(GATE_REFUSE,
+		  offer(SERVICE_BACKGROUND, 60 * S, &waiters[0]).verdict);
+	EXPECT_TRUE(gate_cancel(gate, &waiters[0]));
+	EXPECT_EQ(UINT64_MAX, gate_next_due_us(gate));
+}
+
+TEST_F(GateTest, EarlierDeadlineRunsFirst)
+{
+	gate_grant grant;
+	uint32_t handle = 0;
+
+	set({ { "a", 1, 0, false, false } });
+	answer(20, 0);
+	ASSERT_EQ("a", run(&handle));
+	offer(SERVICE_INTERACTIVE, 2 * S, &waiters[0]);
+	offer(SERVICE_INTERACTIVE, 70 * MS, &waiters[1]);
+	finish(handle, GATE_ANSWERED);
+	ASSERT_TRUE(gate_next(gate, now_us, &grant));
+	EXPECT_EQ(&waiters[1], grant.waiter);
+}
+
+TEST_F(GateTest, TimesToComeBackAreSpreadAndGrow)
+{
+	uint64_t least_us = UINT64_MAX;
+	uint64_t most_us = 0;
+	uint64_t early_us = 0;
+	uint64_t late_us = 0;
+
+	set({ { "a", 1, 0, false, false } });
+	ASSERT_EQ("a", run());
+	for (int i = 0; i < 400; i++) {
+		gate_decision decision =
+			offer(SERVICE_INTERACTIVE, 60 * MS, &waiters[i]);
+
+		if (decision.verdict != GATE_REFUSE)
+			continue;
+		if (i < 50)
+			early_us += decision.retry_after_us;
+		if (i >= 350) {
+			late_us += decision.retry_after_us;
+			least_us = MIN(least_us, decision.retry_after_us);
+			most_us = MAX(most_us, decision.retry_after_us);
+		}
+	}
+	EXPECT_GT(late_us, 2 * early_us);
+	EXPECT_GT(most_us, 2 * least_us);
+}
