--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 BUILD ?= build
 SAN_BUILD ?= build-asan
 JOBS ?= $(shell nproc)
+ROUNDS ?= 10
+SEED ?= 1
 PACKAGES = liburcu-dev libtirpc-dev rpcsvc-proto libcivetweb-dev libpopt-dev \
 	libglib2.0-dev libgtest-dev libcurl4-openssl-dev libjansson-dev \
 	libxxhash-dev libtomlplusplus-dev spin clang-format clang-tidy \
@@ -53,8 +55,15 @@
 prove: setup
 	models/prove.sh
 
+# Real processes under faults, judged from their history; soak goes on longer.
+faults: build
+	tests/history/faults.sh $(BUILD) 1 $(SEED)
+
+soak: build
+	tests/history/faults.sh $(BUILD) $(ROUNDS) $(SEED)
+
 clean:
 	rm -rf $(BUILD) $(SAN_BUILD)
 
 .PHONY: all setup build format format-check lint test sanitize check demo \
-	bench prove clean
+	bench prove faults soak clean
