--- a/tests/tools/exchange.c
+++ b/tests/tools/exchange.c
@@ -120,6 +120,8 @@
 	curl_easy_setopt(curl, CURLOPT_FORBID_REUSE, fresh);
 	if (request->body)
 		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, request->body);
+	if (request->method)
+		curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, request->method);
 	exchange->fate = fate_of(curl, curl_easy_perform(curl));
 	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &exchange->status);
 }
--- a/tests/tools/exchange.h
+++ b/tests/tools/exchange.h
@@ -11,6 +11,10 @@
 
 #include "core/build_options.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 #define EXCHANGE_NO_RESULT (-1)
 
 enum exchange_fate {
@@ -32,8 +36,9 @@
 	GString *body;
 };
 
-/* What to send; body is NULL for a GET. */
+/* What to send; by default GET, or POST where there is a body. */
 struct exchange_request {
+	const char *method; /* NULL: the default */
 	const char *url;
 	const struct curl_slist *headers;
 	const char *body;
@@ -47,4 +52,8 @@
 void exchange_run(struct exchange *exchange, CURL *curl,
 		  const struct exchange_request *request);
 
+#ifdef __cplusplus
+}
+#endif
+
 #endif
--- a/tests/tools/poke.c
+++ b/tests/tools/poke.c
@@ -10,9 +10,10 @@
 #include <glib.h>
 #include <popt.h>
 #include <stdio.h>
-#include <string.h>
 
-#define TIMEOUT_MS 10000L
+#include "tools/exchange.h"
+
+#define TIMEOUT_US 10000000
 #define PAUSE_US 50000
 
 enum {
@@ -30,65 +31,51 @@
 	POPT_AUTOHELP POPT_TABLEEND
 };
 
-static size_t take_body(char *data, size_t size, size_t count, void *context)
+static int request(CURL *curl, const struct exchange_request *request,
+		   struct exchange *exchange)
 {
-	g_string_append_len(context, data, (gssize)(size * count));
-	return size * count;
+	exchange_run(exchange, curl, request);
+	if (exchange->fate != EXCHANGE_WHOLE)
+		return EXIT_NO_ANSWER;
+	return exchange->status / 100 == 2 ? EXIT_ANSWERED : EXIT_REFUSED;
 }
 
-static int request(const char *method, const char *url, const char *body,
-		   GString *answer)
+/* Ask until there is an answer of 2xx or the time is over. */
+static int poke(const struct exchange_request *what, struct exchange *exchange)
 {
+	gint64 end_us = g_get_monotonic_time() + wait_s * G_USEC_PER_SEC;
 	CURL *curl = curl_easy_init();
-	CURLcode code;
-	long status = 0;
+	int status;
 
-	g_string_truncate(answer, 0);
-	curl_easy_setopt(curl, CURLOPT_URL, url);
-	curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
-	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, TIMEOUT_MS);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, take_body);
-	curl_easy_setopt(curl, CURLOPT_WRITEDATA, answer);
-	if (body)
-		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
-	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
-	code = curl_easy_perform(curl);
-	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+	while ((status = request(curl, what, exchange)) != EXIT_ANSWERED &&
+	       g_get_monotonic_time() < end_us)
+		g_usleep(PAUSE_US);
 	curl_easy_cleanup(curl);
-	if (code != CURLE_OK)
-		return EXIT_NO_ANSWER;
-	return status / 100 == 2 ? EXIT_ANSWERED : EXIT_REFUSED;
+	return status;
 }
 
 int main(int argc, const char **argv)
 {
 	poptContext context = poptGetContext(NULL, argc, argv, options, 0);
-	gint64 start_us = g_get_monotonic_time();
-	GString *answer = g_string_new(NULL);
-	const char *method;
-	const char *url;
-	const char *body;
+	struct exchange_request what = { .timeout_us = TIMEOUT_US };
+	struct exchange exchange;
 	int status;
 
 	poptSetOtherOptionHelp(context, "METHOD URL [BODY]");
 	if (poptGetNextOpt(context) != -1)
 		return EXIT_USAGE;
-	method = poptGetArg(context);
-	url = poptGetArg(context);
-	body = poptGetArg(context);
-	if (!url) {
+	what.method = poptGetArg(context);
+	what.url = poptGetArg(context);
+	what.body = poptGetArg(context);
+	if (!what.url) {
 		poptPrintUsage(context, stderr, 0);
 		return EXIT_USAGE;
 	}
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	while ((status = request(method, url, body, answer)) != EXIT_ANSWERED) {
-		if (g_get_monotonic_time() - start_us >=
-		    (gint64)wait_s * G_USEC_PER_SEC)
-			break;
-		g_usleep(PAUSE_US);
-	}
-	printf("%s\n", answer->str);
-	g_string_free(answer, TRUE);
+	exchange_init(&exchange);
+	status = poke(&what, &exchange);
+	printf("%s\n", exchange.body->str);
+	exchange_release(&exchange);
 	poptFreeContext(context);
 	curl_global_cleanup();
 	return status;
