Tables of the adapters' tests as arrays; wrong bytes in peers' records

The answers of 16 and 48 MiB stood in a table that each test's process builds whole, and ctest runs one process a test; they are built by their own test now. The peers' decoders meet every wrong byte and every cut of a good record. The example of docs/SETTINGS.md is loaded and held against the program's defaults.

--- a/tests/adapters/peer_rpc_test.cc
+++ b/tests/adapters/peer_rpc_test.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "adapters/metrics.h"
+#include "adapters/peer_codec.h"
 #include "core/result.h"
 
 namespace
@@ -196,11 +197,108 @@
 	int accept_stat; /* -1: the connection is closed */
 };
 
-std::string bad_call_name(const testing::TestParamInfo<bad_call> &info)
+template <class T> std::string case_name(const testing::TestParamInfo<T> &info)
 {
 	return info.param.name;
 }
 
+std::string exchange_call(const std::string &arguments)
+{
+	return record(call_head(program, 1, 1) + arguments);
+}
+
+const bad_call bad_calls[] = {
+	{ "Http", "GET / HTTP/1.1\r\n\r\n", -1 },
+	{ "RecordOfTwoGigabytes", numbers({ 0xffffffffu }), -1 },
+	{ "RecordAboveTheBound", numbers({ 0x80400001u }), -1 },
+	{ "FragmentsAboveTheBound",
+	  numbers({ 4 }) + "abcd" + numbers({ 4 << 20 }), -1 },
+	{ "EmptyFragment", numbers({ 0 }), -1 },
+	{ "EmptyRecord", record(""), -1 },
+	{ "HeadCutOff", record(call_head(program, 1, 1).substr(0, 20)), -1 },
+	{ "AnAnswer", record(numbers({ 1, 1, 0, 0, 0, 0 })), -1 },
+	{ "RpcVersionThree",
+	  record(numbers({ 1, 0, 3, program, 1, 1, 0, 0, 0, 0 })), -1 },
+	{ "CredentialsTooLong",
+	  record(numbers({ 1, 0, 2, program, 1, 1, 0, 401 }) +
+		 std::string(408, 'c')),
+	  -1 },
+	{ "NullProcedure", record(call_head(program, 1, 0)), 0 },
+	{ "OtherProgram", record(call_head(100000, 2, 0)), 1 },
+	{ "OtherVersion", record(call_head(program, 2, 1)), 2 },
+	{ "OtherProcedure", record(call_head(program, 1, 3)), 3 },
+	{ "NoArguments", exchange_call(""), 4 },
+	{ "NameTooLong",
+	  exchange_call(numbers({ 64 }) + std::string(64, 'n') + numbers({ 0 })),
+	  4 },
+	{ "NameOfGigabytes", exchange_call(numbers({ 0xffffffffu })), 4 },
+	{ "NameWithNewline",
+	  exchange_call(numbers({ 4 }) + "a\nbc" + numbers({ 0 })), 4 },
+	{ "TooManyReports", exchange_call(numbers({ 0, 2049 })), 4 },
+	{ "ReportsMissing", exchange_call(numbers({ 0, 2048 })), 4 },
+	{ "MoreBehindTheArguments",
+	  record(call_head(program, 1, 2) + numbers({ 0, 1, 7 })), 4 },
+};
+
+/* Connections that stop somewhere, and how soon the server gives up. */
+struct patience_case {
+	const char *name;
+	size_t sent; /* bytes of a call for the configuration */
+	int64_t idle_us;
+	int64_t stall_us;
+	uint64_t given_up; /* connections counted as refused */
+};
+
+const patience_case patience_cases[] = {
+	{ "Idle", 0, 20000, 60000000, 0 },
+	{ "HalfACall", 10, 60000000, 20000, 1 },
+	{ "UnreadAnswer", 52, 60000000, 20000, 1 },
+};
+
+/* How many decoders take the record; what they made is released. */
+int try_decoders(const GByteArray *record)
+{
+	struct peer_message answer = {};
+	struct peer_call call;
+	uint64_t version;
+	char *text = NULL;
+	int taken = 0;
+
+	if (peer_decode_call(record, &call)) {
+		taken += call.procedure != PEER_CALL_REFUSED;
+		peer_message_release(&call.message);
+	}
+	if (peer_decode_exchange_answer(record, 1, &answer)) {
+		taken++;
+		peer_message_release(&answer);
+	}
+	taken += peer_decode_config_answer(record, 1, &version, &text);
+	g_free(text);
+	return taken;
+}
+
+/* What a server that is no good does to its client. */
+struct bad_answer {
+	const char *name;
+	std::string bytes;
+	bool then_close;
+};
+
+const bad_answer bad_answers[] = {
+	{ "Silence", "", false },
+	{ "HalfAMark", "\x80\x01", false },
+	{ "HalfARecord", numbers({ 0x80000040u, 1 }), false },
+	{ "Closed", "", true },
+	{ "Http", "HTTP/1.1 400 Bad Request\r\n\r\n", true },
+	{ "TwoGigabytes", numbers({ 0xffffffffu }), true },
+	{ "OtherCall", record(numbers({ 9, 1, 0, 0, 0, 0, 0, 0 })), true },
+	{ "Denied", record(numbers({ 1, 1, 1, 0, 2, 2 })), true },
+	{ "GarbageArguments", record(numbers({ 1, 1, 0, 0, 0, 4 })), true },
+	{ "NoMessage", record(numbers({ 1, 1, 0, 0, 0, 0 })), true },
+	{ "TooManyReports", record(numbers({ 1, 1, 0, 0, 0, 0, 0, 2049 })),
+	  true },
+};
+
 } // namespace
 
 TEST_F(Peer, ExchangeCarriesAllOfAMessage)
@@ -351,62 +449,8 @@
 	EXPECT_EQ(1, node.exchanges);
 }
 
-INSTANTIATE_TEST_SUITE_P(
-	Cases, BadCall,
-	testing::Values(
-		bad_call{ "Http", "GET / HTTP/1.1\r\n\r\n", -1 },
-		bad_call{ "RecordOfTwoGigabytes", numbers({ 0xffffffffu }),
-			  -1 },
-		bad_call{ "RecordAboveTheBound",
-			  numbers({ 0x80000000u + (4 << 20) + 1 }), -1 },
-		bad_call{ "FragmentsAboveTheBound",
-			  numbers({ 4 }) + "abcd" + numbers({ 4 << 20 }), -1 },
-		bad_call{ "EmptyFragment", numbers({ 0 }), -1 },
-		bad_call{ "EmptyRecord", record(""), -1 },
-		bad_call{ "HeadCutOff",
-			  record(call_head(program, 1, 1).substr(0, 20)), -1 },
-		bad_call{ "AnAnswer", record(numbers({ 1, 1, 0, 0, 0, 0 })),
-			  -1 },
-		bad_call{
-			"RpcVersionThree",
-			record(numbers({ 1, 0, 3, program, 1, 1, 0, 0, 0, 0 })),
-			-1 },
-		bad_call{ "CredentialsTooLong",
-			  record(numbers({ 1, 0, 2, program, 1, 1, 0, 401 }) +
-				 std::string(408, 'c')),
-			  -1 },
-		bad_call{ "NullProcedure", record(call_head(program, 1, 0)),
-			  0 },
-		bad_call{ "OtherProgram", record(call_head(100000, 2, 0)), 1 },
-		bad_call{ "OtherVersion", record(call_head(program, 2, 1)), 2 },
-		bad_call{ "OtherProcedure", record(call_head(program, 1, 3)),
-			  3 },
-		bad_call{ "NoArguments", record(call_head(program, 1, 1)), 4 },
-		bad_call{ "NameTooLong",
-			  record(call_head(program, 1, 1) + numbers({ 64 }) +
-				 std::string(64, 'n') + numbers({ 0 })),
-			  4 },
-		bad_call{ "NameOfGigabytes",
-			  record(call_head(program, 1, 1) +
-				 numbers({ 0xffffffffu })),
-			  4 },
-		bad_call{ "NameWithNewline",
-			  record(call_head(program, 1, 1) + numbers({ 4 }) +
-				 "a\nbc" + numbers({ 0 })),
-			  4 },
-		bad_call{
-			"TooManyReports",
-			record(call_head(program, 1, 1) + numbers({ 0, 2049 })),
-			4 },
-		bad_call{
-			"ReportsMissing",
-			record(call_head(program, 1, 1) + numbers({ 0, 2048 })),
-			4 },
-		bad_call{
-			"MoreBehindTheArguments",
-			record(call_head(program, 1, 2) + numbers({ 0, 1, 7 })),
-			4 }),
-	bad_call_name);
+INSTANTIATE_TEST_SUITE_P(Cases, BadCall, testing::ValuesIn(bad_calls),
+			 case_name<bad_call>);
 
 TEST_F(Peer, CallInManyFragmentsIsWhole)
 {
@@ -460,14 +504,6 @@
 	close(fd);
 }
 
-struct patience_case {
-	const char *name;
-	size_t sent; /* bytes of a call for the configuration */
-	int64_t idle_us;
-	int64_t stall_us;
-	uint64_t given_up; /* connections counted as refused */
-};
-
 class Patience : public Peer, public testing::WithParamInterface<patience_case>
 {
 };
@@ -499,15 +535,8 @@
 	close(fd);
 }
 
-INSTANTIATE_TEST_SUITE_P(
-	Cases, Patience,
-	testing::Values(patience_case{ "Idle", 0, 20000, 60000000, 0 },
-			patience_case{ "HalfACall", 10, 60000000, 20000, 1 },
-			patience_case{ "UnreadAnswer", 52, 60000000, 20000,
-				       1 }),
-	[](const testing::TestParamInfo<patience_case> &info) {
-		return std::string(info.param.name);
-	});
+INSTANTIATE_TEST_SUITE_P(Cases, Patience, testing::ValuesIn(patience_cases),
+			 case_name<patience_case>);
 
 /*
  * Someone opens more connections than the server takes and leaves them. New
@@ -589,13 +618,6 @@
 	g_clear_error(&error);
 }
 
-/* What a server that is no good does to its client. */
-struct bad_answer {
-	const char *name;
-	std::string bytes;
-	bool then_close;
-};
-
 class BadAnswer : public testing::TestWithParam<bad_answer>
 {
 };
@@ -640,29 +662,34 @@
 	close(listener);
 }
 
-INSTANTIATE_TEST_SUITE_P(
-	Cases, BadAnswer,
-	testing::Values(
-		bad_answer{ "Silence", "", false },
-		bad_answer{ "HalfAMark", "\x80\x01", false },
-		bad_answer{ "HalfARecord", numbers({ 0x80000040u, 1 }), false },
-		bad_answer{ "Closed", "", true },
-		bad_answer{ "Http", "HTTP/1.1 400 Bad Request\r\n\r\n", true },
-		bad_answer{ "TwoGigabytes", numbers({ 0xffffffffu }), true },
-		bad_answer{ "OtherCall",
-			    record(numbers({ 9, 1, 0, 0, 0, 0, 0, 0 })), true },
-		bad_answer{ "Denied", record(numbers({ 1, 1, 1, 0, 2, 2 })),
-			    true },
-		bad_answer{ "GarbageArguments",
-			    record(numbers({ 1, 1, 0, 0, 0, 4 })), true },
-		bad_answer{ "NoMessage", record(numbers({ 1, 1, 0, 0, 0, 0 })),
-			    true },
-		bad_answer{ "TooManyReports",
-			    record(numbers({ 1, 1, 0, 0, 0, 0, 0, 2049 })),
-			    true }),
-	[](const testing::TestParamInfo<bad_answer> &info) {
-		return std::string(info.param.name);
-	});
+INSTANTIATE_TEST_SUITE_P(Cases, BadAnswer, testing::ValuesIn(bad_answers),
+			 case_name<bad_answer>);
+
+/* Every single wrong byte, and every cut, of a good call and a good answer. */
+TEST(PeerCodec, WrongBytesDoNoHarm)
+{
+	struct peer_message message = make_message("asker", 2);
+	GByteArray *records[] = { peer_encode_exchange_call(1, &message),
+				  peer_encode_exchange_answer(1, &message) };
+	const uint8_t flips[] = { 0x01, 0x80, 0xff };
+
+	for (GByteArray *record : records) {
+		/* Decoders take it without its mark. */
+		g_byte_array_remove_range(record, 0, 4);
+		for (guint at = 0; at < record->len; at++)
+			for (uint8_t flip : flips) {
+				record->data[at] ^= flip;
+				try_decoders(record);
+				record->data[at] ^= flip;
+			}
+		while (record->len) {
+			g_byte_array_set_size(record, record->len - 1);
+			EXPECT_EQ(0, try_decoders(record)) << record->len;
+		}
+		g_byte_array_free(record, TRUE);
+	}
+	peer_message_release(&message);
+}
 
 TEST(PeerClient, RefusedConnectionIsUnreachable)
 {
--- a/tests/adapters/platform_http_test.cc
+++ b/tests/adapters/platform_http_test.cc
@@ -229,6 +229,85 @@
 	return info.param.name;
 }
 
+const int UNAVAILABLE = RESULT_PLATFORM_UNAVAILABLE;
+const int UNSETTLED = RESULT_UNSETTLED;
+const auto KEEP = byte_server::AFTER_KEEP;
+const auto CLOSE = byte_server::AFTER_CLOSE;
+const auto HOLD = byte_server::AFTER_HOLD;
+const char newer[] = "{\"version\":8,\"value\":\"v\"}";
+
+std::string ok(const std::string &body)
+{
+	return http("200 OK", body);
+}
+
+const answer_case answers[] = {
+	{ "Conflict", http("412 Precondition Failed", "{\"version\":9}"), KEEP,
+	  UNAVAILABLE, RESULT_CONFLICT },
+	{ "RefusedAsMalformed", http("400 Bad Request", ""), KEEP, UNAVAILABLE,
+	  UNAVAILABLE },
+	{ "RefusedAsTooLarge", http("413 Payload Too Large", ""), CLOSE,
+	  UNAVAILABLE, UNAVAILABLE },
+	{ "RequestTimeout", http("408 Request Timeout", ""), CLOSE, UNAVAILABLE,
+	  UNSETTLED },
+	{ "ServerError", http("500 Internal Server Error", ""), KEEP,
+	  UNAVAILABLE, UNSETTLED },
+	{ "Unavailable", http("503 Service Unavailable", ""), KEEP, UNAVAILABLE,
+	  UNSETTLED },
+	{ "OtherSuccess", http("202 Accepted", "{}"), KEEP, UNAVAILABLE,
+	  UNSETTLED },
+	{ "Redirect",
+	  "HTTP/1.1 307 Temporary Redirect\r\nLocation: /elsewhere\r\n"
+	  "Content-Length: 0\r\n\r\n",
+	  KEEP, UNAVAILABLE, UNSETTLED },
+	{ "ClosedWithoutAnswer", "", CLOSE, UNAVAILABLE, UNSETTLED },
+	{ "SilentWithoutAnswer", "", HOLD, UNAVAILABLE, UNSETTLED },
+	{ "SilentAfterTheHead", "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n",
+	  HOLD, UNAVAILABLE, UNSETTLED },
+	{ "ShorterThanItsLength",
+	  "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"version\":8}", CLOSE,
+	  UNAVAILABLE, UNSETTLED },
+	{ "LongerThanItsLength",
+	  "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{\"version\":8}", CLOSE,
+	  UNAVAILABLE, UNSETTLED },
+	{ "NotHttp", "SSH-2.0-x\r\n", CLOSE, UNAVAILABLE, UNSETTLED },
+	{ "NotJson", ok("<html>"), KEEP, UNAVAILABLE, UNSETTLED },
+	{ "MoreBehindTheJson", ok("{\"version\":8}{}"), KEEP, UNAVAILABLE,
+	  UNSETTLED },
+	{ "NoVersion", ok("{\"value\":\"v\"}"), KEEP, UNAVAILABLE, UNSETTLED },
+	{ "VersionIsText", ok("{\"version\":\"8\",\"value\":\"v\"}"), KEEP,
+	  UNAVAILABLE, UNSETTLED },
+	{ "VersionNegative", ok("{\"version\":-8,\"value\":\"v\"}"), KEEP,
+	  UNAVAILABLE, UNSETTLED },
+	{ "VersionTwice", ok("{\"version\":8,\"version\":9,\"value\":\"v\"}"),
+	  KEEP, UNAVAILABLE, UNSETTLED },
+	{ "VersionNotNewer", ok("{\"version\":7,\"value\":\"v\"}"), KEEP,
+	  RESULT_OK, UNSETTLED },
+	{ "ValueWithNul", ok("{\"version\":7,\"value\":\"\\u0000\"}"), KEEP,
+	  UNAVAILABLE, UNSETTLED },
+};
+
+/* Read once and write once to a server that answers so. */
+void check_answer(const answer_case &c)
+{
+	byte_server server(c.bytes, c.then);
+
+	{
+		client client(server.port, c.then == byte_server::AFTER_HOLD ?
+						   short_timeout_us :
+						   timeout_us);
+
+		EXPECT_EQ(c.read, client.read()) << c.name;
+		EXPECT_EQ(c.read == RESULT_OK, client.row.value != nullptr);
+		platform_row_release(&client.row);
+		EXPECT_EQ(c.write, client.write("v", 7)) << c.name;
+		EXPECT_EQ(0u, client.version);
+	}
+	/* Each call went out once, whatever came back. */
+	server.stop();
+	EXPECT_EQ(2u, server.requests().size());
+}
+
 uint16_t closed_port()
 {
 	byte_server server("", byte_server::AFTER_CLOSE);
@@ -348,113 +427,28 @@
 
 TEST_P(PlatformAnswer, IsMappedToAResult)
 {
-	const answer_case &c = GetParam();
-	byte_server server(c.bytes, c.then);
-	{
-		client client(server.port, c.then == byte_server::AFTER_HOLD ?
-						   short_timeout_us :
-						   timeout_us);
-
-		EXPECT_EQ(c.read, client.read());
-		EXPECT_EQ(c.read == RESULT_OK, client.row.value != nullptr);
-		platform_row_release(&client.row);
-		EXPECT_EQ(c.write, client.write("v", 7));
-		EXPECT_EQ(0u, client.version);
-	}
-	/* Each call went out once, whatever came back. */
-	server.stop();
-	EXPECT_EQ(2u, server.requests().size());
+	check_answer(GetParam());
 }
 
-#define UNAVAILABLE RESULT_PLATFORM_UNAVAILABLE
-#define UNSETTLED RESULT_UNSETTLED
-
-INSTANTIATE_TEST_SUITE_P(
-	Cases, PlatformAnswer,
-	testing::Values(
-		answer_case{ "Conflict",
-			     http("412 Precondition Failed", "{\"version\":9}"),
-			     byte_server::AFTER_KEEP, UNAVAILABLE,
-			     RESULT_CONFLICT },
-		answer_case{ "RefusedAsMalformed", http("400 Bad Request", ""),
-			     byte_server::AFTER_KEEP, UNAVAILABLE,
-			     UNAVAILABLE },
-		answer_case{
-			"RefusedAsTooLarge", http("413 Payload Too Large", ""),
-			byte_server::AFTER_CLOSE, UNAVAILABLE, UNAVAILABLE },
-		answer_case{ "RequestTimeout", http("408 Request Timeout", ""),
-			     byte_server::AFTER_CLOSE, UNAVAILABLE, UNSETTLED },
-		answer_case{ "ServerError",
-			     http("500 Internal Server Error", ""),
-			     byte_server::AFTER_KEEP, UNAVAILABLE, UNSETTLED },
-		answer_case{ "Unavailable", http("503 Service Unavailable", ""),
-			     byte_server::AFTER_KEEP, UNAVAILABLE, UNSETTLED },
-		answer_case{ "OtherSuccess", http("202 Accepted", "{}"),
-			     byte_server::AFTER_KEEP, UNAVAILABLE, UNSETTLED },
-		answer_case{ "Redirect",
-			     "HTTP/1.1 307 Temporary Redirect\r\n"
-			     "Location: /elsewhere\r\n"
-			     "Content-Length: 0\r\n\r\n",
-			     byte_server::AFTER_KEEP, UNAVAILABLE, UNSETTLED },
-		answer_case{ "ClosedWithoutAnswer", "",
-			     byte_server::AFTER_CLOSE, UNAVAILABLE, UNSETTLED },
-		answer_case{ "SilentWithoutAnswer", "", byte_server::AFTER_HOLD,
-			     UNAVAILABLE, UNSETTLED },
-		answer_case{ "SilentAfterTheHead",
-			     "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n",
-			     byte_server::AFTER_HOLD, UNAVAILABLE, UNSETTLED },
-		answer_case{ "ShorterThanItsLength",
-			     "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n"
-			     "{\"version\":8}",
-			     byte_server::AFTER_CLOSE, UNAVAILABLE, UNSETTLED },
-		answer_case{ "LongerThanItsLength",
-			     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
-			     "{\"version\":8}",
-			     byte_server::AFTER_CLOSE, UNAVAILABLE, UNSETTLED },
-		answer_case{ "NotHttp", "SSH-2.0-x\r\n",
-			     byte_server::AFTER_CLOSE, UNAVAILABLE, UNSETTLED },
-		answer_case{ "NotJson", http("200 OK", "<html>"),
-			     byte_server::AFTER_KEEP, UNAVAILABLE, UNSETTLED },
-		answer_case{ "MoreBehindTheJson",
-			     http("200 OK", "{\"version\":8}{}"),
-			     byte_server::AFTER_KEEP, UNAVAILABLE, UNSETTLED },
-		answer_case{ "NoVersion", http("200 OK", "{\"value\":\"v\"}"),
-			     byte_server::AFTER_KEEP, UNAVAILABLE, UNSETTLED },
-		answer_case{
-			"VersionIsText",
-			http("200 OK", "{\"version\":\"8\",\"value\":\"v\"}"),
-			byte_server::AFTER_KEEP, UNAVAILABLE, UNSETTLED },
-		answer_case{ "VersionNegative",
-			     http("200 OK", "{\"version\":-8,\"value\":\"v\"}"),
-			     byte_server::AFTER_KEEP, UNAVAILABLE, UNSETTLED },
-		answer_case{ "VersionTwice",
-			     http("200 OK", "{\"version\":8,\"version\":9,"
-					    "\"value\":\"v\"}"),
-			     byte_server::AFTER_KEEP, UNAVAILABLE, UNSETTLED },
-		answer_case{ "VersionNotNewer",
-			     http("200 OK", "{\"version\":7,\"value\":\"v\"}"),
-			     byte_server::AFTER_KEEP, RESULT_OK, UNSETTLED },
-		answer_case{
-			"ValueWithNul",
-			http("200 OK", "{\"version\":7,\"value\":\"\\u0000\"}"),
-			byte_server::AFTER_KEEP, UNAVAILABLE, UNSETTLED },
-		answer_case{
-			"ValueTooLarge",
-			http("200 OK",
-			     "{\"version\":7,\"value\":\"" +
-				     std::string(CONFIG_MAX_BYTES + 1, 'v') +
-				     "\"}"),
-			byte_server::AFTER_KEEP, UNAVAILABLE, UNSETTLED },
-		answer_case{ "DeeplyNested",
-			     http("200 OK", std::string(1 << 20, '[')),
-			     byte_server::AFTER_KEEP, UNAVAILABLE, UNSETTLED },
-		answer_case{ "LargerThanTheBound",
-			     http("200 OK",
-				  std::string(3 * CONFIG_MAX_BYTES, ' ') +
-					  "{\"version\":8,\"value\":\"v\"}"),
-			     byte_server::AFTER_CLOSE, UNAVAILABLE,
-			     UNSETTLED }),
-	answer_name);
+INSTANTIATE_TEST_SUITE_P(Cases, PlatformAnswer, testing::ValuesIn(answers),
+			 answer_name);
+
+/* Apart from the table, which each test's process builds whole. */
+TEST(PlatformHttp, AnswersTooLargeAreErrors)
+{
+	check_answer({ "LargerThanTheBound",
+		       ok(std::string(3 * CONFIG_MAX_BYTES, ' ') + newer),
+		       CLOSE, UNAVAILABLE, UNSETTLED });
+	check_answer(
+		{ "ValueTooLarge",
+		  http("200 OK",
+		       "{\"version\":7,\"value\":\"" +
+			       std::string(CONFIG_MAX_BYTES + 1, 'v') + "\"}"),
+		  KEEP, UNAVAILABLE, UNSETTLED });
+	check_answer({ "DeeplyNested",
+		       http("200 OK", std::string(1 << 20, '[')), KEEP,
+		       UNAVAILABLE, UNSETTLED });
+}
 
 /*
  * The connection to the platform goes silent for good while new ones work.
--- a/tests/adapters/settings_test.cc
+++ b/tests/adapters/settings_test.cc
@@ -44,6 +44,89 @@
 	return info.param.name;
 }
 
+std::string many_peers()
+{
+	std::string peers = "[seeds]\npeers = [";
+
+	for (int i = 0; i < 17; i++)
+		peers += "\"127.1.1.1:1\",";
+	return peers + "]\n";
+}
+
+std::string node_with(const char *line)
+{
+	return std::string("[node]\n") + line + "\n";
+}
+
+/* The two tables that must be there have nine lines. */
+const bad_case bad_cases[] = {
+	{ "Empty", "", { "missing key node.name" } },
+	{ "NoPlace", without("place"), { "missing key node.place" } },
+	{ "NoPort",
+	  without("port = 7000"),
+	  { "missing key platform.port", "1 to 65535" } },
+	{ "UnknownKey",
+	  with("colour = 1\n"),
+	  { ":10: unknown key platform.colour" } },
+	{ "UnknownTable",
+	  with("[paint]\ncolour = 1\n"),
+	  { ":11: unknown key paint.colour" } },
+	{ "KeyAboveTables",
+	  "colour = 1\n" + with(""),
+	  { ":1: unknown key colour" } },
+	{ "TableWithinTable",
+	  with("[limits.more]\nhttp_threads = 9\n"),
+	  { ":10: unknown key limits.more" } },
+	{ "KeyTwice", with("port = 7001\n"), { ":10:8: ", "port" } },
+	{ "Syntax", with("[limits\n"), { ":10:" } },
+	{ "NotUtf8", with("[log]\npath = \"\xff\"\n"), {} },
+	{ "StringForNumber",
+	  with("[limits]\nhttp_threads = \"64\"\n"),
+	  { ":11: limits.http_threads must be", "4 to 4096" } },
+	{ "FloatForNumber",
+	  with("[limits]\nhttp_threads = 64.0\n"),
+	  { "limits.http_threads must be" } },
+	{ "NumberForString", with("[log]\npath = 1\n"), { "log.path must be" } },
+	{ "BelowRange", with("[limits]\nhttp_threads = 3\n"), { "4 to 4096" } },
+	{ "AboveRange",
+	  with("[limits]\nbody_max_bytes = 1048577\n"),
+	  { "1024 to 1048576" } },
+	{ "Negative",
+	  with("[steering]\nstop_linger_ms = -1\n"),
+	  { "steering.stop_linger_ms" } },
+	{ "BeyondSixtyFourBits",
+	  with("[limits]\nhttp_threads = 9223372036854775808\n"),
+	  { ":11:" } },
+	{ "NameWithBlank", node_with("name = \"n 1\""), { ":2: node.name" } },
+	{ "NameEmpty", node_with("name = \"\""), { ":2: node.name must be" } },
+	{ "NameTooLong",
+	  node_with(("name = \"" + std::string(64, 'n') + "\"").c_str()),
+	  { ":2: node.name must be", "1 to 63" } },
+	{ "NameWithNul",
+	  node_with("name = \"n1\\u0000\""),
+	  { ":2: node.name must be" } },
+	{ "AddressIsAHostName",
+	  node_with("address = \"localhost\""),
+	  { ":2: node.address must be", "IPv4" } },
+	{ "PortZero", node_with("http_port = 0"), { ":2: node.http_port" } },
+	{ "LevelUnknown",
+	  with("[log]\nlevel = \"loud\"\n"),
+	  { "log.level must be", "debug" } },
+	{ "PathTooLong",
+	  with(("[log]\npath = \"" + std::string(256, 'p') + "\"").c_str()),
+	  { "at most 255" } },
+	{ "PeerWithoutPort",
+	  with("[seeds]\npeers = [\"127.1.1.1\"]\n"),
+	  { "seeds.peers must be" } },
+	{ "PeerPortTooLarge",
+	  with("[seeds]\npeers = [\"127.1.1.1:65536\"]\n"),
+	  { "seeds.peers must be" } },
+	{ "PeersMixed",
+	  with("[seeds]\npeers = [\"127.1.1.1:1\", 2]\n"),
+	  { "seeds.peers must be" } },
+	{ "PeersTooMany", with(many_peers().c_str()), { "at most 16" } },
+};
+
 } // namespace
 
 TEST(Settings, ShortestFileHasTheDefaultsOfThePage)
@@ -77,6 +160,32 @@
 	EXPECT_EQ(1000u, settings.trace_permille);
 }
 
+/* The page's example is a file that works, and tells the true defaults. */
+TEST(Settings, PageAgreesWithTheProgram)
+{
+	std::string here = __FILE__;
+	std::string page =
+		here.substr(0, here.rfind("/tests/")) + "/docs/SETTINGS.md";
+	std::ostringstream text;
+	struct settings shown;
+	struct settings fallback;
+	size_t start;
+
+	text << std::ifstream(page).rdbuf();
+	start = text.str().find("```toml\n") + 8;
+	temp_file example(text.str().substr(
+		start, text.str().find("```", start) - start));
+	temp_file shortest(with(""));
+	ASSERT_TRUE(settings_load(&shown, example.path.c_str(), NULL));
+	ASSERT_TRUE(settings_load(&fallback, shortest.path.c_str(), NULL));
+	EXPECT_EQ(1u, shown.seed_count);
+	EXPECT_STREQ("127.1.2.1:8081", shown.seeds[0]);
+	memset(shown.seeds, 0, sizeof(shown.seeds));
+	shown.seed_count = 0;
+	/* Both were cleared before they were filled, so gaps are equal too. */
+	EXPECT_EQ(0, memcmp(&shown, &fallback, sizeof(shown)));
+}
+
 TEST(Settings, GivenValuesGoBeforeDefaults)
 {
 	temp_file file(with("timeout_ms = 10\n"
@@ -141,98 +250,5 @@
 	g_clear_error(&error);
 }
 
-/* The two tables that must be there have nine lines. */
-INSTANTIATE_TEST_SUITE_P(
-	Cases, BadSettings,
-	testing::Values(
-		bad_case{ "Empty", "", { "missing key node.name" } },
-		bad_case{ "NoPlace",
-			  without("place"),
-			  { "missing key node.place" } },
-		bad_case{ "NoPort",
-			  without("port = 7000"),
-			  { "missing key platform.port", "1 to 65535" } },
-		bad_case{ "UnknownKey",
-			  with("colour = 1\n"),
-			  { ":10: unknown key platform.colour" } },
-		bad_case{ "UnknownTable",
-			  with("[paint]\ncolour = 1\n"),
-			  { ":11: unknown key paint.colour" } },
-		bad_case{ "KeyAboveTables",
-			  "colour = 1\n" + with(""),
-			  { ":1: unknown key colour" } },
-		bad_case{ "TableWithinTable",
-			  with("[limits.more]\nhttp_threads = 9\n"),
-			  { ":10: unknown key limits.more" } },
-		bad_case{ "KeyTwice",
-			  with("port = 7001\n"),
-			  { ":10:8: ", "port" } },
-		bad_case{ "Syntax", with("[limits\n"), { ":10:" } },
-		bad_case{ "NotUtf8", with("[log]\npath = \"\xff\"\n"), {} },
-		bad_case{ "StringForNumber",
-			  with("[limits]\nhttp_threads = \"64\"\n"),
-			  { ":11: limits.http_threads must be", "4 to 4096" } },
-		bad_case{ "FloatForNumber",
-			  with("[limits]\nhttp_threads = 64.0\n"),
-			  { "limits.http_threads must be" } },
-		bad_case{ "NumberForString",
-			  with("[log]\npath = 1\n"),
-			  { "log.path must be a string" } },
-		bad_case{ "BelowRange",
-			  with("[limits]\nhttp_threads = 3\n"),
-			  { "4 to 4096" } },
-		bad_case{ "AboveRange",
-			  with("[limits]\nbody_max_bytes = 1048577\n"),
-			  { "1024 to 1048576" } },
-		bad_case{ "Negative",
-			  with("[steering]\nstop_linger_ms = -1\n"),
-			  { "steering.stop_linger_ms" } },
-		bad_case{ "BeyondSixtyFourBits",
-			  with("[limits]\nhttp_threads = 9223372036854775808\n"),
-			  { ":11:" } },
-		bad_case{ "NameWithBlank",
-			  "[node]\nname = \"n 1\"\n",
-			  { ":2: node.name must be" } },
-		bad_case{ "NameEmpty",
-			  "[node]\nname = \"\"\n",
-			  { ":2: node.name must be" } },
-		bad_case{ "NameTooLong",
-			  "[node]\nname = \"" + std::string(64, 'n') + "\"\n",
-			  { ":2: node.name must be", "1 to 63" } },
-		bad_case{ "NameWithNul",
-			  "[node]\nname = \"n1\\u0000\"\n",
-			  { ":2: node.name must be" } },
-		bad_case{ "AddressIsAHostName",
-			  "[node]\naddress = \"localhost\"\n",
-			  { ":2: node.address must be", "IPv4" } },
-		bad_case{ "PortZero",
-			  "[node]\nhttp_port = 0\n",
-			  { ":2: node.http_port must be" } },
-		bad_case{ "LevelUnknown",
-			  with("[log]\nlevel = \"loud\"\n"),
-			  { "log.level must be", "debug" } },
-		bad_case{ "PathTooLong",
-			  with("[log]\npath = \"") + std::string(256, 'p') +
-				  "\"\n",
-			  { "at most 255" } },
-		bad_case{ "PeerWithoutPort",
-			  with("[seeds]\npeers = [\"127.1.1.1\"]\n"),
-			  { "seeds.peers must be" } },
-		bad_case{ "PeerPortTooLarge",
-			  with("[seeds]\npeers = [\"127.1.1.1:65536\"]\n"),
-			  { "seeds.peers must be" } },
-		bad_case{ "PeersMixed",
-			  with("[seeds]\npeers = [\"127.1.1.1:1\", 2]\n"),
-			  { "seeds.peers must be" } },
-		bad_case{ "PeersTooMany",
-			  with("[seeds]\npeers = [\n") +
-				  []() {
-					  std::string peers;
-
-					  for (int i = 0; i < 17; i++)
-						  peers += "\"127.1.1.1:1\",\n";
-					  return peers;
-				  }() +
-				  "]\n",
-			  { "at most 16" } }),
-	case_name);
+INSTANTIATE_TEST_SUITE_P(Cases, BadSettings, testing::ValuesIn(bad_cases),
+			 case_name);
--- a/tests/adapters/trace_test.cc
+++ b/tests/adapters/trace_test.cc
@@ -35,6 +35,31 @@
 	return std::string(header).replace(at, strlen(text), text);
 }
 
+const parent_case parent_cases[] = {
+	{ "Valid", header, true, true },
+	{ "NotSampled", with(53, "00"), true, false },
+	{ "OtherFlags", with(53, "fe"), true, false },
+	{ "Later", with(0, "01"), true, true },
+	{ "LaterWithMore", with(0, "cc") + "-more", true, true },
+	{ "LaterWithMoreUndivided", with(0, "cc") + "more", false, false },
+	{ "VersionFf", with(0, "ff"), false, false },
+	{ "VersionNoHex", with(0, "0g"), false, false },
+	{ "Empty", "", false, false },
+	{ "TwoBytes", "00", false, false },
+	{ "OneShort", std::string(header).substr(0, 54), false, false },
+	{ "OneLong", std::string(header) + "0", false, false },
+	{ "LongByADash", std::string(header) + "-", false, false },
+	{ "UpperCase", with(3, "0A"), false, false },
+	{ "NoHexInSpan", with(36, "x"), false, false },
+	{ "NoHexInFlags", with(54, " "), false, false },
+	{ "ZeroTrace", with(3, std::string(32, '0').c_str()), false, false },
+	{ "ZeroSpan", with(36, std::string(16, '0').c_str()), false, false },
+	{ "WrongDivider1", with(2, "_"), false, false },
+	{ "WrongDivider2", with(35, "_"), false, false },
+	{ "WrongDivider3", with(52, "_"), false, false },
+	{ "Megabyte", std::string(1 << 20, '0'), false, false },
+};
+
 std::string member(json_t *object, const char *key)
 {
 	const char *text = json_string_value(json_object_get(object, key));
@@ -85,40 +110,8 @@
 	EXPECT_EQ(c.sampled, context.sampled);
 }
 
-INSTANTIATE_TEST_SUITE_P(
-	Cases, TraceParent,
-	testing::Values(
-		parent_case{ "Valid", header, true, true },
-		parent_case{ "NotSampled", with(53, "00"), true, false },
-		parent_case{ "OtherFlags", with(53, "fe"), true, false },
-		parent_case{ "Later", with(0, "01"), true, true },
-		parent_case{ "LaterWithMore", with(0, "cc") + "-more", true,
-			     true },
-		parent_case{ "LaterWithMoreUndivided", with(0, "cc") + "more",
-			     false, false },
-		parent_case{ "VersionFf", with(0, "ff"), false, false },
-		parent_case{ "VersionNoHex", with(0, "0g"), false, false },
-		parent_case{ "Empty", "", false, false },
-		parent_case{ "TwoBytes", "00", false, false },
-		parent_case{ "OneShort", std::string(header).substr(0, 54),
-			     false, false },
-		parent_case{ "OneLong", std::string(header) + "0", false,
-			     false },
-		parent_case{ "LongByADash", std::string(header) + "-", false,
-			     false },
-		parent_case{ "UpperCase", with(3, "0A"), false, false },
-		parent_case{ "NoHexInSpan", with(36, "x"), false, false },
-		parent_case{ "NoHexInFlags", with(54, " "), false, false },
-		parent_case{ "ZeroTrace", with(3, std::string(32, '0').c_str()),
-			     false, false },
-		parent_case{ "ZeroSpan", with(36, std::string(16, '0').c_str()),
-			     false, false },
-		parent_case{ "WrongDivider1", with(2, "_"), false, false },
-		parent_case{ "WrongDivider2", with(35, "_"), false, false },
-		parent_case{ "WrongDivider3", with(52, "_"), false, false },
-		parent_case{ "Megabyte", std::string(1 << 20, '0'), false,
-			     false }),
-	case_name);
+INSTANTIATE_TEST_SUITE_P(Cases, TraceParent, testing::ValuesIn(parent_cases),
+			 case_name);
 
 TEST_F(Trace, SpanHasTheNamesOfOtlp)
 {
