--- a/packages/core/gate.c
+++ b/packages/core/gate.c
@@ -14,8 +14,8 @@
  * grow to the burst bound; one that has stood for longer is overload, and then
  * waiting gains nothing but late answers, so that the tight bound holds.
  */
-#define WAIT_BURST 4.0
-#define WAIT_TIGHT 1.5
+#define WAIT_BURST 2.0
+#define WAIT_TIGHT 1.0
 #define WAIT_NON_IDEMPOTENT 8.0
 /* Even the tight bound lets this many wait, or few slots would run idle. */
 #define WAIT_MIN_REQUESTS 4
@@ -24,6 +24,8 @@
 
 /* A server this much slower than others is used only if the others queue up. */
 #define SLOW_FACTOR 1.5
+/* Part of the bound on waiting that others may queue up to before that. */
+#define WORTH_WAITING 0.65
 
 /* Without an answer for so long, estimates refuse nobody. */
 #define ESTIMATE_TRUST_US (1 * 1000 * 1000ull)
@@ -287,8 +289,9 @@
 		return false;
 	wait_us = (urgent_waiting(gate) + 1) / fast_rate;
 	return wait_us + fast_slots / fast_rate < slow_us &&
-	       wait_us < 0.5 * (double)wait_bound_us(gate, SERVICE_INTERACTIVE,
-						     now_us);
+	       wait_us < WORTH_WAITING *
+				 (double)wait_bound_us(
+					 gate, SERVICE_INTERACTIVE, now_us);
 }
 
 /* Handle of the backend server to use now; false if none should be. */
