steer: close a place after refusals in a row only

Cause: one refusal of a place's gate closed the place to the entry node for the time that the refusal named for its caller, a tenth of a second and more. At 120% of capacity one in six requests is refused, so places stood closed most of the time and requests took the way to another region.

Now three refusals without an answer between them close it.

--- a/packages/core/steer_place.c
+++ b/packages/core/steer_place.c
@@ -38,6 +38,7 @@
 #define WINDOW_OPEN_FACTOR 4
 
 #define CLOSED_MOST_US (5 * MICRO)
+#define CLOSED_REFUSALS_IN_ROW 3
 #define CLOSED_TRIAL_US (1 * MICRO)
 
 /* The throttle lets through this many requests for each accepted one. */
@@ -475,6 +476,14 @@
 	uint64_t closed_us = min_u64(retry_after_us, CLOSED_MOST_US);
 
 	cut_window(place, now_us);
+	/*
+	 * A gate under a little more load than it bears refuses a few of many.
+	 * Each such refusal names a time for its caller; if it closed the place
+	 * to all, requests would take the long way to another region while
+	 * slots here fall idle.
+	 */
+	if (++place->refusals_in_row < CLOSED_REFUSALS_IN_ROW)
+		return;
 	place->closed_until_us =
 		max_u64(place->closed_until_us, now_us + closed_us);
 }
@@ -718,6 +727,7 @@
 	switch (feedback->result) {
 	case RESULT_OK:
 		place->accepted++;
+		place->refusals_in_row = 0;
 		learn_alive(place, now_us);
 		learn_latency(place, feedback->latency_us, now_us);
 		grow_window(place);
--- a/packages/core/steer_place.h
+++ b/packages/core/steer_place.h
@@ -8,7 +8,8 @@
  * Guards, in the order in which they are asked:
  *   health   a place that fails gets trial requests only, then 1, 2, 4, ...
  *            requests in flight, doubled each STEER_STEP_US
- *   closed   a gate that named a time to come back isn't asked before it
+ *   closed   a gate that refuses request after request and names a time to come
+ *            back isn't asked before it
  *   window   requests in flight, cut on overload, grown by answers
  *   silence  without reports a place keeps at most the rate it had, halved each
  *            STEER_SILENT_HALF_US, down to STEER_SILENT_FLOOR_PER_S
@@ -78,6 +79,7 @@
 
 	bool failing;
 	bool trial_sent;
+	uint32_t refusals_in_row; /* of the gate, since the last answer */
 	uint32_t failures_in_row;
 	uint32_t failure_permille;
 	uint64_t failed_us;
