gate: bound the time to come back while no slot is usable

Cause: with every backend server down the expected wait has no bound, and a refusal told callers to stay away for half a minute and more, long after the first server is back.

--- a/packages/core/gate.c
+++ b/packages/core/gate.c
@@ -346,9 +346,9 @@
  */
 static uint64_t retry_after_us(struct gate *gate, uint64_t now_us)
 {
+	uint64_t wait_us = expected_wait_us(gate, SERVICE_INTERACTIVE, now_us);
 	double base_us =
-		(double)(service_us(gate) +
-			 expected_wait_us(gate, SERVICE_INTERACTIVE, now_us));
+		(double)(service_us(gate) + MIN(wait_us, NO_SLOT_WAIT_US));
 	double spread = (gate->refusals++ * 2654435769u) / 4294967296.0;
 
 	base_us *= 1.0 +
