peer_rpc: send what fits of a message that is too large

A message beyond the bounds was refused before it went out. The next one is as large, so a node of a place where more than 64 backend servers leave at once, or with more than 256 services, would be cut off from its peers for that long, and taken for silent. It goes out with what fits now, the sender's own report first; what is left out is counted in lilacfield_peer_cut_total. The bounds are 1024 services and 4096 leaving backend servers in a report; 4 MiB in all.

Ruled out: refusing, as above; splitting into several calls, which needs state between them for a case that the bounds push far away.

--- a/packages/adapters/peer_client.c
+++ b/packages/adapters/peer_client.c
@@ -191,13 +191,6 @@
 	       receive_answer(client, answer, deadline_us, error);
 }
 
-static bool refuse_too_large(GError **error)
-{
-	g_set_error(error, RESULT_ERROR, RESULT_OUT_OF_RANGE,
-		    "message to a peer beyond the bounds of peer.x");
-	return false;
-}
-
 bool peer_client_exchange(struct peer_client *client,
 			  const struct peer_message *message,
 			  struct peer_message *answer, GError **error)
@@ -208,10 +201,6 @@
 
 	pthread_mutex_lock(&client->lock);
 	call = peer_encode_exchange_call(++client->xid, message);
-	if (!call) {
-		pthread_mutex_unlock(&client->lock);
-		return refuse_too_large(error);
-	}
 	ok = call_locked(client, call, &record, error);
 	if (ok &&
 	    !peer_decode_exchange_answer(record.data, client->xid, answer))
--- a/packages/adapters/peer_codec.c
+++ b/packages/adapters/peer_codec.c
@@ -4,10 +4,13 @@
 
 #include <peer.h>
 
+#include "adapters/metrics.h"
 #include "adapters/peer_record.h"
 
 /* Heads of calls and answers without credentials take less. */
 #define HEAD_MAX_BYTES 256
+/* Encoded, so that head and message fit in the record of a call. */
+#define MESSAGE_MAX_BYTES (PEER_CALL_MAX_BYTES - HEAD_MAX_BYTES)
 
 _Static_assert(PEER_XDR_NAME_MAX == NAME_SIZE - 1, "peer.x and NAME_SIZE");
 _Static_assert(PEER_XDR_MAX_REPORTS == PEER_MAX_REPORTS, "peer.x");
@@ -15,10 +18,11 @@
 _Static_assert(PEER_XDR_MAX_BACKENDS == PEER_MAX_BACKENDS, "peer.x");
 _Static_assert(PEER_XDR_MAX_CONFIG == CONFIG_MAX_BYTES, "peer.x");
 
-/* Head and body of a record to encode; a body of xdr_void is empty. */
+/* What follows the head of a record to encode. */
 struct body {
 	xdrproc_t encode;
 	void *data;
+	size_t size; /* at most, in bytes */
 };
 
 static bool_t encode_nothing(XDR *xdrs, void *data)
@@ -28,15 +32,24 @@
 	return TRUE;
 }
 
-static const struct body empty_body = { (xdrproc_t)encode_nothing, NULL };
+/* Record with room for head and body, and an encoder at its start. */
+static GByteArray *start_record(const struct body *body, XDR *xdrs)
+{
+	size_t size = body->size + HEAD_MAX_BYTES;
+	GByteArray *record = g_byte_array_new();
+
+	g_byte_array_set_size(record, (guint)size + PEER_RECORD_MARK_SIZE);
+	xdrmem_create(xdrs, (char *)record->data + PEER_RECORD_MARK_SIZE,
+		      (u_int)size, XDR_ENCODE);
+	return record;
+}
 
-static GByteArray *finish_record(GByteArray *record, XDR *xdrs, bool ok,
-				 size_t max_bytes)
+static GByteArray *finish_record(GByteArray *record, XDR *xdrs, bool ok)
 {
 	size_t length = xdr_getpos(xdrs);
 
 	xdr_destroy(xdrs);
-	if (!ok || length > max_bytes) {
+	if (!ok) {
 		g_byte_array_free(record, TRUE);
 		return NULL;
 	}
@@ -45,20 +58,6 @@
 	return record;
 }
 
-/* Record with room for head and body, and an encoder at its start. */
-static GByteArray *start_record(const struct body *body, size_t max_bytes,
-				XDR *xdrs)
-{
-	size_t size = xdr_sizeof(body->encode, body->data) + HEAD_MAX_BYTES;
-	GByteArray *record = g_byte_array_new();
-
-	size = MIN(size, max_bytes + HEAD_MAX_BYTES);
-	g_byte_array_set_size(record, (guint)size + PEER_RECORD_MARK_SIZE);
-	xdrmem_create(xdrs, (char *)record->data + PEER_RECORD_MARK_SIZE,
-		      (u_int)size, XDR_ENCODE);
-	return record;
-}
-
 static GByteArray *encode_call(uint32_t xid, rpcproc_t procedure,
 			       const struct body *body)
 {
@@ -73,9 +72,9 @@
 	head.rm_call.cb_prog = PEER_PROGRAM;
 	head.rm_call.cb_vers = PEER_VERSION;
 	head.rm_call.cb_proc = procedure;
-	record = start_record(body, PEER_CALL_MAX_BYTES, &xdrs);
+	record = start_record(body, &xdrs);
 	ok = xdr_callmsg(&xdrs, &head) && body->encode(&xdrs, body->data);
-	return finish_record(record, &xdrs, ok, PEER_CALL_MAX_BYTES);
+	return finish_record(record, &xdrs, ok);
 }
 
 static GByteArray *encode_answer(uint32_t xid, enum accept_stat stat,
@@ -97,22 +96,19 @@
 		head.acpted_rply.ar_results.proc = body->encode;
 		head.acpted_rply.ar_results.where = body->data;
 	}
-	record = start_record(body, PEER_ANSWER_MAX_BYTES, &xdrs);
+	record = start_record(body, &xdrs);
 	ok = xdr_replymsg(&xdrs, &head);
-	return finish_record(record, &xdrs, ok, PEER_ANSWER_MAX_BYTES);
+	return finish_record(record, &xdrs, ok);
 }
 
-/* The texts of a message to encode stay in the message. */
-static void fill_report(const struct peer_report *report,
-			peer_xdr_report *target)
+static uint32_t fill_services(const struct peer_report *report,
+			      peer_xdr_report *target)
 {
-	peer_xdr_service *services =
-		g_new0(peer_xdr_service, report->service_count);
-	peer_xdr_name *backends =
-		g_new0(peer_xdr_name, report->leaving_backend_count);
+	uint32_t count = MIN(report->service_count, PEER_MAX_SERVICES);
+	peer_xdr_service *services = g_new0(peer_xdr_service, count);
 	uint32_t i;
 
-	for (i = 0; i < report->service_count; i++) {
+	for (i = 0; i < count; i++) {
 		struct peer_service_report *service = &report->services[i];
 
 		services[i].service = service->service;
@@ -122,8 +118,29 @@
 		services[i].service_us = service->summary.service_us;
 		services[i].wait_us = service->summary.wait_us;
 	}
-	for (i = 0; i < report->leaving_backend_count; i++)
+	target->services.services_len = count;
+	target->services.services_val = services;
+	return report->service_count - count;
+}
+
+static uint32_t fill_backends(const struct peer_report *report,
+			      peer_xdr_report *target)
+{
+	uint32_t count = MIN(report->leaving_backend_count, PEER_MAX_BACKENDS);
+	peer_xdr_name *backends = g_new0(peer_xdr_name, count);
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
 		backends[i] = report->leaving_backends[i];
+	target->leaving_backends.leaving_backends_len = count;
+	target->leaving_backends.leaving_backends_val = backends;
+	return report->leaving_backend_count - count;
+}
+
+/* The texts stay in the report. How much was left out of it. */
+static uint32_t fill_report(const struct peer_report *report,
+			    peer_xdr_report *target)
+{
 	target->node = (char *)report->node;
 	target->incarnation = report->incarnation;
 	target->sequence = report->sequence;
@@ -131,38 +148,65 @@
 	target->config_version = report->config_version;
 	target->age_us = report->age_us;
 	target->leaving = report->leaving;
-	target->services.services_len = report->service_count;
-	target->services.services_val = services;
-	target->leaving_backends.leaving_backends_len =
-		report->leaving_backend_count;
-	target->leaving_backends.leaving_backends_val = backends;
+	return fill_services(report, target) + fill_backends(report, target);
+}
+
+/* Not xdr_free(): the texts aren't the target's. */
+static void clear_report(peer_xdr_report *target)
+{
+	g_free(target->services.services_val);
+	g_free(target->leaving_backends.leaving_backends_val);
 }
 
-static void fill_message(const struct peer_message *message,
-			 peer_xdr_message *target)
+static void count_cut(uint32_t cut)
 {
+	if (cut)
+		metric_add(metric_counter("lilacfield_peer_cut_total",
+					  "Reports, and services and leaving "
+					  "backend servers in them, that a "
+					  "message had no room for.",
+					  NULL),
+			   cut);
+}
+
+/*
+ * A message that is refused for its size would be as large at the next attempt:
+ * its node would be cut off from all peers for as long as, say, many backend
+ * servers leave at once. It goes out with what fits, its own report first.
+ */
+static size_t fill_message(const struct peer_message *message,
+			   peer_xdr_message *target)
+{
+	uint32_t most = MIN(message->report_count, PEER_MAX_REPORTS);
+	peer_xdr_report *reports = g_new0(peer_xdr_report, most);
+	size_t size = sizeof(message->sender) + 2 * BYTES_PER_XDR_UNIT;
+	uint32_t cut = 0;
 	uint32_t i;
 
+	for (i = 0; i < most; i++) {
+		uint32_t left_out =
+			fill_report(&message->reports[i], &reports[i]);
+
+		size += xdr_sizeof((xdrproc_t)xdr_peer_xdr_report, &reports[i]);
+		if (size > MESSAGE_MAX_BYTES) {
+			clear_report(&reports[i]);
+			break;
+		}
+		cut += left_out;
+	}
+	count_cut(cut + message->report_count - i);
 	target->sender = (char *)message->sender;
-	target->reports.reports_len = message->report_count;
-	target->reports.reports_val =
-		g_new0(peer_xdr_report, message->report_count);
-	for (i = 0; i < message->report_count; i++)
-		fill_report(&message->reports[i],
-			    &target->reports.reports_val[i]);
+	target->reports.reports_len = i;
+	target->reports.reports_val = reports;
+	return MIN(size, MESSAGE_MAX_BYTES);
 }
 
-/* Not xdr_free(): the texts aren't the target's. */
 static void clear_message(peer_xdr_message *target)
 {
 	uint32_t i;
 
-	for (i = 0; i < target->reports.reports_len; i++) {
-		peer_xdr_report *report = &target->reports.reports_val[i];
-
-		g_free(report->services.services_val);
-		g_free(report->leaving_backends.leaving_backends_val);
-	}
+	for (i = 0; i < target->reports.reports_len; i++)
+		clear_report(&target->reports.reports_val[i]);
 	g_free(target->reports.reports_val);
 }
 
@@ -170,12 +214,13 @@
 				      const struct peer_message *message)
 {
 	peer_xdr_message target;
-	struct body body = { (xdrproc_t)xdr_peer_xdr_message, &target };
+	struct body body = { (xdrproc_t)xdr_peer_xdr_message, &target, 0 };
 	GByteArray *record;
 
-	fill_message(message, &target);
+	body.size = fill_message(message, &target);
 	record = encode_call(xid, PEER_EXCHANGE, &body);
 	clear_message(&target);
+	g_assert(record);
 	return record;
 }
 
@@ -183,19 +228,21 @@
 					const struct peer_message *message)
 {
 	peer_xdr_message target;
-	struct body body = { (xdrproc_t)xdr_peer_xdr_message, &target };
+	struct body body = { (xdrproc_t)xdr_peer_xdr_message, &target, 0 };
 	GByteArray *record;
 
-	fill_message(message, &target);
+	body.size = fill_message(message, &target);
 	record = encode_answer(xid, SUCCESS, &body);
 	clear_message(&target);
+	g_assert(record);
 	return record;
 }
 
 GByteArray *peer_encode_config_call(uint32_t xid, uint64_t newer_than)
 {
 	peer_xdr_config_request request = { newer_than };
-	struct body body = { (xdrproc_t)xdr_peer_xdr_config_request, &request };
+	struct body body = { (xdrproc_t)xdr_peer_xdr_config_request, &request,
+			     sizeof(request) };
 
 	return encode_call(xid, PEER_CONFIG, &body);
 }
@@ -203,18 +250,24 @@
 GByteArray *peer_encode_config_answer(uint32_t xid, uint64_t version,
 				      const char *text)
 {
+	size_t length = text ? strlen(text) : 0;
 	peer_xdr_config config = { 0 };
-	struct body body = { (xdrproc_t)xdr_peer_xdr_config, &config };
+	struct body body = { (xdrproc_t)xdr_peer_xdr_config, &config,
+			     sizeof(config) + length };
 
+	if (length > CONFIG_MAX_BYTES)
+		return NULL;
 	config.config_version = version;
-	config.text.text_len = text ? (u_int)strlen(text) : 0;
+	config.text.text_len = (u_int)length;
 	config.text.text_val = (char *)(text ? text : "");
 	return encode_answer(xid, SUCCESS, &body);
 }
 
 GByteArray *peer_encode_empty_answer(uint32_t xid, int accept_stat)
 {
-	return encode_answer(xid, (enum accept_stat)accept_stat, &empty_body);
+	struct body body = { (xdrproc_t)encode_nothing, NULL, 0 };
+
+	return encode_answer(xid, (enum accept_stat)accept_stat, &body);
 }
 
 /* Names go on into logs, metrics and look-ups: visible bytes only. */
--- a/packages/adapters/peer_codec.h
+++ b/packages/adapters/peer_codec.h
@@ -1,9 +1,10 @@
 /*
  * peer_codec - calls and answers of peer.x as records
  *
- * Encoders return a whole record with its mark, or NULL where the message goes
- * beyond the bounds of peer.x. Decoders take a record without marks, trust
- * nothing in it and leave nothing to release where they return false.
+ * Encoders return a whole record with its mark. What a message holds beyond the
+ * bounds of peer.x is left out from the end and counted. Decoders take a record
+ * without marks, trust nothing in it and leave nothing to release where they
+ * return false.
  */
 #ifndef ADAPTERS_PEER_CODEC_H
 #define ADAPTERS_PEER_CODEC_H
@@ -42,7 +43,7 @@
 
 GByteArray *peer_encode_exchange_answer(uint32_t xid,
 					const struct peer_message *message);
-/* text is NULL where there is nothing newer. */
+/* text is NULL where there is nothing newer; NULL where it is too large. */
 GByteArray *peer_encode_config_answer(uint32_t xid, uint64_t version,
 				      const char *text);
 /* An answer without results: accept_stat of RFC 5531. */
--- a/packages/adapters/peer_rpc.h
+++ b/packages/adapters/peer_rpc.h
@@ -22,8 +22,8 @@
 #endif
 
 #define PEER_MAX_REPORTS 2048
-#define PEER_MAX_SERVICES 256
-#define PEER_MAX_BACKENDS 64
+#define PEER_MAX_SERVICES 1024
+#define PEER_MAX_BACKENDS 4096
 
 /* What a node says of one service at its own place. */
 struct peer_service_report {
@@ -103,8 +103,9 @@
 void peer_client_free(struct peer_client *client);
 
 /*
- * answer is for peer_message_release(). RESULT_UNREACHABLE on failure, but
- * RESULT_OUT_OF_RANGE for a message beyond the bounds above.
+ * answer is for peer_message_release(). RESULT_UNREACHABLE on failure. What is
+ * beyond the bounds above, or 4 MiB in all, is left out from the end, both
+ * ways, and counted in lilacfield_peer_cut_total.
  */
 bool peer_client_exchange(struct peer_client *client,
 			  const struct peer_message *message,
