config: names found by hash while decoding; capacity's measurements

Each of 160,000 blocks names one of 320 places, and each was looked for from the start of the list: O(blocks * places). The names read are now kept in a table for each list while the document is decoded, which also finds names that stand twice, as before.

Ruled out: a table kept in struct config, since the document changes it by hand in other places and look-ups by name are few.

--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,9 @@
 bench: build
 	$(BUILD)/tests/bench/bench
 
+capacity: build
+	$(BUILD)/tests/capacity/capacity
+
 prove: setup
 	models/prove.sh
 
@@ -66,4 +69,4 @@
 	rm -rf $(BUILD) $(SAN_BUILD)
 
 .PHONY: all setup build format format-check lint test sanitize check demo \
-	bench prove faults soak clean
+	bench capacity prove faults soak clean
--- a/packages/core/config.c
+++ b/packages/core/config.c
@@ -16,11 +16,29 @@
 #define MAX_ONE_WAY_US 10000000
 #define MAX_PERMILLE 1000
 
-/* Where in the document the reading is, so that an error can name it. */
+/* Lists in the order of reading: later ones refer to earlier ones. */
+enum list {
+	LIST_SERVICES,
+	LIST_PLACES,
+	LIST_NODES,
+	LIST_BACKENDS,
+	LIST_LINKS,
+	LIST_SHIFTS,
+	LIST_BLOCKS,
+	LIST_COMMANDS,
+	LIST_COUNT,
+};
+
+/*
+ * Where in the document the reading is, so that an error can name it, and the
+ * names read so far: each of 160,000 blocks names one of hundreds of places, so
+ * that a search through the list for each took most of the time of decoding.
+ */
 struct reader {
 	const char *list; /* "services" */
 	size_t index; /* in the list */
 	json_t *item;
+	GHashTable *const *names; /* by enum list: name to index */
 	GError **error;
 };
 
@@ -156,17 +174,16 @@
 
 /* Read a member that names an item of another list. */
 static bool read_reference(const struct reader *reader, const char *member,
-			   const struct config *config,
-			   uint32_t (*find)(const struct config *,
-					    const char *),
-			   uint32_t *index)
+			   enum list list, uint32_t *index)
 {
 	const char *text =
 		json_string_value(json_object_get(reader->item, member));
+	gpointer found;
 
-	*index = text ? find(config, text) : CONFIG_NONE;
-	if (*index == CONFIG_NONE)
+	if (!text || !g_hash_table_lookup_extended(reader->names[list], text,
+						   NULL, &found))
 		return refuse(reader, member, "a name that the document lists");
+	*index = GPOINTER_TO_UINT(found);
 	return true;
 }
 
@@ -233,8 +250,7 @@
 
 	return check_members(reader, members) &&
 	       read_name(reader, "name", node->name, NAME_SIZE) &&
-	       read_reference(reader, "place", config, config_find_place,
-			      &node->place) &&
+	       read_reference(reader, "place", LIST_PLACES, &node->place) &&
 	       read_address(reader, node->address) &&
 	       read_port(reader, "http_port", &node->http_port) &&
 	       read_port(reader, "peer_port", &node->peer_port) &&
@@ -251,10 +267,9 @@
 
 	return check_members(reader, members) &&
 	       read_name(reader, "name", backend->name, NAME_SIZE) &&
-	       read_reference(reader, "service", config, config_find_service,
+	       read_reference(reader, "service", LIST_SERVICES,
 			      &backend->service) &&
-	       read_reference(reader, "place", config, config_find_place,
-			      &backend->place) &&
+	       read_reference(reader, "place", LIST_PLACES, &backend->place) &&
 	       read_address(reader, backend->address) &&
 	       read_port(reader, "port", &backend->port) &&
 	       read_u32(reader, "slots", 1, MAX_SLOTS, &backend->slots) &&
@@ -291,12 +306,10 @@
 
 	if (!check_members(reader, members) ||
 	    !read_name(reader, "id", shift->id, ID_SIZE) ||
-	    !read_reference(reader, "service", config, config_find_service,
+	    !read_reference(reader, "service", LIST_SERVICES,
 			    &shift->service) ||
-	    !read_reference(reader, "from", config, config_find_place,
-			    &shift->from) ||
-	    !read_reference(reader, "to", config, config_find_place,
-			    &shift->to) ||
+	    !read_reference(reader, "from", LIST_PLACES, &shift->from) ||
+	    !read_reference(reader, "to", LIST_PLACES, &shift->to) ||
 	    !read_u32(reader, "share_permille", 1, MAX_PERMILLE,
 		      &shift->share_permille) ||
 	    !read_u32(reader, "cap_per_s", 1, SHIFT_MAX_CAP_PER_S,
@@ -323,8 +336,7 @@
 	bool good;
 
 	if (!check_members(reader, members) ||
-	    !read_reference(reader, "place", config, config_find_place,
-			    &block->place))
+	    !read_reference(reader, "place", LIST_PLACES, &block->place))
 		return false;
 	text = json_string_value(json_object_get(reader->item, "prefix"));
 	parts = g_strsplit(text ? text : "", "/", 3);
@@ -371,16 +383,19 @@
 			offsetof(struct config, count), (most), unique, read \
 	}
 
-/* In this order, because later lists refer to earlier ones. */
-static const struct list_reader list_readers[] = {
-	LIST(services, service_count, 4096, true, read_service),
-	LIST(places, place_count, 4096, true, read_place),
-	LIST(nodes, node_count, 16384, true, read_node),
-	LIST(backends, backend_count, 262144, true, read_backend),
-	LIST(links, link_count, 65536, false, read_link),
-	LIST(shifts, shift_count, CONFIG_MAX_SHIFTS, true, read_shift),
-	LIST(blocks, block_count, 1048576, false, read_block),
-	LIST(commands, command_count, CONFIG_COMMANDS_KEPT, true, read_command),
+static const struct list_reader list_readers[LIST_COUNT] = {
+	[LIST_SERVICES] =
+		LIST(services, service_count, 4096, true, read_service),
+	[LIST_PLACES] = LIST(places, place_count, 4096, true, read_place),
+	[LIST_NODES] = LIST(nodes, node_count, 16384, true, read_node),
+	[LIST_BACKENDS] =
+		LIST(backends, backend_count, 262144, true, read_backend),
+	[LIST_LINKS] = LIST(links, link_count, 65536, false, read_link),
+	[LIST_SHIFTS] =
+		LIST(shifts, shift_count, CONFIG_MAX_SHIFTS, true, read_shift),
+	[LIST_BLOCKS] = LIST(blocks, block_count, 1048576, false, read_block),
+	[LIST_COMMANDS] = LIST(commands, command_count, CONFIG_COMMANDS_KEPT,
+			       true, read_command),
 };
 
 static void **list_items(struct config *config, const struct list_reader *list)
@@ -394,19 +409,20 @@
 	return (uint32_t *)((char *)config + list->count_offset);
 }
 
-static bool check_unique(const struct reader *reader, GHashTable *seen,
+static bool take_in_name(const struct reader *reader, GHashTable *names,
 			 const char *name)
 {
-	if (g_hash_table_add(seen, (gpointer)name))
+	if (g_hash_table_insert(names, (gpointer)name,
+				GUINT_TO_POINTER(reader->index)))
 		return true;
 	return refuse(reader, "name", "unlike the others of its list");
 }
 
-static bool read_list(const struct list_reader *list, json_t *json,
-		      struct config *config, GError **error)
+static bool read_list(enum list which, json_t *json, struct config *config,
+		      GHashTable *const *names, GError **error)
 {
-	struct reader reader = { list->name, 0, NULL, error };
-	GHashTable *seen;
+	const struct list_reader *list = &list_readers[which];
+	struct reader reader = { list->name, 0, NULL, names, error };
 	bool good = true;
 	char *items;
 
@@ -420,17 +436,15 @@
 	}
 	items = g_malloc0_n(json_array_size(json) + 1, list->item_size);
 	*list_items(config, list) = items;
-	seen = g_hash_table_new(g_str_hash, g_str_equal);
 	while (good && reader.index < json_array_size(json)) {
 		char *item = items + reader.index * list->item_size;
 
 		reader.item = json_array_get(json, reader.index);
 		good = list->read(&reader, config, (uint32_t)reader.index) &&
 		       (!list->unique_names ||
-			check_unique(&reader, seen, item));
+			take_in_name(&reader, names[which], item));
 		*list_count(config, list) = (uint32_t)++reader.index;
 	}
-	g_hash_table_destroy(seen);
 	return good;
 }
 
@@ -465,10 +479,25 @@
 	return 0;
 }
 
-static bool read_document(json_t *root, struct config *config, GError **error)
+static bool read_lists(json_t *root, struct config *config, GError **error)
 {
-	size_t i;
+	GHashTable *names[LIST_COUNT];
+	bool good = true;
+	int i;
+
+	for (i = 0; i < LIST_COUNT; i++)
+		names[i] = g_hash_table_new(g_str_hash, g_str_equal);
+	for (i = 0; good && i < LIST_COUNT; i++)
+		good = read_list((enum list)i,
+				 json_object_get(root, list_readers[i].name),
+				 config, names, error);
+	for (i = 0; i < LIST_COUNT; i++)
+		g_hash_table_destroy(names[i]);
+	return good;
+}
 
+static bool read_document(json_t *root, struct config *config, GError **error)
+{
 	if (!json_is_object(root)) {
 		g_set_error(error, RESULT_ERROR, RESULT_CONFIG_INVALID,
 			    "the document must be an object");
@@ -476,11 +505,8 @@
 	}
 	if (!check_lists(root, error))
 		return false;
-	for (i = 0; i < G_N_ELEMENTS(list_readers); i++)
-		if (!read_list(&list_readers[i],
-			       json_object_get(root, list_readers[i].name),
-			       config, error))
-			return false;
+	if (!read_lists(root, config, error))
+		return false;
 	if (config->block_count)
 		qsort(config->blocks, config->block_count,
 		      sizeof(*config->blocks), compare_blocks);
