node: a server that came back isn't kept away by hearsay

Each node of a place passed on in its reports every backend server that it had as leaving, also those that it had only from a sibling's report. So two nodes kept each other believing: a server that was drained and undrained, or that said it was leaving and took it back, never got work again (seen with real processes: 8 s after the undrain both nodes still had it leaving, and always would).

Reports now carry what a node saw for itself: configuration, platform's list, the server's own report. Weighed: an age for each sign (a sign passed on keeps being renewed unless ages travel too). The two stories fail on the code before. faults.sh waits until returned servers are back at all nodes of their place.

--- a/packages/core/gate.c
+++ b/packages/core/gate.c
@@ -587,6 +587,13 @@
 		gate_backend_probe(backend, alive, now_us);
 }
 
+bool gate_says_leaving(const struct gate *gate, const char *backend_name)
+{
+	const struct gate_backend *backend = find_backend(gate, backend_name);
+
+	return backend && backend->reported_leaving;
+}
+
 const char *gate_backend_name(const struct gate *gate, uint32_t handle)
 {
 	const struct gate_backend *backend = backend_at(gate, handle);
--- a/packages/core/gate.h
+++ b/packages/core/gate.h
@@ -134,6 +134,9 @@
 void gate_probe(struct gate *gate, const char *backend_name, bool alive,
 		uint64_t now_us);
 
+/* Whether the backend server's own last report says that it leaves. */
+bool gate_says_leaving(const struct gate *gate, const char *backend_name);
+
 const char *gate_backend_name(const struct gate *gate, uint32_t backend);
 
 void gate_summarise(const struct gate *gate, uint64_t now_us,
--- a/packages/node/loops.c
+++ b/packages/node/loops.c
@@ -183,7 +183,24 @@
 	seats_keep(loop->loops->node);
 }
 
-/* Backend servers of the own place that are known to leave, to pass on. */
+/*
+ * Only what this node saw for itself: the configuration, the platform's list,
+ * the server's own report. If it passed on what a peer had told it, two nodes
+ * would keep each other believing, and a server that was drained once would
+ * never get work again.
+ */
+static bool is_seen_leaving(struct node *node, const struct snapshot *snapshot,
+			    const struct gate *gate, const char *backend)
+{
+	const struct config *config = snapshot->config;
+	uint32_t index = config_find_backend(config, backend);
+
+	return gate_says_leaving(gate, backend) ||
+	       (index != CONFIG_NONE &&
+		state_backend_leaving(node, config, &config->backends[index]));
+}
+
+/* Backend servers of the own place that are seen to leave, to pass on. */
 static void add_leaving(struct node *node, const struct snapshot *snapshot,
 			uint32_t index, GArray *names)
 {
@@ -197,7 +214,7 @@
 	     i++) {
 		char name[NAME_SIZE] = { 0 };
 
-		if (!view.leaving)
+		if (!is_seen_leaving(node, snapshot, service->gate, view.name))
 			continue;
 		g_strlcpy(name, view.name, sizeof(name));
 		g_array_append_vals(names, name, 1);
--- a/packages/node/state.c
+++ b/packages/node/state.c
@@ -199,13 +199,19 @@
 	}
 }
 
+bool state_backend_leaving(struct node *node, const struct config *config,
+			   const struct config_backend *backend)
+{
+	return backend->drained || config->places[backend->place].drained ||
+	       state_vm(node, backend->address) == VM_LEAVING;
+}
+
 /* Leaving is the OR of every sign that can be had; each may come first. */
 static bool backend_is_leaving(struct node *node, const struct config *config,
 			       const struct config_backend *backend,
 			       uint64_t now_us)
 {
-	return backend->drained || config->places[backend->place].drained ||
-	       state_vm(node, backend->address) == VM_LEAVING ||
+	return state_backend_leaving(node, config, backend) ||
 	       view_backend_leaving(node->view, backend->name, now_us);
 }
 
--- a/packages/node/state.h
+++ b/packages/node/state.h
@@ -129,6 +129,10 @@
  */
 bool state_apply(struct node *node, struct config *config, GError **error);
 
+/* Whether operators or the platform have the backend server leave. */
+bool state_backend_leaving(struct node *node, const struct config *config,
+			   const struct config_backend *backend);
+
 /* Tell the gates anew who leaves and which share of the slots is ours. */
 void state_refresh_backends(struct node *node);
 
--- a/tests/history/faults.sh
+++ b/tests/history/faults.sh
@@ -247,6 +247,26 @@
 	sleep 2
 }
 
+# A server that came back has to get work again, and no hearsay keeps it away.
+wait_back() { # BACKEND PLACE NODE…
+	local backend=$1 place=$2 node i
+	shift 2
+	for node in "$@"; do
+		for ((i = 0; i < 100; i++)); do
+			"$ctl" --node "$(address_of "$node")" \
+				show backends in "$place" |
+				awk -v name="$backend" \
+					'$1 == name && $12 == "no" { back = 1 }
+					END { exit !back }' && break
+			sleep 0.3
+		done
+		if [ $i -eq 100 ]; then
+			echo "$backend is still leaving at $node"
+			return 1
+		fi
+	done
+}
+
 fault_leaving_backend() { # one says so itself, one is drained by operators
 	note leaving backend=hw1
 	to_fleet '{"backend":"hw1","leaving":true}'
@@ -257,6 +277,8 @@
 	to_fleet '{"backend":"hw1","leaving":false}'
 	note returned backend=ce1
 	command "return-$round" undrain backend ce1
+	wait_back ce1 east n1 n2
+	wait_back hw1 west n3 n4
 }
 
 fault_planned_stop() {
