demo: a network of its own for each run; drain time, traffic at the stop

A run reported 32 certificates that ran twice: another run had started on the same addresses, sent its requests under the same ids to this one's nodes, and the run book counted both. A run now draws its network from its process id, refuses one that is in use and checks that its own stand-ins are up.

Promises added: no new work at a drained place after 3 s, the stopped node had answered callers before, traffic went on during the stop.

--- a/tests/demo/demo.sh
+++ b/tests/demo/demo.sh
@@ -8,6 +8,7 @@
 # Exit status 1 where a promise broke. Everything runs on this machine's
 # loopback network and is stopped at the end.
 set -Eeuo pipefail
+export DEMO_OCTET=${DEMO_OCTET:-$((128 + $$ % 120))}
 here=$(cd "$(dirname "$0")" && pwd)
 . "$here/users.sh"
 
@@ -101,8 +102,26 @@
 	node_pids[$1]=$!
 }
 
+# Two runs on one network would share backend servers and request ids, which
+# shows as requests that ran twice.
+refuse_used_network() {
+	if platform GET >/dev/null || fleet GET >/dev/null; then
+		echo "demo.sh: $net.0.0/16 is in use, set DEMO_OCTET" >&2
+		exit 1
+	fi
+}
+
+# A stand-in that could not listen has ended by itself.
+check_standins() {
+	local pid
+	for pid in "${standin_pids[@]}"; do
+		kill -0 "$pid"
+	done
+}
+
 start_user() {
 	local node list=() vms=()
+	refuse_used_network
 	"$here/generate.sh" "$user" "$dir"
 	"$build/tests/standins/fake_platform" --threads 128 \
 		--address "$(platform_address)" --port $platform_port &
@@ -111,10 +130,11 @@
 		--control "$(fleet_address):$fleet_port" \
 		--history "$dir/backends.history" &
 	standin_pids+=($!)
-	platform_wait="http://$(platform_address):$platform_port/control"
-	"$poke" --wait 10 GET "$platform_wait" >/dev/null
+	"$poke" --wait 10 GET "http://$(platform_address):$platform_port/control" \
+		>/dev/null
 	"$poke" --wait 10 GET "http://$(fleet_address):$fleet_port/control" \
 		>/dev/null
+	check_standins
 	nodes=()
 	for node in "$dir"/n-*.toml; do
 		node=$(basename "$node" .toml)
@@ -152,14 +172,33 @@
 		where "$1" from "$2" || true
 }
 
+now_ms() { # on the clock of the histories, to 10 ms
+	awk '{ printf "%d\n", $1 * 1000 }' /proc/uptime
+}
+
+is_traffic_on() {
+	local pid
+	for pid in "${load_pids[@]}"; do
+		kill -0 "$pid" 2>/dev/null || return 1
+	done
+}
+
+answers_by() { # NODE: of callers
+	grep -c "\"event\":\"answer\".*\"node\":\"$1\"" \
+		"$dir/callers.history" || true
+}
+
 # A planned stop under traffic: it must end by itself, whole.
 stop_node() { # NODE
-	local pid=${node_pids[$1]} start_s=$SECONDS status=0
+	local pid=${node_pids[$1]} start_ms status=0
+	promise "$1 has answered callers" [ "$(answers_by "$1")" -gt 0 ]
+	start_ms=$(now_ms)
 	unset "node_pids[$1]"
 	kill -TERM "$pid"
 	wait "$pid" || status=$?
-	echo "$1 ended after about $((SECONDS - start_s)) s, status $status"
+	echo "$1 ended after $(($(now_ms) - start_ms)) ms, status $status"
 	promise "planned stop of $1 ends by itself and whole" [ $status -eq 0 ]
+	promise "traffic went on meanwhile" is_traffic_on
 }
 
 sum_of() { # KEY SERVICE: over the callers' last lines
@@ -248,6 +287,21 @@
 	fleet POST "{\"backend\":\"$1\",\"leaving\":false}" >/dev/null
 }
 
+# The last time at which a backend server of the place started a request.
+last_start_ms() { # PLACE
+	fleet GET | grep -o "{\"name\":\"[a-z-]*-$1-[0-9]*\"[^}]*}" |
+		sed 's/.*"last_start_us":\([0-9]*\).*/\1/' | sort -n | tail -1 |
+		awk '{ printf "%d\n", $1 / 1000 }'
+}
+
+show_drain_time() { # PLACE COMMAND_MS: some seconds after the drain
+	local drain_ms=$(($(last_start_ms "$1") - $2))
+	echo "$1 started its last request $drain_ms ms after the command"
+	promise "$1 had work until its drain" [ $drain_ms -ge -2000 ]
+	promise "no new work at $1 from 3 s after its drain" \
+		[ $drain_ms -le 3000 ]
+}
+
 show_outage() {
 	say "the platform is down; a command says so, traffic goes on"
 	platform POST '{"down":true}' >/dev/null
@@ -258,19 +312,21 @@
 
 # An accepted configuration is in force everywhere within seconds.
 show_in_force() {
-	local i all="at ${#nodes[@]} of ${#nodes[@]} nodes" start_s=$SECONDS
+	local i all="at ${#nodes[@]} of ${#nodes[@]} nodes" start_ms
+	start_ms=$(now_ms)
 	for ((i = 0; i < 50; i++)); do
 		control show version | tail -1 >"$dir/version"
 		grep -q "$all" "$dir/version" && break
 		sleep 0.2
 	done
 	cat "$dir/version"
-	echo "after about $((SECONDS - start_s)) s"
+	echo "after $(($(now_ms) - start_ms)) ms"
 	promise "the configuration is in force at all nodes" \
 		grep -q "$all" "$dir/version"
 }
 
 show_steps() { # SERVICE FROM TO DRAIN_PLACE STOP_NODE BACKEND
+	local drain_ms
 	sleep 3
 	say "where $1 from $2 goes"
 	where "$1" "$2"
@@ -280,10 +336,12 @@
 	where "$1" "$2"
 	control show shifts
 	say "drain of the place $4"
+	drain_ms=$(now_ms)
 	control drain place "$4"
 	sleep 2
 	where "$1" "$4"
 	show_leaving "$6" "$3"
+	show_drain_time "$4" "$drain_ms"
 	show_outage
 	say "planned stop of $5 under traffic"
 	stop_node "$5"
--- a/tests/demo/users.sh
+++ b/tests/demo/users.sh
@@ -3,7 +3,6 @@
 # "NAME CLASS TIMEOUT_US SLOTS SERVICE_US BACKENDS_BY_PLACE…".
 
 describe_calderas() {
-	net=127.41
 	link_us=55000
 	places=(
 		"central-1 central 2" "central-2 central 2"
@@ -18,7 +17,6 @@
 }
 
 describe_coop() {
-	net=127.42
 	link_us=35000
 	places=(
 		"santiago-1 santiago 2" "santiago-2 santiago 2"
@@ -32,6 +30,10 @@
 	)
 }
 
+# Each run has its own network, so that runs at one time don't meet.
+: "${DEMO_OCTET:=128}"
+net=127.$DEMO_OCTET
+
 # Place number P (from 1) has its nodes at NET.P.1, NET.P.2 and its backend
 # servers from NET.P.100 up; the stand-ins' own addresses are NET.9.x.
 platform_address() { echo "$net.9.1"; }
