--- a/packages/node/main.c
+++ b/packages/node/main.c
@@ -108,27 +108,35 @@
 	return status;
 }
 
-int main(int argc, const char **argv)
+static int run_options(const struct options *options)
 {
 	static struct settings settings;
-	struct options options = { NULL, 0, 0 };
 	GError *error = NULL;
 
-	if (!read_options(argc, argv, &options))
-		return result_exit_status(RESULT_SETTINGS_INVALID);
-	if (options.version) {
+	if (options->version) {
 		puts("lilacfieldd " VERSION);
 		return EXIT_SUCCESS;
 	}
-	if (!options.settings_path) {
+	if (!options->settings_path) {
 		fprintf(stderr, "lilacfieldd: --settings FILE is missing\n");
 		return result_exit_status(RESULT_SETTINGS_UNREADABLE);
 	}
-	if (!settings_load(&settings, options.settings_path, &error))
+	if (!settings_load(&settings, options->settings_path, &error))
 		return fail(error);
-	if (options.check) {
-		printf("%s: good\n", options.settings_path);
+	if (options->check) {
+		printf("%s: good\n", options->settings_path);
 		return EXIT_SUCCESS;
 	}
 	return open_and_run(&settings);
 }
+
+int main(int argc, const char **argv)
+{
+	struct options options = { NULL, 0, 0 };
+	int status = result_exit_status(RESULT_SETTINGS_INVALID);
+
+	if (read_options(argc, argv, &options))
+		status = run_options(&options);
+	free(options.settings_path);
+	return status;
+}
