core/share: slots split exactly while nodes come and go

Cause: a node took its share of a place's slots the moment it read a new version, while a sibling on the old version still used the old, larger share: 3 slots split 2+1 and then 1+1+1 make 4 for as long as the first lags. And a drained node kept its slots to itself until a document without it was loaded.

Weighed: leases on slots in the platform's table (an outage takes capacity away), one owner a backend server (an extra hop and an unsafe hand-over), doing nothing (the backend server sheds). Taken: a share that shrinks does so at once, one that grows waits until all siblings declared exactly the same version, which they do once nothing in flight is over their share. Drained nodes have no share, so a planned replacement hands its slots to the siblings first.

Price: a node that starts waits for its siblings' first report, up to 10 s where one is dead. Not covered: a cut between siblings of one failure domain that falls together with a change of its nodes or slots.

--- a/packages/adapters/peer.x
+++ b/packages/adapters/peer.x
@@ -28,6 +28,7 @@
 	unsigned hyper sequence;
 	unsigned hyper ticket_epoch;
 	unsigned hyper config_version;
+	unsigned hyper shares_version;
 	unsigned hyper age_us;
 	bool leaving;
 	peer_xdr_service services<PEER_XDR_MAX_SERVICES>;
--- a/packages/adapters/peer_codec.c
+++ b/packages/adapters/peer_codec.c
@@ -146,6 +146,7 @@
 	target->sequence = report->sequence;
 	target->ticket_epoch = report->ticket_epoch;
 	target->config_version = report->config_version;
+	target->shares_version = report->shares_version;
 	target->age_us = report->age_us;
 	target->leaving = report->leaving;
 	return fill_services(report, target) + fill_backends(report, target);
@@ -328,6 +329,7 @@
 	target->sequence = report->sequence;
 	target->ticket_epoch = report->ticket_epoch;
 	target->config_version = report->config_version;
+	target->shares_version = report->shares_version;
 	target->age_us = report->age_us;
 	target->leaving = report->leaving;
 	return take_name(target->node, report->node) &&
--- a/packages/adapters/peer_rpc.h
+++ b/packages/adapters/peer_rpc.h
@@ -38,6 +38,7 @@
 	uint64_t sequence; /* grows with each report of the incarnation */
 	uint64_t ticket_epoch;
 	uint64_t config_version;
+	uint64_t shares_version; /* declared: see core/share.h */
 	uint64_t age_us; /* since the node made it, in its and others' hands */
 	bool leaving;
 	uint32_t service_count;
--- a/packages/node/loops.c
+++ b/packages/node/loops.c
@@ -262,6 +262,7 @@
 	own->sequence = atomic_fetch_add(&node->sequence, 1) + 1;
 	own->ticket_epoch = state_ticket_epoch(node);
 	own->leaving = atomic_load(&node->stopping);
+	own->shares_version = state_declared_version(node);
 	if (snapshot) {
 		own->config_version = snapshot->config->version;
 		fill_services(node, snapshot, own);
@@ -354,6 +355,7 @@
 		    snapshot->config->nodes[i].place == snapshot->own_place)
 			exchange_with_node(loop, snapshot, i);
 	snapshot_put(snapshot);
+	state_refresh_shares(node);
 	state_refresh_places(node);
 	state_refresh_nodes(node);
 }
--- a/packages/node/state.c
+++ b/packages/node/state.c
@@ -11,6 +11,9 @@
 /* Extra attempts that a quiet service may have saved up. */
 #define BUDGET_BURST 20
 
+/* A node that was silent for longer runs nothing any more; see settle(). */
+#define SHARER_SILENT_US (10 * 1000 * 1000ull)
+
 static __thread uint64_t draw_state;
 
 uint32_t state_draw(void)
@@ -112,6 +115,8 @@
 	pthread_mutex_init(&node->vms_lock, NULL);
 	node->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       service_free);
+	node->shares = share_table_new();
+	node->sharers = g_ptr_array_new_with_free_func(g_free);
 	node->entry_ledger = ledger_new(LEDGER_MAX_ENTRIES);
 	node->hop_ledger = ledger_new(LEDGER_MAX_ENTRIES);
 	node->seats = g_ptr_array_new_with_free_func(seat_entry_free);
@@ -129,6 +134,8 @@
 	ledger_free(node->hop_ledger);
 	ledger_free(node->entry_ledger);
 	g_hash_table_destroy(node->services);
+	g_ptr_array_unref(node->sharers);
+	share_table_free(node->shares);
 	pthread_mutex_destroy(&node->vms_lock);
 	pthread_mutex_destroy(&node->seats_lock);
 	pthread_mutex_destroy(&node->ledger_lock);
@@ -181,22 +188,30 @@
 	return state;
 }
 
-/* This node's rank among the configured nodes of its place. */
-static void find_rank(const struct snapshot *snapshot, uint32_t *rank,
+/*
+ * This node's rank among the nodes that share its place's slots: the listed
+ * ones that aren't drained. False where it isn't one of them.
+ */
+static bool find_rank(const struct snapshot *snapshot, uint32_t *rank,
 		      uint32_t *count)
 {
 	const struct config *config = snapshot->config;
+	bool found = false;
 	uint32_t i;
 
 	*rank = 0;
 	*count = 0;
 	for (i = 0; i < config->node_count; i++) {
-		if (config->nodes[i].place != snapshot->own_place)
+		if (config->nodes[i].place != snapshot->own_place ||
+		    config->nodes[i].drained)
 			continue;
-		if (i == snapshot->own_node)
+		if (i == snapshot->own_node) {
 			*rank = *count;
+			found = true;
+		}
 		(*count)++;
 	}
+	return found;
 }
 
 bool state_backend_leaving(struct node *node, const struct config *config,
@@ -228,14 +243,13 @@
 	const struct config *config = snapshot->config;
 	struct service *service = snapshot->services[index];
 	struct gate_backend_spec *specs;
-	uint32_t rank, nodes, i;
 	uint32_t count = 0;
+	uint32_t i;
 
-	find_rank(snapshot, &rank, &nodes);
 	specs = g_new0(struct gate_backend_spec, config->backend_count + 1);
-	/* A node that isn't listed has no share of any slots. */
-	for (i = 0; nodes && snapshot->own_node != CONFIG_NONE &&
-		    i < config->backend_count;
+	/* A node that isn't listed knows no backend servers. */
+	for (i = 0;
+	     snapshot->own_node != CONFIG_NONE && i < config->backend_count;
 	     i++) {
 		const struct config_backend *backend = &config->backends[i];
 		struct gate_backend_spec *spec = &specs[count];
@@ -244,7 +258,7 @@
 		    backend->place != snapshot->own_place)
 			continue;
 		spec->name = backend->name;
-		spec->slots = gate_share(backend->slots, rank, nodes);
+		spec->slots = share_table_slots(node->shares, backend->name);
 		spec->total_slots = backend->slots;
 		spec->leaving =
 			backend_is_leaving(node, config, backend, now_us);
@@ -271,6 +285,132 @@
 	pthread_mutex_unlock(&node->apply_lock);
 }
 
+/* Every node that may use slots of the place: present and former ones. */
+static void add_sharers(struct node *node, const struct snapshot *snapshot)
+{
+	const struct config *config = snapshot->config;
+	uint32_t i;
+
+	for (i = 0; i < config->node_count; i++) {
+		const char *name = config->nodes[i].name;
+
+		if (config->nodes[i].place != snapshot->own_place ||
+		    i == snapshot->own_node ||
+		    g_ptr_array_find_with_equal_func(node->sharers, name,
+						     g_str_equal, NULL))
+			continue;
+		g_ptr_array_add(node->sharers, g_strdup(name));
+	}
+}
+
+static void change_shares(struct node *node, const struct snapshot *snapshot)
+{
+	const struct config *config = snapshot->config;
+	struct share_target *targets;
+	uint32_t rank, nodes, i;
+	uint32_t count = 0;
+	bool shares = find_rank(snapshot, &rank, &nodes);
+
+	targets = g_new0(struct share_target, config->backend_count + 1);
+	for (i = 0; shares && i < config->backend_count; i++) {
+		const struct config_backend *backend = &config->backends[i];
+
+		if (backend->place != snapshot->own_place)
+			continue;
+		targets[count].backend = backend->name;
+		targets[count].slots = gate_share(backend->slots, rank, nodes);
+		count++;
+	}
+	share_table_change(node->shares, config->version, targets, count);
+	node->shares_since_us = state_now_us(node);
+	add_sharers(node, snapshot);
+	g_free(targets);
+}
+
+/*
+ * Whether the other node keeps to the shares of the present version. One that
+ * is silent may be dead or cut off. It is waited for as long as a report may
+ * be late; then it is taken to be gone, so that its place goes on with what it
+ * can. A cut within one failure domain, at the moment of a change of its nodes
+ * or slots, can so make the sum exceed the slots until the cut heals.
+ */
+static bool sharer_is_ready(struct node *node, const char *name,
+			    uint64_t now_us)
+{
+	struct view_node known;
+
+	if (view_find(node->view, name, now_us, &known) &&
+	    known.age_us < SHARER_SILENT_US)
+		return known.shares_version ==
+		       share_table_version(node->shares);
+	return now_us - node->shares_since_us >= SHARER_SILENT_US;
+}
+
+static bool all_sharers_are_ready(struct node *node)
+{
+	uint64_t now_us = state_now_us(node);
+	guint i;
+
+	for (i = 0; i < node->sharers->len; i++)
+		if (!sharer_is_ready(node, g_ptr_array_index(node->sharers, i),
+				     now_us))
+			return false;
+	return true;
+}
+
+void state_refresh_shares(struct node *node)
+{
+	struct snapshot *snapshot;
+	uint32_t i;
+
+	pthread_mutex_lock(&node->apply_lock);
+	snapshot = snapshot_get(node);
+	if (snapshot && !share_table_is_settled(node->shares) &&
+	    all_sharers_are_ready(node)) {
+		share_table_settle(node->shares, snapshot->config->version);
+		g_ptr_array_set_size(node->sharers, 0);
+		add_sharers(node, snapshot);
+		for (i = 0; i < snapshot->config->service_count; i++)
+			set_backends(node, snapshot, snapshot, i,
+				     state_now_us(node));
+	}
+	snapshot_put(snapshot);
+	pthread_mutex_unlock(&node->apply_lock);
+}
+
+/* Whether a gate has more in flight somewhere than its share. */
+static bool is_over(struct node *node, struct service *service)
+{
+	struct gate_backend_view view;
+	bool over = false;
+	uint32_t i;
+
+	pthread_mutex_lock(&service->gate_lock);
+	for (i = 0;
+	     !over && gate_view(service->gate, i, state_now_us(node), &view);
+	     i++)
+		over = view.in_flight >
+		       share_table_slots(node->shares, view.name);
+	pthread_mutex_unlock(&service->gate_lock);
+	return over;
+}
+
+uint64_t state_declared_version(struct node *node)
+{
+	uint64_t version;
+	GHashTableIter iter;
+	gpointer service;
+
+	pthread_mutex_lock(&node->apply_lock);
+	version = share_table_version(node->shares);
+	g_hash_table_iter_init(&iter, node->services);
+	while (version && g_hash_table_iter_next(&iter, NULL, &service))
+		if (is_over(node, service))
+			version = 0;
+	pthread_mutex_unlock(&node->apply_lock);
+	return version;
+}
+
 static uint32_t slots_at(const struct config *config, uint32_t service,
 			 uint32_t place)
 {
@@ -482,6 +622,7 @@
 	}
 	now_us = state_now_us(node);
 	snapshot = snapshot_new(node, config);
+	change_shares(node, snapshot);
 	for (i = 0; i < config->service_count; i++) {
 		set_backends(node, snapshot, node->snapshot, i, now_us);
 		set_steer(snapshot, i, now_us);
--- a/packages/node/state.h
+++ b/packages/node/state.h
@@ -31,6 +31,7 @@
 #include "core/gate.h"
 #include "core/lookup.h"
 #include "core/seat.h"
+#include "core/share.h"
 #include "core/steer.h"
 #include "core/ticket.h"
 #include "node/view.h"
@@ -101,6 +102,9 @@
 	struct node_states *states; /* by RCU; written by one loop only */
 	pthread_mutex_t apply_lock; /* one version is put in force at a time */
 	GHashTable *services; /* struct service by name, under apply_lock */
+	struct share_table *shares; /* under apply_lock */
+	GPtrArray *sharers; /* names of nodes that may use the place's slots */
+	uint64_t shares_since_us; /* when the shares' version came */
 
 	pthread_mutex_t ledger_lock;
 	struct ledger *entry_ledger; /* by ticket */
@@ -136,6 +140,12 @@
 /* Tell the gates anew who leaves and which share of the slots is ours. */
 void state_refresh_backends(struct node *node);
 
+/* Take the shares of the present version whole if all others are ready. */
+void state_refresh_shares(struct node *node);
+
+/* The version whose shares this node keeps to, 0 while it is over one. */
+uint64_t state_declared_version(struct node *node);
+
 /* Tell steer what the places' nodes report. */
 void state_refresh_places(struct node *node);
 
--- a/packages/node/view.c
+++ b/packages/node/view.c
@@ -122,6 +122,7 @@
 		found->incarnation = entry->report.incarnation;
 		found->ticket_epoch = entry->report.ticket_epoch;
 		found->config_version = entry->report.config_version;
+		found->shares_version = entry->report.shares_version;
 		found->age_us = age_of(entry, now_us);
 		found->leaving = entry->report.leaving;
 		found->failing = entry->failed_us != 0;
--- a/packages/node/view.h
+++ b/packages/node/view.h
@@ -25,6 +25,7 @@
 	uint64_t incarnation;
 	uint64_t ticket_epoch;
 	uint64_t config_version;
+	uint64_t shares_version;
 	uint64_t age_us; /* UINT64_MAX: never heard of */
 	bool leaving;
 	bool failing; /* calls to it failed since it last spoke */
--- a/tests/adapters/peer_rpc_test.cc
+++ b/tests/adapters/peer_rpc_test.cc
@@ -37,6 +37,7 @@
 	report.sequence = number;
 	report.ticket_epoch = 3;
 	report.config_version = 4;
+	report.shares_version = 3;
 	report.age_us = 5;
 	report.leaving = number % 2;
 	report.service_count = 2;
@@ -322,6 +323,7 @@
 		EXPECT_EQ(wanted.sequence, report.sequence);
 		EXPECT_EQ(wanted.ticket_epoch, report.ticket_epoch);
 		EXPECT_EQ(wanted.config_version, report.config_version);
+		EXPECT_EQ(wanted.shares_version, report.shares_version);
 		EXPECT_EQ(wanted.age_us, report.age_us);
 		EXPECT_EQ(wanted.leaving, report.leaving);
 		ASSERT_EQ(2u, report.service_count);
--- /dev/null
+++ b/tests/core/share_test.cc
@@ -0,0 +1,187 @@
+#include "core/share.h"
+
+#include "core/gate.h"
+
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+static void change(struct share_table *table, uint64_t version, uint32_t slots)
+{
+	struct share_target target = { "b", slots };
+
+	share_table_change(table, version, &target, 1);
+}
+
+TEST(Share, ShrinksAtOnceAndGrowsWhenSettled)
+{
+	struct share_table *table = share_table_new();
+
+	change(table, 1, 3);
+	EXPECT_EQ(0u, share_table_slots(table, "b"));
+	share_table_settle(table, 1);
+	EXPECT_EQ(3u, share_table_slots(table, "b"));
+	change(table, 2, 1);
+	EXPECT_EQ(1u, share_table_slots(table, "b"));
+	EXPECT_FALSE(share_table_is_settled(table));
+	/* Settled by others at version 2, which this node passed through. */
+	change(table, 3, 3);
+	EXPECT_EQ(1u, share_table_slots(table, "b"));
+	share_table_settle(table, 2);
+	EXPECT_EQ(1u, share_table_slots(table, "b"));
+	share_table_settle(table, 3);
+	EXPECT_EQ(3u, share_table_slots(table, "b"));
+	EXPECT_EQ(0u, share_table_slots(table, "unknown"));
+	share_table_free(table);
+}
+
+/* Several nodes of one place over one backend server, in a drawn order. */
+class Place
+{
+      public:
+	static constexpr uint32_t NODES = 4;
+	static constexpr uint32_t SLOTS = 7;
+
+	explicit Place(uint32_t seed) : random_(seed)
+	{
+		for (auto &node : nodes_)
+			node.table = share_table_new();
+		members_.push_back(0); /* version 0: nobody */
+	}
+
+	~Place()
+	{
+		for (auto &node : nodes_)
+			share_table_free(node.table);
+	}
+
+	void step()
+	{
+		uint32_t index = draw(NODES);
+		struct node_state &node = nodes_[index];
+
+		switch (draw(8)) {
+		case 0: /* an operator adds, drains or removes nodes */
+			if (draw(16) == 0)
+				members_.push_back(draw(1 << NODES));
+			break;
+		case 1: /* it reads some newer version, perhaps not each one */
+			take_version(node, index,
+				     members_.size() - 1 -
+					     draw(std::min<size_t>(
+						     3, members_.size())));
+			break;
+		case 2: /* it restarts and knows nothing */
+			if (draw(32) == 0)
+				restart(node);
+			break;
+		case 3: /* its report reaches the others, maybe an old one */
+			node.declared = declares(node);
+			break;
+		case 4:
+			settle(node, index);
+			break;
+		case 5: /* a request ends */
+			if (node.in_flight)
+				node.in_flight--;
+			break;
+		default: /* a request starts where the share allows */
+			if (node.in_flight < share_table_slots(node.table, "b"))
+				node.in_flight++;
+		}
+	}
+
+	uint32_t in_flight() const
+	{
+		uint32_t sum = 0;
+
+		for (const auto &node : nodes_)
+			sum += node.in_flight;
+		return sum;
+	}
+
+      private:
+	struct node_state {
+		struct share_table *table;
+		uint32_t in_flight = 0;
+		uint64_t declared = 0; /* as the others last heard */
+	};
+
+	uint32_t draw(uint32_t below)
+	{
+		random_ = random_ * 6364136223846793005ull +
+			  1442695040888963407ull;
+		return (uint32_t)(random_ >> 33) % below;
+	}
+
+	void take_version(struct node_state &node, uint32_t index,
+			  uint64_t version)
+	{
+		uint32_t mask = members_[version];
+		uint32_t rank = 0, count = 0;
+
+		for (uint32_t i = 0; i < NODES; i++) {
+			if (!(mask & (1u << i)))
+				continue;
+			if (i < index)
+				rank++;
+			count++;
+		}
+		change(node.table, version,
+		       mask & (1u << index) ? gate_share(SLOTS, rank, count) :
+					      0);
+	}
+
+	/* What runs at its backend server ends with the process. */
+	void restart(struct node_state &node)
+	{
+		share_table_free(node.table);
+		node.table = share_table_new();
+		node.in_flight = 0;
+	}
+
+	static uint64_t declares(const struct node_state &node)
+	{
+		if (node.in_flight > share_table_slots(node.table, "b"))
+			return 0;
+		return share_table_version(node.table);
+	}
+
+	void settle(struct node_state &node, uint32_t index)
+	{
+		uint64_t version = share_table_version(node.table);
+
+		for (uint32_t i = 0; i < NODES; i++)
+			if (i != index && nodes_[i].declared != version)
+				return;
+		share_table_settle(node.table, version);
+	}
+
+	uint64_t random_;
+	struct node_state nodes_[NODES];
+	std::vector<uint32_t> members_;
+};
+
+/*
+ * A depot's old VM with three slots gets four orders at a time and drops them
+ * all. A third node was added to the place; it took its share when it read the
+ * new version, while a sibling was still on the old one and used the old,
+ * larger share.
+ */
+TEST(Share, SumNeverExceedsTheSlotsInAnyOrder)
+{
+	uint32_t most = 0;
+
+	for (uint32_t seed = 1; seed <= 300; seed++) {
+		Place place(seed);
+
+		for (int i = 0; i < 4000; i++) {
+			place.step();
+			ASSERT_LE(place.in_flight(), Place::SLOTS)
+				<< "seed " << seed << " step " << i;
+			most = std::max(most, place.in_flight());
+		}
+	}
+	/* And the slots do get used. */
+	EXPECT_EQ(Place::SLOTS, most);
+}
--- a/tests/node/command_test.cc
+++ b/tests/node/command_test.cc
@@ -12,7 +12,7 @@
 		metrics_open();
 		fake = new fake_node;
 		fake->platform.rows["config/current"] = { 1, fake_document };
-		fake->apply(1);
+		fake->apply_everywhere(1);
 	}
 
 	void TearDown() override
--- a/tests/node/entry_test.cc
+++ b/tests/node/entry_test.cc
@@ -11,7 +11,7 @@
 	{
 		metrics_open();
 		fake = new fake_node;
-		fake->apply(1);
+		fake->apply_everywhere(1);
 		make_ticket("n1", 0);
 	}
 
@@ -103,7 +103,7 @@
 	for (const auto &c : cases) {
 		delete fake;
 		fake = new fake_node;
-		fake->apply(1);
+		fake->apply_everywhere(1);
 		make_ticket("n1", 0);
 		ran(c.state);
 		EXPECT_EQ(c.result, serve("certif", 0));
--- a/tests/node/fakes.h
+++ b/tests/node/fakes.h
@@ -160,6 +160,33 @@
 		config->version = version;
 		return state_apply(node, config, nullptr);
 	}
+
+	/* A sibling says that it keeps to the shares of the version. */
+	void hear(const char *name, uint64_t version)
+	{
+		struct peer_report report = {};
+
+		g_strlcpy(report.node, name, NAME_SIZE);
+		report.incarnation = 7;
+		report.sequence = ++heard;
+		report.shares_version = version;
+		report.config_version = version;
+		view_take(node->view, &report, clock.now_us);
+	}
+
+	/* The version is in force, and at the siblings too. */
+	bool apply_everywhere(uint64_t version,
+			      const char *text = fake_document)
+	{
+		bool applied = apply(version, text);
+
+		hear("n1", version);
+		hear("n2", version);
+		state_refresh_shares(node);
+		return applied;
+	}
+
+	uint64_t heard = 0;
 };
 
 #endif
--- a/tests/node/hop_test.cc
+++ b/tests/node/hop_test.cc
@@ -12,7 +12,7 @@
 	{
 		metrics_open();
 		fake = new fake_node;
-		fake->apply(1);
+		fake->apply_everywhere(1);
 	}
 
 	void TearDown() override
--- a/tests/node/state_test.cc
+++ b/tests/node/state_test.cc
@@ -72,9 +72,9 @@
 	fake_node second("n2");
 	fake_node stranger("n9");
 
-	first.apply(1);
-	second.apply(1);
-	stranger.apply(1);
+	first.apply_everywhere(1);
+	second.apply_everywhere(1);
+	stranger.apply_everywhere(1);
 	EXPECT_EQ(5u, gate_slots(first.node, "historia") +
 			      gate_slots(second.node, "historia"));
 	EXPECT_EQ(3u, gate_slots(first.node, "certif") +
@@ -89,11 +89,13 @@
 	struct peer_report report = {};
 	char name[1][NAME_SIZE] = { "h1" };
 
-	fake.apply(1);
+	fake.apply_everywhere(1);
 	EXPECT_LT(0u, gate_slots(fake.node, "historia"));
 
 	/* Another node was told by the backend server itself. */
 	g_strlcpy(report.node, "n2", NAME_SIZE);
+	report.incarnation = 7;
+	report.sequence = 100;
 	report.leaving_backend_count = 1;
 	report.leaving_backends = name;
 	view_take(fake.node->view, &report, fake.clock.now_us);
@@ -106,3 +108,39 @@
 	EXPECT_TRUE(fake.apply(2, drained.c_str()));
 	EXPECT_EQ(0u, gate_slots(fake.node, "certif"));
 }
+
+/*
+ * An entry VM is drained before its replacement. Its sibling takes over its
+ * slots, but only once the drained node has said that it uses none of them: the
+ * sibling reads the new version first more often than not.
+ */
+TEST_F(State, SlotsOfADrainedNodePassOnWhenItHasLetGo)
+{
+	fake_node fake;
+	std::string drained = fake_document;
+
+	fake.apply_everywhere(1);
+	EXPECT_EQ(3u, gate_slots(fake.node, "historia"));
+	drained.replace(drained.find("\"address\": \"127.1.1.2\""), 22,
+			"\"address\": \"127.1.1.2\", \"drained\": true");
+	fake.apply(2, drained.c_str());
+	state_refresh_shares(fake.node);
+	EXPECT_EQ(3u, gate_slots(fake.node, "historia"));
+	EXPECT_EQ(2u, state_declared_version(fake.node));
+	fake.hear("n2", 2);
+	state_refresh_shares(fake.node);
+	EXPECT_EQ(5u, gate_slots(fake.node, "historia"));
+}
+
+/* A dead sibling is waited for, and not for ever. */
+TEST_F(State, SilentSiblingIsGoneAfterAWhile)
+{
+	fake_node fake;
+
+	fake.apply(1);
+	state_refresh_shares(fake.node);
+	EXPECT_EQ(0u, gate_slots(fake.node, "historia"));
+	fake.clock.now_us += 10 * 1000 * 1000;
+	state_refresh_shares(fake.node);
+	EXPECT_EQ(3u, gate_slots(fake.node, "historia"));
+}
