platform_http: count a row's values before it is decoded

An answer of 8 MiB that is a list of empty lists takes 363 MiB once jansson has decoded it (trial), so the bound on bytes did not bound memory. A row is one flat object; more than 16 values outside of strings are refused.

--- a/packages/adapters/peer_client.c
+++ b/packages/adapters/peer_client.c
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <pthread.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -199,6 +200,7 @@
 	GByteArray *call;
 	bool ok;
 
+	memset(answer, 0, sizeof(*answer));
 	pthread_mutex_lock(&client->lock);
 	call = peer_encode_exchange_call(++client->xid, message);
 	ok = call_locked(client, call, &record, error);
--- a/packages/adapters/platform_http.c
+++ b/packages/adapters/platform_http.c
@@ -13,6 +13,7 @@
 /* A value as JSON text: most bytes of a configuration are at most escaped. */
 #define ROW_ANSWER_MAX_BYTES (2 * CONFIG_MAX_BYTES + 4096)
 #define LIST_ANSWER_MAX_BYTES (1024 * 1024)
+#define ROW_MAX_VALUES 16
 #define US_PER_MS 1000
 #define HTTP_OK 200
 #define HTTP_NOT_FOUND 404
@@ -227,11 +228,43 @@
 	return url;
 }
 
+/*
+ * Decoded, many small values take some forty-five times their text: an answer
+ * within the bound of bytes could still take more memory than a small VM has. A
+ * row is one flat object, so its values are counted before any is decoded.
+ */
+static bool has_few_values(const GString *text)
+{
+	bool quoted = false;
+	uint32_t count = 0;
+	gsize i;
+
+	for (i = 0; i < text->len && count <= ROW_MAX_VALUES; i++) {
+		char c = text->str[i];
+
+		if (quoted && c == '\\')
+			i++;
+		else if (c == '"')
+			quoted = !quoted;
+		else if (!quoted && (c == '[' || c == '{' || c == ','))
+			count++;
+	}
+	return count <= ROW_MAX_VALUES;
+}
+
+static json_t *parse_row(const struct exchange *exchange, enum result code,
+			 GError **error)
+{
+	if (has_few_values(exchange->answer))
+		return parse_answer(exchange, code, error);
+	set_malformed(error, code, exchange, "row but many values");
+	return NULL;
+}
+
 static bool take_row(const struct exchange *exchange, struct platform_row *row,
 		     GError **error)
 {
-	json_t *json =
-		parse_answer(exchange, RESULT_PLATFORM_UNAVAILABLE, error);
+	json_t *json = parse_row(exchange, RESULT_PLATFORM_UNAVAILABLE, error);
 	json_t *value = json_object_get(json, "value");
 	json_int_t version =
 		json_integer_value(json_object_get(json, "version"));
@@ -292,7 +325,7 @@
 static bool take_version(const struct exchange *exchange, uint64_t *new_version,
 			 GError **error)
 {
-	json_t *json = parse_answer(exchange, RESULT_UNSETTLED, error);
+	json_t *json = parse_row(exchange, RESULT_UNSETTLED, error);
 	json_int_t version =
 		json_integer_value(json_object_get(json, "version"));
 	bool ok = version > 0 && (uint64_t)version > exchange->expected_version;
--- a/packages/adapters/trace.h
+++ b/packages/adapters/trace.h
@@ -30,7 +30,7 @@
 	struct trace_context context; /* of this span */
 	uint8_t parent_span_id[8]; /* zero for a root */
 	enum trace_kind kind;
-	const char *name; /* must live until the end */
+	const char *name; /* constant; lives until the end */
 	uint64_t start_unix_ns;
 	uint64_t start_us; /* monotonic, for the duration */
 };
--- a/tests/adapters/platform_http_test.cc
+++ b/tests/adapters/platform_http_test.cc
@@ -283,6 +283,13 @@
 	  KEEP, UNAVAILABLE, UNSETTLED },
 	{ "VersionNotNewer", ok("{\"version\":7,\"value\":\"v\"}"), KEEP,
 	  RESULT_OK, UNSETTLED },
+	{ "ManyValues",
+	  ok("{\"version\":8,\"value\":\"v\",\"more\":[0,0,0,0,0,0,0,0,0,0,0,0,"
+	     "0,0,0]}"),
+	  KEEP, UNAVAILABLE, UNSETTLED },
+	{ "CommasWithinTheValue",
+	  ok("{\"version\":8,\"value\":\"\\\\\\\",,,,,,,,,,,,,,,,[[[[{{{{\"}"),
+	  KEEP, RESULT_OK, RESULT_OK },
 	{ "ValueWithNul", ok("{\"version\":7,\"value\":\"\\u0000\"}"), KEEP,
 	  UNAVAILABLE, UNSETTLED },
 };
@@ -301,7 +308,7 @@
 		EXPECT_EQ(c.read == RESULT_OK, client.row.value != nullptr);
 		platform_row_release(&client.row);
 		EXPECT_EQ(c.write, client.write("v", 7)) << c.name;
-		EXPECT_EQ(0u, client.version);
+		EXPECT_EQ(c.write == RESULT_OK ? 8u : 0u, client.version);
 	}
 	/* Each call went out once, whatever came back. */
 	server.stop();
