gate: use a free slow slot when the wait for a fast one is over

Cause: a request that waited for a fast server was refused when its time was over, although a slow server stood free; with the fast ones hung that went on until their requests timed out. The gate now starts it there if the deadline still allows. And no request is started on a server whose usual time is beyond its deadline, as long as that time was learned a moment ago.

A test of random histories (60000 steps) finds slots, leaving servers and waiters in order.

--- a/packages/core/gate.c
+++ b/packages/core/gate.c
@@ -1,5 +1,6 @@
 #include "core/gate.h"
 
+#include <float.h>
 #include <glib.h>
 #include <string.h>
 
@@ -294,21 +295,33 @@
 					 gate, SERVICE_INTERACTIVE, now_us);
 }
 
-/* Handle of the backend server to use now; false if none should be. */
-static bool choose_backend(const struct gate *gate, enum service_class class_of,
-			   uint64_t now_us, uint32_t *handle)
+/* Whether a request started there now would probably miss its deadline. */
+static bool too_slow(const struct gate *gate,
+		     const struct gate_backend *backend, uint64_t deadline_us,
+		     uint64_t now_us)
+{
+	return estimates_count(gate, now_us) &&
+	       now_us + gate_backend_latency_us(backend, service_us(gate),
+						now_us) >
+		       deadline_us;
+}
+
+/* Handle of the best backend server with a free slot; false if none has. */
+static bool find_free(const struct gate *gate, enum service_class class_of,
+		      uint64_t deadline_us, uint64_t now_us, uint32_t *handle)
 {
 	uint64_t mean_us = service_us(gate);
 	const struct gate_backend *backend;
-	const struct gate_backend *best = NULL;
-	double best_score = 0.0;
+	double best_score = DBL_MAX;
+	bool found = false;
 	double score;
 	uint32_t i;
 
 	for (i = 0; i < gate->backends->len; i++) {
 		backend = backend_at(gate, i);
 		if (!backend ||
-		    backend->in_flight >= gate_backend_limit(backend, now_us))
+		    backend->in_flight >= gate_backend_limit(backend, now_us) ||
+		    too_slow(gate, backend, deadline_us, now_us))
 			continue;
 		score = gate_backend_score(backend, mean_us, now_us);
 		/*
@@ -318,16 +331,24 @@
 		if (class_of == SERVICE_NON_IDEMPOTENT &&
 		    backend->state != GATE_BACKEND_UP)
 			score *= UNPROVEN_PENALTY;
-		if (best && score >= best_score)
+		if (score >= best_score)
 			continue;
-		best = backend;
+		found = true;
 		best_score = score;
 		*handle = i;
 	}
-	if (!best)
+	return found;
+}
+
+/* The same, but false too where the request had better wait. */
+static bool choose_backend(const struct gate *gate, enum service_class class_of,
+			   uint64_t deadline_us, uint64_t now_us,
+			   uint32_t *handle)
+{
+	if (!find_free(gate, class_of, deadline_us, now_us, handle))
 		return false;
 	return class_of == SERVICE_BACKGROUND ||
-	       !better_to_wait(gate, best, now_us);
+	       !better_to_wait(gate, backend_at(gate, *handle), now_us);
 }
 
 static void start_on(struct gate *gate, uint32_t handle,
@@ -380,6 +401,24 @@
 	       now_us + best_latency_us(gate, now_us) > deadline_us;
 }
 
+/*
+ * The time to wait is over. A slow server may stand free, because a faster one
+ * was worth waiting for and has not come free, hung perhaps: better there than
+ * not at all.
+ */
+static void end_wait(struct gate *gate, const struct gate_waiter *waiter,
+		     uint64_t now_us, struct gate_decision *decision)
+{
+	uint32_t handle;
+
+	if (now_us < waiter->deadline_us &&
+	    find_free(gate, waiter->class_of, waiter->deadline_us, now_us,
+		      &handle))
+		start_on(gate, handle, decision);
+	else
+		refuse(gate, RESULT_OVERLOAD, now_us, decision);
+}
+
 /* Put in the queue, or refuse what wouldn't get a slot in time. */
 static void wait_or_refuse(struct gate *gate,
 			   const struct gate_request *request, uint64_t now_us,
@@ -510,7 +549,8 @@
 	else if (deadline_too_short(gate, request->deadline_us, now_us))
 		refuse(gate, RESULT_DEADLINE_TOO_SHORT, now_us, decision);
 	else if (!gate_queue_length(&gate->queue) &&
-		 choose_backend(gate, request->class_of, now_us, &handle))
+		 choose_backend(gate, request->class_of, request->deadline_us,
+				now_us, &handle))
 		start_on(gate, handle, decision);
 	else
 		wait_or_refuse(gate, request, now_us, decision);
@@ -542,11 +582,12 @@
 	if (gate_queue_pop_expired(&gate->queue, now_us, &waiter) ||
 	    pop_hopeless(gate, now_us, &waiter)) {
 		grant->waiter = waiter.waiter;
-		refuse(gate, RESULT_OVERLOAD, now_us, &grant->decision);
+		end_wait(gate, &waiter, now_us, &grant->decision);
 		return true;
 	}
 	head = gate_queue_head(&gate->queue);
-	if (!head || !choose_backend(gate, head->class_of, now_us, &handle))
+	if (!head || !choose_backend(gate, head->class_of, head->deadline_us,
+				     now_us, &handle))
 		return false;
 	gate_queue_pop(&gate->queue, &waiter);
 	note_empty_queue(gate, now_us);
--- a/tests/core/gate_test.cc
+++ b/tests/core/gate_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+#include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -431,6 +434,137 @@
 	EXPECT_EQ(UINT64_MAX, gate_next_due_us(gate));
 }
 
+/*
+ * A user is refused although a slot is free: the request waited for one of the
+ * fast servers, those hang, and the slow one with the free slot was never asked
+ * again. When the wait is over, the slow one has to do.
+ */
+TEST_F(GateTest, FreeSlowSlotIsUsedWhenTheFastOnesHang)
+{
+	gate_grant grant;
+	uint32_t handle;
+
+	set({ { "fast", 2, 0, false, false }, { "slow", 1, 0, false, false } });
+	for (int i = 0; i < 10; i++) {
+		std::vector<uint32_t> handles;
+
+		while (run(&handle) != "")
+			handles.push_back(handle);
+		now_us += 50 * MS;
+		for (uint32_t each : handles)
+			finish(each, GATE_ANSWERED,
+			       each == 1 ? 100 * MS : 20 * MS);
+	}
+	EXPECT_EQ("fast", run());
+	EXPECT_EQ("fast", run());
+	ASSERT_EQ(GATE_WAIT,
+		  offer(SERVICE_INTERACTIVE, 2 * S, &waiters[0]).verdict);
+	EXPECT_FALSE(gate_next(gate, now_us, &grant));
+	now_us = gate_next_due_us(gate);
+	ASSERT_TRUE(gate_next(gate, now_us, &grant));
+	ASSERT_EQ(GATE_RUN, grant.decision.verdict);
+	EXPECT_STREQ("slow", gate_backend_name(gate, grant.decision.backend));
+}
+
+/* Where no server is left up, callers are told to come back soon all the same.
+ */
+TEST_F(GateTest, RefusalWithoutAnyServerUpNamesSeconds)
+{
+	uint32_t handle = 0;
+	gate_decision decision;
+
+	set({ { "a", 2, 0, false, false } });
+	for (int i = 0; i < 2; i++) {
+		ASSERT_EQ("a", run(&handle));
+		finish(handle, GATE_CONNECT_FAILED);
+	}
+	decision = offer();
+	EXPECT_EQ(GATE_REFUSE, decision.verdict);
+	EXPECT_LT(decision.retry_after_us, 3 * S);
+}
+
+/*
+ * Whatever happens in whatever order, no server gets more than its slots, none
+ * that leaves gets anything, and each waiter hears exactly once.
+ */
+TEST_F(GateTest, RandomHistoriesKeepThePromises)
+{
+	static const char *const names[] = { "a", "b", "c" };
+	static const enum gate_outcome outcomes[] = {
+		GATE_ANSWERED, GATE_ANSWERED,  GATE_ANSWERED,	    GATE_SHED,
+		GATE_BROKEN,   GATE_TIMED_OUT, GATE_CONNECT_FAILED,
+	};
+	std::mt19937 random(7);
+	std::vector<uint32_t> running;
+	std::map<std::string, int> in_flight;
+	std::map<std::string, bool> leaving;
+	std::set<void *> waiting;
+	std::vector<gate_backend_spec> specs;
+	auto started = [&](const gate_decision &decision) {
+		std::string name = gate_backend_name(gate, decision.backend);
+
+		ASSERT_FALSE(leaving[name]);
+		ASSERT_LE(++in_flight[name], 3);
+		running.push_back(decision.backend);
+	};
+
+	for (const char *name : names)
+		specs.push_back({ name, 3, 0, false, false });
+	set(specs);
+	for (int i = 0; i < 60000; i++) {
+		int *waiter = &waiters[i % GATE_MAX_WAITING];
+		gate_decision decision;
+		gate_grant grant;
+		uint32_t which = random() % 3;
+
+		now_us += random() % (4 * MS);
+		switch (random() % 16) {
+		case 0:
+			leaving[names[which]] = specs[which].leaving =
+				random() % 3 == 0;
+			set(specs);
+			break;
+		case 1:
+			gate_report(gate, names[which], random() % 9, false,
+				    now_us);
+			gate_probe(gate, names[which], random() % 2, now_us);
+			break;
+		case 2:
+			EXPECT_EQ(waiting.erase(waiter),
+				  gate_cancel(gate, waiter) ? 1u : 0u);
+			break;
+		case 3 ... 8:
+			if (running.empty())
+				break;
+			std::swap(running[random() % running.size()],
+				  running.back());
+			in_flight[gate_backend_name(gate, running.back())]--;
+			finish(running.back(), outcomes[random() % 7],
+			       random() % (60 * MS));
+			running.pop_back();
+			break;
+		default:
+			if (waiting.count(waiter))
+				break;
+			decision = offer((enum service_class)which,
+					 random() % (400 * MS), waiter);
+			if (decision.verdict == GATE_RUN)
+				started(decision);
+			else if (decision.verdict == GATE_WAIT)
+				waiting.insert(waiter);
+		}
+		while (gate_next(gate, now_us, &grant)) {
+			ASSERT_EQ(1u, waiting.erase(grant.waiter));
+			if (grant.decision.verdict == GATE_RUN)
+				started(grant.decision);
+		}
+		ASSERT_FALSE(HasFatalFailure());
+		ASSERT_EQ(waiting.empty(),
+			  gate_next_due_us(gate) == UINT64_MAX);
+		ASSERT_GT(gate_next_due_us(gate), now_us);
+	}
+}
+
 TEST_F(GateTest, WaitersAreRefusedWhenTheLastServerLeaves)
 {
 	gate_grant grant;
