--- a/tests/bench/ours.c
+++ b/tests/bench/ours.c
@@ -154,6 +154,16 @@
 	configure(ours_policy, index);
 }
 
+static void free_waiting(struct ours_node *node)
+{
+	GHashTableIter iter;
+	void *request;
+
+	g_hash_table_iter_init(&iter, node->waiting);
+	while (g_hash_table_iter_next(&iter, &request, NULL))
+		g_free(request);
+}
+
 static void release_node(struct ours_node *node)
 {
 	steer_free(node->steer);
@@ -186,8 +196,10 @@
 	struct ours_policy *ours_policy = ours_of(policy);
 	uint32_t i;
 
-	for (i = 0; i < ours_policy->world->node_count; i++)
+	for (i = 0; i < ours_policy->world->node_count; i++) {
+		free_waiting(&ours_policy->nodes[i]);
 		release_node(&ours_policy->nodes[i]);
+	}
 	g_free(ours_policy);
 }
 
--- a/tests/bench/world.h
+++ b/tests/bench/world.h
@@ -16,6 +16,10 @@
 #include "core/config.h"
 #include "core/gate.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 #define WORLD_PLACES 6
 #define WORLD_MAX_NODES 16
 #define WORLD_MAX_BACKENDS 32
@@ -246,4 +250,8 @@
 /* Cost of one decision against sizes, and memory; prints a table. */
 void micro_run(void);
 
+#ifdef __cplusplus
+}
+#endif
+
 #endif
