--- a/tests/capacity/capacity_main.c
+++ b/tests/capacity/capacity_main.c
@@ -33,6 +33,8 @@
 	{ "nodes", "Idle nodes against their number", part_nodes, true },
 	{ "probes", "An idle node against its place's backend servers",
 	  part_probes, true },
+	{ "seats", "Shifts' seats at the platform", part_seats, true },
+	{ "rejoin", "The platform after a cut", part_rejoin, true },
 	{ "blocks", "Idle nodes against the configuration's size", part_blocks,
 	  true },
 };
--- a/tests/capacity/fleet.c
+++ b/tests/capacity/fleet.c
@@ -118,19 +118,31 @@
 	return good;
 }
 
-uint64_t fleet_platform_reads(struct fleet *fleet)
+struct platform_calls fleet_platform_calls(struct fleet *fleet)
 {
 	struct http_request request = { .method = "GET", .path = "/control" };
+	struct platform_calls calls;
 	char *body = NULL;
-	uint64_t reads;
 	json_t *root;
 
 	call_platform(fleet, &request, &body);
 	root = json_loads(body ? body : "", 0, NULL);
-	reads = (uint64_t)json_integer_value(json_object_get(root, "reads"));
+	calls.reads =
+		(uint64_t)json_integer_value(json_object_get(root, "reads"));
+	calls.writes =
+		(uint64_t)json_integer_value(json_object_get(root, "writes"));
 	json_decref(root);
 	g_free(body);
-	return reads;
+	return calls;
+}
+
+bool fleet_cut_platform(struct fleet *fleet, bool cut)
+{
+	struct http_request request = { .method = "POST", .path = "/control" };
+
+	request.body = cut ? "{\"down\":true}" : "{\"down\":false}";
+	request.body_bytes = strlen(request.body);
+	return call_platform(fleet, &request, NULL) == 200;
 }
 
 static char *file_of(const struct fleet *fleet, uint32_t index,
--- a/tests/capacity/fleet.h
+++ b/tests/capacity/fleet.h
@@ -36,8 +36,16 @@
 /* Processor time of all nodes together, in nanoseconds. */
 uint64_t fleet_process_ns(const struct fleet *fleet);
 
-/* Reads that the platform's stand-in has served. */
-uint64_t fleet_platform_reads(struct fleet *fleet);
+/* What the platform's stand-in has served so far. */
+struct platform_calls {
+	uint64_t reads;
+	uint64_t writes;
+};
+
+struct platform_calls fleet_platform_calls(struct fleet *fleet);
+
+/* Cut the nodes off from the platform, or let them back. */
+bool fleet_cut_platform(struct fleet *fleet, bool cut);
 
 /* Write the configuration row anew, as that version's successor. */
 bool fleet_rewrite(struct fleet *fleet, uint64_t version);
--- a/tests/capacity/parts.h
+++ b/tests/capacity/parts.h
@@ -23,6 +23,8 @@
 bool part_threads(int sizes);
 bool part_nodes(int sizes);
 bool part_probes(int sizes);
+bool part_seats(int sizes);
+bool part_rejoin(int sizes);
 bool part_blocks(int sizes);
 
 #endif
--- a/tests/capacity/running.c
+++ b/tests/capacity/running.c
@@ -17,6 +17,9 @@
 #define WINDOW_S 10.0
 #define SETTLE_S 3.0
 #define LOOKUPS_S 4.0
+#define SEATS_SETTLE_S 10.0
+#define CUT_S 12.0
+#define AFTER_S 2.0
 #define IDLE_THREADS 16
 #define DEFAULT_POLL_MS 1000
 #define RARE_POLL_MS 60000
@@ -30,14 +33,14 @@
 struct window {
 	double seconds;
 	uint64_t process_ns;
-	uint64_t reads;
+	struct platform_calls calls;
 	struct meter_traffic traffic;
 };
 
 static struct window window_start(struct fleet *fleet)
 {
 	struct window window = { meter_now_s(), fleet_process_ns(fleet),
-				 fleet_platform_reads(fleet),
+				 fleet_platform_calls(fleet),
 				 meter_loopback() };
 
 	return window;
@@ -46,10 +49,12 @@
 static void window_end(struct fleet *fleet, struct window *window)
 {
 	struct meter_traffic traffic = meter_loopback();
+	struct platform_calls calls = fleet_platform_calls(fleet);
 
 	window->traffic.bytes = traffic.bytes - window->traffic.bytes;
 	window->traffic.packets = traffic.packets - window->traffic.packets;
-	window->reads = fleet_platform_reads(fleet) - window->reads;
+	window->calls.reads = calls.reads - window->calls.reads;
+	window->calls.writes = calls.writes - window->calls.writes;
 	window->process_ns = fleet_process_ns(fleet) - window->process_ns;
 	window->seconds = meter_now_s() - window->seconds;
 }
@@ -258,7 +263,7 @@
 	       poll_ms, (double)window.process_ns / 1e7 / node_seconds,
 	       (double)window.traffic.bytes / node_seconds,
 	       (double)window.traffic.packets / node_seconds,
-	       (double)window.reads / node_seconds,
+	       (double)window.calls.reads / node_seconds,
 	       meter_status_kb(fleet_pid(fleet, 0), "VmRSS"));
 	fleet_close(fleet);
 	return true;
@@ -328,6 +333,99 @@
 	return true;
 }
 
+/* Six nodes in two places; the shifts go to either in turn. */
+static struct fleet *open_with_shifts(uint32_t nodes, uint32_t shifts)
+{
+	struct fleet_options options = {
+		.size = part_sizes[0],
+		.processes = nodes,
+		.http_threads = IDLE_THREADS,
+		.poll_interval_ms = DEFAULT_POLL_MS,
+	};
+
+	options.size.nodes = nodes;
+	options.size.places = nodes / NODES_A_PLACE;
+	options.size.regions = 1;
+	options.size.backends = 0;
+	options.size.blocks = 0;
+	options.size.shifts = shifts;
+	return fleet_open(&options);
+}
+
+static bool print_seats(uint32_t shifts)
+{
+	struct fleet *fleet = open_with_shifts(2 * NODES_A_PLACE, shifts);
+	struct window window;
+
+	if (!fleet)
+		return false;
+	/* Seats of nodes that had not started yet go back to them. */
+	meter_sleep_s(SEATS_SETTLE_S);
+	window = watch(fleet, WINDOW_S);
+	printf("| %u | %u | %.1f | %.1f | %.2f |\n", shifts,
+	       shifts * NODES_A_PLACE,
+	       (double)window.calls.reads / window.seconds,
+	       (double)window.calls.writes / window.seconds,
+	       (double)window.process_ns / 1e7 / window.seconds /
+		       (2 * NODES_A_PLACE));
+	fleet_close(fleet);
+	return true;
+}
+
+bool part_seats(int sizes)
+{
+	static const uint32_t counts[PART_SIZES] = { 0, 4, 16, 64 };
+	int i;
+
+	puts("Six nodes in two places.\n\n"
+	     "| shifts | seats | platform reads a second | writes a second | "
+	     "% of a core a node |\n"
+	     "| --- | --- | --- | --- | --- |");
+	for (i = 0; i < sizes; i++)
+		if (!print_seats(counts[i]))
+			return false;
+	return true;
+}
+
+static bool print_rejoin(uint32_t nodes)
+{
+	struct fleet *fleet = open_with_shifts(nodes, 2);
+	struct window idle, after;
+
+	if (!fleet)
+		return false;
+	meter_sleep_s(SEATS_SETTLE_S);
+	idle = watch(fleet, WINDOW_S);
+	fleet_cut_platform(fleet, true);
+	meter_sleep_s(CUT_S);
+	fleet_cut_platform(fleet, false);
+	after = watch(fleet, AFTER_S);
+	printf("| %u | %.1f | %.1f | %.1f | %.1f |\n", nodes,
+	       (double)idle.calls.reads / idle.seconds,
+	       (double)idle.calls.writes / idle.seconds,
+	       (double)after.calls.reads / after.seconds,
+	       (double)after.calls.writes / after.seconds);
+	fleet_close(fleet);
+	return true;
+}
+
+bool part_rejoin(int sizes)
+{
+	static const uint32_t counts[PART_SIZES] = { 6, 12, 24, 48 };
+	int i;
+
+	printf("Three nodes a place, two shifts; the platform is away for %.0f "
+	       "s. Before, and in the first %.0f s after it.\n\n"
+	       "| nodes | reads a second | writes a second | reads a second "
+	       "after | writes a second after |\n"
+	       "| --- | --- | --- | --- | --- |\n",
+	       CUT_S, AFTER_S);
+	for (i = 0; i < sizes; i++)
+		if (!print_rejoin(counts[i]))
+			return false;
+	return true;
+}
+
 /* Seconds until the rewritten row is in force on all nodes; < 0 if never. */
 static double change(struct fleet *fleet)
 {
