http_client: a kept connection that died proves nothing

On a kept connection that dies without an answer the library sends the request again by itself and tells of the last try only.

Connections that the request went out on are counted by the library's call before each sending: none is connect failed, and two say that the answer judges the last one only, which hop and place already treat as no proof. Weighed: fresh connections for all (a millisecond and a handshake for each lookup), the library's time stamps (they are of the last try). Both new tests fail before.

--- a/packages/adapters/http_client.c
+++ b/packages/adapters/http_client.c
@@ -41,6 +41,7 @@
 	bool has_length; /* Content-Length or chunked: the end is known */
 	bool too_large;
 	bool heard; /* a byte came back */
+	uint32_t sends; /* connections that the request went out on */
 	bool ended;
 	CURLcode code;
 };
@@ -234,10 +235,9 @@
 	return true;
 }
 
-static enum http_outcome judge(CURL *easy, const struct attempt *attempt)
+static enum http_outcome judge(const struct attempt *attempt)
 {
 	const struct http_request *request = attempt->request;
-	curl_off_t sent_at = 0;
 
 	if (attempt->too_large)
 		return HTTP_TOO_LARGE;
@@ -251,20 +251,41 @@
 			return HTTP_BROKEN;
 		return HTTP_ANSWERED;
 	}
-	curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &sent_at);
-	if (attempt->code == CURLE_COULDNT_CONNECT || !sent_at)
+	if (!attempt->sends)
 		return HTTP_CONNECT_FAILED;
 	if (attempt->code == CURLE_OPERATION_TIMEDOUT)
 		return HTTP_TIMED_OUT;
 	return HTTP_BROKEN;
 }
 
+/*
+ * Called when a connection is there, new or kept, and the request goes out on
+ * it. On a kept connection that dies without an answer the library sends it
+ * again by itself, and tells of the last try only: that it couldn't connect, or
+ * that it was refused. The node or backend server may have run the first one
+ * before it died, so that neither proves "not run"; the count tells.
+ */
+static int count_send(void *context, char *remote, char *local, int remote_port,
+		      int local_port)
+{
+	struct attempt *attempt = context;
+
+	(void)remote;
+	(void)local;
+	(void)remote_port;
+	(void)local_port;
+	attempt->sends++;
+	return CURL_PREREQFUNC_OK;
+}
+
 static void start(struct channel *channel, struct attempt *attempt,
 		  uint64_t timeout_us, bool fresh)
 {
 	attempt->heard = false;
 	attempt->ended = false;
 	prepare_easy(channel->easy, attempt, timeout_us, fresh);
+	curl_easy_setopt(channel->easy, CURLOPT_PREREQFUNCTION, count_send);
+	curl_easy_setopt(channel->easy, CURLOPT_PREREQDATA, attempt);
 	curl_multi_add_handle(channel->multi, channel->easy);
 }
 
@@ -288,16 +309,12 @@
 		if (request->may_repeat(request->context) &&
 		    monotonic_us() < end_us) {
 			stop(channel);
-			attempt->answer->repeated = true;
 			start(channel, attempt, end_us - monotonic_us(), true);
 		}
 		run(channel, attempt, 0);
 	}
-	attempt->answer->outcome = judge(channel->easy, attempt);
-	/* The first sending went out, whatever became of the second one. */
-	if (attempt->answer->repeated &&
-	    attempt->answer->outcome == HTTP_CONNECT_FAILED)
-		attempt->answer->outcome = HTTP_BROKEN;
+	attempt->answer->outcome = judge(attempt);
+	attempt->answer->repeated = attempt->sends > 1;
 }
 
 static struct channel *channel_new(void)
--- a/packages/adapters/http_client.h
+++ b/packages/adapters/http_client.h
@@ -66,7 +66,7 @@
 	size_t body_bytes;
 	char *content_type; /* NULL: none */
 	GPtrArray *header_lines; /* "Name: value" */
-	bool repeated; /* sent again on a new connection */
+	bool repeated; /* sent more than once; the last one was judged */
 };
 
 struct http_client;
--- a/tests/adapters/http_client_test.cc
+++ b/tests/adapters/http_client_test.cc
@@ -14,7 +14,7 @@
 /*
  * A server that reads one request head after another and answers each with the
  * next text of its script; an empty text closes the connection without one,
- * "silent" says nothing and keeps it open.
+ * "silent" says nothing and keeps it open, "gone" stops listening as well.
  */
 class ScriptedServer
 {
@@ -75,6 +75,10 @@
 
 			if (text == "silent")
 				continue;
+			if (text == "gone") {
+				shutdown(listener_, SHUT_RDWR);
+				text.clear();
+			}
 			if (text.empty() ||
 			    write(fd, text.data(), text.size()) < 0) {
 				shutdown(fd, SHUT_RDWR);
@@ -262,6 +266,41 @@
 	return false;
 }
 
+/*
+ * An inspector is told that a lookup was not run, and it was: the node had sent
+ * it on and was killed. The library went to a new connection by itself and
+ * couldn't open one, which looked as if nothing had ever been sent.
+ */
+TEST_F(HttpClient, KeptConnectionThatDiedIsNoRefusedOne)
+{
+	ScriptedServer server({ whole("one"), "gone" });
+	struct http_request request = request_to(server.port);
+	struct http_answer answer;
+
+	http_client_exchange(client, &request, &answer);
+	EXPECT_EQ(HTTP_ANSWERED, answer.outcome);
+	EXPECT_FALSE(answer.repeated);
+	http_answer_release(&answer);
+	http_client_exchange(client, &request, &answer);
+	EXPECT_EQ(HTTP_BROKEN, answer.outcome);
+	http_answer_release(&answer);
+}
+
+/* The same, with an answer to the second sending: a refusal proves nothing. */
+TEST_F(HttpClient, SaysWhatTheLibrarySentTwice)
+{
+	ScriptedServer server({ whole("one"), "", whole("two") });
+	struct http_request request = request_to(server.port);
+	struct http_answer answer;
+
+	http_client_exchange(client, &request, &answer);
+	http_answer_release(&answer);
+	http_client_exchange(client, &request, &answer);
+	EXPECT_EQ(HTTP_ANSWERED, answer.outcome);
+	EXPECT_TRUE(answer.repeated);
+	http_answer_release(&answer);
+}
+
 /* Without a budget the first sending is waited for, and nothing is repeated. */
 TEST_F(HttpClient, SilenceWithoutABudgetIsWaitedOut)
 {
