state: a share grows only on a sibling's answer to an own call

The new protocol of shares, as a model: sound while a restarted node has its configuration from the platform, but not with an older one from a lagging peer (2 + 2 of 3 slots). The sibling counts on what the node's former life declared and takes slots over, while the node takes its larger share of the older version by the sibling's report of it. Taken: a report counts only from a node that has answered a call of ours in its present incarnation; it then has our present incarnation's report, and can't go by the former one's.

A second model, hearsay, holds the mended rule that nodes pass on only signs of leaving that they saw themselves. faults.sh takes its network from FAULTS_NET, so that runs can go side by side.

--- a/models/prove.sh
+++ b/models/prove.sh
@@ -60,6 +60,13 @@
 	leave LAST_SIGN_WINS caught
 	leave CHANGE_FORGETS caught
 	leave BLIND_RESTART caught
+	hearsay SOUND clean
+	hearsay PASSED_ON caught
+	share SOUND clean
+	share AT_ONCE caught
+	share AT_LEAST caught
+	share DECLARE_EARLY caught
+	share NO_ANSWER caught
 	stop SOUND clean
 	stop EXIT_EARLY caught
 	stop NO_LINGER caught
--- a/packages/node/loops.c
+++ b/packages/node/loops.c
@@ -329,6 +329,9 @@
 		return false;
 	}
 	take_message(node, &answer);
+	if (answer.report_count)
+		view_answered(node->view, answer.reports[0].node,
+			      answer.reports[0].incarnation);
 	if (answer.report_count &&
 	    answer.reports[0].config_version > state_version(node))
 		fetch_config(node, client, answer.sender);
--- a/packages/node/state.c
+++ b/packages/node/state.c
@@ -333,6 +333,11 @@
  * be late; then it is taken to be gone, so that its place goes on with what it
  * can. A cut within one failure domain, at the moment of a change of its nodes
  * or slots, can so make the sum exceed the slots until the cut heals.
+ *
+ * Only a node that answered a call of ours counts, since it has our present
+ * incarnation's report. One that hasn't may still go by what our former life
+ * declared: restarted with an older version from a lagging peer, this node
+ * would take its larger share of that one while the other has grown already.
  */
 static bool sharer_is_ready(struct node *node, const char *name,
 			    uint64_t now_us)
@@ -341,8 +346,9 @@
 
 	if (view_find(node->view, name, now_us, &known) &&
 	    known.age_us < SHARER_SILENT_US)
-		return known.shares_version ==
-		       share_table_version(node->shares);
+		return known.answered &&
+		       known.shares_version ==
+			       share_table_version(node->shares);
 	return now_us - node->shares_since_us >= SHARER_SILENT_US;
 }
 
--- a/packages/node/view.c
+++ b/packages/node/view.c
@@ -8,6 +8,7 @@
 	struct peer_report report;
 	uint64_t made_us; /* on our clock */
 	uint64_t failed_us; /* 0: not since it spoke */
+	bool answered; /* a call of ours, in this incarnation */
 };
 
 struct view {
@@ -84,20 +85,35 @@
 	       uint64_t now_us)
 {
 	uint64_t made_us = now_us - MIN(report->age_us, now_us);
+	struct entry *known;
 	struct entry *entry;
 
 	pthread_mutex_lock(&view->lock);
-	entry = g_hash_table_lookup(view->entries, report->node);
-	if (!entry || is_newer(entry, report, made_us)) {
+	known = g_hash_table_lookup(view->entries, report->node);
+	if (!known || is_newer(known, report, made_us)) {
 		entry = g_new0(struct entry, 1);
 		report_copy(&entry->report, report);
 		entry->made_us = made_us;
+		entry->answered = known && known->answered &&
+				  known->report.incarnation ==
+					  report->incarnation;
 		g_hash_table_insert(view->entries, g_strdup(report->node),
 				    entry);
 	}
 	pthread_mutex_unlock(&view->lock);
 }
 
+void view_answered(struct view *view, const char *node, uint64_t incarnation)
+{
+	struct entry *entry;
+
+	pthread_mutex_lock(&view->lock);
+	entry = g_hash_table_lookup(view->entries, node);
+	if (entry && entry->report.incarnation == incarnation)
+		entry->answered = true;
+	pthread_mutex_unlock(&view->lock);
+}
+
 void view_failed(struct view *view, const char *node, uint64_t now_us)
 {
 	struct entry *entry;
@@ -125,6 +141,7 @@
 		found->shares_version = entry->report.shares_version;
 		found->age_us = age_of(entry, now_us);
 		found->leaving = entry->report.leaving;
+		found->answered = entry->answered;
 		found->failing = entry->failed_us != 0;
 	}
 	pthread_mutex_unlock(&view->lock);
--- a/packages/node/view.h
+++ b/packages/node/view.h
@@ -28,6 +28,7 @@
 	uint64_t shares_version;
 	uint64_t age_us; /* UINT64_MAX: never heard of */
 	bool leaving;
+	bool answered; /* a call of ours, in this incarnation */
 	bool failing; /* calls to it failed since it last spoke */
 };
 
@@ -38,6 +39,9 @@
 void view_take(struct view *view, const struct peer_report *report,
 	       uint64_t now_us);
 
+/* The node's incarnation answered a call of ours, and so knows our own one. */
+void view_answered(struct view *view, const char *node, uint64_t incarnation);
+
 /* A call to the node failed to connect; it counts as silent till it speaks. */
 void view_failed(struct view *view, const char *node, uint64_t now_us);
 
--- a/tests/history/faults.sh
+++ b/tests/history/faults.sh
@@ -13,7 +13,7 @@
 # be seen within its bound because of a fault isn't counted.
 #
 # Exit status 1 where a promise broke or one wasn't exercised. Everything runs on
-# loopback addresses 127.77.0.0/16 and is stopped at the end.
+# loopback addresses 127.77.0.0/16 (FAULTS_NET) and is stopped at the end.
 set -Eeuo pipefail
 
 build=$(cd "$1" && pwd)
@@ -28,8 +28,9 @@
 
 work=$(mktemp -d "${TMPDIR:-/tmp}/lilacfield-faults.XXXXXX")
 history=$work/driver.history
-platform=127.77.9.1:7700
-fleet=127.77.9.2:7701
+net=${FAULTS_NET:-127.77}
+platform=$net.9.1:7700
+fleet=$net.9.2:7701
 declare -A pids=()
 load_pids=()
 RANDOM=$seed
@@ -60,29 +61,29 @@
 
 # The four nodes: name, place, address.
 nodes=(
-	"n1 east 127.77.1.1"
-	"n2 east 127.77.1.2"
-	"n3 west 127.77.2.1"
-	"n4 west 127.77.2.2"
+	"n1 east $net.1.1"
+	"n2 east $net.1.2"
+	"n3 west $net.2.1"
+	"n4 west $net.2.2"
 )
 http_port=7780
 
 write_fleet() { # NAME SERVICE ADDRESS:PORT SLOTS SERVICE_US STRENGTH_PERMILLE
 	cat <<-END
-	ce1 certif 127.77.1.100:9000 3 30000 1000
-	ce2 certif 127.77.1.101:9000 3 30000 800
-	he1 historia 127.77.1.102:9000 7 15000 1000
-	he2 historia 127.77.1.103:9000 7 15000 800
-	cw1 certif 127.77.2.100:9000 3 30000 1000
-	cw2 certif 127.77.2.101:9000 3 30000 800
-	hw1 historia 127.77.2.102:9000 7 15000 1000
-	hw2 historia 127.77.2.103:9000 7 15000 800
+	ce1 certif $net.1.100:9000 3 30000 1000
+	ce2 certif $net.1.101:9000 3 30000 800
+	he1 historia $net.1.102:9000 7 15000 1000
+	he2 historia $net.1.103:9000 7 15000 800
+	cw1 certif $net.2.100:9000 3 30000 1000
+	cw2 certif $net.2.101:9000 3 30000 800
+	hw1 historia $net.2.102:9000 7 15000 1000
+	hw2 historia $net.2.103:9000 7 15000 800
 	END
 }
 
 place_of_address() {
 	case $1 in
-	127.77.1.*) echo east ;;
+	"$net".1.*) echo east ;;
 	*) echo west ;;
 	esac
 }
@@ -125,7 +126,7 @@
 	address = "${platform%:*}"
 	port = ${platform#*:}
 	[seeds]
-	peers = ["127.77.1.1:$((http_port + 1))", "127.77.2.2:$((http_port + 1))"]
+	peers = ["$net.1.1:$((http_port + 1))", "$net.2.2:$((http_port + 1))"]
 	[log]
 	path = "$work/$1.log"
 	level = "debug"
--- a/tests/node/fakes.h
+++ b/tests/node/fakes.h
@@ -172,6 +172,7 @@
 		report.shares_version = version;
 		report.config_version = version;
 		view_take(node->view, &report, clock.now_us);
+		view_answered(node->view, name, report.incarnation);
 	}
 
 	/* The version is in force, and at the siblings too. */
--- a/tests/node/state_test.cc
+++ b/tests/node/state_test.cc
@@ -144,3 +144,31 @@
 	state_refresh_shares(fake.node);
 	EXPECT_EQ(3u, gate_slots(fake.node, "historia"));
 }
+
+/*
+ * A place ran more requests than its servers have slots. A node had restarted
+ * and got an older configuration from a lagging peer; it took its larger share
+ * of that one by a report of its sibling, which went by what the node's former
+ * life had declared and had already taken the same slots over.
+ */
+TEST_F(State, RestartedNodeTakesItsShareOnlyOnAnAnswer)
+{
+	fake_node fake;
+	struct peer_report report = {};
+
+	fake.apply(1);
+	g_strlcpy(report.node, "n2", NAME_SIZE);
+	report.incarnation = 7;
+	report.sequence = 1;
+	report.shares_version = 1;
+	view_take(fake.node->view, &report, fake.clock.now_us);
+	state_refresh_shares(fake.node);
+	EXPECT_EQ(0u, gate_slots(fake.node, "historia"));
+	/* An answer of its former life is none of this one. */
+	view_answered(fake.node->view, "n2", 6);
+	state_refresh_shares(fake.node);
+	EXPECT_EQ(0u, gate_slots(fake.node, "historia"));
+	view_answered(fake.node->view, "n2", 7);
+	state_refresh_shares(fake.node);
+	EXPECT_EQ(3u, gate_slots(fake.node, "historia"));
+}
