steer: with home shut, a short queue next to it before a far place

Cause: a home that takes nothing for a moment (its window is cut after a refusal) sent its requests to any place with headroom, mostly in another region, though the place next to it had only a short queue. Those requests make the 99th percentile from 80% load on.

--- a/packages/core/steer.c
+++ b/packages/core/steer.c
@@ -328,38 +328,55 @@
 	return steer_is_slow(excess_us, base_us) ? CONFIG_NONE : home;
 }
 
+/* The least expected time of the places seen that have a queue. */
+static uint64_t least_queue_us(const struct steer *steer,
+			       const struct choosing *choosing)
+{
+	const struct steer_estimate *estimate;
+	uint64_t least_us = UINT64_MAX / 2;
+	uint32_t i;
+
+	for (i = 0; i < choosing->seen; i++) {
+		estimate = &steer->estimates[i];
+		if (estimate->standing == STEER_QUEUE &&
+		    estimate->expected_us < least_us)
+			least_us = estimate->expected_us;
+	}
+	return least_us;
+}
+
 /*
  * The place with headroom and the least time, or home where waiting for a slot
- * there takes less than the way to another.
+ * there takes less than the way to another. Where home takes nothing now, a
+ * queue next to it may be the shorter way, too.
  */
 static uint32_t pick_least_time(struct steer *steer, struct choosing *choosing)
 {
 	uint64_t least_us = estimate_near(steer, choosing, STEER_HEADROOM);
 	uint32_t home = find_position(steer, choosing->request->home);
-	uint32_t picked;
+	uint32_t picked = pick_near(steer, choosing, STEER_HEADROOM, least_us);
+	uint64_t queue_us;
 
-	picked = pick_near(steer, choosing, STEER_HEADROOM, least_us);
 	if (picked == CONFIG_NONE || home >= choosing->seen)
 		return picked;
 	if (steer->estimates[home].standing == STEER_QUEUE &&
 	    steer->places[home].reported &&
 	    steer->estimates[home].expected_us <= least_us)
 		return home;
-	return picked;
+	if (steer->estimates[home].standing != STEER_CLOSED)
+		return picked;
+	queue_us = least_queue_us(steer, choosing);
+	if (queue_us > least_us)
+		return picked;
+	return pick_near(steer, choosing, STEER_QUEUE, queue_us);
 }
 
 /* No place is known to have headroom: the shortest queue, or one unheard of. */
 static uint32_t pick_last_resort(const struct steer *steer,
 				 const struct choosing *choosing)
 {
-	uint64_t least_us = UINT64_MAX / 2;
-	uint32_t i;
-
-	for (i = 0; i < choosing->seen; i++)
-		if (steer->estimates[i].standing == STEER_QUEUE &&
-		    steer->estimates[i].expected_us < least_us)
-			least_us = steer->estimates[i].expected_us;
-	return pick_near(steer, choosing, STEER_QUEUE, least_us);
+	return pick_near(steer, choosing, STEER_QUEUE,
+			 least_queue_us(steer, choosing));
 }
 
 /* The shift whose share the draw falls in, or CONFIG_NONE. */
