node: settle shares at once, and hand on what a node has no slots for

Two reasons: the version went round in report intervals, in which nobody used the drained node's slots; and the drained node, without slots, refused at its own gate (no-place) what its sibling had room for, after which other nodes held the place for full.

Ruled out: steer's closing after refusals alone (it was the effect), the gate's bound on waiting (3 refusals).

Change: a newer version is exchanged with siblings at once, and every 25 ms until the shares are settled; a node without slots hands on to a sibling, and nobody hops to a node without slots.

--- a/packages/node/command.c
+++ b/packages/node/command.c
@@ -5,6 +5,7 @@
 #include "adapters/log.h"
 #include "core/admin.h"
 #include "core/query.h"
+#include "node/loops.h"
 
 /* Times a command is applied anew when another one came first. */
 #define MOST_TRIES 5
@@ -118,6 +119,7 @@
 		/* In force here at once, and told to peers in their round. */
 		next->version = progress->version;
 		state_apply(node, next, NULL);
+		loops_hurry(node);
 		return true;
 	}
 	config_free(next);
--- a/packages/node/entry.c
+++ b/packages/node/entry.c
@@ -113,19 +113,16 @@
 	choice->retry_after_us = NO_CONFIG_RETRY_AFTER_US;
 }
 
-static bool own_gate_is_full(struct passage *passage, uint64_t *service_us)
+static void summarise_own_gate(struct passage *passage,
+			       struct gate_summary *summary)
 {
-	struct gate_summary summary;
-
 	pthread_mutex_lock(&passage->service->gate_lock);
 	gate_summarise(passage->service->gate, state_now_us(passage->node),
-		       &summary);
+		       summary);
 	pthread_mutex_unlock(&passage->service->gate_lock);
-	*service_us = summary.service_us;
-	return summary.in_flight + summary.waiting >= summary.slots;
 }
 
-/* Slots that a node said are free; -1 where it isn't usable. */
+/* Slots that a node said are free; -1 where it isn't usable or has none. */
 static int64_t spare_slots(struct passage *passage, uint32_t index)
 {
 	const struct config_node *target =
@@ -135,7 +132,8 @@
 
 	if (!view_summary(passage->node->view, target->name,
 			  passage->service->name, state_now_us(passage->node),
-			  &summary, &age_us))
+			  &summary, &age_us) ||
+	    !summary.slots)
 		return -1;
 	return MAX((int64_t)summary.slots - summary.in_flight - summary.waiting,
 		   0);
@@ -209,20 +207,23 @@
 	hop_send(passage->node, &hop, passage->request, passage->answer);
 }
 
-/* At the own place: here, or at a sibling that has slots when here has none. */
+/*
+ * At the own place: here, or at a sibling that has free slots when here are
+ * none. A node without any slots, such as a drained one, hands all on: its own
+ * gate could only refuse, and would make the place look full.
+ */
 static void serve_at_own_place(struct passage *passage)
 {
-	uint32_t own_place = passage->snapshot->own_place;
-	uint64_t service_us;
-	uint32_t sibling;
-
-	if (own_gate_is_full(passage, &service_us)) {
-		sibling = draw_node(passage, own_place);
-		if (sibling != CONFIG_NONE &&
-		    spare_slots(passage, sibling) > 0) {
-			send_to(passage, sibling, service_us);
-			return;
-		}
+	uint32_t sibling = CONFIG_NONE;
+	struct gate_summary own;
+
+	summarise_own_gate(passage, &own);
+	if (own.in_flight + own.waiting >= own.slots)
+		sibling = draw_node(passage, passage->snapshot->own_place);
+	if (sibling != CONFIG_NONE &&
+	    (!own.slots || spare_slots(passage, sibling) > 0)) {
+		send_to(passage, sibling, own.service_us);
+		return;
 	}
 	place_serve(passage->node, passage->snapshot, passage->index,
 		    passage->request, passage->answer);
--- a/packages/node/loops.c
+++ b/packages/node/loops.c
@@ -13,6 +13,9 @@
 /* A node that isn't its place's reader of the platform polls this much less. */
 #define FALLBACK_POLL_FACTOR 5
 
+/* Between rounds with siblings while the shares of slots wait for them. */
+#define UNSETTLED_INTERVAL_US 25000
+
 #define SEATS_INTERVAL_US 250000
 #define VMS_INTERVAL_US 1000000
 #define PEER_TIMEOUT_US 1000000
@@ -45,15 +48,31 @@
 	pthread_mutex_t lock;
 	pthread_cond_t wake;
 	bool closing;
+	bool hurry; /* the siblings' loop is to start its round */
 	struct loop *all;
 	uint32_t count;
 };
 
+static void exchange_with_siblings(struct loop *loop);
+
+static bool is_hurried(struct loop *loop)
+{
+	return loop->work == exchange_with_siblings && loop->loops->hurry;
+}
+
+static uint64_t interval_of(struct loop *loop)
+{
+	if (loop->work == exchange_with_siblings &&
+	    !state_shares_are_settled(loop->loops->node))
+		return MIN(UNSETTLED_INTERVAL_US, loop->interval_us);
+	return loop->interval_us;
+}
+
 static bool wait_for_round(struct loop *loop)
 {
 	struct loops *loops = loop->loops;
 	struct timespec until;
-	uint64_t wait_us = loop->interval_us;
+	uint64_t wait_us = interval_of(loop);
 	bool closing;
 
 	/* Spread by a quarter, so that nodes don't come all at once. */
@@ -66,10 +85,12 @@
 		until.tv_nsec -= 1000000000;
 	}
 	pthread_mutex_lock(&loops->lock);
-	while (!loops->closing &&
+	while (!loops->closing && !is_hurried(loop) &&
 	       !pthread_cond_timedwait(&loops->wake, &loops->lock, &until))
 		continue;
 	closing = loops->closing;
+	if (is_hurried(loop))
+		loops->hurry = false;
 	pthread_mutex_unlock(&loops->lock);
 	return !closing;
 }
@@ -94,8 +115,10 @@
 
 	if (config) {
 		config->version = version;
-		if (state_apply(node, config, &error))
+		if (state_apply(node, config, &error)) {
+			loops_hurry(node);
 			return true;
+		}
 	}
 	if (error->code != RESULT_CONFIG_OLDER)
 		log_event(LOG_ERROR, "config-refused",
@@ -275,11 +298,16 @@
 static void take_message(struct node *node, const struct peer_message *message)
 {
 	uint64_t now_us = state_now_us(node);
+	uint64_t newest = 0;
 	uint32_t i;
 
-	for (i = 0; i < message->report_count; i++)
+	for (i = 0; i < message->report_count; i++) {
+		newest = MAX(newest, message->reports[i].config_version);
 		if (strcmp(message->reports[i].node, node->settings->name) != 0)
 			view_take(node->view, &message->reports[i], now_us);
+	}
+	if (newest > state_version(node))
+		loops_hurry(node);
 }
 
 static void fetch_config(struct node *node, struct peer_client *client,
@@ -529,6 +557,18 @@
 	pthread_create(&loop->thread, NULL, run_loop, loop);
 }
 
+void loops_hurry(struct node *node)
+{
+	struct loops *loops = node->loops;
+
+	if (!loops)
+		return;
+	pthread_mutex_lock(&loops->lock);
+	loops->hurry = true;
+	pthread_cond_broadcast(&loops->wake);
+	pthread_mutex_unlock(&loops->lock);
+}
+
 struct loops *loops_open(struct node *node)
 {
 	const struct settings *settings = node->settings;
@@ -537,6 +577,7 @@
 	uint32_t lane;
 
 	loops->node = node;
+	node->loops = loops;
 	loops->all = g_new0(struct loop, 5 + PROBE_LANES);
 	pthread_mutex_init(&loops->lock, NULL);
 	pthread_condattr_init(&attributes);
@@ -560,6 +601,7 @@
 {
 	uint32_t i;
 
+	loops->node->loops = NULL;
 	pthread_mutex_lock(&loops->lock);
 	loops->closing = true;
 	pthread_cond_broadcast(&loops->wake);
--- a/packages/node/loops.h
+++ b/packages/node/loops.h
@@ -18,6 +18,12 @@
 struct loops *loops_open(struct node *node);
 void loops_close(struct loops *loops);
 
+/*
+ * Exchange with the siblings at once: a version came, here or there. Harmless
+ * where no loops run.
+ */
+void loops_hurry(struct node *node);
+
 /* The handler of peers' calls. */
 struct peer_handler loops_peer_handler(struct node *node);
 
--- a/packages/node/state.c
+++ b/packages/node/state.c
@@ -384,6 +384,17 @@
 	pthread_mutex_unlock(&node->apply_lock);
 }
 
+bool state_shares_are_settled(struct node *node)
+{
+	bool settled;
+
+	pthread_mutex_lock(&node->apply_lock);
+	settled = share_table_is_settled(node->shares) ||
+		  !share_table_version(node->shares);
+	pthread_mutex_unlock(&node->apply_lock);
+	return settled;
+}
+
 /* Whether a gate has more in flight somewhere than its share. */
 static bool is_over(struct node *node, struct service *service)
 {
--- a/packages/node/state.h
+++ b/packages/node/state.h
@@ -84,6 +84,8 @@
 	bool wanted; /* by the configuration in force */
 };
 
+struct loops;
+
 struct node {
 	const struct settings *settings;
 	const struct clock *clock;
@@ -116,7 +118,7 @@
 	GHashTable *vms; /* enum vm_state by address, under vms_lock */
 	pthread_mutex_t vms_lock; /* a leaf */
 
-	GPtrArray *loops; /* struct loop */
+	struct loops *loops; /* NULL while none run */
 };
 
 struct node *state_new(const struct settings *settings,
@@ -143,6 +145,8 @@
 /* Take the shares of the present version whole if all others are ready. */
 void state_refresh_shares(struct node *node);
 
+bool state_shares_are_settled(struct node *node);
+
 /* The version whose shares this node keeps to, 0 while it is over one. */
 uint64_t state_declared_version(struct node *node);
 
--- a/tests/node/entry_test.cc
+++ b/tests/node/entry_test.cc
@@ -124,3 +124,48 @@
 	make_ticket("n2", 0);
 	EXPECT_EQ(RESULT_TICKET_ELSEWHERE, serve("certif", 1000000));
 }
+
+/*
+ * Calls fail at a place in the second after one of its entry VMs is drained for
+ * replacement. The drained node has no slots any more, and refused at its own
+ * gate what its sibling had room for; other nodes took that for a full place.
+ */
+TEST(DrainedEntry, HandsOnToItsSibling)
+{
+	std::string drained = fake_document;
+	struct peer_service_report service = {};
+	struct peer_report report = {};
+	struct request request = {};
+	struct answer answer;
+
+	metrics_open();
+	{
+		fake_node fake;
+
+		drained.replace(drained.find("\"address\": \"127.1.1.1\""), 22,
+				"\"address\": \"127.1.1.1\", "
+				"\"drained\": true");
+		fake.apply_everywhere(1, drained.c_str());
+		g_strlcpy(service.service, "historia", NAME_SIZE);
+		service.summary.slots = 5;
+		service.summary.in_flight = 5;
+		g_strlcpy(report.node, "n2", NAME_SIZE);
+		report.incarnation = 7;
+		report.sequence = 100;
+		report.service_count = 1;
+		report.services = &service;
+		view_take(fake.node->view, &report, fake.clock.now_us);
+		state_refresh_places(fake.node);
+
+		request.method = "GET";
+		request.service = "historia";
+		request.path = "";
+		answer_init(&answer);
+		entry_serve(fake.node, &request, &answer);
+		/* It was sent to the sibling, where nothing listens here. */
+		EXPECT_EQ(RESULT_CONNECT_FAILED, answer.result)
+			<< result_name(answer.result);
+		answer_release(&answer);
+	}
+	metrics_close();
+}
