--- a/packages/core/steer.c
+++ b/packages/core/steer.c
@@ -150,7 +150,9 @@
 	g_free(steer->position);
 	steer->position = g_new(uint32_t, most);
 	steer->position_count = most;
-	memset(steer->position, 0xff, most * sizeof(*steer->position));
+	/* A service that has no slots anywhere has no places either. */
+	if (most)
+		memset(steer->position, 0xff, most * sizeof(*steer->position));
 	for (i = 0; i < steer->place_count; i++)
 		steer->position[steer->places[i].spec.place] = i;
 }
