query: what a sentence says, and what a command does, in two files

The two halves shared the names of the objects and the bounds of a share only; these are in query.h now, from where the administration tables take them too.

--- a/packages/core/query.h
+++ b/packages/core/query.h
@@ -23,6 +23,10 @@
 /* Longest sentence, in bytes. */
 #define QUERY_MAX_BYTES 1024
 
+/* A share in the language is a percentage with one decimal at most. */
+#define QUERY_PERMILLE_PER_PERCENT 10
+#define QUERY_SHARE_MAX_PERMILLE 1000
+
 enum query_verb {
 	QUERY_WHERE, /* where does SERVICE from PLACE go */
 	QUERY_SHOW_PLACES,
@@ -72,6 +76,9 @@
 /* Whether the text may serve as the id of a command or a shift. */
 bool query_id_is_valid(const char *id);
 
+/* What messages call the kind of object: "place", "backend". */
+const char *query_object_name(enum query_object object);
+
 /*
  * Index of the object in the configuration, or CONFIG_NONE and an error of
  * RESULT_UNKNOWN_NAME.
