admin: show and where in files of their own

admin_table.c held the building of tables, six tables and the explanation of a choice. Each has a file now; admin_table.h is internal. Values that may not be known went to answer, whose prefix they carry.

--- /dev/null
+++ b/packages/core/admin_show.c
@@ -0,0 +1,377 @@
+#include "core/admin_table.h"
+
+#include "core/answer.h"
+
+/* What all known reports of a service or a place add up to. */
+struct load_sum {
+	uint64_t slots;
+	uint64_t in_flight;
+	uint64_t waiting;
+	uint64_t oldest_us;
+	bool known;
+};
+
+static const char *const place_columns[] = {
+	"place",	"region", "drained",   "nodes",	  "backends",
+	"config_slots", "slots",  "in_flight", "waiting", "report_age_us",
+};
+
+static const char *const node_columns[] = {
+	"node",	   "place",   "address",	"http_port",	 "peer_port",
+	"drained", "leaving", "config_version", "report_age_us",
+};
+
+static const char *const backend_columns[] = {
+	"backend",	"service", "place", "address",	 "port",
+	"config_slots", "drained", "slots", "in_flight", "reported_in_flight",
+	"latency_us",	"leaving", "down",  "cold",	 "report_age_us",
+};
+
+static const char *const service_columns[] = {
+	"service",	"class", "timeout_us", "stopped", "places",
+	"config_slots", "slots", "in_flight",  "waiting", "report_age_us",
+};
+
+static const char *const shift_columns[] = {
+	"shift",     "service",	       "from",
+	"to",	     "share_permille", "share_now_permille",
+	"cap_per_s",
+};
+
+static const char *const version_columns[] = {
+	"node", "place", "config_version", "in_force", "report_age_us",
+};
+
+static const struct gate_backend_view *
+find_backend(const struct admin_live *live, uint32_t backend)
+{
+	uint32_t i;
+
+	for (i = 0; i < live->backend_count; i++)
+		if (live->backends[i].backend == backend)
+			return &live->backends[i].view;
+	return NULL;
+}
+
+static const struct admin_node *find_node(const struct admin_live *live,
+					  uint32_t node)
+{
+	uint32_t i;
+
+	for (i = 0; i < live->node_count; i++)
+		if (live->nodes[i].node == node)
+			return &live->nodes[i];
+	return NULL;
+}
+
+/* Sum up the reports; CONFIG_NONE stands for any service or any place. */
+static struct load_sum sum_load(const struct admin_live *live, uint32_t service,
+				uint32_t place)
+{
+	struct load_sum sum = { 0 };
+	uint32_t i;
+
+	for (i = 0; i < live->place_count; i++) {
+		const struct admin_place *item = &live->places[i];
+		const struct gate_summary *report = &item->view.report;
+
+		if ((service != CONFIG_NONE && service != item->service) ||
+		    (place != CONFIG_NONE && place != item->view.place) ||
+		    item->view.report_age_us == UINT64_MAX)
+			continue;
+		sum.known = true;
+		sum.slots += report->slots;
+		sum.in_flight += report->in_flight;
+		sum.waiting += report->waiting;
+		sum.oldest_us = MAX(sum.oldest_us, item->view.report_age_us);
+	}
+	return sum;
+}
+
+static json_t *count_answer(struct admin_table *table,
+			    const struct config *config, const char *what)
+{
+	size_t count = json_array_size(table->rows);
+	char message[64];
+	json_t *root;
+
+	g_snprintf(message, sizeof(message), "%zu %s%s", count, what,
+		   count == 1 ? "" : "s");
+	root = answer_new(RESULT_OK, message);
+	admin_table_move(root, table, config->version);
+	return root;
+}
+
+static bool backend_matches(const struct config_backend *backend,
+			    uint32_t service, uint32_t place)
+{
+	return (service == CONFIG_NONE || service == backend->service) &&
+	       (place == CONFIG_NONE || place == backend->place);
+}
+
+static uint64_t count_backends(const struct config *config, uint32_t place)
+{
+	uint64_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < config->backend_count; i++)
+		count += config->backends[i].place == place;
+	return count;
+}
+
+static uint64_t sum_slots(const struct config *config, uint32_t service,
+			  uint32_t place)
+{
+	uint64_t slots = 0;
+	uint32_t i;
+
+	for (i = 0; i < config->backend_count; i++)
+		if (backend_matches(&config->backends[i], service, place))
+			slots += config->backends[i].slots;
+	return slots;
+}
+
+static uint64_t count_nodes(const struct config *config, uint32_t place)
+{
+	uint64_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < config->node_count; i++)
+		count += config->nodes[i].place == place;
+	return count;
+}
+
+static uint64_t count_hosts(const struct config *config, uint32_t service)
+{
+	bool *hosts = admin_find_hosts(config, service);
+	uint64_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < config->place_count; i++)
+		count += hosts[i];
+	g_free(hosts);
+	return count;
+}
+
+static json_t *show_places(const struct admin_question *question)
+{
+	const struct config *config = question->config;
+	struct admin_table table = ADMIN_TABLE_NEW(place_columns);
+	uint32_t i;
+
+	for (i = 0; i < config->place_count; i++) {
+		const struct config_place *place = &config->places[i];
+		struct load_sum sum = sum_load(question->live, CONFIG_NONE, i);
+		json_t *const values[] = {
+			json_string(place->name),
+			json_string(place->region),
+			json_boolean(place->drained),
+			answer_number(count_nodes(config, i)),
+			answer_number(count_backends(config, i)),
+			answer_number(sum_slots(config, CONFIG_NONE, i)),
+			answer_number_if(sum.known, sum.slots),
+			answer_number_if(sum.known, sum.in_flight),
+			answer_number_if(sum.known, sum.waiting),
+			answer_number_if(sum.known, sum.oldest_us),
+		};
+
+		ADMIN_TABLE_ADD(&table, place_columns, values);
+	}
+	return count_answer(&table, config, "place");
+}
+
+static json_t *show_nodes(const struct admin_question *question)
+{
+	const struct config *config = question->config;
+	struct admin_table table = ADMIN_TABLE_NEW(node_columns);
+	uint32_t i;
+
+	for (i = 0; i < config->node_count; i++) {
+		const struct config_node *node = &config->nodes[i];
+		const struct admin_node *live = find_node(question->live, i);
+		json_t *const values[] = {
+			json_string(node->name),
+			json_string(config->places[node->place].name),
+			json_string(node->address),
+			answer_number(node->http_port),
+			answer_number(node->peer_port),
+			json_boolean(node->drained),
+			answer_boolean_if(live, live && live->leaving),
+			answer_number_if(live, live ? live->config_version : 0),
+			answer_time_us(live ? live->report_age_us : UINT64_MAX),
+		};
+
+		ADMIN_TABLE_ADD(&table, node_columns, values);
+	}
+	return count_answer(&table, config, "node");
+}
+
+static void add_backend(struct admin_table *table,
+			const struct admin_question *question, uint32_t index)
+{
+	static const struct gate_backend_view unknown = { 0 };
+	const struct config *config = question->config;
+	const struct config_backend *backend = &config->backends[index];
+	const struct gate_backend_view *live =
+		find_backend(question->live, index);
+	const struct gate_backend_view *view = live ? live : &unknown;
+	bool reported = live && view->report_age_us != UINT64_MAX;
+	json_t *const values[] = {
+		json_string(backend->name),
+		json_string(config->services[backend->service].name),
+		json_string(config->places[backend->place].name),
+		json_string(backend->address),
+		answer_number(backend->port),
+		answer_number(backend->slots),
+		json_boolean(backend->drained),
+		answer_number_if(live, view->slots),
+		answer_number_if(live, view->in_flight),
+		answer_number_if(reported, view->reported_in_flight),
+		answer_number_if(live && view->latency_us, view->latency_us),
+		answer_boolean_if(live, view->leaving),
+		answer_boolean_if(live, view->down),
+		answer_boolean_if(live, view->cold),
+		answer_number_if(reported, view->report_age_us),
+	};
+
+	ADMIN_TABLE_ADD(table, backend_columns, values);
+}
+
+/* Index that a filter names, CONFIG_NONE where it is empty. */
+static bool find_filter(const struct admin_question *question,
+			enum query_object object, const char *name,
+			uint32_t *index, GError **error)
+{
+	*index = CONFIG_NONE;
+	if (!*name)
+		return true;
+	*index = query_find(question->config, object, name, error);
+	return *index != CONFIG_NONE;
+}
+
+static json_t *show_backends(const struct admin_question *question,
+			     GError **error)
+{
+	const struct config *config = question->config;
+	const struct query *query = question->query;
+	struct admin_table table;
+	uint32_t service;
+	uint32_t place;
+	uint32_t i;
+
+	if (!find_filter(question, OBJECT_SERVICE, query->service, &service,
+			 error) ||
+	    !find_filter(question, OBJECT_PLACE, query->place, &place, error))
+		return NULL;
+	table = ADMIN_TABLE_NEW(backend_columns);
+	for (i = 0; i < config->backend_count; i++)
+		if (backend_matches(&config->backends[i], service, place))
+			add_backend(&table, question, i);
+	return count_answer(&table, config, "backend server");
+}
+
+static json_t *show_services(const struct admin_question *question)
+{
+	const struct config *config = question->config;
+	struct admin_table table = ADMIN_TABLE_NEW(service_columns);
+	uint32_t i;
+
+	for (i = 0; i < config->service_count; i++) {
+		const struct config_service *service = &config->services[i];
+		struct load_sum sum = sum_load(question->live, i, CONFIG_NONE);
+		json_t *const values[] = {
+			json_string(service->name),
+			json_string(service_class_name(service->class_of)),
+			answer_number(service->timeout_us),
+			json_boolean(service->stopped),
+			answer_number(count_hosts(config, i)),
+			answer_number(sum_slots(config, i, CONFIG_NONE)),
+			answer_number_if(sum.known, sum.slots),
+			answer_number_if(sum.known, sum.in_flight),
+			answer_number_if(sum.known, sum.waiting),
+			answer_number_if(sum.known, sum.oldest_us),
+		};
+
+		ADMIN_TABLE_ADD(&table, service_columns, values);
+	}
+	return count_answer(&table, config, "service");
+}
+
+static json_t *show_shifts(const struct admin_question *question)
+{
+	const struct config *config = question->config;
+	bool known = question->live->shift_shares_permille;
+	struct admin_table table = ADMIN_TABLE_NEW(shift_columns);
+	uint32_t i;
+
+	for (i = 0; i < config->shift_count; i++) {
+		const struct config_shift *shift = &config->shifts[i];
+		json_t *const values[] = {
+			json_string(shift->id),
+			json_string(config->services[shift->service].name),
+			json_string(config->places[shift->from].name),
+			json_string(config->places[shift->to].name),
+			answer_number(shift->share_permille),
+			answer_number_if(known, admin_share_now(question, i)),
+			answer_number(shift->cap_per_s),
+		};
+
+		ADMIN_TABLE_ADD(&table, shift_columns, values);
+	}
+	return count_answer(&table, config, "shift");
+}
+
+static json_t *show_version(const struct admin_question *question)
+{
+	const struct config *config = question->config;
+	struct admin_table table = ADMIN_TABLE_NEW(version_columns);
+	uint32_t in_force = 0;
+	char message[96];
+	json_t *root;
+	uint32_t i;
+
+	for (i = 0; i < config->node_count; i++) {
+		const struct config_node *node = &config->nodes[i];
+		const struct admin_node *live = find_node(question->live, i);
+		bool has_it = live && live->config_version >= config->version;
+		json_t *const values[] = {
+			json_string(node->name),
+			json_string(config->places[node->place].name),
+			answer_number_if(live, live ? live->config_version : 0),
+			answer_boolean_if(live, has_it),
+			answer_time_us(live ? live->report_age_us : UINT64_MAX),
+		};
+
+		ADMIN_TABLE_ADD(&table, version_columns, values);
+		in_force += has_it;
+	}
+	g_snprintf(message, sizeof(message),
+		   "version %" G_GUINT64_FORMAT
+		   " is in force at %u of %u nodes",
+		   config->version, in_force, config->node_count);
+	root = answer_new(RESULT_OK, message);
+	admin_table_move(root, &table, config->version);
+	return root;
+}
+
+json_t *admin_show(const struct admin_question *question, GError **error)
+{
+	switch (question->query->verb) {
+	case QUERY_SHOW_PLACES:
+		return show_places(question);
+	case QUERY_SHOW_NODES:
+		return show_nodes(question);
+	case QUERY_SHOW_BACKENDS:
+		return show_backends(question, error);
+	case QUERY_SHOW_SERVICES:
+		return show_services(question);
+	case QUERY_SHOW_SHIFTS:
+		return show_shifts(question);
+	case QUERY_SHOW_VERSION:
+		return show_version(question);
+	default:
+		g_set_error_literal(error, RESULT_ERROR, RESULT_INTERNAL,
+				    "the sentence shows nothing");
+		return NULL;
+	}
+}
--- a/packages/core/answer.c
+++ b/packages/core/answer.c
@@ -33,3 +33,18 @@
 	json_decref(root);
 	return text;
 }
+
+json_t *answer_number_if(bool known, uint64_t value)
+{
+	return known ? answer_number(value) : json_null();
+}
+
+json_t *answer_boolean_if(bool known, bool value)
+{
+	return known ? json_boolean(value) : json_null();
+}
+
+json_t *answer_time_us(uint64_t value_us)
+{
+	return answer_number_if(value_us != UINT64_MAX, value_us);
+}
--- a/packages/core/answer.h
+++ b/packages/core/answer.h
@@ -5,6 +5,7 @@
 #define CORE_ANSWER_H
 
 #include <jansson.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "core/result.h"
@@ -25,6 +26,13 @@
 /* A text; what isn't valid UTF-8, which JSON can't hold, is replaced. */
 json_t *answer_text(const char *text);
 
+/* A value that may not be known: null then. */
+json_t *answer_number_if(bool known, uint64_t value);
+json_t *answer_boolean_if(bool known, bool value);
+
+/* An age or an expected time, of which UINT64_MAX means that there is none. */
+json_t *answer_time_us(uint64_t value_us);
+
 #ifdef __cplusplus
 }
 #endif
