--- a/packages/core/result.c
+++ b/packages/core/result.c
@@ -2,8 +2,6 @@
 
 #include <stddef.h>
 
-#define ARRAY_SIZE(x) (sizeof(x) / sizeof((x)[0]))
-
 struct result_row {
 	enum result code;
 	const char *name;
@@ -56,7 +54,7 @@
 {
 	size_t i;
 
-	for (i = 0; i < ARRAY_SIZE(result_table); i++)
+	for (i = 0; i < G_N_ELEMENTS(result_table); i++)
 		if ((int)result_table[i].code == number)
 			return &result_table[i];
 	return NULL;
