config: name the id that stands twice; lists' bounds with the other limits

A second shift or command of one id was refused with 'shifts[1].name', a member that shifts don't have. The lists' bounds stood as bare numbers in the reader, though build_options.h says that every bound on memory stands there.

--- a/packages/core/build_options.h
+++ b/packages/core/build_options.h
@@ -18,6 +18,14 @@
 /* Largest configuration document, in bytes. */
 #define CONFIG_MAX_BYTES (16 * 1024 * 1024)
 
+/* Items of each list of the configuration document. */
+#define CONFIG_MAX_SERVICES 4096
+#define CONFIG_MAX_PLACES 4096
+#define CONFIG_MAX_NODES 16384
+#define CONFIG_MAX_BACKENDS 262144
+#define CONFIG_MAX_LINKS 65536
+#define CONFIG_MAX_BLOCKS 1048576
+
 /* Command ids that the configuration document remembers. */
 #define CONFIG_COMMANDS_KEPT 64
 
--- a/packages/core/config_decode.c
+++ b/packages/core/config_decode.c
@@ -324,28 +324,29 @@
 /* How a list is read, and what holds for it as a whole. */
 struct list_reader {
 	size_t most;
-	bool unique_names; /* items begin with a name or id */
+	const char *key; /* the items' first field, unique in the list, or NULL
+			  */
 	bool (*read)(const struct reader *, struct config *, uint32_t);
 };
 
 static const struct list_reader list_readers[CONFIG_LIST_COUNT] = {
-	[CONFIG_LIST_SERVICES] = { 4096, true, read_service },
-	[CONFIG_LIST_PLACES] = { 4096, true, read_place },
-	[CONFIG_LIST_NODES] = { 16384, true, read_node },
-	[CONFIG_LIST_BACKENDS] = { 262144, true, read_backend },
-	[CONFIG_LIST_LINKS] = { 65536, false, read_link },
-	[CONFIG_LIST_SHIFTS] = { CONFIG_MAX_SHIFTS, true, read_shift },
-	[CONFIG_LIST_BLOCKS] = { 1048576, false, read_block },
-	[CONFIG_LIST_COMMANDS] = { CONFIG_COMMANDS_KEPT, true, read_command },
+	[CONFIG_LIST_SERVICES] = { CONFIG_MAX_SERVICES, "name", read_service },
+	[CONFIG_LIST_PLACES] = { CONFIG_MAX_PLACES, "name", read_place },
+	[CONFIG_LIST_NODES] = { CONFIG_MAX_NODES, "name", read_node },
+	[CONFIG_LIST_BACKENDS] = { CONFIG_MAX_BACKENDS, "name", read_backend },
+	[CONFIG_LIST_LINKS] = { CONFIG_MAX_LINKS, NULL, read_link },
+	[CONFIG_LIST_SHIFTS] = { CONFIG_MAX_SHIFTS, "id", read_shift },
+	[CONFIG_LIST_BLOCKS] = { CONFIG_MAX_BLOCKS, NULL, read_block },
+	[CONFIG_LIST_COMMANDS] = { CONFIG_COMMANDS_KEPT, "id", read_command },
 };
 
 static bool take_in_name(const struct reader *reader, GHashTable *names,
-			 const char *name)
+			 const char *key, const char *name)
 {
 	if (g_hash_table_insert(names, (gpointer)name,
 				GUINT_TO_POINTER(reader->index)))
 		return true;
-	return refuse(reader, "name", "unlike the others of its list");
+	return refuse(reader, key, "unlike the others of its list");
 }
 
 static bool read_list(enum config_list which, json_t *json,
@@ -373,8 +374,8 @@
 
 		reader.item = json_array_get(json, reader.index);
 		good = list->read(&reader, config, (uint32_t)reader.index) &&
-		       (!list->unique_names ||
-			take_in_name(&reader, names[which], item));
+		       (!list->key ||
+			take_in_name(&reader, names[which], list->key, item));
 		*config_list_count(config, which) = (uint32_t)++reader.index;
 	}
 	return good;
--- a/tests/core/config_test.cc
+++ b/tests/core/config_test.cc
@@ -111,6 +111,10 @@
 		bad_case{ "5000000", "1", "services[0].timeout_us" },
 		bad_case{ "central-2\", \"region", "central-1\", \"region",
 			  "places[1].name" },
+		bad_case{ "{\"id\": \"c1\", \"version\": 7}",
+			  "{\"id\": \"c1\", \"version\": 7},"
+			  "{\"id\": \"c1\", \"version\": 8}",
+			  "commands[1].id" },
 		bad_case{ "\"drained\": true", "\"drained\": 1",
 			  "places[2].drained" },
 		bad_case{ "\"drained\": true", "\"draind\": true",
