steer: an overloaded home doesn't send to far queues; gate waits longer

Cause: at 120% of capacity a third of the requests crossed regions, because homes stood closed by their windows while the far places had queues, too. All regions do that at once, so it helps none and costs each the way.

Now such a request is refused.

--- a/packages/core/gate.c
+++ b/packages/core/gate.c
@@ -15,8 +15,8 @@
  * grow to the burst bound; one that has stood for longer is overload, and then
  * waiting gains nothing but late answers, so that the tight bound holds.
  */
-#define WAIT_BURST 2.0
-#define WAIT_TIGHT 1.0
+#define WAIT_BURST 2.5
+#define WAIT_TIGHT 1.75
 #define WAIT_NON_IDEMPOTENT 8.0
 /* Even the tight bound lets this many wait, or few slots would run idle. */
 #define WAIT_MIN_REQUESTS 4
--- a/packages/core/steer.c
+++ b/packages/core/steer.c
@@ -373,12 +373,31 @@
 	return pick_near(steer, choosing, STEER_QUEUE, queue_us);
 }
 
-/* No place is known to have headroom: the shortest queue, or one unheard of. */
+/* Whether the way to the place takes longer than a request does at home. */
+static bool is_far(const struct steer *steer, uint32_t position, uint32_t home)
+{
+	uint64_t link_us = 2 * steer->places[position].spec.one_way_us;
+
+	return link_us > steer_place_base_us(&steer->places[home]);
+}
+
+/*
+ * No place is known to have headroom: the shortest queue, or one unheard of. An
+ * overloaded home that sends to far queues makes each request later and
+ * lightens nobody's load, because the far places send theirs here: refused
+ * instead, its caller comes back when there is room.
+ */
 static uint32_t pick_last_resort(const struct steer *steer,
 				 const struct choosing *choosing)
 {
-	return pick_near(steer, choosing, STEER_QUEUE,
-			 least_queue_us(steer, choosing));
+	uint32_t home = find_position(steer, choosing->request->home);
+	uint32_t picked = pick_near(steer, choosing, STEER_QUEUE,
+				    least_queue_us(steer, choosing));
+
+	if (picked != CONFIG_NONE && home < choosing->seen &&
+	    steer->estimates[home].overloaded && is_far(steer, picked, home))
+		return CONFIG_NONE;
+	return picked;
 }
 
 /* The shift whose share the draw falls in, or CONFIG_NONE. */
--- a/packages/core/steer_place.c
+++ b/packages/core/steer_place.c
@@ -295,6 +295,7 @@
 		return false;
 	}
 	if (own_in_flight(place) >= allowed_in_flight(place, now_us)) {
+		estimate->overloaded = !place->return_us;
 		close_estimate(estimate, RESULT_OVERLOAD,
 			       steer_place_base_us(place));
 		return false;
@@ -662,6 +663,7 @@
 	uint64_t time_us = since(now_us, ask->deadline_us);
 
 	estimate->spare = 0;
+	estimate->overloaded = false;
 	estimate->reason = RESULT_OK;
 	estimate->retry_after_us = 0;
 	estimate->expected_us = steer_place_expected_us(place, now_us);
--- a/packages/core/steer_place.h
+++ b/packages/core/steer_place.h
@@ -114,6 +114,7 @@
 	uint32_t spare; /* headroom in requests, for STEER_HEADROOM */
 	uint64_t expected_us;
 	enum result reason; /* for STEER_CLOSED */
+	bool overloaded; /* STEER_CLOSED by the window, cut by refusals */
 	uint64_t retry_after_us; /* for STEER_CLOSED */
 };
 
