steer: token bucket and learning in files of their own

The bucket is a module now, learning has steer_place_learn.c, and what the two halves of steer_place share stands in steer_place_parts.h.

Three files had a smaller and a larger of two numbers of their own beside GLib's MIN and MAX; these serve all. Where an argument costs more than a load it is computed once before, since the macros may evaluate it twice.

--- a/packages/core/lookup.c
+++ b/packages/core/lookup.c
@@ -308,11 +308,6 @@
 	}
 }
 
-static uint32_t min_u32(uint32_t a, uint32_t b)
-{
-	return a < b ? a : b;
-}
-
 static uint32_t append(const struct found *found, uint32_t count,
 		       uint32_t *nodes)
 {
@@ -324,16 +319,16 @@
 static uint32_t join(const struct found *home, const struct found *region,
 		     const struct found *others, uint32_t *nodes, uint32_t most)
 {
-	uint32_t kept_region = most > 2 ? min_u32(region->count, 1) : 0;
-	uint32_t kept_others = most > 2 ? min_u32(others->count, 1) : 0;
+	uint32_t kept_region = most > 2 ? MIN(region->count, 1) : 0;
+	uint32_t kept_others = most > 2 ? MIN(others->count, 1) : 0;
 	uint32_t count;
 	uint32_t part;
 
-	part = min_u32(home->count, most - kept_region - kept_others);
+	part = MIN(home->count, most - kept_region - kept_others);
 	count = append(home, part, nodes);
-	part = min_u32(region->count, most - count - kept_others);
+	part = MIN(region->count, most - count - kept_others);
 	count += append(region, part, nodes + count);
-	part = min_u32(others->count, most - count);
+	part = MIN(others->count, most - count);
 	return count + append(others, part, nodes + count);
 }
 
@@ -385,7 +380,7 @@
 	uint32_t count = 0;
 	int class_of;
 
-	most = min_u32(most, LOOKUP_MAX_NODES);
+	most = MIN(most, LOOKUP_MAX_NODES);
 	at_home.most = most;
 	in_region.most = most;
 	others.most = most;
--- a/packages/core/steer_place.h
+++ b/packages/core/steer_place.h
@@ -24,6 +24,7 @@
 #include <stdint.h>
 
 #include "core/steer.h"
+#include "core/steer_bucket.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -43,12 +44,6 @@
 #define STEER_SENT_BUCKETS 16
 #define STEER_SENT_BUCKET_US (1000 * 1000ull / STEER_SENT_BUCKETS)
 
-/* Requests per second, with a burst of a tenth of it. */
-struct steer_bucket {
-	uint64_t tokens_micro; /* millionths of a request */
-	uint64_t filled_us;
-};
-
 struct steer_place {
 	char name[NAME_SIZE];
 	struct steer_place_spec spec; /* its name isn't kept */
@@ -118,13 +113,6 @@
 	uint64_t retry_after_us; /* for STEER_CLOSED */
 };
 
-/* Take one request out of a bucket of this rate, or see if it could be. */
-bool steer_bucket_has(struct steer_bucket *bucket, uint32_t per_s,
-		      uint64_t now_us);
-void steer_bucket_take(struct steer_bucket *bucket);
-void steer_bucket_fill(struct steer_bucket *bucket, uint32_t per_s,
-		       uint64_t now_us);
-
 void steer_place_init(struct steer_place *place,
 		      const struct steer_place_spec *spec, uint64_t now_us);
 /* Take a new description; what was learned is kept. */
--- /dev/null
+++ b/packages/core/steer_place_learn.c
@@ -0,0 +1,270 @@
+#include "core/steer_place_parts.h"
+
+/* Weight of the newest sample in learned averages. */
+#define LEARN_DIVISOR 8
+/* The base rises by this part of itself in each interval at most. */
+#define BASE_RISE_DIVISOR 64
+#define BASE_RISE_INTERVAL_US (1 * MICRO)
+#define SLOW_FACTOR 2
+#define SLOW_SLACK_US (5 * 1000ull)
+
+#define FAILURES_IN_ROW 3
+#define FAILURE_MOST_PERMILLE 500
+/* Healthy for so long, a place starts with short trial intervals again. */
+#define BACKOFF_FORGET_US (30 * MICRO)
+
+#define WINDOW_CUT_PERCENT 70
+/* Refusals of what was sent before a cut come back within link and this. */
+#define WINDOW_CUT_SLACK_US (10 * 1000ull)
+/* Near the width that was refused, growth is this many times slower. */
+#define WINDOW_NEAR_PERCENT 90
+#define WINDOW_NEAR_DIVISOR 8
+/* A window this many times the slots wide bounds nothing. */
+#define WINDOW_OPEN_FACTOR 4
+
+#define CLOSED_MOST_US (5 * MICRO)
+#define CLOSED_REFUSALS_IN_ROW 3
+
+/* The throttle lets through this many requests for each accepted one. */
+#define THROTTLE_FACTOR 2
+#define THROTTLE_LEAST_ASKED 10
+#define THROTTLE_HALF_US (2 * MICRO)
+#define CHANCES 65536ull
+
+/* The base follows samples down at once and up slowly. */
+static void learn_base(struct steer_place *place, uint64_t sample,
+		       uint64_t now_us)
+{
+	if (sample < place->base_us) {
+		place->base_us -= (place->base_us - sample) / LEARN_DIVISOR;
+		return;
+	}
+	if (since(place->base_raised_us, now_us) < BASE_RISE_INTERVAL_US)
+		return;
+	place->base_us += place->base_us / BASE_RISE_DIVISOR;
+	place->base_us = MIN(place->base_us, place->excess_us);
+	place->base_us = MAX(place->base_us, 1);
+	place->base_raised_us = now_us;
+}
+
+static void learn_latency(struct steer_place *place, uint64_t latency_us,
+			  uint64_t now_us)
+{
+	uint64_t sample = MIN(since(2 * place->spec.one_way_us, latency_us),
+			      TIME_MOST_US);
+
+	sample = MAX(sample, 1);
+	if (!place->base_us) {
+		place->base_us = sample;
+		place->excess_us = sample;
+	}
+	place->excess_us = steer_place_excess_us(place, now_us);
+	place->excess_us += sample / LEARN_DIVISOR;
+	place->excess_us -= place->excess_us / (LEARN_DIVISOR + 1);
+	place->learned_us = now_us;
+	learn_base(place, sample, now_us);
+}
+
+/*
+ * An answer came while the window was in use: one more in a round trip, or in
+ * several where it nears what was refused. A place of few slots would else
+ * refuse every other request: the window grows past it in one round trip.
+ */
+static void grow_window(struct steer_place *place)
+{
+	uint64_t in_flight_milli = (own_in_flight(place) + 1ull) * MILLI;
+	uint64_t near = place->window_refused_milli * WINDOW_NEAR_PERCENT / 100;
+	uint32_t growth;
+	uint64_t slots = MAX(place->spec.slots, 1);
+
+	if (place->window_milli == WINDOW_OPEN ||
+	    in_flight_milli * 2 < place->window_milli)
+		return;
+	growth = MILLI * MILLI / place->window_milli;
+	if (place->window_milli >= near)
+		growth = growth / WINDOW_NEAR_DIVISOR + 1;
+	place->window_milli += growth;
+	if (place->window_milli > slots * WINDOW_OPEN_FACTOR * MILLI)
+		place->window_milli = WINDOW_OPEN;
+}
+
+/* One cut for all refusals of one burst. */
+static void cut_window(struct steer_place *place, uint64_t now_us)
+{
+	uint64_t window = (own_in_flight(place) + 1ull) * MILLI;
+	uint64_t interval_us = 2 * MIN(place->spec.one_way_us, TIME_MOST_US);
+
+	interval_us += WINDOW_CUT_SLACK_US;
+	if (place->window_cut_us &&
+	    since(place->window_cut_us, now_us) < interval_us)
+		return;
+	window = MIN(window, place->window_milli);
+	place->window_refused_milli = window;
+	window = MAX(window * WINDOW_CUT_PERCENT / 100, MILLI);
+	place->window_milli = (uint32_t)window;
+	place->window_cut_us = now_us;
+}
+
+static void learn_refusal(struct steer_place *place, uint64_t retry_after_us,
+			  uint64_t now_us)
+{
+	uint64_t closed_us = MIN(retry_after_us, CLOSED_MOST_US);
+
+	cut_window(place, now_us);
+	/*
+	 * A gate under a little more load than it bears refuses a few of many.
+	 * Each such refusal names a time for its caller; if it closed the place
+	 * to all, requests would take the long way to another region while
+	 * slots here fall idle.
+	 */
+	if (++place->refusals_in_row < CLOSED_REFUSALS_IN_ROW)
+		return;
+	place->closed_until_us =
+		MAX(place->closed_until_us, now_us + closed_us);
+}
+
+static void fail_place(struct steer_place *place, uint64_t now_us)
+{
+	bool forget = !place->failing &&
+		      since(place->recovered_us, now_us) > BACKOFF_FORGET_US;
+
+	if (forget || !place->backoff_us)
+		place->backoff_us = STEER_TRIAL_FIRST_US;
+	else
+		place->backoff_us =
+			MIN(place->backoff_us * 2, STEER_TRIAL_MOST_US);
+	place->failing = true;
+	place->trial_sent = false;
+	place->return_us = 0;
+	place->trial_at_us = now_us + place->backoff_us;
+}
+
+static void learn_failure(struct steer_place *place, uint64_t now_us)
+{
+	bool relapse = place->return_us || place->trial_sent;
+
+	place->failures_in_row++;
+	place->failure_permille +=
+		(1000 - place->failure_permille) / LEARN_DIVISOR;
+	if (place->failing && !place->trial_sent) {
+		place->failed_us = now_us;
+		return;
+	}
+	if (relapse || place->failures_in_row >= FAILURES_IN_ROW ||
+	    place->failure_permille >= FAILURE_MOST_PERMILLE)
+		fail_place(place, now_us);
+	place->failed_us = now_us;
+}
+
+/*
+ * The place answered or truly refused: it is alive. Only what was sent as a
+ * trial ends a failure; an answer from before the failure is just late.
+ */
+static void learn_alive(struct steer_place *place, uint64_t now_us)
+{
+	place->failures_in_row = 0;
+	place->failure_permille -= place->failure_permille / LEARN_DIVISOR;
+	if (!place->failing || !place->trial_sent)
+		return;
+	place->failing = false;
+	place->trial_sent = false;
+	place->failure_permille = 0;
+	place->recovered_us = now_us;
+	begin_return(place, now_us);
+}
+
+static void halve_throttle(struct steer_place *place, uint64_t now_us)
+{
+	uint64_t halvings = since(place->halved_us, now_us) / THROTTLE_HALF_US;
+
+	if (!halvings)
+		return;
+	halvings = MIN(halvings, 31);
+	place->asked >>= halvings;
+	place->accepted >>= halvings;
+	place->halved_us = now_us;
+}
+
+static void settle_in_flight(struct steer_place *place)
+{
+	/* Requests end about in the order in which they were sent. */
+	if (place->own_reported)
+		place->own_reported--;
+	else if (place->own_unreported)
+		place->own_unreported--;
+}
+
+/* A time-out within the usual latency is the caller's short deadline. */
+static bool is_short_deadline(const struct steer_place *place,
+			      const struct steer_feedback *feedback)
+{
+	uint64_t excess_us =
+		since(2 * place->spec.one_way_us, feedback->latency_us);
+
+	return feedback->result == RESULT_TIMED_OUT &&
+	       !steer_is_slow(excess_us, place->base_us);
+}
+
+bool steer_place_throttled(struct steer_place *place, uint32_t chance,
+			   uint64_t now_us)
+{
+	uint64_t most = (uint64_t)place->accepted * THROTTLE_FACTOR;
+	uint64_t over;
+
+	halve_throttle(place, now_us);
+	if (place->asked < THROTTLE_LEAST_ASKED || place->asked <= most)
+		return false;
+	over = (place->asked - most) * CHANCES / (place->asked + 1);
+	return chance < over;
+}
+
+void steer_place_turn_away(struct steer_place *place)
+{
+	place->asked++;
+}
+
+void steer_place_learn(struct steer_place *place,
+		       const struct steer_feedback *feedback, uint64_t now_us)
+{
+	settle_in_flight(place);
+	halve_throttle(place, now_us);
+	place->asked++;
+	switch (feedback->result) {
+	case RESULT_OK:
+		place->accepted++;
+		place->refusals_in_row = 0;
+		learn_alive(place, now_us);
+		learn_latency(place, feedback->latency_us, now_us);
+		grow_window(place);
+		break;
+	case RESULT_OVERLOAD:
+	case RESULT_BACKEND_SHED:
+	case RESULT_NO_PLACE:
+		learn_alive(place, now_us);
+		learn_refusal(place, feedback->retry_after_us, now_us);
+		break;
+	case RESULT_DEADLINE_TOO_SHORT:
+		/* Too late for this one only; the throttle counts it. */
+		learn_alive(place, now_us);
+		break;
+	case RESULT_CONNECT_FAILED:
+	case RESULT_OUTCOME_UNKNOWN:
+	case RESULT_TIMED_OUT:
+	case RESULT_ATTEMPTS_FAILED:
+	case RESULT_UNREACHABLE:
+		place->accepted++;
+		if (!is_short_deadline(place, feedback))
+			learn_failure(place, now_us);
+		break;
+	default:
+		/* The request's own fault or a shift's cap: nothing learned. */
+		place->accepted++;
+		learn_alive(place, now_us);
+		break;
+	}
+}
+
+bool steer_is_slow(uint64_t excess_us, uint64_t base_us)
+{
+	return excess_us > base_us * SLOW_FACTOR + SLOW_SLACK_US;
+}
--- a/packages/core/steer_shift.c
+++ b/packages/core/steer_shift.c
@@ -20,25 +20,15 @@
 /* Part of the receiving place's slots that must be free for a share to grow. */
 #define GROWTH_RESERVE_DIVISOR 8
 
-static uint32_t min_u32(uint32_t a, uint32_t b)
-{
-	return a < b ? a : b;
-}
-
-static uint32_t max_u32(uint32_t a, uint32_t b)
-{
-	return a > b ? a : b;
-}
-
 static uint32_t start_share(const struct steer_shift *shift)
 {
-	return min_u32(STEER_RAMP_START_PERMILLE, shift->share_permille);
+	return MIN(STEER_RAMP_START_PERMILLE, shift->share_permille);
 }
 
 static void fall(struct steer_shift *shift, uint32_t ramp, uint64_t hold_us,
 		 uint64_t now_us)
 {
-	shift->ramp_permille = max_u32(ramp, start_share(shift));
+	shift->ramp_permille = MAX(ramp, start_share(shift));
 	shift->held_until_us = now_us + hold_us;
 	shift->fell_us = now_us;
 	shift->answered = 0;
@@ -58,7 +48,7 @@
 		ramp += ramp / GROWTH_DIVISOR;
 	else
 		ramp += CAUTIOUS_GROWTH_PERMILLE;
-	return min_u32(ramp, shift->share_permille);
+	return MIN(ramp, shift->share_permille);
 }
 
 static bool has_room(struct steer_place *to, uint64_t now_us)
@@ -128,8 +118,7 @@
 	shift->to = spec->to;
 	shift->share_permille = spec->share_permille;
 	shift->cap_per_s = spec->cap_per_s;
-	shift->ramp_permille =
-		min_u32(shift->ramp_permille, spec->share_permille);
+	shift->ramp_permille = MIN(shift->ramp_permille, spec->share_permille);
 }
 
 uint32_t steer_shift_ramp(const struct steer_shift *shift,
