--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,8 @@
 	clang-format --dry-run -Werror $(SOURCES)
 
 lint: build
-	@git ls-files -co --exclude-standard 'packages/*.c' 'tests/*.c' | \
+	@git ls-files -co --exclude-standard 'packages/*.c' 'tests/*.c' \
+		'examples/*.c' | \
 		grep -v /generated/ | \
 		xargs -P $(JOBS) -n 4 clang-tidy -p $(BUILD) --quiet 2>/dev/null
 
