docs: what the programs do now

X-Lilac-Entry was sent and read by nobody and is gone from wire.h. Comments on a hop said that it goes to another place; it goes to siblings too.

--- a/packages/core/result.h
+++ b/packages/core/result.h
@@ -1,5 +1,5 @@
 /*
- * result - numbered result codes, the same at every door of the product
+ * result - numbered result codes, the same at every interface
  *
  * The table with meanings stands in docs/RESULTS.md; the numbers never change.
  * 100 to 199 say "not run" and are true: the request did not run and never
--- a/packages/core/wire.h
+++ b/packages/core/wire.h
@@ -28,7 +28,6 @@
 #define WIRE_PATH_HOP "/v1/hop/"
 #define WIRE_PATH_FENCE "/v1/fence"
 #define WIRE_HEADER_ATTEMPT "X-Lilac-Attempt"
-#define WIRE_HEADER_ENTRY "X-Lilac-Entry"
 #define WIRE_HEADER_SHIFT "X-Lilac-Shift"
 #define WIRE_HEADER_INCARNATION "X-Lilac-Incarnation"
 
--- a/packages/node/hop.h
+++ b/packages/node/hop.h
@@ -1,6 +1,6 @@
 /*
- * hop - a request handed from an entry node to a node of another place, and the
- * fence that settles what became of it
+ * hop - a request handed from an entry node to another node of the place that
+ * was chosen, and the fence that settles what became of it
  */
 #ifndef NODE_HOP_H
 #define NODE_HOP_H
--- a/packages/node/state.h
+++ b/packages/node/state.h
@@ -1,10 +1,11 @@
 /*
  * state - a node's shared tables, and the configuration in force
  *
- * Lock order: tickets (ledger), then a service's steer_lock, then its
- * gate_lock, then the view's own. No lock is held over I/O. The configuration
- * is published by RCU as a counted snapshot; a request holds one for as long
- * as it needs it and never blocks the next version.
+ * Lock order: apply_lock, ledger_lock, then a service's steer_lock, then its
+ * gate_lock, then the view's own; seats_lock and vms_lock are leaves. No lock
+ * is held over I/O. The configuration is published by RCU as a counted
+ * snapshot; a request holds one for as long as it needs it and never blocks the
+ * next version.
  */
 #ifndef NODE_STATE_H
 #define NODE_STATE_H
