query, peer: one way where two or four said the same

The verbs of drain, undrain, stop and start each had a function that set the verb and called the shared one; the table of sentences has the verb now. An exchange's call and its answer were encoded by two copies of one function, and both calls of a client ended in the same four steps, the guard against late answers among them.

--- a/packages/adapters/peer_client.c
+++ b/packages/adapters/peer_client.c
@@ -192,6 +192,20 @@
 	       receive_answer(client, answer, deadline_us, error);
 }
 
+/*
+ * Let go of a call and of the lock. The late answer to a call that was given up
+ * would be read as the next call's: no connection outlives a failure.
+ */
+static void end_call(struct peer_client *client, GByteArray *call,
+		     struct peer_record *answer, bool ok)
+{
+	if (!ok)
+		disconnect(client);
+	pthread_mutex_unlock(&client->lock);
+	peer_record_release(answer);
+	g_byte_array_free(call, TRUE);
+}
+
 bool peer_client_exchange(struct peer_client *client,
 			  const struct peer_message *message,
 			  struct peer_message *answer, GError **error)
@@ -207,15 +221,7 @@
 	if (ok &&
 	    !peer_decode_exchange_answer(record.data, client->xid, answer))
 		ok = fail(client, "malformed answer", 0, error);
-	/*
-	 * The late answer to a call that was given up would be read as the next
-	 * call's. No connection outlives a failure.
-	 */
-	if (!ok)
-		disconnect(client);
-	pthread_mutex_unlock(&client->lock);
-	peer_record_release(&record);
-	g_byte_array_free(call, TRUE);
+	end_call(client, call, &record, ok);
 	return ok;
 }
 
@@ -233,11 +239,6 @@
 	if (ok &&
 	    !peer_decode_config_answer(record.data, client->xid, version, text))
 		ok = fail(client, "malformed answer", 0, error);
-	/* As for an exchange. */
-	if (!ok)
-		disconnect(client);
-	pthread_mutex_unlock(&client->lock);
-	peer_record_release(&record);
-	g_byte_array_free(call, TRUE);
+	end_call(client, call, &record, ok);
 	return ok;
 }
--- a/packages/adapters/peer_codec.c
+++ b/packages/adapters/peer_codec.c
@@ -211,32 +211,32 @@
 	g_free(target->reports.reports_val);
 }
 
-GByteArray *peer_encode_exchange_call(uint32_t xid,
-				      const struct peer_message *message)
+/* A message as an exchange's call or as its answer. */
+static GByteArray *encode_message(uint32_t xid, bool is_call,
+				  const struct peer_message *message)
 {
 	peer_xdr_message target;
 	struct body body = { (xdrproc_t)xdr_peer_xdr_message, &target, 0 };
 	GByteArray *record;
 
 	body.size = fill_message(message, &target);
-	record = encode_call(xid, PEER_EXCHANGE, &body);
+	record = is_call ? encode_call(xid, PEER_EXCHANGE, &body) :
+			   encode_answer(xid, SUCCESS, &body);
 	clear_message(&target);
 	g_assert(record);
 	return record;
 }
 
+GByteArray *peer_encode_exchange_call(uint32_t xid,
+				      const struct peer_message *message)
+{
+	return encode_message(xid, true, message);
+}
+
 GByteArray *peer_encode_exchange_answer(uint32_t xid,
 					const struct peer_message *message)
 {
-	peer_xdr_message target;
-	struct body body = { (xdrproc_t)xdr_peer_xdr_message, &target, 0 };
-	GByteArray *record;
-
-	body.size = fill_message(message, &target);
-	record = encode_answer(xid, SUCCESS, &body);
-	clear_message(&target);
-	g_assert(record);
-	return record;
+	return encode_message(xid, false, message);
 }
 
 GByteArray *peer_encode_config_call(uint32_t xid, uint64_t newer_than)
--- a/packages/core/query.c
+++ b/packages/core/query.c
@@ -29,6 +29,7 @@
 
 struct sentence {
 	const char *keyword;
+	enum query_verb verb; /* show sets its own by what is shown */
 	bool (*parse)(struct parser *parser, struct query *query);
 };
 
@@ -353,7 +354,6 @@
 
 static bool parse_where(struct parser *parser, struct query *query)
 {
-	query->verb = QUERY_WHERE;
 	return take_name(parser, OBJECT_SERVICE, query->service) &&
 	       take_word_like(parser, "from") &&
 	       take_name(parser, OBJECT_PLACE, query->from) && take_end(parser);
@@ -405,7 +405,6 @@
 	static const char *const as[] = { "as", NULL };
 	uint32_t index;
 
-	query->verb = COMMAND_SHIFT;
 	if (!take_name(parser, OBJECT_SERVICE, query->service) ||
 	    !take_word_like(parser, "from") ||
 	    !take_name(parser, OBJECT_PLACE, query->from) ||
@@ -424,7 +423,6 @@
 
 static bool parse_cancel(struct parser *parser, struct query *query)
 {
-	query->verb = COMMAND_CANCEL;
 	return take_shift_id(parser, query->shift) && take_end(parser);
 }
 
@@ -442,18 +440,6 @@
 	       take_end(parser);
 }
 
-static bool parse_drain(struct parser *parser, struct query *query)
-{
-	query->verb = COMMAND_DRAIN;
-	return parse_drainable(parser, query);
-}
-
-static bool parse_undrain(struct parser *parser, struct query *query)
-{
-	query->verb = COMMAND_UNDRAIN;
-	return parse_drainable(parser, query);
-}
-
 static bool parse_service(struct parser *parser, struct query *query)
 {
 	query->object = OBJECT_SERVICE;
@@ -461,21 +447,8 @@
 	       take_end(parser);
 }
 
-static bool parse_stop(struct parser *parser, struct query *query)
-{
-	query->verb = COMMAND_STOP;
-	return parse_service(parser, query);
-}
-
-static bool parse_start(struct parser *parser, struct query *query)
-{
-	query->verb = COMMAND_START;
-	return parse_service(parser, query);
-}
-
 static bool parse_load(struct parser *parser, struct query *query)
 {
-	query->verb = COMMAND_LOAD;
 	if (!*parser->word)
 		return stumble(parser, RESULT_SYNTAX, "the name of a file",
 			       NULL);
@@ -484,11 +457,15 @@
 }
 
 static const struct sentence sentences[] = {
-	{ "where", parse_where }, { "show", parse_show },
-	{ "shift", parse_shift }, { "cancel", parse_cancel },
-	{ "drain", parse_drain }, { "undrain", parse_undrain },
-	{ "stop", parse_stop },	  { "start", parse_start },
-	{ "load", parse_load },
+	{ "where", QUERY_WHERE, parse_where },
+	{ "show", QUERY_SHOW_PLACES, parse_show },
+	{ "shift", COMMAND_SHIFT, parse_shift },
+	{ "cancel", COMMAND_CANCEL, parse_cancel },
+	{ "drain", COMMAND_DRAIN, parse_drainable },
+	{ "undrain", COMMAND_UNDRAIN, parse_drainable },
+	{ "stop", COMMAND_STOP, parse_service },
+	{ "start", COMMAND_START, parse_service },
+	{ "load", COMMAND_LOAD, parse_load },
 };
 
 static bool check_bytes(const char *text, GError **error)
@@ -522,6 +499,7 @@
 		keywords[index] = sentences[index].keyword;
 	if (!take_keyword(&parser, keywords, false, &index))
 		return false;
+	query->verb = sentences[index].verb;
 	return sentences[index].parse(&parser, query);
 }
 
