endpoint: one reader of ADDRESS:PORT; errors in the adapters' headers

Settings and lilacctl each had a parser for a peer's address and port, the settings another one for names beside the configuration's. lilacctl's took a port of any number of zeros and cut the text at 63 bytes when it kept it: such a node was tried at another port. Both use core/endpoint now.

--- a/packages/adapters/http_client.h
+++ b/packages/adapters/http_client.h
@@ -32,7 +32,7 @@
 	const char *method;
 	const char *address; /* IP number */
 	uint16_t port;
-	const char *path;
+	const char *path; /* with the query */
 	const char *body; /* NULL: none */
 	size_t body_bytes;
 	struct http_header headers[HTTP_MAX_HEADERS];
--- a/packages/adapters/log.h
+++ b/packages/adapters/log.h
@@ -26,6 +26,7 @@
  * Lines go to path, or to stderr where path is empty. Thread-safe after it. A
  * line that a full pipe can't take at once is dropped; a later line says how
  * many were, as lost_lines=N. Messages of libraries are event=library.
+ * RESULT_SYSTEM on failure.
  */
 bool log_open(const char *node, const char *path, enum log_level most,
 	      GError **error);
--- a/packages/adapters/metrics.h
+++ b/packages/adapters/metrics.h
@@ -1,8 +1,8 @@
 /*
  * metrics - counters, gauges and histograms of our own, in Prometheus' text
  *
- * A metric is registered once, at start, and lives until metrics_close();
- * counting is one relaxed atomic addition.
+ * A metric is registered once and lives until metrics_close(); counting is one
+ * relaxed atomic addition. Thread-safe between open and close.
  */
 #ifndef ADAPTERS_METRICS_H
 #define ADAPTERS_METRICS_H
@@ -19,7 +19,9 @@
 void metrics_open(void);
 void metrics_close(void);
 
-/* labels is "a=\"b\",c=\"d\"" or NULL; the same name and labels give the same.
+/*
+ * Register a metric, or find the one of this name and these labels. labels is
+ * "a=\"b\",c=\"d\"" or NULL.
  */
 struct metric *metric_counter(const char *name, const char *help,
 			      const char *labels);
--- a/packages/adapters/platform_http.h
+++ b/packages/adapters/platform_http.h
@@ -1,7 +1,10 @@
 /*
  * platform_http - the platform's table service and VM list over HTTP
  *
- * Implements ports/platform.h. One connection a call at a time; thread-safe.
+ * Implements ports/platform.h, whose errors it returns. One connection a call
+ * at a time; thread-safe. timeout_us is for a whole call.
+ *
+ * Source: docs/DESIGN.md has the platform's protocol.
  */
 #ifndef ADAPTERS_PLATFORM_HTTP_H
 #define ADAPTERS_PLATFORM_HTTP_H
--- a/packages/adapters/settings.c
+++ b/packages/adapters/settings.c
@@ -1,6 +1,5 @@
 #include "adapters/settings.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <inttypes.h>
 #include <stddef.h>
@@ -9,6 +8,8 @@
 
 #include "adapters/log.h"
 #include "adapters/toml.h"
+#include "core/config.h"
+#include "core/endpoint.h"
 #include "core/result.h"
 
 #define FILE_MAX_BYTES (64 * 1024)
@@ -103,39 +104,6 @@
 		*(uint32_t *)field = (uint32_t)number;
 }
 
-static bool is_name(const char *text)
-{
-	const char *at;
-
-	if (!*text || strlen(text) >= NAME_SIZE)
-		return false;
-	for (at = text; *at; at++)
-		if (!g_ascii_isalnum(*at) && !strchr("._-", *at))
-			return false;
-	return true;
-}
-
-static bool is_address(const char *text)
-{
-	struct in_addr address;
-
-	return inet_pton(AF_INET, text, &address) == 1;
-}
-
-/* "address:port" of a peer. */
-static bool is_peer(const char *text)
-{
-	char address[NAME_SIZE];
-	const char *colon = strrchr(text, ':');
-	guint64 port;
-
-	if (!colon || (size_t)(colon - text) >= sizeof(address))
-		return false;
-	g_strlcpy(address, text, (gsize)(colon - text) + 1);
-	return is_address(address) && strlen(text) < NAME_SIZE &&
-	       g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &port, NULL);
-}
-
 static void describe_allowed(const struct setting_key *key, char *text,
 			     size_t size)
 {
@@ -184,12 +152,14 @@
 static bool take_peers(struct settings *settings,
 		       const struct toml_value *value)
 {
+	struct endpoint endpoint;
 	uint32_t count = 0;
 
 	if (value->type != TOML_STRINGS)
 		return false;
 	for (; value->strings[count]; count++) {
-		if (count >= MAX_SEEDS || !is_peer(value->strings[count]))
+		if (count >= MAX_SEEDS ||
+		    !endpoint_parse(value->strings[count], &endpoint))
 			return false;
 		g_strlcpy(settings->seeds[count], value->strings[count],
 			  NAME_SIZE);
@@ -202,9 +172,9 @@
 {
 	switch (key->kind) {
 	case KIND_NAME:
-		return is_name(string);
+		return config_name_is_valid(string, NAME_SIZE);
 	case KIND_ADDRESS:
-		return is_address(string);
+		return endpoint_is_address(string);
 	case KIND_LEVEL:
 		return log_level_from_name(string) >= 0;
 	default:
--- a/packages/adapters/trace.h
+++ b/packages/adapters/trace.h
@@ -1,5 +1,8 @@
 /*
  * trace - W3C trace context, and one span record a hop as a line of OTLP JSON
+ *
+ * Thread-safe after trace_open(). Start times are Unix nanoseconds, as OTLP has
+ * them; durations come from the monotonic clock.
  */
 #ifndef ADAPTERS_TRACE_H
 #define ADAPTERS_TRACE_H
@@ -38,6 +41,7 @@
 /*
  * Spans go to path, a line each; none where it is empty. Requests never wait
  * for the file: spans that it is too slow for are dropped and counted.
+ * RESULT_SYSTEM on failure.
  */
 bool trace_open(const char *node, const char *path, uint32_t sample_permille,
 		GError **error);
--- a/packages/core/config_decode.c
+++ b/packages/core/config_decode.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "core/config_lists.h"
+#include "core/endpoint.h"
 #include "core/result.h"
 
 #define MIN_TIMEOUT_US 1000
@@ -53,9 +54,8 @@
 {
 	const char *text =
 		json_string_value(json_object_get(reader->item, "address"));
-	struct in_addr number;
 
-	if (!text || inet_pton(AF_INET, text, &number) != 1)
+	if (!text || !endpoint_is_address(text))
 		return refuse(reader, "address", "an IPv4 number");
 	g_strlcpy(address, text, NAME_SIZE);
 	return true;
--- a/packages/core/query.c
+++ b/packages/core/query.c
@@ -113,8 +113,8 @@
 	return quoted;
 }
 
-static bool stumble(const struct parser *parser, enum result code,
-		    const char *expected, const char *meant)
+static bool fail_at_word(const struct parser *parser, enum result code,
+			 const char *expected, const char *meant)
 {
 	char *found;
 
@@ -228,8 +228,8 @@
 	if (or_end && parser->at_end)
 		return true;
 	expected = list_keywords(keywords, or_end);
-	stumble(parser, RESULT_SYNTAX, expected,
-		near_miss(parser->word, keywords));
+	fail_at_word(parser, RESULT_SYNTAX, expected,
+		     near_miss(parser->word, keywords));
 	g_free(expected);
 	return false;
 }
@@ -258,7 +258,7 @@
 		      size_t size)
 {
 	if (!config_name_is_valid(parser->word, size))
-		return stumble(parser, RESULT_SYNTAX, expected, NULL);
+		return fail_at_word(parser, RESULT_SYNTAX, expected, NULL);
 	g_strlcpy(text, parser->word, size);
 	return advance(parser);
 }
@@ -325,11 +325,11 @@
 static bool take_share(struct parser *parser, uint32_t *permille)
 {
 	if (!read_percent(parser->word, permille))
-		return stumble(parser, RESULT_SYNTAX,
-			       "a share such as 30% or 2.5%", NULL);
+		return fail_at_word(parser, RESULT_SYNTAX,
+				    "a share such as 30% or 2.5%", NULL);
 	if (!*permille || *permille > QUERY_SHARE_MAX_PERMILLE)
-		return stumble(parser, RESULT_OUT_OF_RANGE,
-			       "a share from 0.1% to 100%", NULL);
+		return fail_at_word(parser, RESULT_OUT_OF_RANGE,
+				    "a share from 0.1% to 100%", NULL);
 	return advance(parser);
 }
 
@@ -338,12 +338,13 @@
 	char expected[64];
 
 	if (!read_rate(parser->word, per_s))
-		return stumble(parser, RESULT_SYNTAX, "a cap such as 40/s",
-			       NULL);
+		return fail_at_word(parser, RESULT_SYNTAX, "a cap such as 40/s",
+				    NULL);
 	if (!*per_s || *per_s > SHIFT_MAX_CAP_PER_S) {
 		g_snprintf(expected, sizeof(expected), "a cap from 1/s to %d/s",
 			   SHIFT_MAX_CAP_PER_S);
-		return stumble(parser, RESULT_OUT_OF_RANGE, expected, NULL);
+		return fail_at_word(parser, RESULT_OUT_OF_RANGE, expected,
+				    NULL);
 	}
 	return advance(parser);
 }
@@ -450,8 +451,8 @@
 static bool parse_load(struct parser *parser, struct query *query)
 {
 	if (!*parser->word)
-		return stumble(parser, RESULT_SYNTAX, "the name of a file",
-			       NULL);
+		return fail_at_word(parser, RESULT_SYNTAX, "the name of a file",
+				    NULL);
 	g_strlcpy(query->file, parser->word, sizeof(query->file));
 	return advance(parser) && take_end(parser);
 }
--- a/packages/core/query.h
+++ b/packages/core/query.h
@@ -2,7 +2,7 @@
  * query - the operators' query and command language
  *
  * One sentence a command; docs/LANGUAGE.md has the grammar. A syntax error
- * names the word it stumbled on, its position and what was expected. Pure: no
+ * names the word at fault, its position and what was expected. Pure: no
  * file is read and no time is taken.
  */
 #ifndef CORE_QUERY_H
--- a/packages/ctl/client.c
+++ b/packages/ctl/client.c
@@ -1,9 +1,9 @@
 #include "ctl/client.h"
 
-#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <string.h>
 
+#include "core/endpoint.h"
 #include "core/wire.h"
 
 #define ANSWER_MAX_BYTES (64 * 1024 * 1024)
@@ -335,24 +335,11 @@
 	g_free(client);
 }
 
-static bool is_node(const char *text)
-{
-	char **parts = g_strsplit(text, ":", 3);
-	struct in_addr number;
-	guint64 port;
-	bool good;
-
-	good = g_strv_length(parts) == 2 &&
-	       inet_pton(AF_INET, parts[0], &number) == 1 &&
-	       g_ascii_string_to_unsigned(parts[1], 10, 1, UINT16_MAX, &port,
-					  NULL);
-	g_strfreev(parts);
-	return good;
-}
-
 static bool add_node(struct client *client, const char *text, GError **error)
 {
-	if (!is_node(text)) {
+	struct endpoint endpoint;
+
+	if (!endpoint_parse(text, &endpoint)) {
 		g_set_error(error, RESULT_ERROR, RESULT_SETTINGS_INVALID,
 			    "node '%s': must be an IPv4 number and a port, "
 			    "such as 127.1.1.1:8080",
