admin_json: the prefix answer_ belongs to the node's answers

core/answer and node/request both had functions of that prefix, one for JSON bodies and one for a caller's answer.

--- a/packages/core/admin.c
+++ b/packages/core/admin.c
@@ -3,7 +3,7 @@
 #include <jansson.h>
 #include <string.h>
 
-#include "core/answer.h"
+#include "core/admin_json.h"
 
 /* Room for the other members around the largest document. */
 #define REQUEST_MAX_BYTES (CONFIG_MAX_BYTES + 4096)
@@ -123,34 +123,35 @@
 			return NULL;
 	}
 	root = json_object();
-	json_object_set_new(root, "sentence", answer_text(request->sentence));
+	json_object_set_new(root, "sentence",
+			    admin_json_text(request->sentence));
 	if (*request->id)
-		json_object_set_new(root, "id", answer_text(request->id));
+		json_object_set_new(root, "id", admin_json_text(request->id));
 	if (request->has_expect)
 		json_object_set_new(root, "expect",
-				    answer_number(request->expect));
+				    admin_json_number(request->expect));
 	if (document)
 		json_object_set_new(root, "document", document);
-	return answer_take_text(root);
+	return admin_json_take_text(root);
 }
 
 char *admin_answer_error(enum result code, const char *message,
 			 uint64_t retry_after_us)
 {
-	json_t *root = answer_new(code, message);
+	json_t *root = admin_json_new(code, message);
 
 	if (retry_after_us)
 		json_object_set_new(root, "retry_after_us",
-				    answer_number(retry_after_us));
-	return answer_take_text(root);
+				    admin_json_number(retry_after_us));
+	return admin_json_take_text(root);
 }
 
 char *admin_answer_command(uint64_t version, const char *command_id,
 			   const char *message)
 {
-	json_t *root = answer_new(RESULT_OK, message);
+	json_t *root = admin_json_new(RESULT_OK, message);
 
-	json_object_set_new(root, "id", answer_text(command_id));
-	json_object_set_new(root, "version", answer_number(version));
-	return answer_take_text(root);
+	json_object_set_new(root, "id", admin_json_text(command_id));
+	json_object_set_new(root, "version", admin_json_number(version));
+	return admin_json_take_text(root);
 }
--- a/packages/core/answer.h
+++ b/packages/core/admin_json.h
@@ -1,8 +1,8 @@
 /*
- * answer - the members that every JSON answer has, and safe values in them
+ * admin_json - the members that every JSON answer has, and safe values in them
  */
-#ifndef CORE_ANSWER_H
-#define CORE_ANSWER_H
+#ifndef CORE_ADMIN_JSON_H
+#define CORE_ADMIN_JSON_H
 
 #include <jansson.h>
 #include <stdbool.h>
@@ -15,23 +15,23 @@
 #endif
 
 /* An object with "result", "name" and "message". */
-json_t *answer_new(enum result code, const char *message);
+json_t *admin_json_new(enum result code, const char *message);
 
 /* The object as text for g_free(); the object is released. */
-char *answer_take_text(json_t *root);
+char *admin_json_take_text(json_t *root);
 
 /* A number, at most INT64_MAX as JSON holds it. */
-json_t *answer_number(uint64_t value);
+json_t *admin_json_number(uint64_t value);
 
 /* A text; what isn't valid UTF-8, which JSON can't hold, is replaced. */
-json_t *answer_text(const char *text);
+json_t *admin_json_text(const char *text);
 
 /* A value that may not be known: null then. */
-json_t *answer_number_if(bool known, uint64_t value);
-json_t *answer_boolean_if(bool known, bool value);
+json_t *admin_json_number_if(bool known, uint64_t value);
+json_t *admin_json_boolean_if(bool known, bool value);
 
 /* An age or an expected time, of which UINT64_MAX means that there is none. */
-json_t *answer_time_us(uint64_t value_us);
+json_t *admin_json_time_us(uint64_t value_us);
 
 #ifdef __cplusplus
 }
--- a/packages/core/admin_show.c
+++ b/packages/core/admin_show.c
@@ -1,6 +1,6 @@
 #include "core/admin_table.h"
 
-#include "core/answer.h"
+#include "core/admin_json.h"
 
 /* What all known reports of a service or a place add up to. */
 struct load_sum {
@@ -97,7 +97,7 @@
 
 	g_snprintf(message, sizeof(message), "%zu %s%s", count, what,
 		   count == 1 ? "" : "s");
-	root = answer_new(RESULT_OK, message);
+	root = admin_json_new(RESULT_OK, message);
 	admin_table_move(root, table, config->version);
 	return root;
 }
@@ -166,13 +166,13 @@
 			json_string(place->name),
 			json_string(place->region),
 			json_boolean(place->drained),
-			answer_number(count_nodes(config, i)),
-			answer_number(count_backends(config, i)),
-			answer_number(sum_slots(config, CONFIG_NONE, i)),
-			answer_number_if(sum.known, sum.slots),
-			answer_number_if(sum.known, sum.in_flight),
-			answer_number_if(sum.known, sum.waiting),
-			answer_number_if(sum.known, sum.oldest_us),
+			admin_json_number(count_nodes(config, i)),
+			admin_json_number(count_backends(config, i)),
+			admin_json_number(sum_slots(config, CONFIG_NONE, i)),
+			admin_json_number_if(sum.known, sum.slots),
+			admin_json_number_if(sum.known, sum.in_flight),
+			admin_json_number_if(sum.known, sum.waiting),
+			admin_json_number_if(sum.known, sum.oldest_us),
 		};
 
 		ADMIN_TABLE_ADD(&table, place_columns, values);
@@ -193,12 +193,14 @@
 			json_string(node->name),
 			json_string(config->places[node->place].name),
 			json_string(node->address),
-			answer_number(node->http_port),
-			answer_number(node->peer_port),
+			admin_json_number(node->http_port),
+			admin_json_number(node->peer_port),
 			json_boolean(node->drained),
-			answer_boolean_if(live, live && live->leaving),
-			answer_number_if(live, live ? live->config_version : 0),
-			answer_time_us(live ? live->report_age_us : UINT64_MAX),
+			admin_json_boolean_if(live, live && live->leaving),
+			admin_json_number_if(live,
+					     live ? live->config_version : 0),
+			admin_json_time_us(live ? live->report_age_us :
+						  UINT64_MAX),
 		};
 
 		ADMIN_TABLE_ADD(&table, node_columns, values);
@@ -221,17 +223,18 @@
 		json_string(config->services[backend->service].name),
 		json_string(config->places[backend->place].name),
 		json_string(backend->address),
-		answer_number(backend->port),
-		answer_number(backend->slots),
+		admin_json_number(backend->port),
+		admin_json_number(backend->slots),
 		json_boolean(backend->drained),
-		answer_number_if(live, view->slots),
-		answer_number_if(live, view->in_flight),
-		answer_number_if(reported, view->reported_in_flight),
-		answer_number_if(live && view->latency_us, view->latency_us),
-		answer_boolean_if(live, view->leaving),
-		answer_boolean_if(live, view->down),
-		answer_boolean_if(live, view->cold),
-		answer_number_if(reported, view->report_age_us),
+		admin_json_number_if(live, view->slots),
+		admin_json_number_if(live, view->in_flight),
+		admin_json_number_if(reported, view->reported_in_flight),
+		admin_json_number_if(live && view->latency_us,
+				     view->latency_us),
+		admin_json_boolean_if(live, view->leaving),
+		admin_json_boolean_if(live, view->down),
+		admin_json_boolean_if(live, view->cold),
+		admin_json_number_if(reported, view->report_age_us),
 	};
 
 	ADMIN_TABLE_ADD(table, backend_columns, values);
@@ -282,14 +285,14 @@
 		json_t *const values[] = {
 			json_string(service->name),
 			json_string(service_class_name(service->class_of)),
-			answer_number(service->timeout_us),
+			admin_json_number(service->timeout_us),
 			json_boolean(service->stopped),
-			answer_number(count_hosts(config, i)),
-			answer_number(sum_slots(config, i, CONFIG_NONE)),
-			answer_number_if(sum.known, sum.slots),
-			answer_number_if(sum.known, sum.in_flight),
-			answer_number_if(sum.known, sum.waiting),
-			answer_number_if(sum.known, sum.oldest_us),
+			admin_json_number(count_hosts(config, i)),
+			admin_json_number(sum_slots(config, i, CONFIG_NONE)),
+			admin_json_number_if(sum.known, sum.slots),
+			admin_json_number_if(sum.known, sum.in_flight),
+			admin_json_number_if(sum.known, sum.waiting),
+			admin_json_number_if(sum.known, sum.oldest_us),
 		};
 
 		ADMIN_TABLE_ADD(&table, service_columns, values);
@@ -311,9 +314,10 @@
 			json_string(config->services[shift->service].name),
 			json_string(config->places[shift->from].name),
 			json_string(config->places[shift->to].name),
-			answer_number(shift->share_permille),
-			answer_number_if(known, admin_share_now(question, i)),
-			answer_number(shift->cap_per_s),
+			admin_json_number(shift->share_permille),
+			admin_json_number_if(known,
+					     admin_share_now(question, i)),
+			admin_json_number(shift->cap_per_s),
 		};
 
 		ADMIN_TABLE_ADD(&table, shift_columns, values);
@@ -337,9 +341,11 @@
 		json_t *const values[] = {
 			json_string(node->name),
 			json_string(config->places[node->place].name),
-			answer_number_if(live, live ? live->config_version : 0),
-			answer_boolean_if(live, has_it),
-			answer_time_us(live ? live->report_age_us : UINT64_MAX),
+			admin_json_number_if(live,
+					     live ? live->config_version : 0),
+			admin_json_boolean_if(live, has_it),
+			admin_json_time_us(live ? live->report_age_us :
+						  UINT64_MAX),
 		};
 
 		ADMIN_TABLE_ADD(&table, version_columns, values);
@@ -349,7 +355,7 @@
 		   "version %" G_GUINT64_FORMAT
 		   " is in force at %u of %u nodes",
 		   config->version, in_force, config->node_count);
-	root = answer_new(RESULT_OK, message);
+	root = admin_json_new(RESULT_OK, message);
 	admin_table_move(root, &table, config->version);
 	return root;
 }
--- a/packages/core/admin_table.c
+++ b/packages/core/admin_table.c
@@ -1,6 +1,6 @@
 #include "core/admin_table.h"
 
-#include "core/answer.h"
+#include "core/admin_json.h"
 
 /*
  * Tables
@@ -31,7 +31,7 @@
 
 	for (i = 0; i < table->column_count; i++)
 		json_array_append_new(columns, json_string(table->columns[i]));
-	json_object_set_new(root, "version", answer_number(version));
+	json_object_set_new(root, "version", admin_json_number(version));
 	json_object_set_new(root, "columns", columns);
 	json_object_set_new(root, "rows", table->rows);
 }
@@ -86,5 +86,5 @@
 	const struct admin_question question = { config, query, live };
 	json_t *root = answer_query(&question, error);
 
-	return root ? answer_take_text(root) : NULL;
+	return root ? admin_json_take_text(root) : NULL;
 }
--- a/packages/core/admin_where.c
+++ b/packages/core/admin_where.c
@@ -1,6 +1,6 @@
 #include "core/admin_table.h"
 
-#include "core/answer.h"
+#include "core/admin_json.h"
 
 struct where {
 	const struct admin_question *question;
@@ -68,17 +68,18 @@
 		json_boolean(chosen),
 		chosen ? json_string(steer_rule_name(where->choice->rule)) :
 			 json_null(),
-		live ? answer_time_us(view->expected_us) : json_null(),
-		answer_number_if(live, view->one_way_us),
-		answer_number_if(reported, report->slots),
-		answer_number_if(reported, report->in_flight),
-		answer_number_if(reported, report->waiting),
-		answer_number_if(reported, report->service_us),
-		answer_number_if(reported && report->slots, report->wait_us),
-		answer_time_us(view->report_age_us),
+		live ? admin_json_time_us(view->expected_us) : json_null(),
+		admin_json_number_if(live, view->one_way_us),
+		admin_json_number_if(reported, report->slots),
+		admin_json_number_if(reported, report->in_flight),
+		admin_json_number_if(reported, report->waiting),
+		admin_json_number_if(reported, report->service_us),
+		admin_json_number_if(reported && report->slots,
+				     report->wait_us),
+		admin_json_time_us(view->report_age_us),
 		json_boolean(config->places[place].drained),
-		answer_boolean_if(live, view->failing),
-		answer_number(permille),
+		admin_json_boolean_if(live, view->failing),
+		admin_json_number(permille),
 		shifts,
 	};
 
@@ -137,7 +138,7 @@
 	const struct config *config = where->question->config;
 	struct admin_table table = ADMIN_TABLE_NEW(where_columns);
 	char *message = explain(where);
-	json_t *root = answer_new(RESULT_OK, message);
+	json_t *root = admin_json_new(RESULT_OK, message);
 	bool *hosts = admin_find_hosts(config, where->service);
 	uint32_t i;
 
--- a/packages/core/steer_place.c
+++ b/packages/core/steer_place.c
@@ -26,7 +26,7 @@
 {
 	uint32_t slots = place->report.slots;
 
-	/* A place that claims more than it was configured with lies. */
+	/* A report of more slots than were configured is wrong. */
 	if (place->spec.slots && slots > place->spec.slots)
 		slots = place->spec.slots;
 	return slots;
@@ -85,7 +85,7 @@
 
 /*
  * Requests at the place. A report that knows of fewer than this node itself has
- * there lies (a frozen reporter, one that always says zero): the own count
+ * there is wrong (a frozen reporter, one that always says zero): the own count
  * holds then.
  */
 static uint64_t busy(const struct steer_place *place)
--- a/packages/core/steer_place.h
+++ b/packages/core/steer_place.h
@@ -1,9 +1,9 @@
 /*
  * steer_place - what an entry node knows of one place for one service
  *
- * Three sources, none trusted alone: the place's reports (late, lying, silent),
- * the node's own requests there (in flight, latency, failures) and refusals of
- * the place's gate. Used by steer only. Not thread-safe.
+ * Three sources, none trusted alone: the place's reports (late, wrong,
+ * missing), the node's own requests there (in flight, latency, failures) and
+ * refusals of the place's gate. Used by steer only. Not thread-safe.
  *
  * Guards, in the order in which they are asked:
  *   health   a place that fails gets trial requests only, then 1, 2, 4, ...
--- a/packages/ports/platform.h
+++ b/packages/ports/platform.h
@@ -47,7 +47,8 @@
 	/*
 	 * Write if the row's version is expected_version (0: absent); the new
 	 * version is stored through new_version. RESULT_CONFLICT if it was
-	 * another version, RESULT_PLATFORM_UNAVAILABLE if it surely did not
+	 * another version, RESULT_OUT_OF_RANGE if the value is larger than
+	 * CONFIG_MAX_BYTES, RESULT_PLATFORM_UNAVAILABLE if it surely did not
 	 * take effect, RESULT_UNSETTLED if it may have.
 	 */
 	bool (*write)(struct platform *platform, const char *table,
