load: a caller whose kept connection died doesn't know of "not run"

The node was killed just after it had handed the request on; libcurl sent it again by itself on a new connection, couldn't connect, and the caller took that for "nothing was sent". Connections that a request went out on are counted now: after a first one that died, neither a failed connect nor a refusal ends it as not run. The checker stays as strict as it was.

--- a/tests/tools/exchange.c
+++ b/tests/tools/exchange.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/result.h"
 #include "core/wire.h"
 
 #define CONNECT_TIMEOUT_MS 500L
@@ -60,15 +61,37 @@
 	return bytes;
 }
 
-static enum exchange_fate fate_of(CURL *curl, CURLcode code)
+/*
+ * Called when a connection is there, new or kept, and the request goes out on
+ * it. Where a kept one dies without an answer libcurl sends the request again
+ * by itself and tells of the last try only; the count tells of all.
+ */
+static int count_send(void *context, char *remote, char *local, int remote_port,
+		      int local_port)
 {
-	long sent_bytes = 0;
+	struct exchange *exchange = context;
+
+	(void)remote;
+	(void)local;
+	(void)remote_port;
+	(void)local_port;
+	exchange->connections++;
+	return CURL_PREREQFUNC_OK;
+}
 
+static enum exchange_fate fate_of(const struct exchange *exchange,
+				  CURLcode code)
+{
+	enum result result = result_from_number(exchange->result);
+
+	if (!exchange->connections)
+		return EXCHANGE_NOT_SENT;
+	/* A refusal on the second connection proves nothing of the first. */
+	if (code == CURLE_OK && exchange->connections > 1 &&
+	    result_is_not_run(result))
+		return EXCHANGE_CUT;
 	if (code == CURLE_OK)
 		return EXCHANGE_WHOLE;
-	curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent_bytes);
-	if (code == CURLE_COULDNT_CONNECT || !sent_bytes)
-		return EXCHANGE_NOT_SENT;
 	if (code == CURLE_OPERATION_TIMEDOUT)
 		return EXCHANGE_TIMED_OUT;
 	return EXCHANGE_CUT;
@@ -122,6 +145,8 @@
 		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, request->body);
 	if (request->method)
 		curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, request->method);
-	exchange->fate = fate_of(curl, curl_easy_perform(curl));
+	curl_easy_setopt(curl, CURLOPT_PREREQFUNCTION, count_send);
+	curl_easy_setopt(curl, CURLOPT_PREREQDATA, exchange);
+	exchange->fate = fate_of(exchange, curl_easy_perform(curl));
 	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &exchange->status);
 }
--- a/tests/tools/exchange.h
+++ b/tests/tools/exchange.h
@@ -29,6 +29,7 @@
 	long status;
 	int result; /* X-Lilac-Result, or EXCHANGE_NO_RESULT */
 	uint64_t retry_after_us; /* 0: none named */
+	uint32_t connections; /* that the request went out on */
 	bool shed; /* a backend server's own "not run" */
 	char node[NAME_SIZE];
 	char place[NAME_SIZE];
