node: one place for waiting, for the budget's extra attempt, for a ledger's word

state.c had three jobs and 793 lines: the node and the configuration in force stay, shares of slots go to state_shares.c, what steer and look-ups are told to state_reports.c. Timed waits, the set-up of a condition variable, what a ledger's state answers and the silence of a connection stood twice. Behaviour stays, but that a fence of a hop whose answer was dropped says so (206) in place of "unknown".

--- a/packages/node/entry.c
+++ b/packages/node/entry.c
@@ -6,10 +6,6 @@
 #include "node/hop.h"
 #include "node/place.h"
 
-/* See place.c: a reused connection that says nothing for long is suspect. */
-#define SILENCE_SERVICE_TIMES 8
-#define SILENCE_LEAST_US 300000
-
 /* Tries to choose by the same version of the configuration as the request. */
 #define MOST_VERSION_TRIES 3
 
@@ -40,23 +36,6 @@
 	return home == CONFIG_NONE ? passage->snapshot->own_place : home;
 }
 
-static bool may_spend(struct service *service)
-{
-	bool may;
-
-	pthread_mutex_lock(&service->steer_lock);
-	may = budget_spend(&service->budget);
-	pthread_mutex_unlock(&service->steer_lock);
-	if (may)
-		metric_add(service->extra_attempts, 1);
-	return may;
-}
-
-static bool may_repeat(void *context)
-{
-	return may_spend(context);
-}
-
 /* False where steer holds another version than the request's snapshot. */
 static bool choose_once(struct passage *passage, struct steer_choice *choice)
 {
@@ -198,10 +177,9 @@
 					      target->place);
 	hop.idempotent = passage->idempotent;
 	if (passage->idempotent) {
-		hop.silence_us = hop.round_trip_us +
-				 MAX(SILENCE_SERVICE_TIMES * service_us,
-				     SILENCE_LEAST_US);
-		hop.may_repeat = may_repeat;
+		hop.silence_us =
+			hop.round_trip_us + service_silence_us(service_us);
+		hop.may_repeat = service_may_repeat;
 		hop.context = passage->service;
 	}
 	hop_send(passage->node, &hop, passage->request, passage->answer);
@@ -330,7 +308,7 @@
 static bool is_paid(struct passage *passage)
 {
 	return passage->answer->result == RESULT_SHIFT_CAP ||
-	       may_spend(passage->service);
+	       service_may_repeat(passage->service);
 }
 
 static void run(struct passage *passage)
@@ -439,16 +417,8 @@
 	if (kept)
 		answer_from_kept(answer, kept);
 	pthread_mutex_unlock(&node->ledger_lock);
-	if (kept)
-		return;
-	if (state == LEDGER_ABSENT || state == LEDGER_FENCED)
-		answer_set(answer, refusal, retry_after_us);
-	else if (state == LEDGER_RUNNING)
-		answer_set(answer, RESULT_IN_PROGRESS, 0);
-	else if (state == LEDGER_DROPPED)
-		answer_set(answer, RESULT_ANSWER_DROPPED, 0);
-	else
-		answer_set(answer, RESULT_OUTCOME_UNKNOWN, 0);
+	if (!kept)
+		answer_from_state(answer, state, refusal, retry_after_us);
 }
 
 static bool start_ticket(struct node *node, const char *text,
--- a/packages/node/hop.c
+++ b/packages/node/hop.c
@@ -2,11 +2,11 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include "adapters/log.h"
 #include "core/wire.h"
 #include "node/place.h"
+#include "node/wait.h"
 
 /* A node in reach opens a connection in a round trip and little more. */
 #define CONNECT_SPARE_US 300000
@@ -124,14 +124,6 @@
 	return true;
 }
 
-static void pause_us(uint64_t us)
-{
-	struct timespec time = { (time_t)(us / 1000000),
-				 (long)(us % 1000000) * 1000 };
-
-	nanosleep(&time, NULL);
-}
-
 /* Ask once, on a new connection; RESULT_OUTCOME_UNKNOWN without an answer. */
 static void ask_fence(struct node *node, const struct hop *hop,
 		      const struct request *request, struct answer *answer)
@@ -170,7 +162,7 @@
 		ask_fence(node, hop, request, answer);
 		if (answer->result != RESULT_IN_PROGRESS)
 			break;
-		pause_us(FENCE_PAUSE_US);
+		wait_sleep_us(FENCE_PAUSE_US);
 	} while (state_now_us(node) < request->deadline_us);
 	if (answer->result == RESULT_IN_PROGRESS)
 		answer_set(answer, RESULT_OUTCOME_UNKNOWN, 0);
@@ -346,12 +338,6 @@
 	if (kept)
 		answer_from_kept(answer, kept);
 	pthread_mutex_unlock(&node->ledger_lock);
-	if (kept)
-		return;
-	if (state == LEDGER_ABSENT || state == LEDGER_FENCED)
-		answer_set(answer, RESULT_FENCED, 0);
-	else if (state == LEDGER_RUNNING)
-		answer_set(answer, RESULT_IN_PROGRESS, 0);
-	else
-		answer_set(answer, RESULT_OUTCOME_UNKNOWN, 0);
+	if (!kept)
+		answer_from_state(answer, state, RESULT_FENCED, 0);
 }
--- a/packages/node/loops.c
+++ b/packages/node/loops.c
@@ -9,6 +9,7 @@
 #include "core/wire.h"
 #include "node/command.h"
 #include "node/seats.h"
+#include "node/wait.h"
 
 /* A node that isn't its place's reader of the platform polls this much less. */
 #define FALLBACK_POLL_FACTOR 5
@@ -77,16 +78,10 @@
 
 	/* Spread by a quarter, so that nodes don't come all at once. */
 	wait_us += wait_us * (state_draw() % 256) / 1024;
-	clock_gettime(CLOCK_MONOTONIC, &until);
-	until.tv_sec += (time_t)(wait_us / 1000000);
-	until.tv_nsec += (long)(wait_us % 1000000) * 1000;
-	if (until.tv_nsec >= 1000000000) {
-		until.tv_sec++;
-		until.tv_nsec -= 1000000000;
-	}
+	until = wait_until_us(wait_us);
 	pthread_mutex_lock(&loops->lock);
 	while (!loops->closing && !is_hurried(loop) &&
-	       !pthread_cond_timedwait(&loops->wake, &loops->lock, &until))
+	       wait_cond(&loops->wake, &loops->lock, until))
 		continue;
 	closing = loops->closing;
 	if (is_hurried(loop))
@@ -573,17 +568,13 @@
 {
 	const struct settings *settings = node->settings;
 	struct loops *loops = g_new0(struct loops, 1);
-	pthread_condattr_t attributes;
 	uint32_t lane;
 
 	loops->node = node;
 	node->loops = loops;
 	loops->all = g_new0(struct loop, 5 + PROBE_LANES);
 	pthread_mutex_init(&loops->lock, NULL);
-	pthread_condattr_init(&attributes);
-	pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-	pthread_cond_init(&loops->wake, &attributes);
-	pthread_condattr_destroy(&attributes);
+	wait_cond_init(&loops->wake);
 	start_loop(loops, poll_config, settings->poll_interval_us, 0);
 	start_loop(loops, poll_vms, VMS_INTERVAL_US, 0);
 	start_loop(loops, keep_seats, SEATS_INTERVAL_US, 0);
--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -1,7 +1,6 @@
 #include "node/node.h"
 
 #include <inttypes.h>
-#include <time.h>
 
 #include "adapters/clock_system.h"
 #include "adapters/log.h"
@@ -11,6 +10,7 @@
 #include "node/seats.h"
 #include "node/server.h"
 #include "node/state.h"
+#include "node/wait.h"
 
 #define STOP_POLL_US 20000
 
@@ -23,14 +23,6 @@
 	struct peer_handler handler;
 };
 
-static void pause_us(uint64_t us)
-{
-	struct timespec time = { (time_t)(us / 1000000),
-				 (long)(us % 1000000) * 1000 };
-
-	nanosleep(&time, NULL);
-}
-
 struct running_node *node_open(const struct settings *settings, GError **error)
 {
 	struct running_node *running = g_new0(struct running_node, 1);
@@ -79,7 +71,7 @@
 		if (state_now_us(node) >= least_us &&
 		    !atomic_load(&node->in_flight))
 			return true;
-		pause_us(STOP_POLL_US);
+		wait_sleep_us(STOP_POLL_US);
 	}
 	return !atomic_load(&node->in_flight);
 }
--- a/packages/node/place.c
+++ b/packages/node/place.c
@@ -7,6 +7,7 @@
 #include "adapters/log.h"
 #include "core/wire.h"
 #include "node/seats.h"
+#include "node/wait.h"
 
 /* Backend servers tried for one request that was proved not run. */
 #define MOST_BACKENDS 2
@@ -14,10 +15,6 @@
 /* A backend server opens a connection in about a millisecond. */
 #define CONNECT_TIMEOUT_US 200000
 
-/* A reused connection that says nothing this many service times is suspect. */
-#define SILENCE_SERVICE_TIMES 8
-#define SILENCE_LEAST_US 300000
-
 #define SHIFT_RETRY_AFTER_US 1000000
 #define LONGEST_WAIT_US 1000000
 
@@ -35,13 +32,8 @@
 
 static void waiter_init(struct waiter *waiter)
 {
-	pthread_condattr_t attributes;
-
 	memset(waiter, 0, sizeof(*waiter));
-	pthread_condattr_init(&attributes);
-	pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-	pthread_cond_init(&waiter->wake, &attributes);
-	pthread_condattr_destroy(&attributes);
+	wait_cond_init(&waiter->wake);
 }
 
 static void waiter_release(struct waiter *waiter)
@@ -63,21 +55,6 @@
 	}
 }
 
-static void sleep_until(struct waiter *waiter, pthread_mutex_t *lock,
-			uint64_t wait_us)
-{
-	struct timespec until;
-
-	clock_gettime(CLOCK_MONOTONIC, &until);
-	until.tv_sec += (time_t)(wait_us / 1000000);
-	until.tv_nsec += (long)(wait_us % 1000000) * 1000;
-	if (until.tv_nsec >= 1000000000) {
-		until.tv_sec++;
-		until.tv_nsec -= 1000000000;
-	}
-	pthread_cond_timedwait(&waiter->wake, lock, &until);
-}
-
 /* Wait for the grant; the gate grants or refuses before the deadline. */
 static void wait_for_grant(struct node *node, struct service *service,
 			   struct waiter *waiter, uint64_t deadline_us)
@@ -97,8 +74,8 @@
 		}
 		due_us = MIN(gate_next_due_us(service->gate), deadline_us);
 		due_us = MAX(due_us, now_us + 100);
-		sleep_until(waiter, &service->gate_lock,
-			    MIN(due_us - now_us, LONGEST_WAIT_US));
+		wait_cond(&waiter->wake, &service->gate_lock,
+			  wait_until_us(MIN(due_us - now_us, LONGEST_WAIT_US)));
 	}
 }
 
@@ -132,20 +109,6 @@
 	pthread_mutex_unlock(&service->gate_lock);
 }
 
-/* What a repeat on a new connection is paid from. */
-static bool may_repeat(void *context)
-{
-	struct service *service = context;
-	bool may;
-
-	pthread_mutex_lock(&service->steer_lock);
-	may = budget_spend(&service->budget);
-	pthread_mutex_unlock(&service->steer_lock);
-	if (may)
-		metric_add(service->extra_attempts, 1);
-	return may;
-}
-
 /* Texts that the backend server's request headers point to. */
 struct header_texts {
 	char deadline[24];
@@ -256,13 +219,11 @@
 static uint64_t silence_us(struct node *node, struct service *service)
 {
 	struct gate_summary summary;
-	uint64_t silence;
 
 	pthread_mutex_lock(&service->gate_lock);
 	gate_summarise(service->gate, state_now_us(node), &summary);
 	pthread_mutex_unlock(&service->gate_lock);
-	silence = SILENCE_SERVICE_TIMES * summary.service_us;
-	return MAX(silence, SILENCE_LEAST_US);
+	return service_silence_us(summary.service_us);
 }
 
 static enum gate_outcome call_backend(struct node *node,
@@ -288,7 +249,7 @@
 			     idempotent, &texts, &http);
 	if (idempotent) {
 		http.silence_us = silence_us(node, service);
-		http.may_repeat = may_repeat;
+		http.may_repeat = service_may_repeat;
 		http.context = service;
 	}
 	http_client_exchange(node->http, &http, &got);
--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -42,3 +42,23 @@
 	kept->body = g_memdup2(answer->body, answer->body_bytes);
 	kept->body_bytes = answer->body_bytes;
 }
+
+void answer_from_state(struct answer *answer, enum ledger_state state,
+		       enum result refusal, uint64_t retry_after_us)
+{
+	switch (state) {
+	case LEDGER_ABSENT:
+	case LEDGER_FENCED:
+		answer_set(answer, refusal, retry_after_us);
+		break;
+	case LEDGER_RUNNING:
+		answer_set(answer, RESULT_IN_PROGRESS, 0);
+		break;
+	case LEDGER_DROPPED:
+		answer_set(answer, RESULT_ANSWER_DROPPED, 0);
+		break;
+	default:
+		answer_set(answer, RESULT_OUTCOME_UNKNOWN, 0);
+		break;
+	}
+}
--- a/packages/node/request.h
+++ b/packages/node/request.h
@@ -53,6 +53,13 @@
 void answer_set(struct answer *answer, enum result result,
 		uint64_t retry_after_us);
 
+/*
+ * Say what the ledger knows of an id that a fence found without an answer: the
+ * refusal where it never runs, else what became of it.
+ */
+void answer_from_state(struct answer *answer, enum ledger_state state,
+		       enum result refusal, uint64_t retry_after_us);
+
 /* A copy of a ledger's kept answer, and the copy for a ledger to keep. */
 void answer_from_kept(struct answer *answer, const struct ledger_answer *kept);
 void answer_to_kept(const struct answer *answer, struct ledger_answer *kept);
--- a/packages/node/state.c
+++ b/packages/node/state.c
@@ -1,4 +1,4 @@
-#include "node/state.h"
+#include "node/state_parts.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -11,8 +11,10 @@
 /* Extra attempts that a quiet service may have saved up. */
 #define BUDGET_BURST 20
 
-/* A node that was silent for longer runs nothing any more; see settle(). */
-#define SHARER_SILENT_US (10 * 1000 * 1000ull)
+/* A reused connection that says nothing for so many service times is suspect.
+ */
+#define SILENCE_SERVICE_TIMES 8
+#define SILENCE_LEAST_US 300000
 
 static __thread uint64_t draw_state;
 
@@ -76,6 +78,24 @@
 	return service;
 }
 
+bool service_may_repeat(void *context)
+{
+	struct service *service = context;
+	bool may;
+
+	pthread_mutex_lock(&service->steer_lock);
+	may = budget_spend(&service->budget);
+	pthread_mutex_unlock(&service->steer_lock);
+	if (may)
+		metric_add(service->extra_attempts, 1);
+	return may;
+}
+
+uint64_t service_silence_us(uint64_t service_us)
+{
+	return MAX(SILENCE_SERVICE_TIMES * service_us, SILENCE_LEAST_US);
+}
+
 static void service_free(gpointer data)
 {
 	struct service *service = data;
@@ -188,373 +208,6 @@
 	return state;
 }
 
-/*
- * This node's rank among the nodes that share its place's slots: the listed
- * ones that aren't drained. False where it isn't one of them.
- */
-static bool find_rank(const struct snapshot *snapshot, uint32_t *rank,
-		      uint32_t *count)
-{
-	const struct config *config = snapshot->config;
-	bool found = false;
-	uint32_t i;
-
-	*rank = 0;
-	*count = 0;
-	for (i = 0; i < config->node_count; i++) {
-		if (config->nodes[i].place != snapshot->own_place ||
-		    config->nodes[i].drained)
-			continue;
-		if (i == snapshot->own_node) {
-			*rank = *count;
-			found = true;
-		}
-		(*count)++;
-	}
-	return found;
-}
-
-bool state_backend_leaving(struct node *node, const struct config *config,
-			   const struct config_backend *backend)
-{
-	return backend->drained || config->places[backend->place].drained ||
-	       state_vm(node, backend->address) == VM_LEAVING;
-}
-
-/* Leaving is the OR of every sign that can be had; each may come first. */
-static bool backend_is_leaving(struct node *node, const struct config *config,
-			       const struct config_backend *backend,
-			       uint64_t now_us)
-{
-	return state_backend_leaving(node, config, backend) ||
-	       view_backend_leaving(node->view, backend->name, now_us);
-}
-
-static bool was_known(const struct snapshot *before, const char *backend)
-{
-	return !before ||
-	       config_find_backend(before->config, backend) != CONFIG_NONE;
-}
-
-static void set_backends(struct node *node, const struct snapshot *snapshot,
-			 const struct snapshot *before, uint32_t index,
-			 uint64_t now_us)
-{
-	const struct config *config = snapshot->config;
-	struct service *service = snapshot->services[index];
-	struct gate_backend_spec *specs;
-	uint32_t count = 0;
-	uint32_t i;
-
-	specs = g_new0(struct gate_backend_spec, config->backend_count + 1);
-	/* A node that isn't listed knows no backend servers. */
-	for (i = 0;
-	     snapshot->own_node != CONFIG_NONE && i < config->backend_count;
-	     i++) {
-		const struct config_backend *backend = &config->backends[i];
-		struct gate_backend_spec *spec = &specs[count];
-
-		if (backend->service != index ||
-		    backend->place != snapshot->own_place)
-			continue;
-		spec->name = backend->name;
-		spec->slots = share_table_slots(node->shares, backend->name);
-		spec->total_slots = backend->slots;
-		spec->leaving =
-			backend_is_leaving(node, config, backend, now_us);
-		spec->cold = !was_known(before, backend->name);
-		count++;
-	}
-	pthread_mutex_lock(&service->gate_lock);
-	gate_set_backends(service->gate, specs, count, now_us);
-	pthread_mutex_unlock(&service->gate_lock);
-	g_free(specs);
-}
-
-void state_refresh_backends(struct node *node)
-{
-	struct snapshot *snapshot;
-	uint32_t i;
-
-	/* Not against the next version's numbers, should it come meanwhile. */
-	pthread_mutex_lock(&node->apply_lock);
-	snapshot = snapshot_get(node);
-	for (i = 0; snapshot && i < snapshot->config->service_count; i++)
-		set_backends(node, snapshot, snapshot, i, state_now_us(node));
-	snapshot_put(snapshot);
-	pthread_mutex_unlock(&node->apply_lock);
-}
-
-/* Every node that may use slots of the place: present and former ones. */
-static void add_sharers(struct node *node, const struct snapshot *snapshot)
-{
-	const struct config *config = snapshot->config;
-	uint32_t i;
-
-	for (i = 0; i < config->node_count; i++) {
-		const char *name = config->nodes[i].name;
-
-		if (config->nodes[i].place != snapshot->own_place ||
-		    i == snapshot->own_node ||
-		    g_ptr_array_find_with_equal_func(node->sharers, name,
-						     g_str_equal, NULL))
-			continue;
-		g_ptr_array_add(node->sharers, g_strdup(name));
-	}
-}
-
-static void change_shares(struct node *node, const struct snapshot *snapshot)
-{
-	const struct config *config = snapshot->config;
-	struct share_target *targets;
-	uint32_t rank, nodes, i;
-	uint32_t count = 0;
-	bool shares = find_rank(snapshot, &rank, &nodes);
-
-	targets = g_new0(struct share_target, config->backend_count + 1);
-	for (i = 0; shares && i < config->backend_count; i++) {
-		const struct config_backend *backend = &config->backends[i];
-
-		if (backend->place != snapshot->own_place)
-			continue;
-		targets[count].backend = backend->name;
-		targets[count].slots = gate_share(backend->slots, rank, nodes);
-		count++;
-	}
-	share_table_change(node->shares, config->version, targets, count);
-	node->shares_since_us = state_now_us(node);
-	add_sharers(node, snapshot);
-	g_free(targets);
-}
-
-/*
- * Whether the other node keeps to the shares of the present version. One that
- * is silent may be dead or cut off. It is waited for as long as a report may
- * be late; then it is taken to be gone, so that its place goes on with what it
- * can. A cut within one failure domain, at the moment of a change of its nodes
- * or slots, can so make the sum exceed the slots until the cut heals.
- *
- * Only a node that answered a call of ours counts, since it has our present
- * incarnation's report. One that hasn't may still go by what our former life
- * declared: restarted with an older version from a lagging peer, this node
- * would take its larger share of that one while the other has grown already.
- */
-static bool sharer_is_ready(struct node *node, const char *name,
-			    uint64_t now_us)
-{
-	struct view_node known;
-
-	if (view_find(node->view, name, now_us, &known) &&
-	    known.age_us < SHARER_SILENT_US)
-		return known.answered &&
-		       known.shares_version ==
-			       share_table_version(node->shares);
-	return now_us - node->shares_since_us >= SHARER_SILENT_US;
-}
-
-static bool all_sharers_are_ready(struct node *node)
-{
-	uint64_t now_us = state_now_us(node);
-	guint i;
-
-	for (i = 0; i < node->sharers->len; i++)
-		if (!sharer_is_ready(node, g_ptr_array_index(node->sharers, i),
-				     now_us))
-			return false;
-	return true;
-}
-
-void state_refresh_shares(struct node *node)
-{
-	struct snapshot *snapshot;
-	uint32_t i;
-
-	pthread_mutex_lock(&node->apply_lock);
-	snapshot = snapshot_get(node);
-	if (snapshot && !share_table_is_settled(node->shares) &&
-	    all_sharers_are_ready(node)) {
-		share_table_settle(node->shares, snapshot->config->version);
-		g_ptr_array_set_size(node->sharers, 0);
-		add_sharers(node, snapshot);
-		for (i = 0; i < snapshot->config->service_count; i++)
-			set_backends(node, snapshot, snapshot, i,
-				     state_now_us(node));
-	}
-	snapshot_put(snapshot);
-	pthread_mutex_unlock(&node->apply_lock);
-}
-
-bool state_shares_are_settled(struct node *node)
-{
-	bool settled;
-
-	pthread_mutex_lock(&node->apply_lock);
-	settled = share_table_is_settled(node->shares) ||
-		  !share_table_version(node->shares);
-	pthread_mutex_unlock(&node->apply_lock);
-	return settled;
-}
-
-/* Whether a gate has more in flight somewhere than its share. */
-static bool is_over(struct node *node, struct service *service)
-{
-	struct gate_backend_view view;
-	bool over = false;
-	uint32_t i;
-
-	pthread_mutex_lock(&service->gate_lock);
-	for (i = 0;
-	     !over && gate_view(service->gate, i, state_now_us(node), &view);
-	     i++)
-		over = view.in_flight >
-		       share_table_slots(node->shares, view.name);
-	pthread_mutex_unlock(&service->gate_lock);
-	return over;
-}
-
-uint64_t state_declared_version(struct node *node)
-{
-	uint64_t version;
-	GHashTableIter iter;
-	gpointer service;
-
-	pthread_mutex_lock(&node->apply_lock);
-	version = share_table_version(node->shares);
-	g_hash_table_iter_init(&iter, node->services);
-	while (version && g_hash_table_iter_next(&iter, NULL, &service))
-		if (is_over(node, service))
-			version = 0;
-	pthread_mutex_unlock(&node->apply_lock);
-	return version;
-}
-
-static uint32_t slots_at(const struct config *config, uint32_t service,
-			 uint32_t place)
-{
-	uint32_t slots = 0;
-	uint32_t i;
-
-	for (i = 0; i < config->backend_count; i++) {
-		const struct config_backend *backend = &config->backends[i];
-
-		if (backend->service == service && backend->place == place &&
-		    !backend->drained)
-			slots += backend->slots;
-	}
-	return slots;
-}
-
-static uint32_t nodes_in_region(const struct config *config, const char *region)
-{
-	uint32_t count = 0;
-	uint32_t i;
-
-	for (i = 0; i < config->node_count; i++) {
-		uint32_t place = config->nodes[i].place;
-
-		if (!strcmp(config->places[place].region, region))
-			count++;
-	}
-	return count;
-}
-
-/* Number from 1 of the place's region, so that its places share a link. */
-static uint32_t region_number(const struct config *config, uint32_t place)
-{
-	uint32_t i = 0;
-
-	while (strcmp(config->places[i].region, config->places[place].region) !=
-	       0)
-		i++;
-	return i + 1;
-}
-
-/*
- * Every entry node of a region has the same part of the link's limit, and each
- * service the same part of that, so that the sum never exceeds it.
- */
-static uint32_t link_part(const struct config *config, uint32_t from,
-			  uint32_t to)
-{
-	uint32_t limit = config_link_limit_per_s(config, from, to);
-	uint32_t nodes = nodes_in_region(config, config->places[from].region);
-
-	if (!limit || !nodes)
-		return 0;
-	return MAX(limit / (nodes * config->service_count), 1);
-}
-
-static void set_places(const struct snapshot *snapshot, uint32_t index,
-		       uint64_t now_us)
-{
-	const struct config *config = snapshot->config;
-	struct service *service = snapshot->services[index];
-	struct steer_place_spec *specs;
-	uint32_t own = snapshot->own_place;
-	uint32_t count = 0;
-	uint32_t i;
-
-	specs = g_new0(struct steer_place_spec, config->place_count + 1);
-	for (i = 0; i < config->place_count; i++) {
-		uint32_t slots = slots_at(config, index, i);
-
-		if (!slots)
-			continue;
-		specs[count].name = config->places[i].name;
-		specs[count].place = i;
-		specs[count].slots = slots;
-		specs[count].drained = config->places[i].drained;
-		if (own != CONFIG_NONE) {
-			specs[count].one_way_us =
-				config_one_way_us(config, own, i);
-			specs[count].link_limit_per_s =
-				link_part(config, own, i);
-			specs[count].link = region_number(config, i);
-		}
-		count++;
-	}
-	steer_set_places(service->steer, specs, count, now_us);
-	g_free(specs);
-}
-
-static void set_shifts(const struct snapshot *snapshot, uint32_t index,
-		       uint64_t now_us)
-{
-	const struct config *config = snapshot->config;
-	struct service *service = snapshot->services[index];
-	struct steer_shift_spec *specs;
-	uint32_t count = 0;
-	uint32_t i;
-
-	specs = g_new0(struct steer_shift_spec, config->shift_count + 1);
-	for (i = 0; i < config->shift_count; i++) {
-		const struct config_shift *shift = &config->shifts[i];
-
-		if (shift->service != index)
-			continue;
-		specs[count].id = shift->id;
-		specs[count].from = shift->from;
-		specs[count].to = shift->to;
-		specs[count].share_permille = shift->share_permille;
-		specs[count].cap_per_s = shift->cap_per_s;
-		count++;
-	}
-	steer_set_shifts(service->steer, specs, count, now_us);
-	g_free(specs);
-}
-
-static void set_steer(const struct snapshot *snapshot, uint32_t index,
-		      uint64_t now_us)
-{
-	struct service *service = snapshot->services[index];
-
-	pthread_mutex_lock(&service->steer_lock);
-	set_places(snapshot, index, now_us);
-	set_shifts(snapshot, index, now_us);
-	service->steer_version = snapshot->config->version;
-	pthread_mutex_unlock(&service->steer_lock);
-}
-
 static struct service *ensure_service(struct node *node, const char *name)
 {
 	struct service *service = g_hash_table_lookup(node->services, name);
@@ -639,10 +292,10 @@
 	}
 	now_us = state_now_us(node);
 	snapshot = snapshot_new(node, config);
-	change_shares(node, snapshot);
+	state_change_shares(node, snapshot);
 	for (i = 0; i < config->service_count; i++) {
-		set_backends(node, snapshot, node->snapshot, i, now_us);
-		set_steer(snapshot, i, now_us);
+		state_set_backends(node, snapshot, node->snapshot, i, now_us);
+		state_set_steer(snapshot, i, now_us);
 	}
 	publish(node, snapshot);
 	pthread_mutex_unlock(&node->apply_lock);
@@ -650,144 +303,3 @@
 		  version);
 	return true;
 }
-
-/* The place's report: its usable nodes' summaries added up. */
-struct place_sum {
-	struct gate_summary total;
-	uint64_t service_weighted;
-	uint64_t wait_weighted;
-	uint64_t weight;
-	uint64_t age_us;
-	uint32_t nodes;
-};
-
-static void add_summary(struct place_sum *sum,
-			const struct gate_summary *summary, uint64_t age_us)
-{
-	uint64_t weight = summary->slots;
-
-	sum->total.slots += summary->slots;
-	sum->total.in_flight += summary->in_flight;
-	sum->total.waiting += summary->waiting;
-	sum->service_weighted += weight * summary->service_us;
-	sum->wait_weighted += weight * summary->wait_us;
-	sum->weight += weight;
-	/*
-	 * The least: a node that falls silent is left out after a while, and
-	 * until then must not make its whole place look old.
-	 */
-	sum->age_us = sum->nodes ? MIN(sum->age_us, age_us) : age_us;
-	sum->nodes++;
-}
-
-static void add_node(struct node *node, const struct snapshot *snapshot,
-		     uint32_t service, uint32_t index, struct place_sum *sum)
-{
-	struct service *tables = snapshot->services[service];
-	uint64_t now_us = state_now_us(node);
-	struct gate_summary summary;
-	uint64_t age_us = 0;
-
-	if (index == snapshot->own_node) {
-		pthread_mutex_lock(&tables->gate_lock);
-		gate_summarise(tables->gate, now_us, &summary);
-		pthread_mutex_unlock(&tables->gate_lock);
-	} else if (!view_summary(node->view,
-				 snapshot->config->nodes[index].name,
-				 tables->name, now_us, &summary, &age_us)) {
-		return;
-	}
-	add_summary(sum, &summary, age_us);
-}
-
-static void report_places(struct node *node, const struct snapshot *snapshot,
-			  uint32_t service)
-{
-	const struct config *config = snapshot->config;
-	struct service *tables = snapshot->services[service];
-	struct place_sum *sums = g_new0(struct place_sum, config->place_count);
-	uint32_t i;
-
-	for (i = 0; i < config->node_count; i++)
-		add_node(node, snapshot, service, i,
-			 &sums[config->nodes[i].place]);
-	pthread_mutex_lock(&tables->steer_lock);
-	for (i = 0; i < config->place_count; i++) {
-		struct place_sum *sum = &sums[i];
-
-		if (!sum->nodes || tables->steer_version != config->version)
-			continue;
-		/* Nodes without slots have no times to say. */
-		sum->total.service_us =
-			sum->service_weighted / MAX(sum->weight, 1);
-		sum->total.wait_us = sum->weight ?
-					     sum->wait_weighted / sum->weight :
-					     UINT32_MAX;
-		steer_report(tables->steer, i, &sum->total, sum->age_us,
-			     state_now_us(node));
-	}
-	pthread_mutex_unlock(&tables->steer_lock);
-	g_free(sums);
-}
-
-void state_refresh_places(struct node *node)
-{
-	struct snapshot *snapshot = snapshot_get(node);
-	uint32_t i;
-
-	for (i = 0; snapshot && i < snapshot->config->service_count; i++)
-		report_places(node, snapshot, i);
-	snapshot_put(snapshot);
-}
-
-static enum lookup_node_state judge_node(struct node *node,
-					 const struct snapshot *snapshot,
-					 uint32_t index, uint64_t now_us)
-{
-	const struct config_node *target = &snapshot->config->nodes[index];
-	struct view_node known;
-
-	if (target->drained || state_vm(node, target->address) == VM_LEAVING)
-		return LOOKUP_LEAVING;
-	if (index == snapshot->own_node)
-		return atomic_load(&node->stopping) ? LOOKUP_LEAVING :
-						      LOOKUP_ALIVE;
-	if (view_find(node->view, target->name, now_us, &known) &&
-	    known.leaving)
-		return LOOKUP_LEAVING;
-	return view_is_usable(node->view, target->name, now_us) ? LOOKUP_ALIVE :
-								  LOOKUP_DEAD;
-}
-
-static bool same_states(const struct node_states *a,
-			const struct node_states *b)
-{
-	return a && a->version == b->version && a->count == b->count &&
-	       !memcmp(a->states, b->states, a->count);
-}
-
-void state_refresh_nodes(struct node *node)
-{
-	struct snapshot *snapshot = snapshot_get(node);
-	struct node_states *before = node->states;
-	struct node_states *next;
-	uint32_t count, i;
-
-	if (!snapshot)
-		return;
-	count = snapshot->config->node_count;
-	next = g_malloc0(sizeof(*next) + count);
-	next->version = snapshot->config->version;
-	next->count = count;
-	for (i = 0; i < count; i++)
-		next->states[i] = (uint8_t)judge_node(node, snapshot, i,
-						      state_now_us(node));
-	snapshot_put(snapshot);
-	if (same_states(before, next)) {
-		g_free(next);
-		return;
-	}
-	rcu_assign_pointer(node->states, next);
-	synchronize_rcu();
-	g_free(before);
-}
--- a/packages/node/state.h
+++ b/packages/node/state.h
@@ -167,6 +167,12 @@
 /* What the platform's list says of the VM, VM_UNKNOWN without a list. */
 enum vm_state state_vm(struct node *node, const char *address);
 
+/* Take one extra attempt of the service's requests from its budget. */
+bool service_may_repeat(void *service);
+
+/* Silence of a reused connection, beyond the link's time, that is suspect. */
+uint64_t service_silence_us(uint64_t service_us);
+
 /* A random number from a generator of the thread's own. */
 uint32_t state_draw(void);
 
