--- a/packages/core/admin.c
+++ b/packages/core/admin.c
@@ -6,7 +6,6 @@
 #include "core/admin_json.h"
 
 /* Room for the other members around the largest document. */
-#define REQUEST_MAX_BYTES (CONFIG_MAX_BYTES + 4096)
 
 static bool bad_request(GError **error, const char *message)
 {
@@ -76,7 +75,7 @@
 	bool good;
 
 	memset(request, 0, sizeof(*request));
-	if (len > REQUEST_MAX_BYTES)
+	if (len > ADMIN_REQUEST_MAX_BYTES)
 		return bad_request(error, "the body is too large");
 	root = json_loadb(body, len, JSON_REJECT_DUPLICATES, &json_error);
 	if (!root) {
--- a/packages/core/admin.h
+++ b/packages/core/admin.h
@@ -26,6 +26,9 @@
 extern "C" {
 #endif
 
+/* The largest document and the rest of a command's body. */
+#define ADMIN_REQUEST_MAX_BYTES (CONFIG_MAX_BYTES + 4096)
+
 /* The body of POST /v1/command. */
 struct admin_request {
 	char sentence[QUERY_MAX_BYTES + 1];
--- a/packages/core/config.c
+++ b/packages/core/config.c
@@ -186,7 +186,8 @@
 	uint32_t i;
 
 	for (i = 0; i < config->node_count; i++)
-		if (config->nodes[i].place == place)
+		if (config->nodes[i].place == place &&
+		    !config->nodes[i].drained)
 			nodes++;
 	return CLAMP(nodes, 1, SHIFT_MAX_SEATS);
 }
--- a/packages/core/config.h
+++ b/packages/core/config.h
@@ -144,7 +144,7 @@
 /* Remember a command; the oldest goes when CONFIG_COMMANDS_KEPT are there. */
 void config_add_command(struct config *config, const char *id);
 
-/* Seats for a new shift to the place: one for each of its nodes. */
+/* Seats for a new shift to the place: one for each node that takes work. */
 uint32_t config_seats_for(const struct config *config, uint32_t place);
 
 /* Append a shift or take one away by index. */
--- a/packages/node/entry.c
+++ b/packages/node/entry.c
@@ -355,7 +355,7 @@
 	/*
 	 * Once "not run" is answered the ticket never runs: an earlier copy of
 	 * the request, held up on the way, may come after the refusal of a
-	 * later one, and would make a certificate that its caller was told
+	 * later one, and would make a record that its caller was told
 	 * doesn't exist. The next try takes a new ticket.
 	 */
 	if (result_is_not_run(answer->result))
--- a/packages/node/hop.c
+++ b/packages/node/hop.c
@@ -152,7 +152,7 @@
 /*
  * The connection of a non-idempotent hop broke: it may have run, may run yet,
  * or never will. Without the fence "not run" would be a guess, and a copy still
- * under way could run after a second attempt: two certificates for one boiler.
+ * under way could run after a second attempt: the request would run twice.
  * The gate either knows the attempt or puts a tombstone that a late copy meets.
  */
 static void settle(struct node *node, const struct hop *hop,
--- a/packages/node/main.c
+++ b/packages/node/main.c
@@ -14,8 +14,6 @@
 #include "core/result.h"
 #include "node/node.h"
 
-#define VERSION "0.1.0"
-
 struct options {
 	char *settings_path;
 	int check;
@@ -114,7 +112,7 @@
 	GError *error = NULL;
 
 	if (options->version) {
-		puts("lilacfieldd " VERSION);
+		puts("lilacfieldd " LILACFIELD_VERSION);
 		return EXIT_SUCCESS;
 	}
 	if (!options->settings_path) {
--- a/packages/node/seats.c
+++ b/packages/node/seats.c
@@ -69,15 +69,22 @@
 	entry->wanted = true;
 }
 
-/* This node's rank in its place, so that each seat has one natural holder. */
+/*
+ * This node's rank among the nodes of its place that take work, so that each
+ * seat has one natural holder; CONFIG_NONE for a drained node. No shifted
+ * request is sent to a drained node, and a seat that it held would lie idle.
+ */
 static uint32_t own_rank(const struct snapshot *snapshot)
 {
 	const struct config *config = snapshot->config;
 	uint32_t rank = 0;
 	uint32_t i;
 
+	if (config->nodes[snapshot->own_node].drained)
+		return CONFIG_NONE;
 	for (i = 0; i < snapshot->own_node; i++)
-		if (config->nodes[i].place == snapshot->own_place)
+		if (config->nodes[i].place == snapshot->own_place &&
+		    !config->nodes[i].drained)
 			rank++;
 	return rank;
 }
--- a/packages/node/server.c
+++ b/packages/node/server.c
@@ -169,6 +169,19 @@
 	return 0;
 }
 
+static char *error_body(const struct answer *answer, uint64_t retry_us)
+{
+	char message[NAME_SIZE + 16];
+
+	if (*answer->node)
+		g_snprintf(message, sizeof(message), "ask node %s",
+			   answer->node);
+	else
+		g_strlcpy(message, result_name(answer->result),
+			  sizeof(message));
+	return admin_answer_error(answer->result, message, retry_us);
+}
+
 static int send_answer(struct server *server, struct mg_connection *conn,
 		       const struct request *request, struct answer *answer)
 {
@@ -184,8 +197,7 @@
 	append_header(headers, WIRE_HEADER_BACKEND, answer->backend);
 	if (answer->result != RESULT_OK) {
 		answer_set(answer, answer->result, retry_us);
-		answer->body = admin_answer_error(answer->result, answer->node,
-						  retry_us);
+		answer->body = error_body(answer, retry_us);
 		answer->body_bytes = strlen(answer->body);
 		append_retry_after(headers, retry_us);
 		type = JSON_TYPE;
@@ -421,7 +433,7 @@
 	enum result result;
 
 	if (!strcmp(mg_get_request_info(conn)->request_method, "POST")) {
-		result = read_body(conn, CONFIG_MAX_BYTES, body);
+		result = read_body(conn, ADMIN_REQUEST_MAX_BYTES, body);
 		if (result == RESULT_OK)
 			result = command_run(server->node, body->str, body->len,
 					     &json);
--- a/packages/node/view.c
+++ b/packages/node/view.c
@@ -234,6 +234,11 @@
 		struct entry *entry = value;
 		struct peer_report *report;
 
+		/* VMs come and go under new names, for as long as we run. */
+		if (age_of(entry, now_us) > VIEW_FORGET_US) {
+			g_hash_table_iter_remove(&iter);
+			continue;
+		}
 		if (message->report_count == PEER_MAX_REPORTS)
 			break;
 		if (!strcmp(entry->report.node, but_node) ||
--- a/packages/node/view.h
+++ b/packages/node/view.h
@@ -19,6 +19,9 @@
 /* A node that was silent for longer is taken to be gone until it speaks. */
 #define VIEW_SILENT_US (3 * 1000 * 1000ull)
 
+/* The name of a node that was silent for so long is forgotten. */
+#define VIEW_FORGET_US (600 * 1000 * 1000ull)
+
 struct view;
 
 struct view_node {
--- a/tests/node/view_test.cc
+++ b/tests/node/view_test.cc
@@ -72,3 +72,22 @@
 	EXPECT_FALSE(view_is_usable(view, "n", now_us));
 	view_free(view);
 }
+
+/* A year of replaced VMs, each under a name of its own, must not fill us. */
+TEST(View, NamesOfNodesLongGoneAreForgotten)
+{
+	struct view *view = view_new();
+	struct peer_report report = report_of("n", 1, 1, 0);
+	struct peer_message message = {};
+	struct view_node found;
+	uint64_t now_us = 1000000;
+
+	view_take(view, &report, now_us);
+	view_fill(view, &message, "me", now_us + VIEW_FORGET_US);
+	EXPECT_TRUE(view_find(view, "n", now_us, &found));
+	view_fill(view, &message, "me", now_us + VIEW_FORGET_US + 1);
+	EXPECT_FALSE(view_find(view, "n", now_us, &found));
+	EXPECT_EQ(0u, message.report_count);
+	peer_message_release(&message);
+	view_free(view);
+}
