capacity: a change that peers alone pass on

Worked out before: a peer encodes the whole document for each that asks, on the one thread that serves all peers, with a time-out of 1 s a call.

--- a/tests/capacity/capacity_main.c
+++ b/tests/capacity/capacity_main.c
@@ -37,6 +37,7 @@
 	{ "rejoin", "The platform after a cut", part_rejoin, true },
 	{ "blocks", "Idle nodes against the configuration's size", part_blocks,
 	  true },
+	{ "spread", "A change that peers pass on", part_spread, true },
 };
 
 static int smallest;
--- a/tests/capacity/fleet.c
+++ b/tests/capacity/fleet.c
@@ -212,14 +212,45 @@
 	return has;
 }
 
-bool fleet_has_version(const struct fleet *fleet, uint64_t version)
+uint32_t fleet_count_version(const struct fleet *fleet, uint64_t version)
 {
+	uint32_t count = 0;
 	uint32_t i;
 
 	for (i = 0; i < fleet->options.processes; i++)
-		if (!node_has_version(fleet, i, version))
-			return false;
-	return true;
+		count += node_has_version(fleet, i, version);
+	return count;
+}
+
+bool fleet_has_version(const struct fleet *fleet, uint64_t version)
+{
+	return fleet_count_version(fleet, version) == fleet->options.processes;
+}
+
+bool fleet_command(struct fleet *fleet, const char *sentence)
+{
+	char *body = g_strdup_printf("{\"sentence\":\"%s\",\"id\":\"c-1\"}",
+				     sentence);
+	char address[DOCUMENT_ADDRESS_SIZE];
+	struct http_request request = {
+		.method = "POST",
+		.address = address,
+		.port = DOCUMENT_HTTP_PORT,
+		.path = WIRE_PATH_COMMAND,
+		.body = body,
+		.body_bytes = strlen(body),
+		.timeout_us = CALL_TIMEOUT_US,
+		.answer_max_bytes = ANSWER_MAX_BYTES,
+	};
+	struct http_answer answer;
+	bool good;
+
+	document_node_address(0, address);
+	http_client_exchange(fleet->http, &request, &answer);
+	good = answer.outcome == HTTP_ANSWERED && answer.status == 200;
+	http_answer_release(&answer);
+	g_free(body);
+	return good;
 }
 
 static bool wait_until_ready(const struct fleet *fleet)
--- a/tests/capacity/fleet.h
+++ b/tests/capacity/fleet.h
@@ -50,7 +50,11 @@
 /* Write the configuration row anew, as that version's successor. */
 bool fleet_rewrite(struct fleet *fleet, uint64_t version);
 
-/* Whether every node has the version in force. */
+/* Have the first node change the configuration; its peers hear of it. */
+bool fleet_command(struct fleet *fleet, const char *sentence);
+
+/* Nodes that have the version in force. */
+uint32_t fleet_count_version(const struct fleet *fleet, uint64_t version);
 bool fleet_has_version(const struct fleet *fleet, uint64_t version);
 
 #endif
--- a/tests/capacity/parts.h
+++ b/tests/capacity/parts.h
@@ -26,5 +26,6 @@
 bool part_seats(int sizes);
 bool part_rejoin(int sizes);
 bool part_blocks(int sizes);
+bool part_spread(int sizes);
 
 #endif
--- a/tests/capacity/running.c
+++ b/tests/capacity/running.c
@@ -20,6 +20,7 @@
 #define SEATS_SETTLE_S 10.0
 #define CUT_S 12.0
 #define AFTER_S 2.0
+#define SPREAD_TIMEOUT_S 30.0
 #define IDLE_THREADS 16
 #define DEFAULT_POLL_MS 1000
 #define RARE_POLL_MS 60000
@@ -483,6 +484,58 @@
 	return seconds >= 0;
 }
 
+static bool print_spread(uint32_t nodes, uint32_t blocks)
+{
+	struct fleet_options options = {
+		.size = part_sizes[0],
+		.processes = nodes,
+		.http_threads = IDLE_THREADS,
+		.poll_interval_ms = RARE_POLL_MS,
+	};
+	struct fleet *fleet;
+	double start_s;
+	bool good;
+
+	options.size.nodes = nodes;
+	options.size.places = 1;
+	options.size.regions = 1;
+	options.size.backends = 2;
+	options.size.blocks = blocks;
+	options.size.shifts = 0;
+	fleet = fleet_open(&options);
+	if (!fleet)
+		return false;
+	meter_sleep_s(SETTLE_S);
+	start_s = meter_now_s();
+	good = fleet_command(fleet, "drain backend backend-00000");
+	while (good && !fleet_has_version(fleet, 2) &&
+	       meter_now_s() - start_s < SPREAD_TIMEOUT_S)
+		meter_sleep_s(POLL_S);
+	printf("| %u | %u | %.1f | %u |\n", nodes, blocks,
+	       meter_now_s() - start_s, fleet_count_version(fleet, 2));
+	fleet_close(fleet);
+	return good;
+}
+
+bool part_spread(int sizes)
+{
+	static const uint32_t counts[] = { 3, 6, 12, 24 };
+	size_t i;
+
+	printf("Nodes of one place that hear of a change from peers only, as "
+	       "when the platform is away; watched for %.0f s.\n\n"
+	       "| nodes | blocks | s | nodes that have it then |\n"
+	       "| --- | --- | --- | --- |\n",
+	       SPREAD_TIMEOUT_S);
+	for (i = 0; i < G_N_ELEMENTS(counts); i++)
+		if (!print_spread(counts[i], part_sizes[sizes - 1].blocks))
+			return false;
+	for (i = 0; sizes > 1 && i < G_N_ELEMENTS(counts); i++)
+		if (!print_spread(counts[i], part_sizes[sizes - 2].blocks))
+			return false;
+	return true;
+}
+
 bool part_blocks(int sizes)
 {
 	int i;
