--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 	cmake --build $(SAN_BUILD) -j $(JOBS)
 	ctest --test-dir $(SAN_BUILD) --output-on-failure -j $(JOBS)
 
-check: format-check lint test sanitize
+check: format-check lint prove faults test sanitize
 
 demo: build
 	tests/demo/demo.sh $(BUILD)
