--- a/tests/bench/bench.c
+++ b/tests/bench/bench.c
@@ -237,6 +237,7 @@
 int main(int argc, const char **argv)
 {
 	int micro = 0;
+	int size = 0;
 	int seed = DEFAULT_SEED;
 	char *only = NULL;
 	struct poptOption options[] = {
@@ -245,6 +246,8 @@
 		  "Only cases whose name and service contain this", "TEXT" },
 		{ "micro", 'm', POPT_ARG_NONE, &micro, 0,
 		  "Cost of a decision instead of the cases", NULL },
+		{ "size", 'n', POPT_ARG_INT, &size, 0,
+		  "Only this size of --micro, for callgrind", "N" },
 		POPT_AUTOHELP POPT_TABLEEND
 	};
 	poptContext context = poptGetContext("bench", argc, argv, options, 0);
@@ -256,7 +259,7 @@
 		return 1;
 	}
 	if (micro) {
-		micro_run();
+		micro_run((uint32_t)size);
 		poptFreeContext(context);
 		return 0;
 	}
--- a/tests/bench/micro.c
+++ b/tests/bench/micro.c
@@ -115,14 +115,15 @@
 	return (double)(end_ns - start_ns) / DECISIONS;
 }
 
-void micro_run(void)
+void micro_run(uint32_t only_size)
 {
 	uint32_t i;
 
 	printf("| size | gate, ns a request | gate, bytes a backend server |"
 	       " steer, ns a request |\n|---|---|---|---|\n");
 	for (i = 0; i < G_N_ELEMENTS(sizes); i++)
-		printf("| %u | %.0f | %.0f | %.0f |\n", sizes[i],
-		       gate_ns(sizes[i]), gate_bytes(sizes[i]),
-		       steer_ns(sizes[i]));
+		if (!only_size || sizes[i] == only_size)
+			printf("| %u | %.0f | %.0f | %.0f |\n", sizes[i],
+			       gate_ns(sizes[i]), gate_bytes(sizes[i]),
+			       steer_ns(sizes[i]));
 }
--- a/tests/bench/world.h
+++ b/tests/bench/world.h
@@ -248,7 +248,7 @@
 extern const uint32_t world_case_count;
 
 /* Cost of one decision against sizes, and memory; prints a table. */
-void micro_run(void);
+void micro_run(uint32_t only_size);
 
 #ifdef __cplusplus
 }
