--- a/models/hearsay.pml
+++ b/models/hearsay.pml
@@ -11,7 +11,7 @@
  * last assertion); each step but those towards it is finite in number.
  *
  * Stands for. packages/node/loops.c: is_seen_leaving, add_leaving;
- * packages/node/state.c: backend_is_leaving; packages/node/view.c.
+ * packages/node/state_shares.c: backend_is_leaving; packages/node/view.c.
  *
  * Faults, each removing one guard:
  *   PASSED_ON  a node also tells what it only heard; so two of them keep each
--- a/models/share.pml
+++ b/models/share.pml
@@ -19,7 +19,8 @@
  * which a silent node is taken to be gone.
  *
  * Stands for. packages/core/share.c: share_table_change, share_table_settle;
- * packages/node/state.c: change_shares, sharer_is_ready, state_declared_version;
+ * packages/node/state_shares.c: state_change_shares, sharer_is_ready,
+ * state_declared_version;
  * packages/node/view.c: view_take, view_answered.
  *
  * Faults, each removing one guard:
