node: one way to take an answer over, and to read a seed's address

Found on reading the whole change again: hop.c and place.c both moved status, body and content type out of an HTTP answer, now answer_take(); the loop that asks seeds split ADDRESS:PORT by hand beside endpoint_parse(), which the settings already check seeds with.

Seen and left: every lane of probes tells the gates anew who leaves, four times the work (one lane alone could be held up by a frozen backend server); building a request for a hop and for a backend server share most lines, but differ in the headers and in the limits.

--- a/packages/node/hop.c
+++ b/packages/node/hop.c
@@ -115,12 +115,7 @@
 	copy_header(http, WIRE_HEADER_BACKEND, answer->backend, NAME_SIZE);
 	if (answer->result != RESULT_OK)
 		return true;
-	answer->http_status = http->status;
-	answer->body = http->body;
-	answer->body_bytes = http->body_bytes;
-	answer->content_type = http->content_type;
-	http->body = NULL;
-	http->content_type = NULL;
+	answer_take(answer, http);
 	return true;
 }
 
--- a/packages/node/loops.c
+++ b/packages/node/loops.c
@@ -6,6 +6,7 @@
 
 #include "adapters/log.h"
 #include "adapters/peer_rpc.h"
+#include "core/endpoint.h"
 #include "core/wire.h"
 #include "node/command.h"
 #include "node/seats.h"
@@ -392,12 +393,10 @@
 	uint32_t i;
 
 	for (i = 0; i < settings->seed_count; i++) {
-		char **parts = g_strsplit(settings->seeds[i], ":", 2);
+		struct endpoint seed;
 
-		if (g_strv_length(parts) == 2)
-			exchange_with(loop, NULL, parts[0],
-				      (uint16_t)strtoul(parts[1], NULL, 10));
-		g_strfreev(parts);
+		if (endpoint_parse(settings->seeds[i], &seed))
+			exchange_with(loop, NULL, seed.address, seed.port);
 	}
 }
 
--- a/packages/node/place.c
+++ b/packages/node/place.c
@@ -206,16 +206,6 @@
 	return idempotent ? RESULT_ATTEMPTS_FAILED : RESULT_OUTCOME_UNKNOWN;
 }
 
-static void take_answer(struct answer *answer, struct http_answer *http)
-{
-	answer->http_status = http->status;
-	answer->body = http->body;
-	answer->body_bytes = http->body_bytes;
-	answer->content_type = http->content_type;
-	http->body = NULL;
-	http->content_type = NULL;
-}
-
 static uint64_t silence_us(struct node *node, struct service *service)
 {
 	struct gate_summary summary;
@@ -256,7 +246,7 @@
 	outcome = judge(&got, request, idempotent);
 	answer_set(answer, result_of(outcome, idempotent), 0);
 	if (outcome == GATE_ANSWERED)
-		take_answer(answer, &got);
+		answer_take(answer, &got);
 	g_strlcpy(answer->backend, backend->name, NAME_SIZE);
 	trace_span_end(&span, answer->result, "backend=%s outcome=%s",
 		       backend->name, http_outcome_name(got.outcome));
--- a/packages/node/request.c
+++ b/packages/node/request.c
@@ -62,3 +62,13 @@
 		break;
 	}
 }
+
+void answer_take(struct answer *answer, struct http_answer *http)
+{
+	answer->http_status = http->status;
+	answer->body = http->body;
+	answer->body_bytes = http->body_bytes;
+	answer->content_type = http->content_type;
+	http->body = NULL;
+	http->content_type = NULL;
+}
--- a/packages/node/request.h
+++ b/packages/node/request.h
@@ -8,6 +8,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "adapters/http_client.h"
 #include "adapters/trace.h"
 #include "core/build_options.h"
 #include "core/result.h"
@@ -53,6 +54,9 @@
 void answer_set(struct answer *answer, enum result result,
 		uint64_t retry_after_us);
 
+/* Take the status and the body over from a whole HTTP answer. */
+void answer_take(struct answer *answer, struct http_answer *http);
+
 /*
  * Say what the ledger knows of an id that a fence found without an answer: the
  * refusal where it never runs, else what became of it.
