--- a/Makefile
+++ b/Makefile
@@ -7,9 +7,10 @@
 SEED ?= 1
 PACKAGES = liburcu-dev libtirpc-dev rpcsvc-proto libcivetweb-dev libpopt-dev \
 	libglib2.0-dev libgtest-dev libcurl4-openssl-dev libjansson-dev \
-	libxxhash-dev libtomlplusplus-dev spin clang-format clang-tidy \
+	libxxhash-dev libtomlplusplus-dev libuv1-dev \
+	libhttp-parser-dev spin clang-format clang-tidy \
 	pkg-config cmake make gcc g++
-SOURCES = $(shell git ls-files -co --exclude-standard 'packages/*.[ch]' \
+SOURCES = $(shell git ls-files -co --exclude-standard 'packages/*.[ch]' 'platform/*.[ch]' \
 	'packages/*.cc' 'tests/*.[ch]' 'tests/*.cc' 'examples/*.c' \
 	| grep -v /generated/)
 
@@ -31,7 +32,7 @@
 	clang-format --dry-run -Werror $(SOURCES)
 
 lint: build
-	@git ls-files -co --exclude-standard 'packages/*.c' 'tests/*.c' \
+	@git ls-files -co --exclude-standard 'packages/*.c' 'platform/*.c' 'tests/*.c' \
 		'examples/*.c' | \
 		grep -v /generated/ | \
 		xargs -P $(JOBS) -n 4 clang-tidy -p $(BUILD) --quiet 2>/dev/null
--- /dev/null
+++ b/packages/core/backend_table.c
@@ -0,0 +1,363 @@
+#include "core/backend_table.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "core/duration.h"
+#include "core/hash.h"
+
+/*
+ * How fast a reported load is forgotten: requests take a second or so, after
+ * which the ones it counted have ended.
+ */
+#define OTHERS_FADE_US (1 * US_PER_S)
+
+/* Neighbours' word is older than three of their beats: it counts no longer. */
+#define TOLD_VALID_US (1500 * US_PER_MS)
+
+/* Weight of one outcome in the share of failures: about the last 10. */
+#define FAILURE_WEIGHT 0.1
+
+/* First and longest spell without requests after a server was unreachable. */
+#define SHUN_FIRST_US (500 * US_PER_MS)
+#define SHUN_MOST_US (4 * US_PER_S)
+
+/* Share of failed requests from which a server is left alone for a spell. */
+#define FAILURES_SHUN 0.6
+
+/*
+ * Times before a service has answered: the objective is set so that a warm
+ * server meets it with room and a cold one misses it.
+ */
+#define WARM_PRIOR 0.5
+#define COLD_PRIOR 1.5
+
+struct backend_table *backend_table_new(void)
+{
+	struct backend_table *table = g_new0(struct backend_table, 1);
+
+	table->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					     (GDestroyNotify)backend_unref);
+	table->by_service =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				      (GDestroyNotify)g_ptr_array_unref);
+	table->times =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	table->evacuated =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return table;
+}
+
+void backend_table_free(struct backend_table *table)
+{
+	g_hash_table_destroy(table->by_service);
+	g_hash_table_destroy(table->by_id);
+	g_hash_table_destroy(table->times);
+	g_hash_table_destroy(table->evacuated);
+	g_free(table);
+}
+
+static struct backend *add(struct backend_table *table,
+			   const struct backend_facts *facts)
+{
+	struct backend *backend = g_new0(struct backend, 1);
+	GPtrArray *list =
+		g_hash_table_lookup(table->by_service, facts->service);
+
+	backend->references = 1;
+	backend->id = g_strdup(facts->id);
+	backend->hash = hash_text(facts->id);
+	backend->service = g_strdup(facts->service);
+	backend->domain = g_strdup(facts->domain);
+	backend->region = g_strdup(facts->region);
+	backend->slowness = 1.0;
+	g_hash_table_insert(table->by_id, backend->id, backend);
+	if (!list) {
+		list = g_ptr_array_new();
+		g_hash_table_insert(table->by_service, g_strdup(facts->service),
+				    list);
+	}
+	g_ptr_array_add(list, backend);
+	return backend;
+}
+
+struct backend *backend_table_put(struct backend_table *table,
+				  const struct backend_facts *facts,
+				  uint64_t now_us)
+{
+	struct backend *backend = backend_table_find(table, facts->id);
+
+	if (!backend)
+		backend = add(table, facts);
+	if (facts->draining && !backend->draining)
+		table->disturbed_us = now_us;
+	backend->address = facts->address;
+	backend->slots = facts->slots ? facts->slots : 1;
+	backend->draining = facts->draining;
+	backend->lapsed_us = 0;
+	backend->cold_until_us =
+		facts->cold_left_us ? now_us + facts->cold_left_us : 0;
+	return backend;
+}
+
+static void take_out(struct backend_table *table, struct backend *backend,
+		     uint64_t now_us)
+{
+	GPtrArray *list =
+		g_hash_table_lookup(table->by_service, backend->service);
+
+	backend->gone = true;
+	table->disturbed_us = now_us;
+	g_ptr_array_remove(list, backend);
+	g_hash_table_remove(table->by_id, backend->id);
+}
+
+void backend_table_remove(struct backend_table *table, const char *id,
+			  uint64_t keep_until_us, uint64_t now_us)
+{
+	struct backend *backend = backend_table_find(table, id);
+
+	if (!backend)
+		return;
+	if (backend->draining || keep_until_us <= now_us)
+		take_out(table, backend, now_us);
+	else if (!backend->lapsed_us)
+		backend->lapsed_us = keep_until_us;
+}
+
+void backend_table_expire(struct backend_table *table, uint64_t now_us)
+{
+	GPtrArray *expired = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	g_hash_table_iter_init(&iter, table->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct backend *backend = value;
+
+		if (backend->lapsed_us && backend->lapsed_us <= now_us)
+			g_ptr_array_add(expired, value);
+	}
+	for (i = 0; i < expired->len; i++)
+		take_out(table, expired->pdata[i], now_us);
+	g_ptr_array_unref(expired);
+}
+
+struct backend *backend_table_find(const struct backend_table *table,
+				   const char *id)
+{
+	return g_hash_table_lookup(table->by_id, id);
+}
+
+struct backend *backend_table_find_hash(const struct backend_table *table,
+					uint32_t hash)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((struct backend *)value)->hash == hash)
+			return value;
+	return NULL;
+}
+
+const GPtrArray *backend_table_of(const struct backend_table *table,
+				  const char *service)
+{
+	return g_hash_table_lookup(table->by_service, service);
+}
+
+static void chill_domain(struct backend_table *table, const char *domain,
+			 uint64_t until_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct backend *backend = value;
+
+		if (!strcmp(backend->domain, domain) &&
+		    backend->cold_until_us < until_us)
+			backend->cold_until_us = until_us;
+	}
+}
+
+void backend_table_evacuate(struct backend_table *table, const char *domain,
+			    bool begins, uint64_t warmup_us, uint64_t now_us)
+{
+	table->disturbed_us = now_us;
+	if (begins) {
+		g_hash_table_add(table->evacuated, g_strdup(domain));
+		return;
+	}
+	if (g_hash_table_remove(table->evacuated, domain))
+		chill_domain(table, domain, now_us + warmup_us);
+}
+
+bool backend_table_evacuated(const struct backend_table *table,
+			     const char *domain)
+{
+	return g_hash_table_contains(table->evacuated, domain);
+}
+
+struct service_times *backend_table_times(struct backend_table *table,
+					  const char *service,
+					  uint64_t target_us)
+{
+	struct service_times *times =
+		g_hash_table_lookup(table->times, service);
+
+	if (times)
+		return times;
+	times = g_new0(struct service_times, 1);
+	times->warm_us = WARM_PRIOR * (double)target_us;
+	times->cold_us = COLD_PRIOR * (double)target_us;
+	g_hash_table_insert(table->times, g_strdup(service), times);
+	return times;
+}
+
+struct backend *backend_ref(struct backend *backend)
+{
+	backend->references++;
+	return backend;
+}
+
+void backend_unref(struct backend *backend)
+{
+	if (!backend || --backend->references)
+		return;
+	g_free(backend->id);
+	g_free(backend->service);
+	g_free(backend->domain);
+	g_free(backend->region);
+	g_free(backend);
+}
+
+bool backend_is_closed(const struct backend_table *table,
+		       const struct backend *backend)
+{
+	return backend->gone || backend->draining ||
+	       backend_table_evacuated(table, backend->domain);
+}
+
+void backend_sent(struct backend *backend, uint64_t now_us)
+{
+	backend->in_flight++;
+	backend->served++;
+	if (backend->cold_until_us <= now_us)
+		return;
+	backend->cold_log[backend->cold_next++ % COLD_LOG] = now_us;
+}
+
+void backend_done(struct backend *backend)
+{
+	backend->in_flight--;
+}
+
+void backend_reported(struct backend *backend, uint32_t running,
+		      uint32_t waiting, uint64_t now_us)
+{
+	double total = (double)running + waiting;
+
+	backend->others = fmax(0, total - backend->in_flight);
+	backend->others_us = now_us;
+}
+
+void backend_table_forget_words(struct backend_table *table, uint32_t sender)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t i;
+
+	g_hash_table_iter_init(&iter, table->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct backend *backend = value;
+
+		for (i = 0; i < BACKEND_WORDS; i++)
+			if (backend->told[i].sender == sender)
+				backend->told[i].at_us = 0;
+	}
+}
+
+void backend_told(struct backend *backend, uint32_t sender, uint32_t in_flight,
+		  uint64_t now_us)
+{
+	struct backend_word *oldest = &backend->told[0];
+	uint32_t i;
+
+	for (i = 1; i < BACKEND_WORDS; i++)
+		if (backend->told[i].at_us < oldest->at_us)
+			oldest = &backend->told[i];
+	oldest->sender = sender;
+	oldest->in_flight = in_flight;
+	oldest->at_us = now_us;
+}
+
+static double told_load(const struct backend *backend, uint64_t now_us)
+{
+	double load = 0;
+	uint32_t i;
+
+	for (i = 0; i < BACKEND_WORDS; i++) {
+		const struct backend_word *word = &backend->told[i];
+
+		if (word->at_us && now_us - word->at_us < TOLD_VALID_US)
+			load += word->in_flight;
+	}
+	return load;
+}
+
+double backend_load(const struct backend *backend, uint64_t now_us)
+{
+	double age_us = (double)(now_us - backend->others_us);
+	double others = backend->others * exp(-age_us / OTHERS_FADE_US);
+
+	return backend->in_flight + fmax(others, told_load(backend, now_us));
+}
+
+void backend_succeeded(struct backend *backend)
+{
+	backend->failures -= FAILURE_WEIGHT * backend->failures;
+	backend->shun_step_us = 0;
+}
+
+static void shun(struct backend *backend, uint64_t now_us)
+{
+	uint64_t step_us = 2 * backend->shun_step_us;
+
+	if (now_us < backend->shun_until_us)
+		return;
+	step_us = CLAMP(step_us, SHUN_FIRST_US, SHUN_MOST_US);
+	backend->shun_step_us = step_us;
+	backend->shun_until_us = now_us + step_us;
+}
+
+void backend_failed(struct backend *backend, uint64_t now_us)
+{
+	backend->failures += FAILURE_WEIGHT * (1.0 - backend->failures);
+	if (backend->failures > FAILURES_SHUN)
+		shun(backend, now_us);
+}
+
+void backend_unreachable(struct backend_table *table, struct backend *backend,
+			 uint64_t now_us)
+{
+	table->disturbed_us = now_us;
+	backend_failed(backend, now_us);
+	shun(backend, now_us);
+}
+
+uint32_t backend_cold_sends(const struct backend *backend, uint64_t now_us)
+{
+	uint32_t sends = 0;
+	uint32_t i;
+
+	for (i = 0; i < COLD_LOG; i++)
+		if (backend->cold_log[i] &&
+		    now_us - backend->cold_log[i] < US_PER_S)
+			sends++;
+	return sends;
+}
--- /dev/null
+++ b/packages/core/backend_table.h
@@ -0,0 +1,175 @@
+/*
+ * backend_table - the backend servers and what is believed of each
+ *
+ * What the platform's list says (backend_table_put, _remove), what answers show
+ * (backend_sent, backend_done, backend_reported) and what neighbours say
+ * (backend_told). A backend server lives as long as somebody holds a reference,
+ * so that a request that runs there when it leaves ends in peace. Not
+ * thread-safe. Times are those of the clock port.
+ */
+#ifndef CORE_BACKEND_TABLE_H
+#define CORE_BACKEND_TABLE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/endpoint.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Sends that cold_log remembers; more than one second's on any one node. */
+#define COLD_LOG 16
+
+/* Neighbours whose word is kept for each backend server; the latest ones. */
+#define BACKEND_WORDS 8
+
+/* One backend server as the platform's list has it. */
+struct backend_facts {
+	const char *id; /* of this start; a restart has another */
+	const char *service;
+	struct endpoint address;
+	const char *domain;
+	const char *region;
+	uint32_t slots;
+	bool draining;
+	uint64_t cold_left_us;
+};
+
+/* A neighbour's word on how many requests of its own are there. */
+struct backend_word {
+	uint32_t sender;
+	uint32_t in_flight;
+	uint64_t at_us; /* 0: none */
+};
+
+struct backend {
+	uint32_t references;
+	char *id;
+	uint32_t hash; /* of id */
+	char *service;
+	struct endpoint address;
+	char *domain;
+	char *region;
+	uint32_t slots;
+	bool draining;
+	bool gone; /* no longer in the table */
+	uint64_t lapsed_us; /* 0, or when a missing entry counts as gone */
+	uint64_t cold_until_us;
+
+	uint32_t in_flight; /* of this node */
+	double others; /* estimate of the other nodes' requests there */
+	uint64_t others_us; /* when that was */
+	struct backend_word told[BACKEND_WORDS]; /* of neighbours */
+
+	double slowness; /* service time against the service's usual one */
+	double failures; /* smoothed share of requests that failed */
+	uint64_t shun_until_us; /* gets nothing before, after failures */
+	uint64_t shun_step_us;
+	uint64_t served; /* requests sent from here */
+	uint64_t cold_log[COLD_LOG]; /* times of the latest sends while cold */
+	uint32_t cold_next;
+};
+
+/* What answers of a service have shown. */
+struct service_times {
+	double warm_us; /* service time where the object was warm */
+	double cold_us; /* and where it wasn't */
+	uint64_t samples;
+};
+
+struct backend_table {
+	GHashTable *by_id; /* owns a reference of each */
+	GHashTable *by_service; /* name -> GPtrArray of struct backend */
+	GHashTable *times; /* service name -> struct service_times */
+	GHashTable *evacuated; /* domains that get nothing */
+	uint64_t disturbed_us; /* when a backend server was last lost */
+};
+
+struct backend_table *backend_table_new(void);
+void backend_table_free(struct backend_table *table);
+
+/* Add or refresh; the backend server, which the table owns. */
+struct backend *backend_table_put(struct backend_table *table,
+				  const struct backend_facts *facts,
+				  uint64_t now_us);
+
+/*
+ * The list has it no longer. Where the list itself was away until lately, it
+ * may only have lapsed, and is kept until keep_until_us (0: remove at once).
+ */
+void backend_table_remove(struct backend_table *table, const char *id,
+			  uint64_t keep_until_us, uint64_t now_us);
+
+/* Remove those whose time to come back has passed. */
+void backend_table_expire(struct backend_table *table, uint64_t now_us);
+
+struct backend *backend_table_find(const struct backend_table *table,
+				   const char *id);
+struct backend *backend_table_find_hash(const struct backend_table *table,
+					uint32_t hash);
+
+/* Those of the service, or NULL. */
+const GPtrArray *backend_table_of(const struct backend_table *table,
+				  const char *service);
+
+/*
+ * Evacuation of a failure domain begins or ends. Its servers' caches and
+ * connections went cold meanwhile, so that they count as cold for warmup_us
+ * after the end, until the list says how long it really is.
+ */
+void backend_table_evacuate(struct backend_table *table, const char *domain,
+			    bool begins, uint64_t warmup_us, uint64_t now_us);
+bool backend_table_evacuated(const struct backend_table *table,
+			     const char *domain);
+
+struct service_times *backend_table_times(struct backend_table *table,
+					  const char *service,
+					  uint64_t target_us);
+
+struct backend *backend_ref(struct backend *backend);
+void backend_unref(struct backend *backend);
+
+/* Nothing new may be sent there. */
+bool backend_is_closed(const struct backend_table *table,
+		       const struct backend *backend);
+
+/* A request goes there now. */
+void backend_sent(struct backend *backend, uint64_t now_us);
+
+/* The request that was sent ended, however. */
+void backend_done(struct backend *backend);
+
+/* It answered: running and waiting requests there, of all nodes. */
+void backend_reported(struct backend *backend, uint32_t running,
+		      uint32_t waiting, uint64_t now_us);
+
+/* A neighbour begins to say how many requests of its own are where. */
+void backend_table_forget_words(struct backend_table *table, uint32_t sender);
+void backend_told(struct backend *backend, uint32_t sender, uint32_t in_flight,
+		  uint64_t now_us);
+
+/* Requests there, of all nodes, as far as is known. */
+double backend_load(const struct backend *backend, uint64_t now_us);
+
+/* It answered in good order, or failed a request. */
+void backend_succeeded(struct backend *backend);
+void backend_failed(struct backend *backend, uint64_t now_us);
+
+/*
+ * It can't be reached: leave it alone for doubling spells, since a request that
+ * finds out for itself has lost its objective by then.
+ */
+void backend_unreachable(struct backend_table *table, struct backend *backend,
+			 uint64_t now_us);
+
+/* Sends within the last second, as far as the log of a cold one goes. */
+uint32_t backend_cold_sends(const struct backend *backend, uint64_t now_us);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/core/choose.c
@@ -0,0 +1,389 @@
+#include "core/choose.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "core/duration.h"
+#include "core/hash.h"
+
+/* Round trip to another region before any was measured: a continent's width. */
+#define LINK_PRIOR_US (60 * US_PER_MS)
+
+/* Within a region, where nothing was measured. */
+#define LINK_NEAR_US (1 * US_PER_MS)
+
+/* Weight of one measured round trip. */
+#define LINK_WEIGHT 0.2
+
+/* Weight of one answer in a service's times and in a server's slowness. */
+#define TIMES_WEIGHT 0.05
+#define SLOWNESS_WEIGHT 0.15
+#define SLOWNESS_LEAST 0.4
+#define SLOWNESS_MOST 20.0
+
+/* A cold server's work takes about twice as long. */
+#define COLD_SLOWNESS 2.0
+
+/*
+ * Part of a service time that a place further down the rendezvous order costs:
+ * large enough that nodes agree on an order, small against a cold object.
+ */
+#define RANK_COST 0.04
+
+/* Cost of a full server's load below its slots, in warm service times. */
+#define LOAD_COST 0.3
+
+/* Requests over its slots that a server may hold, as a part of the slots. */
+#define QUEUE_PART 0.5
+
+/* Part of requests that may warm one more server for their object. */
+#define TRIAL_PART 0.04
+
+/* Nodes that send to a cold server, so that its allowance isn't crumbs. */
+#define COLD_OWNERS 2
+
+/* A failed request costs a further try; so many warm times at certain
+ * failure.*/
+#define FAILURE_COST 4.0
+
+/* How long after the loss of a server requests may leave the region freely. */
+#define FREE_AFTER_LOSS_US (5 * US_PER_S)
+
+/* When to come back to a service that has no room, or no server yet. */
+#define RETRY_FULL_US (400 * US_PER_MS)
+#define RETRY_UNKNOWN_US (1 * US_PER_S)
+
+struct link_time {
+	double round_trip_us;
+};
+
+struct candidate {
+	struct backend *backend;
+	double cost_us; /* expected time with the tie-break's part */
+	double expected_us;
+	bool warm;
+	bool near; /* in this node's region */
+	bool full;
+};
+
+void chooser_init(struct chooser *chooser, struct backend_table *backends,
+		  struct member_table *members, struct warmth *warmth,
+		  const char *domain, const char *region)
+{
+	memset(chooser, 0, sizeof(*chooser));
+	chooser->backends = backends;
+	chooser->members = members;
+	chooser->warmth = warmth;
+	chooser->domain = domain;
+	chooser->region = region;
+	chooser->links =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	chooser->flows =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void chooser_release(struct chooser *chooser)
+{
+	g_hash_table_destroy(chooser->links);
+	g_hash_table_destroy(chooser->flows);
+}
+
+void chooser_link_measured(struct chooser *chooser, const char *region,
+			   uint64_t round_trip_us)
+{
+	struct link_time *link = g_hash_table_lookup(chooser->links, region);
+
+	if (!link) {
+		link = g_new0(struct link_time, 1);
+		link->round_trip_us = (double)round_trip_us;
+		g_hash_table_insert(chooser->links, g_strdup(region), link);
+		return;
+	}
+	link->round_trip_us +=
+		LINK_WEIGHT * ((double)round_trip_us - link->round_trip_us);
+}
+
+uint64_t chooser_link_us(const struct chooser *chooser, const char *region)
+{
+	const struct link_time *link =
+		g_hash_table_lookup(chooser->links, region);
+
+	if (link)
+		return (uint64_t)link->round_trip_us;
+	return strcmp(region, chooser->region) ? LINK_PRIOR_US : LINK_NEAR_US;
+}
+
+static bool region_allowed(const struct route *route, const char *region)
+{
+	guint i;
+
+	for (i = 0; i < route->regions->len; i++)
+		if (!strcmp(route->regions->pdata[i], region))
+			return true;
+	return !route->regions->len;
+}
+
+static bool was_tried(const struct choose_query *query,
+		      const struct backend *backend)
+{
+	uint32_t i;
+
+	for (i = 0; i < query->tried_count; i++)
+		if (query->tried[i] == backend)
+			return true;
+	return false;
+}
+
+/*
+ * A cold server that gets more than it bears crashes. Its allowance is split
+ * between the few nodes that come first in its rendezvous order of all known
+ * members, also of dead ones: a node that is cut off then doesn't take itself
+ * for the only one.
+ */
+static bool cold_allows(const struct chooser *chooser,
+			const struct service *service,
+			const struct backend *backend, uint64_t now_us)
+{
+	uint32_t most = (uint32_t)fmax(1.0, service->cold_per_s / COLD_OWNERS);
+
+	if (backend->cold_until_us <= now_us)
+		return true;
+	if (member_table_rank(chooser->members, backend->hash) >= COLD_OWNERS)
+		return false;
+	return backend_cold_sends(backend, now_us) < most;
+}
+
+static bool may_use(const struct chooser *chooser,
+		    const struct choose_query *query,
+		    const struct backend *backend, uint64_t now_us)
+{
+	return !backend_is_closed(chooser->backends, backend) &&
+	       backend->shun_until_us <= now_us && !was_tried(query, backend) &&
+	       region_allowed(query->route, backend->region) &&
+	       cold_allows(chooser, query->service, backend, now_us);
+}
+
+/* Rendezvous score, weighted by slots; the larger one comes first. */
+static double rendezvous(const struct backend *backend, uint32_t object)
+{
+	double part = ((double)hash_pair(backend->hash, object) + 1.0) /
+		      18446744073709551617.0;
+
+	return -(double)backend->slots / log(part);
+}
+
+static void estimate(const struct chooser *chooser,
+		     const struct choose_query *query,
+		     const struct service_times *times, uint64_t now_us,
+		     struct candidate *candidate)
+{
+	struct backend *backend = candidate->backend;
+	struct warm_pair pair = { backend->hash, query->object };
+	double load = backend_load(backend, now_us);
+	double slots = backend->slots;
+	double work_us;
+	double wait_us = 0;
+
+	candidate->near = !strcmp(backend->region, chooser->region);
+	candidate->warm = !query->has_object ||
+			  warmth_has(chooser->warmth, pair);
+	candidate->full = load >= slots + fmax(1.0, QUEUE_PART * slots);
+	work_us = (candidate->warm ? times->warm_us : times->cold_us) *
+		  backend->slowness;
+	if (backend->cold_until_us > now_us)
+		work_us *= COLD_SLOWNESS;
+	if (load >= slots)
+		wait_us = (load + 1 - slots) / slots * times->warm_us *
+			  backend->slowness;
+	candidate->expected_us =
+		(double)chooser_link_us(chooser, backend->region) + work_us +
+		wait_us;
+	candidate->cost_us = candidate->expected_us +
+			     LOAD_COST * times->warm_us * load / slots +
+			     FAILURE_COST * times->warm_us * backend->failures;
+}
+
+static gint compare_rendezvous(gconstpointer a, gconstpointer b,
+			       gpointer object)
+{
+	const struct candidate *left = a;
+	const struct candidate *right = b;
+	double left_score = rendezvous(left->backend, *(uint32_t *)object);
+	double right_score = rendezvous(right->backend, *(uint32_t *)object);
+
+	return (left_score < right_score) - (left_score > right_score);
+}
+
+/* All that may be used, in rendezvous order, with their costs. */
+static GArray *collect(const struct chooser *chooser,
+		       const struct choose_query *query,
+		       const struct service_times *times, uint64_t now_us)
+{
+	const GPtrArray *backends =
+		backend_table_of(chooser->backends, query->service->name);
+	GArray *candidates = g_array_new(FALSE, TRUE, sizeof(struct candidate));
+	uint32_t object = query->object;
+	guint i;
+
+	for (i = 0; backends && i < backends->len; i++) {
+		struct candidate candidate = { .backend = backends->pdata[i] };
+
+		if (!may_use(chooser, query, candidate.backend, now_us))
+			continue;
+		estimate(chooser, query, times, now_us, &candidate);
+		g_array_append_val(candidates, candidate);
+	}
+	g_array_sort_with_data(candidates, compare_rendezvous, &object);
+	for (i = 0; i < candidates->len; i++)
+		g_array_index(candidates, struct candidate, i).cost_us +=
+			RANK_COST * times->warm_us * i;
+	return candidates;
+}
+
+static const struct candidate *least(const GArray *candidates, bool near)
+{
+	const struct candidate *best = NULL;
+	guint i;
+
+	for (i = 0; i < candidates->len; i++) {
+		const struct candidate *candidate =
+			&g_array_index(candidates, struct candidate, i);
+
+		if (candidate->near != near || candidate->full)
+			continue;
+		if (!best || candidate->cost_us < best->cost_us)
+			best = candidate;
+	}
+	return best;
+}
+
+/*
+ * A server of this region that isn't warm for the object while another is, has
+ * room, and comes before it in the order, or has had no request yet: without
+ * trials a server that joins would never be chosen.
+ */
+static const struct candidate *trial(struct chooser *chooser,
+				     const GArray *candidates,
+				     const struct candidate *best)
+{
+	guint i;
+
+	chooser->trial_credit = fmin(1.0, chooser->trial_credit + TRIAL_PART);
+	if (chooser->trial_credit < 1.0 || !best->warm)
+		return best;
+	for (i = 0; i < candidates->len; i++) {
+		const struct candidate *candidate =
+			&g_array_index(candidates, struct candidate, i);
+
+		if (!candidate->near || candidate->full || candidate->warm)
+			continue;
+		if (candidate->backend->in_flight * 2 >=
+		    candidate->backend->slots)
+			continue;
+		chooser->trial_credit = 0;
+		return candidate;
+	}
+	return best;
+}
+
+static struct region_flow *flow_of(struct chooser *chooser, const char *service)
+{
+	struct region_flow *flow = g_hash_table_lookup(chooser->flows, service);
+
+	if (!flow) {
+		flow = g_new0(struct region_flow, 1);
+		g_hash_table_insert(chooser->flows, g_strdup(service), flow);
+	}
+	return flow;
+}
+
+static bool region_is_disturbed(const struct chooser *chooser, uint64_t now_us)
+{
+	uint64_t lost_us = chooser->backends->disturbed_us;
+
+	return lost_us && now_us - lost_us < FREE_AFTER_LOSS_US;
+}
+
+static const struct candidate *pick(struct chooser *chooser,
+				    const struct choose_query *query,
+				    const GArray *candidates, uint64_t now_us)
+{
+	const struct candidate *near = least(candidates, true);
+	const struct candidate *far = least(candidates, false);
+	struct region_flow *flow = flow_of(chooser, query->service->name);
+	bool prefers_far = far && (!near || far->cost_us < near->cost_us);
+	bool is_free = region_is_disturbed(chooser, now_us);
+
+	if (!near && !far)
+		return NULL;
+	if (!far)
+		return trial(chooser, candidates, near);
+	if (region_flow_leave(flow, prefers_far, is_free, now_us))
+		return far;
+	return near ? trial(chooser, candidates, near) : NULL;
+}
+
+void choose_backend(struct chooser *chooser, const struct choose_query *query,
+		    uint64_t now_us, struct choice *choice)
+{
+	const struct service_times *times =
+		backend_table_times(chooser->backends, query->service->name,
+				    query->route->target_us);
+	GArray *candidates = collect(chooser, query, times, now_us);
+	const struct candidate *best;
+
+	memset(choice, 0, sizeof(*choice));
+	best = pick(chooser, query, candidates, now_us);
+	if (best && best->expected_us <= (double)query->left_us) {
+		choice->backend = best->backend;
+		choice->expected_us = best->expected_us;
+		choice->warm = best->warm;
+		choice->reason = best->warm ? CHOOSE_WARM : CHOOSE_RANK;
+	} else if (candidates->len) {
+		choice->reason = CHOOSE_NONE_FREE;
+		choice->retry_after_us = RETRY_FULL_US;
+	} else {
+		choice->reason = CHOOSE_NONE_KNOWN;
+		choice->retry_after_us = RETRY_UNKNOWN_US;
+	}
+	g_array_unref(candidates);
+}
+
+void chooser_learn(struct chooser *chooser, const struct choose_query *query,
+		   struct backend *backend, bool was_warm, double service_us,
+		   uint64_t now_us)
+{
+	struct service_times *times =
+		backend_table_times(chooser->backends, query->service->name,
+				    query->route->target_us);
+	struct warm_pair pair = { backend->hash, query->object };
+	double *usual_us = was_warm ? &times->warm_us : &times->cold_us;
+	double ratio = service_us / *usual_us;
+
+	if (query->has_object)
+		warmth_note(chooser->warmth, pair, true, now_us);
+	if (backend->cold_until_us > now_us)
+		return;
+	backend->slowness += SLOWNESS_WEIGHT * (ratio - backend->slowness);
+	backend->slowness =
+		CLAMP(backend->slowness, SLOWNESS_LEAST, SLOWNESS_MOST);
+	*usual_us += TIMES_WEIGHT * (service_us - *usual_us);
+	times->samples++;
+}
+
+const char *choose_reason_name(enum choose_reason reason)
+{
+	switch (reason) {
+	case CHOOSE_WARM:
+		return "warm";
+	case CHOOSE_RANK:
+		return "rank";
+	case CHOOSE_TRIAL:
+		return "trial";
+	case CHOOSE_NONE_KNOWN:
+		return "none-known";
+	case CHOOSE_NONE_FREE:
+		return "none-free";
+	}
+	return "unknown";
+}
--- /dev/null
+++ b/packages/core/choose.h
@@ -0,0 +1,93 @@
+/*
+ * choose - which backend server a request goes to
+ *
+ * Filters come first and nothing passes them: allowed regions, evacuated
+ * failure domains, servers that leave, servers that were tried, the allowance
+ * of cold ones. Of the rest the one with the least expected time is chosen: the
+ * way there and back, the service time (short where the object is warm), the
+ * wait for a slot, and a surcharge for its share of failures. A rendezvous
+ * order of the object's hash breaks ties, so that all nodes warm the same
+ * servers for it. Pure but for the tables passed in; not thread-safe.
+ */
+#ifndef CORE_CHOOSE_H
+#define CORE_CHOOSE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/backend_table.h"
+#include "core/member_table.h"
+#include "core/region_flow.h"
+#include "core/route_table.h"
+#include "core/warmth.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Backend servers that one request may have been sent to before. */
+#define CHOOSE_MAX_TRIED 8
+
+struct chooser {
+	struct backend_table *backends;
+	struct member_table *members;
+	struct warmth *warmth;
+	const char *domain; /* where this node stands */
+	const char *region;
+	GHashTable *links; /* region -> struct link_time */
+	GHashTable *flows; /* service -> struct region_flow */
+	double trial_credit; /* requests that may warm another server */
+};
+
+struct choose_query {
+	const struct route *route;
+	const struct service *service;
+	bool has_object;
+	uint32_t object; /* hash of the affinity key */
+	uint64_t left_us; /* until the caller must have its answer */
+	const struct backend *tried[CHOOSE_MAX_TRIED];
+	uint32_t tried_count;
+};
+
+enum choose_reason {
+	CHOOSE_WARM, /* warm for the object */
+	CHOOSE_RANK, /* not warm; by rendezvous order and load */
+	CHOOSE_TRIAL, /* to warm another server while there is room */
+	CHOOSE_NONE_KNOWN, /* no backend server may be used */
+	CHOOSE_NONE_FREE, /* all are full, or too slow for what time is left */
+};
+
+struct choice {
+	struct backend *backend; /* NULL if none */
+	enum choose_reason reason;
+	double expected_us;
+	bool warm; /* the server counts as warm for the object */
+	uint64_t retry_after_us; /* without one: when to come back */
+};
+
+void chooser_init(struct chooser *chooser, struct backend_table *backends,
+		  struct member_table *members, struct warmth *warmth,
+		  const char *domain, const char *region);
+void chooser_release(struct chooser *chooser);
+
+void choose_backend(struct chooser *chooser, const struct choose_query *query,
+		    uint64_t now_us, struct choice *choice);
+
+/* A connection to a server of this region took so long to open. */
+void chooser_link_measured(struct chooser *chooser, const char *region,
+			   uint64_t round_trip_us);
+uint64_t chooser_link_us(const struct chooser *chooser, const char *region);
+
+/* A chosen server gave a good answer after so long, the way not counted. */
+void chooser_learn(struct chooser *chooser, const struct choose_query *query,
+		   struct backend *backend, bool was_warm, double service_us,
+		   uint64_t now_us);
+
+const char *choose_reason_name(enum choose_reason reason);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/core/duration.c
@@ -0,0 +1,26 @@
+#include "core/duration.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define MOST_US (86400 * US_PER_S)
+
+bool duration_parse(const char *text, uint64_t *span_us)
+{
+	char *end = NULL;
+	double value;
+
+	if (!text || !g_ascii_isdigit(*text))
+		return false;
+	value = g_ascii_strtod(text, &end);
+	if (!strcmp(end, "ms"))
+		value *= (double)US_PER_MS;
+	else if (!strcmp(end, "s"))
+		value *= (double)US_PER_S;
+	else
+		return false;
+	if (!(value >= 0 && value <= (double)MOST_US))
+		return false;
+	*span_us = (uint64_t)(value + 0.5);
+	return true;
+}
--- /dev/null
+++ b/packages/core/duration.h
@@ -0,0 +1,24 @@
+/*
+ * duration - a time span as people write it: "250ms", "2.5s"
+ */
+#ifndef CORE_DURATION_H
+#define CORE_DURATION_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define US_PER_MS UINT64_C(1000)
+#define US_PER_S UINT64_C(1000000)
+
+/* Read the text whole, "ms" or "s"; false where it is no span of 0 to 1 day. */
+bool duration_parse(const char *text, uint64_t *span_us);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/core/member_table.c
@@ -0,0 +1,139 @@
+#include "core/member_table.h"
+
+#include <string.h>
+
+#include "core/hash.h"
+
+static void member_free(gpointer data)
+{
+	struct member *member = data;
+
+	g_free(member->name);
+	g_free(member->domain);
+	g_free(member->region);
+	g_free(member);
+}
+
+struct member_table *member_table_new(const char *self_name)
+{
+	struct member_table *table = g_new0(struct member_table, 1);
+
+	table->by_name = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					       member_free);
+	table->self = member_table_put(table, self_name);
+	return table;
+}
+
+void member_table_free(struct member_table *table)
+{
+	g_hash_table_destroy(table->by_name);
+	g_free(table);
+}
+
+struct member *member_table_put(struct member_table *table, const char *name)
+{
+	struct member *member = member_table_find(table, name);
+
+	if (member)
+		return member;
+	member = g_new0(struct member, 1);
+	member->name = g_strdup(name);
+	member->hash = hash_text(name);
+	member->domain = g_strdup("");
+	member->region = g_strdup("");
+	g_hash_table_insert(table->by_name, member->name, member);
+	return member;
+}
+
+struct member *member_table_find(struct member_table *table, const char *name)
+{
+	return g_hash_table_lookup(table->by_name, name);
+}
+
+struct member *member_table_find_hash(struct member_table *table, uint32_t hash)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((struct member *)value)->hash == hash)
+			return value;
+	return NULL;
+}
+
+void member_table_remove(struct member_table *table, const char *name)
+{
+	if (strcmp(name, table->self->name))
+		g_hash_table_remove(table->by_name, name);
+}
+
+bool member_heard(struct member *member, uint64_t beat, bool leaving,
+		  uint64_t now_us)
+{
+	if (beat <= member->beat)
+		return false;
+	member->beat = beat;
+	member->leaving = leaving;
+	member->heard_us = now_us;
+	return true;
+}
+
+bool member_serves(const struct member_table *table,
+		   const struct member *member, uint64_t now_us)
+{
+	if (member->leaving)
+		return false;
+	if (member == table->self)
+		return true;
+	return member->heard_us && now_us - member->heard_us < MEMBER_SILENT_US;
+}
+
+uint32_t member_table_count(const struct member_table *table)
+{
+	return g_hash_table_size(table->by_name);
+}
+
+static uint32_t collect(const struct member_table *table, const char *region,
+			uint64_t now_us, const struct member **entries,
+			uint32_t most)
+{
+	GHashTableIter iter;
+	uint32_t count = 0;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->by_name);
+	while (count < most && g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct member *member = value;
+
+		if (!member->front.port ||
+		    !member_serves(table, member, now_us))
+			continue;
+		if (!region || !strcmp(member->region, region))
+			entries[count++] = member;
+	}
+	return count;
+}
+
+uint32_t member_table_entries(const struct member_table *table,
+			      const char *region, uint64_t now_us,
+			      const struct member **entries, uint32_t most)
+{
+	uint32_t count = collect(table, region, now_us, entries, most);
+
+	return count ? count : collect(table, NULL, now_us, entries, most);
+}
+
+uint32_t member_table_rank(const struct member_table *table, uint32_t hash)
+{
+	uint64_t own = hash_pair(table->self->hash, hash);
+	GHashTableIter iter;
+	uint32_t rank = 0;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (hash_pair(((struct member *)value)->hash, hash) > own)
+			rank++;
+	return rank;
+}
--- /dev/null
+++ b/packages/core/member_table.h
@@ -0,0 +1,87 @@
+/*
+ * member_table - the nodes that are known, and which of them live
+ *
+ * The platform's table says which nodes there are; beats that nodes pass on to
+ * each other say which of them live. A member whose beat number hasn't risen
+ * for MEMBER_SILENT_US counts as dead until it does. Not thread-safe.
+ */
+#ifndef CORE_MEMBER_TABLE_H
+#define CORE_MEMBER_TABLE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/endpoint.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * A dead node must leave the look-ups before callers' copies of them name it
+ * for long; six beats of 500 ms, so that two lost datagrams in a row on the way
+ * over another member don't remove a live one.
+ */
+#define MEMBER_SILENT_US 3000000ull
+
+struct member {
+	char *name;
+	uint32_t hash; /* of the name, as beats carry it */
+	char *domain;
+	char *region;
+	struct endpoint front; /* for callers */
+	struct endpoint peer; /* for beats */
+	uint64_t beat; /* highest number heard */
+	uint64_t heard_us; /* when it rose; 0: never */
+	bool leaving;
+};
+
+struct member_table {
+	GHashTable *by_name; /* owns */
+	struct member *self; /* also in by_name */
+};
+
+struct member_table *member_table_new(const char *self_name);
+void member_table_free(struct member_table *table);
+
+/* The member of this name, made where it is missing. */
+struct member *member_table_put(struct member_table *table, const char *name);
+struct member *member_table_find(struct member_table *table, const char *name);
+struct member *member_table_find_hash(struct member_table *table,
+				      uint32_t hash);
+
+/* Forget the member; never oneself. */
+void member_table_remove(struct member_table *table, const char *name);
+
+/* Take a beat over; whether it was news. */
+bool member_heard(struct member *member, uint64_t beat, bool leaving,
+		  uint64_t now_us);
+
+/* Whether it takes requests: heard of lately and not leaving. */
+bool member_serves(const struct member_table *table,
+		   const struct member *member, uint64_t now_us);
+
+/* All members known, oneself included. */
+uint32_t member_table_count(const struct member_table *table);
+
+/*
+ * The members that callers of this region and domain should use: those of the
+ * region, else all. At most most entries are stored; returns how many.
+ */
+uint32_t member_table_entries(const struct member_table *table,
+			      const char *region, uint64_t now_us,
+			      const struct member **entries, uint32_t most);
+
+/*
+ * Place of oneself in the rendezvous order of all known members for this hash,
+ * 0 first. Dead ones keep their place: two sides of a cut must not both think
+ * that they are the owner.
+ */
+uint32_t member_table_rank(const struct member_table *table, uint32_t hash);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/core/route_table.c
@@ -0,0 +1,223 @@
+#include "core/route_table.h"
+
+#include <string.h>
+
+#include "core/result.h"
+
+static void part_free(gpointer data)
+{
+	struct route_part *part = data;
+
+	g_free(part->service);
+	g_free(part);
+}
+
+static void service_free(gpointer data)
+{
+	struct service *service = data;
+
+	g_free(service->name);
+	g_free(service);
+}
+
+static gint compare_prefix_length(gconstpointer a, gconstpointer b)
+{
+	const struct route *left = *(struct route *const *)a;
+	const struct route *right = *(struct route *const *)b;
+	size_t left_length = strlen(left->prefix);
+	size_t right_length = strlen(right->prefix);
+
+	return (left_length < right_length) - (left_length > right_length);
+}
+
+static bool prefix_is_well_formed(const char *prefix)
+{
+	size_t length = strlen(prefix);
+
+	return length && prefix[0] == '/' && prefix[length - 1] == '/';
+}
+
+static bool route_is_valid(const struct route_table *table,
+			   const struct route *route, GError **error)
+{
+	uint64_t weight = 0;
+	guint i;
+
+	if (!*route->host || !prefix_is_well_formed(route->prefix)) {
+		g_set_error(error, RESULT_ERROR, RESULT_CONFIG_INVALID,
+			    "route %s: host or prefix is malformed",
+			    route->name);
+		return false;
+	}
+	if (!route->timeout_us || !route->target_us || !route->max_attempts) {
+		g_set_error(error, RESULT_ERROR, RESULT_CONFIG_INVALID,
+			    "route %s: a time or max attempts is 0",
+			    route->name);
+		return false;
+	}
+	for (i = 0; i < route->parts->len; i++) {
+		const struct route_part *part = route->parts->pdata[i];
+
+		weight += part->weight;
+		if (route_table_service(table, part->service))
+			continue;
+		g_set_error(error, RESULT_ERROR, RESULT_CONFIG_INVALID,
+			    "route %s: unknown service %s", route->name,
+			    part->service);
+		return false;
+	}
+	if (!weight) {
+		g_set_error(error, RESULT_ERROR, RESULT_CONFIG_INVALID,
+			    "route %s: no service with a weight", route->name);
+		return false;
+	}
+	return true;
+}
+
+struct route_table *route_table_new(uint64_t version)
+{
+	struct route_table *table = g_new0(struct route_table, 1);
+
+	table->references = 1;
+	table->version = version;
+	table->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     (GDestroyNotify)g_ptr_array_unref);
+	table->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						service_free);
+	return table;
+}
+
+struct route *route_new(const char *name, const char *host, const char *prefix)
+{
+	struct route *route = g_new0(struct route, 1);
+
+	route->name = g_strdup(name);
+	route->host = g_ascii_strdown(host, -1);
+	route->prefix = g_strdup(prefix);
+	route->max_attempts = 1;
+	route->parts = g_ptr_array_new_with_free_func(part_free);
+	route->regions = g_ptr_array_new_with_free_func(g_free);
+	return route;
+}
+
+void route_free(struct route *route)
+{
+	g_free(route->name);
+	g_free(route->host);
+	g_free(route->prefix);
+	g_ptr_array_unref(route->parts);
+	g_ptr_array_unref(route->regions);
+	g_free(route);
+}
+
+struct route *route_table_add(struct route_table *table, struct route *route)
+{
+	GPtrArray *routes = g_hash_table_lookup(table->hosts, route->host);
+
+	if (!routes) {
+		routes = g_ptr_array_new_with_free_func(
+			(GDestroyNotify)route_free);
+		g_hash_table_insert(table->hosts, g_strdup(route->host),
+				    routes);
+	}
+	g_ptr_array_add(routes, route);
+	table->route_count++;
+	return route;
+}
+
+void route_add_part(struct route *route, const char *service, uint32_t weight)
+{
+	struct route_part *part = g_new0(struct route_part, 1);
+
+	part->service = g_strdup(service);
+	part->weight = weight;
+	g_ptr_array_add(route->parts, part);
+}
+
+struct service *route_table_add_service(struct route_table *table,
+					const char *name)
+{
+	struct service *service = g_new0(struct service, 1);
+
+	service->name = g_strdup(name);
+	g_hash_table_replace(table->services, service->name, service);
+	return service;
+}
+
+bool route_table_finish(struct route_table *table, GError **error)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	g_hash_table_iter_init(&iter, table->hosts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		GPtrArray *routes = value;
+
+		for (i = 0; i < routes->len; i++)
+			if (!route_is_valid(table, routes->pdata[i], error))
+				return false;
+		g_ptr_array_sort(routes, compare_prefix_length);
+	}
+	return true;
+}
+
+struct route_table *route_table_ref(struct route_table *table)
+{
+	table->references++;
+	return table;
+}
+
+void route_table_unref(struct route_table *table)
+{
+	if (!table || --table->references)
+		return;
+	g_hash_table_destroy(table->hosts);
+	g_hash_table_destroy(table->services);
+	g_free(table);
+}
+
+struct route *route_table_find(const struct route_table *table,
+			       const char *host, const char *path)
+{
+	size_t host_length = strcspn(host, ":");
+	size_t path_length = strcspn(path, "?#");
+	char *key = g_ascii_strdown(host, (gssize)host_length);
+	GPtrArray *routes = g_hash_table_lookup(table->hosts, key);
+	guint i;
+
+	g_free(key);
+	for (i = 0; routes && i < routes->len; i++) {
+		struct route *route = routes->pdata[i];
+		size_t length = strlen(route->prefix);
+
+		if (length <= path_length &&
+		    !memcmp(route->prefix, path, length))
+			return route;
+	}
+	return NULL;
+}
+
+const struct service *route_table_service(const struct route_table *table,
+					  const char *name)
+{
+	return g_hash_table_lookup(table->services, name);
+}
+
+const char *route_next_service(struct route *route)
+{
+	struct route_part *best = NULL;
+	int64_t total = 0;
+	guint i;
+
+	for (i = 0; i < route->parts->len; i++) {
+		struct route_part *part = route->parts->pdata[i];
+
+		part->credit += part->weight;
+		total += part->weight;
+		if (part->weight && (!best || part->credit > best->credit))
+			best = part;
+	}
+	best->credit -= total;
+	return best->service;
+}
--- /dev/null
+++ b/packages/core/warmth.c
@@ -0,0 +1,90 @@
+#include "core/warmth.h"
+
+#include "core/duration.h"
+
+/* Pairs that wait to be told, at most; more are found out by trying. */
+#define NEWS_MOST 4096
+
+/* Keys and values are pointer-sized: 64 bits on every VM that we run on. */
+G_STATIC_ASSERT(sizeof(gpointer) == sizeof(uint64_t));
+
+static gpointer pair_key(struct warm_pair pair)
+{
+	return (gpointer)(((uint64_t)pair.backend << 32 | pair.object) + 1);
+}
+
+static guint hash_key(gconstpointer key)
+{
+	uint64_t value = (uint64_t)key;
+
+	return (guint)(value ^ value >> 32);
+}
+
+static gboolean is_older(gpointer key, gpointer value, gpointer middle)
+{
+	(void)key;
+	return (uint64_t)value < *(const uint64_t *)middle;
+}
+
+static gint compare_ages(gconstpointer a, gconstpointer b)
+{
+	uint64_t left = *(const uint64_t *)a;
+	uint64_t right = *(const uint64_t *)b;
+
+	return (left > right) - (left < right);
+}
+
+static void drop_older_half(struct warmth *warmth)
+{
+	GArray *ages = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GHashTableIter iter;
+	gpointer value;
+	uint64_t middle;
+
+	g_hash_table_iter_init(&iter, warmth->seen);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		uint64_t age = (uint64_t)value;
+
+		g_array_append_val(ages, age);
+	}
+	g_array_sort(ages, compare_ages);
+	middle = g_array_index(ages, uint64_t, ages->len / 2);
+	g_array_unref(ages);
+	if (!g_hash_table_foreach_remove(warmth->seen, is_older, &middle))
+		g_hash_table_remove_all(warmth->seen);
+}
+
+void warmth_init(struct warmth *warmth)
+{
+	warmth->seen = g_hash_table_new(hash_key, g_direct_equal);
+	warmth->news = g_array_new(FALSE, FALSE, sizeof(struct warm_pair));
+}
+
+void warmth_release(struct warmth *warmth)
+{
+	g_hash_table_destroy(warmth->seen);
+	g_array_unref(warmth->news);
+}
+
+void warmth_note(struct warmth *warmth, struct warm_pair pair, bool first_hand,
+		 uint64_t now_us)
+{
+	bool known = warmth_has(warmth, pair);
+
+	if (!known && g_hash_table_size(warmth->seen) >= WARMTH_MAX_ENTRIES)
+		drop_older_half(warmth);
+	g_hash_table_insert(warmth->seen, pair_key(pair),
+			    (gpointer)(now_us / US_PER_MS + 1));
+	if (first_hand && !known && warmth->news->len < NEWS_MOST)
+		g_array_append_val(warmth->news, pair);
+}
+
+void warmth_drop(struct warmth *warmth, struct warm_pair pair)
+{
+	g_hash_table_remove(warmth->seen, pair_key(pair));
+}
+
+bool warmth_has(const struct warmth *warmth, struct warm_pair pair)
+{
+	return g_hash_table_contains(warmth->seen, pair_key(pair));
+}
--- /dev/null
+++ b/packages/core/warmth.h
@@ -0,0 +1,48 @@
+/*
+ * warmth - which backend servers handled which object lately
+ *
+ * What this node saw for itself and what its neighbours told it. Bounded: the
+ * oldest half goes when the table is full. Not thread-safe.
+ */
+#ifndef CORE_WARMTH_H
+#define CORE_WARMTH_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Entries of a node: 1 MB of table, 900 objects at each of 36 servers. */
+#define WARMTH_MAX_ENTRIES 32768
+
+/* One object at one backend server, both by their hashes. */
+struct warm_pair {
+	uint32_t backend;
+	uint32_t object;
+};
+
+struct warmth {
+	GHashTable *seen; /* pair as 64 bits -> clock's ms */
+	GArray *news; /* of struct warm_pair, not yet told to neighbours */
+};
+
+void warmth_init(struct warmth *warmth);
+void warmth_release(struct warmth *warmth);
+
+/* The server handled the object; first hand goes into the news. */
+void warmth_note(struct warmth *warmth, struct warm_pair pair, bool first_hand,
+		 uint64_t now_us);
+
+/* The server turned out not to be warm for it. */
+void warmth_drop(struct warmth *warmth, struct warm_pair pair);
+
+bool warmth_has(const struct warmth *warmth, struct warm_pair pair);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/edge/caller.c
@@ -0,0 +1,381 @@
+#include "edge/caller.h"
+
+#include <string.h>
+
+#include "adapters/log.h"
+#include "core/duration.h"
+#include "core/result.h"
+#include "edge/exchange.h"
+#include "edge/local.h"
+#include "edge/wire.h"
+
+#define LISTEN_BACKLOG 512
+
+/* Requests that a caller may send ahead of answers, in bytes. */
+#define AHEAD_MAX_BYTES (256 * 1024)
+
+/* An orderly close waits so long for the caller's end. */
+#define LINGER_US (1 * US_PER_S)
+
+/* Limits before the first configuration is known. */
+static const struct route_limits first_limits = {
+	.max_header_bytes = 16 * 1024,
+	.max_body_bytes = 1024 * 1024,
+	.header_timeout_us = 3 * US_PER_S,
+	.idle_timeout_us = 15 * US_PER_S,
+};
+
+struct caller {
+	struct exchange_sink sink; /* first member */
+	struct edge *edge;
+	enum listener_kind kind;
+	uv_tcp_t tcp;
+	uv_shutdown_t shutdown;
+	GList link; /* in edge->callers */
+	struct message_reader reader;
+	GByteArray *ahead; /* bytes of later requests */
+	struct exchange *exchange;
+	uint64_t since_us; /* of the last byte or answer */
+	uint64_t head_since_us; /* of the first byte of a head; 0: none */
+	bool is_head;
+	bool keep_alive; /* as the request asks */
+	bool continued; /* "100 Continue" was sent */
+	bool lingering; /* the answer that ends the connection is out */
+	bool closing;
+};
+
+static void read_on(struct caller *caller, const char *bytes, size_t length);
+
+static const struct route_limits *limits(const struct edge *edge)
+{
+	return edge->routes ? &edge->routes->limits : &first_limits;
+}
+
+/* --- closing ------------------------------------------------------------ */
+
+static void on_closed(uv_handle_t *handle)
+{
+	struct caller *caller = handle->data;
+
+	g_queue_unlink(&caller->edge->callers, &caller->link);
+	message_reader_release(&caller->reader);
+	g_byte_array_unref(caller->ahead);
+	g_free(caller);
+}
+
+static void caller_close(struct caller *caller)
+{
+	struct exchange *exchange = caller->exchange;
+
+	if (caller->closing)
+		return;
+	caller->closing = true;
+	caller->exchange = NULL;
+	if (exchange)
+		exchange_cancel(exchange);
+	uv_close((uv_handle_t *)&caller->tcp, on_closed);
+}
+
+static void on_shut_down(uv_shutdown_t *request, int status)
+{
+	struct caller *caller = request->data;
+
+	if (status && !caller->closing)
+		caller_close(caller);
+}
+
+static void caller_linger(struct caller *caller)
+{
+	caller->lingering = true;
+	caller->since_us = edge_now_us(caller->edge);
+	caller->shutdown.data = caller;
+	if (uv_shutdown(&caller->shutdown, (uv_stream_t *)&caller->tcp,
+			on_shut_down))
+		caller_close(caller);
+}
+
+/* --- answers ------------------------------------------------------------ */
+
+static bool has_no_body(const struct caller *caller, uint16_t status)
+{
+	return caller->is_head || status == 204 || status == 304 ||
+	       status < 200;
+}
+
+static void write_answer(struct caller *caller, uint16_t status,
+			 const GString *headers, const GByteArray *body)
+{
+	bool keep = caller->keep_alive && !caller->edge->stopping;
+	GString *text = g_string_sized_new(256 + headers->len + body->len);
+
+	g_string_append_printf(text, "HTTP/1.1 %u %s\r\n", status,
+			       http_status_str((enum http_status)status));
+	g_string_append_len(text, headers->str, (gssize)headers->len);
+	if (!has_no_body(caller, status))
+		g_string_append_printf(text, "Content-Length: %u\r\n",
+				       body->len);
+	if (!keep)
+		g_string_append(text, "Connection: close\r\n");
+	g_string_append(text, "\r\n");
+	if (!has_no_body(caller, status))
+		g_string_append_len(text, (const char *)body->data, body->len);
+	wire_write((uv_stream_t *)&caller->tcp, text, NULL, NULL);
+	if (!keep)
+		caller_linger(caller);
+}
+
+static void next_request(struct caller *caller)
+{
+	caller->since_us = edge_now_us(caller->edge);
+	caller->head_since_us = 0;
+	caller->continued = false;
+	message_reader_next(&caller->reader, false);
+}
+
+static void on_finish(struct exchange_sink *sink, uint16_t status,
+		      const GString *headers, const GByteArray *body)
+{
+	struct caller *caller = (struct caller *)sink;
+	GByteArray *ahead = caller->ahead;
+
+	caller->exchange = NULL;
+	if (caller->closing)
+		return;
+	write_answer(caller, status, headers, body);
+	next_request(caller);
+	if (!ahead->len || caller->lingering)
+		return;
+	caller->ahead = g_byte_array_new();
+	read_on(caller, (const char *)ahead->data, ahead->len);
+	g_byte_array_unref(ahead);
+}
+
+static const struct exchange_sink_vtable sink_events = { on_finish };
+
+static void reject(struct caller *caller, uint16_t status, const char *cause)
+{
+	GString *headers = g_string_new("Content-Type: text/plain\r\n");
+	GByteArray *body = g_byte_array_new();
+
+	log_event(LOG_INFO, "request-rejected", "status=%u cause=%s", status,
+		  cause);
+	metric_add(caller->edge->stats.denied, 1);
+	caller->keep_alive = false;
+	caller->is_head = false;
+	g_byte_array_append(body, (const guint8 *)cause, strlen(cause));
+	write_answer(caller, status, headers, body);
+	g_string_free(headers, TRUE);
+	g_byte_array_unref(body);
+}
+
+/* --- requests ----------------------------------------------------------- */
+
+static void answer_locally(struct caller *caller, const struct message *request)
+{
+	struct local_answer answer;
+
+	local_answer(caller->edge, caller->kind, request, &answer);
+	write_answer(caller, answer.status, answer.headers, answer.body);
+	local_answer_release(&answer);
+	next_request(caller);
+}
+
+static void take_request(struct caller *caller)
+{
+	struct message *request = message_reader_take(&caller->reader);
+
+	message_reader_next(&caller->reader, false);
+	caller->is_head = request->method == HTTP_HEAD;
+	caller->keep_alive = request->keep_alive;
+	if (caller->kind != LISTENER_FRONT) {
+		answer_locally(caller, request);
+		message_free(request);
+		return;
+	}
+	if (message_count(request, "Host") != 1) {
+		message_free(request);
+		reject(caller, 400, "one Host header is needed");
+		return;
+	}
+	caller->exchange = exchange_start(caller->edge, &caller->sink, request);
+}
+
+static void offer_continue(struct caller *caller)
+{
+	const struct message *request = caller->reader.message;
+
+	if (caller->continued || !request->expects_continue)
+		return;
+	caller->continued = true;
+	wire_write((uv_stream_t *)&caller->tcp,
+		   g_string_new("HTTP/1.1 100 Continue\r\n\r\n"), NULL, NULL);
+}
+
+static void read_on(struct caller *caller, const char *bytes, size_t length)
+{
+	size_t used = 0;
+
+	while (length && !caller->closing && !caller->lingering) {
+		if (caller->exchange) {
+			g_byte_array_append(caller->ahead,
+					    (const guint8 *)bytes,
+					    (guint)length);
+			return;
+		}
+		if (!caller->head_since_us)
+			caller->head_since_us = edge_now_us(caller->edge);
+		caller->reader.limits.head_bytes =
+			limits(caller->edge)->max_header_bytes;
+		caller->reader.limits.body_bytes =
+			MIN(limits(caller->edge)->max_body_bytes,
+			    REQUEST_BODY_MAX_BYTES);
+		switch (message_reader_feed(&caller->reader, bytes, length,
+					    &used)) {
+		case MESSAGE_WHOLE:
+			take_request(caller);
+			break;
+		case MESSAGE_MALFORMED:
+			reject(caller, 400, "malformed request");
+			return;
+		case MESSAGE_HEAD_TOO_LARGE:
+			reject(caller, 431, "head too large");
+			return;
+		case MESSAGE_BODY_TOO_LARGE:
+			reject(caller, 413, "body too large");
+			return;
+		default:
+			offer_continue(caller);
+			return;
+		}
+		bytes += used;
+		length -= used;
+	}
+}
+
+static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
+{
+	struct caller *caller = stream->data;
+
+	if (caller->closing || !count)
+		return;
+	if (count < 0) {
+		caller_close(caller);
+		return;
+	}
+	if (caller->lingering)
+		return;
+	caller->since_us = edge_now_us(caller->edge);
+	read_on(caller, buffer->base, (size_t)count);
+	if (caller->ahead->len > AHEAD_MAX_BYTES)
+		caller_close(caller);
+}
+
+/* --- listening ---------------------------------------------------------- */
+
+static void on_connection(uv_stream_t *stream, int status)
+{
+	const struct message_limits none = { 0, 0 };
+	struct listener *listener = stream->data;
+	struct caller *caller;
+
+	if (status) {
+		log_event(LOG_WARNING, "accept-failed", "cause=%s",
+			  uv_err_name(status));
+		return;
+	}
+	caller = g_new0(struct caller, 1);
+	caller->sink.vtable = &sink_events;
+	caller->edge = listener->edge;
+	caller->kind = listener->kind;
+	caller->ahead = g_byte_array_new();
+	caller->since_us = edge_now_us(caller->edge);
+	caller->link.data = caller;
+	message_reader_init(&caller->reader, HTTP_REQUEST, &none);
+	g_queue_push_tail_link(&caller->edge->callers, &caller->link);
+	uv_tcp_init(caller->edge->loop, &caller->tcp);
+	caller->tcp.data = caller;
+	if (uv_accept(stream, (uv_stream_t *)&caller->tcp) ||
+	    uv_read_start((uv_stream_t *)&caller->tcp, wire_buffer, on_read)) {
+		caller_close(caller);
+		return;
+	}
+	uv_tcp_nodelay(&caller->tcp, 1);
+}
+
+bool listener_open(struct listener *listener, struct edge *edge,
+		   enum listener_kind kind, const struct endpoint *at,
+		   GError **error)
+{
+	struct sockaddr_in address;
+	int status;
+
+	listener->edge = edge;
+	listener->kind = kind;
+	uv_ip4_addr(at->address, at->port, &address);
+	uv_tcp_init(edge->loop, &listener->tcp);
+	listener->tcp.data = listener;
+	listener->open = true;
+	status = uv_tcp_bind(&listener->tcp, (const struct sockaddr *)&address,
+			     0);
+	if (!status)
+		status = uv_listen((uv_stream_t *)&listener->tcp,
+				   LISTEN_BACKLOG, on_connection);
+	if (!status)
+		return true;
+	g_set_error(error, RESULT_ERROR, RESULT_SYSTEM, "listen at %s:%u: %s",
+		    at->address, at->port, uv_strerror(status));
+	return false;
+}
+
+void listener_close(struct listener *listener)
+{
+	if (!listener->open)
+		return;
+	listener->open = false;
+	uv_close((uv_handle_t *)&listener->tcp, NULL);
+}
+
+static void sweep(struct caller *caller, uint64_t now_us)
+{
+	const struct route_limits *most = limits(caller->edge);
+
+	if (caller->closing || caller->exchange)
+		return;
+	if (caller->lingering) {
+		if (now_us - caller->since_us > LINGER_US)
+			caller_close(caller);
+	} else if (caller->head_since_us &&
+		   now_us - caller->since_us > most->header_timeout_us) {
+		reject(caller, 408, "the request did not come in time");
+	} else if (now_us - caller->since_us > most->idle_timeout_us) {
+		caller_close(caller);
+	}
+}
+
+void callers_sweep(struct edge *edge)
+{
+	uint64_t now_us = edge_now_us(edge);
+	GList *next;
+	GList *at;
+
+	for (at = edge->callers.head; at; at = next) {
+		next = at->next;
+		sweep(at->data, now_us);
+	}
+}
+
+void callers_close_idle(struct edge *edge)
+{
+	GList *next;
+	GList *at;
+
+	for (at = edge->callers.head; at; at = next) {
+		struct caller *caller = at->data;
+
+		next = at->next;
+		if (caller->kind == LISTENER_FRONT && !caller->exchange &&
+		    !caller->head_since_us && !caller->closing &&
+		    !caller->lingering)
+			caller_linger(caller);
+	}
+}
--- /dev/null
+++ b/packages/edge/caller.h
@@ -0,0 +1,49 @@
+/*
+ * caller - an incoming HTTP/1.1 connection
+ *
+ * Requests are read whole, one after another. On the front listener each
+ * becomes an exchange; on the others a node answers itself (edge/local). A
+ * caller that leaves cancels its exchange at once. An answer that ends the
+ * connection is followed by an orderly close, so that bytes still on their way
+ * don't destroy it.
+ */
+#ifndef EDGE_CALLER_H
+#define EDGE_CALLER_H
+
+#include "edge/edge.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+enum listener_kind {
+	LISTENER_FRONT,
+	LISTENER_READY,
+	LISTENER_LOOKUP,
+	LISTENER_OPERATORS,
+};
+
+struct listener {
+	uv_tcp_t tcp;
+	struct edge *edge;
+	enum listener_kind kind;
+	bool open;
+};
+
+/* Listen; RESULT_SYSTEM on failure. */
+bool listener_open(struct listener *listener, struct edge *edge,
+		   enum listener_kind kind, const struct endpoint *at,
+		   GError **error);
+void listener_close(struct listener *listener);
+
+/* Close connections that were idle or slow for too long; call it often. */
+void callers_sweep(struct edge *edge);
+
+/* Close the connections that no request is on. */
+void callers_close_idle(struct edge *edge);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/edge/edge.c
@@ -0,0 +1,79 @@
+#include "edge/edge.h"
+
+#include <string.h>
+
+/* Idle connections that are kept to each backend server. */
+#define IDLE_MOST 4
+
+void edge_init(struct edge *edge, uv_loop_t *loop, const struct clock *clock,
+	       const struct dialect *dialect, const struct registry *registry,
+	       const struct edge_settings *settings)
+{
+	const struct message_limits answers = { ANSWER_HEAD_MAX_BYTES,
+						ANSWER_BODY_MAX_BYTES };
+
+	memset(edge, 0, sizeof(*edge));
+	edge->loop = loop;
+	edge->clock = clock;
+	edge->dialect = dialect;
+	edge->registry = registry;
+	edge->settings = *settings;
+	edge->backends = backend_table_new();
+	edge->members = member_table_new(settings->name);
+	g_free(edge->members->self->domain);
+	g_free(edge->members->self->region);
+	edge->members->self->domain = g_strdup(settings->domain);
+	edge->members->self->region = g_strdup(settings->region);
+	edge->members->self->front = settings->front;
+	edge->members->self->peer = settings->peer;
+	warmth_init(&edge->warmth);
+	chooser_init(&edge->chooser, edge->backends, edge->members,
+		     &edge->warmth, edge->settings.domain,
+		     edge->settings.region);
+	edge->budgets =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	pool_init(&edge->pool, loop, clock, &answers, IDLE_MOST);
+	g_queue_init(&edge->callers);
+}
+
+void edge_release(struct edge *edge)
+{
+	pool_release(&edge->pool);
+	chooser_release(&edge->chooser);
+	warmth_release(&edge->warmth);
+	g_hash_table_destroy(edge->budgets);
+	backend_table_free(edge->backends);
+	member_table_free(edge->members);
+	route_table_unref(edge->routes);
+}
+
+bool edge_is_ready(const struct edge *edge)
+{
+	return edge->routes && edge->backends_known && !edge->stopping;
+}
+
+struct extra_budget *edge_budget(struct edge *edge, const char *service)
+{
+	struct extra_budget *budget =
+		g_hash_table_lookup(edge->budgets, service);
+
+	if (!budget) {
+		budget = g_new0(struct extra_budget, 1);
+		g_hash_table_insert(edge->budgets, g_strdup(service), budget);
+	}
+	return budget;
+}
+
+bool edge_take_extra(struct edge *edge, const char *service)
+{
+	/*
+	 * A node that has read no member list yet, or was cut off from it, must
+	 * not take the whole allowance for its own.
+	 */
+	uint32_t nodes = MAX(member_table_count(edge->members),
+			     edge->settings.nodes_least);
+
+	return extra_budget_take(edge_budget(edge, service),
+				 &edge->settings.extra, nodes,
+				 edge_now_us(edge));
+}
--- /dev/null
+++ b/packages/edge/edge.h
@@ -0,0 +1,79 @@
+/*
+ * edge - what the parts of a node share
+ *
+ * All of it lives on one thread, the event loop's: on a VM with a fifth of a
+ * core, threads would add stacks and wake-ups and no work done. Parts read and
+ * change it without locks.
+ */
+#ifndef EDGE_EDGE_H
+#define EDGE_EDGE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <uv.h>
+
+#include "core/backend_table.h"
+#include "core/choose.h"
+#include "core/extra_budget.h"
+#include "core/member_table.h"
+#include "core/route_table.h"
+#include "core/warmth.h"
+#include "edge/edge_settings.h"
+#include "edge/pool.h"
+#include "edge/stats.h"
+#include "ports/clock.h"
+#include "ports/dialect.h"
+#include "ports/registry.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct sync;
+struct gossip;
+
+struct edge {
+	uv_loop_t *loop;
+	const struct clock *clock;
+	const struct dialect *dialect;
+	const struct registry *registry;
+	struct edge_settings settings;
+
+	struct route_table *routes; /* NULL until the first is known */
+	struct backend_table *backends;
+	bool backends_known; /* the list was read whole once */
+	struct member_table *members;
+	struct warmth warmth;
+	struct chooser chooser;
+	GHashTable *budgets; /* service -> struct extra_budget */
+	struct pool pool;
+	struct stats stats;
+
+	bool stopping;
+	uint64_t stopping_us; /* when the stop began */
+	uint32_t exchanges; /* requests in flight */
+	GQueue callers; /* of struct caller, connections that are open */
+};
+
+static inline uint64_t edge_now_us(const struct edge *edge)
+{
+	return clock_now_us(edge->clock);
+}
+
+/* Make and free the tables; the loop's handles are not among them. */
+void edge_init(struct edge *edge, uv_loop_t *loop, const struct clock *clock,
+	       const struct dialect *dialect, const struct registry *registry,
+	       const struct edge_settings *settings);
+void edge_release(struct edge *edge);
+
+/* Whether requests can be served: routes and backend servers are known. */
+bool edge_is_ready(const struct edge *edge);
+
+struct extra_budget *edge_budget(struct edge *edge, const char *service);
+bool edge_take_extra(struct edge *edge, const char *service);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/edge/edge_settings.c
@@ -0,0 +1,245 @@
+#include "edge/edge_settings.h"
+
+#include <stddef.h>
+#include <string.h>
+
+#include "adapters/log.h"
+#include "adapters/toml.h"
+#include "core/duration.h"
+#include "core/result.h"
+
+#define FILE_MAX_BYTES (64 * 1024)
+
+enum setting_kind {
+	KIND_NAME,
+	KIND_ENDPOINT,
+	KIND_SPAN, /* "250ms" */
+	KIND_COUNT, /* uint32_t */
+	KIND_NUMBER, /* text of a number, double */
+	KIND_LEVEL,
+};
+
+struct setting {
+	const char *table;
+	const char *key;
+	enum setting_kind kind;
+	size_t offset;
+	const char *fallback; /* NULL: required */
+};
+
+#define AT(field) offsetof(struct edge_settings, field)
+
+static const struct setting setting_list[] = {
+	{ "node", "name", KIND_NAME, AT(name), NULL },
+	{ "node", "domain", KIND_NAME, AT(domain), NULL },
+	{ "node", "region", KIND_NAME, AT(region), NULL },
+	{ "listen", "front", KIND_ENDPOINT, AT(front), NULL },
+	{ "listen", "ready", KIND_ENDPOINT, AT(ready), "" },
+	{ "listen", "lookup", KIND_ENDPOINT, AT(lookup), "" },
+	{ "listen", "operators", KIND_ENDPOINT, AT(operators), "" },
+	{ "listen", "peer", KIND_ENDPOINT, AT(peer), NULL },
+	{ "registry", "address", KIND_ENDPOINT, AT(registry), NULL },
+	{ "extra", "ratio", KIND_NUMBER, AT(extra.ratio), "0.1" },
+	{ "extra", "allowance", KIND_NUMBER, AT(extra.allowance), "20" },
+	{ "extra", "window", KIND_SPAN, AT(extra.window_us), "10s" },
+	{ "extra", "nodes_least", KIND_COUNT, AT(nodes_least), "1" },
+	{ "lookup", "keep", KIND_SPAN, AT(lookup_keep_us), "1s" },
+	{ "stop", "most", KIND_SPAN, AT(stop_most_us), "6s" },
+	{ "log", "level", KIND_LEVEL, AT(log_level), "info" },
+};
+
+struct reading {
+	struct edge_settings *settings;
+	const char *path;
+	bool seen[G_N_ELEMENTS(setting_list)];
+};
+
+static bool invalid(GError **error, const char *path, uint32_t line,
+		    const char *key, const char *allowed)
+{
+	g_set_error(error, RESULT_ERROR, RESULT_SETTINGS_INVALID,
+		    "%s:%u: %s: must be %s", path, line, key, allowed);
+	return false;
+}
+
+/* Store the text; NULL, or what would be allowed. */
+static const char *store_name(void *at, const char *text)
+{
+	if (!*text || strlen(text) >= NAME_SIZE)
+		return "a name of 1 to 63 bytes";
+	g_strlcpy(at, text, NAME_SIZE);
+	return NULL;
+}
+
+static const char *store_endpoint(void *at, const char *text)
+{
+	memset(at, 0, sizeof(struct endpoint));
+	if (!*text || endpoint_parse(text, at))
+		return NULL;
+	return "an IPv4 address and a port, as 10.0.0.1:8080";
+}
+
+static const char *store_span(void *at, const char *text)
+{
+	if (duration_parse(text, at) && *(uint64_t *)at)
+		return NULL;
+	return "a time above 0 with its unit, as 250ms or 2s";
+}
+
+static const char *store_number(void *at, const char *text)
+{
+	char *end = NULL;
+
+	*(double *)at = g_ascii_strtod(text, &end);
+	if (*text && !*end && *(double *)at >= 0)
+		return NULL;
+	return "a number of 0 or more";
+}
+
+static const char *store_count(void *at, const char *text)
+{
+	guint64 count;
+
+	if (!g_ascii_string_to_unsigned(text, 10, 1, 100000, &count, NULL))
+		return "a whole number of 1 to 100000";
+	*(uint32_t *)at = (uint32_t)count;
+	return NULL;
+}
+
+static const char *store_level(void *at, const char *text)
+{
+	if (log_level_from_name(text) < 0)
+		return "error, warning, info or debug";
+	g_strlcpy(at, text, NAME_SIZE);
+	return NULL;
+}
+
+static const char *store(struct edge_settings *settings,
+			 const struct setting *setting, const char *text)
+{
+	void *at = (char *)settings + setting->offset;
+
+	switch (setting->kind) {
+	case KIND_NAME:
+		return store_name(at, text);
+	case KIND_ENDPOINT:
+		return store_endpoint(at, text);
+	case KIND_SPAN:
+		return store_span(at, text);
+	case KIND_COUNT:
+		return store_count(at, text);
+	case KIND_NUMBER:
+		return store_number(at, text);
+	case KIND_LEVEL:
+		return store_level(at, text);
+	}
+	return "known";
+}
+
+static int find_setting(const struct toml_value *value)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(setting_list); i++)
+		if (!strcmp(setting_list[i].table, value->table) &&
+		    !strcmp(setting_list[i].key, value->key))
+			return (int)i;
+	return -1;
+}
+
+static bool visit(void *context, const struct toml_value *value, GError **error)
+{
+	struct reading *reading = context;
+	const char *allowed;
+	int i;
+
+	if (value->type != TOML_STRING)
+		return invalid(error, reading->path, value->line, value->key,
+			       "a text in quotes");
+	if (!strcmp(value->table, "domains")) {
+		g_hash_table_insert(reading->settings->regions,
+				    g_strdup(value->key),
+				    g_strdup(value->string));
+		return true;
+	}
+	i = find_setting(value);
+	if (i < 0)
+		return invalid(error, reading->path, value->line, value->key,
+			       "a key that docs/SETTINGS.md lists");
+	reading->seen[i] = true;
+	allowed = store(reading->settings, &setting_list[i], value->string);
+	return !allowed ||
+	       invalid(error, reading->path, value->line, value->key, allowed);
+}
+
+static bool complete(const struct reading *reading, GError **error)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(setting_list); i++) {
+		const struct setting *setting = &setting_list[i];
+
+		if (reading->seen[i])
+			continue;
+		if (!setting->fallback) {
+			g_set_error(error, RESULT_ERROR,
+				    RESULT_SETTINGS_INVALID,
+				    "%s: [%s] %s is missing", reading->path,
+				    setting->table, setting->key);
+			return false;
+		}
+		store(reading->settings, setting, setting->fallback);
+	}
+	return true;
+}
+
+static bool read_text(struct reading *reading, const char *text, size_t length,
+		      GError **error)
+{
+	if (length > FILE_MAX_BYTES) {
+		g_set_error(error, RESULT_ERROR, RESULT_SETTINGS_INVALID,
+			    "%s: larger than %d bytes", reading->path,
+			    FILE_MAX_BYTES);
+		return false;
+	}
+	return toml_visit(reading->path, text, length, visit, reading, error) &&
+	       complete(reading, error);
+}
+
+bool edge_settings_load(struct edge_settings *settings, const char *path,
+			GError **error)
+{
+	struct reading reading = { .settings = settings, .path = path };
+	GError *cause = NULL;
+	char *text = NULL;
+	gsize length = 0;
+	bool good;
+
+	memset(settings, 0, sizeof(*settings));
+	if (!g_file_get_contents(path, &text, &length, &cause)) {
+		g_set_error(error, RESULT_ERROR, RESULT_SETTINGS_UNREADABLE,
+			    "%s", cause->message);
+		g_error_free(cause);
+		return false;
+	}
+	settings->regions =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	good = read_text(&reading, text, length, error);
+	g_free(text);
+	if (!good)
+		edge_settings_release(settings);
+	return good;
+}
+
+void edge_settings_release(struct edge_settings *settings)
+{
+	g_clear_pointer(&settings->regions, g_hash_table_destroy);
+}
+
+const char *edge_settings_region(const struct edge_settings *settings,
+				 const char *domain)
+{
+	const char *region = g_hash_table_lookup(settings->regions, domain);
+
+	return region ? region : "";
+}
--- /dev/null
+++ b/packages/edge/exchange.c
@@ -0,0 +1,731 @@
+#include "edge/exchange.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "adapters/log.h"
+#include "core/duration.h"
+#include "core/hash.h"
+#include "core/retry.h"
+
+/*
+ * A backend server stops work at the deadline it was given; its answer then
+ * needs the way back. So much longer than a route's timeout it is waited for;
+ * callers see an answer late by this at most.
+ */
+#define ANSWER_GRACE_US (120 * US_PER_MS)
+
+/* A connection that takes longer than some round trips won't open. */
+#define CONNECT_ROUND_TRIPS 3
+#define CONNECT_EXTRA_US (200 * US_PER_MS)
+
+/*
+ * Kept connections may have been dropped by the server while idle; what was
+ * sent on such a one may have run. A request that may not run twice only takes
+ * one that was used a moment ago.
+ */
+#define IDLE_IDEMPOTENT_US (8 * US_PER_S)
+#define IDLE_ONCE_US (2 * US_PER_S)
+
+/* Answers of other requests that are passed over on one connection. */
+#define MAX_STRAYS 3
+
+/* When to come back to a node that knows no routes yet, or stops. */
+#define RETRY_STARTING_US (500 * US_PER_MS)
+
+struct exchange {
+	struct conn_user user; /* first member */
+	struct edge *edge;
+	struct exchange_sink *sink;
+	struct message *request;
+	struct route_table *routes; /* holds route and service */
+	struct choose_query query;
+	const char *id;
+	uint64_t arrived_us;
+	uint64_t due_us; /* the caller must have its answer */
+
+	struct conn *conn; /* in use, or NULL */
+	struct choice choice; /* behind conn; holds a reference */
+	uint64_t connect_by_us; /* 0 once open */
+	uint64_t sent_us; /* 0: not sent on conn yet */
+	uint32_t strays;
+	bool in_grace;
+
+	struct retry_state retry;
+	uint32_t unsettled; /* sends that may have run */
+	struct message *failure; /* a failed answer, kept beside a retry */
+	uv_timer_t timer;
+	bool ended;
+};
+
+static void dispatch(struct exchange *exchange);
+
+static uint64_t now_us(const struct exchange *exchange)
+{
+	return edge_now_us(exchange->edge);
+}
+
+static uint64_t left_us(const struct exchange *exchange)
+{
+	uint64_t now = now_us(exchange);
+
+	return now < exchange->due_us ? exchange->due_us - now : 0;
+}
+
+/* --- the end ------------------------------------------------------------ */
+
+static void on_timer_closed(uv_handle_t *handle)
+{
+	struct exchange *exchange = handle->data;
+
+	g_free(exchange);
+}
+
+static void release_choice(struct exchange *exchange)
+{
+	if (exchange->choice.backend)
+		backend_unref(exchange->choice.backend);
+	exchange->choice.backend = NULL;
+}
+
+/* The backend server's connection is no longer this exchange's. */
+static void leave_backend(struct exchange *exchange)
+{
+	if (exchange->sent_us)
+		backend_done(exchange->choice.backend);
+	exchange->sent_us = 0;
+	exchange->conn = NULL;
+	release_choice(exchange);
+}
+
+static void drop_conn(struct exchange *exchange)
+{
+	struct conn *conn = exchange->conn;
+
+	if (!conn)
+		return;
+	leave_backend(exchange);
+	pool_drop(conn);
+}
+
+static void exchange_free(struct exchange *exchange)
+{
+	uint32_t i;
+
+	exchange->ended = true;
+	drop_conn(exchange);
+	for (i = 0; i < exchange->query.tried_count; i++)
+		backend_unref((struct backend *)exchange->query.tried[i]);
+	message_free(exchange->request);
+	message_free(exchange->failure);
+	route_table_unref(exchange->routes);
+	exchange->edge->exchanges--;
+	uv_close((uv_handle_t *)&exchange->timer, on_timer_closed);
+}
+
+static void finish(struct exchange *exchange, uint16_t status,
+		   const GString *headers, const GByteArray *body)
+{
+	struct exchange_sink *sink = exchange->sink;
+	uint64_t took_us = now_us(exchange) - exchange->arrived_us;
+
+	metric_observe_us(exchange->edge->stats.latency_us, took_us);
+	log_event(status < 400 ? LOG_DEBUG : LOG_INFO, "answered",
+		  "request=%s status=%u took_us=%" PRIu64
+		  " sends=%u unreachable=%u",
+		  exchange->id, status, took_us, exchange->retry.sends,
+		  exchange->retry.unreachable);
+	exchange->sink = NULL;
+	if (sink)
+		sink->vtable->finish(sink, status, headers, body);
+	exchange_free(exchange);
+}
+
+static void finish_own(struct exchange *exchange, uint16_t status,
+		       uint64_t retry_after_us, const char *cause)
+{
+	GString *headers = g_string_new(NULL);
+	GByteArray *body = g_byte_array_new();
+
+	if (retry_after_us)
+		g_string_append_printf(headers, "Retry-After: %.3f\r\n",
+				       (double)retry_after_us /
+					       (double)US_PER_S);
+	g_string_append(headers, "Content-Type: text/plain\r\n");
+	g_byte_array_append(body, (const guint8 *)cause, strlen(cause));
+	g_byte_array_append(body, (const guint8 *)"\n", 1);
+	log_event(LOG_INFO, "own-answer",
+		  "request=%s status=%u cause=%s unsettled=%u", exchange->id,
+		  status, cause, exchange->unsettled);
+	finish(exchange, status, headers, body);
+	g_string_free(headers, TRUE);
+	g_byte_array_unref(body);
+}
+
+/* A 503 promises that the request never runs; only an unsent one can. */
+static void finish_refused(struct exchange *exchange, uint64_t retry_after_us,
+			   const char *cause)
+{
+	struct stats *stats = &exchange->edge->stats;
+
+	if (exchange->unsettled) {
+		metric_add(stats->failed, 1);
+		finish_own(exchange, 502, 0, cause);
+		return;
+	}
+	metric_add(stats->refused, 1);
+	finish_own(exchange, 503, retry_after_us, cause);
+}
+
+static void finish_failed(struct exchange *exchange, uint16_t status,
+			  const char *cause)
+{
+	metric_add(exchange->edge->stats.failed, 1);
+	finish_own(exchange, status, 0, cause);
+}
+
+static void finish_denied(struct exchange *exchange, uint16_t status,
+			  const char *cause)
+{
+	metric_add(exchange->edge->stats.denied, 1);
+	finish_own(exchange, status, 0, cause);
+}
+
+static void deliver(struct exchange *exchange, const struct message *answer)
+{
+	GString *headers = g_string_new(NULL);
+	const char *length = message_header(answer, "Content-Length");
+
+	message_copy_headers(answer, NULL, headers);
+	if (exchange->request->method == HTTP_HEAD && length)
+		g_string_append_printf(headers, "Content-Length: %s\r\n",
+				       length);
+	metric_add(exchange->edge->stats.delivered, 1);
+	finish(exchange, answer->status, headers, answer->body);
+	g_string_free(headers, TRUE);
+}
+
+/* --- time --------------------------------------------------------------- */
+
+static void on_timer(uv_timer_t *timer);
+
+static void arm(struct exchange *exchange)
+{
+	uint64_t now = now_us(exchange);
+	uint64_t at = exchange->due_us;
+
+	if (exchange->in_grace)
+		at += ANSWER_GRACE_US;
+	if (exchange->connect_by_us && exchange->connect_by_us < at)
+		at = exchange->connect_by_us;
+	uv_timer_start(&exchange->timer, on_timer,
+		       at > now ? (at - now) / US_PER_MS + 1 : 0, 0);
+}
+
+/* --- sending ------------------------------------------------------------ */
+
+static const char *const *replaced_headers(const struct dialect *dialect)
+{
+	static const char *names[3];
+
+	names[0] = dialect->deadline_ms;
+	names[1] = dialect->expect_instance;
+	return names;
+}
+
+static GString *compose(const struct exchange *exchange)
+{
+	const struct message *request = exchange->request;
+	const struct dialect *dialect = exchange->edge->dialect;
+	GString *text = g_string_sized_new(512 + request->body->len);
+
+	g_string_append_printf(text, "%s %s HTTP/1.1\r\n",
+			       http_method_str(request->method),
+			       request->target->str);
+	message_copy_headers(request, replaced_headers(dialect), text);
+	g_string_append_printf(text, "%s: %" PRIu64 "\r\n",
+			       dialect->deadline_ms,
+			       (uint64_t)(left_us(exchange) / US_PER_MS));
+	g_string_append_printf(text, "%s: %s\r\n", dialect->expect_instance,
+			       exchange->choice.backend->id);
+	if (request->body->len || request->has_length)
+		g_string_append_printf(text, "Content-Length: %u\r\n",
+				       request->body->len);
+	g_string_append(text, "\r\n");
+	g_string_append_len(text, (const char *)request->body->data,
+			    request->body->len);
+	return text;
+}
+
+static void remember_tried(struct exchange *exchange)
+{
+	struct choose_query *query = &exchange->query;
+
+	if (query->tried_count < CHOOSE_MAX_TRIED)
+		query->tried[query->tried_count++] =
+			backend_ref(exchange->choice.backend);
+}
+
+static void send_request(struct exchange *exchange)
+{
+	struct stats *stats = &exchange->edge->stats;
+	struct conn *conn = exchange->conn;
+
+	exchange->connect_by_us = 0;
+	exchange->sent_us = now_us(exchange);
+	exchange->strays = 0;
+	exchange->retry.sends++;
+	exchange->unsettled++;
+	remember_tried(exchange);
+	backend_sent(exchange->choice.backend, exchange->sent_us);
+	metric_add(stats->sent, 1);
+	if (exchange->retry.sends > 1)
+		metric_add(stats->extra, 1);
+	log_event(LOG_DEBUG, "sent",
+		  "request=%s backend=%s reason=%s expected_us=%.0f load=%.1f "
+		  "slots=%u kept=%u left_us=%" PRIu64,
+		  exchange->id, exchange->choice.backend->id,
+		  choose_reason_name(exchange->choice.reason),
+		  exchange->choice.expected_us,
+		  backend_load(exchange->choice.backend, exchange->sent_us),
+		  exchange->choice.backend->slots, conn->uses,
+		  left_us(exchange));
+	arm(exchange);
+	link_send(&conn->link, compose(exchange),
+		  exchange->request->method == HTTP_HEAD);
+}
+
+static void after_failure(struct exchange *exchange, enum send_outcome outcome,
+			  const char *cause);
+
+static void use_conn(struct exchange *exchange)
+{
+	uint64_t idle_us = exchange->retry.idempotent ? IDLE_IDEMPOTENT_US :
+							IDLE_ONCE_US;
+	struct edge *edge = exchange->edge;
+	struct backend *backend = exchange->choice.backend;
+
+	exchange->conn =
+		pool_take(&edge->pool, backend, idle_us, &exchange->user);
+	if (exchange->conn) {
+		send_request(exchange);
+		return;
+	}
+	metric_add(edge->stats.connects, 1);
+	exchange->conn = pool_open(&edge->pool, backend, &exchange->user);
+	if (!exchange->conn) {
+		after_failure(exchange, SEND_UNREACHABLE, "connect");
+		return;
+	}
+	exchange->connect_by_us =
+		now_us(exchange) + CONNECT_EXTRA_US +
+		CONNECT_ROUND_TRIPS *
+			chooser_link_us(&edge->chooser, backend->region);
+	arm(exchange);
+}
+
+/* Nothing can take the request now: the best answer that there is. */
+static void give_up(struct exchange *exchange, const char *cause)
+{
+	struct message *failure = exchange->failure;
+
+	if (!failure) {
+		finish_refused(exchange, exchange->choice.retry_after_us,
+			       cause);
+		return;
+	}
+	exchange->failure = NULL;
+	deliver(exchange, failure);
+	message_free(failure);
+}
+
+static void dispatch(struct exchange *exchange)
+{
+	struct edge *edge = exchange->edge;
+
+	exchange->query.left_us = left_us(exchange);
+	choose_backend(&edge->chooser, &exchange->query, now_us(exchange),
+		       &exchange->choice);
+	if (!exchange->choice.backend) {
+		give_up(exchange, choose_reason_name(exchange->choice.reason));
+		return;
+	}
+	backend_ref(exchange->choice.backend);
+	exchange->retry.usual_us = (uint64_t)exchange->choice.expected_us;
+	use_conn(exchange);
+}
+
+/* --- failures ----------------------------------------------------------- */
+
+static const char *outcome_name(enum send_outcome outcome)
+{
+	switch (outcome) {
+	case SEND_UNREACHABLE:
+		return "unreachable";
+	case SEND_NOT_EXECUTED:
+		return "not-executed";
+	case SEND_FAILED:
+		return "failed";
+	case SEND_BROKEN:
+		return "broken";
+	}
+	return "unknown";
+}
+
+static bool may_retry(struct exchange *exchange, enum send_outcome outcome)
+{
+	exchange->retry.left_us = left_us(exchange);
+	switch (retry_after(&exchange->retry, outcome)) {
+	case RETRY_FREE:
+		return true;
+	case RETRY_PAID:
+		return edge_take_extra(exchange->edge,
+				       exchange->query.service->name);
+	case RETRY_NOT:
+		break;
+	}
+	return false;
+}
+
+static void end_failed(struct exchange *exchange, enum send_outcome outcome,
+		       const char *cause)
+{
+	if (exchange->failure)
+		give_up(exchange, cause);
+	else if (outcome == SEND_BROKEN)
+		finish_failed(exchange, 502, cause);
+	else
+		finish_refused(exchange, RETRY_STARTING_US, cause);
+}
+
+static void after_failure(struct exchange *exchange, enum send_outcome outcome,
+			  const char *cause)
+{
+	const char *id = exchange->choice.backend->id;
+	bool again;
+
+	if (outcome == SEND_UNREACHABLE) {
+		exchange->retry.unreachable++;
+		remember_tried(exchange);
+		backend_unreachable(exchange->edge->backends,
+				    exchange->choice.backend, now_us(exchange));
+	}
+	if (outcome == SEND_NOT_EXECUTED)
+		exchange->unsettled--;
+	again = may_retry(exchange, outcome);
+	log_event(LOG_INFO, "send-failed",
+		  "request=%s backend=%s outcome=%s cause=%s sends=%u "
+		  "left_us=%" PRIu64 " again=%s",
+		  exchange->id, id, outcome_name(outcome), cause,
+		  exchange->retry.sends, exchange->retry.left_us,
+		  again ? "yes" : "no");
+	drop_conn(exchange);
+	release_choice(exchange);
+	exchange->connect_by_us = 0;
+	if (again)
+		dispatch(exchange);
+	else
+		end_failed(exchange, outcome, cause);
+}
+
+static void on_timer(uv_timer_t *timer)
+{
+	struct exchange *exchange = timer->data;
+
+	if (left_us(exchange) && exchange->connect_by_us &&
+	    now_us(exchange) >= exchange->connect_by_us) {
+		after_failure(exchange, SEND_UNREACHABLE, "connect timeout");
+	} else if (left_us(exchange)) {
+		arm(exchange);
+	} else if (exchange->sent_us && !exchange->in_grace) {
+		exchange->in_grace = true;
+		arm(exchange);
+	} else if (exchange->unsettled) {
+		if (exchange->sent_us)
+			backend_failed(exchange->choice.backend,
+				       now_us(exchange));
+		finish_failed(exchange, 504, "timeout");
+	} else {
+		finish_refused(exchange, RETRY_STARTING_US, "timeout");
+	}
+}
+
+/* --- answers ------------------------------------------------------------ */
+
+static void note_load(struct exchange *exchange, const struct message *answer)
+{
+	const char *load =
+		message_header(answer, exchange->edge->dialect->load);
+	unsigned running;
+	unsigned waiting;
+
+	if (load && sscanf(load, "%u,%u", &running, &waiting) == 2)
+		backend_reported(exchange->choice.backend, running, waiting,
+				 now_us(exchange));
+}
+
+static bool says_not_executed(const struct exchange *exchange,
+			      const struct message *answer)
+{
+	return answer->status == 421 ||
+	       message_header(answer, exchange->edge->dialect->not_executed);
+}
+
+/* A status that promises "not run" without the header that proves it. */
+static bool promises_too_much(const struct message *answer)
+{
+	return answer->status == 503 || answer->status == 429 ||
+	       answer->status == 408;
+}
+
+static bool is_whole_success(const struct exchange *exchange,
+			     const struct message *answer)
+{
+	return answer->status < 300 &&
+	       message_header(answer, exchange->edge->dialect->seal);
+}
+
+static void learn(struct exchange *exchange)
+{
+	struct edge *edge = exchange->edge;
+	struct backend *backend = exchange->choice.backend;
+	uint64_t took_us = now_us(exchange) - exchange->sent_us;
+	uint64_t way_us = chooser_link_us(&edge->chooser, backend->region);
+
+	metric_observe_us(edge->stats.backend_us, took_us);
+	backend_succeeded(backend);
+	chooser_learn(&edge->chooser, &exchange->query, backend,
+		      exchange->choice.warm,
+		      took_us > way_us ? (double)(took_us - way_us) : 1.0,
+		      now_us(exchange));
+}
+
+/* Give the connection back after an answer in good order. */
+static void settle(struct exchange *exchange, const struct message *answer)
+{
+	struct conn *conn = exchange->conn;
+
+	leave_backend(exchange);
+	if (exchange->strays)
+		pool_drop(conn);
+	else
+		pool_give_back(conn, answer);
+}
+
+static void on_failed_answer(struct exchange *exchange, struct message *answer)
+{
+	bool again;
+
+	backend_failed(exchange->choice.backend, now_us(exchange));
+	again = may_retry(exchange, SEND_FAILED);
+	log_event(LOG_INFO, "send-failed",
+		  "request=%s backend=%s outcome=failed status=%u again=%s",
+		  exchange->id, exchange->choice.backend->id, answer->status,
+		  again ? "yes" : "no");
+	settle(exchange, answer);
+	if (again) {
+		message_free(exchange->failure);
+		exchange->failure = answer;
+		dispatch(exchange);
+		return;
+	}
+	if (promises_too_much(answer))
+		finish_failed(exchange, 502, "unproved refusal");
+	else
+		deliver(exchange, answer);
+	message_free(answer);
+}
+
+static void on_not_executed(struct exchange *exchange, struct message *answer)
+{
+	metric_add(exchange->edge->stats.shed, 1);
+	message_free(answer);
+	after_failure(exchange, SEND_NOT_EXECUTED, "shed");
+}
+
+static void on_own_answer(struct exchange *exchange, struct message *answer)
+{
+	note_load(exchange, answer);
+	if (says_not_executed(exchange, answer)) {
+		on_not_executed(exchange, answer);
+	} else if (answer->status >= 500 || promises_too_much(answer)) {
+		on_failed_answer(exchange, answer);
+	} else if (answer->status < 300 &&
+		   !is_whole_success(exchange, answer)) {
+		message_free(answer);
+		backend_failed(exchange->choice.backend, now_us(exchange));
+		after_failure(exchange, SEND_BROKEN, "success without seal");
+	} else {
+		learn(exchange);
+		settle(exchange, answer);
+		deliver(exchange, answer);
+		message_free(answer);
+	}
+}
+
+/*
+ * A backend server may answer a request twice, the second time where the next
+ * one's answer is due: delivered, it would be another caller's. The id tells.
+ * An answer without one is taken only where no other can be on its way.
+ */
+static bool is_own(const struct exchange *exchange, const struct conn *conn,
+		   const struct message *answer)
+{
+	const char *id =
+		message_header(answer, exchange->edge->dialect->attempt_id);
+
+	if (id)
+		return !strcmp(id, exchange->id);
+	return !conn->uses && says_not_executed(exchange, answer);
+}
+
+static void on_answered(struct conn_user *user, struct conn *conn,
+			struct message *answer)
+{
+	struct exchange *exchange = (struct exchange *)user;
+
+	if (is_own(exchange, conn, answer)) {
+		on_own_answer(exchange, answer);
+		return;
+	}
+	metric_add(exchange->edge->stats.strays, 1);
+	log_event(LOG_WARNING, "stray-answer",
+		  "request=%s backend=%s status=%u strays=%u", exchange->id,
+		  exchange->choice.backend->id, answer->status,
+		  exchange->strays + 1);
+	message_free(answer);
+	if (++exchange->strays > MAX_STRAYS)
+		after_failure(exchange, SEND_BROKEN, "stray answers");
+	else
+		conn->link.awaiting = true;
+}
+
+static void on_opened(struct conn_user *user, struct conn *conn)
+{
+	struct exchange *exchange = (struct exchange *)user;
+	struct edge *edge = exchange->edge;
+
+	chooser_link_measured(&edge->chooser, conn->backend->region,
+			      now_us(exchange) - conn->opening_us);
+	/* It may have begun to leave while the connection opened. */
+	if (backend_is_closed(edge->backends, conn->backend)) {
+		drop_conn(exchange);
+		release_choice(exchange);
+		exchange->connect_by_us = 0;
+		dispatch(exchange);
+		return;
+	}
+	send_request(exchange);
+}
+
+static void on_ended(struct conn_user *user, struct conn *conn,
+		     const char *cause)
+{
+	struct exchange *exchange = (struct exchange *)user;
+	bool was_sent = exchange->sent_us != 0;
+
+	/* A kept connection that ends says little about its server. */
+	if (was_sent && !conn->uses)
+		backend_failed(exchange->choice.backend, now_us(exchange));
+	after_failure(exchange, was_sent ? SEND_BROKEN : SEND_UNREACHABLE,
+		      cause);
+}
+
+static const struct conn_user_vtable conn_events = {
+	.opened = on_opened,
+	.answered = on_answered,
+	.ended = on_ended,
+};
+
+/* --- the start ---------------------------------------------------------- */
+
+static bool find_route(struct exchange *exchange)
+{
+	struct edge *edge = exchange->edge;
+	const char *host = message_header(exchange->request, "Host");
+	struct route *route;
+
+	exchange->routes = route_table_ref(edge->routes);
+	route = route_table_find(exchange->routes, host ? host : "",
+				 exchange->request->target->str);
+	if (!route)
+		return false;
+	exchange->query.route = route;
+	exchange->query.service = route_table_service(
+		exchange->routes, route_next_service(route));
+	exchange->retry.idempotent = route->idempotent;
+	exchange->retry.max_attempts = route->max_attempts;
+	return true;
+}
+
+static void read_headers(struct exchange *exchange)
+{
+	const struct dialect *dialect = exchange->edge->dialect;
+	const struct message *request = exchange->request;
+	const char *key = message_header(request, dialect->object_key);
+	const char *deadline = message_header(request, dialect->deadline_ms);
+	uint64_t wait_us = exchange->query.route->timeout_us;
+	uint64_t deadline_us = 0;
+
+	if (key) {
+		exchange->query.has_object = true;
+		exchange->query.object = hash_text(key);
+	}
+	if (deadline)
+		deadline_us = g_ascii_strtoull(deadline, NULL, 10) * US_PER_MS;
+	if (deadline_us && deadline_us < wait_us)
+		wait_us = deadline_us;
+	exchange->due_us = exchange->arrived_us + wait_us;
+}
+
+static void begin(struct exchange *exchange)
+{
+	struct edge *edge = exchange->edge;
+
+	if (!edge->routes || !edge->backends_known) {
+		finish_refused(exchange, RETRY_STARTING_US, "starting");
+	} else if (!message_header(exchange->request,
+				   edge->dialect->attempt_id)) {
+		finish_denied(exchange, 400, "the request has no id");
+	} else if (!find_route(exchange)) {
+		finish_denied(exchange, 404, "no route");
+	} else {
+		read_headers(exchange);
+		extra_budget_first(edge_budget(edge,
+					       exchange->query.service->name),
+				   &edge->settings.extra, now_us(exchange));
+		dispatch(exchange);
+	}
+}
+
+struct exchange *exchange_start(struct edge *edge, struct exchange_sink *sink,
+				struct message *request)
+{
+	struct exchange *exchange = g_new0(struct exchange, 1);
+	const char *id = message_header(request, edge->dialect->attempt_id);
+
+	exchange->user.vtable = &conn_events;
+	exchange->edge = edge;
+	exchange->sink = sink;
+	exchange->request = request;
+	exchange->id = id ? id : "none";
+	exchange->arrived_us = edge_now_us(edge);
+	uv_timer_init(edge->loop, &exchange->timer);
+	exchange->timer.data = exchange;
+	edge->exchanges++;
+	metric_add(edge->stats.requests, 1);
+	begin(exchange);
+	return exchange->ended ? NULL : exchange;
+}
+
+void exchange_cancel(struct exchange *exchange)
+{
+	metric_add(exchange->edge->stats.cancelled, 1);
+	log_event(LOG_INFO, "caller-left",
+		  "request=%s after_us=%" PRIu64 " sends=%u", exchange->id,
+		  now_us(exchange) - exchange->arrived_us,
+		  exchange->retry.sends);
+	exchange->sink = NULL;
+	exchange_free(exchange);
+}
--- /dev/null
+++ b/packages/edge/gossip.h
@@ -0,0 +1,26 @@
+/*
+ * gossip - beats between nodes: who lives, what is warm, how loaded
+ */
+#ifndef EDGE_GOSSIP_H
+#define EDGE_GOSSIP_H
+
+#include "edge/edge.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct gossip;
+
+/* Listen for beats and send them; NULL with RESULT_SYSTEM on failure. */
+struct gossip *gossip_open(struct edge *edge, GError **error);
+void gossip_close(struct gossip *gossip);
+
+/* Beat now, since something changed that others should know at once. */
+void gossip_hurry(struct gossip *gossip);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/edge/lane.h
@@ -0,0 +1,57 @@
+/*
+ * lane - calls to one server, one after another on a kept connection
+ *
+ * Not thread-safe. A call ends with exactly one call of its done function: with
+ * an answer, or with NULL where there was none in time. A connection whose
+ * answer is outstanding is closed then, never used again.
+ */
+#ifndef EDGE_LANE_H
+#define EDGE_LANE_H
+
+#include <uv.h>
+
+#include "edge/link.h"
+#include "edge/message.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct lane;
+struct lane_conn;
+
+/* answer is lent; cause says why there is none. */
+typedef void (*lane_done)(void *context, const struct message *answer,
+			  const char *cause);
+
+struct lane {
+	uv_loop_t *loop;
+	struct endpoint to;
+	struct lane_conn *conn; /* NULL: none yet */
+	uv_timer_t timer;
+	GString *request; /* waits for the connection */
+	lane_done done; /* of the call that is out; NULL: none */
+	void *context;
+};
+
+void lane_init(struct lane *lane, uv_loop_t *loop, const struct endpoint *to);
+void lane_close(struct lane *lane);
+
+/* Calls go to another address from the next one on. */
+void lane_redirect(struct lane *lane, const struct endpoint *to);
+
+bool lane_is_busy(const struct lane *lane);
+
+/* Start a call; none may be out. The body is text or NULL. */
+void lane_call(struct lane *lane, const char *method, const char *target,
+	       const char *body, uint64_t timeout_us, lane_done done,
+	       void *context);
+
+/* End the call that is out, if any, without an answer. */
+void lane_abort(struct lane *lane, const char *cause);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/edge/local.c
@@ -0,0 +1,111 @@
+#include "edge/local.h"
+
+#include <string.h>
+
+/* Nodes that one look-up names at most. */
+#define LOOKUP_MOST 64
+
+#define METRICS_PATH "/metrics"
+
+static bool path_is(const struct message *request, const char *path)
+{
+	size_t length = strcspn(request->target->str, "?");
+
+	return strlen(path) == length &&
+	       !strncmp(request->target->str, path, length);
+}
+
+/* Value of a parameter of the query, for g_free(); NULL if there is none. */
+static char *parameter(const struct message *request, const char *name)
+{
+	const char *query = strchr(request->target->str, '?');
+	GHashTable *parameters;
+	char *value = NULL;
+
+	if (!query)
+		return NULL;
+	parameters =
+		g_uri_parse_params(query + 1, -1, "&", G_URI_PARAMS_NONE, NULL);
+	if (!parameters)
+		return NULL;
+	value = g_strdup(g_hash_table_lookup(parameters, name));
+	g_hash_table_unref(parameters);
+	return value;
+}
+
+static void set_body(struct local_answer *answer, const char *type,
+		     const char *text)
+{
+	g_string_append_printf(answer->headers, "Content-Type: %s\r\n", type);
+	g_byte_array_append(answer->body, (const guint8 *)text,
+			    (guint)strlen(text));
+}
+
+static void answer_ready(struct edge *edge, struct local_answer *answer)
+{
+	answer->status = edge_is_ready(edge) ? 200 : 503;
+}
+
+static void answer_lookup(struct edge *edge, const struct message *request,
+			  struct local_answer *answer)
+{
+	char *region = parameter(request, edge->dialect->lookup_region);
+	const struct member *entries[LOOKUP_MOST];
+	struct endpoint endpoints[LOOKUP_MOST];
+	uint32_t count;
+	uint32_t i;
+	char *text;
+
+	count = member_table_entries(edge->members, region ? region : "",
+				     edge_now_us(edge), entries, LOOKUP_MOST);
+	metric_add(edge->stats.lookups, 1);
+	g_free(region);
+	if (!count) {
+		answer->status = 503;
+		return;
+	}
+	for (i = 0; i < count; i++)
+		endpoints[i] = entries[i]->front;
+	text = edge->dialect->format_lookup(endpoints, count,
+					    edge->settings.lookup_keep_us);
+	set_body(answer, "application/json", text);
+	g_free(text);
+}
+
+static void answer_operators(const struct message *request,
+			     struct local_answer *answer)
+{
+	char *text;
+
+	if (!path_is(request, METRICS_PATH)) {
+		answer->status = 404;
+		return;
+	}
+	text = metrics_format();
+	set_body(answer, "text/plain; version=0.0.4", text);
+	g_free(text);
+}
+
+void local_answer(struct edge *edge, enum listener_kind kind,
+		  const struct message *request, struct local_answer *answer)
+{
+	answer->status = 200;
+	answer->headers = g_string_new(NULL);
+	answer->body = g_byte_array_new();
+	if (kind == LISTENER_READY &&
+	    path_is(request, edge->dialect->ready_path))
+		answer_ready(edge, answer);
+	else if (kind == LISTENER_LOOKUP &&
+		 path_is(request, edge->dialect->lookup_path))
+		answer_lookup(edge, request, answer);
+	else if (kind == LISTENER_OPERATORS)
+		answer_operators(request, answer);
+	else
+		answer->status = 404;
+}
+
+void local_answer_release(struct local_answer *answer)
+{
+	g_string_free(answer->headers, TRUE);
+	g_byte_array_unref(answer->body);
+}
--- /dev/null
+++ b/packages/edge/message.c
@@ -0,0 +1,319 @@
+#include "edge/message.h"
+
+#include <string.h>
+
+/* Headers that concern one connection (RFC 9110, 7.6.1), and the framing. */
+static const char *const hop_headers[] = {
+	"Connection",
+	"Keep-Alive",
+	"Proxy-Connection",
+	"Transfer-Encoding",
+	"TE",
+	"Trailer",
+	"Upgrade",
+	"Content-Length",
+	"Expect",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+};
+
+struct message *message_new(void)
+{
+	struct message *message = g_new0(struct message, 1);
+
+	message->text = g_string_sized_new(256);
+	message->headers = g_array_new(FALSE, TRUE, sizeof(struct header));
+	message->target = g_string_sized_new(64);
+	message->body = g_byte_array_new();
+	return message;
+}
+
+void message_free(struct message *message)
+{
+	if (!message)
+		return;
+	g_string_free(message->text, TRUE);
+	g_array_unref(message->headers);
+	g_string_free(message->target, TRUE);
+	g_byte_array_unref(message->body);
+	g_free(message);
+}
+
+static const struct header *header_at(const struct message *message, guint i)
+{
+	return &g_array_index(message->headers, struct header, i);
+}
+
+static const char *name_at(const struct message *message, guint i)
+{
+	return message->text->str + header_at(message, i)->name;
+}
+
+static const char *value_at(const struct message *message, guint i)
+{
+	return message->text->str + header_at(message, i)->value;
+}
+
+const char *message_header(const struct message *message, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < message->headers->len; i++)
+		if (!g_ascii_strcasecmp(name_at(message, i), name))
+			return value_at(message, i);
+	return NULL;
+}
+
+uint32_t message_count(const struct message *message, const char *name)
+{
+	uint32_t count = 0;
+	guint i;
+
+	for (i = 0; i < message->headers->len; i++)
+		if (!g_ascii_strcasecmp(name_at(message, i), name))
+			count++;
+	return count;
+}
+
+static int stop(struct message_reader *reader, enum message_state state)
+{
+	reader->state = state;
+	return -1;
+}
+
+static int count_head(struct message_reader *reader, size_t length)
+{
+	reader->head_bytes += length;
+	if (reader->head_bytes > reader->limits.head_bytes)
+		return stop(reader, MESSAGE_HEAD_TOO_LARGE);
+	return 0;
+}
+
+static int on_target(http_parser *parser, const char *at, size_t length)
+{
+	struct message_reader *reader = parser->data;
+
+	g_string_append_len(reader->message->target, at, (gssize)length);
+	return count_head(reader, length);
+}
+
+static void end_value(struct message_reader *reader)
+{
+	if (reader->in_value)
+		g_string_append_c(reader->message->text, '\0');
+	reader->in_value = false;
+}
+
+static void begin_header(struct message_reader *reader)
+{
+	struct message *message = reader->message;
+	struct header header = { (uint32_t)message->text->len, 0 };
+
+	g_array_append_val(message->headers, header);
+}
+
+static struct header *last_header(struct message *message)
+{
+	return &g_array_index(message->headers, struct header,
+			      message->headers->len - 1);
+}
+
+static int on_name(http_parser *parser, const char *at, size_t length)
+{
+	struct message_reader *reader = parser->data;
+	struct message *message = reader->message;
+	bool is_new = reader->in_value || !message->headers->len;
+
+	end_value(reader);
+	if (is_new)
+		begin_header(reader);
+	g_string_append_len(message->text, at, (gssize)length);
+	return count_head(reader, length + 4);
+}
+
+static int on_value(http_parser *parser, const char *at, size_t length)
+{
+	struct message_reader *reader = parser->data;
+	struct message *message = reader->message;
+
+	if (!reader->in_value) {
+		g_string_append_c(message->text, '\0');
+		last_header(message)->value = (uint32_t)message->text->len;
+		reader->in_value = true;
+	}
+	g_string_append_len(message->text, at, (gssize)length);
+	return count_head(reader, length);
+}
+
+static bool has_token(const char *list, const char *token)
+{
+	char **parts = g_strsplit(list, ",", -1);
+	bool found = false;
+	int i;
+
+	for (i = 0; parts[i] && !found; i++)
+		found = !g_ascii_strcasecmp(g_strstrip(parts[i]), token);
+	g_strfreev(parts);
+	return found;
+}
+
+static bool framing_is_clear(const struct message *message)
+{
+	return message_count(message, "Content-Length") <= 1 &&
+	       message_count(message, "Transfer-Encoding") <= 1 &&
+	       !(message_header(message, "Content-Length") &&
+		 message_header(message, "Transfer-Encoding"));
+}
+
+static int on_head(http_parser *parser)
+{
+	struct message_reader *reader = parser->data;
+	struct message *message = reader->message;
+	const char *expect;
+
+	end_value(reader);
+	if (!framing_is_clear(message))
+		return stop(reader, MESSAGE_MALFORMED);
+	message->status = (uint16_t)parser->status_code;
+	message->method = (uint8_t)parser->method;
+	message->has_length = (parser->flags & F_CHUNKED) ||
+			      message_header(message, "Content-Length");
+	expect = message_header(message, "Expect");
+	message->expects_continue = expect && has_token(expect, "100-continue");
+	if (message->has_length && !(parser->flags & F_CHUNKED) &&
+	    !reader->no_body &&
+	    parser->content_length > reader->limits.body_bytes)
+		return stop(reader, MESSAGE_BODY_TOO_LARGE);
+	return reader->no_body ? 1 : 0;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t length)
+{
+	struct message_reader *reader = parser->data;
+	GByteArray *body = reader->message->body;
+
+	if (body->len + length > reader->limits.body_bytes)
+		return stop(reader, MESSAGE_BODY_TOO_LARGE);
+	g_byte_array_append(body, (const guint8 *)at, (guint)length);
+	return 0;
+}
+
+static int on_whole(http_parser *parser)
+{
+	struct message_reader *reader = parser->data;
+	struct message *message = reader->message;
+
+	message->keep_alive = http_should_keep_alive(parser);
+	reader->state = MESSAGE_WHOLE;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings callbacks = {
+	.on_url = on_target,
+	.on_header_field = on_name,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head,
+	.on_body = on_body,
+	.on_message_complete = on_whole,
+};
+
+void message_reader_init(struct message_reader *reader,
+			 enum http_parser_type type,
+			 const struct message_limits *limits)
+{
+	memset(reader, 0, sizeof(*reader));
+	http_parser_init(&reader->parser, type);
+	reader->parser.data = reader;
+	reader->limits = *limits;
+	reader->message = message_new();
+}
+
+void message_reader_release(struct message_reader *reader)
+{
+	message_free(reader->message);
+	reader->message = NULL;
+}
+
+void message_reader_next(struct message_reader *reader, bool no_body)
+{
+	enum http_parser_type type = (enum http_parser_type)reader->parser.type;
+	struct message_limits limits = reader->limits;
+
+	message_reader_release(reader);
+	message_reader_init(reader, type, &limits);
+	reader->no_body = no_body;
+}
+
+static bool is_interim(const struct message_reader *reader)
+{
+	return reader->parser.type == HTTP_RESPONSE &&
+	       reader->message->status >= 100 && reader->message->status < 200;
+}
+
+enum message_state message_reader_feed(struct message_reader *reader,
+				       const char *bytes, size_t length,
+				       size_t *used)
+{
+	size_t offset = 0;
+
+	reader->started |= length > 0;
+	do {
+		offset += http_parser_execute(&reader->parser, &callbacks,
+					      bytes + offset, length - offset);
+		*used = offset;
+		if (reader->state != MESSAGE_WHOLE || !is_interim(reader))
+			break;
+		/* "100 Continue" and its like announce the answer proper. */
+		message_reader_next(reader, reader->no_body);
+	} while (offset < length);
+	if (reader->state == MESSAGE_PARTIAL &&
+	    HTTP_PARSER_ERRNO(&reader->parser) != HPE_OK)
+		reader->state = HTTP_PARSER_ERRNO(&reader->parser) ==
+						HPE_HEADER_OVERFLOW ?
+					MESSAGE_HEAD_TOO_LARGE :
+					MESSAGE_MALFORMED;
+	return reader->state;
+}
+
+struct message *message_reader_take(struct message_reader *reader)
+{
+	struct message *message = reader->message;
+
+	reader->message = NULL;
+	return message;
+}
+
+static bool is_listed(const char *name, const char *const *list)
+{
+	for (; list && *list; list++)
+		if (!g_ascii_strcasecmp(name, *list))
+			return true;
+	return false;
+}
+
+static bool is_hop_header(const struct message *message, const char *name)
+{
+	const char *connection = message_header(message, "Connection");
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(hop_headers); i++)
+		if (!g_ascii_strcasecmp(name, hop_headers[i]))
+			return true;
+	return connection && has_token(connection, name);
+}
+
+void message_copy_headers(const struct message *message,
+			  const char *const *without, GString *out)
+{
+	guint i;
+
+	for (i = 0; i < message->headers->len; i++) {
+		const char *name = name_at(message, i);
+
+		if (is_hop_header(message, name) || is_listed(name, without))
+			continue;
+		g_string_append_printf(out, "%s: %s\r\n", name,
+				       value_at(message, i));
+	}
+}
--- /dev/null
+++ b/packages/edge/pool.c
@@ -0,0 +1,220 @@
+#include "edge/pool.h"
+
+#include <string.h>
+
+#include "adapters/log.h"
+#include "core/duration.h"
+
+/* Kept for so long where the server doesn't say; shorter than usual servers. */
+#define KEEP_PRIOR_US (4 * US_PER_S)
+
+/* Before the server closes an idle connection we do, by this much. */
+#define KEEP_MARGIN_US (1 * US_PER_S)
+
+static void on_opened(struct link *link)
+{
+	struct conn *conn = (struct conn *)link;
+
+	if (conn->user)
+		conn->user->vtable->opened(conn->user, conn);
+	else
+		pool_drop(conn);
+}
+
+static void on_answered(struct link *link, struct message *answer)
+{
+	struct conn *conn = (struct conn *)link;
+
+	if (conn->user) {
+		conn->user->vtable->answered(conn->user, conn, answer);
+		return;
+	}
+	message_free(answer);
+	pool_drop(conn);
+}
+
+static void on_ended(struct link *link, const char *cause)
+{
+	struct conn *conn = (struct conn *)link;
+
+	if (conn->user)
+		conn->user->vtable->ended(conn->user, conn, cause);
+	else
+		pool_drop(conn);
+}
+
+static void on_released(struct link *link)
+{
+	struct conn *conn = (struct conn *)link;
+
+	conn->pool->open_count--;
+	backend_unref(conn->backend);
+	g_free(conn);
+}
+
+static const struct link_vtable link_events = {
+	.opened = on_opened,
+	.answered = on_answered,
+	.ended = on_ended,
+	.released = on_released,
+};
+
+void pool_init(struct pool *pool, uv_loop_t *loop, const struct clock *clock,
+	       const struct message_limits *limits, uint32_t idle_most)
+{
+	memset(pool, 0, sizeof(*pool));
+	pool->loop = loop;
+	pool->clock = clock;
+	pool->limits = *limits;
+	pool->idle_most = idle_most;
+	pool->idle = g_ptr_array_new();
+}
+
+void pool_release(struct pool *pool)
+{
+	pool_drop_idle(pool);
+	g_ptr_array_unref(pool->idle);
+}
+
+static uint64_t idle_us(const struct conn *conn, uint64_t now_us)
+{
+	return now_us - conn->idle_since_us;
+}
+
+static bool is_fresh(const struct conn *conn, uint64_t most_idle_us,
+		     uint64_t now_us)
+{
+	uint64_t idle = idle_us(conn, now_us);
+
+	return idle <= most_idle_us && idle < conn->keep_us;
+}
+
+static struct conn *newest(const struct pool *pool,
+			   const struct backend *backend, uint64_t most_idle_us)
+{
+	uint64_t now_us = clock_now_us(pool->clock);
+	guint i;
+
+	for (i = pool->idle->len; i > 0; i--) {
+		struct conn *conn = pool->idle->pdata[i - 1];
+
+		if (conn->backend == backend)
+			return is_fresh(conn, most_idle_us, now_us) ? conn :
+								      NULL;
+	}
+	return NULL;
+}
+
+bool pool_has(const struct pool *pool, const struct backend *backend,
+	      uint64_t most_idle_us)
+{
+	return newest(pool, backend, most_idle_us) != NULL;
+}
+
+struct conn *pool_take(struct pool *pool, struct backend *backend,
+		       uint64_t most_idle_us, struct conn_user *user)
+{
+	struct conn *conn = newest(pool, backend, most_idle_us);
+
+	if (!conn)
+		return NULL;
+	g_ptr_array_remove(pool->idle, conn);
+	conn->user = user;
+	return conn;
+}
+
+struct conn *pool_open(struct pool *pool, struct backend *backend,
+		       struct conn_user *user)
+{
+	struct conn *conn = g_new0(struct conn, 1);
+	int status;
+
+	conn->pool = pool;
+	conn->backend = backend_ref(backend);
+	conn->user = user;
+	conn->opening_us = clock_now_us(pool->clock);
+	conn->keep_us = KEEP_PRIOR_US;
+	pool->open_count++;
+	pool->opened_total++;
+	status = link_open(&conn->link, &link_events, pool->loop,
+			   &backend->address, &pool->limits);
+	if (!status)
+		return conn;
+	log_event(LOG_WARNING, "backend-connect", "backend=%s result=%s",
+		  backend->id, uv_err_name(status));
+	conn->user = NULL;
+	link_close(&conn->link);
+	return NULL;
+}
+
+/* "timeout=N" of a Keep-Alive header, in seconds. */
+static uint64_t keep_time(const struct message *answer)
+{
+	const char *value = message_header(answer, "Keep-Alive");
+	const char *timeout = value ? strstr(value, "timeout=") : NULL;
+	uint64_t seconds;
+
+	if (!timeout)
+		return KEEP_PRIOR_US;
+	seconds = g_ascii_strtoull(timeout + strlen("timeout="), NULL, 10);
+	if (seconds * US_PER_S <= KEEP_MARGIN_US)
+		return 0;
+	return seconds * US_PER_S - KEEP_MARGIN_US;
+}
+
+static uint32_t idle_count(const struct pool *pool,
+			   const struct backend *backend)
+{
+	uint32_t count = 0;
+	guint i;
+
+	for (i = 0; i < pool->idle->len; i++)
+		if (((struct conn *)pool->idle->pdata[i])->backend == backend)
+			count++;
+	return count;
+}
+
+void pool_give_back(struct conn *conn, const struct message *answer)
+{
+	struct pool *pool = conn->pool;
+
+	conn->user = NULL;
+	conn->uses++;
+	conn->keep_us = keep_time(answer);
+	conn->idle_since_us = clock_now_us(pool->clock);
+	if (!answer->keep_alive || conn->link.extra || conn->link.writing ||
+	    !conn->link.open || !conn->keep_us || conn->backend->gone ||
+	    conn->backend->draining ||
+	    idle_count(pool, conn->backend) >= pool->idle_most)
+		pool_drop(conn);
+	else
+		g_ptr_array_add(pool->idle, conn);
+}
+
+void pool_drop(struct conn *conn)
+{
+	if (!conn->user)
+		g_ptr_array_remove(conn->pool->idle, conn);
+	conn->user = NULL;
+	link_close(&conn->link);
+}
+
+void pool_sweep(struct pool *pool, const struct backend_table *backends)
+{
+	uint64_t now_us = clock_now_us(pool->clock);
+	guint i;
+
+	for (i = pool->idle->len; i > 0; i--) {
+		struct conn *conn = pool->idle->pdata[i - 1];
+
+		if (backend_is_closed(backends, conn->backend) ||
+		    idle_us(conn, now_us) >= conn->keep_us)
+			pool_drop(conn);
+	}
+}
+
+void pool_drop_idle(struct pool *pool)
+{
+	while (pool->idle->len)
+		pool_drop(pool->idle->pdata[pool->idle->len - 1]);
+}
--- /dev/null
+++ b/packages/edge/run.c
@@ -0,0 +1,273 @@
+#include "edge/run.h"
+
+#include <inttypes.h>
+#include <signal.h>
+#include <string.h>
+
+#include "adapters/clock_system.h"
+#include "adapters/log.h"
+#include "core/duration.h"
+#include "edge/caller.h"
+#include "edge/gossip.h"
+#include "edge/sync.h"
+
+/* How often time-outs of connections are looked at. */
+#define TICK_US (200 * US_PER_MS)
+
+/* How often the settings file is read for a change that no signal told of. */
+#define SETTINGS_EVERY_US (2 * US_PER_S)
+
+/*
+ * A tick so late means that the machine stood still: connections may be dead
+ * and what is known is old.
+ */
+#define SUSPENDED_US (1500 * US_PER_MS)
+
+/*
+ * A stop in steps. Callers keep look-ups for a while, up to three times as long
+ * as told, so requests are taken for that time; what is in flight then ends.
+ */
+#define STOP_LOOKUPS 3
+
+/* Kept back of the time for a stop, to end by ourselves. */
+#define STOP_MARGIN_US (300 * US_PER_MS)
+
+enum { AT_FRONT, AT_READY, AT_LOOKUP, AT_OPERATORS, LISTENERS };
+
+struct run {
+	struct edge edge;
+	uv_loop_t loop;
+	struct listener listeners[LISTENERS];
+	struct sync *sync;
+	struct gossip *gossip;
+	uv_signal_t signals[3];
+	uv_timer_t tick;
+	const char *settings_path;
+	uint64_t tick_us; /* of the last tick */
+	uint64_t settings_us; /* when the settings file was last read */
+	bool front_closed;
+	bool was_ready;
+};
+
+/* --- settings ----------------------------------------------------------- */
+
+static bool same_endpoint(const struct endpoint *a, const struct endpoint *b)
+{
+	return a->port == b->port && !strcmp(a->address, b->address);
+}
+
+static void take_settings(struct run *run, struct edge_settings *fresh)
+{
+	struct edge_settings *current = &run->edge.settings;
+	bool moved = !same_endpoint(&current->registry, &fresh->registry);
+
+	current->extra = fresh->extra;
+	current->nodes_least = fresh->nodes_least;
+	current->lookup_keep_us = fresh->lookup_keep_us;
+	current->stop_most_us = fresh->stop_most_us;
+	current->registry = fresh->registry;
+	if (moved)
+		sync_redirect(run->sync, &current->registry);
+	log_event(LOG_DEBUG, "settings", "registry=%s:%u moved=%s",
+		  current->registry.address, current->registry.port,
+		  moved ? "yes" : "no");
+}
+
+/* A bad file changes nothing: what is in force is good. */
+static void reload_settings(struct run *run)
+{
+	struct edge_settings fresh;
+	GError *error = NULL;
+
+	run->settings_us = edge_now_us(&run->edge);
+	if (!edge_settings_load(&fresh, run->settings_path, &error)) {
+		log_event(LOG_ERROR, "settings-refused", "cause=%s",
+			  error->message);
+		g_error_free(error);
+		return;
+	}
+	take_settings(run, &fresh);
+	edge_settings_release(&fresh);
+}
+
+/* --- stopping ----------------------------------------------------------- */
+
+static void close_all(struct run *run)
+{
+	uint32_t i;
+
+	for (i = 0; i < LISTENERS; i++)
+		listener_close(&run->listeners[i]);
+	uv_stop(&run->loop);
+}
+
+static void begin_stop(struct run *run)
+{
+	struct edge *edge = &run->edge;
+
+	if (edge->stopping)
+		return;
+	edge->stopping = true;
+	edge->stopping_us = edge_now_us(edge);
+	log_event(LOG_INFO, "stop-begins", "in_flight=%u callers=%u",
+		  edge->exchanges, g_queue_get_length(&edge->callers));
+	gossip_hurry(run->gossip);
+}
+
+static void go_on_stopping(struct run *run)
+{
+	struct edge *edge = &run->edge;
+	uint64_t passed_us = edge_now_us(edge) - edge->stopping_us;
+	uint64_t taking_us = STOP_LOOKUPS * edge->settings.lookup_keep_us;
+
+	taking_us = MIN(taking_us, edge->settings.stop_most_us / 2);
+	if (passed_us < taking_us)
+		return;
+	if (!run->front_closed) {
+		run->front_closed = true;
+		listener_close(&run->listeners[AT_FRONT]);
+	}
+	callers_close_idle(edge);
+	if (!edge->exchanges && passed_us > taking_us + TICK_US) {
+		log_event(LOG_INFO, "stop-ends", "whole=yes took_us=%" PRIu64,
+			  passed_us);
+		close_all(run);
+	} else if (passed_us + STOP_MARGIN_US > edge->settings.stop_most_us) {
+		log_event(LOG_WARNING, "stop-ends",
+			  "whole=no in_flight=%u took_us=%" PRIu64,
+			  edge->exchanges, passed_us);
+		close_all(run);
+	}
+}
+
+/* --- events ------------------------------------------------------------- */
+
+static void on_signal(uv_signal_t *handle, int number)
+{
+	struct run *run = handle->data;
+
+	if (number == SIGHUP) {
+		log_event(LOG_INFO, "reload", "settings=%s",
+			  run->settings_path);
+		reload_settings(run);
+	} else {
+		begin_stop(run);
+	}
+}
+
+/*
+ * What was known before a suspension is old: servers have left, connections
+ * were dropped. Kept connections go, and the tables are asked for at once.
+ */
+static void after_suspension(struct run *run, uint64_t stood_us)
+{
+	log_event(LOG_WARNING, "suspended", "stood_us=%" PRIu64, stood_us);
+	pool_drop_idle(&run->edge.pool);
+	sync_refresh(run->sync);
+}
+
+static void note_readiness(struct run *run)
+{
+	bool ready = edge_is_ready(&run->edge);
+
+	if (ready == run->was_ready)
+		return;
+	run->was_ready = ready;
+	log_event(LOG_INFO, "readiness", "ready=%s", ready ? "yes" : "no");
+	if (ready)
+		gossip_hurry(run->gossip);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct run *run = timer->data;
+	struct edge *edge = &run->edge;
+	uint64_t now_us = edge_now_us(edge);
+	uint64_t passed_us = now_us - run->tick_us;
+
+	run->tick_us = now_us;
+	if (passed_us > SUSPENDED_US)
+		after_suspension(run, passed_us);
+	backend_table_expire(edge->backends, now_us);
+	callers_sweep(edge);
+	pool_sweep(&edge->pool, edge->backends);
+	note_readiness(run);
+	if (now_us - run->settings_us > SETTINGS_EVERY_US)
+		reload_settings(run);
+	if (edge->stopping)
+		go_on_stopping(run);
+}
+
+/* --- start -------------------------------------------------------------- */
+
+static bool open_listener(struct run *run, uint32_t at, enum listener_kind kind,
+			  const struct endpoint *endpoint, GError **error)
+{
+	return !endpoint->port || listener_open(&run->listeners[at], &run->edge,
+						kind, endpoint, error);
+}
+
+static bool open_listeners(struct run *run, GError **error)
+{
+	const struct edge_settings *settings = &run->edge.settings;
+
+	return open_listener(run, AT_FRONT, LISTENER_FRONT, &settings->front,
+			     error) &&
+	       open_listener(run, AT_READY, LISTENER_READY, &settings->ready,
+			     error) &&
+	       open_listener(run, AT_LOOKUP, LISTENER_LOOKUP, &settings->lookup,
+			     error) &&
+	       open_listener(run, AT_OPERATORS, LISTENER_OPERATORS,
+			     &settings->operators, error);
+}
+
+static void watch_signals(struct run *run)
+{
+	static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
+	uint32_t i;
+
+	signal(SIGPIPE, SIG_IGN);
+	for (i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		uv_signal_init(&run->loop, &run->signals[i]);
+		run->signals[i].data = run;
+		uv_signal_start(&run->signals[i], on_signal, numbers[i]);
+	}
+}
+
+static void start_tick(struct run *run)
+{
+	uv_timer_init(&run->loop, &run->tick);
+	run->tick.data = run;
+	run->tick_us = edge_now_us(&run->edge);
+	run->settings_us = run->tick_us;
+	uv_timer_start(&run->tick, on_tick, TICK_US / US_PER_MS,
+		       TICK_US / US_PER_MS);
+}
+
+bool run_node(const struct edge_settings *settings, const char *settings_path,
+	      const struct dialect *dialect, const struct registry *registry,
+	      GError **error)
+{
+	struct run *run = g_new0(struct run, 1);
+	struct edge *edge = &run->edge;
+
+	uv_loop_init(&run->loop);
+	edge_init(edge, &run->loop, clock_system(), dialect, registry,
+		  settings);
+	stats_init(&edge->stats);
+	run->settings_path = settings_path;
+	watch_signals(run);
+	if (!open_listeners(run, error))
+		return false;
+	run->gossip = gossip_open(edge, error);
+	if (!run->gossip)
+		return false;
+	run->sync = sync_open(edge);
+	start_tick(run);
+	log_event(LOG_INFO, "start", "domain=%s region=%s front=%s:%u",
+		  settings->domain, settings->region, settings->front.address,
+		  settings->front.port);
+	uv_run(&run->loop, UV_RUN_DEFAULT);
+	/* The process ends here: its sockets close with it, all at once. */
+	return true;
+}
--- /dev/null
+++ b/packages/edge/stats.h
@@ -0,0 +1,41 @@
+/*
+ * stats - the counters of a node and their names
+ */
+#ifndef EDGE_STATS_H
+#define EDGE_STATS_H
+
+#include <stdint.h>
+
+#include "adapters/metrics.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct stats {
+	struct metric *requests; /* that callers sent */
+	struct metric *delivered; /* a backend server's answer went out */
+	struct metric *refused; /* not run, with when to come back */
+	struct metric *failed; /* 502 or 504 of our own */
+	struct metric *denied; /* 4xx of our own */
+	struct metric *cancelled; /* the caller left */
+	struct metric *sent; /* to backend servers */
+	struct metric *extra; /* of these, beyond a request's first */
+	struct metric *connects; /* connections opened to them */
+	struct metric *shed; /* answers that say "not run" */
+	struct metric *strays; /* answers of other requests, dropped */
+	struct metric *lookups;
+	struct metric *registry_calls;
+	struct metric *registry_failures;
+	struct metric *latency_us; /* arrival to answer */
+	struct metric *backend_us; /* sending to answer */
+};
+
+/* Register them; metrics_open() comes before. */
+void stats_init(struct stats *stats);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/edge/sync.h
@@ -0,0 +1,32 @@
+/*
+ * sync - follows the platform's tables and keeps the node's own row there
+ *
+ * Each table has a lane of its own. A table is read whole, then followed from
+ * that version on; where the history is lost it is read whole again. What is
+ * known stays in force while the platform is away.
+ */
+#ifndef EDGE_SYNC_H
+#define EDGE_SYNC_H
+
+#include "edge/edge.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct sync;
+
+struct sync *sync_open(struct edge *edge);
+void sync_close(struct sync *sync);
+
+/* The platform has another address. */
+void sync_redirect(struct sync *sync, const struct endpoint *to);
+
+/* Ask at once: the node was suspended, and what it knows is old. */
+void sync_refresh(struct sync *sync);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
