edge: an answer without length goes out without one

Change: such answers end with the caller's connection, as they came. Ruled out: a reset on that connection (it is an orderly end).

--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -102,16 +102,21 @@
 	       status < 200;
 }
 
-static void write_answer(struct caller *caller, uint16_t status,
-			 const GString *headers, const GByteArray *body)
+static void write_answer(struct caller *caller,
+			 const struct exchange_answer *answer)
 {
-	bool keep = caller->keep_alive && !caller->edge->stopping;
-	GString *text = g_string_sized_new(256 + headers->len + body->len);
+	bool keep = caller->keep_alive && !caller->edge->stopping &&
+		    !answer->until_close;
+	const GByteArray *body = answer->body;
+	uint16_t status = answer->status;
+	GString *text =
+		g_string_sized_new(256 + answer->headers->len + body->len);
 
 	g_string_append_printf(text, "HTTP/1.1 %u %s\r\n", status,
 			       http_status_str((enum http_status)status));
-	g_string_append_len(text, headers->str, (gssize)headers->len);
-	if (!has_no_body(caller, status))
+	g_string_append_len(text, answer->headers->str,
+			    (gssize)answer->headers->len);
+	if (!has_no_body(caller, status) && !answer->until_close)
 		g_string_append_printf(text, "Content-Length: %u\r\n",
 				       body->len);
 	if (!keep)
@@ -132,8 +137,8 @@
 	message_reader_next(&caller->reader, false);
 }
 
-static void on_finish(struct exchange_sink *sink, uint16_t status,
-		      const GString *headers, const GByteArray *body)
+static void on_finish(struct exchange_sink *sink,
+		      const struct exchange_answer *answer)
 {
 	struct caller *caller = (struct caller *)sink;
 	GByteArray *ahead = caller->ahead;
@@ -141,7 +146,7 @@
 	caller->exchange = NULL;
 	if (caller->closing)
 		return;
-	write_answer(caller, status, headers, body);
+	write_answer(caller, answer);
 	next_request(caller);
 	if (!ahead->len || caller->lingering)
 		return;
@@ -156,6 +161,7 @@
 {
 	GString *headers = g_string_new("Content-Type: text/plain\r\n");
 	GByteArray *body = g_byte_array_new();
+	const struct exchange_answer answer = { status, headers, body, false };
 
 	log_event(LOG_INFO, "request-rejected", "status=%u cause=%s", status,
 		  cause);
@@ -163,7 +169,7 @@
 	caller->keep_alive = false;
 	caller->is_head = false;
 	g_byte_array_append(body, (const guint8 *)cause, strlen(cause));
-	write_answer(caller, status, headers, body);
+	write_answer(caller, &answer);
 	g_string_free(headers, TRUE);
 	g_byte_array_unref(body);
 }
@@ -172,11 +178,15 @@
 
 static void answer_locally(struct caller *caller, const struct message *request)
 {
-	struct local_answer answer;
-
-	local_answer(caller->edge, caller->kind, request, &answer);
-	write_answer(caller, answer.status, answer.headers, answer.body);
-	local_answer_release(&answer);
+	struct local_answer local;
+	struct exchange_answer answer = { .until_close = false };
+
+	local_answer(caller->edge, caller->kind, request, &local);
+	answer.status = local.status;
+	answer.headers = local.headers;
+	answer.body = local.body;
+	write_answer(caller, &answer);
+	local_answer_release(&local);
 	next_request(caller);
 }
 
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -124,21 +124,21 @@
 	uv_close((uv_handle_t *)&exchange->timer, on_timer_closed);
 }
 
-static void finish(struct exchange *exchange, uint16_t status,
-		   const GString *headers, const GByteArray *body)
+static void finish(struct exchange *exchange,
+		   const struct exchange_answer *answer)
 {
 	struct exchange_sink *sink = exchange->sink;
 	uint64_t took_us = now_us(exchange) - exchange->arrived_us;
 
 	metric_observe_us(exchange->edge->stats.latency_us, took_us);
-	log_event(status < 400 ? LOG_DEBUG : LOG_INFO, "answered",
+	log_event(answer->status < 400 ? LOG_DEBUG : LOG_INFO, "answered",
 		  "request=%s status=%u took_us=%" PRIu64
 		  " sends=%u unreachable=%u",
-		  exchange->id, status, took_us, exchange->retry.sends,
+		  exchange->id, answer->status, took_us, exchange->retry.sends,
 		  exchange->retry.unreachable);
 	exchange->sink = NULL;
 	if (sink)
-		sink->vtable->finish(sink, status, headers, body);
+		sink->vtable->finish(sink, answer);
 	exchange_free(exchange);
 }
 
@@ -147,6 +147,7 @@
 {
 	GString *headers = g_string_new(NULL);
 	GByteArray *body = g_byte_array_new();
+	const struct exchange_answer answer = { status, headers, body, false };
 
 	if (retry_after_us)
 		g_string_append_printf(headers, "Retry-After: %.3f\r\n",
@@ -158,7 +159,7 @@
 	log_event(LOG_INFO, "own-answer",
 		  "request=%s status=%u cause=%s unsettled=%u", exchange->id,
 		  status, cause, exchange->unsettled);
-	finish(exchange, status, headers, body);
+	finish(exchange, &answer);
 	g_string_free(headers, TRUE);
 	g_byte_array_unref(body);
 }
@@ -196,13 +197,19 @@
 {
 	GString *headers = g_string_new(NULL);
 	const char *length = message_header(answer, "Content-Length");
+	const struct exchange_answer whole = {
+		.status = answer->status,
+		.headers = headers,
+		.body = answer->body,
+		.until_close = answer->until_close,
+	};
 
 	message_copy_headers(answer, NULL, headers);
 	if (exchange->request->method == HTTP_HEAD && length)
 		g_string_append_printf(headers, "Content-Length: %s\r\n",
 				       length);
 	metric_add(exchange->edge->stats.delivered, 1);
-	finish(exchange, answer->status, headers, answer->body);
+	finish(exchange, &whole);
 	g_string_free(headers, TRUE);
 }
 
@@ -547,6 +554,12 @@
 static void on_own_answer(struct exchange *exchange, struct message *answer)
 {
 	note_load(exchange, answer);
+	log_event(LOG_DEBUG, "backend-answer",
+		  "request=%s backend=%s status=%u body_bytes=%u framed=%s "
+		  "took_us=%" PRIu64,
+		  exchange->id, exchange->choice.backend->id, answer->status,
+		  answer->body->len, answer->has_length ? "yes" : "no",
+		  now_us(exchange) - exchange->sent_us);
 	if (says_not_executed(exchange, answer)) {
 		on_not_executed(exchange, answer);
 	} else if (answer->status >= 500 || promises_too_much(answer)) {
--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -22,10 +22,22 @@
 struct exchange;
 struct exchange_sink;
 
+/* What goes to the caller; the framing is the connection's. */
+struct exchange_answer {
+	uint16_t status;
+	const GString *headers; /* lines with their ends */
+	const GByteArray *body;
+	/*
+	 * The backend server gave no length: whether it broke off can't be
+	 * known, so the answer must not go out as a whole one of known length.
+	 */
+	bool until_close;
+};
+
 struct exchange_sink_vtable {
-	/* The answer's head without its end, and its body; both are lent. */
-	void (*finish)(struct exchange_sink *sink, uint16_t status,
-		       const GString *headers, const GByteArray *body);
+	/* The one answer; lent. */
+	void (*finish)(struct exchange_sink *sink,
+		       const struct exchange_answer *answer);
 };
 
 struct exchange_sink {
--- a/packages/edge/message.c
+++ b/packages/edge/message.c
@@ -204,6 +204,7 @@
 	struct message *message = reader->message;
 
 	message->keep_alive = http_should_keep_alive(parser);
+	message->until_close = reader->at_end;
 	reader->state = MESSAGE_WHOLE;
 	http_parser_pause(parser, 1);
 	return 0;
@@ -258,6 +259,7 @@
 	size_t offset = 0;
 
 	reader->started |= length > 0;
+	reader->at_end = !length;
 	do {
 		offset += http_parser_execute(&reader->parser, &callbacks,
 					      bytes + offset, length - offset);
--- a/packages/edge/message.h
+++ b/packages/edge/message.h
@@ -33,6 +33,8 @@
 	uint8_t method; /* of a request, enum http_method */
 	bool keep_alive; /* the connection goes on after it */
 	bool expects_continue; /* waits for "100 Continue" before the body */
+	bool until_close; /* an answer without length: ends with its connection
+			   */
 	bool has_length; /* a length or chunks were given */
 };
 
@@ -59,6 +61,7 @@
 	bool in_value;
 	bool no_body; /* the answer to a HEAD request */
 	bool started; /* a byte of the message has come */
+	bool at_end; /* the connection has ended */
 };
 
 struct message *message_new(void);
