sync: a held call doesn't outlive the store's silence

Change: calls are held for 2.5 s at most, and the short call's success after failures ends the others' calls, which then begin anew. Ruled out: lost feed rows (the version jumped as soon as the call was made).

--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -7,8 +7,11 @@
 #include "core/duration.h"
 #include "edge/lane.h"
 
-/* A call to the platform that only reads or writes; usual ones take 10 ms. */
-#define CALL_TIMEOUT_US (1500 * US_PER_MS)
+/*
+ * A call to the platform beyond the time that it may be held: two round trips
+ * of a continent's width, and an answer fifty times slower than usual.
+ */
+#define CALL_TIMEOUT_US (1200 * US_PER_MS)
 
 /* Pause before a call is repeated after a failure: doubled up to the second. */
 #define RETRY_FIRST_US (200 * US_PER_MS)
@@ -372,8 +375,12 @@
 /* --- following ---------------------------------------------------------- */
 
 static const struct follow_rule rules[FOLLOWERS] = {
-	/* Changes are rare and must be in force soon: held calls. */
-	{ "config", REGISTRY_CONFIG, 10 * US_PER_S, 50 * US_PER_MS,
+	/*
+	 * Changes are rare and must be in force soon: held calls. A connection
+	 * that fell silent shows when one of them isn't answered, so they are
+	 * held for less than the 4 s that a node has to recover.
+	 */
+	{ "config", REGISTRY_CONFIG, 2500 * US_PER_MS, 50 * US_PER_MS,
 	  apply_config, prune_config },
 	/* Changes all the time: a call a second and a bit takes them together,
 	 * half of the 2.5 s after which one that leaves must get nothing. */
@@ -458,6 +465,20 @@
 	follower->whole = true;
 }
 
+/*
+ * A path to the platform that fell silent holds the other tables' waiting calls
+ * for as long as they may wait, also past its return. The short call's time-out
+ * tells for all, and so does its success after failures.
+ */
+static void abort_waiting(struct sync *sync, const struct follower *but)
+{
+	uint32_t i;
+
+	for (i = 0; i < FOLLOWERS; i++)
+		if (&sync->followers[i] != but)
+			lane_abort(&sync->followers[i].lane, "silent path");
+}
+
 static void note_success(struct follower *follower)
 {
 	struct sync *sync = follower->sync;
@@ -472,6 +493,8 @@
 	    follower->answered_us &&
 	    (follower->failures || gap_us > AWAY_AFTER_US))
 		sync->lapse_until_us = now_us + LAPSE_KEEP_US;
+	if (follower->rule->table == REGISTRY_BACKENDS && follower->failures)
+		abort_waiting(sync, follower);
 	follower->answered_us = now_us;
 	follower->failures = 0;
 	follower->retry_us = 0;
@@ -490,19 +513,6 @@
 	call_later(follower, follower->retry_us);
 }
 
-/*
- * A path to the platform that fell silent holds the other tables' waiting calls
- * for as long as they may wait. The short call's time-out tells for all.
- */
-static void abort_waiting(struct sync *sync, const struct follower *but)
-{
-	uint32_t i;
-
-	for (i = 0; i < FOLLOWERS; i++)
-		if (&sync->followers[i] != but)
-			lane_abort(&sync->followers[i].lane, "silent path");
-}
-
 static void on_answer(void *context, const struct message *answer,
 		      const char *cause)
 {
