sync: a server that left while a node was cut off isn't kept as lapsed

Change: entries are kept for as much of the time as the part that is missing; calls that fail are repeated within 1.6 s. Ruled out: the list's feed (the deletion came with the first answer).

--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -11,16 +11,20 @@
  * A call to the platform beyond the time that it may be held: two round trips
  * of a continent's width, and an answer fifty times slower than usual.
  */
-#define CALL_TIMEOUT_US (1200 * US_PER_MS)
+#define CALL_TIMEOUT_US (1000 * US_PER_MS)
 
-/* Pause before a call is repeated after a failure: doubled up to the second. */
+/*
+ * Pause before a call is repeated after a failure, doubled up to the most: with
+ * the time-out, a node knows within 2 s that the platform is back.
+ */
 #define RETRY_FIRST_US (200 * US_PER_MS)
-#define RETRY_MOST_US (1200 * US_PER_MS)
+#define RETRY_MOST_US (600 * US_PER_MS)
 
 /*
  * Entries of backend servers that lapsed while the platform was away come back
- * within about 2 s of its return. Those that leave must get nothing more
- * 2.5 s after that was acknowledged, so no longer than this.
+ * within about 2 s of its return. A missing one is kept for as much of this as
+ * the part of entries that are missing: where most are there the platform
+ * wasn't away, or has long been back, and a missing server has left.
  */
 #define LAPSE_KEEP_US (2200 * US_PER_MS)
 
@@ -65,6 +69,7 @@
 	uv_timer_t own_timer;
 	uint64_t own_retry_us;
 	bool own_written;
+	bool was_away; /* since the last rows of backend servers */
 	uint64_t lapse_until_us; /* missing backend servers are kept till then
 				  */
 };
@@ -417,11 +422,35 @@
 	g_hash_table_remove_all(follower->seen);
 }
 
+/* The first rows after the platform was away tell how many entries lapsed. */
+static void weigh_lapse(struct sync *sync, const struct registry_rows *rows)
+{
+	uint32_t known = g_hash_table_size(sync->edge->backends->by_id);
+	uint32_t present = 0;
+	double missing;
+	guint i;
+
+	sync->was_away = false;
+	for (i = 0; i < rows->rows->len; i++)
+		if (!g_array_index(rows->rows, struct registry_row, i).deleted)
+			present++;
+	if (!known)
+		return;
+	missing = 1.0 - (double)MIN(present, known) / known;
+	sync->lapse_until_us =
+		edge_now_us(sync->edge) + (uint64_t)(missing * LAPSE_KEEP_US);
+	log_event(LOG_INFO, "lapse-weighed", "known=%u present=%u", known,
+		  present);
+}
+
 static void apply_rows(struct follower *follower,
 		       const struct registry_rows *rows)
 {
+	struct sync *sync = follower->sync;
 	guint i;
 
+	if (follower->rule->table == REGISTRY_BACKENDS && sync->was_away)
+		weigh_lapse(sync, rows);
 	for (i = 0; i < rows->rows->len; i++) {
 		const struct registry_row *row =
 			&g_array_index(rows->rows, struct registry_row, i);
@@ -475,7 +504,8 @@
 	uint32_t i;
 
 	for (i = 0; i < FOLLOWERS; i++)
-		if (&sync->followers[i] != but)
+		if (&sync->followers[i] != but &&
+		    sync->followers[i].called_us <= but->called_us)
 			lane_abort(&sync->followers[i].lane, "silent path");
 }
 
@@ -492,7 +522,7 @@
 	if (follower->rule->table == REGISTRY_BACKENDS &&
 	    follower->answered_us &&
 	    (follower->failures || gap_us > AWAY_AFTER_US))
-		sync->lapse_until_us = now_us + LAPSE_KEEP_US;
+		sync->was_away = true;
 	if (follower->rule->table == REGISTRY_BACKENDS && follower->failures)
 		abort_waiting(sync, follower);
 	follower->answered_us = now_us;
