tests: the data path against stand-ins of store and backend servers

43 cases on one loop: faults of backend servers, strict reading, callers that leave, the budget, and the store silent, lapsed, forgetful, losing answers. Found by them: a service whose times aren't known yet was refused by its prior; now its times count after 20 answers.

--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -36,6 +36,9 @@
 /* Requests over its slots that a server may hold, as a part of the slots. */
 #define QUEUE_PART 0.5
 
+/* Answers of a service before its times are a reason to refuse. */
+#define TRUST_SAMPLES 20
+
 /* Part of requests that may warm one more server for their object. */
 #define TRIAL_PART 0.04
 
@@ -334,7 +337,8 @@
 
 	memset(choice, 0, sizeof(*choice));
 	best = pick(chooser, query, candidates, now_us);
-	if (best && best->expected_us <= (double)query->left_us) {
+	if (best && (times->samples < TRUST_SAMPLES ||
+		     best->expected_us <= (double)query->left_us)) {
 		choice->backend = best->backend;
 		choice->expected_us = best->expected_us;
 		choice->warm = best->warm;
--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -389,3 +389,11 @@
 			caller_linger(caller);
 	}
 }
+
+void callers_close_all(struct edge *edge)
+{
+	GList *at;
+
+	for (at = edge->callers.head; at; at = at->next)
+		caller_close(at->data);
+}
--- a/packages/edge/caller.h
+++ b/packages/edge/caller.h
@@ -39,9 +39,12 @@
 /* Close connections that were idle or slow for too long; call it often. */
 void callers_sweep(struct edge *edge);
 
-/* Close the connections that no request is on. */
+/* End, in order, the connections that no request is on. */
 void callers_close_idle(struct edge *edge);
 
+/* Close all connections at once; what is in flight is cancelled. */
+void callers_close_all(struct edge *edge);
+
 #ifdef __cplusplus
 }
 #endif
--- a/packages/edge/gossip.h
+++ b/packages/edge/gossip.h
@@ -14,6 +14,7 @@
 
 /* Listen for beats and send them; NULL with RESULT_SYSTEM on failure. */
 struct gossip *gossip_open(struct edge *edge, GError **error);
+/* The memory may be freed once the loop has turned. */
 void gossip_close(struct gossip *gossip);
 
 /* Beat now, since something changed that others should know at once. */
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -196,10 +196,7 @@
 	if (!backend->lapsed_us)
 		log_event(LOG_INFO, "backend-missing",
 			  "backend=%s service=%s kept_us=%" PRIu64, id,
-			  backend->service,
-			  sync->lapse_until_us > now_us ?
-				  sync->lapse_until_us - now_us :
-				  0);
+			  backend->service, sync_lapse_left_us(sync));
 	backend_table_remove(edge->backends, id, sync->lapse_until_us, now_us);
 }
 
@@ -660,6 +657,14 @@
 	uv_close((uv_handle_t *)&sync->own_timer, NULL);
 }
 
+uint64_t sync_lapse_left_us(const struct sync *sync)
+{
+	uint64_t now_us = edge_now_us(sync->edge);
+
+	return sync->lapse_until_us > now_us ? sync->lapse_until_us - now_us :
+					       0;
+}
+
 void sync_redirect(struct sync *sync, const struct endpoint *to)
 {
 	uint32_t i;
--- a/packages/edge/sync.h
+++ b/packages/edge/sync.h
@@ -17,8 +17,12 @@
 struct sync;
 
 struct sync *sync_open(struct edge *edge);
+/* End all calls. The memory may be freed once the loop has turned. */
 void sync_close(struct sync *sync);
 
+/* For how long missing backend servers are still taken for lapsed ones. */
+uint64_t sync_lapse_left_us(const struct sync *sync);
+
 /* The platform has another address. */
 void sync_redirect(struct sync *sync, const struct endpoint *to);
 
--- /dev/null
+++ b/tests/edge/exchange_test.cc
@@ -0,0 +1,311 @@
+/* Requests through a node: answers, faults of backend servers, callers. */
+#include "edge/edge_world.h"
+
+namespace
+{
+
+class ExchangeTest : public EdgeWorld
+{
+};
+
+TEST_F(ExchangeTest, AnAnswerComesBackUnchanged)
+{
+	add_app("i-1");
+	start_node();
+	std::string answer = answer_to(get("a1", "/r/x?q=1"));
+
+	EXPECT_EQ(200, status_of(answer));
+	EXPECT_EQ("a1 by i-1 run 1", body_of(answer));
+	EXPECT_NE(std::string::npos,
+		  answer.find("Lilacfield-Response-Seal: s\r\n"));
+	EXPECT_NE(std::string::npos,
+		  answer.find("Lilacfield-Attempt-Id: a1\r\n"));
+}
+
+struct fault_case {
+	const char *name;
+	const char *story;
+	enum app_fault fault;
+	const char *path; /* "/r/" may run twice, "/o/" once at most */
+	int status; /* with every backend server at fault */
+	uint32_t most_runs;
+	bool framed; /* the caller gets a length */
+};
+
+/*
+ * Each backend server at hand shows the same fault, so what the caller gets is
+ * the node's last word.
+ */
+const fault_case fault_cases[] = {
+	{ "CrashIdempotent", "no answer from two servers: 502, not 503",
+	  APP_CRASH, "/r/", 502, 2, true },
+	{ "CrashOnce", "it may have run: no second send, and no promise",
+	  APP_CRASH, "/o/", 502, 1, true },
+	{ "CutIdempotent", "a cut body is never delivered as whole", APP_CUT,
+	  "/r/", 502, 2, true },
+	{ "CutOnce", "a cut body is never delivered as whole", APP_CUT, "/o/",
+	  502, 1, true },
+	{ "Unframed", "an answer without a length goes out without one",
+	  APP_UNFRAMED, "/r/", 200, 1, false },
+	{ "UnframedCut", "it may be cut: it must not get a length from us",
+	  APP_UNFRAMED_CUT, "/r/", 200, 1, false },
+	{ "SpoiledIdempotent", "bytes that are no HTTP belong to no request",
+	  APP_SPOILED, "/r/", 502, 2, true },
+	{ "SpoiledOnce", "bytes that are no HTTP belong to no request",
+	  APP_SPOILED, "/o/", 502, 1, true },
+	{ "FailIdempotent", "the server's own failure comes back", APP_FAIL,
+	  "/r/", 500, 2, true },
+	{ "FailOnce", "the server's own failure comes back", APP_FAIL, "/o/",
+	  500, 1, true },
+	{ "FalseRefusalIdempotent", "a 503 that proves nothing is no promise",
+	  APP_FALSE_REFUSAL, "/r/", 502, 2, true },
+	{ "FalseRefusalOnce", "a 503 that proves nothing is no promise",
+	  APP_FALSE_REFUSAL, "/o/", 502, 1, true },
+};
+
+class FaultTest : public EdgeWorld,
+		  public ::testing::WithParamInterface<fault_case>
+{
+};
+
+TEST_P(FaultTest, OfAllBackendServers)
+{
+	const fault_case &c = GetParam();
+
+	SCOPED_TRACE(c.story);
+	for (const char *id : { "i-1", "i-2", "i-3" })
+		app_stand_set_fault(add_app(id).stand, c.fault);
+	start_node();
+	std::string answer = answer_to(get("a1", c.path));
+
+	EXPECT_EQ(c.status, status_of(answer)) << answer;
+	EXPECT_EQ(c.framed,
+		  answer.find("Content-Length:") != std::string::npos);
+	uint32_t runs = 0;
+	for (const App &app : apps)
+		runs += app_stand_runs(app.stand, "a1");
+	EXPECT_GE(c.most_runs, runs);
+	EXPECT_LE(1u, runs);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, FaultTest, ::testing::ValuesIn(fault_cases),
+			 [](const auto &info) { return info.param.name; });
+
+/*
+ * A backend server answers a request twice. The second answer waits on the kept
+ * connection, where the next request's is due: delivered, it would show one
+ * inspector another boiler's history. The request's id tells them apart.
+ */
+TEST_F(ExchangeTest, ASecondAnswerIsNotTheNextRequests)
+{
+	App &app = add_app("i-1");
+
+	start_node();
+	app_stand_set_fault(app.stand, APP_TWICE);
+	EXPECT_EQ("a1 by i-1 run 1", body_of(answer_to(get("a1", "/r/"))));
+	app_stand_set_fault(app.stand, APP_GOOD);
+	EXPECT_EQ("a2 by i-1 run 1", body_of(answer_to(get("a2", "/r/"))));
+	EXPECT_EQ("a3 by i-1 run 1", body_of(answer_to(get("a3", "/r/"))));
+}
+
+/*
+ * The address of a server that ended went to another start. The list still
+ * names the old one: the request names whom it expects, is turned away unrun,
+ * and goes to another server.
+ */
+TEST_F(ExchangeTest, AnotherStartAtTheAddressRunsNothing)
+{
+	App &old = add_app("i-old");
+
+	start_node();
+	old.id = "i-gone";
+	list_app(old, "ready");
+	store_stand_put(store, "servers", "i-old", nullptr);
+	wait_for([this] {
+		return backend_table_find(edge->backends, "i-gone") &&
+		       !backend_table_find(edge->backends, "i-old");
+	});
+	std::string answer = answer_to(get("a1", "/o/"));
+
+	EXPECT_EQ(503, status_of(answer));
+	EXPECT_NE(std::string::npos, answer.find("Retry-After: "));
+	EXPECT_EQ(0u, app_stand_total_runs(old.stand));
+}
+
+/*
+ * An inspector gives up and closes the app. The server must not work on for
+ * nobody: its slot is somebody else's.
+ */
+TEST_F(ExchangeTest, ACallerThatLeavesEndsTheWork)
+{
+	App &app = add_app("i-1", 5000);
+
+	timeout = "9000ms";
+	put_routes(2);
+	start_node();
+	auto caller = call(get("a1", "/r/"));
+
+	wait_for([&] { return app_stand_running(app.stand) == 1; });
+	caller->leave();
+	wait_for([&] { return app_stand_cancelled(app.stand) == 1; });
+	EXPECT_EQ(0u, edge->exchanges);
+}
+
+/* The operator's timeout is kept while a server is silent. */
+TEST_F(ExchangeTest, ASilentServerIsAnsweredForInTime)
+{
+	timeout = "300ms";
+	put_routes(2);
+	app_stand_set_fault(add_app("i-1").stand, APP_SILENT);
+	start_node();
+	EXPECT_EQ(504, status_of(answer_to(get("a1", "/r/"))));
+	EXPECT_EQ(504, status_of(answer_to(get("a2", "/o/"))));
+}
+
+/* No server at all: a refusal that says when to come back, at once. */
+TEST_F(ExchangeTest, WithoutServersTheRefusalIsTrue)
+{
+	start_node();
+	std::string answer = answer_to(get("a1", "/o/"));
+
+	EXPECT_EQ(503, status_of(answer));
+	EXPECT_NE(std::string::npos, answer.find("Retry-After: "));
+}
+
+/* A server gets what time is left, never more than the caller's. */
+TEST_F(ExchangeTest, TheDeadlineHandedOnIsWhatIsLeft)
+{
+	App &app = add_app("i-1");
+
+	start_node();
+	answer_to(get("a1", "/r/", "Lilacfield-Deadline-Ms: 500\r\n"));
+	EXPECT_LE(app_stand_last_deadline_ms(app.stand), 500u);
+	EXPECT_GT(app_stand_last_deadline_ms(app.stand), 0u);
+	answer_to(get("a2", "/r/", "Lilacfield-Deadline-Ms: 60000\r\n"));
+	EXPECT_LE(app_stand_last_deadline_ms(app.stand), 2000u);
+}
+
+struct reader_case {
+	const char *name;
+	const char *bytes;
+	int status;
+};
+
+const reader_case reader_cases[] = {
+	{ "NoRoute",
+	  "GET /n/ HTTP/1.1\r\nHost: h.example\r\n"
+	  "Lilacfield-Attempt-Id: a\r\n\r\n",
+	  404 },
+	{ "OtherHost",
+	  "GET /r/ HTTP/1.1\r\nHost: x.example\r\n"
+	  "Lilacfield-Attempt-Id: a\r\n\r\n",
+	  404 },
+	{ "NoId", "GET /r/ HTTP/1.1\r\nHost: h.example\r\n\r\n", 400 },
+	{ "NoHost", "GET /r/ HTTP/1.1\r\nLilacfield-Attempt-Id: a\r\n\r\n",
+	  400 },
+	{ "TwoHosts",
+	  "GET /r/ HTTP/1.1\r\nHost: h.example\r\n"
+	  "Host: x.example\r\nLilacfield-Attempt-Id: a\r\n\r\n",
+	  400 },
+	{ "TwoLengths",
+	  "POST /r/ HTTP/1.1\r\nHost: h.example\r\n"
+	  "Content-Length: 1\r\nContent-Length: 2\r\n"
+	  "Lilacfield-Attempt-Id: a\r\n\r\nxx",
+	  400 },
+	{ "LengthBesideChunks",
+	  "POST /r/ HTTP/1.1\r\nHost: h.example\r\n"
+	  "Content-Length: 1\r\n"
+	  "Transfer-Encoding: chunked\r\n"
+	  "Lilacfield-Attempt-Id: a\r\n\r\n"
+	  "0\r\n\r\n",
+	  400 },
+	{ "BadLength",
+	  "POST /r/ HTTP/1.1\r\nHost: h.example\r\n"
+	  "Content-Length: -1\r\n"
+	  "Lilacfield-Attempt-Id: a\r\n\r\n",
+	  400 },
+	{ "NoHttp", "hello\r\n\r\n", 400 },
+	{ "BodyTooLarge",
+	  "POST /r/ HTTP/1.1\r\nHost: h.example\r\n"
+	  "Content-Length: 2000000\r\n"
+	  "Lilacfield-Attempt-Id: a\r\n\r\n",
+	  413 },
+	{ "ChunkedBody",
+	  "POST /r/ HTTP/1.1\r\nHost: h.example\r\n"
+	  "Transfer-Encoding: chunked\r\n"
+	  "Lilacfield-Attempt-Id: a\r\n\r\n"
+	  "3\r\nabc\r\n0\r\n\r\n",
+	  200 },
+	{ "Head",
+	  "HEAD /r/ HTTP/1.1\r\nHost: h.example\r\n"
+	  "Lilacfield-Attempt-Id: a\r\nConnection: close\r\n\r\n",
+	  200 },
+};
+
+class ReaderTest : public EdgeWorld,
+		   public ::testing::WithParamInterface<reader_case>
+{
+};
+
+TEST_P(ReaderTest, AnswersWithTheStatus)
+{
+	add_app("i-1");
+	start_node();
+	EXPECT_EQ(GetParam().status, status_of(answer_to(GetParam().bytes)));
+	/* Others are served on. */
+	EXPECT_EQ(200, status_of(answer_to(get("b", "/r/"))));
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, ReaderTest, ::testing::ValuesIn(reader_cases),
+			 [](const auto &info) { return info.param.name; });
+
+TEST_F(ExchangeTest, AHeadThatIsTooLargeIsTold)
+{
+	add_app("i-1");
+	start_node();
+	EXPECT_EQ(431, status_of(answer_to(
+			       get("a", "/r/",
+				   "X: " + std::string(20000, 'x') + "\r\n"))));
+}
+
+/* Requests sent ahead on one connection are answered one by one, in order. */
+TEST_F(ExchangeTest, RequestsSentAheadAreAnsweredInOrder)
+{
+	add_app("i-1");
+	start_node();
+	auto caller =
+		call(get("a1", "/r/") + get("a2", "/r/") + get("a3", "/r/"));
+
+	wait_for(
+		[&] { return caller->got.find("a3 by") != std::string::npos; });
+	EXPECT_LT(caller->got.find("a1 by"), caller->got.find("a2 by"));
+	EXPECT_LT(caller->got.find("a2 by"), caller->got.find("a3 by"));
+}
+
+/*
+ * A service that sheds under a burst must not be asked a second time for every
+ * request: the extra requests of all nodes are bounded.
+ */
+TEST_F(ExchangeTest, ExtraRequestsKeepToTheBudget)
+{
+	std::vector<std::unique_ptr<RawCaller>> callers;
+	uint32_t runs = 0;
+
+	for (const char *id : { "i-1", "i-2" })
+		app_stand_set_fault(add_app(id, 1).stand, APP_FAIL);
+	start_node();
+	edge->settings.extra.allowance = 10;
+	for (int i = 0; i < 100; i++)
+		callers.push_back(call(get("a" + std::to_string(i), "/r/")));
+	wait_for([&] {
+		for (const auto &caller : callers)
+			if (!is_whole(*caller))
+				return false;
+		return true;
+	});
+	for (const App &app : apps)
+		runs += app_stand_total_runs(app.stand);
+	EXPECT_LE(runs, 100u + 20u + 10u);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/edge/sync_test.cc
@@ -0,0 +1,190 @@
+/* What a node believes of the platform's tables, with the store in trouble. */
+#include "edge/edge_world.h"
+
+namespace
+{
+
+class SyncTest : public EdgeWorld
+{
+      protected:
+	void set_silent(bool silent)
+	{
+		struct store_faults faults = {};
+
+		faults.silent = silent;
+		store_stand_set_faults(store, &faults);
+	}
+	bool knows(const char *id)
+	{
+		return backend_table_find(edge->backends, id) != nullptr;
+	}
+	bool has_lost(const char *name)
+	{
+		(void)name;
+		return metric_value(edge->stats.registry_failures) > 0;
+	}
+};
+
+/*
+ * The store was silent for a while and is back. The operator's new routes are
+ * refused with 404 for ten seconds more: the call that waits for changes was
+ * made while the store was silent, and waits for its own time-out.
+ */
+TEST_F(SyncTest, AHeldCallDoesNotOutliveTheStoresSilence)
+{
+	add_app("i-1");
+	start_node();
+	set_silent(true);
+	wait_for([this] { return has_lost("backends"); }, "the store is lost");
+	turn_for(1500);
+	set_silent(false);
+	put_routes(7);
+	uint64_t calls = store_stand_calls(store);
+	wait_for([this] { return edge->routes->version == 7; });
+	EXPECT_LE(store_stand_calls(store) - calls, 8u);
+}
+
+/*
+ * A node is cut off from the store; meanwhile a server leaves, and its entry is
+ * removed. Back in touch, the node must not take the missing entry for one that
+ * lapsed with the store and send requests there for two seconds more: most
+ * other entries are there, so the store wasn't away.
+ */
+TEST_F(SyncTest, AServerThatLeftDuringACutIsGoneAtOnce)
+{
+	for (int i = 0; i < 10; i++)
+		add_app("i-" + std::to_string(i));
+	start_node();
+	set_silent(true);
+	wait_for([this] { return has_lost("backends"); });
+	store_stand_put(store, "servers", "i-3", nullptr);
+	for (App &app : apps)
+		if (app.id != "i-3")
+			list_app(app, "ready", "0ms", 2);
+	set_silent(false);
+	wait_for([this] { return !knows("i-3"); });
+	EXPECT_LE(sync_lapse_left_us(sync), 250000u);
+}
+
+/*
+ * The store was away and all entries lapsed meanwhile. The servers live, and
+ * are back in the list within two seconds: a node that dropped them at once
+ * would refuse all requests until then.
+ */
+TEST_F(SyncTest, EntriesThatLapsedWithTheStoreAreKept)
+{
+	App &app = add_app("i-1");
+
+	add_app("i-2");
+	start_node();
+	set_silent(true);
+	wait_for([this] { return has_lost("backends"); });
+	store_stand_put(store, "servers", "i-1", nullptr);
+	store_stand_put(store, "servers", "i-2", nullptr);
+	set_silent(false);
+	wait_for([this] {
+		struct backend *backend =
+			backend_table_find(edge->backends, "i-1");
+
+		return !backend || backend->lapsed_us;
+	});
+	ASSERT_TRUE(knows("i-1"));
+	EXPECT_EQ(200, status_of(answer_to(get("a1", "/r/"))));
+	list_app(app, "ready", "0ms", 2);
+	wait_for([this] { return !knows("i-2"); },
+		 "one that doesn't come back is gone");
+	EXPECT_TRUE(knows("i-1"));
+}
+
+/* The history is forgotten while the node follows: it reads the table anew. */
+TEST_F(SyncTest, AForgottenHistoryIsReadAnew)
+{
+	add_app("i-1");
+	add_app("i-2");
+	start_node();
+	set_silent(true);
+	wait_for([this] { return has_lost("backends"); });
+	store_stand_put(store, "servers", "i-2", nullptr);
+	list_app(apps[0], "draining");
+	put_routes(5);
+	store_stand_forget(store);
+	set_silent(false);
+	wait_for([this] { return edge->routes->version == 5; });
+	wait_for([this] { return !knows("i-2"); });
+	EXPECT_TRUE(backend_table_find(edge->backends, "i-1")->draining);
+}
+
+/* Versions only go forward, also when an older one comes later. */
+TEST_F(SyncTest, AnOlderVersionIsNotTakenBack)
+{
+	start_node();
+	put_routes(9);
+	wait_for([this] { return edge->routes->version == 9; });
+	put_routes(4);
+	put_routes(10);
+	wait_for([this] { return edge->routes->version == 10; });
+}
+
+/* A document that can't be read leaves the one before it in force. */
+TEST_F(SyncTest, ABadDocumentChangesNothing)
+{
+	start_node();
+	store_stand_put(store, "op", "config", "{\"version\":2,\"routes\":{");
+	put_routes(3);
+	wait_for([this] { return edge->routes->version == 3; });
+}
+
+/*
+ * An evacuated failure domain gets nothing, and its servers count as cold when
+ * it is taken back: their caches emptied meanwhile.
+ */
+TEST_F(SyncTest, AnEvacuatedDomainGetsNothing)
+{
+	add_app("i-1", 20, "s", "d1");
+	add_app("i-2", 20, "s", "d2");
+	start_node();
+	store_stand_put(store, "op", "evacuate/d1", "{}");
+	wait_for([this] {
+		return backend_table_evacuated(edge->backends, "d1");
+	});
+	for (int i = 0; i < 6; i++)
+		EXPECT_EQ(200, status_of(answer_to(
+				       get("a" + std::to_string(i), "/r/"))));
+	EXPECT_EQ(0u, app_stand_total_runs(apps[0].stand));
+	store_stand_put(store, "op", "evacuate/d1", nullptr);
+	wait_for([this] {
+		return !backend_table_evacuated(edge->backends, "d1");
+	});
+	EXPECT_GT(backend_table_find(edge->backends, "i-1")->cold_until_us,
+		  edge_now_us(edge));
+}
+
+/* Answers of the store are lost after the write was done: written again. */
+TEST_F(SyncTest, ALostAnswerToTheOwnRowIsMadeUpFor)
+{
+	struct store_faults faults = {};
+
+	faults.lose_answers = true;
+	store_stand_set_faults(store, &faults);
+	start_node(false);
+	wait_for([this] {
+		return store_stand_get(store, "members", "n1") != nullptr;
+	});
+	faults.lose_answers = false;
+	store_stand_set_faults(store, &faults);
+	wait_for([this] { return edge_is_ready(edge); });
+}
+
+/* Before anything is known: refused as not run, and not ready. */
+TEST_F(SyncTest, ANodeThatKnowsNothingPromisesNothing)
+{
+	set_silent(true);
+	start_node(false);
+	EXPECT_EQ(503, status_of(answer_to(get("a1", "/r/"))));
+	EXPECT_FALSE(edge_is_ready(edge));
+	set_silent(false);
+	add_app("i-1");
+	wait_for([this] { return edge_is_ready(edge); });
+}
+
+} // namespace
--- /dev/null
+++ b/tests/standins/app_stand.c
@@ -0,0 +1,390 @@
+#include "standins/app_stand.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "core/duration.h"
+#include "standins/http_stand.h"
+
+#define ATTEMPT_ID "Lilacfield-Attempt-Id"
+#define OBJECT_KEY "Lilacfield-Affinity-Key"
+#define DEADLINE "Lilacfield-Deadline-Ms"
+#define EXPECTED "Lilacfield-Expect-Instance"
+
+struct run {
+	struct app_stand *app;
+	struct http_call *call;
+	uv_timer_t timer;
+	char *id;
+	char *object;
+	enum app_fault fault;
+	bool waits; /* in the queue */
+};
+
+struct app_stand {
+	uv_loop_t *loop;
+	struct http_stand *http;
+	struct app_settings settings;
+	char *id;
+	enum app_fault fault;
+	bool draining;
+	GHashTable *runs; /* request id -> how often it ran */
+	GQueue cache; /* of char *, latest first */
+	GQueue active; /* of struct run that work */
+	GQueue queue; /* of struct run that wait */
+	uint32_t total_runs;
+	uint32_t cancelled;
+	uint32_t rejected;
+	uint64_t last_deadline_ms;
+};
+
+/* --- cache -------------------------------------------------------------- */
+
+static GList *cache_find(struct app_stand *app, const char *object)
+{
+	return g_queue_find_custom(&app->cache, object,
+				   (GCompareFunc)(void (*)(void))strcmp);
+}
+
+static void cache_add(struct app_stand *app, const char *object)
+{
+	GList *link = cache_find(app, object);
+
+	if (link) {
+		g_queue_unlink(&app->cache, link);
+		g_queue_push_head_link(&app->cache, link);
+		return;
+	}
+	g_queue_push_head(&app->cache, g_strdup(object));
+	if (g_queue_get_length(&app->cache) > app->settings.objects)
+		g_free(g_queue_pop_tail(&app->cache));
+}
+
+/* --- answers ------------------------------------------------------------ */
+
+static char *headers_for(const struct app_stand *app, const char *id,
+			 const char *more)
+{
+	return g_strdup_printf(ATTEMPT_ID ": %s\r\n"
+					  "Lilacfield-Server-Load: %u,%u,%u\r\n"
+					  "%s%s",
+			       id, g_queue_get_length((GQueue *)&app->active),
+			       g_queue_get_length((GQueue *)&app->queue),
+			       app->settings.slots,
+			       app->draining ? "Connection: close\r\n" : "",
+			       more);
+}
+
+static void answer(struct app_stand *app, struct http_call *call,
+		   const char *id, unsigned status, const char *more,
+		   const char *body)
+{
+	char *headers = headers_for(app, id, more);
+
+	http_call_answer(call, status, headers, body, strlen(body));
+	g_free(headers);
+}
+
+static void write_unframed(struct app_stand *app, struct run *run,
+			   const char *body)
+{
+	char *headers =
+		headers_for(app, run->id, "Lilacfield-Response-Seal: s\r\n");
+	char *text = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\n%sConnection: close\r\n\r\n%s", headers,
+		body);
+
+	http_call_write(run->call, text, strlen(text));
+	http_call_close(run->call, false);
+	g_free(text);
+	g_free(headers);
+}
+
+static void write_cut(struct app_stand *app, struct run *run)
+{
+	char *headers =
+		headers_for(app, run->id, "Lilacfield-Response-Seal: s\r\n");
+	char *text = g_strdup_printf("HTTP/1.1 200 OK\r\n%s"
+				     "Content-Length: 100\r\n\r\nhalf of",
+				     headers);
+
+	http_call_write(run->call, text, strlen(text));
+	http_call_close(run->call, false);
+	g_free(text);
+	g_free(headers);
+}
+
+static void write_twice(struct app_stand *app, struct run *run,
+			const char *body)
+{
+	char *headers =
+		headers_for(app, run->id, "Lilacfield-Response-Seal: s\r\n");
+	char *text = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\n%sContent-Length: %zu\r\n\r\n%s", headers,
+		strlen(body), body);
+
+	http_call_write(run->call, text, strlen(text));
+	http_call_write(run->call, text, strlen(text));
+	http_call_end(run->call);
+	g_free(text);
+	g_free(headers);
+}
+
+static void end_faulty(struct app_stand *app, struct run *run, const char *body)
+{
+	static const char spoiled[] = "\x01\x02 this is no answer\r\n\r\n";
+
+	switch (run->fault) {
+	case APP_CRASH:
+		http_call_close(run->call, true);
+		break;
+	case APP_CUT:
+		write_cut(app, run);
+		break;
+	case APP_UNFRAMED:
+		write_unframed(app, run, body);
+		break;
+	case APP_UNFRAMED_CUT:
+		write_unframed(app, run, "half of");
+		break;
+	case APP_TWICE:
+		write_twice(app, run, body);
+		break;
+	case APP_SPOILED:
+		http_call_write(run->call, spoiled, sizeof(spoiled) - 1);
+		http_call_close(run->call, false);
+		break;
+	case APP_FAIL:
+		answer(app, run->call, run->id, 500,
+		       "Lilacfield-Response-Seal: f\r\n", "failed");
+		break;
+	case APP_FALSE_REFUSAL:
+		answer(app, run->call, run->id, 503, "", "busy");
+		break;
+	default:
+		answer(app, run->call, run->id, 200,
+		       "Lilacfield-Response-Seal: s\r\n", body);
+		break;
+	}
+}
+
+/* --- work --------------------------------------------------------------- */
+
+static void start_next(struct app_stand *app);
+
+static void run_closed(uv_handle_t *handle)
+{
+	struct run *run = handle->data;
+
+	g_free(run->id);
+	g_free(run->object);
+	g_free(run);
+}
+
+static void run_end(struct run *run)
+{
+	struct app_stand *app = run->app;
+
+	g_queue_remove(&app->active, run);
+	g_queue_remove(&app->queue, run);
+	uv_close((uv_handle_t *)&run->timer, run_closed);
+	start_next(app);
+}
+
+static void on_done(uv_timer_t *timer)
+{
+	struct run *run = timer->data;
+	struct app_stand *app = run->app;
+	char *body = g_strdup_printf("%s by %s run %u", run->id, app->id,
+				     app_stand_runs(app, run->id));
+
+	if (run->object)
+		cache_add(app, run->object);
+	if (run->fault == APP_SILENT) {
+		g_free(body);
+		return;
+	}
+	end_faulty(app, run, body);
+	g_free(body);
+	run_end(run);
+}
+
+static uint64_t work_us(struct app_stand *app, const struct run *run)
+{
+	uint64_t work = app->settings.work_us;
+
+	if (run->object && cache_find(app, run->object))
+		work = (uint64_t)((double)work * app->settings.warm_part);
+	return run->fault == APP_CRASH ? work / 2 : work;
+}
+
+static void run_start(struct run *run)
+{
+	struct app_stand *app = run->app;
+	guint count = app_stand_runs(app, run->id) + 1;
+
+	run->waits = false;
+	g_queue_push_tail(&app->active, run);
+	g_hash_table_insert(app->runs, g_strdup(run->id),
+			    GUINT_TO_POINTER(count));
+	app->total_runs++;
+	uv_timer_start(&run->timer, on_done, work_us(app, run) / US_PER_MS, 0);
+}
+
+static void start_next(struct app_stand *app)
+{
+	if (g_queue_get_length(&app->active) < app->settings.slots &&
+	    !g_queue_is_empty(&app->queue))
+		run_start(g_queue_pop_head(&app->queue));
+}
+
+static void reject(struct app_stand *app, struct http_call *call,
+		   unsigned status, const char *id)
+{
+	app->rejected++;
+	answer(app, call, id, status, "Lilacfield-Not-Executed: 1\r\n", "");
+}
+
+static void admit(struct app_stand *app, struct http_call *call, const char *id)
+{
+	const char *object = message_header(call->request, OBJECT_KEY);
+	struct run *run = g_new0(struct run, 1);
+
+	run->app = app;
+	run->call = call;
+	run->id = g_strdup(id);
+	run->object = g_strdup(object);
+	run->fault = app->fault;
+	uv_timer_init(app->loop, &run->timer);
+	run->timer.data = run;
+	call->data = run;
+	if (g_queue_get_length(&app->active) < app->settings.slots) {
+		run_start(run);
+	} else {
+		run->waits = true;
+		g_queue_push_tail(&app->queue, run);
+	}
+}
+
+static void on_called(void *context, struct http_call *call)
+{
+	struct app_stand *app = context;
+	const char *id = message_header(call->request, ATTEMPT_ID);
+	const char *expected = message_header(call->request, EXPECTED);
+	const char *deadline = message_header(call->request, DEADLINE);
+	uint32_t most = app->settings.slots + app->settings.queue;
+	uint32_t here = g_queue_get_length(&app->active) +
+			g_queue_get_length(&app->queue);
+
+	if (!id) {
+		reject(app, call, 400, "none");
+		return;
+	}
+	app->last_deadline_ms =
+		g_ascii_strtoull(deadline ? deadline : "0", NULL, 10);
+	if (expected && strcmp(expected, app->id))
+		reject(app, call, 421, id);
+	else if (here >= most)
+		reject(app, call, 503, id);
+	else
+		admit(app, call, id);
+}
+
+static void on_left(void *context, struct http_call *call)
+{
+	struct app_stand *app = context;
+	struct run *run = call->data;
+
+	if (!run)
+		return;
+	app->cancelled++;
+	http_call_end(call);
+	run_end(run);
+}
+
+static const struct http_stand_events events = { on_called, on_left };
+
+/* --- from outside ------------------------------------------------------- */
+
+struct app_stand *app_stand_open(uv_loop_t *loop, const struct endpoint *at,
+				 const struct app_settings *settings)
+{
+	struct app_stand *app = g_new0(struct app_stand, 1);
+
+	app->loop = loop;
+	app->settings = *settings;
+	app->id = g_strdup(settings->id);
+	app->runs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_queue_init(&app->cache);
+	g_queue_init(&app->active);
+	g_queue_init(&app->queue);
+	app->http = http_stand_open(loop, at, &events, app);
+	return app;
+}
+
+void app_stand_close(struct app_stand *app)
+{
+	http_stand_close(app->http, true);
+	g_hash_table_destroy(app->runs);
+	g_queue_clear_full(&app->cache, g_free);
+	g_free(app->id);
+	g_free(app);
+}
+
+const struct endpoint *app_stand_at(const struct app_stand *app)
+{
+	return http_stand_at(app->http);
+}
+
+void app_stand_set_fault(struct app_stand *app, enum app_fault fault)
+{
+	app->fault = fault;
+}
+
+void app_stand_set_draining(struct app_stand *app, bool draining)
+{
+	app->draining = draining;
+}
+
+void app_stand_silence(struct app_stand *app, bool silent)
+{
+	http_stand_silence(app->http, silent);
+}
+
+uint32_t app_stand_runs(const struct app_stand *app, const char *id)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(app->runs, id));
+}
+
+uint32_t app_stand_total_runs(const struct app_stand *app)
+{
+	return app->total_runs;
+}
+
+uint32_t app_stand_cancelled(const struct app_stand *app)
+{
+	return app->cancelled;
+}
+
+uint32_t app_stand_rejected(const struct app_stand *app)
+{
+	return app->rejected;
+}
+
+uint32_t app_stand_running(const struct app_stand *app)
+{
+	return g_queue_get_length((GQueue *)&app->active);
+}
+
+uint32_t app_stand_connections(const struct app_stand *app)
+{
+	return http_stand_connections(app->http);
+}
+
+uint64_t app_stand_last_deadline_ms(const struct app_stand *app)
+{
+	return app->last_deadline_ms;
+}
--- /dev/null
+++ b/tests/standins/app_stand.h
@@ -0,0 +1,70 @@
+/*
+ * app_stand - a backend server, as the platform's protocol has it
+ *
+ * Slots and a queue, a cache of objects, cold starts, an id for each start, and
+ * faults for single answers. It keeps a history: how often each request ran.
+ */
+#ifndef STANDINS_APP_STAND_H
+#define STANDINS_APP_STAND_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "core/endpoint.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct app_stand;
+
+struct app_settings {
+	const char *id;
+	uint32_t slots;
+	uint32_t queue;
+	uint64_t work_us; /* for an object that is not in the cache */
+	double warm_part; /* of it, where the object is */
+	uint32_t objects; /* that the cache holds */
+};
+
+enum app_fault {
+	APP_GOOD,
+	APP_CRASH, /* resets the connection halfway through the work */
+	APP_CUT, /* ends the connection within the answer's body */
+	APP_UNFRAMED, /* an answer without a length, whole */
+	APP_UNFRAMED_CUT, /* the same, cut: only half of the body */
+	APP_TWICE, /* a second, late answer to the same request */
+	APP_SPOILED, /* bytes that are no HTTP */
+	APP_FAIL, /* status 500 */
+	APP_FALSE_REFUSAL, /* runs it, then 503 without "not executed" */
+	APP_SILENT, /* runs it and never answers */
+};
+
+struct app_stand *app_stand_open(uv_loop_t *loop, const struct endpoint *at,
+				 const struct app_settings *settings);
+/* As a crash: connections are reset, nothing listens. */
+void app_stand_close(struct app_stand *app);
+const struct endpoint *app_stand_at(const struct app_stand *app);
+
+/* The next requests meet this fault; APP_GOOD ends it. */
+void app_stand_set_fault(struct app_stand *app, enum app_fault fault);
+void app_stand_set_draining(struct app_stand *app, bool draining);
+/* Connections stay, nothing is read or answered. */
+void app_stand_silence(struct app_stand *app, bool silent);
+
+/* Runs of this request id; of all; of those that were cut off midway. */
+uint32_t app_stand_runs(const struct app_stand *app, const char *id);
+uint32_t app_stand_total_runs(const struct app_stand *app);
+uint32_t app_stand_cancelled(const struct app_stand *app);
+uint32_t app_stand_rejected(const struct app_stand *app);
+uint32_t app_stand_running(const struct app_stand *app);
+uint32_t app_stand_connections(const struct app_stand *app);
+/* Milliseconds that the latest request was given. */
+uint64_t app_stand_last_deadline_ms(const struct app_stand *app);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/tests/standins/store_stand.c
@@ -0,0 +1,484 @@
+#include "standins/store_stand.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "core/duration.h"
+#include "standins/http_stand.h"
+
+#define PAGE_ROWS 500
+
+/* A row, or what is left of a deleted one for those who follow. */
+struct row {
+	char *table;
+	char *key;
+	char *value; /* NULL: deleted */
+	uint64_t version;
+};
+
+/* A call that waits for a change, or for its late answer. */
+struct waiting {
+	struct store_stand *store;
+	struct http_call *call;
+	uv_timer_t timer;
+	char *table; /* NULL: a late answer */
+	uint64_t after;
+	unsigned status;
+	char *body;
+};
+
+struct store_stand {
+	uv_loop_t *loop;
+	struct http_stand *http;
+	GPtrArray *rows; /* of struct row, sorted by table and key */
+	GPtrArray *held; /* of struct waiting */
+	uint64_t version;
+	uint64_t forgotten; /* history up to here is gone */
+	struct store_faults faults;
+	uint64_t calls;
+};
+
+/* --- rows --------------------------------------------------------------- */
+
+static void row_free(gpointer data)
+{
+	struct row *row = data;
+
+	g_free(row->table);
+	g_free(row->key);
+	g_free(row->value);
+	g_free(row);
+}
+
+static gint compare_rows(gconstpointer a, gconstpointer b)
+{
+	const struct row *left = *(struct row *const *)a;
+	const struct row *right = *(struct row *const *)b;
+	int order = strcmp(left->table, right->table);
+
+	return order ? order : strcmp(left->key, right->key);
+}
+
+static gint compare_versions(gconstpointer a, gconstpointer b)
+{
+	const struct row *left = *(struct row *const *)a;
+	const struct row *right = *(struct row *const *)b;
+
+	return (left->version > right->version) -
+	       (left->version < right->version);
+}
+
+static struct row *find_row(const struct store_stand *store, const char *table,
+			    const char *key)
+{
+	guint i;
+
+	for (i = 0; i < store->rows->len; i++) {
+		struct row *row = store->rows->pdata[i];
+
+		if (!strcmp(row->table, table) && !strcmp(row->key, key))
+			return row;
+	}
+	return NULL;
+}
+
+static void set_row(struct store_stand *store, const char *table,
+		    const char *key, const char *value)
+{
+	struct row *row = find_row(store, table, key);
+
+	if (!row) {
+		row = g_new0(struct row, 1);
+		row->table = g_strdup(table);
+		row->key = g_strdup(key);
+		g_ptr_array_add(store->rows, row);
+		g_ptr_array_sort(store->rows, compare_rows);
+	}
+	g_free(row->value);
+	row->value = g_strdup(value);
+	row->version = store->version;
+}
+
+static json_t *json_of_row(const struct row *row)
+{
+	json_t *object = json_object();
+	char *encoded;
+
+	json_object_set_new(object, "table", json_string(row->table));
+	json_object_set_new(object, "part", json_string(""));
+	json_object_set_new(object, "key", json_string(row->key));
+	json_object_set_new(object, "ver",
+			    json_integer((json_int_t)row->version));
+	if (!row->value) {
+		json_object_set_new(object, "deleted", json_true());
+		return object;
+	}
+	encoded =
+		g_base64_encode((const guchar *)row->value, strlen(row->value));
+	json_object_set_new(object, "value", json_string(encoded));
+	g_free(encoded);
+	return object;
+}
+
+static char *body_of(struct store_stand *store, json_t *rows, bool has_more)
+{
+	json_t *root = json_object();
+	char *text;
+	char *copy;
+
+	if (rows)
+		json_object_set_new(root, "rows", rows);
+	json_object_set_new(root, "has_more", json_boolean(has_more));
+	json_object_set_new(root, "ver",
+			    json_integer((json_int_t)store->version));
+	json_object_set_new(root, "now",
+			    json_sprintf("%" PRIu64 "ms",
+					 (uint64_t)uv_now(store->loop)));
+	text = json_dumps(root, JSON_COMPACT);
+	copy = g_strdup(text);
+	free(text);
+	json_decref(root);
+	return copy;
+}
+
+/* --- answers ------------------------------------------------------------ */
+
+static void waiting_free(uv_handle_t *handle)
+{
+	struct waiting *waiting = handle->data;
+
+	g_free(waiting->table);
+	g_free(waiting->body);
+	g_free(waiting);
+}
+
+static void waiting_end(struct waiting *waiting)
+{
+	g_ptr_array_remove(waiting->store->held, waiting);
+	uv_close((uv_handle_t *)&waiting->timer, waiting_free);
+}
+
+static void on_late(uv_timer_t *timer)
+{
+	struct waiting *waiting = timer->data;
+
+	http_call_answer(waiting->call, waiting->status,
+			 "Content-Type: application/json\r\n", waiting->body,
+			 strlen(waiting->body));
+	waiting_end(waiting);
+}
+
+static struct waiting *hold(struct store_stand *store, struct http_call *call,
+			    uv_timer_cb on_time, uint64_t after_us)
+{
+	struct waiting *waiting = g_new0(struct waiting, 1);
+
+	waiting->store = store;
+	waiting->call = call;
+	uv_timer_init(store->loop, &waiting->timer);
+	waiting->timer.data = waiting;
+	uv_timer_start(&waiting->timer, on_time, after_us / US_PER_MS, 0);
+	g_ptr_array_add(store->held, waiting);
+	return waiting;
+}
+
+/* Answer, late where the store is slow; the body is taken over. */
+static void answer(struct store_stand *store, struct http_call *call,
+		   unsigned status, char *body)
+{
+	struct waiting *waiting;
+
+	if (!store->faults.slow_us) {
+		http_call_answer(call, status,
+				 "Content-Type: application/json\r\n", body,
+				 strlen(body));
+		g_free(body);
+		return;
+	}
+	waiting = hold(store, call, on_late, store->faults.slow_us);
+	waiting->status = status;
+	waiting->body = body;
+}
+
+/* --- following ---------------------------------------------------------- */
+
+static json_t *changes(const struct store_stand *store, const char *table,
+		       uint64_t after)
+{
+	GPtrArray *changed = g_ptr_array_new();
+	json_t *rows = json_array();
+	guint i;
+
+	for (i = 0; i < store->rows->len; i++) {
+		struct row *row = store->rows->pdata[i];
+
+		if (!strcmp(row->table, table) && row->version > after)
+			g_ptr_array_add(changed, row);
+	}
+	g_ptr_array_sort(changed, compare_versions);
+	for (i = 0; i < changed->len; i++)
+		json_array_append_new(rows, json_of_row(changed->pdata[i]));
+	g_ptr_array_unref(changed);
+	return rows;
+}
+
+static void on_held_for_long(uv_timer_t *timer)
+{
+	struct waiting *waiting = timer->data;
+	struct store_stand *store = waiting->store;
+
+	answer(store, waiting->call, 200,
+	       body_of(store, changes(store, waiting->table, waiting->after),
+		       false));
+	waiting_end(waiting);
+}
+
+static void wake_held(struct store_stand *store)
+{
+	guint i;
+
+	for (i = store->held->len; i > 0; i--) {
+		struct waiting *waiting = store->held->pdata[i - 1];
+		json_t *rows;
+
+		if (!waiting->table)
+			continue;
+		rows = changes(store, waiting->table, waiting->after);
+		if (!json_array_size(rows)) {
+			json_decref(rows);
+			continue;
+		}
+		answer(store, waiting->call, 200, body_of(store, rows, false));
+		waiting_end(waiting);
+	}
+}
+
+static void follow(struct store_stand *store, struct http_call *call,
+		   GHashTable *query)
+{
+	const char *table = g_hash_table_lookup(query, "table");
+	const char *after_text = g_hash_table_lookup(query, "after");
+	const char *wait_text = g_hash_table_lookup(query, "wait_ms");
+	uint64_t after =
+		g_ascii_strtoull(after_text ? after_text : "0", NULL, 10);
+	uint64_t wait_ms =
+		g_ascii_strtoull(wait_text ? wait_text : "0", NULL, 10);
+	struct waiting *waiting;
+	json_t *rows;
+
+	if (after < store->forgotten) {
+		answer(store, call, 410, g_strdup("{}"));
+		return;
+	}
+	rows = changes(store, table, after);
+	if (json_array_size(rows) || !wait_ms) {
+		answer(store, call, 200, body_of(store, rows, false));
+		return;
+	}
+	json_decref(rows);
+	waiting = hold(store, call, on_held_for_long, wait_ms * US_PER_MS);
+	waiting->table = g_strdup(table);
+	waiting->after = after;
+}
+
+/* --- reading and writing ------------------------------------------------ */
+
+static void read_rows(struct store_stand *store, struct http_call *call,
+		      GHashTable *query)
+{
+	const char *table = g_hash_table_lookup(query, "table");
+	const char *from = g_hash_table_lookup(query, "from");
+	json_t *rows = json_array();
+	bool has_more = false;
+	guint i;
+
+	for (i = 0; i < store->rows->len; i++) {
+		const struct row *row = store->rows->pdata[i];
+
+		if (strcmp(row->table, table) || !row->value ||
+		    (from && strcmp(row->key, from) < 0))
+			continue;
+		if (json_array_size(rows) == PAGE_ROWS) {
+			has_more = true;
+			break;
+		}
+		json_array_append_new(rows, json_of_row(row));
+	}
+	answer(store, call, 200, body_of(store, rows, has_more));
+}
+
+static const char *text_of(const json_t *object, const char *field)
+{
+	const char *text = json_string_value(json_object_get(object, field));
+
+	return text ? text : "";
+}
+
+static bool expectations_hold(const struct store_stand *store,
+			      const json_t *root)
+{
+	const json_t *entry;
+	size_t i;
+
+	json_array_foreach (json_object_get(root, "expect"), i, entry) {
+		const struct row *row = find_row(store, text_of(entry, "table"),
+						 text_of(entry, "key"));
+		json_int_t version =
+			row && row->value ? (json_int_t)row->version : 0;
+
+		if (json_integer_value(json_object_get(entry, "ver")) !=
+		    version)
+			return false;
+	}
+	return true;
+}
+
+static void apply(struct store_stand *store, const json_t *root)
+{
+	const json_t *entry;
+	size_t i;
+
+	store->version++;
+	json_array_foreach (json_object_get(root, "writes"), i, entry) {
+		gsize length = 0;
+		guchar *bytes =
+			g_base64_decode(text_of(entry, "value"), &length);
+		char *value = g_strndup((const char *)bytes, length);
+
+		set_row(store, text_of(entry, "table"), text_of(entry, "key"),
+			value);
+		g_free(value);
+		g_free(bytes);
+	}
+	json_array_foreach (json_object_get(root, "delete"), i, entry)
+		set_row(store, text_of(entry, "table"), text_of(entry, "key"),
+			NULL);
+}
+
+static void write_rows(struct store_stand *store, struct http_call *call)
+{
+	const GByteArray *body = call->request->body;
+	json_t *root = json_loadb((const char *)body->data, body->len, 0, NULL);
+
+	if (!json_is_array(json_object_get(root, "writes"))) {
+		answer(store, call, 400, g_strdup("{}"));
+	} else if (!expectations_hold(store, root)) {
+		answer(store, call, 412, body_of(store, json_array(), false));
+	} else {
+		apply(store, root);
+		if (store->faults.lose_answers)
+			http_call_close(call, true);
+		else
+			answer(store, call, 200, body_of(store, NULL, false));
+		wake_held(store);
+	}
+	json_decref(root);
+}
+
+static GHashTable *query_of(const struct http_call *call)
+{
+	const char *query = strchr(call->request->target->str, '?');
+
+	return g_uri_parse_params(query ? query + 1 : "", -1, "&",
+				  G_URI_PARAMS_NONE, NULL);
+}
+
+static bool is_call(const struct http_call *call, const char *path)
+{
+	return g_str_has_prefix(call->request->target->str, path);
+}
+
+static void on_called(void *context, struct http_call *call)
+{
+	struct store_stand *store = context;
+	GHashTable *query = query_of(call);
+
+	store->calls++;
+	if (store->faults.refuse_status)
+		answer(store, call, store->faults.refuse_status,
+		       g_strdup("{}"));
+	else if (is_call(call, "/api/rows-tx"))
+		write_rows(store, call);
+	else if (!query || !g_hash_table_lookup(query, "table"))
+		answer(store, call, 400, g_strdup("{}"));
+	else if (is_call(call, "/api/rows-get"))
+		read_rows(store, call, query);
+	else if (is_call(call, "/api/rows-feed"))
+		follow(store, call, query);
+	else
+		answer(store, call, 404, g_strdup("{}"));
+	if (query)
+		g_hash_table_unref(query);
+}
+
+static const struct http_stand_events events = { .called = on_called };
+
+/* --- from outside ------------------------------------------------------- */
+
+struct store_stand *store_stand_open(uv_loop_t *loop, const struct endpoint *at)
+{
+	struct store_stand *store = g_new0(struct store_stand, 1);
+
+	store->loop = loop;
+	store->rows = g_ptr_array_new_with_free_func(row_free);
+	store->held = g_ptr_array_new();
+	store->http = http_stand_open(loop, at, &events, store);
+	return store;
+}
+
+void store_stand_close(struct store_stand *store)
+{
+	while (store->held->len) {
+		struct waiting *waiting = store->held->pdata[0];
+
+		http_call_close(waiting->call, true);
+		waiting_end(waiting);
+	}
+	http_stand_close(store->http, true);
+	g_ptr_array_unref(store->rows);
+	g_ptr_array_unref(store->held);
+	g_free(store);
+}
+
+const struct endpoint *store_stand_at(const struct store_stand *store)
+{
+	return http_stand_at(store->http);
+}
+
+void store_stand_put(struct store_stand *store, const char *table,
+		     const char *key, const char *value)
+{
+	store->version++;
+	set_row(store, table, key, value);
+	if (!store->faults.silent)
+		wake_held(store);
+}
+
+const char *store_stand_get(const struct store_stand *store, const char *table,
+			    const char *key)
+{
+	const struct row *row = find_row(store, table, key);
+
+	return row ? row->value : NULL;
+}
+
+void store_stand_set_faults(struct store_stand *store,
+			    const struct store_faults *faults)
+{
+	store->faults = *faults;
+	http_stand_silence(store->http, faults->silent);
+}
+
+void store_stand_forget(struct store_stand *store)
+{
+	store->forgotten = store->version;
+}
+
+uint64_t store_stand_calls(const struct store_stand *store)
+{
+	return store->calls;
+}
