choose: few owners an object: a rank costs 0.3 warm times, and fuller queues

Cause: with ties broken by 0.04 of a warm time a rank and 4% of requests as trials, objects were spread over all servers and stayed cold; refusals at 1.5 times the slots left servers idle while callers came back in vain. Change: a rank costs 0.3 warm times, load 0.1; a server holds up to twice its slots; 0.5% of requests are trials; the share that leaves a region moves by 5% a second.

--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -28,19 +28,19 @@
  * Part of a service time that a place further down the rendezvous order costs:
  * large enough that nodes agree on an order, small against a cold object.
  */
-#define RANK_COST 0.04
+#define RANK_COST 0.3
 
 /* Cost of a full server's load below its slots, in warm service times. */
-#define LOAD_COST 0.3
+#define LOAD_COST 0.1
 
 /* Requests over its slots that a server may hold, as a part of the slots. */
-#define QUEUE_PART 0.5
+#define QUEUE_PART 1.0
 
 /* Answers of a service before its times are a reason to refuse. */
 #define TRUST_SAMPLES 20
 
 /* Part of requests that may warm one more server for their object. */
-#define TRIAL_PART 0.04
+#define TRIAL_PART 0.005
 
 /* Nodes that send to a cold server, so that its allowance isn't crumbs. */
 #define COLD_OWNERS 2
--- a/packages/core/region_flow.c
+++ b/packages/core/region_flow.c
@@ -12,7 +12,7 @@
  * then differ by 0.06 on average, under the usual bound of 0.15 with room for
  * the noise of some hundred requests.
  */
-#define STEP_PER_S 0.03
+#define STEP_PER_S 0.05
 
 /* Requests that may leave ahead of the share, or be owed to it. */
 #define CREDIT_LEAST (-1.0)
