choose: wait by the work in a queue, a first share by slots, warm news at once

Change: a queue's wait comes from the expected work in it; the share that leaves a region begins at what exceeds its part of the slots; news of warm objects goes with the next beat.

--- a/packages/core/backend_table.c
+++ b/packages/core/backend_table.c
@@ -243,18 +243,26 @@
 	       backend_table_evacuated(table, backend->domain);
 }
 
-void backend_sent(struct backend *backend, uint64_t now_us)
+void backend_sent(struct backend *backend, double work_us, uint64_t now_us)
 {
 	backend->in_flight++;
+	backend->pledged_us += work_us;
 	backend->served++;
 	if (backend->cold_until_us <= now_us)
 		return;
 	backend->cold_log[backend->cold_next++ % COLD_LOG] = now_us;
 }
 
-void backend_done(struct backend *backend)
+void backend_done(struct backend *backend, double work_us)
 {
 	backend->in_flight--;
+	backend->pledged_us -= work_us;
+}
+
+double backend_mean_work_us(const struct backend *backend)
+{
+	return backend->in_flight ? backend->pledged_us / backend->in_flight :
+				    0;
 }
 
 void backend_reported(struct backend *backend, uint32_t running,
--- a/packages/core/backend_table.h
+++ b/packages/core/backend_table.h
@@ -60,6 +60,7 @@
 	uint64_t cold_until_us;
 
 	uint32_t in_flight; /* of this node */
+	double pledged_us; /* their expected service times, summed */
 	double others; /* estimate of the other nodes' requests there */
 	uint64_t others_us; /* when that was */
 	struct backend_word told[BACKEND_WORDS]; /* of neighbours */
@@ -136,11 +137,14 @@
 bool backend_is_closed(const struct backend_table *table,
 		       const struct backend *backend);
 
-/* A request goes there now. */
-void backend_sent(struct backend *backend, uint64_t now_us);
+/* A request goes there now, and will take about so long. */
+void backend_sent(struct backend *backend, double work_us, uint64_t now_us);
 
-/* The request that was sent ended, however. */
-void backend_done(struct backend *backend);
+/* The request that was sent with this expectation ended, however. */
+void backend_done(struct backend *backend, double work_us);
+
+/* What a request there takes on average, by those in flight; 0: none are. */
+double backend_mean_work_us(const struct backend *backend);
 
 /* It answered: running and waiting requests there, of all nodes. */
 void backend_reported(struct backend *backend, uint32_t running,
--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -64,6 +64,7 @@
 	struct backend *backend;
 	double cost_us; /* expected time with the tie-break's part */
 	double expected_us;
+	double work_us;
 	bool warm;
 	bool near; /* in this node's region */
 	bool full;
@@ -184,6 +185,7 @@
 	struct warm_pair pair = { backend->hash, query->object };
 	double load = backend_load(backend, now_us);
 	double slots = backend->slots;
+	double queued_us = backend_mean_work_us(backend);
 	double work_us;
 	double wait_us = 0;
 
@@ -196,8 +198,9 @@
 	if (backend->cold_until_us > now_us)
 		work_us *= COLD_SLOWNESS;
 	if (load >= slots)
-		wait_us = (load + 1 - slots) / slots * times->warm_us *
-			  backend->slowness;
+		wait_us = (load + 1 - slots) / slots *
+			  fmax(queued_us, times->warm_us * backend->slowness);
+	candidate->work_us = work_us;
 	candidate->expected_us =
 		(double)chooser_link_us(chooser, backend->region) + work_us +
 		wait_us;
@@ -289,12 +292,42 @@
 	return best;
 }
 
+/*
+ * Before anything is known of the demand, each region's is taken for the same:
+ * what exceeds this region's part of the slots leaves it from the start. A
+ * share that began at none would need ten seconds to get there in its steps.
+ */
+static double first_share(const struct chooser *chooser, const char *service)
+{
+	const GPtrArray *backends =
+		backend_table_of(chooser->backends, service);
+	GHashTable *regions = g_hash_table_new(g_str_hash, g_str_equal);
+	double near = 0;
+	double all = 0;
+	double fair;
+	guint i;
+
+	for (i = 0; backends && i < backends->len; i++) {
+		const struct backend *backend = backends->pdata[i];
+
+		g_hash_table_add(regions, backend->region);
+		all += backend->slots;
+		if (!strcmp(backend->region, chooser->region))
+			near += backend->slots;
+	}
+	fair = all / fmax(1.0, g_hash_table_size(regions));
+	g_hash_table_destroy(regions);
+	return fair > near ? 1.0 - near / fair : 0.0;
+}
+
 static struct region_flow *flow_of(struct chooser *chooser, const char *service)
 {
 	struct region_flow *flow = g_hash_table_lookup(chooser->flows, service);
 
 	if (!flow) {
 		flow = g_new0(struct region_flow, 1);
+		flow->share = first_share(chooser, service);
+		flow->wanted = flow->share;
 		g_hash_table_insert(chooser->flows, g_strdup(service), flow);
 	}
 	return flow;
@@ -341,6 +374,7 @@
 		     best->expected_us <= (double)query->left_us)) {
 		choice->backend = best->backend;
 		choice->expected_us = best->expected_us;
+		choice->work_us = best->work_us;
 		choice->warm = best->warm;
 		choice->reason = best->warm ? CHOOSE_WARM : CHOOSE_RANK;
 	} else if (candidates->len) {
--- a/packages/core/choose.h
+++ b/packages/core/choose.h
@@ -61,7 +61,8 @@
 struct choice {
 	struct backend *backend; /* NULL if none */
 	enum choose_reason reason;
-	double expected_us;
+	double expected_us; /* of it all, the way and the wait too */
+	double work_us; /* of the service alone */
 	bool warm; /* the server counts as warm for the object */
 	uint64_t retry_after_us; /* without one: when to come back */
 };
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -93,7 +93,8 @@
 static void leave_backend(struct exchange *exchange)
 {
 	if (exchange->sent_us)
-		backend_done(exchange->choice.backend);
+		backend_done(exchange->choice.backend,
+			     exchange->choice.work_us);
 	exchange->sent_us = 0;
 	exchange->conn = NULL;
 	release_choice(exchange);
@@ -285,7 +286,8 @@
 	exchange->retry.sends++;
 	exchange->unsettled++;
 	remember_tried(exchange);
-	backend_sent(exchange->choice.backend, exchange->sent_us);
+	backend_sent(exchange->choice.backend, exchange->choice.work_us,
+		     exchange->sent_us);
 	metric_add(stats->sent, 1);
 	if (exchange->retry.sends > 1)
 		metric_add(stats->extra, 1);
--- a/packages/edge/gossip.c
+++ b/packages/edge/gossip.c
@@ -10,7 +10,7 @@
 /* Between two beats to a neighbour; loads change within a service time. */
 #define BEAT_INTERVAL_US (400 * US_PER_MS)
 
-/* Beats go to other regions less often: bytes there are dear. */
+/* Beats without news go to other regions less often: bytes there are dear. */
 #define FAR_EVERY 3
 
 /*
@@ -163,7 +163,8 @@
 	struct edge *edge = gossip->edge;
 	struct member *self = edge->members->self;
 	struct beat beat = { .life_count = 0 };
-	bool far_too = gossip->rounds++ % FAR_EVERY == 0;
+	bool far_too = gossip->rounds++ % FAR_EVERY == 0 ||
+		       edge->warmth.news->len;
 
 	self->beat = gossip->epoch_us + edge_now_us(edge);
 	self->leaving = !edge_is_ready(edge);
