Tried: hold a request while its object's first one warms a server; taken back

Tried: pairs told at sending with the time from which they are warm, requests held until then. Ruled out: late news; two thirds of the cold requests of the first 4 s are the first for their object anywhere. Conclusion: not worth its state; the log of a send now names the object.

--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -292,9 +292,11 @@
 	if (exchange->retry.sends > 1)
 		metric_add(stats->extra, 1);
 	log_event(LOG_DEBUG, "sent",
-		  "request=%s backend=%s reason=%s expected_us=%.0f load=%.1f "
-		  "slots=%u kept=%u left_us=%" PRIu64,
+		  "request=%s backend=%s object=%08x reason=%s "
+		  "expected_us=%.0f load=%.1f slots=%u kept=%u "
+		  "left_us=%" PRIu64,
 		  exchange->id, exchange->choice.backend->id,
+		  exchange->query.object,
 		  choose_reason_name(exchange->choice.reason),
 		  exchange->choice.expected_us,
 		  backend_load(exchange->choice.backend, exchange->sent_us),
