--- a/packages/core/backend_table.c
+++ b/packages/core/backend_table.c
@@ -43,6 +43,7 @@
 				      (GDestroyNotify)g_ptr_array_unref);
 	table->times =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	table->changes = g_ptr_array_new_with_free_func(g_free);
 	table->evacuated =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return table;
@@ -54,6 +55,7 @@
 	g_hash_table_destroy(table->by_id);
 	g_hash_table_destroy(table->times);
 	g_hash_table_destroy(table->evacuated);
+	g_ptr_array_unref(table->changes);
 	g_free(table);
 }
 
@@ -82,6 +84,25 @@
 	return backend;
 }
 
+/* Changes that nobody takes are forgotten beyond this. */
+#define CHANGES_MOST 64
+
+static void note_change(struct backend_table *table, const char *id)
+{
+	if (table->changes->len < CHANGES_MOST)
+		g_ptr_array_add(table->changes, g_strdup(id));
+}
+
+static bool says_something_new(const struct backend *backend,
+			       const struct backend_facts *facts)
+{
+	return !backend->slots || backend->slots != facts->slots ||
+	       backend->draining != facts->draining ||
+	       backend->listed_cold != (facts->cold_left_us > 0) ||
+	       backend->address.port != facts->address.port ||
+	       strcmp(backend->address.address, facts->address.address) != 0;
+}
+
 struct backend *backend_table_put(struct backend_table *table,
 				  const struct backend_facts *facts,
 				  uint64_t now_us)
@@ -90,17 +111,45 @@
 
 	if (!backend)
 		backend = add(table, facts);
+	if (says_something_new(backend, facts))
+		note_change(table, facts->id);
 	if (facts->draining && !backend->draining)
 		table->disturbed_us = now_us;
 	backend->address = facts->address;
 	backend->slots = facts->slots ? facts->slots : 1;
 	backend->draining = facts->draining;
 	backend->lapsed_us = 0;
+	backend->listed_cold = facts->cold_left_us > 0;
 	backend->cold_until_us =
 		facts->cold_left_us ? now_us + facts->cold_left_us : 0;
 	return backend;
 }
 
+uint64_t backend_table_digest(const struct backend_table *table)
+{
+	GHashTableIter iter;
+	uint64_t digest = 0;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct backend *backend = value;
+		uint32_t facts = backend->slots << 2 | backend->draining << 1 |
+				 backend->listed_cold;
+
+		digest += hash_pair(backend->hash, facts);
+	}
+	return digest;
+}
+
+GPtrArray *backend_table_take_changes(struct backend_table *table)
+{
+	GPtrArray *changes = table->changes;
+
+	table->changes = g_ptr_array_new_with_free_func(g_free);
+	return changes;
+}
+
 static void take_out(struct backend_table *table, struct backend *backend,
 		     uint64_t now_us)
 {
@@ -109,6 +158,7 @@
 
 	backend->gone = true;
 	table->disturbed_us = now_us;
+	note_change(table, backend->id);
 	g_ptr_array_remove(list, backend);
 	g_hash_table_remove(table->by_id, backend->id);
 }
@@ -244,7 +294,7 @@
 	       backend_table_evacuated(table, backend->domain);
 }
 
-void backend_sent(struct backend *backend, double work_us, uint64_t now_us)
+void backend_begin(struct backend *backend, double work_us, uint64_t now_us)
 {
 	backend->in_flight++;
 	backend->pledged_us += work_us;
@@ -254,7 +304,7 @@
 	backend->cold_log[backend->cold_next++ % COLD_LOG] = now_us;
 }
 
-void backend_done(struct backend *backend, double work_us)
+void backend_end(struct backend *backend, double work_us)
 {
 	backend->in_flight--;
 	backend->pledged_us -= work_us;
--- a/packages/core/backend_table.h
+++ b/packages/core/backend_table.h
@@ -2,7 +2,7 @@
  * backend_table - the backend servers and what is believed of each
  *
  * What the platform's list says (backend_table_put, _remove), what answers show
- * (backend_sent, backend_done, backend_reported) and what neighbours say
+ * (backend_begin, backend_end, backend_reported) and what neighbours say
  * (backend_told). A backend server lives as long as somebody holds a reference,
  * so that a request that runs there when it leaves ends in peace. Not
  * thread-safe. Times are those of the clock port.
@@ -59,6 +59,7 @@
 	bool joined; /* after the list was first read whole */
 	uint64_t lapsed_us; /* 0, or when a missing entry counts as gone */
 	uint64_t cold_until_us;
+	bool listed_cold; /* as its latest entry says */
 
 	uint32_t in_flight; /* of this node */
 	double pledged_us; /* their expected service times, summed */
@@ -88,6 +89,8 @@
 	GHashTable *times; /* service name -> struct service_times */
 	GHashTable *evacuated; /* domains that get nothing */
 	bool whole; /* the list was read whole once */
+	GPtrArray *changes; /* ids that changed, joined or left; not yet taken
+			     */
 	uint64_t disturbed_us; /* when a backend server was last lost */
 };
 
@@ -128,6 +131,15 @@
 bool backend_table_evacuated(const struct backend_table *table,
 			     const char *domain);
 
+/*
+ * One number for what the list says of all backend servers: two nodes that
+ * believe the same have the same one.
+ */
+uint64_t backend_table_digest(const struct backend_table *table);
+
+/* The ids that changed, joined or left since the last call, for g_ptr_array. */
+GPtrArray *backend_table_take_changes(struct backend_table *table);
+
 struct service_times *backend_table_times(struct backend_table *table,
 					  const char *service,
 					  uint64_t target_us);
@@ -139,11 +151,15 @@
 bool backend_is_closed(const struct backend_table *table,
 		       const struct backend *backend);
 
-/* A request goes there now, and will take about so long. */
-void backend_sent(struct backend *backend, double work_us, uint64_t now_us);
+/*
+ * A request will go there and take about so long. Called when it is chosen, not
+ * when it leaves: while a connection opens to a distant server, a dozen more
+ * choices are made, which would all find it idle, or its cold allowance unused.
+ */
+void backend_begin(struct backend *backend, double work_us, uint64_t now_us);
 
-/* The request that was sent with this expectation ended, however. */
-void backend_done(struct backend *backend, double work_us);
+/* The request that began with this expectation ended, however. */
+void backend_end(struct backend *backend, double work_us);
 
 /* What a request there takes on average, by those in flight; 0: none are. */
 double backend_mean_work_us(const struct backend *backend);
--- a/packages/core/member_table.c
+++ b/packages/core/member_table.c
@@ -124,6 +124,25 @@
 	return count ? count : collect(table, NULL, now_us, entries, most);
 }
 
+const struct member *member_table_reader(const struct member_table *table,
+					 uint64_t now_us)
+{
+	const struct member *reader = table->self;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct member *member = value;
+
+		if (!strcmp(member->region, table->self->region) &&
+		    member_serves(table, member, now_us) &&
+		    (table->self->leaving || member->hash < reader->hash))
+			reader = member;
+	}
+	return reader;
+}
+
 uint32_t member_table_rank(const struct member_table *table, uint32_t hash)
 {
 	uint64_t own = hash_pair(table->self->hash, hash);
--- a/packages/core/member_table.h
+++ b/packages/core/member_table.h
@@ -73,6 +73,14 @@
 			      const char *region, uint64_t now_us,
 			      const struct member **entries, uint32_t most);
 
+/*
+ * The member of one's own region that reads the platform's tables for all of
+ * it: the live one with the lowest hash. Members that disagree for a moment
+ * read once too often.
+ */
+const struct member *member_table_reader(const struct member_table *table,
+					 uint64_t now_us);
+
 /*
  * Place of oneself in the rendezvous order of all known members for this hash,
  * 0 first. Dead ones keep their place: two sides of a cut must not both think
--- a/packages/core/region_flow.c
+++ b/packages/core/region_flow.c
@@ -14,9 +14,15 @@
  */
 #define STEP_PER_S 0.05
 
-/* Requests that may leave ahead of the share, or be owed to it. */
+/*
+ * Requests that may leave ahead of the share, and that are owed to it at most;
+ * from CREDIT_DUE on one leaves although it would rather stay. The most lies
+ * above that by more than one request, or a share near 1 would lose what it is
+ * owed.
+ */
 #define CREDIT_LEAST (-1.0)
-#define CREDIT_MOST 2.0
+#define CREDIT_DUE 1.5
+#define CREDIT_MOST 3.0
 
 /* A stretch without requests allows one step of this length at most. */
 #define STEP_MOST_US US_PER_S
@@ -54,7 +60,7 @@
 	if (prefers_to_leave)
 		leave = flow->credit >= 0;
 	else
-		leave = flow->credit >= CREDIT_MOST;
+		leave = flow->credit >= CREDIT_DUE;
 	if (leave)
 		flow->credit = fmax(CREDIT_LEAST, flow->credit - 1.0);
 	return leave;
--- a/packages/edge/beat.c
+++ b/packages/edge/beat.c
@@ -3,15 +3,25 @@
 #include <string.h>
 
 /* Format version, so that nodes of two versions ignore each other's news. */
-#define BEAT_VERSION 1
+#define BEAT_VERSION 2
 
-#define BEAT_TYPE "(ua(utb)a(uu)a(uu))"
+#define BEAT_TYPE "(ua(utb)a(uu)a(uu)a(utu)a(ssssqubu))"
+
+static void add_row(GVariantBuilder *rows, const struct beat_row *row)
+{
+	g_variant_builder_add(rows, "(ssssqubu)", row->id, row->service,
+			      row->domain, row->address.address,
+			      (guint16)row->address.port, row->slots,
+			      (gboolean)row->draining, row->cold_left_ms);
+}
 
 GBytes *beat_encode(const struct beat *beat)
 {
 	GVariantBuilder lives;
 	GVariantBuilder pairs;
 	GVariantBuilder loads;
+	GVariantBuilder vouches;
+	GVariantBuilder rows;
 	GVariant *variant;
 	GBytes *bytes;
 	uint32_t i;
@@ -29,8 +39,17 @@
 	for (i = 0; i < beat->load_count; i++)
 		g_variant_builder_add(&loads, "(uu)", beat->loads[i].backend,
 				      beat->loads[i].in_flight);
-	variant = g_variant_ref_sink(
-		g_variant_new(BEAT_TYPE, BEAT_VERSION, &lives, &pairs, &loads));
+	g_variant_builder_init(&vouches, G_VARIANT_TYPE("a(utu)"));
+	for (i = 0; i < beat->vouch_count; i++)
+		g_variant_builder_add(&vouches, "(utu)", beat->vouches[i].table,
+				      (guint64)beat->vouches[i].digest,
+				      beat->vouches[i].age_ms);
+	g_variant_builder_init(&rows, G_VARIANT_TYPE("a(ssssqubu)"));
+	for (i = 0; i < beat->row_count; i++)
+		add_row(&rows, &beat->rows[i]);
+	variant = g_variant_ref_sink(g_variant_new(BEAT_TYPE, BEAT_VERSION,
+						   &lives, &pairs, &loads,
+						   &vouches, &rows));
 	bytes = g_variant_get_data_as_bytes(variant);
 	g_variant_unref(variant);
 	return bytes;
@@ -80,12 +99,59 @@
 	}
 }
 
+static void read_vouches(GVariantIter *iter, struct beat *beat)
+{
+	guint32 table;
+	guint64 digest;
+	guint32 age_ms;
+
+	while (beat->vouch_count < BEAT_MAX_VOUCHES &&
+	       g_variant_iter_next(iter, "(utu)", &table, &digest, &age_ms)) {
+		struct beat_vouch *vouch = &beat->vouches[beat->vouch_count++];
+
+		vouch->table = table;
+		vouch->digest = digest;
+		vouch->age_ms = age_ms;
+	}
+}
+
+static void read_rows(GVariantIter *iter, struct beat *beat)
+{
+	const char *id;
+	const char *service;
+	const char *domain;
+	const char *address;
+	guint16 port;
+	guint32 slots;
+	gboolean draining;
+	guint32 cold_left_ms;
+
+	while (beat->row_count < BEAT_MAX_ROWS &&
+	       g_variant_iter_next(iter, "(&s&s&s&squbu)", &id, &service,
+				   &domain, &address, &port, &slots, &draining,
+				   &cold_left_ms)) {
+		struct beat_row *row = &beat->rows[beat->row_count++];
+
+		g_strlcpy(row->id, id, sizeof(row->id));
+		g_strlcpy(row->service, service, sizeof(row->service));
+		g_strlcpy(row->domain, domain, sizeof(row->domain));
+		g_strlcpy(row->address.address, address,
+			  sizeof(row->address.address));
+		row->address.port = port;
+		row->slots = slots;
+		row->draining = draining;
+		row->cold_left_ms = cold_left_ms;
+	}
+}
+
 bool beat_decode(const void *bytes, size_t length, struct beat *beat)
 {
 	GVariant *variant;
 	GVariantIter *lives;
 	GVariantIter *pairs;
 	GVariantIter *loads;
+	GVariantIter *vouches;
+	GVariantIter *rows;
 	guint32 version;
 	gpointer copy;
 
@@ -100,15 +166,20 @@
 		g_variant_unref(variant);
 		return false;
 	}
-	g_variant_get(variant, BEAT_TYPE, &version, &lives, &pairs, &loads);
+	g_variant_get(variant, BEAT_TYPE, &version, &lives, &pairs, &loads,
+		      &vouches, &rows);
 	if (version == BEAT_VERSION) {
 		read_lives(lives, beat);
 		read_pairs(pairs, beat);
 		read_loads(loads, beat);
+		read_vouches(vouches, beat);
+		read_rows(rows, beat);
 	}
 	g_variant_iter_free(lives);
 	g_variant_iter_free(pairs);
 	g_variant_iter_free(loads);
+	g_variant_iter_free(vouches);
+	g_variant_iter_free(rows);
 	g_variant_unref(variant);
 	return beat->life_count > 0;
 }
--- a/packages/edge/beat.h
+++ b/packages/edge/beat.h
@@ -13,6 +13,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "core/build_options.h"
+#include "core/endpoint.h"
 #include "core/warmth.h"
 
 #ifdef __cplusplus
@@ -26,6 +28,8 @@
 #define BEAT_MAX_PAIRS 80
 #define BEAT_MAX_LIVES 16
 #define BEAT_MAX_LOADS 40
+#define BEAT_MAX_VOUCHES 2
+#define BEAT_MAX_ROWS 8
 
 struct beat_life {
 	uint32_t member; /* hash of its name */
@@ -38,6 +42,24 @@
 	uint32_t in_flight;
 };
 
+/* What the reader of a region vouches for: one of the platform's tables. */
+struct beat_vouch {
+	uint32_t table; /* enum registry_table */
+	uint64_t digest; /* of what it believes */
+	uint32_t age_ms; /* since the platform last confirmed it */
+};
+
+/* A backend server that changed; the service is empty where it left. */
+struct beat_row {
+	char id[NAME_SIZE];
+	char service[NAME_SIZE];
+	char domain[NAME_SIZE];
+	struct endpoint address;
+	uint32_t slots;
+	bool draining;
+	uint32_t cold_left_ms;
+};
+
 struct beat {
 	struct beat_life lives[BEAT_MAX_LIVES]; /* the sender's own first */
 	uint32_t life_count;
@@ -45,6 +67,10 @@
 	uint32_t pair_count;
 	struct beat_load loads[BEAT_MAX_LOADS];
 	uint32_t load_count;
+	struct beat_vouch vouches[BEAT_MAX_VOUCHES];
+	uint32_t vouch_count;
+	struct beat_row rows[BEAT_MAX_ROWS];
+	uint32_t row_count;
 };
 
 /* The bytes, for g_bytes_unref(). */
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -84,17 +84,18 @@
 
 static void release_choice(struct exchange *exchange)
 {
-	if (exchange->choice.backend)
-		backend_unref(exchange->choice.backend);
+	struct backend *backend = exchange->choice.backend;
+
+	if (!backend)
+		return;
+	backend_end(backend, exchange->choice.work_us);
+	backend_unref(backend);
 	exchange->choice.backend = NULL;
 }
 
 /* The backend server's connection is no longer this exchange's. */
 static void leave_backend(struct exchange *exchange)
 {
-	if (exchange->sent_us)
-		backend_done(exchange->choice.backend,
-			     exchange->choice.work_us);
 	exchange->sent_us = 0;
 	exchange->conn = NULL;
 	release_choice(exchange);
@@ -286,8 +287,6 @@
 	exchange->retry.sends++;
 	exchange->unsettled++;
 	remember_tried(exchange);
-	backend_sent(exchange->choice.backend, exchange->choice.work_us,
-		     exchange->sent_us);
 	metric_add(stats->sent, 1);
 	if (exchange->retry.sends > 1)
 		metric_add(stats->extra, 1);
@@ -363,6 +362,8 @@
 		return;
 	}
 	backend_ref(exchange->choice.backend);
+	backend_begin(exchange->choice.backend, exchange->choice.work_us,
+		      now_us(exchange));
 	exchange->retry.usual_us = (uint64_t)exchange->choice.expected_us;
 	use_conn(exchange);
 }
--- a/packages/edge/gossip.c
+++ b/packages/edge/gossip.c
@@ -6,6 +6,7 @@
 #include "core/duration.h"
 #include "core/result.h"
 #include "edge/beat.h"
+#include "edge/sync.h"
 
 /* Between two beats to a neighbour; loads change within a service time. */
 #define BEAT_INTERVAL_US (400 * US_PER_MS)
@@ -21,10 +22,12 @@
 
 struct gossip {
 	struct edge *edge;
+	struct sync *sync; /* NULL: none attached */
 	uv_udp_t udp;
 	uv_timer_t timer;
 	uint64_t epoch_us; /* makes numbers rise over restarts */
 	uint32_t rounds;
+	bool unknown; /* a member was heard of that the list didn't name */
 	uint32_t relay_at; /* which members were passed on last */
 };
 
@@ -130,6 +133,14 @@
 	return !strcmp(member->region, edge->settings.region);
 }
 
+static bool reads_for_others(const struct gossip *gossip)
+{
+	const struct edge *edge = gossip->edge;
+
+	return member_table_reader(edge->members, edge_now_us(edge)) ==
+	       edge->members->self;
+}
+
 /* Whether this round's beat goes to the member. */
 static bool is_target(const struct gossip *gossip, const struct member *member,
 		      bool near)
@@ -140,7 +151,8 @@
 	if (member == members->self || !member->peer.port ||
 	    is_near(gossip->edge, member) != near)
 		return false;
-	return count <= TARGETS_MOST ||
+	/* Whoever reads for its region is heard by all of it, each time. */
+	return count <= TARGETS_MOST || (near && reads_for_others(gossip)) ||
 	       g_random_int_range(0, (gint32)count) < TARGETS_MOST;
 }
 
@@ -172,10 +184,13 @@
 	add_loads(edge, &beat);
 	if (far_too)
 		add_news(edge, &beat);
+	if (gossip->sync && reads_for_others(gossip))
+		beat.vouch_count = sync_vouches(gossip->sync, beat.vouches);
 	send_round(gossip, &beat, true);
 	if (!far_too)
 		return;
 	beat.load_count = 0;
+	beat.vouch_count = 0;
 	beat.life_count = MIN(beat.life_count, 3);
 	send_round(gossip, &beat, false);
 	drop_news(edge, beat.pair_count);
@@ -183,13 +198,59 @@
 
 static void on_timer(uv_timer_t *timer)
 {
-	beat_now(timer->data);
+	struct gossip *gossip = timer->data;
+
+	beat_now(gossip);
+	if (gossip->unknown && gossip->sync)
+		sync_read_members(gossip->sync);
+	gossip->unknown = false;
+}
+
+static void add_change(const struct edge *edge, const char *id,
+		       struct beat *beat)
+{
+	const struct backend *backend = backend_table_find(edge->backends, id);
+	struct beat_row *row = &beat->rows[beat->row_count++];
+	uint64_t now_us = edge_now_us(edge);
+
+	g_strlcpy(row->id, id, sizeof(row->id));
+	if (!backend)
+		return;
+	g_strlcpy(row->service, backend->service, sizeof(row->service));
+	g_strlcpy(row->domain, backend->domain, sizeof(row->domain));
+	row->address = backend->address;
+	row->slots = backend->slots;
+	row->draining = backend->draining;
+	if (backend->listed_cold && backend->cold_until_us > now_us)
+		row->cold_left_ms =
+			(uint32_t)((backend->cold_until_us - now_us) /
+				   US_PER_MS) +
+			1;
+}
+
+void gossip_tell_changes(struct gossip *gossip)
+{
+	struct edge *edge = gossip->edge;
+	GPtrArray *changes = backend_table_take_changes(edge->backends);
+	struct beat beat = { .life_count = 0 };
+	guint i;
+
+	/* Many at once are read by each for itself: its digest will differ. */
+	if (changes->len && changes->len <= BEAT_MAX_ROWS &&
+	    reads_for_others(gossip)) {
+		add_life(&beat, edge->members->self);
+		for (i = 0; i < changes->len; i++)
+			add_change(edge, changes->pdata[i], &beat);
+		send_round(gossip, &beat, true);
+	}
+	g_ptr_array_unref(changes);
 }
 
 /* --- hearing ------------------------------------------------------------ */
 
-static void take_lives(struct edge *edge, const struct beat *beat)
+static void take_lives(struct gossip *gossip, const struct beat *beat)
 {
+	struct edge *edge = gossip->edge;
 	uint64_t now_us = edge_now_us(edge);
 	uint32_t i;
 
@@ -199,6 +260,8 @@
 			member_table_find_hash(edge->members, life->member);
 		bool served;
 
+		if (!member)
+			gossip->unknown = true;
 		if (!member || member == edge->members->self)
 			continue;
 		served = member_serves(edge->members, member, now_us);
@@ -230,6 +293,53 @@
 	}
 }
 
+static void take_rows(struct edge *edge, const struct beat *beat)
+{
+	uint64_t now_us = edge_now_us(edge);
+	uint32_t i;
+
+	for (i = 0; i < beat->row_count; i++) {
+		const struct beat_row *row = &beat->rows[i];
+		const struct backend_facts facts = {
+			.id = row->id,
+			.service = row->service,
+			.address = row->address,
+			.domain = row->domain,
+			.region = edge_settings_region(&edge->settings,
+						       row->domain),
+			.slots = row->slots,
+			.draining = row->draining,
+			.cold_left_us = row->cold_left_ms * US_PER_MS,
+		};
+
+		log_event(LOG_INFO, "backend-told",
+			  "backend=%s left=%s draining=%s cold_left_ms=%u",
+			  row->id, *row->service ? "no" : "yes",
+			  row->draining ? "yes" : "no", row->cold_left_ms);
+		if (*row->service)
+			backend_table_put(edge->backends, &facts, now_us);
+		else
+			backend_table_remove(edge->backends, row->id, 0,
+					     now_us);
+	}
+}
+
+/* Only the neighbour that this node takes for the reader can vouch. */
+static void take_vouches(struct gossip *gossip, const struct beat *beat)
+{
+	struct edge *edge = gossip->edge;
+	const struct member *reader =
+		member_table_reader(edge->members, edge_now_us(edge));
+	uint32_t i;
+
+	if (reader == edge->members->self ||
+	    reader->hash != beat->lives[0].member)
+		return;
+	take_rows(edge, beat);
+	for (i = 0; gossip->sync && i < beat->vouch_count; i++)
+		sync_vouched(gossip->sync, &beat->vouches[i]);
+}
+
 static void on_datagram(uv_udp_t *udp, ssize_t length, const uv_buf_t *buffer,
 			const struct sockaddr *from, unsigned flags)
 {
@@ -240,8 +350,9 @@
 		return;
 	if (!beat_decode(buffer->base, (size_t)length, &beat))
 		return;
-	take_lives(gossip->edge, &beat);
+	take_lives(gossip, &beat);
 	take_news(gossip->edge, &beat);
+	take_vouches(gossip, &beat);
 }
 
 static void lend_buffer(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
@@ -291,6 +402,11 @@
 	uv_close((uv_handle_t *)&gossip->timer, NULL);
 }
 
+void gossip_attach(struct gossip *gossip, struct sync *sync)
+{
+	gossip->sync = sync;
+}
+
 void gossip_hurry(struct gossip *gossip)
 {
 	gossip->rounds = 0;
--- a/packages/edge/gossip.h
+++ b/packages/edge/gossip.h
@@ -17,6 +17,15 @@
 /* The memory may be freed once the loop has turned. */
 void gossip_close(struct gossip *gossip);
 
+/* What beats bring and take of the platform's tables; see sync.h. */
+void gossip_attach(struct gossip *gossip, struct sync *sync);
+
+/*
+ * Tell the neighbours which backend servers changed, where this node reads for
+ * them; and whom they hear of anyway, with the next beat.
+ */
+void gossip_tell_changes(struct gossip *gossip);
+
 /* Beat now, since something changed that others should know at once. */
 void gossip_hurry(struct gossip *gossip);
 
--- a/packages/edge/run.c
+++ b/packages/edge/run.c
@@ -189,6 +189,7 @@
 	if (passed_us > SUSPENDED_US)
 		after_suspension(run, passed_us);
 	backend_table_expire(edge->backends, now_us);
+	gossip_tell_changes(run->gossip);
 	callers_sweep(edge);
 	pool_sweep(&edge->pool, edge->backends);
 	note_readiness(run);
@@ -263,6 +264,7 @@
 	if (!run->gossip)
 		return false;
 	run->sync = sync_open(edge);
+	gossip_attach(run->gossip, run->sync);
 	start_tick(run);
 	log_event(LOG_INFO, "start", "domain=%s region=%s front=%s:%u",
 		  settings->domain, settings->region, settings->front.address,
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -5,6 +5,7 @@
 
 #include "adapters/log.h"
 #include "core/duration.h"
+#include "core/hash.h"
 #include "edge/lane.h"
 
 /*
@@ -28,6 +29,12 @@
  */
 #define LAPSE_KEEP_US (2200 * US_PER_MS)
 
+/*
+ * Between two calls because a neighbour knows otherwise: where this node is the
+ * one that knows more, the neighbour has caught up by then.
+ */
+#define MISMATCH_SPACING_US (800 * US_PER_MS)
+
 /* Without a good answer for so long the platform counts as away. */
 #define AWAY_AFTER_US (2500 * US_PER_MS)
 
@@ -39,6 +46,8 @@
 	enum registry_table table;
 	uint64_t wait_us; /* how long the platform may hold a call */
 	uint64_t spacing_us; /* from one call's start to the next */
+	uint64_t vouched_us; /* a neighbour's word is good for so long; 0: not
+			      */
 	void (*apply)(struct sync *sync, const struct registry_row *row);
 	/* After a whole read: what it didn't hold is gone. */
 	void (*prune)(struct sync *sync, GHashTable *seen);
@@ -56,6 +65,7 @@
 	GHashTable *seen; /* keys of the pages read so far */
 	uint64_t called_us;
 	uint64_t answered_us; /* last good answer */
+	uint64_t confirmed_us; /* the platform confirmed what is believed */
 	uint64_t retry_us;
 	uint32_t failures; /* in a row */
 };
@@ -75,6 +85,7 @@
 };
 
 static void follower_call(struct follower *follower);
+static uint64_t wait_us(const struct follower *follower);
 static void write_own_row(struct sync *sync);
 
 /* --- the operator's rows ------------------------------------------------ */
@@ -383,18 +394,44 @@
 	 * held for less than the 4 s that a node has to recover.
 	 */
 	{ "config", REGISTRY_CONFIG, 2500 * US_PER_MS, 50 * US_PER_MS,
-	  apply_config, prune_config },
-	/* Changes all the time: a call a second and a bit takes them together,
-	 * half of the 2.5 s after which one that leaves must get nothing. */
-	{ "backends", REGISTRY_BACKENDS, 1 * US_PER_S, 1200 * US_PER_MS,
-	  apply_backend, prune_backends },
-	{ "members", REGISTRY_MEMBERS, 15 * US_PER_S, 1 * US_PER_S,
+	  1800 * US_PER_MS, apply_config, prune_config },
+	/*
+	 * Changes all the time: a call a second takes them together. A server
+	 * that leaves must get nothing 2.5 s later; a neighbour's word is taken
+	 * for as long as leaves time for a call of one's own.
+	 */
+	{ "backends", REGISTRY_BACKENDS, 1 * US_PER_S, 1 * US_PER_S,
+	  1800 * US_PER_MS, apply_backend, prune_backends },
+	/* Beats tell of nodes that come, and of those that are gone. */
+	{ "members", REGISTRY_MEMBERS, 15 * US_PER_S, 20 * US_PER_S, 0,
 	  apply_member, prune_members },
 };
 
+static void call_later(struct follower *follower, uint64_t delay_us);
+
+/* How much longer a neighbour's word spares the call; 0: it is due. */
+static uint64_t spared_us(const struct follower *follower)
+{
+	struct edge *edge = follower->sync->edge;
+	uint64_t now_us = edge_now_us(edge);
+	uint64_t until_us = follower->confirmed_us + follower->rule->vouched_us;
+
+	if (!follower->whole || !follower->rule->vouched_us ||
+	    until_us <= now_us ||
+	    member_table_reader(edge->members, now_us) == edge->members->self)
+		return 0;
+	return until_us - now_us;
+}
+
 static void on_call_time(uv_timer_t *timer)
 {
-	follower_call(timer->data);
+	struct follower *follower = timer->data;
+	uint64_t spared = spared_us(follower);
+
+	if (spared)
+		call_later(follower, spared);
+	else
+		follower_call(follower);
 }
 
 static void call_later(struct follower *follower, uint64_t delay_us)
@@ -506,6 +543,24 @@
 			lane_abort(&sync->followers[i].lane, "silent path");
 }
 
+/*
+ * A call that was held when a later one was answered has nothing to tell yet:
+ * what its table says is confirmed as of that answer.
+ */
+static void confirm_waiting(struct sync *sync, const struct follower *by)
+{
+	uint32_t i;
+
+	for (i = 0; i < FOLLOWERS; i++) {
+		struct follower *follower = &sync->followers[i];
+
+		if (follower != by && follower->whole && !follower->failures &&
+		    lane_is_busy(&follower->lane) && wait_us(follower) &&
+		    follower->called_us < by->called_us)
+			follower->confirmed_us = by->called_us;
+	}
+}
+
 static void note_success(struct follower *follower)
 {
 	struct sync *sync = follower->sync;
@@ -522,7 +577,10 @@
 		sync->was_away = true;
 	if (follower->rule->table == REGISTRY_BACKENDS && follower->failures)
 		abort_waiting(sync, follower);
+	if (follower->rule->table == REGISTRY_BACKENDS)
+		confirm_waiting(sync, follower);
 	follower->answered_us = now_us;
+	follower->confirmed_us = now_us;
 	follower->failures = 0;
 	follower->retry_us = 0;
 }
@@ -586,6 +644,21 @@
 	registry_rows_release(&rows);
 }
 
+/*
+ * A held call tells of a change at once. A node that has a neighbour's word
+ * calls because the word differs: what there is to know is there already.
+ */
+static uint64_t wait_us(const struct follower *follower)
+{
+	struct edge *edge = follower->sync->edge;
+
+	if (follower->rule->vouched_us &&
+	    member_table_reader(edge->members, edge_now_us(edge)) !=
+		    edge->members->self)
+		return 0;
+	return follower->rule->wait_us;
+}
+
 static void follower_call(struct follower *follower)
 {
 	struct edge *edge = follower->sync->edge;
@@ -598,9 +671,9 @@
 		return;
 	if (follower->whole) {
 		registry->vtable->follow(registry, rule->table,
-					 follower->version, rule->wait_us,
+					 follower->version, wait_us(follower),
 					 &call);
-		timeout_us += rule->wait_us;
+		timeout_us += wait_us(follower);
 	} else {
 		registry->vtable->read(
 			registry, rule->table,
@@ -657,6 +730,81 @@
 	uv_close((uv_handle_t *)&sync->own_timer, NULL);
 }
 
+/* --- one reader a region ------------------------------------------------ */
+
+static uint64_t config_digest(const struct edge *edge)
+{
+	uint64_t digest = edge->routes ? edge->routes->version : 0;
+	GHashTableIter iter;
+	gpointer domain;
+
+	g_hash_table_iter_init(&iter, edge->backends->evacuated);
+	while (g_hash_table_iter_next(&iter, &domain, NULL))
+		digest += hash_pair(hash_text(domain), 0);
+	return digest;
+}
+
+static uint64_t digest_of(const struct follower *follower)
+{
+	const struct edge *edge = follower->sync->edge;
+
+	return follower->rule->table == REGISTRY_CONFIG ?
+		       config_digest(edge) :
+		       backend_table_digest(edge->backends);
+}
+
+uint32_t sync_vouches(const struct sync *sync, struct beat_vouch *vouches)
+{
+	uint64_t now_us = edge_now_us(sync->edge);
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < FOLLOWERS; i++) {
+		const struct follower *follower = &sync->followers[i];
+
+		if (!follower->rule->vouched_us || !follower->whole)
+			continue;
+		vouches[count].table = follower->rule->table;
+		vouches[count].digest = digest_of(follower);
+		vouches[count].age_ms =
+			(uint32_t)((now_us - follower->confirmed_us) /
+				   US_PER_MS);
+		count++;
+	}
+	return count;
+}
+
+void sync_vouched(struct sync *sync, const struct beat_vouch *vouch)
+{
+	uint64_t now_us = edge_now_us(sync->edge);
+	struct follower *follower;
+	uint64_t at_us;
+
+	if (vouch->table != REGISTRY_CONFIG &&
+	    vouch->table != REGISTRY_BACKENDS)
+		return;
+	follower = &sync->followers[vouch->table];
+	at_us = now_us - MIN(now_us, vouch->age_ms * US_PER_MS);
+	if (!follower->whole || at_us <= follower->confirmed_us)
+		return;
+	if (vouch->digest == digest_of(follower)) {
+		follower->confirmed_us = at_us;
+		follower->answered_us = MAX(follower->answered_us, at_us);
+		return;
+	}
+	if (now_us - follower->called_us > MISMATCH_SPACING_US)
+		follower_call(follower);
+}
+
+void sync_read_members(struct sync *sync)
+{
+	struct follower *follower = &sync->followers[REGISTRY_MEMBERS];
+	uint64_t since_us = edge_now_us(sync->edge) - follower->called_us;
+
+	if (since_us > MISMATCH_SPACING_US)
+		follower_call(follower);
+}
+
 uint64_t sync_lapse_left_us(const struct sync *sync)
 {
 	uint64_t now_us = edge_now_us(sync->edge);
--- a/packages/edge/sync.h
+++ b/packages/edge/sync.h
@@ -8,6 +8,7 @@
 #ifndef EDGE_SYNC_H
 #define EDGE_SYNC_H
 
+#include "edge/beat.h"
 #include "edge/edge.h"
 
 #ifdef __cplusplus
@@ -23,6 +24,18 @@
 /* For how long missing backend servers are still taken for lapsed ones. */
 uint64_t sync_lapse_left_us(const struct sync *sync);
 
+/*
+ * One node of a region reads the tables for all of it. It vouches for what it
+ * believes by digests; a neighbour whose digest is the same has the platform's
+ * word by it, and calls the platform itself only where digests differ or the
+ * word grows old.
+ */
+uint32_t sync_vouches(const struct sync *sync, struct beat_vouch *vouches);
+void sync_vouched(struct sync *sync, const struct beat_vouch *vouch);
+
+/* A node was heard of that the members' table didn't name yet. */
+void sync_read_members(struct sync *sync);
+
 /* The platform has another address. */
 void sync_redirect(struct sync *sync, const struct endpoint *to);
 
--- /dev/null
+++ b/tests/core/choose_test.cc
@@ -0,0 +1,286 @@
+/* The choice of a backend server: filters, cost, cold allowance, regions. */
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/choose.h"
+#include "core/duration.h"
+
+namespace
+{
+
+class ChooseTest : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		backends = backend_table_new();
+		members = member_table_new("n1");
+		set_text(&members->self->region, "r1");
+		warmth_init(&warmth);
+		chooser_init(&chooser, backends, members, &warmth, "d1", "r1");
+		routes = route_table_new(1);
+		service = route_table_add_service(routes, "s");
+		service->warmup_us = 3 * US_PER_S;
+		service->cold_per_s = 5.6;
+		route = route_table_add(routes, route_new("r", "h", "/r/"));
+		route->idempotent = true;
+		route->timeout_us = 2 * US_PER_S;
+		route->target_us = 600 * US_PER_MS;
+		route_add_part(route, "s", 1);
+		query.route = route;
+		query.service = service;
+		query.has_object = true;
+		query.object = 7;
+		query.left_us = 2 * US_PER_S;
+	}
+	void TearDown() override
+	{
+		chooser_release(&chooser);
+		warmth_release(&warmth);
+		backend_table_free(backends);
+		member_table_free(members);
+		route_table_unref(routes);
+	}
+	static void set_text(char **at, const char *text)
+	{
+		g_free(*at);
+		*at = g_strdup(text);
+	}
+	struct backend *add(const std::string &id, const char *domain = "d1",
+			    const char *region = "r1", uint64_t cold_us = 0)
+	{
+		struct backend_facts facts = {};
+
+		facts.id = id.c_str();
+		facts.service = "s";
+		facts.domain = domain;
+		facts.region = region;
+		facts.slots = 4;
+		facts.cold_left_us = cold_us;
+		return backend_table_put(backends, &facts, now_us);
+	}
+	struct choice choose()
+	{
+		struct choice choice;
+
+		choose_backend(&chooser, &query, now_us, &choice);
+		return choice;
+	}
+
+	uint64_t now_us = 100 * US_PER_S;
+	struct backend_table *backends;
+	struct member_table *members;
+	struct warmth warmth;
+	struct chooser chooser;
+	struct route_table *routes;
+	struct service *service;
+	struct route *route;
+	struct choose_query query = {};
+};
+
+TEST_F(ChooseTest, NothingKnownIsToldApartFromNothingFree)
+{
+	EXPECT_EQ(CHOOSE_NONE_KNOWN, choose().reason);
+	struct backend *only = add("i-1");
+	for (int i = 0; i < 8; i++)
+		backend_begin(only, 1000, now_us);
+	struct choice choice = choose();
+	EXPECT_EQ(nullptr, choice.backend);
+	EXPECT_EQ(CHOOSE_NONE_FREE, choice.reason);
+	EXPECT_GT(choice.retry_after_us, 0u);
+}
+
+struct filter_case {
+	const char *name;
+	bool draining;
+	bool evacuated;
+	bool tried;
+	bool other_region;
+	bool shunned;
+	bool chosen;
+};
+
+const filter_case filter_cases[] = {
+	{ "Good", false, false, false, false, false, true },
+	{ "Draining", true, false, false, false, false, false },
+	{ "Evacuated", false, true, false, false, false, false },
+	{ "Tried", false, false, true, false, false, false },
+	{ "RegionNotAllowed", false, false, false, true, false, false },
+	{ "Unreachable", false, false, false, false, true, false },
+};
+
+class FilterTest : public ChooseTest,
+		   public ::testing::WithParamInterface<filter_case>
+{
+};
+
+TEST_P(FilterTest, NothingPassesIt)
+{
+	const filter_case &c = GetParam();
+	struct backend *only = add("i-1", "d1", c.other_region ? "r2" : "r1");
+
+	g_ptr_array_add(route->regions, g_strdup("r1"));
+	only->draining = c.draining;
+	if (c.evacuated)
+		backend_table_evacuate(backends, "d1", true, 0, now_us);
+	if (c.tried)
+		query.tried[query.tried_count++] = only;
+	if (c.shunned)
+		backend_unreachable(backends, only, now_us);
+	EXPECT_EQ(c.chosen ? only : nullptr, choose().backend);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, FilterTest, ::testing::ValuesIn(filter_cases),
+			 [](const auto &info) { return info.param.name; });
+
+/* The server that handled the object is chosen again, and by all nodes alike.
+ */
+TEST_F(ChooseTest, AnObjectStaysWithItsServer)
+{
+	for (int i = 0; i < 6; i++)
+		add("i-" + std::to_string(i));
+	struct backend *first = choose().backend;
+
+	EXPECT_EQ(CHOOSE_RANK, choose().reason);
+	for (int i = 0; i < 5; i++)
+		EXPECT_EQ(first, choose().backend);
+	chooser_learn(&chooser, &query, first, false, 900 * US_PER_MS, now_us);
+	EXPECT_EQ(first, choose().backend);
+	EXPECT_EQ(CHOOSE_WARM, choose().reason);
+}
+
+TEST_F(ChooseTest, ObjectsAreSpreadOverServers)
+{
+	std::set<struct backend *> chosen;
+
+	for (int i = 0; i < 6; i++)
+		add("i-" + std::to_string(i));
+	for (uint32_t object = 0; object < 60; object++) {
+		query.object = object * 2654435761u;
+		chosen.insert(choose().backend);
+	}
+	EXPECT_EQ(6u, chosen.size());
+}
+
+/* A full owner hands its object on to the next in the order. */
+TEST_F(ChooseTest, AFullOwnerIsPassedOver)
+{
+	for (int i = 0; i < 3; i++)
+		add("i-" + std::to_string(i));
+	struct backend *owner = choose().backend;
+
+	for (int i = 0; i < 8; i++)
+		backend_begin(owner, 1000, now_us);
+	EXPECT_NE(owner, choose().backend);
+	EXPECT_NE(nullptr, choose().backend);
+}
+
+/*
+ * A server turned cold. Connections to it take a round trip to open, and the
+ * sends that are under way weren't counted: one node alone sent it eleven
+ * requests in 150 ms, and it crashed. A request counts when it is chosen.
+ */
+TEST_F(ChooseTest, AColdServersAllowanceIsClaimedAtTheChoice)
+{
+	struct backend *cold = add("i-1", "d1", "r1", 3 * US_PER_S);
+	int sent = 0;
+
+	for (int i = 0; i < 20; i++) {
+		struct choice choice = choose();
+
+		if (!choice.backend)
+			continue;
+		EXPECT_EQ(cold, choice.backend);
+		backend_begin(choice.backend, 1000, now_us);
+		backend_end(choice.backend, 1000);
+		now_us += 10 * US_PER_MS;
+		sent++;
+	}
+	EXPECT_GE(sent, 1);
+	EXPECT_LE(sent, 2); /* 5.6 a second, between two nodes */
+	now_us += 4 * US_PER_S;
+	EXPECT_EQ(cold, choose().backend);
+}
+
+/*
+ * A cold server's allowance is shared by two of all known nodes, living or not:
+ * if each side of a cut counted only the nodes that it hears, both would send.
+ */
+TEST_F(ChooseTest, OnlyTwoNodesSendToAColdServer)
+{
+	int owners = 0;
+
+	add("i-1", "d1", "r1", 3 * US_PER_S);
+	for (int node = 0; node < 9; node++) {
+		struct member_table *view =
+			member_table_new(("m" + std::to_string(node)).c_str());
+
+		for (int other = 0; other < 9; other++)
+			member_table_put(view,
+					 ("m" + std::to_string(other)).c_str());
+		chooser.members = view;
+		owners += choose().backend != nullptr;
+		member_table_free(view);
+	}
+	chooser.members = members;
+	EXPECT_EQ(2, owners);
+}
+
+/* A server that joins has none of the objects, and is tried all the same. */
+TEST_F(ChooseTest, AServerThatJoinsGetsARequest)
+{
+	struct backend *old = add("i-1");
+
+	chooser_learn(&chooser, &query, old, false, 900 * US_PER_MS, now_us);
+	EXPECT_EQ(old, choose().backend);
+	backends->whole = true;
+	struct backend *joined = add("i-2");
+	EXPECT_EQ(joined, choose().backend);
+	backend_begin(joined, 1000, now_us);
+	EXPECT_EQ(old, choose().backend);
+}
+
+/*
+ * Home is full of a sudden. The share that leaves the region moves by steps, so
+ * that far servers aren't hit by all of it at once; where a server at home was
+ * lost, it may.
+ */
+TEST_F(ChooseTest, ARegionsShareLeavesBySteps)
+{
+	struct backend *home = add("i-1", "d1", "r1");
+	int left = 0;
+
+	for (int i = 0; i < 4; i++)
+		add("f-" + std::to_string(i), "d3", "r2");
+	for (int i = 0; i < 2; i++)
+		add("h-" + std::to_string(i), "d1", "r1");
+	for (int i = 0; i < 3; i++)
+		choose();
+	for (const char *id : { "i-1", "h-0", "h-1" })
+		for (int i = 0; i < 5; i++)
+			backend_begin(backend_table_find(backends, id),
+				      900 * US_PER_MS, now_us);
+	for (int i = 0; i < 100; i++) {
+		struct choice choice = choose();
+
+		left += choice.backend &&
+			std::string(choice.backend->region) == "r2";
+		now_us += 10 * US_PER_MS;
+	}
+	EXPECT_LE(left, 30);
+	backend_table_remove(backends, "i-1", 0, now_us);
+	(void)home;
+	left = 0;
+	for (int i = 0; i < 10; i++) {
+		struct choice choice = choose();
+
+		left += choice.backend &&
+			std::string(choice.backend->region) == "r2";
+	}
+	EXPECT_EQ(10, left);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/core/edge_core_test.cc
@@ -0,0 +1,397 @@
+/* The small decisions of the data path, each by its table of cases. */
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/backend_table.h"
+#include "core/duration.h"
+#include "core/extra_budget.h"
+#include "core/member_table.h"
+#include "core/region_flow.h"
+#include "core/retry.h"
+#include "core/route_table.h"
+#include "core/warmth.h"
+
+namespace
+{
+
+struct span_case {
+	const char *text;
+	bool good;
+	uint64_t us;
+};
+
+TEST(DurationTest, ReadsSpans)
+{
+	const span_case cases[] = {
+		{ "250ms", true, 250000 }, { "2.5s", true, 2500000 },
+		{ "0ms", true, 0 },	   { "1s", true, 1000000 },
+		{ "", false, 0 },	   { "5", false, 0 },
+		{ "ms", false, 0 },	   { "-1s", false, 0 },
+		{ "1s ", false, 0 },	   { "1m", false, 0 },
+		{ "99999999s", false, 0 }, { "nan s", false, 0 },
+	};
+
+	for (const span_case &c : cases) {
+		uint64_t us = 0;
+
+		EXPECT_EQ(c.good, duration_parse(c.text, &us)) << c.text;
+		if (c.good) {
+			EXPECT_EQ(c.us, us) << c.text;
+		}
+	}
+	EXPECT_FALSE(duration_parse(nullptr, nullptr));
+}
+
+class RouteTableTest : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		table = route_table_new(3);
+		for (const char *name : { "s", "t" })
+			route_table_add_service(table, name);
+		add("root", "h.example", "/", "s");
+		add("long", "h.example", "/a/b/", "t");
+		add("short", "h.example", "/a/", "s");
+		add("other", "x.example", "/a/", "t");
+	}
+	void TearDown() override
+	{
+		route_table_unref(table);
+	}
+	struct route *add(const char *name, const char *host,
+			  const char *prefix, const char *service)
+	{
+		struct route *route =
+			route_table_add(table, route_new(name, host, prefix));
+
+		route->timeout_us = 1;
+		route->target_us = 1;
+		route_add_part(route, service, 1);
+		return route;
+	}
+	struct route_table *table;
+};
+
+TEST_F(RouteTableTest, TheLongestPrefixOfTheHostIsFound)
+{
+	const char *cases[][3] = {
+		{ "h.example", "/a/b/c", "long" },
+		{ "h.example", "/a/b/", "long" },
+		{ "h.example", "/a/b", "short" },
+		{ "h.example", "/a?x=/a/b/", "root" },
+		{ "h.example", "/", "root" },
+		{ "H.EXAMPLE", "/a/", "short" },
+		{ "h.example:8080", "/a/", "short" },
+		{ "x.example", "/a/b/", "other" },
+		{ "x.example", "/", nullptr },
+		{ "y.example", "/a/", nullptr },
+		{ "", "/a/", nullptr },
+	};
+
+	ASSERT_TRUE(route_table_finish(table, nullptr));
+	for (const auto &c : cases) {
+		struct route *route = route_table_find(table, c[0], c[1]);
+
+		EXPECT_STREQ(c[2], route ? route->name : nullptr)
+			<< c[0] << c[1];
+	}
+}
+
+TEST_F(RouteTableTest, WhatIsMalformedIsRefused)
+{
+	ASSERT_TRUE(route_table_finish(table, nullptr));
+	add("bare", "h.example", "/a", "s");
+	EXPECT_FALSE(route_table_finish(table, nullptr));
+}
+
+TEST_F(RouteTableTest, AnUnknownServiceIsRefused)
+{
+	GError *error = nullptr;
+
+	add("lost", "h.example", "/l/", "nobody");
+	EXPECT_FALSE(route_table_finish(table, &error));
+	ASSERT_NE(nullptr, error);
+	EXPECT_NE(nullptr, strstr(error->message, "nobody"));
+	g_error_free(error);
+}
+
+/* Any run of requests is split by the weights, short of one request. */
+TEST_F(RouteTableTest, ASplitKeepsItsWeights)
+{
+	struct route *route = add("split", "h.example", "/s/", "s");
+	std::map<std::string, int> counts;
+
+	static_cast<struct route_part *>(route->parts->pdata[0])->weight = 90;
+	route_add_part(route, "t", 10);
+	for (int i = 1; i <= 200; i++) {
+		counts[route_next_service(route)]++;
+		EXPECT_LE(abs(counts["t"] * 10 - i), 10);
+	}
+	EXPECT_EQ(20, counts["t"]);
+}
+
+struct retry_case {
+	const char *name;
+	bool idempotent;
+	uint32_t sends;
+	uint32_t unreachable;
+	uint64_t left_ms;
+	enum send_outcome outcome;
+	enum retry_step step;
+};
+
+TEST(RetryTest, OnlyWhatMayRunTwiceIsSentTwice)
+{
+	const retry_case cases[] = {
+		{ "unreachable costs nothing", false, 0, 1, 900,
+		  SEND_UNREACHABLE, RETRY_FREE },
+		{ "but not for ever", false, 0, 3, 900, SEND_UNREACHABLE,
+		  RETRY_NOT },
+		{ "not executed: another server", false, 1, 0, 900,
+		  SEND_NOT_EXECUTED, RETRY_PAID },
+		{ "broken: it may have run", false, 1, 0, 900, SEND_BROKEN,
+		  RETRY_NOT },
+		{ "failed: it ran", false, 1, 0, 900, SEND_FAILED, RETRY_NOT },
+		{ "broken, idempotent", true, 1, 0, 900, SEND_BROKEN,
+		  RETRY_PAID },
+		{ "failed, idempotent", true, 1, 0, 900, SEND_FAILED,
+		  RETRY_PAID },
+		{ "all attempts used", true, 2, 0, 900, SEND_BROKEN,
+		  RETRY_NOT },
+		{ "no time for an answer", true, 1, 0, 90, SEND_BROKEN,
+		  RETRY_NOT },
+	};
+
+	for (const retry_case &c : cases) {
+		struct retry_state state = {};
+
+		state.idempotent = c.idempotent;
+		state.sends = c.sends;
+		state.max_attempts = 2;
+		state.unreachable = c.unreachable;
+		state.left_us = c.left_ms * US_PER_MS;
+		state.usual_us = 100 * US_PER_MS;
+		EXPECT_EQ(c.step, retry_after(&state, c.outcome)) << c.name;
+	}
+}
+
+/* Over any window the extra requests stay under the bound, nodes together. */
+TEST(ExtraBudgetTest, TheBoundHoldsInEveryWindow)
+{
+	const struct extra_budget_rule rule = { 0.2, 50, 10 * US_PER_S };
+	std::vector<uint64_t> taken;
+	std::vector<uint64_t> first;
+	struct extra_budget nodes[5] = {};
+
+	for (uint64_t ms = 1; ms < 60000; ms += 20) {
+		uint64_t now_us = ms * US_PER_MS;
+		struct extra_budget *node = &nodes[(ms / 20) % 5];
+
+		if (ms < 20000 || ms > 40000) {
+			extra_budget_first(node, &rule, now_us);
+			first.push_back(now_us);
+		}
+		while (extra_budget_take(node, &rule, 5, now_us))
+			taken.push_back(now_us);
+	}
+	ASSERT_GT(taken.size(), 50u);
+	for (uint64_t end = rule.window_us; end < 60 * US_PER_S;
+	     end += 500 * US_PER_MS) {
+		auto within = [&](const std::vector<uint64_t> &times,
+				  uint64_t window_us) {
+			int count = 0;
+
+			for (uint64_t at : times)
+				count += at <= end && at + window_us > end;
+			return count;
+		};
+
+		EXPECT_LE(within(taken, rule.window_us),
+			  0.2 * within(first, 2 * rule.window_us) + 50)
+			<< end;
+	}
+}
+
+/* From one window of 2 s to the next the share moves by less than 0.15. */
+TEST(RegionFlowTest, TheShareMovesByBoundedSteps)
+{
+	struct region_flow flow = {};
+	std::vector<int> windows;
+	uint64_t now_us = US_PER_S;
+
+	flow.moved_us = now_us;
+	for (int window = 0; window < 20; window++) {
+		bool prefers = window >= 3 && window < 12;
+		int left = 0;
+
+		for (int i = 0; i < 200; i++) {
+			left += region_flow_leave(&flow, prefers, false,
+						  now_us);
+			now_us += 10 * US_PER_MS;
+		}
+		windows.push_back(left);
+	}
+	EXPECT_GT(windows[11], 100);
+	for (size_t i = 1; i < windows.size(); i++)
+		EXPECT_LE(abs(windows[i] - windows[i - 1]), 0.15 * 200) << i;
+}
+
+TEST(RegionFlowTest, AfterALossItMovesFreely)
+{
+	struct region_flow flow = {};
+
+	EXPECT_FALSE(region_flow_leave(&flow, false, false, US_PER_S));
+	for (int i = 0; i < 10; i++)
+		EXPECT_TRUE(region_flow_leave(&flow, true, true, US_PER_S));
+}
+
+class MemberTableTest : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		table = member_table_new("a");
+		place("a", "r1");
+		place("b", "r1");
+		place("c", "r2");
+	}
+	void TearDown() override
+	{
+		member_table_free(table);
+	}
+	struct member *place(const char *name, const char *region)
+	{
+		struct member *member = member_table_put(table, name);
+
+		g_free(member->region);
+		member->region = g_strdup(region);
+		member->front.port = 80;
+		return member;
+	}
+	uint32_t entries(const char *region)
+	{
+		const struct member *found[8];
+
+		return member_table_entries(table, region, now_us, found, 8);
+	}
+	uint64_t now_us = 50 * US_PER_S;
+	struct member_table *table;
+};
+
+TEST_F(MemberTableTest, AMemberLivesWhileItsBeatsRise)
+{
+	struct member *b = member_table_find(table, "b");
+
+	EXPECT_EQ(1u, entries("r1")) << "b was never heard of";
+	EXPECT_TRUE(member_heard(b, 10, false, now_us));
+	EXPECT_EQ(2u, entries("r1"));
+	now_us += MEMBER_SILENT_US;
+	EXPECT_FALSE(member_heard(b, 10, false, now_us)) << "an old beat";
+	EXPECT_EQ(1u, entries("r1"));
+	EXPECT_TRUE(member_heard(b, 11, false, now_us));
+	EXPECT_EQ(2u, entries("r1"));
+	member_heard(b, 12, true, now_us);
+	EXPECT_EQ(1u, entries("r1")) << "it leaves";
+}
+
+TEST_F(MemberTableTest, CallersOfARegionWithoutNodesGetTheOthers)
+{
+	EXPECT_EQ(1u, entries("r9"));
+	member_heard(member_table_find(table, "c"), 1, false, now_us);
+	EXPECT_EQ(2u, entries("r9"));
+	EXPECT_EQ(1u, entries("r2"));
+}
+
+/* One live node of a region reads for it; the next one when it falls silent. */
+TEST_F(MemberTableTest, OneOfARegionReads)
+{
+	struct member *b = member_table_find(table, "b");
+
+	b->hash = 0;
+	EXPECT_EQ(table->self, member_table_reader(table, now_us));
+	member_heard(b, 1, false, now_us);
+	EXPECT_EQ(b, member_table_reader(table, now_us));
+	now_us += MEMBER_SILENT_US;
+	EXPECT_EQ(table->self, member_table_reader(table, now_us));
+}
+
+TEST(WarmthTest, TheTableStaysBounded)
+{
+	struct warmth warmth;
+
+	warmth_init(&warmth);
+	for (uint32_t i = 0; i < 3 * WARMTH_MAX_ENTRIES; i++) {
+		struct warm_pair pair = { 1, i };
+
+		warmth_note(&warmth, pair, false, (i + 1) * US_PER_MS);
+	}
+	struct warm_pair newest = { 1, 3 * WARMTH_MAX_ENTRIES - 1 };
+	struct warm_pair oldest = { 1, 0 };
+	EXPECT_TRUE(warmth_has(&warmth, newest));
+	EXPECT_FALSE(warmth_has(&warmth, oldest));
+	EXPECT_LE(g_hash_table_size(warmth.seen), (guint)WARMTH_MAX_ENTRIES);
+	warmth_release(&warmth);
+}
+
+TEST(BackendTableTest, NodesThatBelieveTheSameHaveTheSameDigest)
+{
+	struct backend_table *a = backend_table_new();
+	struct backend_table *b = backend_table_new();
+	struct backend_facts facts = {};
+
+	facts.service = "s";
+	facts.domain = "d";
+	facts.region = "r";
+	facts.slots = 3;
+	for (const char *id : { "i-1", "i-2", "i-3" }) {
+		facts.id = id;
+		backend_table_put(a, &facts, 1);
+	}
+	for (const char *id : { "i-3", "i-1", "i-2" }) {
+		facts.id = id;
+		backend_table_put(b, &facts, 2);
+	}
+	EXPECT_EQ(backend_table_digest(a), backend_table_digest(b));
+	facts.draining = true;
+	backend_table_put(b, &facts, 3);
+	EXPECT_NE(backend_table_digest(a), backend_table_digest(b));
+	backend_table_put(a, &facts, 3);
+	EXPECT_EQ(backend_table_digest(a), backend_table_digest(b));
+	backend_table_remove(a, "i-1", 0, 4);
+	EXPECT_NE(backend_table_digest(a), backend_table_digest(b));
+	backend_table_free(a);
+	backend_table_free(b);
+}
+
+/* A report is old soon; neighbours' words replace each other, by sender. */
+TEST(BackendTableTest, LoadIsOwnAndOthers)
+{
+	struct backend_table *table = backend_table_new();
+	struct backend_facts facts = {};
+	uint64_t now_us = US_PER_S;
+
+	facts.id = "i-1";
+	facts.service = "s";
+	facts.domain = "d";
+	facts.region = "r";
+	facts.slots = 3;
+	struct backend *backend = backend_table_put(table, &facts, now_us);
+	backend_begin(backend, 100, now_us);
+	EXPECT_DOUBLE_EQ(1.0, backend_load(backend, now_us));
+	backend_reported(backend, 3, 1, now_us);
+	EXPECT_DOUBLE_EQ(4.0, backend_load(backend, now_us));
+	EXPECT_LT(backend_load(backend, now_us + 3 * US_PER_S), 1.5);
+	backend_told(backend, 77, 5, now_us);
+	backend_told(backend, 78, 2, now_us);
+	EXPECT_DOUBLE_EQ(8.0, backend_load(backend, now_us));
+	backend_table_forget_words(table, 77);
+	EXPECT_DOUBLE_EQ(4.0, backend_load(backend, now_us));
+	backend_table_free(table);
+}
+
+} // namespace
--- a/tests/edge/sync_test.cc
+++ b/tests/edge/sync_test.cc
@@ -159,6 +159,85 @@
 		  edge_now_us(edge));
 }
 
+/* With a neighbour that reads the tables for the region. */
+class ReaderSyncTest : public SyncTest
+{
+      protected:
+	void add_reader()
+	{
+		struct member *reader =
+			member_table_put(edge->members, "reader");
+
+		g_free(reader->region);
+		reader->region = g_strdup("r1");
+		reader->hash = 0;
+	}
+	/* What the reader's beat says of both tables. */
+	void vouch(uint32_t age_ms, uint64_t differs = 0)
+	{
+		struct beat_vouch vouches[BEAT_MAX_VOUCHES];
+		uint32_t count = sync_vouches(sync, vouches);
+
+		member_heard(member_table_find(edge->members, "reader"), ++beat,
+			     false, edge_now_us(edge));
+		for (uint32_t i = 0; i < count; i++) {
+			vouches[i].age_ms = age_ms;
+			vouches[i].digest += differs;
+			sync_vouched(sync, &vouches[i]);
+		}
+	}
+	uint64_t beat = 0;
+};
+
+/* While a neighbour vouches, the node makes next to no calls of its own. */
+TEST_F(ReaderSyncTest, ANeighboursWordSparesTheCalls)
+{
+	add_app("i-1");
+	start_node();
+	add_reader();
+	vouch(0);
+	turn_for(1500);
+	uint64_t calls = store_stand_calls(store);
+	for (int i = 0; i < 15; i++) {
+		vouch(100);
+		turn_for(200);
+	}
+	EXPECT_LE(store_stand_calls(store) - calls, 2u);
+}
+
+/* A neighbour that is cut off from the store vouches for what was: not taken.
+ */
+TEST_F(ReaderSyncTest, AnOldWordIsNotTaken)
+{
+	add_app("i-1");
+	start_node();
+	add_reader();
+	vouch(0);
+	put_routes(8);
+	for (int i = 0; i < 100 && edge->routes->version != 8; i++) {
+		vouch(10000);
+		turn_for(50);
+	}
+	EXPECT_EQ(8u, edge->routes->version);
+}
+
+/* The neighbour knows otherwise: the node asks the store at once. */
+TEST_F(ReaderSyncTest, AnotherWordIsLookedInto)
+{
+	add_app("i-1");
+	start_node();
+	add_reader();
+	for (int i = 0; i < 6; i++) {
+		vouch(0);
+		turn_for(200);
+	}
+	list_app(apps[0], "draining");
+	vouch(0, 1);
+	wait_for([this] {
+		return backend_table_find(edge->backends, "i-1")->draining;
+	});
+}
+
 /* Answers of the store are lost after the write was done: written again. */
 TEST_F(SyncTest, ALostAnswerToTheOwnRowIsMadeUpFor)
 {
