--- a/packages/core/member_table.c
+++ b/packages/core/member_table.c
@@ -64,7 +64,7 @@
 
 void member_table_remove(struct member_table *table, const char *name)
 {
-	if (strcmp(name, table->self->name))
+	if (strcmp(name, table->self->name) != 0)
 		g_hash_table_remove(table->by_name, name);
 }
 
--- a/packages/core/route_table.c
+++ b/packages/core/route_table.c
@@ -206,7 +206,7 @@
 
 const char *route_next_service(struct route *route)
 {
-	struct route_part *best = NULL;
+	struct route_part *best = route->parts->pdata[0];
 	int64_t total = 0;
 	guint i;
 
@@ -215,7 +215,10 @@
 
 		part->credit += part->weight;
 		total += part->weight;
-		if (part->weight && (!best || part->credit > best->credit))
+		/* A part of weight 0 gets nothing, not even the first request.
+		 */
+		if (part->weight &&
+		    (!best->weight || part->credit > best->credit))
 			best = part;
 	}
 	best->credit -= total;
--- a/tests/edge/edge_world.h
+++ b/tests/edge/edge_world.h
@@ -47,7 +47,6 @@
 	}
 	~RawCaller()
 	{
-		client_->owner = nullptr;
 		leave();
 	}
 	void send(const std::string &bytes)
@@ -60,8 +59,11 @@
 	/* Close the connection, as a caller that gives up does. */
 	void leave()
 	{
-		if (!uv_is_closing((uv_handle_t *)&client_->tcp))
-			uv_close((uv_handle_t *)&client_->tcp, on_closed);
+		if (!client_)
+			return;
+		client_->owner = nullptr;
+		uv_close((uv_handle_t *)&client_->tcp, on_closed);
+		client_ = nullptr;
 	}
 	std::string got;
 	bool connected = false;
@@ -164,6 +166,8 @@
 				app_stand_close(app.stand);
 		if (store)
 			store_stand_close(store);
+		if (turning_)
+			uv_close((uv_handle_t *)&turner_, nullptr);
 		uv_run(&loop, UV_RUN_DEFAULT);
 		uv_loop_close(&loop);
 		g_free(sync);
--- a/tests/emulator/emulator.c
+++ b/tests/emulator/emulator.c
@@ -173,6 +173,42 @@
 	list_apps(timer->data);
 }
 
+static void app_free(struct app *app)
+{
+	g_free(app->id);
+	g_free(app->domain);
+	g_free(app->address);
+	g_free(app);
+}
+
+/* Backend server number of the service in a failure domain, or NULL. */
+static struct app *open_app(struct world *world, const struct service *service,
+			    const char *domain, const char *base, guint number)
+{
+	struct app *app = g_new0(struct app, 1);
+	struct endpoint at = { .port = 0 };
+	struct app_settings settings = {
+		.slots = service->slots,
+		.queue = service->slots * 3,
+		.work_us = service->work_ms * US_PER_MS,
+		.warm_part = 0.4,
+		.objects = OBJECTS,
+	};
+
+	app->id = g_strdup_printf("i-%s-%s-%u", service->name, domain, number);
+	app->domain = g_strdup(domain);
+	app->address = g_strdup(base);
+	app->slots = service->slots;
+	app->listed = true;
+	settings.id = app->id;
+	g_strlcpy(at.address, base, sizeof(at.address));
+	app->stand = app_stand_open(&world->loop, &at, &settings);
+	if (app->stand)
+		return app;
+	app_free(app);
+	return NULL;
+}
+
 static bool open_apps(struct world *world, struct service *service,
 		      const char *base)
 {
@@ -181,35 +217,16 @@
 
 	service->apps = g_ptr_array_new();
 	for (d = 0; world->domains[d]; d++) {
-		char **parts = g_strsplit(world->domains[d], ":", 2);
-
-		for (i = 0; i < service->count; i++) {
-			struct app *app = g_new0(struct app, 1);
-			struct app_settings settings = { 0 };
-			struct endpoint at = { .port = 0 };
-
-			app->id = g_strdup_printf("i-%s-%s-%u", service->name,
-						  parts[0], i);
-			app->domain = g_strdup(parts[0]);
-			app->address = g_strdup(base);
-			app->slots = service->slots;
-			app->listed = true;
-			settings.id = app->id;
-			settings.slots = service->slots;
-			settings.queue = service->slots * 3;
-			settings.work_us = service->work_ms * US_PER_MS;
-			settings.warm_part = 0.4;
-			settings.objects = OBJECTS;
-			g_strlcpy(at.address, base, sizeof(at.address));
-			app->stand =
-				app_stand_open(&world->loop, &at, &settings);
-			if (!app->stand)
-				return false;
-			g_ptr_array_add(service->apps, app);
-		}
-		g_strfreev(parts);
+		char *domain = g_strndup(world->domains[d],
+					 strcspn(world->domains[d], ":"));
+
+		for (i = 0; i < service->count; i++)
+			g_ptr_array_add(service->apps,
+					open_app(world, service, domain, base,
+						 i));
+		g_free(domain);
 	}
-	return true;
+	return !g_ptr_array_find(service->apps, NULL, NULL);
 }
 
 /* --- callers ------------------------------------------------------------ */
@@ -648,9 +665,11 @@
 	for (i = 0; services[i]; i++) {
 		struct service *service = read_service(services[i]);
 
-		if (!service || !open_apps(&world, service, at.address))
+		if (!service)
 			return fail(services[i]);
 		g_ptr_array_add(world.services, service);
+		if (!open_apps(&world, service, at.address))
+			return fail(services[i]);
 	}
 	if (fault && !plan_fault(&world, fault))
 		return fail(fault);
--- a/tests/standins/app_stand.c
+++ b/tests/standins/app_stand.c
@@ -284,7 +284,7 @@
 	}
 	app->last_deadline_ms =
 		g_ascii_strtoull(deadline ? deadline : "0", NULL, 10);
-	if (expected && strcmp(expected, app->id))
+	if (expected && strcmp(expected, app->id) != 0)
 		reject(app, call, 421, id);
 	else if (here >= most)
 		reject(app, call, 503, id);
--- a/tests/standins/store_stand.c
+++ b/tests/standins/store_stand.c
@@ -299,7 +299,7 @@
 	for (i = 0; i < store->rows->len; i++) {
 		const struct row *row = store->rows->pdata[i];
 
-		if (strcmp(row->table, table) || !row->value ||
+		if (strcmp(row->table, table) != 0 || !row->value ||
 		    (from && strcmp(row->key, from) < 0))
 			continue;
 		if (json_array_size(rows) == PAGE_ROWS) {
