--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,9 @@
 	libxxhash-dev libtomlplusplus-dev libuv1-dev \
 	libhttp-parser-dev spin clang-format clang-tidy \
 	pkg-config cmake make gcc g++
-SOURCES = $(shell git ls-files -co --exclude-standard 'packages/*.[ch]' 'platform/*.[ch]' \
-	'packages/*.cc' 'tests/*.[ch]' 'tests/*.cc' 'examples/*.c' \
+SOURCES = $(shell git ls-files -co --exclude-standard 'packages/*.[ch]' \
+	'platform/*.[ch]' 'packages/*.cc' 'tests/*.[ch]' 'tests/*.cc' \
+	'examples/*.c' \
 	| grep -v /generated/)
 
 all: build
@@ -32,7 +33,8 @@
 	clang-format --dry-run -Werror $(SOURCES)
 
 lint: build
-	@git ls-files -co --exclude-standard 'packages/*.c' 'platform/*.c' 'tests/*.c' \
+	@git ls-files -co --exclude-standard 'packages/*.c' 'platform/*.c' \
+		'tests/*.c' \
 		'examples/*.c' | \
 		grep -v /generated/ | \
 		xargs -P $(JOBS) -n 4 clang-tidy -p $(BUILD) --quiet 2>/dev/null
@@ -59,10 +61,23 @@
 	G_SLICE=always-malloc ctest --test-dir $(THREAD_BUILD) \
 		--output-on-failure -R '^(core|adapters|ctl)_test$$'
 
-check: format-check lint prove faults test sanitize sanitize-thread
+check: format-check lint prove faults play test sanitize sanitize-thread
 
 demo: build
 	tests/demo/demo.sh $(BUILD)
+	tests/emulator/play.sh $(BUILD) calderas $(SEED)
+	tests/emulator/play.sh $(BUILD) coop $(SEED)
+
+# Nodes of the data path against the emulator, both users at once.
+play: build
+	@printf 'calderas $(SEED)\ncoop $(SEED)\n' | xargs -P 2 -L 1 sh -c \
+		'tests/emulator/play.sh $(BUILD) $$0 $$1'
+
+# The same with ROUNDS seeds from SEED on, four at a time.
+play-soak: build
+	@seq $(SEED) $$(($(SEED) + $(ROUNDS) - 1)) | \
+		xargs -P 4 -I N sh -c 'tests/emulator/play.sh $(BUILD) \
+		$$([ $$((N % 2)) = 0 ] && echo coop || echo calderas) N'
 
 bench: build
 	$(BUILD)/tests/bench/bench
@@ -85,4 +100,4 @@
 
 .PHONY: all setup build format format-check lint test sanitize \
 	sanitize-thread check demo \
-	bench capacity prove faults soak clean
+	bench capacity prove faults soak play play-soak clean
