--- a/packages/edge/gossip.c
+++ b/packages/edge/gossip.c
@@ -89,10 +89,11 @@
 static void add_news(const struct edge *edge, struct beat *beat)
 {
 	const GArray *news = edge->warmth.news;
-	uint32_t count = MIN(news->len, BEAT_MAX_PAIRS);
 
-	memcpy(beat->pairs, news->data, count * sizeof(struct warm_pair));
-	beat->pair_count = count;
+	for (; beat->pair_count < MIN(news->len, BEAT_MAX_PAIRS);
+	     beat->pair_count++)
+		beat->pairs[beat->pair_count] = g_array_index(
+			news, struct warm_pair, beat->pair_count);
 }
 
 static void drop_news(struct edge *edge, uint32_t count)
