--- a/packages/edge/caller.h
+++ b/packages/edge/caller.h
@@ -21,6 +21,7 @@
 	LISTENER_READY,
 	LISTENER_LOOKUP,
 	LISTENER_OPERATORS,
+	LISTENER_PEERS,
 };
 
 struct listener {
--- a/packages/edge/edge.h
+++ b/packages/edge/edge.h
@@ -30,7 +30,6 @@
 #endif
 
 struct sync;
-struct gossip;
 
 struct edge {
 	uv_loop_t *loop;
@@ -46,6 +45,7 @@
 	struct chooser chooser;
 	GHashTable *budgets; /* service -> struct extra_budget */
 	struct pool pool;
+	struct sync *sync; /* what follows the tables; NULL before */
 	struct stats stats;
 
 	bool stopping;
--- a/packages/edge/gossip.c
+++ b/packages/edge/gossip.c
@@ -92,8 +92,8 @@
 
 	for (; beat->pair_count < MIN(news->len, BEAT_MAX_PAIRS);
 	     beat->pair_count++)
-		beat->pairs[beat->pair_count] = g_array_index(
-			news, struct warm_pair, beat->pair_count);
+		beat->pairs[beat->pair_count] =
+			g_array_index(news, struct warm_pair, beat->pair_count);
 }
 
 static void drop_news(struct edge *edge, uint32_t count)
@@ -341,6 +341,16 @@
 		sync_vouched(gossip->sync, &beat->vouches[i]);
 }
 
+/* Peers use one port everywhere; the sender's own is another for its sends. */
+static void ask_neighbour(struct gossip *gossip, const struct sockaddr *from)
+{
+	struct endpoint neighbour = { .port = gossip->edge->settings.peer.port };
+
+	if (!uv_ip4_name((const struct sockaddr_in *)from, neighbour.address,
+			 sizeof(neighbour.address)))
+		sync_heard_neighbour(gossip->sync, &neighbour);
+}
+
 static void on_datagram(uv_udp_t *udp, ssize_t length, const uv_buf_t *buffer,
 			const struct sockaddr *from, unsigned flags)
 {
@@ -351,6 +361,8 @@
 		return;
 	if (!beat_decode(buffer->base, (size_t)length, &beat))
 		return;
+	if (gossip->sync && !edge_is_ready(gossip->edge))
+		ask_neighbour(gossip, from);
 	take_lives(gossip, &beat);
 	take_news(gossip->edge, &beat);
 	take_vouches(gossip, &beat);
--- a/packages/edge/local.c
+++ b/packages/edge/local.c
@@ -1,4 +1,6 @@
 #include "edge/local.h"
+#include "edge/snapshot.h"
+#include "edge/sync.h"
 
 #include <string.h>
 
@@ -86,6 +88,23 @@
 	g_free(text);
 }
 
+static void answer_snapshot(const struct edge *edge,
+			    struct local_answer *answer)
+{
+	GBytes *bytes;
+	gsize length;
+	gconstpointer data;
+
+	if (!edge_is_ready(edge) || !edge->sync) {
+		answer->status = 503;
+		return;
+	}
+	bytes = sync_snapshot(edge->sync);
+	data = g_bytes_get_data(bytes, &length);
+	g_byte_array_append(answer->body, data, (guint)length);
+	g_bytes_unref(bytes);
+}
+
 void local_answer(struct edge *edge, enum listener_kind kind,
 		  const struct message *request, struct local_answer *answer)
 {
@@ -100,6 +119,8 @@
 		answer_lookup(edge, request, answer);
 	else if (kind == LISTENER_OPERATORS)
 		answer_operators(request, answer);
+	else if (kind == LISTENER_PEERS && path_is(request, SNAPSHOT_PATH))
+		answer_snapshot(edge, answer);
 	else
 		answer->status = 404;
 }
--- a/packages/edge/run.c
+++ b/packages/edge/run.c
@@ -32,7 +32,7 @@
 /* Kept back of the time for a stop, to end by ourselves. */
 #define STOP_MARGIN_US (300 * US_PER_MS)
 
-enum { AT_FRONT, AT_READY, AT_LOOKUP, AT_OPERATORS, LISTENERS };
+enum { AT_FRONT, AT_READY, AT_LOOKUP, AT_OPERATORS, AT_PEERS, LISTENERS };
 
 struct run {
 	struct edge edge;
@@ -219,7 +219,9 @@
 	       open_listener(run, AT_LOOKUP, LISTENER_LOOKUP, &settings->lookup,
 			     error) &&
 	       open_listener(run, AT_OPERATORS, LISTENER_OPERATORS,
-			     &settings->operators, error);
+			     &settings->operators, error) &&
+	       open_listener(run, AT_PEERS, LISTENER_PEERS, &settings->peer,
+			     error);
 }
 
 static void watch_signals(struct run *run)
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -7,6 +7,7 @@
 #include "core/duration.h"
 #include "core/hash.h"
 #include "edge/lane.h"
+#include "edge/snapshot.h"
 
 /*
  * A call to the platform beyond the time that it may be held: two round trips
@@ -63,6 +64,7 @@
 	char *page_key; /* last key of the pages read so far */
 	uint64_t page_version; /* version of the first page */
 	GHashTable *seen; /* keys of the pages read so far */
+	GHashTable *rows; /* key -> value, as the platform gave them */
 	uint64_t called_us;
 	uint64_t answered_us; /* last good answer */
 	uint64_t confirmed_us; /* the platform confirmed what is believed */
@@ -79,6 +81,7 @@
 	uv_timer_t own_timer;
 	uint64_t own_retry_us;
 	bool own_written;
+	struct lane neighbour; /* gives its snapshot where the platform won't */
 	bool was_away; /* since the last rows of backend servers */
 	uint64_t lapse_until_us; /* missing backend servers are kept till then
 				  */
@@ -490,6 +493,21 @@
 		  missing);
 }
 
+static void keep_row(struct follower *follower, const struct registry_row *row)
+{
+	if (row->deleted)
+		g_hash_table_remove(follower->rows, row->key);
+	else
+		g_hash_table_replace(follower->rows, g_strdup(row->key),
+				     g_strdup(row->value));
+}
+
+static gboolean is_unseen(gpointer key, gpointer value, gpointer seen)
+{
+	(void)value;
+	return !g_hash_table_contains(seen, key);
+}
+
 static void apply_rows(struct follower *follower,
 		       const struct registry_rows *rows)
 {
@@ -506,6 +524,7 @@
 			continue;
 		if (!follower->whole)
 			g_hash_table_add(follower->seen, g_strdup(row->key));
+		keep_row(follower, row);
 		follower->rule->apply(follower->sync, row);
 	}
 }
@@ -534,6 +553,7 @@
 	follower->whole = true;
 	follower->version = follower->page_version;
 	follower->rule->prune(follower->sync, follower->seen);
+	g_hash_table_foreach_remove(follower->rows, is_unseen, follower->seen);
 	log_event(LOG_INFO, "table-read", "table=%s rows=%u version=%" PRIu64,
 		  follower->rule->name, g_hash_table_size(follower->seen),
 		  follower->version);
@@ -711,6 +731,8 @@
 	follower->rule = rule;
 	follower->seen =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	follower->rows =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	lane_init(&follower->lane, edge->loop, &edge->settings.registry);
 	uv_timer_init(edge->loop, &follower->timer);
 	follower->timer.data = follower;
@@ -723,7 +745,9 @@
 	uint32_t i;
 
 	sync->edge = edge;
+	edge->sync = sync;
 	lane_init(&sync->own_lane, edge->loop, &edge->settings.registry);
+	lane_init(&sync->neighbour, edge->loop, &edge->settings.peer);
 	uv_timer_init(edge->loop, &sync->own_timer);
 	sync->own_timer.data = sync;
 	for (i = 0; i < FOLLOWERS; i++)
@@ -740,12 +764,114 @@
 		lane_close(&sync->followers[i].lane);
 		uv_close((uv_handle_t *)&sync->followers[i].timer, NULL);
 		g_hash_table_destroy(sync->followers[i].seen);
+		g_hash_table_destroy(sync->followers[i].rows);
 		g_free(sync->followers[i].page_key);
 	}
 	lane_close(&sync->own_lane);
+	lane_close(&sync->neighbour);
 	uv_close((uv_handle_t *)&sync->own_timer, NULL);
 }
 
+/* --- hearsay at the start ----------------------------------------------- */
+
+/* Neighbours tell of changes without the row; what has left is known by now. */
+static bool row_holds(const struct follower *follower, const char *key)
+{
+	const struct edge *edge = follower->sync->edge;
+	const struct backend *backend;
+
+	if (follower->rule->table != REGISTRY_BACKENDS)
+		return true;
+	backend = backend_table_find(edge->backends, key);
+	return backend && !backend->draining;
+}
+
+static void add_rows(const struct follower *follower,
+		     struct snapshot_writer *writer)
+{
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, follower->rows);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct snapshot_row row = { follower->rule->table, key,
+						  value };
+
+		if (row_holds(follower, key))
+			snapshot_add(writer, &row);
+	}
+}
+
+GBytes *sync_snapshot(const struct sync *sync)
+{
+	struct snapshot_writer writer;
+	uint32_t i;
+
+	snapshot_begin(&writer);
+	for (i = 0; i < FOLLOWERS; i++)
+		add_rows(&sync->followers[i], &writer);
+	return snapshot_end(&writer);
+}
+
+static void take_hearsay_row(void *context, const struct snapshot_row *row)
+{
+	struct sync *sync = context;
+	const struct registry_row known = {
+		.key = (char *)row->key,
+		.value = (char *)row->value,
+	};
+
+	if (row->table >= FOLLOWERS)
+		return;
+	keep_row(&sync->followers[row->table], &known);
+	sync->followers[row->table].rule->apply(sync, &known);
+}
+
+static void on_snapshot(void *context, const struct message *answer,
+			const char *cause)
+{
+	struct sync *sync = context;
+	struct edge *edge = sync->edge;
+
+	if (!answer || answer->status != 200 ||
+	    !snapshot_read(answer->body->data, answer->body->len,
+			   take_hearsay_row, sync)) {
+		log_event(LOG_WARNING, "hearsay", "taken=no status=%u cause=%s",
+			  answer ? answer->status : 0,
+			  cause ? cause : "answer");
+		return;
+	}
+	edge->backends->whole = g_hash_table_size(edge->backends->by_id) > 0;
+	log_event(LOG_INFO, "hearsay",
+		  "taken=yes from=%s routes_version=%" PRIu64 " backends=%u",
+		  sync->neighbour.to.address,
+		  edge->routes ? edge->routes->version : 0,
+		  g_hash_table_size(edge->backends->by_id));
+}
+
+static bool is_cut_off(const struct sync *sync)
+{
+	uint32_t i;
+
+	for (i = 0; i < FOLLOWERS; i++)
+		if (!sync->followers[i].failures)
+			return false;
+	return true;
+}
+
+void sync_heard_neighbour(struct sync *sync, const struct endpoint *from)
+{
+	struct edge *edge = sync->edge;
+
+	if ((edge->routes && edge->backends->whole) || !is_cut_off(sync) ||
+	    lane_is_busy(&sync->neighbour))
+		return;
+	lane_redirect(&sync->neighbour, from);
+	lane_call(&sync->neighbour, "GET", SNAPSHOT_PATH, NULL, CALL_TIMEOUT_US,
+		  on_snapshot, sync);
+}
+
 /* --- one reader a region ------------------------------------------------ */
 
 static uint64_t config_digest(const struct edge *edge)
--- a/packages/edge/sync.h
+++ b/packages/edge/sync.h
@@ -33,6 +33,15 @@
 uint32_t sync_vouches(const struct sync *sync, struct beat_vouch *vouches);
 void sync_vouched(struct sync *sync, const struct beat_vouch *vouch);
 
+/* The rows that this node knows, for a neighbour; for g_bytes_unref(). */
+GBytes *sync_snapshot(const struct sync *sync);
+
+/*
+ * A neighbour beats from there. Where this node can't reach the platform and
+ * knows too little to serve, it asks the neighbour for its snapshot.
+ */
+void sync_heard_neighbour(struct sync *sync, const struct endpoint *from);
+
 /* A node was heard of that the members' table didn't name yet. */
 void sync_read_members(struct sync *sync);
 
--- a/tests/edge/edge_world.h
+++ b/tests/edge/edge_world.h
@@ -306,6 +306,8 @@
 					  &error));
 		ASSERT_TRUE(listener_open(&lookup, edge, LISTENER_LOOKUP, &any,
 					  &error));
+		ASSERT_TRUE(listener_open(&peers, edge, LISTENER_PEERS, &any,
+					  &error));
 		sync = sync_open(edge);
 		uv_timer_init(&loop, &sweeper);
 		sweeper.data = edge;
@@ -382,6 +384,7 @@
 		listener_close(&front);
 		listener_close(&ready);
 		listener_close(&lookup);
+		listener_close(&peers);
 		sync_close(sync);
 		if (gossip)
 			gossip_close(gossip);
@@ -397,6 +400,7 @@
 	struct listener front = {};
 	struct listener ready = {};
 	struct listener lookup = {};
+	struct listener peers = {};
 	struct sync *sync = nullptr;
 	struct gossip *gossip = nullptr;
 	std::deque<App> apps; /* references to them stay good */
--- a/tests/edge/sync_test.cc
+++ b/tests/edge/sync_test.cc
@@ -1,5 +1,6 @@
 /* What a node believes of the platform's tables, with the store in trouble. */
 #include "edge/edge_world.h"
+#include "edge/snapshot.h"
 
 namespace
 {
@@ -255,6 +256,80 @@
 	});
 }
 
+/*
+ * A planned restart while the store is away: the node knew nothing and refused
+ * everything until the store was back. A neighbour gives it what it knows; a
+ * server that left meanwhile isn't in it.
+ */
+TEST_F(SyncTest, AStartWithoutTheStoreTakesANeighboursSnapshot)
+{
+	struct edge second = {};
+	struct sync *second_sync;
+
+	add_app("i-1");
+	add_app("i-2");
+	start_node();
+	put_routes(6);
+	wait_for([this] { return edge->routes->version == 6; });
+	list_app(apps[1], "draining");
+	wait_for([this] {
+		return backend_table_find(edge->backends, "i-2")->draining;
+	});
+	set_silent(true);
+	edge_init(&second, &loop, clock_system(), platform_dialect(),
+		  platform_store(), &settings);
+	stats_init(&second.stats);
+	second_sync = sync_open(&second);
+	wait_for([&] {
+		struct endpoint neighbour = at(peers);
+
+		sync_heard_neighbour(second_sync, &neighbour);
+		return edge_is_ready(&second);
+	});
+	EXPECT_EQ(6u, second.routes->version);
+	EXPECT_NE(nullptr, backend_table_find(second.backends, "i-1"));
+	EXPECT_EQ(nullptr, backend_table_find(second.backends, "i-2"));
+	/* Back in touch, the store's word replaces all of it. */
+	store_stand_put(store, "servers", "i-1", nullptr);
+	put_routes(7);
+	set_silent(false);
+	wait_for([&] { return second.routes->version == 7; });
+	wait_for([&] { return !backend_table_find(second.backends, "i-1"); });
+	sync_close(second_sync);
+	turn_for(50);
+	g_free(second_sync);
+	edge_release(&second);
+}
+
+/* Bytes that are no snapshot bring nothing. */
+TEST(SnapshotTest, OnlyWholeSnapshotsAreRead)
+{
+	struct snapshot_writer writer;
+	struct snapshot_row row = { 1, "key", "value" };
+	int seen = 0;
+	auto count = [](void *context, const struct snapshot_row *) {
+		++*static_cast<int *>(context);
+	};
+	gsize length;
+
+	snapshot_begin(&writer);
+	snapshot_add(&writer, &row);
+	snapshot_add(&writer, &row);
+	GBytes *bytes = snapshot_end(&writer);
+	const char *data =
+		static_cast<const char *>(g_bytes_get_data(bytes, &length));
+	EXPECT_TRUE(snapshot_read(data, length, count, &seen));
+	EXPECT_EQ(2, seen);
+	for (gsize cut = 0; cut < length; cut++) {
+		seen = 0;
+		bool whole = snapshot_read(data, cut, count, &seen);
+		EXPECT_TRUE(whole || !seen) << cut;
+	}
+	EXPECT_FALSE(
+		snapshot_read("hello world, no snapshot", 24, count, &seen));
+	g_bytes_unref(bytes);
+}
+
 /* Answers of the store are lost after the write was done: written again. */
 TEST_F(SyncTest, ALostAnswerToTheOwnRowIsMadeUpFor)
 {
