--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -1,4 +1,4 @@
-#include "edge/exchange.h"
+#include "edge/exchange_parts.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -7,7 +7,6 @@
 #include "adapters/log.h"
 #include "core/duration.h"
 #include "core/hash.h"
-#include "core/retry.h"
 
 /*
  * A backend server stops work at the deadline it was given; its answer then
@@ -34,194 +33,15 @@
 /* When to come back to a node that knows no routes yet, or stops. */
 #define RETRY_STARTING_US (500 * US_PER_MS)
 
-struct exchange {
-	struct conn_user user; /* first member */
-	struct edge *edge;
-	struct exchange_sink *sink;
-	struct message *request;
-	struct route_table *routes; /* holds route and service */
-	struct choose_query query;
-	const char *id;
-	uint64_t arrived_us;
-	uint64_t due_us; /* the caller must have its answer */
-
-	struct conn *conn; /* in use, or NULL */
-	struct choice choice; /* behind conn; holds a reference */
-	uint64_t connect_by_us; /* 0 once open */
-	uint64_t sent_us; /* 0: not sent on conn yet */
-	uint32_t strays;
-	bool in_grace;
-
-	struct retry_state retry;
-	uint32_t unsettled; /* sends that may have run */
-	struct message *failure; /* a failed answer, kept beside a retry */
-	uv_timer_t timer;
-	bool ended;
-};
-
 static void dispatch(struct exchange *exchange);
 
-static uint64_t now_us(const struct exchange *exchange)
-{
-	return edge_now_us(exchange->edge);
-}
-
-static uint64_t left_us(const struct exchange *exchange)
-{
-	uint64_t now = now_us(exchange);
-
-	return now < exchange->due_us ? exchange->due_us - now : 0;
-}
-
-/* --- the end ------------------------------------------------------------ */
-
-static void on_timer_closed(uv_handle_t *handle)
-{
-	struct exchange *exchange = handle->data;
-
-	g_free(exchange);
-}
-
-static void release_choice(struct exchange *exchange)
-{
-	struct backend *backend = exchange->choice.backend;
-
-	if (!backend)
-		return;
-	backend_end(backend, exchange->choice.work_us);
-	backend_unref(backend);
-	exchange->choice.backend = NULL;
-}
-
-/* The backend server's connection is no longer this exchange's. */
-static void leave_backend(struct exchange *exchange)
-{
-	exchange->sent_us = 0;
-	exchange->conn = NULL;
-	release_choice(exchange);
-}
-
-static void drop_conn(struct exchange *exchange)
-{
-	struct conn *conn = exchange->conn;
-
-	if (!conn)
-		return;
-	leave_backend(exchange);
-	pool_drop(conn);
-}
-
-static void exchange_free(struct exchange *exchange)
-{
-	uint32_t i;
-
-	exchange->ended = true;
-	drop_conn(exchange);
-	for (i = 0; i < exchange->query.tried_count; i++)
-		backend_unref((struct backend *)exchange->query.tried[i]);
-	message_free(exchange->request);
-	message_free(exchange->failure);
-	route_table_unref(exchange->routes);
-	exchange->edge->exchanges--;
-	uv_close((uv_handle_t *)&exchange->timer, on_timer_closed);
-}
-
-static void finish(struct exchange *exchange,
-		   const struct exchange_answer *answer)
-{
-	struct exchange_sink *sink = exchange->sink;
-	uint64_t took_us = now_us(exchange) - exchange->arrived_us;
-
-	metric_observe_us(exchange->edge->stats.latency_us, took_us);
-	log_event(answer->status < 400 ? LOG_DEBUG : LOG_INFO, "answered",
-		  "request=%s status=%u took_us=%" PRIu64
-		  " sends=%u unreachable=%u",
-		  exchange->id, answer->status, took_us, exchange->retry.sends,
-		  exchange->retry.unreachable);
-	exchange->sink = NULL;
-	if (sink)
-		sink->vtable->finish(sink, answer);
-	exchange_free(exchange);
-}
-
-static void finish_own(struct exchange *exchange, uint16_t status,
-		       uint64_t retry_after_us, const char *cause)
-{
-	GString *headers = g_string_new(NULL);
-	GByteArray *body = g_byte_array_new();
-	const struct exchange_answer answer = { status, headers, body, false };
-
-	if (retry_after_us)
-		g_string_append_printf(headers, "Retry-After: %.3f\r\n",
-				       (double)retry_after_us /
-					       (double)US_PER_S);
-	g_string_append(headers, "Content-Type: text/plain\r\n");
-	g_byte_array_append(body, (const guint8 *)cause, strlen(cause));
-	g_byte_array_append(body, (const guint8 *)"\n", 1);
-	log_event(LOG_INFO, "own-answer",
-		  "request=%s status=%u cause=%s unsettled=%u", exchange->id,
-		  status, cause, exchange->unsettled);
-	finish(exchange, &answer);
-	g_string_free(headers, TRUE);
-	g_byte_array_unref(body);
-}
-
-/* A 503 promises that the request never runs; only an unsent one can. */
-static void finish_refused(struct exchange *exchange, uint64_t retry_after_us,
-			   const char *cause)
-{
-	struct stats *stats = &exchange->edge->stats;
-
-	if (exchange->unsettled) {
-		metric_add(stats->failed, 1);
-		finish_own(exchange, 502, 0, cause);
-		return;
-	}
-	metric_add(stats->refused, 1);
-	finish_own(exchange, 503, retry_after_us, cause);
-}
-
-static void finish_failed(struct exchange *exchange, uint16_t status,
-			  const char *cause)
-{
-	metric_add(exchange->edge->stats.failed, 1);
-	finish_own(exchange, status, 0, cause);
-}
-
-static void finish_denied(struct exchange *exchange, uint16_t status,
-			  const char *cause)
-{
-	metric_add(exchange->edge->stats.denied, 1);
-	finish_own(exchange, status, 0, cause);
-}
-
-static void deliver(struct exchange *exchange, const struct message *answer)
-{
-	GString *headers = g_string_new(NULL);
-	const char *length = message_header(answer, "Content-Length");
-	const struct exchange_answer whole = {
-		.status = answer->status,
-		.headers = headers,
-		.body = answer->body,
-		.until_close = answer->until_close,
-	};
-
-	message_copy_headers(answer, NULL, headers);
-	if (exchange->request->method == HTTP_HEAD && length)
-		g_string_append_printf(headers, "Content-Length: %s\r\n",
-				       length);
-	metric_add(exchange->edge->stats.delivered, 1);
-	finish(exchange, &whole);
-	g_string_free(headers, TRUE);
-}
-
 /* --- time --------------------------------------------------------------- */
 
 static void on_timer(uv_timer_t *timer);
 
 static void arm(struct exchange *exchange)
 {
-	uint64_t now = now_us(exchange);
+	uint64_t now = exchange_now_us(exchange);
 	uint64_t at = exchange->due_us;
 
 	if (exchange->in_grace)
@@ -253,9 +73,9 @@
 			       http_method_str(request->method),
 			       request->target->str);
 	message_copy_headers(request, replaced_headers(dialect), text);
-	g_string_append_printf(text, "%s: %" PRIu64 "\r\n",
-			       dialect->deadline_ms,
-			       (uint64_t)(left_us(exchange) / US_PER_MS));
+	g_string_append_printf(
+		text, "%s: %" PRIu64 "\r\n", dialect->deadline_ms,
+		(uint64_t)(exchange_left_us(exchange) / US_PER_MS));
 	g_string_append_printf(text, "%s: %s\r\n", dialect->expect_instance,
 			       exchange->choice.backend->id);
 	if (request->body->len || request->has_length)
@@ -282,7 +102,7 @@
 	struct conn *conn = exchange->conn;
 
 	exchange->connect_by_us = 0;
-	exchange->sent_us = now_us(exchange);
+	exchange->sent_us = exchange_now_us(exchange);
 	exchange->strays = 0;
 	exchange->retry.sends++;
 	exchange->unsettled++;
@@ -300,7 +120,7 @@
 		  exchange->choice.expected_us,
 		  backend_load(exchange->choice.backend, exchange->sent_us),
 		  exchange->choice.backend->slots, conn->uses,
-		  left_us(exchange));
+		  exchange_left_us(exchange));
 	arm(exchange);
 	link_send(&conn->link, compose(exchange),
 		  exchange->request->method == HTTP_HEAD);
@@ -329,7 +149,7 @@
 		return;
 	}
 	exchange->connect_by_us =
-		now_us(exchange) + CONNECT_EXTRA_US +
+		exchange_now_us(exchange) + CONNECT_EXTRA_US +
 		CONNECT_ROUND_TRIPS *
 			chooser_link_us(&edge->chooser, backend->region);
 	arm(exchange);
@@ -341,12 +161,12 @@
 	struct message *failure = exchange->failure;
 
 	if (!failure) {
-		finish_refused(exchange, exchange->choice.retry_after_us,
-			       cause);
+		exchange_finish_refused(exchange,
+					exchange->choice.retry_after_us, cause);
 		return;
 	}
 	exchange->failure = NULL;
-	deliver(exchange, failure);
+	exchange_deliver(exchange, failure);
 	message_free(failure);
 }
 
@@ -354,16 +174,16 @@
 {
 	struct edge *edge = exchange->edge;
 
-	exchange->query.left_us = left_us(exchange);
-	choose_backend(&edge->chooser, &exchange->query, now_us(exchange),
-		       &exchange->choice);
+	exchange->query.left_us = exchange_left_us(exchange);
+	choose_backend(&edge->chooser, &exchange->query,
+		       exchange_now_us(exchange), &exchange->choice);
 	if (!exchange->choice.backend) {
 		give_up(exchange, choose_reason_name(exchange->choice.reason));
 		return;
 	}
 	backend_ref(exchange->choice.backend);
 	backend_begin(exchange->choice.backend, exchange->choice.work_us,
-		      now_us(exchange));
+		      exchange_now_us(exchange));
 	exchange->retry.usual_us = (uint64_t)exchange->choice.expected_us;
 	use_conn(exchange);
 }
@@ -387,7 +207,7 @@
 
 static bool may_retry(struct exchange *exchange, enum send_outcome outcome)
 {
-	exchange->retry.left_us = left_us(exchange);
+	exchange->retry.left_us = exchange_left_us(exchange);
 	switch (retry_after(&exchange->retry, outcome)) {
 	case RETRY_FREE:
 		return true;
@@ -406,9 +226,9 @@
 	if (exchange->failure)
 		give_up(exchange, cause);
 	else if (outcome == SEND_BROKEN)
-		finish_failed(exchange, 502, cause);
+		exchange_finish_failed(exchange, 502, cause);
 	else
-		finish_refused(exchange, RETRY_STARTING_US, cause);
+		exchange_finish_refused(exchange, RETRY_STARTING_US, cause);
 }
 
 static void after_failure(struct exchange *exchange, enum send_outcome outcome,
@@ -421,7 +241,8 @@
 		exchange->retry.unreachable++;
 		remember_tried(exchange);
 		backend_unreachable(exchange->edge->backends,
-				    exchange->choice.backend, now_us(exchange));
+				    exchange->choice.backend,
+				    exchange_now_us(exchange));
 	}
 	if (outcome == SEND_NOT_EXECUTED)
 		exchange->unsettled--;
@@ -432,8 +253,8 @@
 		  exchange->id, id, outcome_name(outcome), cause,
 		  exchange->retry.sends, exchange->retry.left_us,
 		  again ? "yes" : "no");
-	drop_conn(exchange);
-	release_choice(exchange);
+	exchange_drop_conn(exchange);
+	exchange_release_choice(exchange);
 	exchange->connect_by_us = 0;
 	if (again)
 		dispatch(exchange);
@@ -445,10 +266,10 @@
 {
 	struct exchange *exchange = timer->data;
 
-	if (left_us(exchange) && exchange->connect_by_us &&
-	    now_us(exchange) >= exchange->connect_by_us) {
+	if (exchange_left_us(exchange) && exchange->connect_by_us &&
+	    exchange_now_us(exchange) >= exchange->connect_by_us) {
 		after_failure(exchange, SEND_UNREACHABLE, "connect timeout");
-	} else if (left_us(exchange)) {
+	} else if (exchange_left_us(exchange)) {
 		arm(exchange);
 	} else if (exchange->sent_us && !exchange->in_grace) {
 		exchange->in_grace = true;
@@ -456,10 +277,10 @@
 	} else if (exchange->unsettled) {
 		if (exchange->sent_us)
 			backend_failed(exchange->choice.backend,
-				       now_us(exchange));
-		finish_failed(exchange, 504, "timeout");
+				       exchange_now_us(exchange));
+		exchange_finish_failed(exchange, 504, "timeout");
 	} else {
-		finish_refused(exchange, RETRY_STARTING_US, "timeout");
+		exchange_finish_refused(exchange, RETRY_STARTING_US, "timeout");
 	}
 }
 
@@ -474,7 +295,7 @@
 
 	if (load && sscanf(load, "%u,%u", &running, &waiting) == 2)
 		backend_reported(exchange->choice.backend, running, waiting,
-				 now_us(exchange));
+				 exchange_now_us(exchange));
 }
 
 static bool says_not_executed(const struct exchange *exchange,
@@ -502,7 +323,7 @@
 {
 	struct edge *edge = exchange->edge;
 	struct backend *backend = exchange->choice.backend;
-	uint64_t took_us = now_us(exchange) - exchange->sent_us;
+	uint64_t took_us = exchange_now_us(exchange) - exchange->sent_us;
 	uint64_t way_us = chooser_link_us(&edge->chooser, backend->region);
 
 	metric_observe_us(edge->stats.backend_us, took_us);
@@ -510,7 +331,7 @@
 	chooser_learn(&edge->chooser, &exchange->query, backend,
 		      exchange->choice.warm,
 		      took_us > way_us ? (double)(took_us - way_us) : 1.0,
-		      now_us(exchange));
+		      exchange_now_us(exchange));
 }
 
 /* Give the connection back after an answer in good order. */
@@ -518,7 +339,7 @@
 {
 	struct conn *conn = exchange->conn;
 
-	leave_backend(exchange);
+	exchange_leave_backend(exchange);
 	if (exchange->strays)
 		pool_drop(conn);
 	else
@@ -529,7 +350,7 @@
 {
 	bool again;
 
-	backend_failed(exchange->choice.backend, now_us(exchange));
+	backend_failed(exchange->choice.backend, exchange_now_us(exchange));
 	again = may_retry(exchange, SEND_FAILED);
 	log_event(LOG_INFO, "send-failed",
 		  "request=%s backend=%s outcome=failed status=%u again=%s",
@@ -543,9 +364,9 @@
 		return;
 	}
 	if (promises_too_much(answer))
-		finish_failed(exchange, 502, "unproved refusal");
+		exchange_finish_failed(exchange, 502, "unproved refusal");
 	else
-		deliver(exchange, answer);
+		exchange_deliver(exchange, answer);
 	message_free(answer);
 }
 
@@ -564,7 +385,7 @@
 		  "took_us=%" PRIu64,
 		  exchange->id, exchange->choice.backend->id, answer->status,
 		  answer->body->len, answer->has_length ? "yes" : "no",
-		  now_us(exchange) - exchange->sent_us);
+		  exchange_now_us(exchange) - exchange->sent_us);
 	if (says_not_executed(exchange, answer)) {
 		on_not_executed(exchange, answer);
 	} else if (answer->status >= 500 || promises_too_much(answer)) {
@@ -572,12 +393,13 @@
 	} else if (answer->status < 300 &&
 		   !is_whole_success(exchange, answer)) {
 		message_free(answer);
-		backend_failed(exchange->choice.backend, now_us(exchange));
+		backend_failed(exchange->choice.backend,
+			       exchange_now_us(exchange));
 		after_failure(exchange, SEND_BROKEN, "success without seal");
 	} else {
 		learn(exchange);
 		settle(exchange, answer);
-		deliver(exchange, answer);
+		exchange_deliver(exchange, answer);
 		message_free(answer);
 	}
 }
@@ -625,11 +447,11 @@
 	struct edge *edge = exchange->edge;
 
 	chooser_link_measured(&edge->chooser, conn->backend->region,
-			      now_us(exchange) - conn->opening_us);
+			      exchange_now_us(exchange) - conn->opening_us);
 	/* It may have begun to leave while the connection opened. */
 	if (backend_is_closed(edge->backends, conn->backend)) {
-		drop_conn(exchange);
-		release_choice(exchange);
+		exchange_drop_conn(exchange);
+		exchange_release_choice(exchange);
 		exchange->connect_by_us = 0;
 		dispatch(exchange);
 		return;
@@ -645,7 +467,8 @@
 
 	/* A kept connection that ends says little about its server. */
 	if (was_sent && !conn->uses)
-		backend_failed(exchange->choice.backend, now_us(exchange));
+		backend_failed(exchange->choice.backend,
+			       exchange_now_us(exchange));
 	after_failure(exchange, was_sent ? SEND_BROKEN : SEND_UNREACHABLE,
 		      cause);
 }
@@ -702,17 +525,18 @@
 	struct edge *edge = exchange->edge;
 
 	if (!edge->routes || !edge->backends->whole) {
-		finish_refused(exchange, RETRY_STARTING_US, "starting");
+		exchange_finish_refused(exchange, RETRY_STARTING_US,
+					"starting");
 	} else if (!message_header(exchange->request,
 				   edge->dialect->attempt_id)) {
-		finish_denied(exchange, 400, "the request has no id");
+		exchange_finish_denied(exchange, 400, "the request has no id");
 	} else if (!find_route(exchange)) {
-		finish_denied(exchange, 404, "no route");
+		exchange_finish_denied(exchange, 404, "no route");
 	} else {
 		read_headers(exchange);
-		extra_budget_first(edge_budget(edge,
-					       exchange->query.service->name),
-				   &edge->settings.extra, now_us(exchange));
+		extra_budget_first(
+			edge_budget(edge, exchange->query.service->name),
+			&edge->settings.extra, exchange_now_us(exchange));
 		dispatch(exchange);
 	}
 }
@@ -736,14 +560,3 @@
 	begin(exchange);
 	return exchange->ended ? NULL : exchange;
 }
-
-void exchange_cancel(struct exchange *exchange)
-{
-	metric_add(exchange->edge->stats.cancelled, 1);
-	log_event(LOG_INFO, "caller-left",
-		  "request=%s after_us=%" PRIu64 " sends=%u", exchange->id,
-		  now_us(exchange) - exchange->arrived_us,
-		  exchange->retry.sends);
-	exchange->sink = NULL;
-	exchange_free(exchange);
-}
--- /dev/null
+++ b/packages/edge/exchange_end.c
@@ -0,0 +1,158 @@
+#include "edge/exchange_parts.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "adapters/log.h"
+#include "core/duration.h"
+
+static void on_timer_closed(uv_handle_t *handle)
+{
+	struct exchange *exchange = handle->data;
+
+	g_free(exchange);
+}
+
+void exchange_release_choice(struct exchange *exchange)
+{
+	struct backend *backend = exchange->choice.backend;
+
+	if (!backend)
+		return;
+	backend_end(backend, exchange->choice.work_us);
+	backend_unref(backend);
+	exchange->choice.backend = NULL;
+}
+
+/* The backend server's connection is no longer this exchange's. */
+void exchange_leave_backend(struct exchange *exchange)
+{
+	exchange->sent_us = 0;
+	exchange->conn = NULL;
+	exchange_release_choice(exchange);
+}
+
+void exchange_drop_conn(struct exchange *exchange)
+{
+	struct conn *conn = exchange->conn;
+
+	if (!conn)
+		return;
+	exchange_leave_backend(exchange);
+	pool_drop(conn);
+}
+
+static void exchange_free(struct exchange *exchange)
+{
+	uint32_t i;
+
+	exchange->ended = true;
+	exchange_drop_conn(exchange);
+	for (i = 0; i < exchange->query.tried_count; i++)
+		backend_unref((struct backend *)exchange->query.tried[i]);
+	message_free(exchange->request);
+	message_free(exchange->failure);
+	route_table_unref(exchange->routes);
+	exchange->edge->exchanges--;
+	uv_close((uv_handle_t *)&exchange->timer, on_timer_closed);
+}
+
+static void finish(struct exchange *exchange,
+		   const struct exchange_answer *answer)
+{
+	struct exchange_sink *sink = exchange->sink;
+	uint64_t took_us = exchange_now_us(exchange) - exchange->arrived_us;
+
+	metric_observe_us(exchange->edge->stats.latency_us, took_us);
+	log_event(answer->status < 400 ? LOG_DEBUG : LOG_INFO, "answered",
+		  "request=%s status=%u took_us=%" PRIu64
+		  " sends=%u unreachable=%u",
+		  exchange->id, answer->status, took_us, exchange->retry.sends,
+		  exchange->retry.unreachable);
+	exchange->sink = NULL;
+	if (sink)
+		sink->vtable->finish(sink, answer);
+	exchange_free(exchange);
+}
+
+static void finish_own(struct exchange *exchange, uint16_t status,
+		       uint64_t retry_after_us, const char *cause)
+{
+	GString *headers = g_string_new(NULL);
+	GByteArray *body = g_byte_array_new();
+	const struct exchange_answer answer = { status, headers, body, false };
+
+	if (retry_after_us)
+		g_string_append_printf(headers, "Retry-After: %.3f\r\n",
+				       (double)retry_after_us /
+					       (double)US_PER_S);
+	g_string_append(headers, "Content-Type: text/plain\r\n");
+	g_byte_array_append(body, (const guint8 *)cause, strlen(cause));
+	g_byte_array_append(body, (const guint8 *)"\n", 1);
+	log_event(LOG_INFO, "own-answer",
+		  "request=%s status=%u cause=%s unsettled=%u", exchange->id,
+		  status, cause, exchange->unsettled);
+	finish(exchange, &answer);
+	g_string_free(headers, TRUE);
+	g_byte_array_unref(body);
+}
+
+/* A 503 promises that the request never runs; only an unsent one can. */
+void exchange_finish_refused(struct exchange *exchange, uint64_t retry_after_us,
+			     const char *cause)
+{
+	struct stats *stats = &exchange->edge->stats;
+
+	if (exchange->unsettled) {
+		metric_add(stats->failed, 1);
+		finish_own(exchange, 502, 0, cause);
+		return;
+	}
+	metric_add(stats->refused, 1);
+	finish_own(exchange, 503, retry_after_us, cause);
+}
+
+void exchange_finish_failed(struct exchange *exchange, uint16_t status,
+			    const char *cause)
+{
+	metric_add(exchange->edge->stats.failed, 1);
+	finish_own(exchange, status, 0, cause);
+}
+
+void exchange_finish_denied(struct exchange *exchange, uint16_t status,
+			    const char *cause)
+{
+	metric_add(exchange->edge->stats.denied, 1);
+	finish_own(exchange, status, 0, cause);
+}
+
+void exchange_deliver(struct exchange *exchange, const struct message *answer)
+{
+	GString *headers = g_string_new(NULL);
+	const char *length = message_header(answer, "Content-Length");
+	const struct exchange_answer whole = {
+		.status = answer->status,
+		.headers = headers,
+		.body = answer->body,
+		.until_close = answer->until_close,
+	};
+
+	message_copy_headers(answer, NULL, headers);
+	if (exchange->request->method == HTTP_HEAD && length)
+		g_string_append_printf(headers, "Content-Length: %s\r\n",
+				       length);
+	metric_add(exchange->edge->stats.delivered, 1);
+	finish(exchange, &whole);
+	g_string_free(headers, TRUE);
+}
+
+void exchange_cancel(struct exchange *exchange)
+{
+	metric_add(exchange->edge->stats.cancelled, 1);
+	log_event(LOG_INFO, "caller-left",
+		  "request=%s after_us=%" PRIu64 " sends=%u", exchange->id,
+		  exchange_now_us(exchange) - exchange->arrived_us,
+		  exchange->retry.sends);
+	exchange->sink = NULL;
+	exchange_free(exchange);
+}
--- /dev/null
+++ b/packages/edge/exchange_parts.h
@@ -0,0 +1,65 @@
+/*
+ * exchange_parts - what the files of exchange share; not for other modules
+ */
+#ifndef EDGE_EXCHANGE_PARTS_H
+#define EDGE_EXCHANGE_PARTS_H
+
+#include "core/retry.h"
+#include "edge/exchange.h"
+
+struct exchange {
+	struct conn_user user; /* first member */
+	struct edge *edge;
+	struct exchange_sink *sink;
+	struct message *request;
+	struct route_table *routes; /* holds route and service */
+	struct choose_query query;
+	const char *id;
+	uint64_t arrived_us;
+	uint64_t due_us; /* the caller must have its answer */
+
+	struct conn *conn; /* in use, or NULL */
+	struct choice choice; /* behind conn; holds a reference */
+	uint64_t connect_by_us; /* 0 once open */
+	uint64_t sent_us; /* 0: not sent on conn yet */
+	uint32_t strays;
+	bool in_grace;
+
+	struct retry_state retry;
+	uint32_t unsettled; /* sends that may have run */
+	struct message *failure; /* a failed answer, kept beside a retry */
+	uv_timer_t timer;
+	bool ended;
+};
+
+static inline uint64_t exchange_now_us(const struct exchange *exchange)
+{
+	return edge_now_us(exchange->edge);
+}
+
+/* Time until the caller must have its answer. */
+static inline uint64_t exchange_left_us(const struct exchange *exchange)
+{
+	uint64_t now_us = exchange_now_us(exchange);
+
+	return now_us < exchange->due_us ? exchange->due_us - now_us : 0;
+}
+
+/* Let go of the chosen server, and of the connection to it. */
+void exchange_release_choice(struct exchange *exchange);
+void exchange_leave_backend(struct exchange *exchange);
+void exchange_drop_conn(struct exchange *exchange);
+
+/*
+ * The ways an exchange ends; each frees it. A refusal becomes 502 where a send
+ * may have run.
+ */
+void exchange_deliver(struct exchange *exchange, const struct message *answer);
+void exchange_finish_refused(struct exchange *exchange, uint64_t retry_after_us,
+			     const char *cause);
+void exchange_finish_failed(struct exchange *exchange, uint16_t status,
+			    const char *cause);
+void exchange_finish_denied(struct exchange *exchange, uint16_t status,
+			    const char *cause);
+
+#endif
--- /dev/null
+++ b/packages/edge/sync_parts.h
@@ -0,0 +1,82 @@
+/*
+ * sync_parts - what the files of sync share; not for other modules
+ */
+#ifndef EDGE_SYNC_PARTS_H
+#define EDGE_SYNC_PARTS_H
+
+#include "edge/lane.h"
+#include "edge/sync.h"
+
+/*
+ * A call to the platform beyond the time that it may be held: two round trips
+ * of a continent's width, and an answer fifty times slower than usual.
+ */
+#define SYNC_CALL_TIMEOUT_US (1000 * US_PER_MS)
+
+struct follower;
+
+/* How a table is followed. */
+struct follow_rule {
+	const char *name;
+	enum registry_table table;
+	uint64_t wait_us; /* how long the platform may hold a call */
+	uint64_t spacing_us; /* from one call's start to the next */
+	uint64_t vouched_us; /* a neighbour's word is good for so long; 0: not
+			      */
+	void (*apply)(struct sync *sync, const struct registry_row *row);
+	/* After a whole read: what it didn't hold is gone. */
+	void (*prune)(struct sync *sync, GHashTable *seen);
+};
+
+struct follower {
+	struct sync *sync;
+	const struct follow_rule *rule;
+	struct lane lane;
+	uv_timer_t timer;
+	uint64_t version; /* follow from here */
+	bool whole; /* the table was read whole */
+	char *page_key; /* last key of the pages read so far */
+	uint64_t page_version; /* version of the first page */
+	GHashTable *seen; /* keys of the pages read so far */
+	GHashTable *rows; /* key -> value, as the platform gave them */
+	uint64_t called_us;
+	uint64_t answered_us; /* last good answer */
+	uint64_t confirmed_us; /* the platform confirmed what is believed */
+	uint64_t retry_us;
+	uint32_t failures; /* in a row */
+};
+
+#define FOLLOWERS 3
+
+struct sync {
+	struct edge *edge;
+	struct follower followers[FOLLOWERS];
+	struct lane own_lane; /* writes this node's row */
+	uv_timer_t own_timer;
+	uint64_t own_retry_us;
+	bool own_written;
+	struct lane neighbour; /* gives its snapshot where the platform won't */
+	bool was_away; /* since the last rows of backend servers */
+	uint64_t lapse_until_us; /* missing backend servers are kept till then
+				  */
+};
+
+/* sync.c: call now; no call may be out for longer than its time. */
+void follower_call(struct follower *follower);
+
+/* Keep the row as the platform gave it. */
+void follower_keep_row(struct follower *follower,
+		       const struct registry_row *row);
+
+/* sync.c: write this node's own row, again if need be. */
+void sync_write_own_row(struct sync *sync);
+
+/* sync_tables.c: what a row says, and what a whole table doesn't say. */
+void apply_config_row(struct sync *sync, const struct registry_row *row);
+void prune_config(struct sync *sync, GHashTable *seen);
+void apply_backend_row(struct sync *sync, const struct registry_row *row);
+void prune_backends(struct sync *sync, GHashTable *seen);
+void apply_member_row(struct sync *sync, const struct registry_row *row);
+void prune_members(struct sync *sync, GHashTable *seen);
+
+#endif
--- /dev/null
+++ b/packages/edge/sync_tables.c
@@ -0,0 +1,260 @@
+#include "edge/sync_parts.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "adapters/log.h"
+#include "core/duration.h"
+
+/* --- the operator's rows ------------------------------------------------ */
+
+static void apply_routes(struct sync *sync, const struct registry_row *row)
+{
+	struct edge *edge = sync->edge;
+	const struct registry *registry = edge->registry;
+	struct route_table *table;
+	GError *error = NULL;
+
+	if (row->deleted)
+		return;
+	table = registry->vtable->decode_routes(registry, row->value, &error);
+	if (!table) {
+		log_event(LOG_ERROR, "routes-invalid",
+			  "row_version=%" PRIu64 " cause=%s", row->version,
+			  error->message);
+		g_error_free(error);
+		return;
+	}
+	/* Answers can come out of order; a node never goes back. */
+	if (edge->routes && table->version <= edge->routes->version) {
+		route_table_unref(table);
+		return;
+	}
+	log_event(LOG_INFO, "routes-in-force",
+		  "version=%" PRIu64 " routes=%u services=%u", table->version,
+		  table->route_count, g_hash_table_size(table->services));
+	route_table_unref(edge->routes);
+	edge->routes = table;
+}
+
+/* The longest time that a backend server of any service is cold. */
+static uint64_t longest_warmup_us(const struct edge *edge)
+{
+	uint64_t longest_us = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!edge->routes)
+		return 0;
+	g_hash_table_iter_init(&iter, edge->routes->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		longest_us =
+			MAX(longest_us, ((struct service *)value)->warmup_us);
+	return longest_us;
+}
+
+static void set_evacuation(struct sync *sync, const char *domain, bool begins)
+{
+	struct edge *edge = sync->edge;
+
+	if (backend_table_evacuated(edge->backends, domain) == begins)
+		return;
+	log_event(LOG_INFO, "evacuation", "domain=%s begins=%s", domain,
+		  begins ? "yes" : "no");
+	backend_table_evacuate(edge->backends, domain, begins,
+			       longest_warmup_us(edge), edge_now_us(edge));
+}
+
+void apply_config_row(struct sync *sync, const struct registry_row *row)
+{
+	const struct registry *registry = sync->edge->registry;
+	char *domain = NULL;
+
+	switch (registry->vtable->config_row(registry, row->key, &domain)) {
+	case CONFIG_ROW_ROUTES:
+		apply_routes(sync, row);
+		break;
+	case CONFIG_ROW_EVACUATION:
+		set_evacuation(sync, domain, !row->deleted);
+		break;
+	case CONFIG_ROW_OTHER:
+		break;
+	}
+	g_free(domain);
+}
+
+void prune_config(struct sync *sync, GHashTable *seen)
+{
+	const struct registry *registry = sync->edge->registry;
+	GHashTable *standing =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	GList *domains = g_hash_table_get_keys(sync->edge->backends->evacuated);
+	GHashTableIter iter;
+	gpointer key;
+	GList *at;
+
+	g_hash_table_iter_init(&iter, seen);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		char *domain = NULL;
+
+		if (registry->vtable->config_row(registry, key, &domain) ==
+		    CONFIG_ROW_EVACUATION)
+			g_hash_table_add(standing, domain);
+	}
+	for (at = domains; at; at = at->next) {
+		char *domain = g_strdup(at->data);
+
+		if (!g_hash_table_contains(standing, domain))
+			set_evacuation(sync, domain, false);
+		g_free(domain);
+	}
+	g_list_free(domains);
+	g_hash_table_destroy(standing);
+}
+
+/* --- backend servers ---------------------------------------------------- */
+
+static void remove_backend(struct sync *sync, const char *id)
+{
+	struct edge *edge = sync->edge;
+	uint64_t now_us = edge_now_us(edge);
+	struct backend *backend = backend_table_find(edge->backends, id);
+
+	if (!backend)
+		return;
+	if (!backend->lapsed_us)
+		log_event(LOG_INFO, "backend-missing",
+			  "backend=%s service=%s kept_us=%" PRIu64, id,
+			  backend->service, sync_lapse_left_us(sync));
+	backend_table_remove(edge->backends, id, sync->lapse_until_us, now_us);
+}
+
+static void put_backend(struct sync *sync, const struct registry_row *row,
+			const struct backend_record *record)
+{
+	struct edge *edge = sync->edge;
+	const struct backend *known =
+		backend_table_find(edge->backends, row->key);
+	const struct backend_facts facts = {
+		.id = row->key,
+		.service = record->service,
+		.address = record->address,
+		.domain = record->domain,
+		.region = edge_settings_region(&edge->settings, record->domain),
+		.slots = record->slots,
+		.draining = record->draining,
+		.cold_left_us = record->cold_left_us,
+	};
+
+	if (!known || known->draining != record->draining ||
+	    (record->cold_left_us && known->cold_until_us <= edge_now_us(edge)))
+		log_event(LOG_INFO, "backend",
+			  "backend=%s service=%s address=%s:%u domain=%s "
+			  "slots=%u draining=%s cold_left_us=%" PRIu64,
+			  row->key, record->service, record->address.address,
+			  record->address.port, record->domain, record->slots,
+			  record->draining ? "yes" : "no",
+			  record->cold_left_us);
+	backend_table_put(edge->backends, &facts, edge_now_us(edge));
+}
+
+void apply_backend_row(struct sync *sync, const struct registry_row *row)
+{
+	const struct registry *registry = sync->edge->registry;
+	struct backend_record record;
+	GError *error = NULL;
+
+	if (row->deleted) {
+		remove_backend(sync, row->key);
+		return;
+	}
+	if (!registry->vtable->decode_backend(registry, row->value, &record,
+					      &error)) {
+		log_event(LOG_WARNING, "backend-invalid", "backend=%s cause=%s",
+			  row->key, error->message);
+		g_error_free(error);
+		return;
+	}
+	put_backend(sync, row, &record);
+	backend_record_release(&record);
+}
+
+void prune_backends(struct sync *sync, GHashTable *seen)
+{
+	struct edge *edge = sync->edge;
+	GList *ids = g_hash_table_get_keys(edge->backends->by_id);
+	GList *at;
+
+	edge->backends->whole = true;
+	for (at = ids; at; at = at->next) {
+		char *id = g_strdup(at->data);
+
+		if (!g_hash_table_contains(seen, id))
+			remove_backend(sync, id);
+		g_free(id);
+	}
+	g_list_free(ids);
+}
+
+/* --- members ------------------------------------------------------------ */
+
+static void put_member(struct edge *edge, const char *name,
+		       const struct member_record *record)
+{
+	struct member *member = member_table_find(edge->members, name);
+	bool is_new = !member;
+
+	member = member_table_put(edge->members, name);
+	g_free(member->domain);
+	g_free(member->region);
+	member->domain = g_strdup(record->domain);
+	member->region = g_strdup(record->region);
+	member->front = record->front;
+	member->peer = record->peer;
+	if (is_new)
+		log_event(LOG_INFO, "member", "member=%s domain=%s", name,
+			  record->domain);
+}
+
+void apply_member_row(struct sync *sync, const struct registry_row *row)
+{
+	struct edge *edge = sync->edge;
+	const struct registry *registry = edge->registry;
+	struct member_record record;
+	GError *error = NULL;
+
+	if (!strcmp(row->key, edge->settings.name)) {
+		if (row->deleted && !edge->stopping)
+			sync_write_own_row(sync);
+		return;
+	}
+	if (row->deleted) {
+		member_table_remove(edge->members, row->key);
+		return;
+	}
+	if (!registry->vtable->decode_member(registry, row->value, &record,
+					     &error)) {
+		log_event(LOG_WARNING, "member-invalid", "member=%s cause=%s",
+			  row->key, error->message);
+		g_error_free(error);
+		return;
+	}
+	put_member(edge, row->key, &record);
+	member_record_release(&record);
+}
+
+void prune_members(struct sync *sync, GHashTable *seen)
+{
+	struct edge *edge = sync->edge;
+	GList *names = g_hash_table_get_keys(edge->members->by_name);
+	GList *at;
+
+	for (at = names; at; at = at->next) {
+		char *name = g_strdup(at->data);
+
+		if (!g_hash_table_contains(seen, name))
+			member_table_remove(edge->members, name);
+		g_free(name);
+	}
+	g_list_free(names);
+}
