members: rows of nodes that are lost are struck; trials are named in the log

Change: the reader of a region strikes members silent for ten minutes; a choice that is a trial says so. Tests on the table and against the store's stand-in.

--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -77,6 +77,7 @@
 	double work_us;
 	bool warm;
 	bool near; /* in this node's region */
+	bool trial; /* chosen to be warmed, not for its time */
 	bool full;
 };
 
@@ -276,12 +277,12 @@
 }
 
 /* A server of this region that joined and got no request from here yet. */
-static const struct candidate *newcomer(const GArray *candidates)
+static struct candidate *newcomer(const GArray *candidates)
 {
 	guint i;
 
 	for (i = 0; i < candidates->len; i++) {
-		const struct candidate *candidate =
+		struct candidate *candidate =
 			&g_array_index(candidates, struct candidate, i);
 
 		if (candidate->near && candidate->backend->joined &&
@@ -295,31 +296,38 @@
  * A server of this region that isn't warm for the object while another is, and
  * has room: without trials a server that joins would never be chosen.
  */
-static const struct candidate *trial(struct chooser *chooser,
-				     const GArray *candidates,
-				     const struct candidate *best)
+static struct candidate *unwarmed(const GArray *candidates)
 {
-	const struct candidate *joined = newcomer(candidates);
 	guint i;
 
-	if (joined)
-		return joined;
-	chooser->trial_credit = fmin(1.0, chooser->trial_credit + TRIAL_PART);
-	if (chooser->trial_credit < 1.0 || !best->warm)
-		return best;
 	for (i = 0; i < candidates->len; i++) {
-		const struct candidate *candidate =
+		struct candidate *candidate =
 			&g_array_index(candidates, struct candidate, i);
 
-		if (!candidate->near || candidate->full || candidate->warm)
-			continue;
-		if (candidate->backend->in_flight * 2 >=
-		    candidate->backend->slots)
-			continue;
-		chooser->trial_credit = 0;
-		return candidate;
+		if (candidate->near && !candidate->full && !candidate->warm &&
+		    candidate->backend->in_flight * 2 <
+			    candidate->backend->slots)
+			return candidate;
 	}
-	return best;
+	return NULL;
+}
+
+static const struct candidate *trial(struct chooser *chooser,
+				     const GArray *candidates,
+				     const struct candidate *best)
+{
+	struct candidate *tried = newcomer(candidates);
+
+	chooser->trial_credit = fmin(1.0, chooser->trial_credit + TRIAL_PART);
+	if (!tried && chooser->trial_credit >= 1.0 && best->warm) {
+		tried = unwarmed(candidates);
+		if (tried)
+			chooser->trial_credit = 0;
+	}
+	if (!tried)
+		return best;
+	tried->trial = true;
+	return tried;
 }
 
 /*
@@ -389,6 +397,13 @@
 	return near ? trial(chooser, candidates, near) : NULL;
 }
 
+static enum choose_reason reason_for(const struct candidate *candidate)
+{
+	if (candidate->trial)
+		return CHOOSE_TRIAL;
+	return candidate->warm ? CHOOSE_WARM : CHOOSE_RANK;
+}
+
 void choose_backend(struct chooser *chooser, const struct choose_query *query,
 		    uint64_t now_us, struct choice *choice)
 {
@@ -406,7 +421,7 @@
 		choice->expected_us = best->expected_us;
 		choice->work_us = best->work_us;
 		choice->warm = best->warm;
-		choice->reason = best->warm ? CHOOSE_WARM : CHOOSE_RANK;
+		choice->reason = reason_for(best);
 	} else if (candidates->len) {
 		choice->reason = CHOOSE_NONE_FREE;
 		choice->retry_after_us = RETRY_FULL_US;
--- a/packages/core/member_table.c
+++ b/packages/core/member_table.c
@@ -143,6 +143,46 @@
 	return reader;
 }
 
+static bool lives_in(const struct member_table *table, const char *region,
+		     uint64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct member *member = value;
+
+		if (!strcmp(member->region, region) &&
+		    member_serves(table, member, now_us))
+			return true;
+	}
+	return false;
+}
+
+const struct member *member_table_lost(const struct member_table *table,
+				       uint64_t forget_us, uint64_t now_us)
+{
+	const char *own_region = table->self->region;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (member_table_reader(table, now_us) != table->self)
+		return NULL;
+	g_hash_table_iter_init(&iter, table->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct member *member = value;
+		uint64_t since_us = MAX(member->heard_us, member->known_us);
+
+		if (member == table->self || now_us - since_us < forget_us)
+			continue;
+		if (!strcmp(member->region, own_region) ||
+		    !lives_in(table, member->region, now_us))
+			return member;
+	}
+	return NULL;
+}
+
 uint32_t member_table_rank(const struct member_table *table, uint32_t hash)
 {
 	uint64_t own = hash_pair(table->self->hash, hash);
--- a/packages/core/member_table.h
+++ b/packages/core/member_table.h
@@ -34,6 +34,7 @@
 	struct endpoint peer; /* for beats */
 	uint64_t beat; /* highest number heard */
 	uint64_t heard_us; /* when it rose; 0: never */
+	uint64_t known_us; /* when its row was first read */
 	bool leaving;
 };
 
@@ -81,6 +82,14 @@
 const struct member *member_table_reader(const struct member_table *table,
 					 uint64_t now_us);
 
+/*
+ * A member that this node, which reads for its region, should strike from the
+ * platform's table: silent for forget_us, and of this region or of one where
+ * nobody lives. NULL if there is none.
+ */
+const struct member *member_table_lost(const struct member_table *table,
+				       uint64_t forget_us, uint64_t now_us);
+
 /*
  * Place of oneself in the rendezvous order of all known members for this hash,
  * 0 first. Dead ones keep their place: two sides of a cut must not both think
--- a/packages/edge/edge_settings.c
+++ b/packages/edge/edge_settings.c
@@ -43,6 +43,7 @@
 	{ "extra", "allowance", KIND_NUMBER, AT(extra.allowance), "20" },
 	{ "extra", "window", KIND_SPAN, AT(extra.window_us), "10s" },
 	{ "extra", "nodes_least", KIND_COUNT, AT(nodes_least), "1" },
+	{ "members", "forget", KIND_SPAN, AT(forget_us), "600s" },
 	{ "lookup", "keep", KIND_SPAN, AT(lookup_keep_us), "1s" },
 	{ "stop", "most", KIND_SPAN, AT(stop_most_us), "6s" },
 	{ "log", "level", KIND_LEVEL, AT(log_level), "info" },
--- a/packages/edge/edge_settings.h
+++ b/packages/edge/edge_settings.h
@@ -37,6 +37,7 @@
 	struct endpoint registry; /* the platform's tables */
 	struct extra_budget_rule extra;
 	uint32_t nodes_least; /* nodes that are there at least */
+	uint64_t forget_us; /* a node silent for so long is struck off */
 	uint64_t lookup_keep_us; /* how long callers may keep a look-up */
 	uint64_t stop_most_us; /* a stop is over by then, whatever runs */
 	char log_level[NAME_SIZE];
--- a/packages/edge/run.c
+++ b/packages/edge/run.c
@@ -14,7 +14,10 @@
 /* How often time-outs of connections are looked at. */
 #define TICK_US (200 * US_PER_MS)
 
-/* How often the settings file is read for a change that no signal told of. */
+/*
+ * How often the settings file is read for a change that no signal told of, and
+ * members are looked at for ones that are lost.
+ */
 #define SETTINGS_EVERY_US (2 * US_PER_S)
 
 /*
@@ -63,6 +66,7 @@
 
 	current->extra = fresh->extra;
 	current->nodes_least = fresh->nodes_least;
+	current->forget_us = fresh->forget_us;
 	current->lookup_keep_us = fresh->lookup_keep_us;
 	current->stop_most_us = fresh->stop_most_us;
 	current->registry = fresh->registry;
@@ -193,8 +197,10 @@
 	callers_sweep(edge);
 	pool_sweep(&edge->pool, edge->backends);
 	note_readiness(run);
-	if (now_us - run->settings_us > SETTINGS_EVERY_US)
+	if (now_us - run->settings_us > SETTINGS_EVERY_US) {
 		reload_settings(run);
+		sync_strike_lost(run->sync);
+	}
 	if (edge->stopping)
 		go_on_stopping(run);
 }
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -465,6 +465,34 @@
 					       0;
 }
 
+static void on_struck(void *context, const struct message *answer,
+		      const char *cause)
+{
+	(void)context;
+	log_event(LOG_INFO, "member-struck", "done=%s cause=%s",
+		  answer && answer->status == 200 ? "yes" : "no",
+		  cause ? cause : "");
+}
+
+void sync_strike_lost(struct sync *sync)
+{
+	struct edge *edge = sync->edge;
+	const struct member *lost = member_table_lost(
+		edge->members, edge->settings.forget_us, edge_now_us(edge));
+	struct registry_call call;
+
+	if (!lost || lane_is_busy(&sync->own_lane) || !sync->own_written)
+		return;
+	log_event(LOG_INFO, "member-lost", "member=%s", lost->name);
+	edge->registry->vtable->put_member(edge->registry, lost->name, NULL,
+					   &call);
+	metric_add(edge->stats.registry_calls, 1);
+	lane_call(&sync->own_lane, call.method, call.target, call.body,
+		  SYNC_CALL_TIMEOUT_US, on_struck, sync);
+	registry_call_release(&call);
+	member_table_remove(edge->members, lost->name);
+}
+
 void sync_redirect(struct sync *sync, const struct endpoint *to)
 {
 	uint32_t i;
--- a/packages/edge/sync.h
+++ b/packages/edge/sync.h
@@ -45,6 +45,13 @@
 /* A node was heard of that the members' table didn't name yet. */
 void sync_read_members(struct sync *sync);
 
+/*
+ * Strike a node that is lost for good from the platform's table, if there is
+ * one: nodes are replaced every day, and rows of those that are gone would take
+ * their parts of the extra requests and of cold servers for ever.
+ */
+void sync_strike_lost(struct sync *sync);
+
 /* The platform has another address. */
 void sync_redirect(struct sync *sync, const struct endpoint *to);
 
--- a/packages/edge/sync_tables.c
+++ b/packages/edge/sync_tables.c
@@ -211,6 +211,8 @@
 	member->region = g_strdup(record->region);
 	member->front = record->front;
 	member->peer = record->peer;
+	if (is_new)
+		member->known_us = edge_now_us(edge);
 	if (is_new)
 		log_event(LOG_INFO, "member", "member=%s domain=%s", name,
 			  record->domain);
--- a/tests/core/choose_test.cc
+++ b/tests/core/choose_test.cc
@@ -239,6 +239,7 @@
 	backends->whole = true;
 	struct backend *joined = add("i-2");
 	EXPECT_EQ(joined, choose().backend);
+	EXPECT_EQ(CHOOSE_TRIAL, choose().reason);
 	backend_begin(joined, 1000, now_us);
 	EXPECT_EQ(old, choose().backend);
 }
--- a/tests/core/edge_core_test.cc
+++ b/tests/core/edge_core_test.cc
@@ -320,6 +320,33 @@
 	EXPECT_EQ(table->self, member_table_reader(table, now_us));
 }
 
+/*
+ * 82 nodes are replaced a day. A row of one that is gone would keep its part of
+ * the extra requests, and be an owner of cold servers, for ever.
+ */
+TEST_F(MemberTableTest, ANodeThatIsLostIsStruckByItsRegionsReader)
+{
+	const uint64_t forget_us = 600 * US_PER_S;
+	struct member *b = member_table_find(table, "b");
+	struct member *c = member_table_find(table, "c");
+
+	b->known_us = now_us;
+	c->known_us = now_us;
+	now_us += forget_us - 1;
+	EXPECT_EQ(nullptr, member_table_lost(table, forget_us, now_us));
+	member_heard(c, 1, false, now_us);
+	now_us += 1;
+	EXPECT_EQ(b, member_table_lost(table, forget_us, now_us));
+	member_table_remove(table, "b");
+	now_us += forget_us;
+	EXPECT_EQ(c, member_table_lost(table, forget_us, now_us))
+		<< "nobody lives in its region";
+	place("d", "r2");
+	member_heard(member_table_find(table, "d"), 1, false, now_us);
+	EXPECT_EQ(nullptr, member_table_lost(table, forget_us, now_us))
+		<< "its own region's reader strikes it";
+}
+
 TEST(WarmthTest, TheTableStaysBounded)
 {
 	struct warmth warmth;
--- a/tests/edge/edge_world.h
+++ b/tests/edge/edge_world.h
@@ -289,6 +289,7 @@
 		settings.extra = { 0.2, 50, 10000000 };
 		settings.nodes_least = 1;
 		settings.lookup_keep_us = 1000000;
+		settings.forget_us = 600 * 1000000ull;
 		settings.stop_most_us = 6000000;
 		settings.regions = g_hash_table_new_full(
 			g_str_hash, g_str_equal, g_free, g_free);
--- a/tests/edge/sync_test.cc
+++ b/tests/edge/sync_test.cc
@@ -301,6 +301,25 @@
 	edge_release(&second);
 }
 
+/* The row of a node that is gone for good is struck from the store. */
+TEST_F(SyncTest, ALostNodesRowIsStruck)
+{
+	store_stand_put(store, "members", "gone",
+			"{\"domain\":\"d1\",\"region\":\"r1\","
+			"\"front\":\"127.0.0.9:1\",\"peer\":\"127.0.0.9:2\"}");
+	start_node();
+	wait_for([this] { return member_table_count(edge->members) == 2; });
+	sync_strike_lost(sync);
+	turn_for(100);
+	ASSERT_NE(nullptr, store_stand_get(store, "members", "gone"));
+	edge->settings.forget_us = 1;
+	wait_for([this] {
+		sync_strike_lost(sync);
+		return !store_stand_get(store, "members", "gone");
+	});
+	EXPECT_EQ(1u, member_table_count(edge->members));
+}
+
 /* Bytes that are no snapshot bring nothing. */
 TEST(SnapshotTest, OnlyWholeSnapshotsAreRead)
 {
