--- a/packages/edge/beat.h
+++ b/packages/edge/beat.h
@@ -25,7 +25,7 @@
 #define BEAT_MAX_BYTES 1400
 
 /* News that fit into one beat beside the rest. */
-#define BEAT_MAX_PAIRS 80
+#define BEAT_MAX_PAIRS 70
 #define BEAT_MAX_LIVES 16
 #define BEAT_MAX_LOADS 40
 #define BEAT_MAX_VOUCHES 2
--- a/packages/edge/message.c
+++ b/packages/edge/message.c
@@ -165,6 +165,14 @@
 		 message_header(message, "Transfer-Encoding"));
 }
 
+/* RFC 9110, 6.4.1: their Content-Length tells of another answer's body. */
+static bool status_has_no_body(const http_parser *parser)
+{
+	return parser->type == HTTP_RESPONSE &&
+	       (parser->status_code < 200 || parser->status_code == 204 ||
+		parser->status_code == 304);
+}
+
 static int on_head(http_parser *parser)
 {
 	struct message_reader *reader = parser->data;
@@ -181,10 +189,10 @@
 	expect = message_header(message, "Expect");
 	message->expects_continue = expect && has_token(expect, "100-continue");
 	if (message->has_length && !(parser->flags & F_CHUNKED) &&
-	    !reader->no_body &&
+	    !reader->no_body && !status_has_no_body(parser) &&
 	    parser->content_length > reader->limits.body_bytes)
 		return stop(reader, MESSAGE_BODY_TOO_LARGE);
-	return reader->no_body ? 1 : 0;
+	return reader->no_body || status_has_no_body(parser) ? 1 : 0;
 }
 
 static int on_body(http_parser *parser, const char *at, size_t length)
--- /dev/null
+++ b/tests/edge/edge_settings_test.cc
@@ -0,0 +1,119 @@
+/* Settings of a node: what is good, and how what isn't is told. */
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <cstring>
+#include <string>
+
+#include "core/result.h"
+#include "edge/edge_settings.h"
+
+namespace
+{
+
+const std::string node = "[node]\nname = \"n1\"\ndomain = \"d\"\n"
+			 "region = \"r\"\n";
+const std::string listen = "[listen]\nfront = \"10.0.0.1:80\"\n"
+			   "peer = \"10.0.0.1:81\"\n";
+const std::string registry = "[registry]\naddress = \"10.0.0.9:70\"\n";
+
+class EdgeSettingsTest : public ::testing::Test
+{
+      protected:
+	bool load(const std::string &text)
+	{
+		FILE *file = fopen(path, "w");
+
+		fputs(text.c_str(), file);
+		fclose(file);
+		g_clear_error(&error);
+		return edge_settings_load(&settings, path, &error);
+	}
+	void TearDown() override
+	{
+		g_clear_error(&error);
+		remove(path);
+	}
+	char path[64] = "edge_settings_test.XXXXXX";
+	void SetUp() override
+	{
+		fclose(fdopen(mkstemp(path), "w"));
+	}
+	struct edge_settings settings;
+	GError *error = nullptr;
+};
+
+TEST_F(EdgeSettingsTest, ReadsAllWithDefaults)
+{
+	ASSERT_TRUE(load(node + listen + registry +
+			 "[extra]\nratio = \"0.25\"\nwindow = \"8s\"\n"
+			 "[domains]\n\"d\" = \"r\"\n\"e\" = \"q\"\n"))
+		<< error->message;
+	EXPECT_STREQ("n1", settings.name);
+	EXPECT_EQ(80, settings.front.port);
+	EXPECT_EQ(0, settings.ready.port);
+	EXPECT_DOUBLE_EQ(0.25, settings.extra.ratio);
+	EXPECT_EQ(8000000u, settings.extra.window_us);
+	EXPECT_EQ(1000000u, settings.lookup_keep_us);
+	EXPECT_STREQ("info", settings.log_level);
+	EXPECT_STREQ("q", edge_settings_region(&settings, "e"));
+	EXPECT_STREQ("", edge_settings_region(&settings, "unknown"));
+	edge_settings_release(&settings);
+}
+
+TEST_F(EdgeSettingsTest, TellsWhatIsWrongAndWhere)
+{
+	const struct {
+		std::string text;
+		const char *said;
+	} cases[] = {
+		{ node + listen, "[registry] address is missing" },
+		{ listen + registry, "name is missing" },
+		{ node + listen + registry + "[log]\nlevel = \"loud\"\n",
+		  "error, warning, info or debug" },
+		{ node + listen + registry + "[lookup]\nkeep = \"1\"\n",
+		  "a time above 0" },
+		{ node + listen + registry + "[lookup]\nkeep = 1\n",
+		  "a text in quotes" },
+		{ node + listen + registry + "[extra]\nratio = \"x\"\n",
+		  "a number" },
+		{ node + listen + registry + "[extra]\nnodes_least = \"0\"\n",
+		  "a whole number" },
+		{ node + listen + registry + "[other]\nkey = \"1\"\n",
+		  "docs/SETTINGS.md" },
+		{ node + registry + "[listen]\nfront = \"host:80\"\n",
+		  ":8: front" },
+		{ node + "[listen\n", ":5:" },
+	};
+
+	for (const auto &c : cases) {
+		ASSERT_FALSE(load(c.text)) << c.text;
+		EXPECT_NE(nullptr, strstr(error->message, c.said))
+			<< error->message;
+		EXPECT_EQ(RESULT_SETTINGS_INVALID, error->code);
+	}
+	g_clear_error(&error);
+	EXPECT_FALSE(edge_settings_load(&settings, "no/such/file", &error));
+	EXPECT_EQ(RESULT_SETTINGS_UNREADABLE, error->code);
+}
+
+/* Each key of the code stands in the page, and the other way round. */
+TEST_F(EdgeSettingsTest, ThePagesExampleIsGood)
+{
+	FILE *page = fopen(SOURCE_DIR "/docs/SETTINGS.md", "r");
+	std::string text;
+	char line[512];
+
+	ASSERT_NE(nullptr, page);
+	while (fgets(line, sizeof(line), page))
+		text += line;
+	fclose(page);
+	size_t part = text.find("# Settings of `lilacfield-edge`");
+	ASSERT_NE(std::string::npos, part);
+	size_t from = text.find("```toml\n", part) + 8;
+	EXPECT_TRUE(load(text.substr(from, text.find("```", from) - from)))
+		<< error->message;
+	edge_settings_release(&settings);
+}
+
+} // namespace
