sync, gossip: held calls confirm each other as of the answer; fewer far beats

Each node beat to 12 of the other regions' nodes a round. Change: confirmed as of the answer; 4 members of other regions a round where there are more than 12.

--- a/packages/edge/gossip.c
+++ b/packages/edge/gossip.c
@@ -19,6 +19,7 @@
  * draws some, and what is heard is passed on.
  */
 #define TARGETS_MOST 12
+#define FAR_TARGETS_MOST 4
 
 struct gossip {
 	struct edge *edge;
@@ -153,8 +154,10 @@
 	    is_near(gossip->edge, member) != near)
 		return false;
 	/* Whoever reads for its region is heard by all of it, each time. */
-	return count <= TARGETS_MOST || (near && reads_for_others(gossip)) ||
-	       g_random_int_range(0, (gint32)count) < TARGETS_MOST;
+	if (count <= TARGETS_MOST || (near && reads_for_others(gossip)))
+		return true;
+	return g_random_int_range(0, (gint32)count) <
+	       (near ? TARGETS_MOST : FAR_TARGETS_MOST);
 }
 
 static void send_round(struct gossip *gossip, const struct beat *beat,
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -21,6 +21,10 @@
  */
 #define LAPSE_KEEP_US (2200 * US_PER_MS)
 
+/* A call has reached the platform by then, and an answer has come back. */
+#define ARRIVED_AFTER_US (400 * US_PER_MS)
+#define UNDER_WAY_US (100 * US_PER_MS)
+
 /* Without a good answer for so long the platform counts as away. */
 #define AWAY_AFTER_US (2500 * US_PER_MS)
 
@@ -262,11 +266,12 @@
 }
 
 /*
- * A call that was held when a later one was answered has nothing to tell yet:
- * what its table says is confirmed as of that answer.
+ * A call that is held while another one is answered has nothing to tell yet:
+ * what its table says is confirmed as of that answer's sending.
  */
 static void confirm_waiting(struct sync *sync, const struct follower *by)
 {
+	uint64_t now_us = edge_now_us(sync->edge);
 	uint32_t i;
 
 	for (i = 0; i < FOLLOWERS; i++) {
@@ -274,8 +279,8 @@
 
 		if (follower != by && follower->whole && !follower->failures &&
 		    lane_is_busy(&follower->lane) && wait_us(follower) &&
-		    follower->called_us < by->called_us)
-			follower->confirmed_us = by->called_us;
+		    now_us - follower->called_us > ARRIVED_AFTER_US)
+			follower->confirmed_us = now_us - UNDER_WAY_US;
 	}
 }
 
@@ -401,6 +406,8 @@
 			follower->page_key ? follower->page_key : "", &call);
 	}
 	follower->called_us = edge_now_us(edge);
+	log_event(LOG_DEBUG, "registry-call", "table=%s whole=%s", rule->name,
+		  follower->whole ? "yes" : "no");
 	metric_add(edge->stats.registry_calls, 1);
 	lane_call(&follower->lane, call.method, call.target, call.body,
 		  timeout_us, on_answer, follower);
