sync: the times for changes come from the settings

Cause: how long a neighbour's word is good and how long calls are held were fixed for a bound of 2.5 s; other deployments have other bounds (3 and 4 s on the grown ones), and 'nodes_least' was a guess in the deploy file. Change: both are parts of the smaller of leave_within and config_within, which the template fills in; nodes_least is at least the number of failure domains.

--- a/packages/edge/edge_settings.c
+++ b/packages/edge/edge_settings.c
@@ -39,6 +39,10 @@
 	{ "listen", "operators", KIND_ENDPOINT, AT(operators), "" },
 	{ "listen", "peer", KIND_ENDPOINT, AT(peer), NULL },
 	{ "registry", "address", KIND_ENDPOINT, AT(registry), NULL },
+	{ "registry", "leave_within", KIND_SPAN, AT(leave_within_us),
+	  "2500ms" },
+	{ "registry", "config_within", KIND_SPAN, AT(config_within_us),
+	  "2500ms" },
 	{ "extra", "ratio", KIND_NUMBER, AT(extra.ratio), "0.1" },
 	{ "extra", "allowance", KIND_NUMBER, AT(extra.allowance), "20" },
 	{ "extra", "window", KIND_SPAN, AT(extra.window_us), "10s" },
@@ -191,6 +195,10 @@
 		}
 		store(reading->settings, setting, setting->fallback);
 	}
+	/* Each failure domain has entry VMs of its own. */
+	reading->settings->nodes_least =
+		MAX(reading->settings->nodes_least,
+		    g_hash_table_size(reading->settings->regions));
 	return true;
 }
 
--- a/packages/edge/edge_settings.h
+++ b/packages/edge/edge_settings.h
@@ -35,6 +35,8 @@
 	struct endpoint operators; /* metrics; port 0: not served */
 	struct endpoint peer; /* datagrams between nodes */
 	struct endpoint registry; /* the platform's tables */
+	uint64_t leave_within_us; /* a leaving server gets nothing after that */
+	uint64_t config_within_us; /* a change is in force by then */
 	struct extra_budget_rule extra;
 	uint32_t nodes_least; /* nodes that are there at least */
 	uint64_t forget_us; /* a node silent for so long is struck off */
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -30,8 +30,8 @@
 /* Answers of other requests that are passed over on one connection. */
 #define MAX_STRAYS 3
 
-/* When to come back to a node that knows no routes yet, or stops. */
-#define RETRY_STARTING_US (500 * US_PER_MS)
+/* When to come back: a node starts, or another server answers, within that. */
+#define RETRY_SOON_US (500 * US_PER_MS)
 
 static void dispatch(struct exchange *exchange);
 
@@ -228,7 +228,7 @@
 	else if (outcome == SEND_BROKEN)
 		exchange_finish_failed(exchange, 502, cause);
 	else
-		exchange_finish_refused(exchange, RETRY_STARTING_US, cause);
+		exchange_finish_refused(exchange, RETRY_SOON_US, cause);
 }
 
 static void after_failure(struct exchange *exchange, enum send_outcome outcome,
@@ -280,7 +280,7 @@
 				       exchange_now_us(exchange));
 		exchange_finish_failed(exchange, 504, "timeout");
 	} else {
-		exchange_finish_refused(exchange, RETRY_STARTING_US, "timeout");
+		exchange_finish_refused(exchange, RETRY_SOON_US, "timeout");
 	}
 }
 
@@ -525,8 +525,7 @@
 	struct edge *edge = exchange->edge;
 
 	if (!edge->routes || !edge->backends->whole) {
-		exchange_finish_refused(exchange, RETRY_STARTING_US,
-					"starting");
+		exchange_finish_refused(exchange, RETRY_SOON_US, "starting");
 	} else if (!message_header(exchange->request,
 				   edge->dialect->attempt_id)) {
 		exchange_finish_denied(exchange, 400, "the request has no id");
--- a/packages/edge/run.c
+++ b/packages/edge/run.c
@@ -67,6 +67,8 @@
 	current->extra = fresh->extra;
 	current->nodes_least = fresh->nodes_least;
 	current->forget_us = fresh->forget_us;
+	current->leave_within_us = fresh->leave_within_us;
+	current->config_within_us = fresh->config_within_us;
 	current->lookup_keep_us = fresh->lookup_keep_us;
 	current->stop_most_us = fresh->stop_most_us;
 	current->registry = fresh->registry;
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -25,6 +25,14 @@
 #define ARRIVED_AFTER_US (400 * US_PER_MS)
 #define UNDER_WAY_US (100 * US_PER_MS)
 
+/*
+ * Of the time within which a change must be known: how long a call for backend
+ * servers is held, and how long a neighbour's word is good. The rest of it is
+ * for a call of one's own, after one that failed.
+ */
+#define WAIT_PERCENT 36
+#define WORD_PERCENT 72
+
 /* Without a good answer for so long the platform counts as away. */
 #define AWAY_AFTER_US (2500 * US_PER_MS)
 
@@ -84,20 +92,38 @@
 	 * that fell silent shows when one of them isn't answered, so they are
 	 * held for less than the 4 s that a node has to recover.
 	 */
-	{ "config", REGISTRY_CONFIG, 2500 * US_PER_MS, 50 * US_PER_MS,
-	  1800 * US_PER_MS, apply_config_row, prune_config },
-	/*
-	 * Held for so short that its answers tell of the path to the platform,
-	 * too. A server that leaves must get nothing 2.5 s later; a neighbour's
-	 * word is taken for as long as leaves time for a call of one's own.
-	 */
-	{ "backends", REGISTRY_BACKENDS, 900 * US_PER_MS, 900 * US_PER_MS,
-	  1800 * US_PER_MS, apply_backend_row, prune_backends },
+	{ "config", REGISTRY_CONFIG, 2500 * US_PER_MS, 50 * US_PER_MS, 0, true,
+	  apply_config_row, prune_config },
+	/* Held for so short that its answers tell of the path, too. */
+	{ "backends", REGISTRY_BACKENDS, 0, 0, WAIT_PERCENT, true,
+	  apply_backend_row, prune_backends },
 	/* Beats tell of nodes that come, and of those that are gone. */
-	{ "members", REGISTRY_MEMBERS, 15 * US_PER_S, 20 * US_PER_S, 0,
+	{ "members", REGISTRY_MEMBERS, 15 * US_PER_S, 20 * US_PER_S, 0, false,
 	  apply_member_row, prune_members },
 };
 
+/* How soon what the platform says must be known here. */
+static uint64_t change_within_us(const struct edge *edge)
+{
+	return MIN(edge->settings.leave_within_us,
+		   edge->settings.config_within_us);
+}
+
+static uint64_t held_us(const struct follower *follower)
+{
+	const struct edge *edge = follower->sync->edge;
+
+	if (!follower->rule->wait_percent)
+		return follower->rule->wait_us;
+	return change_within_us(edge) * follower->rule->wait_percent / 100;
+}
+
+static uint64_t spacing_us(const struct follower *follower)
+{
+	return follower->rule->wait_percent ? held_us(follower) :
+					      follower->rule->spacing_us;
+}
+
 static void call_later(struct follower *follower, uint64_t delay_us);
 
 /* How much longer a neighbour's word spares the call; 0: it is due. */
@@ -105,9 +131,10 @@
 {
 	struct edge *edge = follower->sync->edge;
 	uint64_t now_us = edge_now_us(edge);
-	uint64_t until_us = follower->confirmed_us + follower->rule->vouched_us;
+	uint64_t until_us = follower->confirmed_us +
+			    change_within_us(edge) * WORD_PERCENT / 100;
 
-	if (!follower->whole || !follower->rule->vouched_us ||
+	if (!follower->whole || !follower->rule->vouched ||
 	    until_us <= now_us ||
 	    member_table_reader(edge->members, now_us) == edge->members->self)
 		return 0;
@@ -135,9 +162,9 @@
 {
 	uint64_t since_us =
 		edge_now_us(follower->sync->edge) - follower->called_us;
-	uint64_t spacing_us = follower->whole ? follower->rule->spacing_us : 0;
+	uint64_t spacing = follower->whole ? spacing_us(follower) : 0;
 
-	call_later(follower, spacing_us > since_us ? spacing_us - since_us : 0);
+	call_later(follower, spacing > since_us ? spacing - since_us : 0);
 }
 
 static void begin_whole_read(struct follower *follower)
@@ -378,11 +405,11 @@
 	/* After a failure there is much to know, and the path to be tried. */
 	if (follower->failures)
 		return 0;
-	if (follower->rule->vouched_us &&
+	if (follower->rule->vouched &&
 	    member_table_reader(edge->members, edge_now_us(edge)) !=
 		    edge->members->self)
 		return 0;
-	return follower->rule->wait_us;
+	return held_us(follower);
 }
 
 void follower_call(struct follower *follower)
--- a/packages/edge/sync_neighbours.c
+++ b/packages/edge/sync_neighbours.c
@@ -146,7 +146,7 @@
 	for (i = 0; i < FOLLOWERS; i++) {
 		const struct follower *follower = &sync->followers[i];
 
-		if (!follower->rule->vouched_us || !follower->whole)
+		if (!follower->rule->vouched || !follower->whole)
 			continue;
 		vouches[count].table = follower->rule->table;
 		vouches[count].digest = digest_of(follower);
--- a/packages/edge/sync_parts.h
+++ b/packages/edge/sync_parts.h
@@ -21,8 +21,8 @@
 	enum registry_table table;
 	uint64_t wait_us; /* how long the platform may hold a call */
 	uint64_t spacing_us; /* from one call's start to the next */
-	uint64_t vouched_us; /* a neighbour's word is good for so long; 0: not
-			      */
+	uint32_t wait_percent; /* or, if not 0, of the time for a change */
+	bool vouched; /* a neighbour's word spares the call */
 	void (*apply)(struct sync *sync, const struct registry_row *row);
 	/* After a whole read: what it didn't hold is gone. */
 	void (*prune)(struct sync *sync, GHashTable *seen);
--- a/tests/edge/edge_world.h
+++ b/tests/edge/edge_world.h
@@ -288,6 +288,8 @@
 		settings.front = endpoint_at(1);
 		settings.extra = { 0.2, 50, 10000000 };
 		settings.nodes_least = 1;
+		settings.leave_within_us = 2500000;
+		settings.config_within_us = 2500000;
 		settings.lookup_keep_us = 1000000;
 		settings.forget_us = 600 * 1000000ull;
 		settings.stop_most_us = 6000000;
