--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -40,7 +40,7 @@
  */
 #define FAR_COST 1.0
 
-/* Cost of a full server's load below its slots, in warm service times. */
+/* Cost of a server's load, at as many as its slots, in warm service times. */
 #define LOAD_COST 0.1
 
 /* Requests over its slots that a server may hold, as a part of the slots. */
@@ -55,8 +55,7 @@
 /* Nodes that send to a cold server, so that its allowance isn't crumbs. */
 #define COLD_OWNERS 2
 
-/* A failed request costs a further try; so many warm times at certain
- * failure.*/
+/* A failed request costs a further try: warm times at certain failure. */
 #define FAILURE_COST 4.0
 
 /* How long after the loss of a server requests may leave the region freely. */
--- a/packages/edge/main.c
+++ b/packages/edge/main.c
@@ -9,9 +9,6 @@
 #include "platform/dialect.h"
 #include "platform/store.h"
 
-/* Where the settings' path stands if the command line doesn't say. */
-#define SETTINGS_VARIABLE "LILACFIELD_NODE_FILE"
-
 struct options {
 	char *settings_path;
 	int check;
@@ -31,7 +28,8 @@
 {
 	const struct poptOption table[] = {
 		{ "settings", 's', POPT_ARG_STRING, &options->settings_path, 0,
-		  "settings file (default: $" SETTINGS_VARIABLE ")", "FILE" },
+		  "settings file (default: $" PLATFORM_SETTINGS_VARIABLE ")",
+		  "FILE" },
 		{ "check", 'c', POPT_ARG_NONE, &options->check, 0,
 		  "check the settings and end", NULL },
 		{ "version", 'V', POPT_ARG_NONE, &options->version, 0,
@@ -82,7 +80,7 @@
 		return EXIT_SUCCESS;
 	}
 	if (!path)
-		path = getenv(SETTINGS_VARIABLE);
+		path = getenv(PLATFORM_SETTINGS_VARIABLE);
 	if (!path) {
 		fprintf(stderr,
 			"lilacfield-edge: --settings FILE is missing\n");
