exchange: an unproved refusal is never handed on as it came

Cause: an idempotent request whose first server ran it and answered 503, 429 or 408 without "not executed" was tried again; where no other server could take it, give_up() delivered the first answer with its status, a false promise. Only the way without a retry turned it into 502. Change: one function hands failures on, for both ways. Test: AnUnprovedRefusalIsNoPromiseWithoutASecondServer got 503 before, 502 after. Ruled out: non-idempotent requests, which are never sent again after a 5xx.

--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -155,6 +155,27 @@
 	arm(exchange);
 }
 
+/* A status that promises "not run" without the header that proves it. */
+static bool promises_too_much(const struct message *answer)
+{
+	return answer->status == 503 || answer->status == 429 ||
+	       answer->status == 408;
+}
+
+/*
+ * Hand on a backend server's failure. One that ran the request and answers 503
+ * would have the caller believe that it did not run, and send it again: such a
+ * status becomes 502 on every way to the caller.
+ */
+static void deliver_failure(struct exchange *exchange, struct message *failure)
+{
+	if (promises_too_much(failure))
+		exchange_finish_failed(exchange, 502, "unproved refusal");
+	else
+		exchange_deliver(exchange, failure);
+	message_free(failure);
+}
+
 /* Nothing can take the request now: the best answer that there is. */
 static void give_up(struct exchange *exchange, const char *cause)
 {
@@ -166,8 +187,7 @@
 		return;
 	}
 	exchange->failure = NULL;
-	exchange_deliver(exchange, failure);
-	message_free(failure);
+	deliver_failure(exchange, failure);
 }
 
 static void dispatch(struct exchange *exchange)
@@ -305,13 +325,6 @@
 	       message_header(answer, exchange->edge->dialect->not_executed);
 }
 
-/* A status that promises "not run" without the header that proves it. */
-static bool promises_too_much(const struct message *answer)
-{
-	return answer->status == 503 || answer->status == 429 ||
-	       answer->status == 408;
-}
-
 static bool is_whole_success(const struct exchange *exchange,
 			     const struct message *answer)
 {
@@ -363,11 +376,7 @@
 		dispatch(exchange);
 		return;
 	}
-	if (promises_too_much(answer))
-		exchange_finish_failed(exchange, 502, "unproved refusal");
-	else
-		exchange_deliver(exchange, answer);
-	message_free(answer);
+	deliver_failure(exchange, answer);
 }
 
 static void on_not_executed(struct exchange *exchange, struct message *answer)
--- a/tests/edge/exchange_test.cc
+++ b/tests/edge/exchange_test.cc
@@ -91,6 +91,23 @@
 INSTANTIATE_TEST_SUITE_P(Cases, FaultTest, ::testing::ValuesIn(fault_cases),
 			 [](const auto &info) { return info.param.name; });
 
+/*
+ * A read runs at a server that answers 503 without proof, and no other server
+ * is left for its second send. The first answer is then all there is; handed on
+ * as it came, its status would promise the caller that nothing had run.
+ */
+TEST_F(ExchangeTest, AnUnprovedRefusalIsNoPromiseWithoutASecondServer)
+{
+	App &app = add_app("i-1");
+
+	app_stand_set_fault(app.stand, APP_FALSE_REFUSAL);
+	start_node();
+	std::string answer = answer_to(get("a1", "/r/"));
+
+	EXPECT_EQ(502, status_of(answer)) << answer;
+	EXPECT_EQ(1u, app_stand_runs(app.stand, "a1"));
+}
+
 /*
  * A backend server answers a request twice. The second answer waits on the kept
  * connection, where the next request's is due: delivered, it would show one
