sync, gossip: members by the reader's word; changes told before the digests

Change: changes go out before the digests, in as many beats as they need; a held call is 20% of the time and the spacing 36% (a static assertion ties them to the word); the store counts as away after the whole time for a change, not after 2.5 s; members are followed by the reader's word too. Tests: GossipTest (new; the first two fail on the code before).

--- a/packages/core/backend_table.c
+++ b/packages/core/backend_table.c
@@ -84,12 +84,16 @@
 	return backend;
 }
 
-/* Changes that nobody takes are forgotten beyond this. */
-#define CHANGES_MOST 64
+/*
+ * Changes that nobody takes are forgotten beyond this: a failure domain's worth
+ * of servers that come or go at once.
+ */
+#define CHANGES_MOST 512
 
+/* Until the list was read whole there is nothing that could have changed. */
 static void note_change(struct backend_table *table, const char *id)
 {
-	if (table->changes->len < CHANGES_MOST)
+	if (table->whole && table->changes->len < CHANGES_MOST)
 		g_ptr_array_add(table->changes, g_strdup(id));
 }
 
--- a/packages/core/member_table.c
+++ b/packages/core/member_table.c
@@ -94,6 +94,23 @@
 	return g_hash_table_size(table->by_name);
 }
 
+uint64_t member_table_digest(const struct member_table *table)
+{
+	GHashTableIter iter;
+	uint64_t digest = 0;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct member *member = value;
+
+		digest += hash_pair(member->hash,
+				    hash_text(member->front.address) ^
+					    member->front.port);
+	}
+	return digest;
+}
+
 static uint32_t collect(const struct member_table *table, const char *region,
 			uint64_t now_us, const struct member **entries,
 			uint32_t most)
--- a/packages/core/member_table.h
+++ b/packages/core/member_table.h
@@ -66,6 +66,9 @@
 /* All members known, oneself included. */
 uint32_t member_table_count(const struct member_table *table);
 
+/* One number for who is known and where: the same where two nodes agree. */
+uint64_t member_table_digest(const struct member_table *table);
+
 /*
  * The members that callers of this region and domain should use: those of the
  * region, else all. At most most entries are stored; returns how many.
--- a/packages/edge/beat.h
+++ b/packages/edge/beat.h
@@ -25,10 +25,10 @@
 #define BEAT_MAX_BYTES 1400
 
 /* News that fit into one beat beside the rest. */
-#define BEAT_MAX_PAIRS 70
+#define BEAT_MAX_PAIRS 68
 #define BEAT_MAX_LIVES 16
 #define BEAT_MAX_LOADS 40
-#define BEAT_MAX_VOUCHES 2
+#define BEAT_MAX_VOUCHES 3
 #define BEAT_MAX_ROWS 8
 
 struct beat_life {
--- a/packages/edge/gossip.c
+++ b/packages/edge/gossip.c
@@ -174,6 +174,52 @@
 	g_bytes_unref(bytes);
 }
 
+static void add_change(const struct edge *edge, const char *id,
+		       struct beat *beat)
+{
+	const struct backend *backend = backend_table_find(edge->backends, id);
+	struct beat_row *row = &beat->rows[beat->row_count++];
+	uint64_t now_us = edge_now_us(edge);
+
+	g_strlcpy(row->id, id, sizeof(row->id));
+	if (!backend)
+		return;
+	g_strlcpy(row->service, backend->service, sizeof(row->service));
+	g_strlcpy(row->domain, backend->domain, sizeof(row->domain));
+	row->address = backend->address;
+	row->slots = backend->slots;
+	row->draining = backend->draining;
+	if (backend->listed_cold && backend->cold_until_us > now_us)
+		row->cold_left_ms =
+			(uint32_t)((backend->cold_until_us - now_us) /
+				   US_PER_MS) +
+			1;
+}
+
+static void tell_some(struct gossip *gossip, const GPtrArray *changes,
+		      guint from, guint count)
+{
+	struct beat beat = { .life_count = 0 };
+	guint i;
+
+	add_life(&beat, gossip->edge->members->self);
+	for (i = 0; i < count; i++)
+		add_change(gossip->edge, changes->pdata[from + i], &beat);
+	send_round(gossip, &beat, true);
+}
+
+void gossip_tell_changes(struct gossip *gossip)
+{
+	GPtrArray *changes = backend_table_take_changes(gossip->edge->backends);
+	guint at;
+
+	for (at = 0; at < changes->len && reads_for_others(gossip);
+	     at += BEAT_MAX_ROWS)
+		tell_some(gossip, changes, at,
+			  MIN(BEAT_MAX_ROWS, changes->len - at));
+	g_ptr_array_unref(changes);
+}
+
 static void beat_now(struct gossip *gossip)
 {
 	struct edge *edge = gossip->edge;
@@ -182,6 +228,8 @@
 	bool far_too = gossip->rounds++ % FAR_EVERY == 0 ||
 		       edge->warmth.news->len;
 
+	/* Told after the digests, each change would make neighbours call. */
+	gossip_tell_changes(gossip);
 	self->beat = gossip->epoch_us + edge_now_us(edge);
 	self->leaving = !edge_is_ready(edge);
 	add_lives(gossip, &beat, far_too ? BEAT_MAX_LIVES - 1 : 3);
@@ -205,51 +253,11 @@
 	struct gossip *gossip = timer->data;
 
 	beat_now(gossip);
-	if (gossip->unknown && gossip->sync)
+	if (gossip->unknown && gossip->sync && reads_for_others(gossip))
 		sync_read_members(gossip->sync);
 	gossip->unknown = false;
 }
 
-static void add_change(const struct edge *edge, const char *id,
-		       struct beat *beat)
-{
-	const struct backend *backend = backend_table_find(edge->backends, id);
-	struct beat_row *row = &beat->rows[beat->row_count++];
-	uint64_t now_us = edge_now_us(edge);
-
-	g_strlcpy(row->id, id, sizeof(row->id));
-	if (!backend)
-		return;
-	g_strlcpy(row->service, backend->service, sizeof(row->service));
-	g_strlcpy(row->domain, backend->domain, sizeof(row->domain));
-	row->address = backend->address;
-	row->slots = backend->slots;
-	row->draining = backend->draining;
-	if (backend->listed_cold && backend->cold_until_us > now_us)
-		row->cold_left_ms =
-			(uint32_t)((backend->cold_until_us - now_us) /
-				   US_PER_MS) +
-			1;
-}
-
-void gossip_tell_changes(struct gossip *gossip)
-{
-	struct edge *edge = gossip->edge;
-	GPtrArray *changes = backend_table_take_changes(edge->backends);
-	struct beat beat = { .life_count = 0 };
-	guint i;
-
-	/* Many at once are read by each for itself: its digest will differ. */
-	if (changes->len && changes->len <= BEAT_MAX_ROWS &&
-	    reads_for_others(gossip)) {
-		add_life(&beat, edge->members->self);
-		for (i = 0; i < changes->len; i++)
-			add_change(edge, changes->pdata[i], &beat);
-		send_round(gossip, &beat, true);
-	}
-	g_ptr_array_unref(changes);
-}
-
 /* --- hearing ------------------------------------------------------------ */
 
 static void take_lives(struct gossip *gossip, const struct beat *beat)
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -27,14 +27,30 @@
 
 /*
  * Of the time within which a change must be known: how long a call for backend
- * servers is held, and how long a neighbour's word is good. The rest of it is
+ * servers is held, the time from one to the next, and how long a neighbour's
+ * word is good. A call that is answered at once is followed by a pause and one
+ * that is held, so the word is up to the sum of the first two old. The rest is
  * for a call of one's own, after one that failed.
  */
-#define WAIT_PERCENT 36
+#define WAIT_PERCENT 20
+#define SPACING_PERCENT 36
 #define WORD_PERCENT 72
+G_STATIC_ASSERT(WAIT_PERCENT + SPACING_PERCENT < WORD_PERCENT);
 
-/* Without a good answer for so long the platform counts as away. */
-#define AWAY_AFTER_US (2500 * US_PER_MS)
+/*
+ * Members' rows may be known late: beats tell who lives. The word outlasts two
+ * of the reader's own calls.
+ */
+#define MEMBERS_SPACING_US (20 * US_PER_S)
+#define MEMBERS_WORD_US (50 * US_PER_S)
+
+/*
+ * Between two calls because a neighbour knows otherwise: where this node is the
+ * one that knows more, the neighbour has caught up by then. Members may be
+ * known later than the rest, and all change theirs when all start.
+ */
+#define MISMATCH_US (800 * US_PER_MS)
+#define MEMBERS_MISMATCH_US (2 * US_PER_S)
 
 static uint64_t wait_us(const struct follower *follower);
 
@@ -92,14 +108,37 @@
 	 * that fell silent shows when one of them isn't answered, so they are
 	 * held for less than the 4 s that a node has to recover.
 	 */
-	{ "config", REGISTRY_CONFIG, 2500 * US_PER_MS, 50 * US_PER_MS, 0, true,
-	  apply_config_row, prune_config },
+	{
+		.name = "config",
+		.table = REGISTRY_CONFIG,
+		.wait.us = 2500 * US_PER_MS,
+		.spacing.us = 50 * US_PER_MS,
+		.word.percent = WORD_PERCENT,
+		.mismatch_us = MISMATCH_US,
+		.apply = apply_config_row,
+		.prune = prune_config,
+	},
 	/* Held for so short that its answers tell of the path, too. */
-	{ "backends", REGISTRY_BACKENDS, 0, 0, WAIT_PERCENT, true,
-	  apply_backend_row, prune_backends },
-	/* Beats tell of nodes that come, and of those that are gone. */
-	{ "members", REGISTRY_MEMBERS, 15 * US_PER_S, 20 * US_PER_S, 0, false,
-	  apply_member_row, prune_members },
+	{
+		.name = "backends",
+		.table = REGISTRY_BACKENDS,
+		.wait.percent = WAIT_PERCENT,
+		.spacing.percent = SPACING_PERCENT,
+		.word.percent = WORD_PERCENT,
+		.mismatch_us = MISMATCH_US,
+		.apply = apply_backend_row,
+		.prune = prune_backends,
+	},
+	{
+		.name = "members",
+		.table = REGISTRY_MEMBERS,
+		.wait.us = 15 * US_PER_S,
+		.spacing.us = MEMBERS_SPACING_US,
+		.word.us = MEMBERS_WORD_US,
+		.mismatch_us = MEMBERS_MISMATCH_US,
+		.apply = apply_member_row,
+		.prune = prune_members,
+	},
 };
 
 /* How soon what the platform says must be known here. */
@@ -109,19 +148,12 @@
 		   edge->settings.config_within_us);
 }
 
-static uint64_t held_us(const struct follower *follower)
-{
-	const struct edge *edge = follower->sync->edge;
-
-	if (!follower->rule->wait_percent)
-		return follower->rule->wait_us;
-	return change_within_us(edge) * follower->rule->wait_percent / 100;
-}
-
-static uint64_t spacing_us(const struct follower *follower)
+static uint64_t time_us(const struct follower *follower,
+			const struct follow_time *time)
 {
-	return follower->rule->wait_percent ? held_us(follower) :
-					      follower->rule->spacing_us;
+	if (!time->percent)
+		return time->us;
+	return change_within_us(follower->sync->edge) * time->percent / 100;
 }
 
 static void call_later(struct follower *follower, uint64_t delay_us);
@@ -132,10 +164,9 @@
 	struct edge *edge = follower->sync->edge;
 	uint64_t now_us = edge_now_us(edge);
 	uint64_t until_us = follower->confirmed_us +
-			    change_within_us(edge) * WORD_PERCENT / 100;
+			    time_us(follower, &follower->rule->word);
 
-	if (!follower->whole || !follower->rule->vouched ||
-	    until_us <= now_us ||
+	if (!follower->whole || until_us <= now_us ||
 	    member_table_reader(edge->members, now_us) == edge->members->self)
 		return 0;
 	return until_us - now_us;
@@ -162,7 +193,9 @@
 {
 	uint64_t since_us =
 		edge_now_us(follower->sync->edge) - follower->called_us;
-	uint64_t spacing = follower->whole ? spacing_us(follower) : 0;
+	uint64_t spacing = follower->whole ?
+				   time_us(follower, &follower->rule->spacing) :
+				   0;
 
 	call_later(follower, spacing > since_us ? spacing - since_us : 0);
 }
@@ -321,9 +354,10 @@
 		log_event(LOG_INFO, "registry-regained",
 			  "table=%s failures=%u gap_us=%" PRIu64,
 			  follower->rule->name, follower->failures, gap_us);
+	/* Without a good answer for so long the platform counts as away. */
 	if (follower->rule->table == REGISTRY_BACKENDS &&
 	    follower->answered_us &&
-	    (follower->failures || gap_us > AWAY_AFTER_US))
+	    (follower->failures || gap_us > change_within_us(sync->edge)))
 		sync->was_away = true;
 	if (follower->rule->table == REGISTRY_BACKENDS && follower->failures)
 		abort_waiting(sync, follower);
@@ -405,11 +439,10 @@
 	/* After a failure there is much to know, and the path to be tried. */
 	if (follower->failures)
 		return 0;
-	if (follower->rule->vouched &&
-	    member_table_reader(edge->members, edge_now_us(edge)) !=
-		    edge->members->self)
+	if (member_table_reader(edge->members, edge_now_us(edge)) !=
+	    edge->members->self)
 		return 0;
-	return held_us(follower);
+	return time_us(follower, &follower->rule->wait);
 }
 
 void follower_call(struct follower *follower)
--- a/packages/edge/sync_neighbours.c
+++ b/packages/edge/sync_neighbours.c
@@ -8,12 +8,6 @@
 #include "core/hash.h"
 #include "edge/snapshot.h"
 
-/*
- * Between two calls because a neighbour knows otherwise: where this node is the
- * one that knows more, the neighbour has caught up by then.
- */
-#define MISMATCH_SPACING_US (800 * US_PER_MS)
-
 /* --- hearsay at the start ----------------------------------------------- */
 
 /* Neighbours tell of changes without the row; what has left is known by now. */
@@ -132,9 +126,15 @@
 {
 	const struct edge *edge = follower->sync->edge;
 
-	return follower->rule->table == REGISTRY_CONFIG ?
-		       config_digest(edge) :
-		       backend_table_digest(edge->backends);
+	switch (follower->rule->table) {
+	case REGISTRY_CONFIG:
+		return config_digest(edge);
+	case REGISTRY_BACKENDS:
+		return backend_table_digest(edge->backends);
+	case REGISTRY_MEMBERS:
+		break;
+	}
+	return member_table_digest(edge->members);
 }
 
 uint32_t sync_vouches(const struct sync *sync, struct beat_vouch *vouches)
@@ -146,7 +146,7 @@
 	for (i = 0; i < FOLLOWERS; i++) {
 		const struct follower *follower = &sync->followers[i];
 
-		if (!follower->rule->vouched || !follower->whole)
+		if (!follower->whole)
 			continue;
 		vouches[count].table = follower->rule->table;
 		vouches[count].digest = digest_of(follower);
@@ -164,8 +164,7 @@
 	struct follower *follower;
 	uint64_t at_us;
 
-	if (vouch->table != REGISTRY_CONFIG &&
-	    vouch->table != REGISTRY_BACKENDS)
+	if (vouch->table >= FOLLOWERS)
 		return;
 	follower = &sync->followers[vouch->table];
 	at_us = now_us - MIN(now_us, vouch->age_ms * US_PER_MS);
@@ -176,7 +175,7 @@
 		follower->answered_us = MAX(follower->answered_us, at_us);
 		return;
 	}
-	if (now_us - follower->called_us > MISMATCH_SPACING_US)
+	if (now_us - follower->called_us > follower->rule->mismatch_us)
 		follower_call(follower);
 }
 
@@ -185,6 +184,6 @@
 	struct follower *follower = &sync->followers[REGISTRY_MEMBERS];
 	uint64_t since_us = edge_now_us(sync->edge) - follower->called_us;
 
-	if (since_us > MISMATCH_SPACING_US)
+	if (since_us > follower->rule->mismatch_us)
 		follower_call(follower);
 }
--- a/packages/edge/sync_parts.h
+++ b/packages/edge/sync_parts.h
@@ -15,14 +15,20 @@
 
 struct follower;
 
+/* A time that is fixed, or a part of that within which changes are known. */
+struct follow_time {
+	uint64_t us;
+	uint32_t percent; /* not 0: the part */
+};
+
 /* How a table is followed. */
 struct follow_rule {
 	const char *name;
 	enum registry_table table;
-	uint64_t wait_us; /* how long the platform may hold a call */
-	uint64_t spacing_us; /* from one call's start to the next */
-	uint32_t wait_percent; /* or, if not 0, of the time for a change */
-	bool vouched; /* a neighbour's word spares the call */
+	struct follow_time wait; /* how long the platform may hold a call */
+	struct follow_time spacing; /* from one call's start to the next */
+	struct follow_time word; /* how long a neighbour's word is good */
+	uint64_t mismatch_us; /* between calls for a word that differs */
 	void (*apply)(struct sync *sync, const struct registry_row *row);
 	/* After a whole read: what it didn't hold is gone. */
 	void (*prune)(struct sync *sync, GHashTable *seen);
--- /dev/null
+++ b/tests/edge/gossip_test.cc
@@ -0,0 +1,208 @@
+/* Beats of a node as a neighbour hears them, and what it takes from others. */
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <set>
+
+#include "edge/beat.h"
+#include "edge/edge_world.h"
+
+namespace
+{
+
+/* A neighbour that keeps all beats in the order in which they come. */
+class GossipTest : public EdgeWorld
+{
+      protected:
+	void SetUp() override
+	{
+		EdgeWorld::SetUp();
+		socket_ = open_socket(&own_);
+	}
+	void TearDown() override
+	{
+		EdgeWorld::TearDown();
+		close(socket_);
+	}
+	/* The node reads for its region; the neighbour is its only other. */
+	void start_with_neighbour()
+	{
+		struct endpoint free_port;
+		struct member *neighbour;
+
+		start_node();
+		close(open_socket(&free_port));
+		edge->settings.peer = free_port;
+		neighbour = member_table_put(edge->members, "neighbour");
+		neighbour->hash = UINT32_MAX;
+		neighbour->peer = own_;
+		set_region(neighbour);
+		set_region(edge->members->self);
+		gossip = gossip_open(edge, nullptr);
+		ASSERT_NE(nullptr, gossip);
+		gossip_attach(gossip, sync);
+		wait_for([this] { return hear(), !beats.empty(); });
+		beats.clear();
+	}
+	void hear()
+	{
+		char bytes[2 * BEAT_MAX_BYTES];
+		struct beat beat;
+		ssize_t length;
+
+		while ((length = recv(socket_, bytes, sizeof(bytes),
+				      MSG_DONTWAIT)) > 0)
+			if (beat_decode(bytes, (size_t)length, &beat))
+				beats.push_back(beat);
+	}
+	void say(const std::string &bytes)
+	{
+		struct sockaddr_in to = address_of(edge->settings.peer);
+
+		sendto(socket_, bytes.data(), bytes.size(), 0,
+		       (struct sockaddr *)&to, sizeof(to));
+	}
+	void say(const struct beat &beat)
+	{
+		GBytes *bytes = beat_encode(&beat);
+		gsize length;
+		const char *data =
+			(const char *)g_bytes_get_data(bytes, &length);
+
+		say(std::string(data, length));
+		g_bytes_unref(bytes);
+	}
+	std::set<std::string> told() const
+	{
+		std::set<std::string> ids;
+
+		for (const struct beat &beat : beats)
+			for (uint32_t i = 0; i < beat.row_count; i++)
+				ids.insert(beat.rows[i].id);
+		return ids;
+	}
+	std::deque<struct beat> beats;
+
+      private:
+	static void set_region(struct member *member)
+	{
+		g_free(member->region);
+		member->region = g_strdup("r1");
+	}
+	static struct sockaddr_in address_of(const struct endpoint &endpoint)
+	{
+		struct sockaddr_in address = {};
+
+		uv_ip4_addr(endpoint.address, endpoint.port, &address);
+		return address;
+	}
+	static int open_socket(struct endpoint *at)
+	{
+		int fd = socket(AF_INET, SOCK_DGRAM, 0);
+		struct sockaddr_in address = address_of(endpoint_at(0));
+		socklen_t length = sizeof(address);
+
+		bind(fd, (struct sockaddr *)&address, length);
+		getsockname(fd, (struct sockaddr *)&address, &length);
+		*at = endpoint_at(ntohs(address.sin_port));
+		return fd;
+	}
+	struct endpoint own_;
+	int socket_;
+};
+
+/*
+ * A server begins to drain. The reader's beat with the new digest came to the
+ * region's nodes before the row did, so each of them called the store for what
+ * it was about to be told.
+ */
+TEST_F(GossipTest, ChangesAreToldBeforeTheDigestsThatHaveThem)
+{
+	add_app("i-1");
+	add_app("i-2");
+	start_with_neighbour();
+	uint64_t before = backend_table_digest(edge->backends);
+	list_app(apps[0], "draining");
+	wait_for(
+		[&] { return backend_table_digest(edge->backends) != before; });
+	uint64_t after = backend_table_digest(edge->backends);
+	gossip_hurry(gossip);
+	wait_for([&] {
+		hear();
+		for (const struct beat &beat : beats)
+			for (uint32_t i = 0; i < beat.vouch_count; i++)
+				if (beat.vouches[i].digest == after)
+					return true;
+		return false;
+	});
+	bool has_told = false;
+	for (const struct beat &beat : beats) {
+		has_told |= beat.row_count > 0;
+		for (uint32_t i = 0; i < beat.vouch_count; i++)
+			EXPECT_TRUE(beat.vouches[i].digest != after ||
+				    has_told);
+	}
+}
+
+/*
+ * A failure domain's servers come back together. More changes than one beat
+ * holds were told by none, and all nodes read the table for themselves.
+ */
+TEST_F(GossipTest, ManyChangesAtOnceAreAllTold)
+{
+	add_app("i-0");
+	start_with_neighbour();
+	for (int i = 1; i <= 3 * BEAT_MAX_ROWS; i++) {
+		App app = apps[0];
+
+		app.id = "i-" + std::to_string(i);
+		list_app(app, "ready");
+	}
+	wait_for([&] { return hear(), told().size() == 3 * BEAT_MAX_ROWS; });
+}
+
+/* What the list held when it was first read is no change. */
+TEST_F(GossipTest, TheFirstListIsNotTold)
+{
+	for (int i = 0; i < 5; i++)
+		add_app("i-" + std::to_string(i));
+	start_with_neighbour();
+	gossip_hurry(gossip);
+	wait_for([this] { return hear(), !beats.empty(); });
+	EXPECT_TRUE(told().empty());
+}
+
+/* A node that the list doesn't name is heard: the reader looks for its row. */
+TEST_F(GossipTest, AnUnknownNodeMakesTheReaderLook)
+{
+	struct beat beat = {};
+
+	start_with_neighbour();
+	store_stand_put(store, "members", "n9",
+			"{\"domain\":\"d1\",\"region\":\"r1\","
+			"\"front\":\"127.0.0.9:1\",\"peer\":\"127.0.0.9:2\"}");
+	beat.lives[beat.life_count++] = { UINT32_MAX, 1, false };
+	beat.lives[beat.life_count++] = { 12345, 1, false };
+	wait_for([&] {
+		say(beat);
+		return member_table_find(edge->members, "n9") != nullptr;
+	});
+}
+
+/* Spoiled datagrams, and ones of other programs, change nothing. */
+TEST_F(GossipTest, BytesThatAreNoBeatChangeNothing)
+{
+	add_app("i-1");
+	start_with_neighbour();
+	uint64_t before = backend_table_digest(edge->backends);
+	say(std::string("hello"));
+	say(std::string(BEAT_MAX_BYTES + 1, 'x'));
+	say(std::string(64, '\0'));
+	turn_for(100);
+	EXPECT_EQ(before, backend_table_digest(edge->backends));
+	EXPECT_EQ(2u, member_table_count(edge->members));
+	EXPECT_EQ(200, status_of(answer_to(get("a1", "/r/"))));
+}
+
+} // namespace
