--- a/packages/core/admin_table.c
+++ b/packages/core/admin_table.c
@@ -74,8 +74,8 @@
 	case QUERY_SHOW_VERSION:
 		return admin_show(question, error);
 	default:
-		g_set_error_literal(error, RESULT_ERROR, RESULT_INTERNAL,
-				    "the sentence asks nothing");
+		g_set_error_literal(error, RESULT_ERROR, RESULT_UNKNOWN_NAME,
+				    "this kind of node has no such table");
 		return NULL;
 	}
 }
--- a/packages/core/admin_table.h
+++ b/packages/core/admin_table.h
@@ -1,7 +1,8 @@
 /*
  * admin_table - the tables that answer queries, row by row
  *
- * Internal to admin_table.c, admin_show.c and admin_where.c.
+ * For those that answer queries: admin_show.c and admin_where.c, and the edge's
+ * admin.c, whose tables come from its own beliefs in place of a configuration.
  */
 #ifndef CORE_ADMIN_TABLE_H
 #define CORE_ADMIN_TABLE_H
--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -6,21 +6,6 @@
 #include "core/duration.h"
 #include "core/hash.h"
 
-/* Round trip to another region before any was measured: a continent's width. */
-#define LINK_PRIOR_US (60 * US_PER_MS)
-
-/* Within a region, where nothing was measured. */
-#define LINK_NEAR_US (1 * US_PER_MS)
-
-/* Weight of one measured round trip. */
-#define LINK_WEIGHT 0.2
-
-/* Weight of one answer in a service's times and in a server's slowness. */
-#define TIMES_WEIGHT 0.05
-#define SLOWNESS_WEIGHT 0.15
-#define SLOWNESS_LEAST 0.4
-#define SLOWNESS_MOST 20.0
-
 /* A cold server's work takes about twice as long. */
 #define COLD_SLOWNESS 2.0
 
@@ -75,10 +60,6 @@
 #define RETRY_FULL_US (400 * US_PER_MS)
 #define RETRY_UNKNOWN_US (1 * US_PER_S)
 
-struct link_time {
-	double round_trip_us;
-};
-
 struct candidate {
 	struct backend *backend;
 	double cost_us; /* expected time with the tie-break's part */
@@ -90,53 +71,6 @@
 	bool full;
 };
 
-void chooser_init(struct chooser *chooser, struct backend_table *backends,
-		  struct member_table *members, struct warmth *warmth,
-		  const char *domain, const char *region)
-{
-	memset(chooser, 0, sizeof(*chooser));
-	chooser->backends = backends;
-	chooser->members = members;
-	chooser->warmth = warmth;
-	chooser->domain = domain;
-	chooser->region = region;
-	chooser->links =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	chooser->flows =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-}
-
-void chooser_release(struct chooser *chooser)
-{
-	g_hash_table_destroy(chooser->links);
-	g_hash_table_destroy(chooser->flows);
-}
-
-void chooser_link_measured(struct chooser *chooser, const char *region,
-			   uint64_t round_trip_us)
-{
-	struct link_time *link = g_hash_table_lookup(chooser->links, region);
-
-	if (!link) {
-		link = g_new0(struct link_time, 1);
-		link->round_trip_us = (double)round_trip_us;
-		g_hash_table_insert(chooser->links, g_strdup(region), link);
-		return;
-	}
-	link->round_trip_us +=
-		LINK_WEIGHT * ((double)round_trip_us - link->round_trip_us);
-}
-
-uint64_t chooser_link_us(const struct chooser *chooser, const char *region)
-{
-	const struct link_time *link =
-		g_hash_table_lookup(chooser->links, region);
-
-	if (link)
-		return (uint64_t)link->round_trip_us;
-	return strcmp(region, chooser->region) ? LINK_PRIOR_US : LINK_NEAR_US;
-}
-
 static bool region_allowed(const struct route *route, const char *region)
 {
 	guint i;
@@ -177,14 +111,24 @@
 	return backend_cold_sends(backend, now_us) < most;
 }
 
-static bool may_use(const struct chooser *chooser,
-		    const struct choose_query *query,
-		    const struct backend *backend, uint64_t now_us)
+static enum choose_block blocked_by(const struct chooser *chooser,
+				    const struct choose_query *query,
+				    const struct backend *backend,
+				    uint64_t now_us)
 {
-	return !backend_is_closed(chooser->backends, backend) &&
-	       backend->shun_until_us <= now_us && !was_tried(query, backend) &&
-	       region_allowed(query->route, backend->region) &&
-	       cold_allows(chooser, query->service, backend, now_us);
+	if (backend->gone || backend->draining)
+		return CHOOSE_LEAVING;
+	if (backend_table_evacuated(chooser->backends, backend->domain))
+		return CHOOSE_EVACUATED;
+	if (backend->shun_until_us > now_us)
+		return CHOOSE_SHUNNED;
+	if (was_tried(query, backend))
+		return CHOOSE_TRIED;
+	if (!region_allowed(query->route, backend->region))
+		return CHOOSE_FORBIDDEN;
+	if (!cold_allows(chooser, query->service, backend, now_us))
+		return CHOOSE_COLD;
+	return CHOOSE_OPEN;
 }
 
 /* Rendezvous score, weighted by slots; the larger one comes first. */
@@ -256,7 +200,8 @@
 	for (i = 0; backends && i < backends->len; i++) {
 		struct candidate candidate = { .backend = backends->pdata[i] };
 
-		if (!may_use(chooser, query, candidate.backend, now_us))
+		if (blocked_by(chooser, query, candidate.backend, now_us) !=
+		    CHOOSE_OPEN)
 			continue;
 		estimate(chooser, query, times, now_us, &candidate);
 		g_array_append_val(candidates, candidate);
@@ -452,41 +397,49 @@
 	g_array_unref(candidates);
 }
 
-void chooser_learn(struct chooser *chooser, const struct choose_query *query,
-		   struct backend *backend, bool was_warm, double service_us,
-		   uint64_t now_us)
+static void add_blocked(const struct chooser *chooser,
+			const struct choose_query *query, uint64_t now_us,
+			GArray *views)
 {
-	struct service_times *times =
-		backend_table_times(chooser->backends, query->service->name,
-				    query->route->target_us);
-	struct warm_pair pair = { backend->hash, query->object };
-	double *usual_us = was_warm ? &times->warm_us : &times->cold_us;
-	double ratio = service_us / *usual_us;
+	const GPtrArray *backends =
+		backend_table_of(chooser->backends, query->service->name);
+	guint i;
 
-	if (query->has_object)
-		warmth_note(chooser->warmth, pair, WARM_OWN, now_us);
-	if (backend->cold_until_us > now_us)
-		return;
-	backend->slowness += SLOWNESS_WEIGHT * (ratio - backend->slowness);
-	backend->slowness =
-		CLAMP(backend->slowness, SLOWNESS_LEAST, SLOWNESS_MOST);
-	*usual_us += TIMES_WEIGHT * (service_us - *usual_us);
-	times->samples++;
+	for (i = 0; backends && i < backends->len; i++) {
+		struct choose_view view = { .backend = backends->pdata[i] };
+
+		view.block = blocked_by(chooser, query, view.backend, now_us);
+		if (view.block != CHOOSE_OPEN)
+			g_array_append_val(views, view);
+	}
 }
 
-const char *choose_reason_name(enum choose_reason reason)
+GArray *choose_explain(const struct chooser *chooser,
+		       const struct choose_query *query, uint64_t now_us)
 {
-	switch (reason) {
-	case CHOOSE_WARM:
-		return "warm";
-	case CHOOSE_RANK:
-		return "rank";
-	case CHOOSE_TRIAL:
-		return "trial";
-	case CHOOSE_NONE_KNOWN:
-		return "none-known";
-	case CHOOSE_NONE_FREE:
-		return "none-free";
+	const struct service_times *times =
+		backend_table_times(chooser->backends, query->service->name,
+				    query->route->target_us);
+	GArray *candidates = collect(chooser, query, times, now_us);
+	GArray *views = g_array_new(FALSE, TRUE, sizeof(struct choose_view));
+	guint i;
+
+	for (i = 0; i < candidates->len; i++) {
+		const struct candidate *candidate =
+			&g_array_index(candidates, struct candidate, i);
+		const struct choose_view view = {
+			.backend = candidate->backend,
+			.block = CHOOSE_OPEN,
+			.cost_us = candidate->cost_us,
+			.expected_us = candidate->expected_us,
+			.warm = candidate->warm,
+			.near = candidate->near,
+			.full = candidate->full,
+		};
+
+		g_array_append_val(views, view);
 	}
-	return "unknown";
+	g_array_unref(candidates);
+	add_blocked(chooser, query, now_us, views);
+	return views;
 }
--- a/packages/core/choose.h
+++ b/packages/core/choose.h
@@ -58,6 +58,28 @@
 	CHOOSE_NONE_FREE, /* all are full, or too slow for what time is left */
 };
 
+/* What keeps a backend server out of a choice. */
+enum choose_block {
+	CHOOSE_OPEN,
+	CHOOSE_LEAVING, /* draining, or gone from the list */
+	CHOOSE_EVACUATED, /* its failure domain gets nothing */
+	CHOOSE_SHUNNED, /* left alone for a spell after failures */
+	CHOOSE_TRIED, /* by this request */
+	CHOOSE_FORBIDDEN, /* its region isn't among the route's */
+	CHOOSE_COLD, /* no more of its cold allowance is this node's */
+};
+
+/* A backend server as a choice sees it. */
+struct choose_view {
+	struct backend *backend;
+	enum choose_block block; /* if not open, the rest is 0 */
+	double cost_us; /* the least is chosen, within the region if it may */
+	double expected_us;
+	bool warm;
+	bool near;
+	bool full;
+};
+
 struct choice {
 	struct backend *backend; /* NULL if none */
 	enum choose_reason reason;
@@ -75,6 +97,17 @@
 void choose_backend(struct chooser *chooser, const struct choose_query *query,
 		    uint64_t now_us, struct choice *choice);
 
+/*
+ * What a choice would weigh now, and nothing is claimed by asking: struct
+ * choose_view in rendezvous order, those that are out last; for
+ * g_array_unref().
+ */
+GArray *choose_explain(const struct chooser *chooser,
+		       const struct choose_query *query, uint64_t now_us);
+
+/* Share of the service's requests that leaves this region, 0 to 1. */
+double chooser_far_share(const struct chooser *chooser, const char *service);
+
 /* A connection to a server of this region took so long to open. */
 void chooser_link_measured(struct chooser *chooser, const char *region,
 			   uint64_t round_trip_us);
@@ -86,6 +119,7 @@
 		   uint64_t now_us);
 
 const char *choose_reason_name(enum choose_reason reason);
+const char *choose_block_name(enum choose_block block);
 
 #ifdef __cplusplus
 }
--- /dev/null
+++ b/packages/core/chooser.c
@@ -0,0 +1,139 @@
+#include "core/choose.h"
+
+#include <string.h>
+
+#include "core/duration.h"
+
+/* Round trip to another region before any was measured: a continent's width. */
+#define LINK_PRIOR_US (60 * US_PER_MS)
+
+/* Within a region, where nothing was measured. */
+#define LINK_NEAR_US (1 * US_PER_MS)
+
+/* Weight of one measured round trip. */
+#define LINK_WEIGHT 0.2
+
+/* Weight of one answer in a service's times and in a server's slowness. */
+#define TIMES_WEIGHT 0.05
+#define SLOWNESS_WEIGHT 0.15
+#define SLOWNESS_LEAST 0.4
+#define SLOWNESS_MOST 20.0
+
+struct link_time {
+	double round_trip_us;
+};
+
+void chooser_init(struct chooser *chooser, struct backend_table *backends,
+		  struct member_table *members, struct warmth *warmth,
+		  const char *domain, const char *region)
+{
+	memset(chooser, 0, sizeof(*chooser));
+	chooser->backends = backends;
+	chooser->members = members;
+	chooser->warmth = warmth;
+	chooser->domain = domain;
+	chooser->region = region;
+	chooser->links =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	chooser->flows =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void chooser_release(struct chooser *chooser)
+{
+	g_hash_table_destroy(chooser->links);
+	g_hash_table_destroy(chooser->flows);
+}
+
+void chooser_link_measured(struct chooser *chooser, const char *region,
+			   uint64_t round_trip_us)
+{
+	struct link_time *link = g_hash_table_lookup(chooser->links, region);
+
+	if (!link) {
+		link = g_new0(struct link_time, 1);
+		link->round_trip_us = (double)round_trip_us;
+		g_hash_table_insert(chooser->links, g_strdup(region), link);
+		return;
+	}
+	link->round_trip_us +=
+		LINK_WEIGHT * ((double)round_trip_us - link->round_trip_us);
+}
+
+uint64_t chooser_link_us(const struct chooser *chooser, const char *region)
+{
+	const struct link_time *link =
+		g_hash_table_lookup(chooser->links, region);
+
+	if (link)
+		return (uint64_t)link->round_trip_us;
+	return strcmp(region, chooser->region) ? LINK_PRIOR_US : LINK_NEAR_US;
+}
+
+void chooser_learn(struct chooser *chooser, const struct choose_query *query,
+		   struct backend *backend, bool was_warm, double service_us,
+		   uint64_t now_us)
+{
+	struct service_times *times =
+		backend_table_times(chooser->backends, query->service->name,
+				    query->route->target_us);
+	struct warm_pair pair = { backend->hash, query->object };
+	double *usual_us = was_warm ? &times->warm_us : &times->cold_us;
+	double ratio = service_us / *usual_us;
+
+	if (query->has_object)
+		warmth_note(chooser->warmth, pair, WARM_OWN, now_us);
+	if (backend->cold_until_us > now_us)
+		return;
+	backend->slowness += SLOWNESS_WEIGHT * (ratio - backend->slowness);
+	backend->slowness =
+		CLAMP(backend->slowness, SLOWNESS_LEAST, SLOWNESS_MOST);
+	*usual_us += TIMES_WEIGHT * (service_us - *usual_us);
+	times->samples++;
+}
+
+double chooser_far_share(const struct chooser *chooser, const char *service)
+{
+	const struct region_flow *flow =
+		g_hash_table_lookup(chooser->flows, service);
+
+	return flow ? flow->share : 0;
+}
+
+const char *choose_reason_name(enum choose_reason reason)
+{
+	switch (reason) {
+	case CHOOSE_WARM:
+		return "warm";
+	case CHOOSE_RANK:
+		return "rank";
+	case CHOOSE_TRIAL:
+		return "trial";
+	case CHOOSE_NONE_KNOWN:
+		return "none-known";
+	case CHOOSE_NONE_FREE:
+		return "none-free";
+	}
+	return "unknown";
+}
+
+const char *choose_block_name(enum choose_block block)
+{
+	switch (block) {
+	case CHOOSE_OPEN:
+		return "open";
+	case CHOOSE_LEAVING:
+		return "leaving";
+	case CHOOSE_EVACUATED:
+		return "evacuated";
+	case CHOOSE_SHUNNED:
+		return "shunned";
+	case CHOOSE_TRIED:
+		return "tried";
+	case CHOOSE_FORBIDDEN:
+		return "region-forbidden";
+	case CHOOSE_COLD:
+		return "cold-allowance";
+	}
+	return "unknown";
+}
--- a/packages/core/extra_budget.c
+++ b/packages/core/extra_budget.c
@@ -55,3 +55,8 @@
 	budget->extra[budget->slice % SLOTS]++;
 	return true;
 }
+
+uint32_t extra_budget_taken(const struct extra_budget *budget)
+{
+	return sum(budget->extra);
+}
--- a/packages/core/extra_budget.h
+++ b/packages/core/extra_budget.h
@@ -44,6 +44,9 @@
 		       const struct extra_budget_rule *rule, uint32_t nodes,
 		       uint64_t now_us);
 
+/* Extra requests taken in the window that last had any request. */
+uint32_t extra_budget_taken(const struct extra_budget *budget);
+
 #ifdef __cplusplus
 }
 #endif
--- a/packages/core/query.c
+++ b/packages/core/query.c
@@ -355,9 +355,19 @@
 
 static bool parse_where(struct parser *parser, struct query *query)
 {
-	return take_name(parser, OBJECT_SERVICE, query->service) &&
-	       take_word_like(parser, "from") &&
-	       take_name(parser, OBJECT_PLACE, query->from) && take_end(parser);
+	static const char *const object[] = { "object", NULL };
+	uint32_t index;
+
+	if (!take_name(parser, OBJECT_SERVICE, query->service) ||
+	    !take_word_like(parser, "from") ||
+	    !take_name(parser, OBJECT_PLACE, query->from) ||
+	    !take_keyword(parser, object, true, &index))
+		return false;
+	if (index == 0 &&
+	    !take_text(parser, "an object's key (1 to 127 letters)",
+		       query->object_key, ID_SIZE))
+		return false;
+	return take_end(parser);
 }
 
 /* What follows "show backends": "of SERVICE", "in PLACE", both or neither. */
@@ -384,12 +394,14 @@
 
 static bool parse_show(struct parser *parser, struct query *query)
 {
-	static const char *const tables[] = { "places",	  "nodes",  "backends",
-					      "services", "shifts", "version",
-					      NULL };
+	static const char *const tables[] = {
+		"places",  "nodes",  "backends", "services", "shifts",
+		"version", "routes", "refusals", NULL
+	};
 	static const enum query_verb verbs[] = {
-		QUERY_SHOW_PLACES,   QUERY_SHOW_NODES,	QUERY_SHOW_BACKENDS,
-		QUERY_SHOW_SERVICES, QUERY_SHOW_SHIFTS, QUERY_SHOW_VERSION,
+		QUERY_SHOW_PLACES,   QUERY_SHOW_NODES,	  QUERY_SHOW_BACKENDS,
+		QUERY_SHOW_SERVICES, QUERY_SHOW_SHIFTS,	  QUERY_SHOW_VERSION,
+		QUERY_SHOW_ROUTES,   QUERY_SHOW_REFUSALS,
 	};
 	uint32_t index;
 
--- a/packages/core/query.h
+++ b/packages/core/query.h
@@ -35,6 +35,8 @@
 	QUERY_SHOW_SERVICES,
 	QUERY_SHOW_SHIFTS,
 	QUERY_SHOW_VERSION, /* and where it is in force */
+	QUERY_SHOW_ROUTES,
+	QUERY_SHOW_REFUSALS, /* answers of the node's own, by cause */
 	COMMAND_SHIFT,
 	COMMAND_CANCEL, /* a shift */
 	COMMAND_DRAIN, /* place, node or backend server */
@@ -61,6 +63,7 @@
 	char from[NAME_SIZE];
 	char to[NAME_SIZE];
 	char place[NAME_SIZE]; /* filter of show */
+	char object_key[ID_SIZE]; /* of where: a caller's affinity key */
 	char shift[ID_SIZE]; /* to add (empty: the command's id) or cancel */
 	char file[QUERY_MAX_BYTES]; /* that load names; lilacctl reads it */
 	uint32_t share_permille;
--- a/packages/ctl/format.c
+++ b/packages/ctl/format.c
@@ -63,6 +63,8 @@
 	case JSON_INTEGER:
 		return g_strdup_printf("%" JSON_INTEGER_FORMAT,
 				       json_integer_value(value));
+	case JSON_REAL:
+		return g_strdup_printf("%.1f", json_real_value(value));
 	case JSON_TRUE:
 		return g_strdup("yes");
 	case JSON_FALSE:
@@ -101,7 +103,7 @@
 			json_string_value(json_array_get(columns, i));
 		const json_t *value = json_object_get(row, name ? name : "");
 
-		if (value && !json_is_null(value) && !json_is_integer(value))
+		if (value && !json_is_null(value) && !json_is_number(value))
 			grid->numbers[i] = false;
 		add_cell(grid, i, value ? cell_text(value) : g_strdup("-"));
 	}
--- a/packages/ctl/main.c
+++ b/packages/ctl/main.c
@@ -1,4 +1,5 @@
 #include <curl/curl.h>
+#include <errno.h>
 #include <popt.h>
 #include <stdlib.h>
 #include <string.h>
@@ -7,6 +8,7 @@
 #include "core/query.h"
 #include "core/result.h"
 #include "ctl/client.h"
+#include "ctl/explain.h"
 #include "ctl/format.h"
 #include "ctl/script.h"
 #include "ports/clock.h"
@@ -220,6 +222,57 @@
 	return false;
 }
 
+static bool read_logs(struct explain *explain, const char *const *files,
+		      GError **error)
+{
+	if (!*files) {
+		explain_read(explain, stdin);
+		return true;
+	}
+	for (; *files; files++) {
+		FILE *stream = fopen(*files, "r");
+
+		if (!stream) {
+			g_set_error(error, RESULT_ERROR, RESULT_SYSTEM,
+				    "%s: %s", *files, g_strerror(errno));
+			return false;
+		}
+		explain_read(explain, stream);
+		fclose(stream);
+	}
+	return true;
+}
+
+/* "explain REQUEST-ID [FILE...]": from logs, no node is asked. */
+static int run_explain(const struct options *options, const char *const *words)
+{
+	struct explain *explain;
+	GError *error = NULL;
+	int status = 0;
+	char *text;
+
+	if (!*words) {
+		g_set_error_literal(&error, RESULT_ERROR, RESULT_SYNTAX,
+				    "explain: a request's id is missing");
+		status = report_error(options, error);
+		g_error_free(error);
+		return status;
+	}
+	explain = explain_new(*words);
+	if (!read_logs(explain, words + 1, &error)) {
+		status = report_error(options, error);
+		g_error_free(error);
+	} else {
+		text = explain_format(explain);
+		fputs(text, stdout);
+		g_free(text);
+		if (!explain_count(explain))
+			status = result_exit_status(RESULT_UNKNOWN_NAME);
+	}
+	explain_free(explain);
+	return status;
+}
+
 static int run(const struct options *options, const char **words)
 {
 	struct session session = { options, NULL };
@@ -276,11 +329,13 @@
 		POPT_AUTOHELP POPT_TABLEEND
 	};
 	poptContext context;
+	const char **words;
 	int status;
 	int code;
 
 	context = poptGetContext("lilacctl", argc, argv, table, 0);
-	poptSetOtherOptionHelp(context, "[OPTION...] [SENTENCE | -]");
+	poptSetOtherOptionHelp(
+		context, "[OPTION...] [SENTENCE | - | explain ID [FILE...]]");
 	code = poptGetNextOpt(context);
 	if (code < -1) {
 		fprintf(stderr, "lilacctl: %s: %s\n",
@@ -291,8 +346,13 @@
 		puts("lilacctl " LILACFIELD_VERSION);
 		status = 0;
 	} else {
+		words = poptGetArgs(context);
 		curl_global_init(CURL_GLOBAL_DEFAULT);
-		status = run(&options, poptGetArgs(context));
+		if (words && !strcmp(words[0], "explain"))
+			status = run_explain(&options,
+					     (const char *const *)words + 1);
+		else
+			status = run(&options, words);
 		curl_global_cleanup();
 	}
 	free_options(&options);
--- /dev/null
+++ b/packages/edge/admin_parts.h
@@ -0,0 +1,18 @@
+/*
+ * admin_parts - what the files of admin share; not for other modules
+ */
+#ifndef EDGE_ADMIN_PARTS_H
+#define EDGE_ADMIN_PARTS_H
+
+#include <jansson.h>
+
+#include "core/query.h"
+#include "edge/edge.h"
+
+/* The answer to each kind of question; NULL and an error on failure. */
+json_t *admin_where_goes(const struct edge *edge, const struct query *query,
+			 GError **error);
+json_t *admin_show_table(const struct edge *edge, const struct query *query,
+			 GError **error);
+
+#endif
--- /dev/null
+++ b/packages/edge/admin_show.c
@@ -0,0 +1,416 @@
+#include "edge/admin_parts.h"
+
+#include <string.h>
+
+#include "core/admin_json.h"
+#include "core/admin_table.h"
+#include "core/duration.h"
+#include "core/result.h"
+#include "edge/sync.h"
+
+/* Shares as whole thousandths, as all tables of the language have them. */
+static json_t *permille(double share)
+{
+	return admin_json_number((uint64_t)(share * 1000 + 0.5));
+}
+
+static uint64_t left_us(uint64_t until_us, uint64_t now_us)
+{
+	return until_us > now_us ? until_us - now_us : 0;
+}
+
+static json_t *age(uint64_t since_us, uint64_t now_us)
+{
+	return admin_json_number_if(since_us && since_us <= now_us,
+				    now_us - since_us);
+}
+
+static json_t *finish(const struct edge *edge, struct admin_table *table,
+		      const char *what)
+{
+	size_t count = json_array_size(table->rows);
+	char *message = g_strdup_printf("%zu %s", count, what);
+	json_t *root = admin_json_new(RESULT_OK, message);
+
+	admin_table_move(root, table, edge->routes->version);
+	g_free(message);
+	return root;
+}
+
+/* Values of a table in the order of their names, for g_list_free(). */
+static GList *in_order(GHashTable *by_name)
+{
+	GList *names = g_list_sort(g_hash_table_get_keys(by_name),
+				   (GCompareFunc)strcmp);
+	GList *at;
+
+	for (at = names; at; at = at->next)
+		at->data = g_hash_table_lookup(by_name, at->data);
+	return names;
+}
+
+/* --- places ------------------------------------------------------------- */
+
+struct place_sum {
+	uint32_t nodes;
+	uint32_t backends;
+	uint32_t slots;
+	uint32_t in_flight;
+	double load;
+};
+
+static struct place_sum sum_place(const struct edge *edge, const char *domain,
+				  uint64_t now_us)
+{
+	struct place_sum sum = { .nodes = 0 };
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, edge->members->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct member *member = value;
+
+		sum.nodes += !strcmp(member->domain, domain) &&
+			     member_serves(edge->members, member, now_us);
+	}
+	g_hash_table_iter_init(&iter, edge->backends->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct backend *backend = value;
+
+		if (strcmp(backend->domain, domain) != 0)
+			continue;
+		sum.backends++;
+		sum.slots += backend->slots;
+		sum.in_flight += backend->in_flight;
+		sum.load += backend_load(backend, now_us);
+	}
+	return sum;
+}
+
+static json_t *show_places(const struct edge *edge)
+{
+	static const char *const columns[] = { "place",	    "region",
+					       "evacuated", "nodes",
+					       "backends",  "slots",
+					       "in_flight", "load" };
+	struct admin_table table = ADMIN_TABLE_NEW(columns);
+	GList *domains =
+		g_list_sort(g_hash_table_get_keys(edge->settings.regions),
+			    (GCompareFunc)strcmp);
+	GList *at;
+
+	for (at = domains; at; at = at->next) {
+		const char *domain = at->data;
+		struct place_sum sum =
+			sum_place(edge, domain, edge_now_us(edge));
+		json_t *const values[] = {
+			admin_json_text(domain),
+			admin_json_text(
+				edge_settings_region(&edge->settings, domain)),
+			json_boolean(backend_table_evacuated(edge->backends,
+							     domain)),
+			admin_json_number(sum.nodes),
+			admin_json_number(sum.backends),
+			admin_json_number(sum.slots),
+			admin_json_number(sum.in_flight),
+			json_real(sum.load),
+		};
+
+		ADMIN_TABLE_ADD(&table, columns, values);
+	}
+	g_list_free(domains);
+	return finish(edge, &table, "places");
+}
+
+/* --- nodes -------------------------------------------------------------- */
+
+static json_t *show_nodes(const struct edge *edge)
+{
+	static const char *const columns[] = { "node",	      "place",
+					       "region",      "address",
+					       "serves",      "reader",
+					       "heard_age_us" };
+	struct admin_table table = ADMIN_TABLE_NEW(columns);
+	uint64_t now_us = edge_now_us(edge);
+	const struct member *reader =
+		member_table_reader(edge->members, now_us);
+	GList *members = in_order(edge->members->by_name);
+	GList *at;
+
+	for (at = members; at; at = at->next) {
+		const struct member *member = at->data;
+		bool is_self = member == edge->members->self;
+		char *address = g_strdup_printf("%s:%u", member->front.address,
+						member->front.port);
+		json_t *const values[] = {
+			admin_json_text(member->name),
+			admin_json_text(member->domain),
+			admin_json_text(member->region),
+			admin_json_text(address),
+			json_boolean(
+				member_serves(edge->members, member, now_us)),
+			json_boolean(member == reader),
+			is_self ? admin_json_number(0) :
+				  age(member->heard_us, now_us),
+		};
+
+		ADMIN_TABLE_ADD(&table, columns, values);
+		g_free(address);
+	}
+	g_list_free(members);
+	return finish(edge, &table, "nodes");
+}
+
+/* --- backend servers ---------------------------------------------------- */
+
+static bool passes_filters(const struct query *query,
+			   const struct backend *backend)
+{
+	return (!*query->service ||
+		!strcmp(query->service, backend->service)) &&
+	       (!*query->place || !strcmp(query->place, backend->domain));
+}
+
+static const char *state_of(const struct edge *edge,
+			    const struct backend *backend, uint64_t now_us)
+{
+	if (backend->draining)
+		return "draining";
+	if (backend->lapsed_us)
+		return "missing";
+	if (backend_table_evacuated(edge->backends, backend->domain))
+		return "evacuated";
+	if (backend->shun_until_us > now_us)
+		return "shunned";
+	return backend->cold_until_us > now_us ? "cold" : "open";
+}
+
+static const char *const backend_columns[] = { "backend",
+					       "service",
+					       "place",
+					       "address",
+					       "state",
+					       "cold_left_us",
+					       "slots",
+					       "load",
+					       "in_flight",
+					       "load_age_us",
+					       "failures_permille",
+					       "slowness_permille",
+					       "served" };
+
+static void add_backend(const struct edge *edge, const struct backend *backend,
+			struct admin_table *table)
+{
+	uint64_t now_us = edge_now_us(edge);
+	char *address = g_strdup_printf("%s:%u", backend->address.address,
+					backend->address.port);
+	json_t *const values[] = {
+		admin_json_text(backend->id),
+		admin_json_text(backend->service),
+		admin_json_text(backend->domain),
+		admin_json_text(address),
+		json_string(state_of(edge, backend, now_us)),
+		admin_json_number(left_us(backend->cold_until_us, now_us)),
+		admin_json_number(backend->slots),
+		json_real(backend_load(backend, now_us)),
+		admin_json_number(backend->in_flight),
+		age(backend->others_us, now_us),
+		permille(backend->failures),
+		permille(backend->slowness),
+		admin_json_number(backend->served),
+	};
+
+	ADMIN_TABLE_ADD(table, backend_columns, values);
+	g_free(address);
+}
+
+static json_t *show_backends(const struct edge *edge, const struct query *query)
+{
+	struct admin_table table = ADMIN_TABLE_NEW(backend_columns);
+	GList *backends = in_order(edge->backends->by_id);
+	GList *at;
+
+	for (at = backends; at; at = at->next)
+		if (passes_filters(query, at->data))
+			add_backend(edge, at->data, &table);
+	g_list_free(backends);
+	return finish(edge, &table, "backend servers");
+}
+
+/* --- services and routes ------------------------------------------------ */
+
+static const char *const service_columns[] = {
+	"service", "backends", "slots",	       "load",		 "warm_us",
+	"cold_us", "answers",  "far_permille", "extra_in_window"
+};
+
+static void add_service(const struct edge *edge, const struct service *service,
+			struct admin_table *table)
+{
+	static const struct service_times none = { .samples = 0 };
+	const GPtrArray *backends =
+		backend_table_of(edge->backends, service->name);
+	const struct service_times *times =
+		g_hash_table_lookup(edge->backends->times, service->name);
+	const struct extra_budget *budget =
+		g_hash_table_lookup(edge->budgets, service->name);
+	guint count = backends ? backends->len : 0;
+	bool learned = times != NULL;
+	uint64_t slots = 0;
+	double load = 0;
+	json_t *values[G_N_ELEMENTS(service_columns)];
+	guint i;
+
+	for (i = 0; i < count; i++) {
+		slots += ((struct backend *)backends->pdata[i])->slots;
+		load += backend_load(backends->pdata[i], edge_now_us(edge));
+	}
+	if (!learned)
+		times = &none;
+	values[0] = admin_json_text(service->name);
+	values[1] = admin_json_number(count);
+	values[2] = admin_json_number(slots);
+	values[3] = json_real(load);
+	values[4] = admin_json_number_if(learned, (uint64_t)times->warm_us);
+	values[5] = admin_json_number_if(learned, (uint64_t)times->cold_us);
+	values[6] = admin_json_number(times->samples);
+	values[7] = permille(chooser_far_share(&edge->chooser, service->name));
+	values[8] = admin_json_number(budget ? extra_budget_taken(budget) : 0);
+	admin_table_add(table, values);
+}
+
+static json_t *show_services(const struct edge *edge)
+{
+	struct admin_table table = ADMIN_TABLE_NEW(service_columns);
+	GList *services = in_order(edge->routes->services);
+	GList *at;
+
+	for (at = services; at; at = at->next)
+		add_service(edge, at->data, &table);
+	g_list_free(services);
+	return finish(edge, &table, "services");
+}
+
+static const char *const route_columns[] = {
+	"route",      "host",	   "prefix",	 "service",	 "weight",
+	"timeout_us", "target_us", "idempotent", "max_attempts", "regions"
+};
+
+static void add_route(struct admin_table *table, const struct route *route,
+		      const struct route_part *part)
+{
+	json_t *const values[] = {
+		admin_json_text(route->name),
+		admin_json_text(route->host),
+		admin_json_text(route->prefix),
+		admin_json_text(part->service),
+		admin_json_number(part->weight),
+		admin_json_number(route->timeout_us),
+		admin_json_number(route->target_us),
+		json_boolean(route->idempotent),
+		admin_json_number(route->max_attempts),
+		admin_json_number(route->regions->len),
+	};
+
+	ADMIN_TABLE_ADD(table, route_columns, values);
+}
+
+static json_t *show_routes(const struct edge *edge)
+{
+	struct admin_table table = ADMIN_TABLE_NEW(route_columns);
+	GList *hosts = in_order(edge->routes->hosts);
+	GList *at;
+
+	for (at = hosts; at; at = at->next) {
+		const GPtrArray *routes = at->data;
+		guint i;
+		guint j;
+
+		for (i = 0; i < routes->len; i++) {
+			const struct route *route = routes->pdata[i];
+
+			for (j = 0; j < route->parts->len; j++)
+				add_route(&table, route,
+					  route->parts->pdata[j]);
+		}
+	}
+	g_list_free(hosts);
+	return finish(edge, &table, "parts of routes");
+}
+
+/* --- versions and refusals ---------------------------------------------- */
+
+static json_t *show_version(const struct edge *edge)
+{
+	static const char *const columns[] = { "table", "row_version", "whole",
+					       "confirmed_age_us", "failures" };
+	struct admin_table table = ADMIN_TABLE_NEW(columns);
+	struct sync_view views[SYNC_TABLES];
+	uint32_t count = edge->sync ? sync_views(edge->sync, views) : 0;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		json_t *const values[] = {
+			json_string(views[i].name),
+			admin_json_number(views[i].version),
+			json_boolean(views[i].whole),
+			age(views[i].confirmed_us, edge_now_us(edge)),
+			admin_json_number(views[i].failures),
+		};
+
+		ADMIN_TABLE_ADD(&table, columns, values);
+	}
+	return finish(edge, &table, "tables of the platform");
+}
+
+static json_t *show_refusals(const struct edge *edge)
+{
+	static const char *const columns[] = { "cause", "status", "count",
+					       "last_age_us", "last_request" };
+	struct admin_table table = ADMIN_TABLE_NEW(columns);
+	GList *refusals = in_order(edge->refusals);
+	GList *at;
+
+	for (at = refusals; at; at = at->next) {
+		const struct refusal *refusal = at->data;
+		json_t *const values[] = {
+			admin_json_text(refusal->cause),
+			admin_json_number(refusal->status),
+			admin_json_number(refusal->count),
+			age(refusal->last_us, edge_now_us(edge)),
+			admin_json_text(refusal->last_id),
+		};
+
+		ADMIN_TABLE_ADD(&table, columns, values);
+	}
+	g_list_free(refusals);
+	return finish(edge, &table, "causes");
+}
+
+json_t *admin_show_table(const struct edge *edge, const struct query *query,
+			 GError **error)
+{
+	switch (query->verb) {
+	case QUERY_SHOW_PLACES:
+		return show_places(edge);
+	case QUERY_SHOW_NODES:
+		return show_nodes(edge);
+	case QUERY_SHOW_BACKENDS:
+		return show_backends(edge, query);
+	case QUERY_SHOW_SERVICES:
+		return show_services(edge);
+	case QUERY_SHOW_ROUTES:
+		return show_routes(edge);
+	case QUERY_SHOW_VERSION:
+		return show_version(edge);
+	case QUERY_SHOW_REFUSALS:
+		return show_refusals(edge);
+	default:
+		g_set_error_literal(error, RESULT_ERROR, RESULT_UNKNOWN_NAME,
+				    "there are no shifts here: shares of "
+				    "traffic are the weights of a route's "
+				    "split (show routes)");
+		return NULL;
+	}
+}
--- /dev/null
+++ b/packages/edge/admin_where.c
@@ -0,0 +1,189 @@
+#include "edge/admin_parts.h"
+
+#include <string.h>
+
+#include "core/admin_json.h"
+#include "core/admin_table.h"
+#include "core/duration.h"
+#include "core/hash.h"
+#include "core/result.h"
+
+/* The first route, by name, that goes to the service; NULL if there is none. */
+static struct route *route_to(const struct edge *edge, const char *service)
+{
+	struct route *found = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, edge->routes->hosts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const GPtrArray *routes = value;
+		guint i;
+		guint j;
+
+		for (i = 0; i < routes->len; i++) {
+			struct route *route = routes->pdata[i];
+
+			for (j = 0; j < route->parts->len; j++) {
+				const struct route_part *part =
+					route->parts->pdata[j];
+
+				if (!strcmp(part->service, service) &&
+				    (!found ||
+				     strcmp(route->name, found->name) < 0))
+					found = route;
+			}
+		}
+	}
+	return found;
+}
+
+/*
+ * What another region's nodes would do is theirs to say: they know other loads,
+ * and their own links.
+ */
+static bool check_domain(const struct edge *edge, const char *domain,
+			 GError **error)
+{
+	const char *region = edge_settings_region(&edge->settings, domain);
+
+	if (!*region) {
+		g_set_error(error, RESULT_ERROR, RESULT_UNKNOWN_NAME,
+			    "there is no place %s", domain);
+		return false;
+	}
+	if (!strcmp(region, edge->settings.region))
+		return true;
+	g_set_error(error, RESULT_ERROR, RESULT_CONFLICT,
+		    "%s is in region %s; ask a node there (show nodes)", domain,
+		    region);
+	return false;
+}
+
+static bool make_query(const struct edge *edge, const struct query *query,
+		       struct choose_query *made, GError **error)
+{
+	memset(made, 0, sizeof(*made));
+	made->service = route_table_service(edge->routes, query->service);
+	if (!made->service) {
+		g_set_error(error, RESULT_ERROR, RESULT_UNKNOWN_NAME,
+			    "there is no service %s", query->service);
+		return false;
+	}
+	made->route = route_to(edge, query->service);
+	if (!made->route) {
+		g_set_error(error, RESULT_ERROR, RESULT_CONFLICT,
+			    "no route goes to service %s", query->service);
+		return false;
+	}
+	made->left_us = made->route->timeout_us;
+	made->has_object = *query->object_key != '\0';
+	made->object = hash_text(query->object_key);
+	return true;
+}
+
+/* Index of the cheapest open one near or far, or -1. */
+static int32_t cheapest(const GArray *views, bool near)
+{
+	int32_t best = -1;
+	guint i;
+
+	for (i = 0; i < views->len; i++) {
+		const struct choose_view *view =
+			&g_array_index(views, struct choose_view, i);
+
+		if (view->block != CHOOSE_OPEN || view->full ||
+		    view->near != near)
+			continue;
+		if (best < 0 ||
+		    view->cost_us <
+			    g_array_index(views, struct choose_view, best)
+				    .cost_us)
+			best = (int32_t)i;
+	}
+	return best;
+}
+
+static const char *rule_of(const struct choose_view *view, int32_t index,
+			   int32_t near, int32_t far)
+{
+	if (view->block != CHOOSE_OPEN)
+		return choose_block_name(view->block);
+	if (view->full)
+		return "full";
+	if (index == near)
+		return "near-best";
+	return index == far ? "far-best" : "";
+}
+
+static json_t *make_message(const struct edge *edge,
+			    const struct choose_query *query,
+			    const GArray *views, int32_t near, int32_t far)
+{
+	double share = chooser_far_share(&edge->chooser, query->service->name);
+	GString *text = g_string_new(NULL);
+	int32_t best = near < 0 ? far : near;
+	json_t *root;
+
+	if (best < 0)
+		g_string_append(text, "refused: no backend server is open");
+	else
+		g_string_append_printf(
+			text, "to %s, by route %s; %.0f%% may leave the region",
+			g_array_index(views, struct choose_view, best)
+				.backend->id,
+			query->route->name, 100 * share);
+	root = admin_json_new(RESULT_OK, text->str);
+	g_string_free(text, TRUE);
+	return root;
+}
+
+json_t *admin_where_goes(const struct edge *edge, const struct query *query,
+			 GError **error)
+{
+	static const char *const columns[] = {
+		"backend", "place", "rule", "rank",  "cost_us", "expected_us",
+		"warm",	   "near",  "full", "slots", "load"
+	};
+	uint64_t now_us = edge_now_us(edge);
+	struct admin_table table;
+	struct choose_query made;
+	GArray *views;
+	int32_t near;
+	int32_t far;
+	json_t *root;
+	guint i;
+
+	if (!check_domain(edge, query->from, error) ||
+	    !make_query(edge, query, &made, error))
+		return NULL;
+	views = choose_explain(&edge->chooser, &made, now_us);
+	near = cheapest(views, true);
+	far = cheapest(views, false);
+	table = ADMIN_TABLE_NEW(columns);
+	for (i = 0; i < views->len; i++) {
+		const struct choose_view *view =
+			&g_array_index(views, struct choose_view, i);
+		const struct backend *backend = view->backend;
+		bool open = view->block == CHOOSE_OPEN;
+		json_t *const values[] = {
+			admin_json_text(backend->id),
+			admin_json_text(backend->domain),
+			json_string(rule_of(view, (int32_t)i, near, far)),
+			admin_json_number_if(open, i),
+			admin_json_number_if(open, (uint64_t)view->cost_us),
+			admin_json_number_if(open, (uint64_t)view->expected_us),
+			admin_json_boolean_if(open, view->warm),
+			admin_json_boolean_if(open, view->near),
+			admin_json_boolean_if(open, view->full),
+			admin_json_number(backend->slots),
+			json_real(backend_load(backend, now_us)),
+		};
+
+		ADMIN_TABLE_ADD(&table, columns, values);
+	}
+	root = make_message(edge, &made, views, near, far);
+	admin_table_move(root, &table, edge->routes->version);
+	g_array_unref(views);
+	return root;
+}
--- a/packages/edge/edge.c
+++ b/packages/edge/edge.c
@@ -5,6 +5,14 @@
 /* Idle connections that are kept to each backend server. */
 #define IDLE_MOST 4
 
+static void refusal_free(gpointer data)
+{
+	struct refusal *refusal = data;
+
+	g_free(refusal->cause);
+	g_free(refusal);
+}
+
 void edge_init(struct edge *edge, uv_loop_t *loop, const struct clock *clock,
 	       const struct dialect *dialect, const struct registry *registry,
 	       const struct edge_settings *settings)
@@ -32,6 +40,8 @@
 		     edge->settings.region);
 	edge->budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	edge->refusals = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					       refusal_free);
 	pool_init(&edge->pool, loop, clock, &answers, IDLE_MOST);
 	g_queue_init(&edge->callers);
 }
@@ -42,6 +52,7 @@
 	chooser_release(&edge->chooser);
 	warmth_release(&edge->warmth);
 	g_hash_table_destroy(edge->budgets);
+	g_hash_table_destroy(edge->refusals);
 	backend_table_free(edge->backends);
 	member_table_free(edge->members);
 	route_table_unref(edge->routes);
@@ -52,6 +63,22 @@
 	return edge->routes && edge->backends->whole && !edge->stopping;
 }
 
+void edge_note_refusal(struct edge *edge, const char *cause, uint16_t status,
+		       const char *request_id)
+{
+	struct refusal *refusal = g_hash_table_lookup(edge->refusals, cause);
+
+	if (!refusal) {
+		refusal = g_new0(struct refusal, 1);
+		refusal->cause = g_strdup(cause);
+		g_hash_table_insert(edge->refusals, refusal->cause, refusal);
+	}
+	refusal->status = status;
+	refusal->count++;
+	refusal->last_us = edge_now_us(edge);
+	g_strlcpy(refusal->last_id, request_id, sizeof(refusal->last_id));
+}
+
 struct extra_budget *edge_budget(struct edge *edge, const char *service)
 {
 	struct extra_budget *budget =
--- a/packages/edge/edge.h
+++ b/packages/edge/edge.h
@@ -13,6 +13,7 @@
 #include <uv.h>
 
 #include "core/backend_table.h"
+#include "core/build_options.h"
 #include "core/choose.h"
 #include "core/extra_budget.h"
 #include "core/member_table.h"
@@ -31,6 +32,15 @@
 
 struct sync;
 
+/* Answers of the node's own with one cause. */
+struct refusal {
+	char *cause;
+	uint16_t status; /* of the latest */
+	uint64_t count;
+	uint64_t last_us;
+	char last_id[ID_SIZE]; /* the latest request's */
+};
+
 struct edge {
 	uv_loop_t *loop;
 	const struct clock *clock;
@@ -44,6 +54,7 @@
 	struct warmth warmth;
 	struct chooser chooser;
 	GHashTable *budgets; /* service -> struct extra_budget */
+	GHashTable *refusals; /* cause -> struct refusal */
 	struct pool pool;
 	struct sync *sync; /* what follows the tables; NULL before */
 	struct stats stats;
@@ -68,6 +79,10 @@
 /* Whether requests can be served: routes and backend servers are known. */
 bool edge_is_ready(const struct edge *edge);
 
+/* Account an answer of the node's own, for operators. */
+void edge_note_refusal(struct edge *edge, const char *cause, uint16_t status,
+		       const char *request_id);
+
 struct extra_budget *edge_budget(struct edge *edge, const char *service);
 bool edge_take_extra(struct edge *edge, const char *service);
 
--- a/packages/edge/gossip.c
+++ b/packages/edge/gossip.c
@@ -47,7 +47,8 @@
 	struct edge *edge = gossip->edge;
 	const struct member *sender =
 		member_table_find_hash(edge->members, beat->lives[0].member);
-	bool is_far = sender && strcmp(sender->region, edge->settings.region);
+	bool is_far = sender &&
+		      strcmp(sender->region, edge->settings.region) != 0;
 
 	return is_far || gossip_reads_for_others(gossip) ? WARM_PASSED_ON :
 							   WARM_TOLD;
--- a/packages/edge/local.c
+++ b/packages/edge/local.c
@@ -1,14 +1,16 @@
 #include "edge/local.h"
-#include "edge/snapshot.h"
-#include "edge/sync.h"
 
 #include <string.h>
 
+#include "core/result.h"
+#include "core/wire.h"
+#include "edge/admin.h"
+#include "edge/snapshot.h"
+#include "edge/sync.h"
+
 /* Nodes that one look-up names at most. */
 #define LOOKUP_MOST 64
 
-#define METRICS_PATH "/metrics"
-
 static bool path_is(const struct message *request, const char *path)
 {
 	size_t length = strcspn(request->target->str, "?");
@@ -74,20 +76,44 @@
 	g_free(text);
 }
 
-static void answer_operators(const struct message *request,
-			     struct local_answer *answer)
+static void answer_metrics(struct local_answer *answer)
+{
+	char *text = metrics_format();
+
+	set_body(answer, "text/plain; version=0.0.4", text);
+	g_free(text);
+}
+
+static void answer_command(const struct edge *edge,
+			   const struct message *request,
+			   struct local_answer *answer)
 {
+	enum result result;
 	char *text;
 
-	if (!path_is(request, METRICS_PATH)) {
-		answer->status = 404;
+	if (request->method != HTTP_POST) {
+		answer->status = 405;
 		return;
 	}
-	text = metrics_format();
-	set_body(answer, "text/plain; version=0.0.4", text);
+	text = admin_command(edge, (const char *)request->body->data,
+			     request->body->len, &result);
+	answer->status = (uint16_t)result_http_status(result);
+	set_body(answer, "application/json", text);
 	g_free(text);
 }
 
+static void answer_operators(const struct edge *edge,
+			     const struct message *request,
+			     struct local_answer *answer)
+{
+	if (path_is(request, WIRE_PATH_METRICS))
+		answer_metrics(answer);
+	else if (path_is(request, WIRE_PATH_COMMAND))
+		answer_command(edge, request, answer);
+	else
+		answer->status = 404;
+}
+
 static void answer_snapshot(const struct edge *edge,
 			    struct local_answer *answer)
 {
@@ -118,7 +144,7 @@
 		 path_is(request, edge->dialect->lookup_path))
 		answer_lookup(edge, request, answer);
 	else if (kind == LISTENER_OPERATORS)
-		answer_operators(request, answer);
+		answer_operators(edge, request, answer);
 	else if (kind == LISTENER_PEERS && path_is(request, SNAPSHOT_PATH))
 		answer_snapshot(edge, answer);
 	else
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -524,6 +524,22 @@
 	uv_close((uv_handle_t *)&sync->own_timer, NULL);
 }
 
+uint32_t sync_views(const struct sync *sync, struct sync_view *views)
+{
+	uint32_t i;
+
+	for (i = 0; i < FOLLOWERS; i++) {
+		const struct follower *follower = &sync->followers[i];
+
+		views[i].name = follower->rule->name;
+		views[i].version = follower->version;
+		views[i].whole = follower->whole;
+		views[i].confirmed_us = follower->confirmed_us;
+		views[i].failures = follower->failures;
+	}
+	return FOLLOWERS;
+}
+
 uint64_t sync_lapse_left_us(const struct sync *sync)
 {
 	uint64_t now_us = edge_now_us(sync->edge);
--- a/packages/edge/sync.h
+++ b/packages/edge/sync.h
@@ -21,6 +21,21 @@
 /* End all calls. The memory may be freed once the loop has turned. */
 void sync_close(struct sync *sync);
 
+/* Tables of the platform that are followed. */
+#define SYNC_TABLES 3
+
+/* How a table stands. */
+struct sync_view {
+	const char *name;
+	uint64_t version; /* of the newest row known */
+	bool whole; /* it was read whole */
+	uint64_t confirmed_us; /* when the platform last confirmed it */
+	uint32_t failures; /* of calls, in a row */
+};
+
+/* Fill in SYNC_TABLES views; returns how many. */
+uint32_t sync_views(const struct sync *sync, struct sync_view *views);
+
 /* For how long missing backend servers are still taken for lapsed ones. */
 uint64_t sync_lapse_left_us(const struct sync *sync);
 
--- a/packages/edge/sync_parts.h
+++ b/packages/edge/sync_parts.h
@@ -52,7 +52,7 @@
 	uint32_t failures; /* in a row */
 };
 
-#define FOLLOWERS 3
+#define FOLLOWERS SYNC_TABLES
 
 struct sync {
 	struct edge *edge;
--- a/tests/core/choose_test.cc
+++ b/tests/core/choose_test.cc
@@ -259,8 +259,8 @@
 	backends->whole = true;
 	struct backend *joined = add("i-2");
 	for (int node = 0; node < 30; node++) {
-		struct member_table *view = member_table_new(
-			("m" + std::to_string(node)).c_str());
+		struct member_table *view =
+			member_table_new(("m" + std::to_string(node)).c_str());
 
 		for (int other = 0; other < 30; other++) {
 			struct member *member = member_table_put(
--- a/tests/core/query_test.cc
+++ b/tests/core/query_test.cc
@@ -63,9 +63,10 @@
 static std::string render(const struct query &query)
 {
 	static const char *const verbs[] = {
-		"where",   "places",  "nodes", "backends", "services",
-		"shifts",  "version", "shift", "cancel",   "drain",
-		"undrain", "stop",    "start", "load",
+		"where",    "places", "nodes",	 "backends",
+		"services", "shifts", "version", "routes",
+		"refusals", "shift",  "cancel",	 "drain",
+		"undrain",  "stop",   "start",	 "load",
 	};
 	static const char *const objects[] = { "", " place", " node",
 					       " backend", " service" };
@@ -75,6 +76,7 @@
 		{ "from", query.from },
 		{ "to", query.to },
 		{ "place", query.place },
+		{ "object", query.object_key },
 		{ "shift", query.shift },
 		{ "file", query.file },
 		{ "permille", query.share_permille ?
@@ -101,7 +103,11 @@
 static const good_case good_cases[] = {
 	{ "where svc-a from p1", "where service=svc-a from=p1", false },
 	{ " where\tfrom  from from ", "where service=from from=from", false },
+	{ "where a from p1 object 17", "where service=a from=p1 object=17",
+	  false },
 	{ "show places", "places", false },
+	{ "show routes", "routes", false },
+	{ "show refusals", "refusals", false },
 	{ "show nodes", "nodes", false },
 	{ "show services", "services", false },
 	{ "show shifts", "shifts", false },
@@ -180,10 +186,12 @@
 	  "expected the name of a service (1 to 63 of A-Z a-z 0-9 . _ -) at "
 	  "word 2, found 'xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx…'" },
 	{ "where svc-a from p1 now", RESULT_SYNTAX,
-	  "expected the end at word 5, found 'now'" },
+	  "expected 'object' or the end at word 5, found 'now'" },
+	{ "where svc-a from p1 object 1 2", RESULT_SYNTAX,
+	  "expected the end at word 7, found '2'" },
 	{ "show place", RESULT_SYNTAX,
-	  "expected 'places', 'nodes', 'backends', 'services', 'shifts' or "
-	  "'version' at word 2, found 'place'; did you mean 'places'?" },
+	  "expected 'places', 'nodes', 'backends', 'services', 'shifts', "
+	  "'version', 'routes' or 'refusals' at word 2, found 'place'; did you mean 'places'?" },
 	{ "show backends at p1", RESULT_SYNTAX,
 	  "expected 'of', 'in' or the end at word 3, found 'at'" },
 	{ "show backends of svc-a of p1", RESULT_SYNTAX,
--- a/tests/ctl/format_test.cc
+++ b/tests/ctl/format_test.cc
@@ -27,6 +27,13 @@
 		  "long-one      -  no   -\n"
 		  "2 places\n",
 		  format_answer },
+		{ R"({"result":0,"message":"1 server","version":3,
+		      "columns":["server","load"],
+		      "rows":[{"server":"i-1","load":2.25}]})",
+		  "server  load\n"
+		  "i-1      2.2\n"
+		  "1 server\n",
+		  format_answer },
 		{ R"({"result":0,"message":"0 shifts","version":3,
 		      "columns":["shift","cap"],"rows":[]})",
 		  "shift  cap\n0 shifts\n", format_answer },
--- /dev/null
+++ b/tests/edge/admin_test.cc
@@ -0,0 +1,224 @@
+/* What operators ask a node, over its own HTTP. */
+#include <jansson.h>
+
+#include "edge/edge_world.h"
+
+namespace
+{
+
+class AdminTest : public EdgeWorld
+{
+      protected:
+	void SetUp() override
+	{
+		EdgeWorld::SetUp();
+		add_app("i-1", 20, "s", "d1");
+		add_app("i-2", 20, "s", "d2");
+		add_app("i-far", 20, "s", "d3");
+		start_node();
+		struct endpoint any = endpoint_at(0);
+		ASSERT_TRUE(listener_open(&operators, edge, LISTENER_OPERATORS,
+					  &any, nullptr));
+		g_free(edge->members->self->region);
+		edge->members->self->region = g_strdup("r1");
+	}
+	void TearDown() override
+	{
+		json_decref(answer);
+		listener_close(&operators);
+		EdgeWorld::TearDown();
+	}
+	/* Ask; the answer's JSON stays until the next one. */
+	json_t *ask(const std::string &sentence)
+	{
+		json_t *body = json_pack("{s:s}", "sentence", sentence.c_str());
+		char *text = json_dumps(body, JSON_COMPACT);
+
+		post(text);
+		free(text);
+		json_decref(body);
+		return answer;
+	}
+	void post(const std::string &body)
+	{
+		RawCaller caller(&loop, at(operators));
+
+		caller.send("POST /v1/command HTTP/1.1\r\nHost: n\r\n"
+			    "Content-Length: " +
+			    std::to_string(body.size()) + "\r\n\r\n" + body);
+		wait_for([&] { return is_whole(caller); }, body.c_str());
+		status = status_of(caller.got);
+		json_decref(answer);
+		answer = json_loads(body_of(caller.got).c_str(), 0, nullptr);
+		ASSERT_NE(nullptr, answer) << caller.got;
+	}
+	int result() const
+	{
+		return (int)json_integer_value(
+			json_object_get(answer, "result"));
+	}
+	std::string message() const
+	{
+		return json_string_value(json_object_get(answer, "message"));
+	}
+	/* The row whose first member is this, or NULL. */
+	json_t *row(const char *column, const std::string &value) const
+	{
+		json_t *rows = json_object_get(answer, "rows");
+		json_t *one;
+		size_t i;
+
+		json_array_foreach (rows, i, one)
+			if (value ==
+			    json_string_value(json_object_get(one, column)))
+				return one;
+		return nullptr;
+	}
+	static std::string text(json_t *row, const char *column)
+	{
+		const char *value =
+			json_string_value(json_object_get(row, column));
+
+		return value ? value : "";
+	}
+	struct listener operators = {};
+	json_t *answer = nullptr;
+	int status = 0;
+};
+
+struct sentence_case {
+	const char *name;
+	const char *sentence;
+	int status;
+	int result;
+	const char *says; /* part of the message */
+};
+
+const sentence_case sentence_cases[] = {
+	{ "Places", "show places", 200, 0, "3 places" },
+	{ "Nodes", "show nodes", 200, 0, "1 nodes" },
+	{ "Backends", "show backends of s in d2", 200, 0, "1 backend servers" },
+	{ "Services", "show services", 200, 0, "2 services" },
+	{ "Routes", "show routes", 200, 0, "2 parts of routes" },
+	{ "Version", "show version", 200, 0, "3 tables" },
+	{ "Refusals", "show refusals", 200, 0, "0 causes" },
+	{ "Shifts", "show shifts", 404, 303, "route's split" },
+	{ "WhereHome", "where s from d1", 200, 0, "to i-" },
+	{ "WhereElse", "where s from d3", 409, 302, "ask a node there" },
+	{ "WhereNowhere", "where s from d9", 404, 303, "no place d9" },
+	{ "WhereNothing", "where x from d1", 404, 303, "no service x" },
+	{ "WhereUnused", "where t from d1", 409, 302, "no route goes" },
+	{ "Shift", "shift s from d1 to d2 share 10% cap 5/s", 409, 302,
+	  "weights of a route's split" },
+	{ "Drain", "drain place d1", 409, 302, "evacuated by the platform's" },
+	{ "Stop", "stop s", 409, 302, "platform's operator" },
+	{ "Misspelt", "shwo places", 400, 301, "did you mean 'show'" },
+};
+
+class SentenceTest : public AdminTest,
+		     public ::testing::WithParamInterface<sentence_case>
+{
+};
+
+TEST_P(SentenceTest, IsAnsweredOrRefusedWithAReason)
+{
+	const sentence_case &c = GetParam();
+
+	ask(c.sentence);
+	EXPECT_EQ(c.status, status) << message();
+	EXPECT_EQ(c.result, result());
+	EXPECT_NE(std::string::npos, message().find(c.says)) << message();
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, SentenceTest,
+			 ::testing::ValuesIn(sentence_cases),
+			 [](const auto &info) { return info.param.name; });
+
+/* Where a request goes, as told, is where the next one does go. */
+TEST_F(AdminTest, WhereTellsWhatTheNextChoiceDoes)
+{
+	ask("where s from d1 object 7");
+	json_t *rows = json_object_get(answer, "rows");
+	std::string told;
+	json_t *one;
+	size_t i;
+
+	json_array_foreach (rows, i, one)
+		if (text(one, "rule") == "near-best")
+			told = text(one, "backend");
+	std::string got = answer_to(get("a1", "/r/"));
+	EXPECT_NE(std::string::npos, got.find("by " + told + " run 1"))
+		<< told << got;
+	/* It is warm for the object now, and no other is. */
+	ask("where s from d1 object 7");
+	EXPECT_TRUE(
+		json_is_true(json_object_get(row("backend", told), "warm")));
+}
+
+/* Asking claims nothing: the same question has the same answer. */
+TEST_F(AdminTest, AskingChangesNothing)
+{
+	std::string first = text(
+		json_array_get(json_object_get(ask("where s from d1 object 9"),
+					       "rows"),
+			       0),
+		"backend");
+
+	for (int i = 0; i < 300; i++)
+		ask("where s from d1 object 9");
+	EXPECT_EQ(first,
+		  text(json_array_get(json_object_get(answer, "rows"), 0),
+		       "backend"));
+	EXPECT_EQ(0.0, metric_value(edge->stats.sent));
+}
+
+/* Why a server gets nothing stands in its row. */
+TEST_F(AdminTest, WhatKeepsAServerOutIsNamed)
+{
+	list_app(apps[0], "draining");
+	store_stand_put(store, "op", "evacuate/d2", "{}");
+	wait_for([this] {
+		return backend_table_evacuated(edge->backends, "d2") &&
+		       backend_table_find(edge->backends, "i-1")->draining;
+	});
+	ask("where s from d1");
+	EXPECT_EQ("leaving", text(row("backend", "i-1"), "rule"));
+	EXPECT_EQ("evacuated", text(row("backend", "i-2"), "rule"));
+	EXPECT_EQ("far-best", text(row("backend", "i-far"), "rule"));
+	ask("show backends");
+	EXPECT_EQ("draining", text(row("backend", "i-1"), "state"));
+	EXPECT_EQ("evacuated", text(row("backend", "i-2"), "state"));
+	ask("show places");
+	EXPECT_TRUE(
+		json_is_true(json_object_get(row("place", "d2"), "evacuated")));
+}
+
+/* A caller got a 503: its cause, and the latest request's id, are there. */
+TEST_F(AdminTest, RefusalsAreCountedByCause)
+{
+	for (App &app : apps)
+		app_stand_set_fault(app.stand, APP_CRASH);
+	EXPECT_EQ(502, status_of(answer_to(get("lost-1", "/o/"))));
+	EXPECT_EQ(502, status_of(answer_to(get("lost-2", "/o/"))));
+	ask("show refusals");
+	json_t *rows = json_object_get(answer, "rows");
+	ASSERT_EQ(1u, json_array_size(rows));
+	json_t *one = json_array_get(rows, 0);
+	EXPECT_EQ(2, json_integer_value(json_object_get(one, "count")));
+	EXPECT_EQ("lost-2", text(one, "last_request"));
+}
+
+/* Bodies that are no question: a clear error, and the node goes on. */
+TEST_F(AdminTest, BadBodiesAreTold)
+{
+	for (const char *body :
+	     { "", "{", "[]", "{\"sentence\":7}", "{\"x\":1}" }) {
+		post(body);
+		EXPECT_EQ(400, status) << body;
+		EXPECT_EQ(112, result()) << body;
+	}
+	ask("show nodes");
+	EXPECT_EQ(200, status);
+}
+
+} // namespace
--- a/tests/emulator/play.sh
+++ b/tests/emulator/play.sh
@@ -117,6 +117,14 @@
 wait "${pids[1]}" || planned=$?
 unset "pids[1]"
 
+# Operators ask while all this goes on.
+asked=0
+for sentence in "show nodes" "show services" "show refusals" "show version" \
+	"where ${services[0]%%:*} from ${domains%%:*}"; do
+	"$build/packages/ctl/lilacctl" --node "$net.2.1:8083" "$sentence" \
+		>>"$work/answers" 2>&1 || asked=$?
+done
+
 verdict=0
 wait $emulator_pid || verdict=$?
 emulator_pid=
@@ -126,5 +134,5 @@
 done
 echo "== $user, seed $seed, fault $fault: planned stop ended with $planned," \
 	"$alive of ${#pids[@]} other nodes live"
-cat "$work/report"
-[ $verdict = 0 ] && [ $planned = 0 ] && [ $alive = ${#pids[@]} ]
+cat "$work/report" "$work/answers"
+[ $asked = 0 ] && [ $verdict = 0 ] && [ $planned = 0 ] && [ $alive = ${#pids[@]} ]
