models: one request, the reader's word and the cold allowance of the deployed path

Cause: the models proved the node of before the move; what runs on the platform had tables of cases only. Found while writing: 'word' is clean with a word as long as the whole bound if a call of one's own may fail for one tick only; it is caught with two.

--- a/models/prove.sh
+++ b/models/prove.sh
@@ -77,6 +77,21 @@
 	answers SOUND clean
 	answers REUSE_OUTSTANDING caught
 	answers NO_CLOSED_CHECK caught
+	send SOUND clean
+	send RESEND_BROKEN caught
+	send REFUSE_OPEN caught
+	send TRUST_STATUS caught
+	send NOT_RUN_SETTLES caught
+	send NO_ID_CHECK caught
+	send NO_EXPECT caught
+	word SOUND clean
+	word NO_AGE caught
+	word NO_DIGEST caught
+	word NO_OWN_CALL caught
+	word LONG_WORD caught
+	cold SOUND clean
+	cold HEARD_ONLY caught
+	cold COUNT_SENT caught
 	END
 }
 
