relay: links harmed by a proxy in tests and soak; one silent connection condemns the rest

Cause: the soak of real processes stopped, killed and paused nodes and troubled store and servers, but the links between them were whole. With a link that forgets its connections, each kept connection to a server cost one caller its whole time. Change: tests/standins/relay, a proxy that delays, cuts one or both ways, resets or makes connections silent for good; the emulator puts it before the store and before each server, and play.sh draws from its six harms too. A kept connection that gave no answer has the others to its server closed. Tests: HarmTest (7), OneSilentConnectionCondemnsTheOthers (504 for the second caller before, 200 after).

--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -282,6 +282,18 @@
 		end_failed(exchange, outcome, cause);
 }
 
+/* The server, or the way to it, gave no answer in all of the time. */
+static void note_silence(struct exchange *exchange)
+{
+	struct backend *backend = exchange->choice.backend;
+
+	if (!exchange->sent_us)
+		return;
+	backend_failed(backend, exchange_now_us(exchange));
+	if (exchange->conn->uses)
+		pool_drop_idle_of(&exchange->edge->pool, backend);
+}
+
 static void on_timer(uv_timer_t *timer)
 {
 	struct exchange *exchange = timer->data;
@@ -295,9 +307,7 @@
 		exchange->in_grace = true;
 		arm(exchange);
 	} else if (exchange->unsettled) {
-		if (exchange->sent_us)
-			backend_failed(exchange->choice.backend,
-				       exchange_now_us(exchange));
+		note_silence(exchange);
 		exchange_finish_failed(exchange, 504, "timeout");
 	} else {
 		exchange_finish_refused(exchange, RETRY_SOON_US, "timeout");
--- a/packages/edge/pool.c
+++ b/packages/edge/pool.c
@@ -105,12 +105,6 @@
 	return NULL;
 }
 
-bool pool_has(const struct pool *pool, const struct backend *backend,
-	      uint64_t most_idle_us)
-{
-	return newest(pool, backend, most_idle_us) != NULL;
-}
-
 struct conn *pool_take(struct pool *pool, struct backend *backend,
 		       uint64_t most_idle_us, struct conn_user *user)
 {
@@ -213,6 +207,18 @@
 	}
 }
 
+void pool_drop_idle_of(struct pool *pool, const struct backend *backend)
+{
+	guint i;
+
+	for (i = pool->idle->len; i > 0; i--) {
+		struct conn *conn = pool->idle->pdata[i - 1];
+
+		if (conn->backend == backend)
+			pool_drop(conn);
+	}
+}
+
 void pool_drop_idle(struct pool *pool)
 {
 	while (pool->idle->len)
--- a/packages/edge/pool.h
+++ b/packages/edge/pool.h
@@ -66,10 +66,6 @@
 struct conn *pool_take(struct pool *pool, struct backend *backend,
 		       uint64_t most_idle_us, struct conn_user *user);
 
-/* Whether pool_take() would find one. */
-bool pool_has(const struct pool *pool, const struct backend *backend,
-	      uint64_t most_idle_us);
-
 /* Open a new one; NULL with the cause logged where that fails at once. */
 struct conn *pool_open(struct pool *pool, struct backend *backend,
 		       struct conn_user *user);
@@ -83,6 +79,13 @@
 /* Close what was idle for too long, and all of servers that are closed. */
 void pool_sweep(struct pool *pool, const struct backend_table *backends);
 
+/*
+ * Close what is idle of one server: a kept connection to it fell silent, and
+ * what lost track of that one, a link or a middlebox, has lost the others too.
+ * Without this each of them costs a caller its whole time.
+ */
+void pool_drop_idle_of(struct pool *pool, const struct backend *backend);
+
 /* Close all that is idle: they can't be trusted after a suspension. */
 void pool_drop_idle(struct pool *pool);
 
--- /dev/null
+++ b/tests/edge/link_fault_test.cc
@@ -0,0 +1,125 @@
+/* Links to backend servers and to the store that are harmed on the way. */
+#include "edge/edge_world.h"
+#include "standins/relay.h"
+
+namespace
+{
+
+/* One server behind a relay, another one without. */
+class LinkFaultTest : public EdgeWorld
+{
+      protected:
+	void SetUp() override
+	{
+		EdgeWorld::SetUp();
+		struct endpoint any = endpoint_at(0);
+		App &app = add_app("i-1");
+		relay = relay_open(&loop, &any, app_stand_at(app.stand));
+		list_at("i-1", *relay_at(relay));
+		start_node();
+	}
+	void TearDown() override
+	{
+		relay_close(relay);
+		EdgeWorld::TearDown();
+	}
+	void list_at(const std::string &id, const struct endpoint &at)
+	{
+		std::string text =
+			"{\"service\":\"s\",\"addr\":\"127.0.0.1:" +
+			std::to_string(at.port) +
+			"\",\"zone\":\"d1\",\"version\":\"v1\",\"slots\":4,"
+			"\"state\":\"ready\",\"cold_left\":\"0ms\",\"seq\":1}";
+
+		store_stand_put(store, "servers", id.c_str(), text.c_str());
+	}
+	struct relay *relay = nullptr;
+};
+
+struct harm_case {
+	const char *name;
+	const char *story;
+	enum relay_harm harm;
+	const char *path; /* "/r/" may run twice, "/o/" once at most */
+	int first; /* of the request that meets the harm */
+	int next; /* of the one after it, the link whole again */
+};
+
+/*
+ * A request has used the connection; the harm strikes while it rests, and then
+ * the next request comes.
+ */
+const harm_case harm_cases[] = {
+	{ "Delayed", "late, and whole", RELAY_DELAY, "/r/", 200, 200 },
+	{ "ResetRead", "sent again on a new connection", RELAY_RESET, "/r/",
+	  200, 200 },
+	{ "ResetOnce", "the end is seen before anything is sent", RELAY_RESET,
+	  "/o/", 200, 200 },
+	{ "StaleOnce", "no answer: it may have run, so no promise", RELAY_STALE,
+	  "/o/", 504, 200 },
+	{ "StaleRead", "no answer in the caller's time", RELAY_STALE, "/r/",
+	  504, 200 },
+	{ "PartThere", "the request is lost on its way", RELAY_CUT_THERE, "/o/",
+	  504, 200 },
+	{ "PartBack", "it ran and the answer is lost", RELAY_CUT_BACK, "/o/",
+	  504, 200 },
+};
+
+class HarmTest : public LinkFaultTest,
+		 public ::testing::WithParamInterface<harm_case>
+{
+};
+
+TEST_P(HarmTest, IsAnsweredTrulyAndEnds)
+{
+	const harm_case &c = GetParam();
+	std::string more = "Lilacfield-Deadline-Ms: 900\r\n";
+
+	SCOPED_TRACE(c.story);
+	EXPECT_EQ(200, status_of(answer_to(get("a0", c.path))));
+	relay_set(relay, c.harm);
+	turn_for(50);
+	std::string first = answer_to(get("a1", c.path, more));
+	EXPECT_EQ(c.first, status_of(first)) << first;
+	relay_set(relay, RELAY_PASS);
+	/* A server that failed may be left alone for a moment. */
+	wait_for([&] {
+		static int number = 0;
+		std::string id = "b" + std::to_string(number++);
+
+		return status_of(answer_to(get(id, c.path))) == c.next;
+	});
+	EXPECT_GE(1u, app_stand_runs(apps[0].stand, "a1"));
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, HarmTest, ::testing::ValuesIn(harm_cases),
+			 [](const auto &info) { return info.param.name; });
+
+/*
+ * A middlebox forgets all connections of a quiet spell. The first request finds
+ * out by its time; each other kept connection cost one more caller the same.
+ */
+TEST_F(LinkFaultTest, OneSilentConnectionCondemnsTheOthers)
+{
+	std::vector<std::unique_ptr<RawCaller>> callers;
+
+	for (int i = 0; i < 3; i++)
+		callers.push_back(call(get("a" + std::to_string(i), "/o/")));
+	wait_for([&] {
+		for (const auto &caller : callers)
+			if (!is_whole(*caller))
+				return false;
+		return true;
+	});
+	ASSERT_LE(2u, relay_connections(relay));
+	relay_set(relay, RELAY_STALE);
+	relay_set(relay, RELAY_PASS);
+	EXPECT_EQ(504,
+		  status_of(answer_to(get("b0", "/o/",
+					  "Lilacfield-Deadline-Ms: 400\r\n"))));
+	EXPECT_EQ(200,
+		  status_of(answer_to(get("b1", "/o/",
+					  "Lilacfield-Deadline-Ms: 400\r\n"))));
+}
+
+} // namespace
--- a/tests/emulator/emulator.c
+++ b/tests/emulator/emulator.c
@@ -25,6 +25,7 @@
 #include "core/duration.h"
 #include "edge/link.h"
 #include "standins/app_stand.h"
+#include "standins/relay.h"
 #include "standins/store_stand.h"
 
 #define BEAT_MS 1500
@@ -37,9 +38,9 @@
 
 struct app {
 	struct app_stand *stand;
+	struct relay *relay; /* before it, and what the store's row names */
 	char *id;
 	char *domain;
-	char *address;
 	uint32_t slots;
 	bool listed;
 };
@@ -62,6 +63,7 @@
 struct world {
 	uv_loop_t loop;
 	struct store_stand *store;
+	struct relay *store_relay; /* before it, for the nodes */
 	GPtrArray *services;
 	GPtrArray *refused; /* of struct judged: said not to have run */
 	GPtrArray *nodes; /* of struct endpoint, fronts by the store's rows */
@@ -139,12 +141,13 @@
 static void list_app(struct world *world, const struct service *service,
 		     const struct app *app, const char *state)
 {
+	const struct endpoint *at = relay_at(app->relay);
 	char *text = g_strdup_printf(
 		"{\"service\":\"%s\",\"addr\":\"%s:%u\",\"zone\":\"%s\","
 		"\"version\":\"v1\",\"slots\":%u,\"state\":\"%s\","
 		"\"cold_left\":\"0ms\",\"seq\":%u}",
-		service->name, app->address, app_stand_at(app->stand)->port,
-		app->domain, app->slots, state, world->seq);
+		service->name, at->address, at->port, app->domain, app->slots,
+		state, world->seq);
 
 	store_stand_put(world->store, "servers", app->id, text);
 	g_free(text);
@@ -177,7 +180,6 @@
 {
 	g_free(app->id);
 	g_free(app->domain);
-	g_free(app->address);
 	g_free(app);
 }
 
@@ -197,13 +199,15 @@
 
 	app->id = g_strdup_printf("i-%s-%s-%u", service->name, domain, number);
 	app->domain = g_strdup(domain);
-	app->address = g_strdup(base);
 	app->slots = service->slots;
 	app->listed = true;
 	settings.id = app->id;
 	g_strlcpy(at.address, base, sizeof(at.address));
 	app->stand = app_stand_open(&world->loop, &at, &settings);
 	if (app->stand)
+		app->relay =
+			relay_open(&world->loop, &at, app_stand_at(app->stand));
+	if (app->relay)
 		return app;
 	app_free(app);
 	return NULL;
@@ -416,14 +420,44 @@
 
 /* --- faults ------------------------------------------------------------- */
 
+/* Harms of the links to the store and to each second backend server. */
+static const struct {
+	const char *name;
+	enum relay_harm harm;
+} harms[] = {
+	{ "delay", RELAY_DELAY },	  { "part", RELAY_CUT },
+	{ "partthere", RELAY_CUT_THERE }, { "partback", RELAY_CUT_BACK },
+	{ "reset", RELAY_RESET },	  { "stale", RELAY_STALE },
+};
+
+static void set_harm(struct world *world, enum relay_harm harm)
+{
+	guint i;
+	guint j;
+
+	relay_set(world->store_relay, harm);
+	for (i = 0; i < world->services->len; i++) {
+		const struct service *service = world->services->pdata[i];
+
+		for (j = 0; j < service->apps->len; j += 2)
+			relay_set(
+				((struct app *)service->apps->pdata[j])->relay,
+				harm);
+	}
+}
+
 static void set_fault(struct world *world, const char *name, bool on)
 {
+	size_t i;
 	struct store_faults faults = { 0 };
 	struct service *service = world->services->pdata[0];
 	struct app *app = service->apps->pdata[0];
 
 	printf("fault %s %s\n", name, on ? "begins" : "ends");
 	fflush(stdout);
+	for (i = 0; i < G_N_ELEMENTS(harms); i++)
+		if (!strcmp(name, harms[i].name))
+			set_harm(world, on ? harms[i].harm : RELAY_PASS);
 	if (!strcmp(name, "silent"))
 		faults.silent = on;
 	else if (!strcmp(name, "refuse"))
@@ -640,12 +674,14 @@
 		{ "rate", 0, POPT_ARG_INT, &rate, 0, "requests a second", "N" },
 		{ "seconds", 0, POPT_ARG_INT, &seconds, 0, "of traffic", "N" },
 		{ "fault", 0, POPT_ARG_STRING, &fault, 0,
-		  "silent, refuse, slow, leave, hang, twice or cut",
+		  "silent, refuse, slow, leave, hang, twice, cut, or of the "
+		  "links: delay, part, partthere, partback, reset, stale",
 		  "NAME@AT_S:FOR_S" },
 		{ "seed", 0, POPT_ARG_INT, &seed, 0, "of the callers", "N" },
 		POPT_AUTOHELP POPT_TABLEEND
 	};
 	poptContext context = poptGetContext("emulator", argc, argv, table, 0);
+	struct endpoint any;
 	struct endpoint at;
 	int i;
 
@@ -659,8 +695,13 @@
 	world.services = g_ptr_array_new();
 	world.refused = g_ptr_array_new();
 	world.nodes = g_ptr_array_new();
-	world.store = store_stand_open(&world.loop, &at);
-	if (!world.store)
+	any = at;
+	any.port = 0;
+	world.store = store_stand_open(&world.loop, &any);
+	if (world.store)
+		world.store_relay = relay_open(&world.loop, &at,
+					       store_stand_at(world.store));
+	if (!world.store_relay)
 		return fail("the store's address is taken");
 	for (i = 0; services[i]; i++) {
 		struct service *service = read_service(services[i]);
--- a/tests/emulator/play.sh
+++ b/tests/emulator/play.sh
@@ -33,7 +33,8 @@
 	exit 2
 	;;
 esac
-faults=(silent refuse slow leave hang twice cut)
+faults=(silent refuse slow leave hang twice cut
+	delay part partthere partback reset stale)
 fault=${faults[RANDOM % ${#faults[@]}]}@$((4 + RANDOM % 3)):$((2 + RANDOM % 3))
 
 # What the nodes and the emulator said is kept where a run fails, however.
--- /dev/null
+++ b/tests/standins/relay.h
@@ -0,0 +1,51 @@
+/*
+ * relay - a TCP proxy on loopback that harms what passes through it
+ *
+ * It stands for the network between two programs: bytes pass unchanged until a
+ * harm is set, which strikes open connections and, but for the last two, new
+ * ones as well.
+ */
+#ifndef STANDINS_RELAY_H
+#define STANDINS_RELAY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "core/endpoint.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct relay;
+
+enum relay_harm {
+	RELAY_PASS,
+	RELAY_DELAY, /* bytes come RELAY_DELAY_MS later, each way */
+	RELAY_CUT, /* bytes are lost both ways, nothing is closed */
+	RELAY_CUT_THERE, /* lost towards the target only */
+	RELAY_CUT_BACK, /* lost towards the caller only */
+	RELAY_RESET, /* open connections are reset, once; new ones pass */
+	RELAY_STALE, /* open connections are silent for good; new ones pass */
+};
+
+#define RELAY_DELAY_MS 150
+
+/* Connections to at (port 0: any) go on to the target; NULL on failure. */
+struct relay *relay_open(uv_loop_t *loop, const struct endpoint *at,
+			 const struct endpoint *to);
+/* The memory is freed once the loop has turned. */
+void relay_close(struct relay *relay);
+const struct endpoint *relay_at(const struct relay *relay);
+
+void relay_set(struct relay *relay, enum relay_harm harm);
+
+/* Connections open through it. */
+uint32_t relay_connections(const struct relay *relay);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
