Tables by hash for beats, and what nothing read any more

A beat names up to 40 servers by hash, and each was looked for by walking the table; an index serves. The limit of connections and the mark of keyed routes were read from the platform's documents and used nowhere: gone; the priority is shown by 'show routes'. The members of a node's view are made in one place in choose_test.

--- a/packages/core/backend_table.c
+++ b/packages/core/backend_table.c
@@ -38,6 +38,7 @@
 
 	table->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					     (GDestroyNotify)backend_unref);
+	table->by_hash = g_hash_table_new(g_direct_hash, g_direct_equal);
 	table->by_service =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 				      (GDestroyNotify)g_ptr_array_unref);
@@ -52,6 +53,7 @@
 void backend_table_free(struct backend_table *table)
 {
 	g_hash_table_destroy(table->by_service);
+	g_hash_table_destroy(table->by_hash);
 	g_hash_table_destroy(table->by_id);
 	g_hash_table_destroy(table->times);
 	g_hash_table_destroy(table->evacuated);
@@ -75,6 +77,8 @@
 	backend->slowness = 1.0;
 	backend->joined_us = table->whole ? now_us : 0;
 	g_hash_table_insert(table->by_id, backend->id, backend);
+	g_hash_table_replace(table->by_hash, GUINT_TO_POINTER(backend->hash),
+			     backend);
 	if (!list) {
 		list = g_ptr_array_new();
 		g_hash_table_insert(table->by_service, g_strdup(facts->service),
@@ -164,6 +168,10 @@
 	table->disturbed_us = now_us;
 	note_change(table, backend->id);
 	g_ptr_array_remove(list, backend);
+	/* Of two ids with one hash the later one has it. */
+	if (backend_table_find_hash(table, backend->hash) == backend)
+		g_hash_table_remove(table->by_hash,
+				    GUINT_TO_POINTER(backend->hash));
 	g_hash_table_remove(table->by_id, backend->id);
 }
 
@@ -208,14 +216,7 @@
 struct backend *backend_table_find_hash(const struct backend_table *table,
 					uint32_t hash)
 {
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, table->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (((struct backend *)value)->hash == hash)
-			return value;
-	return NULL;
+	return g_hash_table_lookup(table->by_hash, GUINT_TO_POINTER(hash));
 }
 
 const GPtrArray *backend_table_of(const struct backend_table *table,
--- a/packages/core/backend_table.h
+++ b/packages/core/backend_table.h
@@ -85,6 +85,7 @@
 
 struct backend_table {
 	GHashTable *by_id; /* owns a reference of each */
+	GHashTable *by_hash; /* of the id -> struct backend, lent */
 	GHashTable *by_service; /* name -> GPtrArray of struct backend */
 	GHashTable *times; /* service name -> struct service_times */
 	GHashTable *evacuated; /* domains that get nothing */
--- a/packages/core/route_table.h
+++ b/packages/core/route_table.h
@@ -28,7 +28,6 @@
 	char *host; /* lower case */
 	char *prefix; /* begins and ends with a slash */
 	bool idempotent; /* may run more than once */
-	bool keyed; /* a backend server that saw the object lately is faster */
 	uint64_t timeout_us; /* longest time that a caller is kept waiting */
 	uint64_t target_us; /* latency objective */
 	uint32_t priority; /* 0 is the highest */
@@ -39,7 +38,6 @@
 
 struct service {
 	char *name;
-	uint32_t max_connections; /* to each backend server, of all callers */
 	uint64_t warmup_us; /* how long a started backend server is cold */
 	double cold_per_s; /* requests a second that a cold one bears */
 };
--- a/packages/edge/admin_show.c
+++ b/packages/edge/admin_show.c
@@ -293,8 +293,9 @@
 }
 
 static const char *const route_columns[] = {
-	"route",      "host",	   "prefix",	 "service",	 "weight",
-	"timeout_us", "target_us", "idempotent", "max_attempts", "regions"
+	"route",	"host",	      "prefix",	   "service",
+	"weight",	"timeout_us", "target_us", "idempotent",
+	"max_attempts", "priority",   "regions"
 };
 
 static void add_route(struct admin_table *table, const struct route *route,
@@ -310,6 +311,7 @@
 		admin_json_number(route->target_us),
 		json_boolean(route->idempotent),
 		admin_json_number(route->max_attempts),
+		admin_json_number(route->priority),
 		admin_json_number(route->regions->len),
 	};
 
--- a/tests/core/choose_test.cc
+++ b/tests/core/choose_test.cc
@@ -70,6 +70,23 @@
 		return choice;
 	}
 
+	/* The members as one of so many, all alive and of one region, has them.
+	 */
+	struct member_table *view_of(int node, int count)
+	{
+		struct member_table *view =
+			member_table_new(("m" + std::to_string(node)).c_str());
+
+		for (int other = 0; other < count; other++) {
+			struct member *member = member_table_put(
+				view, ("m" + std::to_string(other)).c_str());
+
+			set_text(&member->region, "r1");
+			member_heard(member, 1, false, now_us);
+		}
+		return view;
+	}
+
 	uint64_t now_us = 100 * US_PER_S;
 	struct backend_table *backends;
 	struct member_table *members;
@@ -237,12 +254,8 @@
 
 	add("i-1", "d1", "r1", 3 * US_PER_S);
 	for (int node = 0; node < 9; node++) {
-		struct member_table *view =
-			member_table_new(("m" + std::to_string(node)).c_str());
+		struct member_table *view = view_of(node, 9);
 
-		for (int other = 0; other < 9; other++)
-			member_table_put(view,
-					 ("m" + std::to_string(other)).c_str());
 		chooser.members = view;
 		owners += choose().backend != nullptr;
 		member_table_free(view);
@@ -281,16 +294,8 @@
 	backends->whole = true;
 	struct backend *joined = add("i-2");
 	for (int node = 0; node < 30; node++) {
-		struct member_table *view =
-			member_table_new(("m" + std::to_string(node)).c_str());
+		struct member_table *view = view_of(node, 30);
 
-		for (int other = 0; other < 30; other++) {
-			struct member *member = member_table_put(
-				view, ("m" + std::to_string(other)).c_str());
-
-			set_text(&member->region, "r1");
-			member_heard(member, 1, false, now_us);
-		}
 		chooser.members = view;
 		began += choose().backend == joined;
 		member_table_free(view);
