choose: the rendezvous score is taken once a server, not at each comparison

Cause: sorting the servers of a service took two logarithms and hashes a comparison. Figures (clock() over 20,000 choices, one run, RelWithDebInfo, a busy machine): 36 servers 26.6 -> 10.8 us, 118: 105.9 -> 34.2, 363: 386.5 -> 109.6.

--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -71,6 +71,11 @@
 
 struct candidate {
 	struct backend *backend;
+	/*
+	 * In the rendezvous order, the larger first. Taken once, not at each
+	 * comparison: a choice among 118 servers took 106 us, and takes 34.
+	 */
+	double score;
 	double cost_us; /* expected time with the tie-break's part */
 	double expected_us;
 	double work_us;
@@ -189,15 +194,12 @@
 		candidate->cost_us += FAR_COST * times->warm_us;
 }
 
-static gint compare_rendezvous(gconstpointer a, gconstpointer b,
-			       gpointer object)
+static gint compare_scores(gconstpointer a, gconstpointer b)
 {
 	const struct candidate *left = a;
 	const struct candidate *right = b;
-	double left_score = rendezvous(left->backend, *(uint32_t *)object);
-	double right_score = rendezvous(right->backend, *(uint32_t *)object);
 
-	return (left_score < right_score) - (left_score > right_score);
+	return (left->score < right->score) - (left->score > right->score);
 }
 
 /* All that may be used, in rendezvous order, with their costs. */
@@ -208,7 +210,6 @@
 	const GPtrArray *backends =
 		backend_table_of(chooser->backends, query->service->name);
 	GArray *candidates = g_array_new(FALSE, TRUE, sizeof(struct candidate));
-	uint32_t object = query->object;
 	guint i;
 
 	for (i = 0; backends && i < backends->len; i++) {
@@ -217,10 +218,11 @@
 		if (blocked_by(chooser, query, candidate.backend, now_us) !=
 		    CHOOSE_OPEN)
 			continue;
+		candidate.score = rendezvous(candidate.backend, query->object);
 		estimate(chooser, query, times, now_us, &candidate);
 		g_array_append_val(candidates, candidate);
 	}
-	g_array_sort_with_data(candidates, compare_rendezvous, &object);
+	g_array_sort(candidates, compare_scores);
 	for (i = 0; i < candidates->len; i++)
 		g_array_index(candidates, struct candidate, i).cost_us +=
 			RANK_COST * times->warm_us * i;
