--- a/packages/edge/gossip.c
+++ b/packages/edge/gossip.c
@@ -11,6 +11,18 @@
 
 /* --- hearing ------------------------------------------------------------ */
 
+/*
+ * Of other regions a node hears now and then, so that their members seem to
+ * come and go: not worth a line each (7 a second and node, of 66 nodes).
+ */
+static void note_state(const struct edge *edge, const struct member *member)
+{
+	if (strcmp(member->region, edge->settings.region) != 0)
+		return;
+	log_event(LOG_INFO, "member-state", "member=%s serves=%s", member->name,
+		  member->leaving ? "no" : "yes");
+}
+
 static void take_lives(struct gossip *gossip, const struct beat *beat)
 {
 	struct edge *edge = gossip->edge;
@@ -30,9 +42,7 @@
 		served = member_serves(edge->members, member, now_us);
 		if (member_heard(member, life->number, life->leaving, now_us) &&
 		    served == life->leaving)
-			log_event(LOG_INFO, "member-state",
-				  "member=%s serves=%s", member->name,
-				  life->leaving ? "no" : "yes");
+			note_state(edge, member);
 	}
 }
 
