--- a/packages/edge/sync_neighbours.c
+++ b/packages/edge/sync_neighbours.c
@@ -108,6 +108,10 @@
 		  SYNC_CALL_TIMEOUT_US, on_snapshot, sync);
 }
 
+/* Calls that fail in a row until a node counts as cut off: one may be chance.
+ */
+#define BLIND_FAILURES 2
+
 /* --- one reader a region ------------------------------------------------ */
 
 static uint64_t config_digest(const struct edge *edge)
@@ -158,6 +162,12 @@
 	return count;
 }
 
+bool sync_is_blind(const struct sync *sync)
+{
+	return sync->followers[REGISTRY_CONFIG].failures >= BLIND_FAILURES ||
+	       sync->followers[REGISTRY_BACKENDS].failures >= BLIND_FAILURES;
+}
+
 void sync_vouched(struct sync *sync, const struct beat_vouch *vouch)
 {
 	uint64_t now_us = edge_now_us(sync->edge);
