--- a/packages/core/member_table.c
+++ b/packages/core/member_table.c
@@ -141,18 +141,6 @@
 	return count ? count : collect(table, NULL, now_us, entries, most);
 }
 
-/*
- * A reader that is cut off from the platform has nothing new to say: its whole
- * region would call for itself until it is back.
- */
-static bool reads_before(const struct member *member,
-			 const struct member *other)
-{
-	if (member->blind != other->blind)
-		return other->blind;
-	return member->hash < other->hash;
-}
-
 const struct member *member_table_reader(const struct member_table *table,
 					 uint64_t now_us)
 {
@@ -166,7 +154,7 @@
 
 		if (!strcmp(member->region, table->self->region) &&
 		    member_serves(table, member, now_us) &&
-		    (reader->leaving || reads_before(member, reader)))
+		    (table->self->leaving || member->hash < reader->hash))
 			reader = member;
 	}
 	return reader;
--- a/packages/core/member_table.h
+++ b/packages/core/member_table.h
@@ -36,7 +36,6 @@
 	uint64_t heard_us; /* when it rose; 0: never */
 	uint64_t known_us; /* when its row was first read */
 	bool leaving;
-	bool blind; /* it can't reach the platform's tables */
 };
 
 struct member_table {
@@ -80,8 +79,8 @@
 
 /*
  * The member of one's own region that reads the platform's tables for all of
- * it: of the live ones that reach the platform, or else of all, the one with
- * the lowest hash. Members that disagree for a moment read once too often.
+ * it: the live one with the lowest hash. Members that disagree for a moment
+ * read once too often.
  */
 const struct member *member_table_reader(const struct member_table *table,
 					 uint64_t now_us);
--- a/packages/edge/beat.c
+++ b/packages/edge/beat.c
@@ -3,9 +3,9 @@
 #include <string.h>
 
 /* Format version, so that nodes of two versions ignore each other's news. */
-#define BEAT_VERSION 3
+#define BEAT_VERSION 2
 
-#define BEAT_TYPE "(ua(utbb)a(uu)a(uu)a(utu)a(ssssqubu))"
+#define BEAT_TYPE "(ua(utb)a(uu)a(uu)a(utu)a(ssssqubu))"
 
 static void add_row(GVariantBuilder *rows, const struct beat_row *row)
 {
@@ -26,12 +26,11 @@
 	GBytes *bytes;
 	uint32_t i;
 
-	g_variant_builder_init(&lives, G_VARIANT_TYPE("a(utbb)"));
+	g_variant_builder_init(&lives, G_VARIANT_TYPE("a(utb)"));
 	for (i = 0; i < beat->life_count; i++)
-		g_variant_builder_add(&lives, "(utbb)", beat->lives[i].member,
+		g_variant_builder_add(&lives, "(utb)", beat->lives[i].member,
 				      (guint64)beat->lives[i].number,
-				      (gboolean)beat->lives[i].leaving,
-				      (gboolean)beat->lives[i].blind);
+				      (gboolean)beat->lives[i].leaving);
 	g_variant_builder_init(&pairs, G_VARIANT_TYPE("a(uu)"));
 	for (i = 0; i < beat->pair_count; i++)
 		g_variant_builder_add(&pairs, "(uu)", beat->pairs[i].backend,
@@ -61,17 +60,14 @@
 	guint32 member;
 	guint64 number;
 	gboolean leaving;
-	gboolean blind;
 
 	while (beat->life_count < BEAT_MAX_LIVES &&
-	       g_variant_iter_next(iter, "(utbb)", &member, &number, &leaving,
-				   &blind)) {
+	       g_variant_iter_next(iter, "(utb)", &member, &number, &leaving)) {
 		struct beat_life *life = &beat->lives[beat->life_count++];
 
 		life->member = member;
 		life->number = number;
 		life->leaving = leaving;
-		life->blind = blind;
 	}
 }
 
--- a/packages/edge/beat.h
+++ b/packages/edge/beat.h
@@ -25,7 +25,7 @@
 #define BEAT_MAX_BYTES 1400
 
 /* News that fit into one beat beside the rest. */
-#define BEAT_MAX_PAIRS 64
+#define BEAT_MAX_PAIRS 68
 #define BEAT_MAX_LIVES 16
 #define BEAT_MAX_LOADS 40
 #define BEAT_MAX_VOUCHES 3
@@ -35,7 +35,6 @@
 	uint32_t member; /* hash of its name */
 	uint64_t number; /* rises with each beat of its own */
 	bool leaving;
-	bool blind; /* it can't reach the platform's tables */
 };
 
 struct beat_load {
--- a/packages/edge/gossip.c
+++ b/packages/edge/gossip.c
@@ -40,10 +40,8 @@
 		if (!member || member == edge->members->self)
 			continue;
 		served = member_serves(edge->members, member, now_us);
-		if (!member_heard(member, life->number, life->leaving, now_us))
-			continue;
-		member->blind = life->blind;
-		if (served == life->leaving)
+		if (member_heard(member, life->number, life->leaving, now_us) &&
+		    served == life->leaving)
 			note_state(edge, member);
 	}
 }
--- a/packages/edge/gossip_send.c
+++ b/packages/edge/gossip_send.c
@@ -42,7 +42,6 @@
 	life->member = member->hash;
 	life->number = member->beat;
 	life->leaving = member->leaving;
-	life->blind = member->blind;
 }
 
 static void add_lives(struct gossip *gossip, struct beat *beat, uint32_t most)
@@ -141,12 +140,8 @@
 	const struct edge *edge = gossip->edge;
 	uint32_t count = member_table_count(edge->members);
 
-	/*
-	 * Whoever reads for its region is heard by all of it, and hears all;
-	 * who can't any more is heard, so that all go by the next one.
-	 */
+	/* Whoever reads for its region is heard by all of it, and hears all. */
 	if (count <= ALL_MOST || gossip_reads_for_others(gossip) ||
-	    edge->members->self->blind ||
 	    member == member_table_reader(edge->members, edge_now_us(edge)))
 		return true;
 	return g_random_int_range(0, (gint32)count) < NEAR_DRAWN;
@@ -310,7 +305,6 @@
 	gossip_tell_changes(gossip);
 	self->beat = gossip->epoch_us + edge_now_us(edge);
 	self->leaving = !edge_is_ready(edge);
-	self->blind = gossip->sync && sync_is_blind(gossip->sync);
 	beat_near(gossip);
 	if (gossip->rounds++ % FAR_EVERY == 0 || edge->warmth.far_news->len)
 		beat_far(gossip);
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -13,12 +13,6 @@
 #define RETRY_FIRST_US (200 * US_PER_MS)
 #define RETRY_MOST_US (400 * US_PER_MS)
 
-/*
- * A node that is cut off goes by a neighbour's word, and tries again for itself
- * this often; every try is paid for, and its word is good meanwhile.
- */
-#define RETRY_SPARED_US (2 * US_PER_S)
-
 /*
  * Entries of backend servers that lapsed while the platform was away come back
  * within about 2 s of its return. A missing one is kept for as much of this as
@@ -172,8 +166,6 @@
 	uint64_t until_us = follower->confirmed_us +
 			    time_us(follower, &follower->rule->word);
 
-	if (follower->failures)
-		until_us = MIN(until_us, follower->called_us + RETRY_SPARED_US);
 	if (!follower->whole || until_us <= now_us ||
 	    member_table_reader(edge->members, now_us) == edge->members->self)
 		return 0;
--- a/packages/edge/sync.h
+++ b/packages/edge/sync.h
@@ -48,9 +48,6 @@
 uint32_t sync_vouches(const struct sync *sync, struct beat_vouch *vouches);
 void sync_vouched(struct sync *sync, const struct beat_vouch *vouch);
 
-/* Whether calls to the platform fail, so that another node should read. */
-bool sync_is_blind(const struct sync *sync);
-
 /* The rows that this node knows, for a neighbour; for g_bytes_unref(). */
 GBytes *sync_snapshot(const struct sync *sync);
 
--- a/packages/edge/sync_neighbours.c
+++ b/packages/edge/sync_neighbours.c
@@ -96,27 +96,18 @@
 	return true;
 }
 
-static void ask_for_snapshot(struct sync *sync, const struct endpoint *of)
-{
-	if (lane_is_busy(&sync->neighbour))
-		return;
-	lane_redirect(&sync->neighbour, of);
-	lane_call(&sync->neighbour, "GET", SNAPSHOT_PATH, NULL,
-		  SYNC_CALL_TIMEOUT_US, on_snapshot, sync);
-}
-
 void sync_heard_neighbour(struct sync *sync, const struct endpoint *from)
 {
 	struct edge *edge = sync->edge;
 
-	if (!(edge->routes && edge->backends->whole) && is_cut_off(sync))
-		ask_for_snapshot(sync, from);
+	if ((edge->routes && edge->backends->whole) || !is_cut_off(sync) ||
+	    lane_is_busy(&sync->neighbour))
+		return;
+	lane_redirect(&sync->neighbour, from);
+	lane_call(&sync->neighbour, "GET", SNAPSHOT_PATH, NULL,
+		  SYNC_CALL_TIMEOUT_US, on_snapshot, sync);
 }
 
-/* Calls that fail in a row until a node counts as cut off: one may be chance.
- */
-#define BLIND_FAILURES 2
-
 /* --- one reader a region ------------------------------------------------ */
 
 static uint64_t config_digest(const struct edge *edge)
@@ -167,34 +158,6 @@
 	return count;
 }
 
-bool sync_is_blind(const struct sync *sync)
-{
-	return sync->followers[REGISTRY_CONFIG].failures >= BLIND_FAILURES ||
-	       sync->followers[REGISTRY_BACKENDS].failures >= BLIND_FAILURES;
-}
-
-/*
- * The reader knows otherwise: ask the platform; where this node can't reach it,
- * the reader itself, whose word is hearsay but newer than what is known here.
- */
-static void look_into(struct follower *follower)
-{
-	struct sync *sync = follower->sync;
-	struct edge *edge = sync->edge;
-	uint64_t now_us = edge_now_us(edge);
-	const struct member *reader =
-		member_table_reader(edge->members, now_us);
-
-	if (now_us - follower->looked_us <= follower->rule->mismatch_us ||
-	    now_us - follower->called_us <= follower->rule->mismatch_us)
-		return;
-	follower->looked_us = now_us;
-	if (sync_is_blind(sync) && reader != edge->members->self)
-		ask_for_snapshot(sync, &reader->peer);
-	else
-		follower_call(follower);
-}
-
 void sync_vouched(struct sync *sync, const struct beat_vouch *vouch)
 {
 	uint64_t now_us = edge_now_us(sync->edge);
@@ -212,7 +175,8 @@
 		follower->answered_us = MAX(follower->answered_us, at_us);
 		return;
 	}
-	look_into(follower);
+	if (now_us - follower->called_us > follower->rule->mismatch_us)
+		follower_call(follower);
 }
 
 void sync_read_members(struct sync *sync)
--- a/packages/edge/sync_parts.h
+++ b/packages/edge/sync_parts.h
@@ -46,7 +46,6 @@
 	GHashTable *seen; /* keys of the pages read so far */
 	GHashTable *rows; /* key -> value, as the platform gave them */
 	uint64_t called_us;
-	uint64_t looked_us; /* when a word that differs was last looked into */
 	uint64_t answered_us; /* last good answer */
 	uint64_t confirmed_us; /* the platform confirmed what is believed */
 	uint64_t retry_us;
