Tried and taken back: only what is warm queues at a server, and longer

A cold request that may not queue goes to the next server with a free slot; where a server's cache holds a tenth of the objects, that empties caches.

--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -28,17 +28,8 @@
 /* Cost of a server's load, at as many as its slots, in warm service times. */
 #define LOAD_COST 0.1
 
-/*
- * Requests over its slots that a server may hold, as a part of the slots, where
- * it is warm for the object. One for a cold object doesn't queue: it takes
- * three times as long, comes late anyway, and while a crowded service does such
- * work its caches never warm. Mean worth over 6 days and 6 seeds, two
- * deployments, with 1.0 for all: 0.692, 0.661, 0.759, 0.772; with nothing for
- * cold ones and 0.7: 0.685, 0.651, 0.769, 0.772; 1.0: 0.695, 0.659, 0.772,
- * 0.779; 1.4: 0.695, 0.670, 0.780, 0.782; 2.0: 0.695, 0.669, 0.782, 0.783; 2.6:
- * 0.697, 0.669, 0.781, 0.782. Of those that are alike the shortest.
- */
-#define QUEUE_PART 1.4
+/* Requests over its slots that a server may hold, as a part of the slots. */
+#define QUEUE_PART 1.0
 
 /* Answers of a service before its times are a reason to refuse. */
 #define TRUST_SAMPLES 20
@@ -154,11 +145,6 @@
 	return -(double)backend->slots / log(part);
 }
 
-static double queue_most(const struct candidate *candidate, double slots)
-{
-	return candidate->warm ? fmax(1.0, QUEUE_PART * slots) : 0.0;
-}
-
 static void estimate(const struct chooser *chooser,
 		     const struct choose_query *query,
 		     const struct service_times *times, uint64_t now_us,
@@ -175,7 +161,7 @@
 	candidate->near = !strcmp(backend->region, chooser->region);
 	candidate->warm = !query->has_object ||
 			  warmth_has(chooser->warmth, pair);
-	candidate->full = load >= slots + queue_most(candidate, slots);
+	candidate->full = load >= slots + fmax(1.0, QUEUE_PART * slots);
 	work_us = (candidate->warm ? times->warm_us : times->cold_us) *
 		  backend->slowness;
 	if (backend->cold_until_us > now_us)
