gossip: the region's reader is looked for once a beat, not twice a neighbour

Cause: read in the change itself: is_drawn() walked all members to find the reader, twice for each neighbour of each beat, so that a round grew with the square of the members; it may be part of the busiest processor's rise at 302 nodes (not measured). Behaviour as before: the same targets, the same draws. edge_test's GossipTest and BeatTest passed (11); the whole script was not run on this commit.

--- a/packages/edge/gossip_send.c
+++ b/packages/edge/gossip_send.c
@@ -135,14 +135,14 @@
 }
 
 /* Whether this round's beat goes to the neighbour. */
-static bool is_drawn(const struct gossip *gossip, const struct member *member)
+static bool is_drawn(const struct edge *edge, const struct member *member,
+		     const struct member *reader)
 {
-	const struct edge *edge = gossip->edge;
 	uint32_t count = member_table_count(edge->members);
 
 	/* Whoever reads for its region is heard by all of it, and hears all. */
-	if (count <= ALL_MOST || gossip_reads_for_others(gossip) ||
-	    member == member_table_reader(edge->members, edge_now_us(edge)))
+	if (count <= ALL_MOST || reader == edge->members->self ||
+	    member == reader)
 		return true;
 	return g_random_int_range(0, (gint32)count) < NEAR_DRAWN;
 }
@@ -167,12 +167,15 @@
 
 static void send_near(struct gossip *gossip, const struct beat *beat)
 {
+	const struct edge *edge = gossip->edge;
+	const struct member *reader =
+		member_table_reader(edge->members, edge_now_us(edge));
 	GPtrArray *near = members_of(gossip, true);
 	GBytes *bytes = beat_encode(beat);
 	guint i;
 
 	for (i = 0; i < near->len; i++)
-		if (is_drawn(gossip, near->pdata[i]))
+		if (is_drawn(edge, near->pdata[i], reader))
 			send_to(gossip, near->pdata[i], bytes);
 	g_bytes_unref(bytes);
 	g_ptr_array_unref(near);
