region_flow: objects leave their region, not requests

Where a region has fewer slots than callers, a share of its requests leaves it, and which ones was left to the order of arrival.

An object whose place in a fixed order lies below the share leaves. How many requests leave still moves by 5% a second, also where one object has most of them (a test plays that).

--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -331,8 +331,7 @@
 
 	if (!flow) {
 		flow = g_new0(struct region_flow, 1);
-		flow->share = first_share(chooser, service);
-		flow->wanted = flow->share;
+		region_flow_init(flow, first_share(chooser, service));
 		g_hash_table_insert(chooser->flows, g_strdup(service), flow);
 	}
 	return flow;
@@ -352,14 +351,19 @@
 	const struct candidate *near = least(candidates, true);
 	const struct candidate *far = least(candidates, false);
 	struct region_flow *flow = flow_of(chooser, query->service->name);
-	bool prefers_far = far && (!near || far->cost_us < near->cost_us);
-	bool is_free = region_is_disturbed(chooser, now_us);
+	const struct region_flow_request request = {
+		.prefers_to_leave = far &&
+				    (!near || far->cost_us < near->cost_us),
+		.has_object = query->has_object,
+		.object = query->object,
+		.free = region_is_disturbed(chooser, now_us),
+	};
 
 	if (!near && !far)
 		return NULL;
 	if (!far)
 		return trial(chooser, candidates, near, now_us);
-	if (region_flow_leave(flow, prefers_far, is_free, now_us))
+	if (region_flow_leave(flow, &request, now_us))
 		return far;
 	return near ? trial(chooser, candidates, near, now_us) : NULL;
 }
--- a/packages/core/region_flow.c
+++ b/packages/core/region_flow.c
@@ -1,8 +1,10 @@
 #include "core/region_flow.h"
 
 #include <math.h>
+#include <string.h>
 
 #include "core/duration.h"
+#include "core/hash.h"
 
 /* Weight of one choice in the smoothed wish: about the last 30 choices. */
 #define WISH_WEIGHT 0.03
@@ -14,20 +16,38 @@
  */
 #define STEP_PER_S 0.05
 
+/* Weight of one request in the excess: about the last 100. */
+#define EXCESS_WEIGHT 0.01
+
 /*
  * Requests that may leave ahead of the share, and that are owed to it at most;
- * from CREDIT_DUE on one leaves although it would rather stay. The most lies
- * above that by more than one request, or a share near 1 would lose what it is
- * owed.
+ * from CREDIT_DUE on one leaves although it would rather stay. The noise of
+ * some hundred requests stays within that, so that objects keep their side; a
+ * jump of more is spread over seconds. The most lies above that by more than
+ * one request, or a share near 1 would lose what it is owed.
+ */
+#define CREDIT_LEAST (-6.0)
+#define CREDIT_DUE 6.0
+#define CREDIT_MOST 8.0
+
+/* The same for requests without an object. */
+#define PLAIN_CREDIT_DUE 1.5
+
+/*
+ * Hashed with an object for its place among those that leave, which then has
+ * nothing to do with the order of the servers for it.
  */
-#define CREDIT_LEAST (-1.0)
-#define CREDIT_DUE 1.5
-#define CREDIT_MOST 3.0
+#define LEAVING_ORDER 0x1eaf1eafu
 
 /* A stretch without requests allows one step of this length at most. */
 #define STEP_MOST_US US_PER_S
 
-static void move_share(struct region_flow *flow, uint64_t now_us)
+static double stepped(double from, double to, double most)
+{
+	return to > from ? fmin(to, from + most) : fmax(to, from - most);
+}
+
+static void move_shares(struct region_flow *flow, uint64_t now_us)
 {
 	uint64_t passed_us = now_us - flow->moved_us;
 	double step;
@@ -36,31 +56,61 @@
 		passed_us = STEP_MOST_US;
 	step = STEP_PER_S * (double)passed_us / (double)US_PER_S;
 	flow->moved_us = now_us;
-	if (flow->wanted > flow->share)
-		flow->share = fmin(flow->wanted, flow->share + step);
-	else
-		flow->share = fmax(flow->wanted, flow->share - step);
+	flow->share = stepped(flow->share, flow->wanted, step);
+	flow->granted =
+		stepped(flow->granted, flow->share + flow->excess, step);
+}
+
+void region_flow_init(struct region_flow *flow, double share)
+{
+	memset(flow, 0, sizeof(*flow));
+	flow->share = share;
+	flow->wanted = share;
+	flow->granted = share;
+}
+
+static bool belongs_elsewhere(const struct region_flow *flow, uint32_t object)
+{
+	double place = (double)hash_pair(object, LEAVING_ORDER) /
+		       18446744073709551616.0;
+
+	return place < flow->share;
+}
+
+/* Without an object there is no side to keep, and little to be put off. */
+static double credit_needed(const struct region_flow_request *request,
+			    bool elsewhere)
+{
+	if (request->has_object)
+		return elsewhere ? CREDIT_LEAST + 1.0 : CREDIT_DUE;
+	return elsewhere ? 0 : PLAIN_CREDIT_DUE;
 }
 
-bool region_flow_leave(struct region_flow *flow, bool prefers_to_leave,
-		       bool free, uint64_t now_us)
+bool region_flow_leave(struct region_flow *flow,
+		       const struct region_flow_request *request,
+		       uint64_t now_us)
 {
+	double wish = request->prefers_to_leave ? 1.0 : 0.0;
+	bool elsewhere;
 	bool leave;
 
-	flow->wanted +=
-		WISH_WEIGHT * ((prefers_to_leave ? 1.0 : 0.0) - flow->wanted);
-	if (free) {
+	flow->wanted += WISH_WEIGHT * (wish - flow->wanted);
+	if (request->free) {
 		flow->share = flow->wanted;
+		flow->granted = flow->wanted;
 		flow->moved_us = now_us;
 		flow->credit = 0;
-		return prefers_to_leave;
+		return request->prefers_to_leave;
 	}
-	move_share(flow, now_us);
-	flow->credit = fmin(CREDIT_MOST, flow->credit + flow->share);
-	if (prefers_to_leave)
-		leave = flow->credit >= 0;
-	else
-		leave = flow->credit >= CREDIT_DUE;
+	move_shares(flow, now_us);
+	elsewhere = request->has_object ?
+			    belongs_elsewhere(flow, request->object) :
+			    request->prefers_to_leave;
+	if (request->has_object)
+		flow->excess += EXCESS_WEIGHT * ((elsewhere ? 1.0 : 0.0) -
+						 flow->share - flow->excess);
+	flow->credit = fmin(CREDIT_MOST, flow->credit + flow->granted);
+	leave = flow->credit >= credit_needed(request, elsewhere);
 	if (leave)
 		flow->credit = fmax(CREDIT_LEAST, flow->credit - 1.0);
 	return leave;
--- a/packages/core/region_flow.h
+++ b/packages/core/region_flow.h
@@ -18,16 +18,37 @@
 struct region_flow {
 	double share; /* granted, 0 to 1 */
 	double wanted; /* share of choices that preferred to leave, smoothed */
+	/* What leaves beyond the share: some objects are asked for more. */
+	double excess;
+	double granted; /* share and excess, by bounded steps */
 	double credit; /* requests that may leave now */
-	uint64_t moved_us; /* when share last moved */
+	uint64_t moved_us; /* when the shares last moved */
+};
+
+/* Begin with a share, by what is known before any request. */
+void region_flow_init(struct region_flow *flow, double share);
+
+/* The next request, as region_flow_leave() sees it. */
+struct region_flow_request {
+	bool prefers_to_leave; /* by what the choice expects there and here */
+	bool has_object;
+	uint32_t object; /* its hash */
+	/* Something failed here: the rest has to go elsewhere at once. */
+	bool free;
 };
 
 /*
- * Whether the next request leaves its region. free: no step is imposed, because
- * something failed here and the rest has to go elsewhere at once.
+ * Whether the next request leaves its region.
+ *
+ * The share is one of objects: those whose place in a fixed order lies below it
+ * are served elsewhere, so that each object has its servers on one side. Were
+ * it any share of the requests, both regions would warm servers for all
+ * objects. An object may have so many of the requests that its move is a jump:
+ * how many leave therefore follows what belongs elsewhere by bounded steps too.
  */
-bool region_flow_leave(struct region_flow *flow, bool prefers_to_leave,
-		       bool free, uint64_t now_us);
+bool region_flow_leave(struct region_flow *flow,
+		       const struct region_flow_request *request,
+		       uint64_t now_us);
 
 #ifdef __cplusplus
 }
--- a/tests/core/edge_core_test.cc
+++ b/tests/core/edge_core_test.cc
@@ -1,6 +1,8 @@
 /* The small decisions of the data path, each by its table of cases. */
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
 #include <cstring>
 #include <map>
 #include <string>
@@ -217,21 +219,32 @@
 	}
 }
 
+/* Whether a request leaves, by what it prefers and its object, if any. */
+bool leaves(struct region_flow *flow, bool prefers, uint64_t now_us,
+	    const uint32_t *object = nullptr, bool free = false)
+{
+	const struct region_flow_request request = { prefers, object != nullptr,
+						     object ? *object : 0,
+						     free };
+
+	return region_flow_leave(flow, &request, now_us);
+}
+
 /* From one window of 2 s to the next the share moves by less than 0.15. */
 TEST(RegionFlowTest, TheShareMovesByBoundedSteps)
 {
-	struct region_flow flow = {};
+	struct region_flow flow;
 	std::vector<int> windows;
 	uint64_t now_us = US_PER_S;
 
+	region_flow_init(&flow, 0);
 	flow.moved_us = now_us;
 	for (int window = 0; window < 20; window++) {
 		bool prefers = window >= 3 && window < 12;
 		int left = 0;
 
 		for (int i = 0; i < 200; i++) {
-			left += region_flow_leave(&flow, prefers, false,
-						  now_us);
+			left += leaves(&flow, prefers, now_us);
 			now_us += 10 * US_PER_MS;
 		}
 		windows.push_back(left);
@@ -243,11 +256,76 @@
 
 TEST(RegionFlowTest, AfterALossItMovesFreely)
 {
-	struct region_flow flow = {};
+	struct region_flow flow;
 
-	EXPECT_FALSE(region_flow_leave(&flow, false, false, US_PER_S));
+	region_flow_init(&flow, 0);
+	EXPECT_FALSE(leaves(&flow, false, US_PER_S));
 	for (int i = 0; i < 10; i++)
-		EXPECT_TRUE(region_flow_leave(&flow, true, true, US_PER_S));
+		EXPECT_TRUE(leaves(&flow, true, US_PER_S, nullptr, true));
+}
+
+/*
+ * Half of a region's requests have to leave it. Each object keeps to one side:
+ * with requests drawn by chance, half of them met servers that another region
+ * warms for their object, and now 2 in 100 do.
+ */
+TEST(RegionFlowTest, ObjectsLeaveRatherThanRequests)
+{
+	std::map<uint32_t, std::array<int, 2>> sides;
+	struct region_flow flow;
+	GRand *random = g_rand_new_with_seed(3);
+	uint64_t now_us = US_PER_S;
+	int left = 0;
+	int astray = 0;
+
+	region_flow_init(&flow, 0.5);
+	flow.moved_us = now_us;
+	for (int i = 0; i < 4000; i++) {
+		uint32_t object = (uint32_t)g_rand_int_range(random, 0, 70);
+		bool leave = leaves(&flow, i % 2, now_us, &object);
+
+		sides[object][leave]++;
+		left += leave;
+		now_us += 5 * US_PER_MS;
+	}
+	g_rand_free(random);
+	for (const auto &side : sides)
+		astray += std::min(side.second[0], side.second[1]);
+	EXPECT_EQ(70u, sides.size());
+	EXPECT_LE(astray, 400);
+	EXPECT_NEAR(2000, left, 400);
+}
+
+/*
+ * One object has a third of the requests, and the share passes its place: were
+ * it to leave at once, a third of all would change region within a window.
+ */
+TEST(RegionFlowTest, AnObjectOfManyRequestsLeavesBySteps)
+{
+	struct region_flow flow;
+	std::vector<int> windows;
+	GRand *random = g_rand_new_with_seed(4);
+	uint64_t now_us = US_PER_S;
+
+	region_flow_init(&flow, 0);
+	flow.moved_us = now_us;
+	for (int window = 0; window < 20; window++) {
+		int left = 0;
+
+		for (int i = 0; i < 200; i++) {
+			uint32_t object = i % 3 ? (uint32_t)g_rand_int_range(
+							  random, 1, 60) :
+						  0;
+
+			left += leaves(&flow, window >= 3, now_us, &object);
+			now_us += 10 * US_PER_MS;
+		}
+		windows.push_back(left);
+	}
+	g_rand_free(random);
+	EXPECT_GT(windows.back(), 100);
+	for (size_t i = 1; i < windows.size(); i++)
+		EXPECT_LE(abs(windows[i] - windows[i - 1]), 0.15 * 200) << i;
 }
 
 class MemberTableTest : public ::testing::Test
