backend_table: a later start under an id is another server

The table refreshed the old one: kept connections to the life before were used (a posting ran into its time-out), its warm objects, load and failures were believed of the new one.

What is believed is keyed by a hash of id and start; a later start takes the life before out like a server that is gone, an earlier one is ignored. Beats carry the start. A stray answer test fails when any answer's id is taken for the request's, which no test noticed.

The deployments at hand list no starts: this is tested with stand-ins only (SyncTest, EntryTest, BackendTableTest).

--- a/packages/core/backend_table.c
+++ b/packages/core/backend_table.c
@@ -38,7 +38,7 @@
 
 	table->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					     (GDestroyNotify)backend_unref);
-	table->by_hash = g_hash_table_new(g_direct_hash, g_direct_equal);
+	table->by_life = g_hash_table_new(g_direct_hash, g_direct_equal);
 	table->by_service =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 				      (GDestroyNotify)g_ptr_array_unref);
@@ -53,7 +53,7 @@
 void backend_table_free(struct backend_table *table)
 {
 	g_hash_table_destroy(table->by_service);
-	g_hash_table_destroy(table->by_hash);
+	g_hash_table_destroy(table->by_life);
 	g_hash_table_destroy(table->by_id);
 	g_hash_table_destroy(table->times);
 	g_hash_table_destroy(table->evacuated);
@@ -61,6 +61,14 @@
 	g_free(table);
 }
 
+static uint32_t life_of(uint32_t hash, uint64_t started_ms)
+{
+	if (!started_ms)
+		return hash;
+	return (uint32_t)hash_pair(hash,
+				   (uint32_t)(started_ms ^ started_ms >> 32));
+}
+
 static struct backend *add(struct backend_table *table,
 			   const struct backend_facts *facts, uint64_t now_us)
 {
@@ -71,13 +79,15 @@
 	backend->references = 1;
 	backend->id = g_strdup(facts->id);
 	backend->hash = hash_text(facts->id);
+	backend->life = life_of(backend->hash, facts->started_ms);
+	backend->started_ms = facts->started_ms;
 	backend->service = g_strdup(facts->service);
 	backend->domain = g_strdup(facts->domain);
 	backend->region = g_strdup(facts->region);
 	backend->slowness = 1.0;
 	backend->joined_us = table->whole ? now_us : 0;
 	g_hash_table_insert(table->by_id, backend->id, backend);
-	g_hash_table_replace(table->by_hash, GUINT_TO_POINTER(backend->hash),
+	g_hash_table_replace(table->by_life, GUINT_TO_POINTER(backend->life),
 			     backend);
 	if (!list) {
 		list = g_ptr_array_new();
@@ -111,28 +121,6 @@
 	       strcmp(backend->address.address, facts->address.address) != 0;
 }
 
-struct backend *backend_table_put(struct backend_table *table,
-				  const struct backend_facts *facts,
-				  uint64_t now_us)
-{
-	struct backend *backend = backend_table_find(table, facts->id);
-
-	if (!backend)
-		backend = add(table, facts, now_us);
-	if (says_something_new(backend, facts))
-		note_change(table, facts->id);
-	if (facts->draining && !backend->draining)
-		table->disturbed_us = now_us;
-	backend->address = facts->address;
-	backend->slots = facts->slots ? facts->slots : 1;
-	backend->draining = facts->draining;
-	backend->lapsed_us = 0;
-	backend->listed_cold = facts->cold_left_us > 0;
-	backend->cold_until_us =
-		facts->cold_left_us ? now_us + facts->cold_left_us : 0;
-	return backend;
-}
-
 uint64_t backend_table_digest(const struct backend_table *table)
 {
 	GHashTableIter iter;
@@ -145,7 +133,7 @@
 		uint32_t facts = backend->slots << 2 | backend->draining << 1 |
 				 backend->listed_cold;
 
-		digest += hash_pair(backend->hash, facts);
+		digest += hash_pair(backend->life, facts);
 	}
 	return digest;
 }
@@ -168,13 +156,60 @@
 	table->disturbed_us = now_us;
 	note_change(table, backend->id);
 	g_ptr_array_remove(list, backend);
-	/* Of two ids with one hash the later one has it. */
-	if (backend_table_find_hash(table, backend->hash) == backend)
-		g_hash_table_remove(table->by_hash,
-				    GUINT_TO_POINTER(backend->hash));
+	/* Of two lives with one hash the later one has it. */
+	if (backend_table_find_life(table, backend->life) == backend)
+		g_hash_table_remove(table->by_life,
+				    GUINT_TO_POINTER(backend->life));
 	g_hash_table_remove(table->by_id, backend->id);
 }
 
+/*
+ * It crashed and came back under its id. The life before leaves as one that is
+ * gone, so that what runs there ends in peace. Only the log of sends while cold
+ * goes on: the bound on those is the address's, whichever life counts them.
+ */
+static struct backend *restart(struct backend_table *table,
+			       struct backend *before,
+			       const struct backend_facts *facts,
+			       uint64_t now_us)
+{
+	struct backend *backend;
+
+	backend_ref(before);
+	take_out(table, before, now_us);
+	backend = add(table, facts, now_us);
+	memcpy(backend->cold_log, before->cold_log, sizeof(backend->cold_log));
+	backend->cold_next = before->cold_next;
+	backend_unref(before);
+	return backend;
+}
+
+struct backend *backend_table_put(struct backend_table *table,
+				  const struct backend_facts *facts,
+				  uint64_t now_us)
+{
+	struct backend *backend = backend_table_find(table, facts->id);
+
+	if (backend && facts->started_ms < backend->started_ms)
+		return backend;
+	if (!backend)
+		backend = add(table, facts, now_us);
+	else if (facts->started_ms > backend->started_ms)
+		backend = restart(table, backend, facts, now_us);
+	if (says_something_new(backend, facts))
+		note_change(table, facts->id);
+	if (facts->draining && !backend->draining)
+		table->disturbed_us = now_us;
+	backend->address = facts->address;
+	backend->slots = facts->slots ? facts->slots : 1;
+	backend->draining = facts->draining;
+	backend->lapsed_us = 0;
+	backend->listed_cold = facts->cold_left_us > 0;
+	backend->cold_until_us =
+		facts->cold_left_us ? now_us + facts->cold_left_us : 0;
+	return backend;
+}
+
 void backend_table_remove(struct backend_table *table, const char *id,
 			  uint64_t keep_until_us, uint64_t now_us)
 {
@@ -213,10 +248,10 @@
 	return g_hash_table_lookup(table->by_id, id);
 }
 
-struct backend *backend_table_find_hash(const struct backend_table *table,
-					uint32_t hash)
+struct backend *backend_table_find_life(const struct backend_table *table,
+					uint32_t life)
 {
-	return g_hash_table_lookup(table->by_hash, GUINT_TO_POINTER(hash));
+	return g_hash_table_lookup(table->by_life, GUINT_TO_POINTER(life));
 }
 
 const GPtrArray *backend_table_of(const struct backend_table *table,
--- a/packages/core/backend_table.h
+++ b/packages/core/backend_table.h
@@ -26,9 +26,12 @@
 /* Neighbours whose word is kept for each backend server; the latest ones. */
 #define BACKEND_WORDS 8
 
-/* One backend server as the platform's list has it. */
+/*
+ * One backend server as the platform's list has it. A restart has another id,
+ * or the same and a later start.
+ */
 struct backend_facts {
-	const char *id; /* of this start; a restart has another */
+	const char *id;
 	const char *service;
 	struct endpoint address;
 	const char *domain;
@@ -36,6 +39,7 @@
 	uint32_t slots;
 	bool draining;
 	uint64_t cold_left_us;
+	uint64_t started_ms; /* since 1970; 0: not said */
 };
 
 /* A neighbour's word on how many requests of its own are there. */
@@ -48,7 +52,9 @@
 struct backend {
 	uint32_t references;
 	char *id;
-	uint32_t hash; /* of id */
+	uint32_t hash; /* of id, for orders */
+	uint32_t life; /* of id and start, for what is believed of it */
+	uint64_t started_ms;
 	char *service;
 	struct endpoint address;
 	char *domain;
@@ -85,7 +91,7 @@
 
 struct backend_table {
 	GHashTable *by_id; /* owns a reference of each */
-	GHashTable *by_hash; /* of the id -> struct backend, lent */
+	GHashTable *by_life; /* hash of the life -> struct backend, lent */
 	GHashTable *by_service; /* name -> GPtrArray of struct backend */
 	GHashTable *times; /* service name -> struct service_times */
 	GHashTable *evacuated; /* domains that get nothing */
@@ -98,7 +104,11 @@
 struct backend_table *backend_table_new(void);
 void backend_table_free(struct backend_table *table);
 
-/* Add or refresh; the backend server, which the table owns. */
+/*
+ * Add or refresh; the backend server, which the table owns. One that started
+ * again under its id is another one: what was known of its cache, load and
+ * failures isn't of this life. Word of a life before the known one is ignored.
+ */
 struct backend *backend_table_put(struct backend_table *table,
 				  const struct backend_facts *facts,
 				  uint64_t now_us);
@@ -115,8 +125,8 @@
 
 struct backend *backend_table_find(const struct backend_table *table,
 				   const char *id);
-struct backend *backend_table_find_hash(const struct backend_table *table,
-					uint32_t hash);
+struct backend *backend_table_find_life(const struct backend_table *table,
+					uint32_t life);
 
 /* Those of the service, or NULL. */
 const GPtrArray *backend_table_of(const struct backend_table *table,
--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -199,7 +199,7 @@
 		     struct candidate *candidate)
 {
 	struct backend *backend = candidate->backend;
-	struct warm_pair pair = { backend->hash, query->object };
+	struct warm_pair pair = { backend->life, query->object };
 	double load = backend_load(backend, now_us);
 	double slots = backend->slots;
 	double queued_us = backend_mean_work_us(backend);
--- a/packages/core/warmth.h
+++ b/packages/core/warmth.h
@@ -19,7 +19,7 @@
 /* Entries of a node: 1 MB of table, 900 objects at each of 36 servers. */
 #define WARMTH_MAX_ENTRIES 32768
 
-/* One object at one backend server, both by their hashes. */
+/* One object at one life of a backend server, both by their hashes. */
 struct warm_pair {
 	uint32_t backend;
 	uint32_t object;
--- a/packages/edge/beat.c
+++ b/packages/edge/beat.c
@@ -3,16 +3,17 @@
 #include <string.h>
 
 /* Format version, so that nodes of two versions ignore each other's news. */
-#define BEAT_VERSION 3
+#define BEAT_VERSION 4
 
-#define BEAT_TYPE "(ua(utb)a(uuq)a(uu)a(utu)a(ssssqubu))"
+#define BEAT_TYPE "(ua(utb)a(uuq)a(uu)a(utu)a(ssssqubut))"
 
 static void add_row(GVariantBuilder *rows, const struct beat_row *row)
 {
-	g_variant_builder_add(rows, "(ssssqubu)", row->id, row->service,
+	g_variant_builder_add(rows, "(ssssqubut)", row->id, row->service,
 			      row->domain, row->address.address,
 			      (guint16)row->address.port, row->slots,
-			      (gboolean)row->draining, row->cold_left_ms);
+			      (gboolean)row->draining, row->cold_left_ms,
+			      (guint64)row->started_ms);
 }
 
 GBytes *beat_encode(const struct beat *beat)
@@ -46,7 +47,7 @@
 		g_variant_builder_add(&vouches, "(utu)", beat->vouches[i].table,
 				      (guint64)beat->vouches[i].digest,
 				      beat->vouches[i].age_ms);
-	g_variant_builder_init(&rows, G_VARIANT_TYPE("a(ssssqubu)"));
+	g_variant_builder_init(&rows, G_VARIANT_TYPE("a(ssssqubut)"));
 	for (i = 0; i < beat->row_count; i++)
 		add_row(&rows, &beat->rows[i]);
 	variant = g_variant_ref_sink(g_variant_new(BEAT_TYPE, BEAT_VERSION,
@@ -130,11 +131,12 @@
 	guint32 slots;
 	gboolean draining;
 	guint32 cold_left_ms;
+	guint64 started_ms;
 
 	while (beat->row_count < BEAT_MAX_ROWS &&
-	       g_variant_iter_next(iter, "(&s&s&s&squbu)", &id, &service,
+	       g_variant_iter_next(iter, "(&s&s&s&squbut)", &id, &service,
 				   &domain, &address, &port, &slots, &draining,
-				   &cold_left_ms)) {
+				   &cold_left_ms, &started_ms)) {
 		struct beat_row *row = &beat->rows[beat->row_count++];
 
 		g_strlcpy(row->id, id, sizeof(row->id));
@@ -146,6 +148,7 @@
 		row->slots = slots;
 		row->draining = draining;
 		row->cold_left_ms = cold_left_ms;
+		row->started_ms = started_ms;
 	}
 }
 
--- a/packages/edge/beat.h
+++ b/packages/edge/beat.h
@@ -44,7 +44,7 @@
 };
 
 struct beat_load {
-	uint32_t backend;
+	uint32_t backend; /* hash of its life */
 	uint32_t in_flight;
 };
 
@@ -64,6 +64,7 @@
 	uint32_t slots;
 	bool draining;
 	uint32_t cold_left_ms;
+	uint64_t started_ms; /* of its life; 0: not said */
 };
 
 struct beat {
--- a/packages/edge/gossip.c
+++ b/packages/edge/gossip.c
@@ -91,7 +91,7 @@
 	if (beat->load_count)
 		backend_table_forget_words(edge->backends, sender);
 	for (i = 0; i < beat->load_count; i++) {
-		struct backend *backend = backend_table_find_hash(
+		struct backend *backend = backend_table_find_life(
 			edge->backends, beat->loads[i].backend);
 
 		if (backend)
@@ -117,6 +117,7 @@
 			.slots = row->slots,
 			.draining = row->draining,
 			.cold_left_us = row->cold_left_ms * US_PER_MS,
+			.started_ms = row->started_ms,
 		};
 
 		log_event(LOG_INFO, "backend-told",
--- a/packages/edge/gossip_send.c
+++ b/packages/edge/gossip_send.c
@@ -77,7 +77,7 @@
 
 		if (!backend->in_flight)
 			continue;
-		load->backend = backend->hash;
+		load->backend = backend->life;
 		load->in_flight = backend->in_flight;
 		beat->load_count++;
 	}
@@ -254,6 +254,7 @@
 	row->address = backend->address;
 	row->slots = backend->slots;
 	row->draining = backend->draining;
+	row->started_ms = backend->started_ms;
 	if (backend->listed_cold && backend->cold_until_us > now_us)
 		row->cold_left_ms =
 			(uint32_t)((backend->cold_until_us - now_us) /
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -244,7 +244,8 @@
 void follower_keep_row(struct follower *follower,
 		       const struct registry_row *row)
 {
-	if (row->deleted)
+	/* Bytes that are no text can't be told to a node that starts. */
+	if (row->deleted || !g_utf8_validate(row->value, -1, NULL))
 		g_hash_table_remove(follower->rows, row->key);
 	else
 		g_hash_table_replace(follower->rows, g_strdup(row->key),
--- a/packages/edge/sync_tables.c
+++ b/packages/edge/sync_tables.c
@@ -144,20 +144,35 @@
 		.slots = record->slots,
 		.draining = record->draining,
 		.cold_left_us = record->cold_left_us,
+		.started_ms = record->started_ms,
 	};
 
 	if (!known || known->draining != record->draining ||
+	    known->started_ms != record->started_ms ||
 	    (record->cold_left_us && known->cold_until_us <= edge_now_us(edge)))
 		log_event(LOG_INFO, "backend",
 			  "backend=%s service=%s address=%s:%u domain=%s "
-			  "slots=%u draining=%s cold_left_us=%" PRIu64,
+			  "slots=%u draining=%s cold_left_us=%" PRIu64
+			  " started_ms=%" PRIu64,
 			  row->key, record->service, record->address.address,
 			  record->address.port, record->domain, record->slots,
-			  record->draining ? "yes" : "no",
-			  record->cold_left_us);
+			  record->draining ? "yes" : "no", record->cold_left_us,
+			  record->started_ms);
 	backend_table_put(edge->backends, &facts, edge_now_us(edge));
 }
 
+/*
+ * Its entry can't be read: another writer's, or spoiled. It names no server to
+ * use, and nothing tells that the one known by this id is still there. Requests
+ * that run there go on; its own next entry brings it back.
+ */
+static void drop_backend(struct sync *sync, const char *id)
+{
+	struct edge *edge = sync->edge;
+
+	backend_table_remove(edge->backends, id, 0, edge_now_us(edge));
+}
+
 void apply_backend_row(struct sync *sync, const struct registry_row *row)
 {
 	const struct registry *registry = sync->edge->registry;
@@ -173,6 +188,7 @@
 		log_event(LOG_WARNING, "backend-invalid", "backend=%s cause=%s",
 			  row->key, error->message);
 		g_error_free(error);
+		drop_backend(sync, row->key);
 		return;
 	}
 	put_backend(sync, row, &record);
--- a/packages/ports/registry.h
+++ b/packages/ports/registry.h
@@ -65,6 +65,7 @@
 	uint32_t slots;
 	bool draining;
 	uint64_t cold_left_us;
+	uint64_t started_ms; /* since 1970, of its life; 0: not said */
 };
 
 /* One of our nodes as its row has it; texts are for g_free(). */
--- a/tests/core/choose_test.cc
+++ b/tests/core/choose_test.cc
@@ -306,7 +306,7 @@
 		backend_table_times(backends, "s", route->target_us);
 
 	query.patience_us = 6 * US_PER_S;
-	warmth_note(&warmth, { only->hash, query.object }, WARM_OWN, now_us);
+	warmth_note(&warmth, { only->life, query.object }, WARM_OWN, now_us);
 	times->warm_us = 500 * US_PER_MS;
 	for (int i = 0; i < 7; i++)
 		backend_begin(only, times->warm_us, now_us);
@@ -360,7 +360,7 @@
 	query.left_us = c.left_ms * US_PER_MS;
 	for (uint32_t i = 0; i < c.in_flight; i++)
 		backend_begin(only, times->warm_us, now_us);
-	warmth_begin(&warmth, { only->hash, query.object }, WARM_TOLD,
+	warmth_begin(&warmth, { only->life, query.object }, WARM_TOLD,
 		     now_us + c.ready_ms * US_PER_MS, now_us);
 	struct choice choice = choose();
 	EXPECT_EQ(c.reason, choice.reason);
@@ -409,7 +409,7 @@
 
 	times->warm_us = 200 * US_PER_MS;
 	times->cold_us = 300 * US_PER_MS;
-	warmth_note(&warmth, { owner->hash, query.object }, WARM_OWN, now_us);
+	warmth_note(&warmth, { owner->life, query.object }, WARM_OWN, now_us);
 	owner->slowness = c.owner_slowness;
 	for (uint32_t i = 0; i < c.at_owner; i++)
 		backend_begin(owner, times->warm_us, now_us);
--- a/tests/core/edge_core_test.cc
+++ b/tests/core/edge_core_test.cc
@@ -506,6 +506,56 @@
 	backend_table_free(b);
 }
 
+/*
+ * A server crashes and is back under its id within its heartbeats. It has an
+ * empty cache and no requests; failures and load of the life before made it
+ * look bad, its warm objects look fast. What it may get while it is cold goes
+ * on from what the life before got in that second.
+ */
+TEST(BackendTableTest, ALaterStartUnderTheIdIsAnotherServer)
+{
+	struct backend_table *table = backend_table_new();
+	struct backend_facts facts = {};
+	uint64_t now_us = 10 * US_PER_S;
+
+	facts.id = "i-1";
+	facts.service = "s";
+	facts.domain = "d1";
+	facts.region = "r1";
+	facts.slots = 4;
+	facts.started_ms = 1000;
+	facts.cold_left_us = US_PER_S;
+	struct backend *before =
+		backend_ref(backend_table_put(table, &facts, now_us));
+	uint64_t digest = backend_table_digest(table);
+	backend_begin(before, 1000, now_us);
+	backend_reported(before, 4, 9, now_us);
+	for (int i = 0; i < 10; i++)
+		backend_failed(before, now_us);
+
+	facts.started_ms = 2000;
+	struct backend *again = backend_table_put(table, &facts, now_us);
+	EXPECT_NE(before, again);
+	EXPECT_TRUE(before->gone);
+	EXPECT_NE(before->life, again->life);
+	EXPECT_EQ(before->hash, again->hash) << "objects keep their order";
+	EXPECT_EQ(0, backend_load(again, now_us));
+	EXPECT_EQ(0, again->failures);
+	EXPECT_EQ(0u, again->shun_until_us);
+	EXPECT_EQ(1u, backend_cold_sends(again, now_us));
+	EXPECT_NE(digest, backend_table_digest(table));
+	EXPECT_EQ(nullptr, backend_table_find_life(table, before->life));
+	EXPECT_EQ(again, backend_table_find_life(table, again->life));
+
+	facts.started_ms = 1000;
+	facts.draining = true;
+	EXPECT_EQ(again, backend_table_put(table, &facts, now_us));
+	EXPECT_FALSE(again->draining);
+	backend_end(before, 1000);
+	backend_unref(before);
+	backend_table_free(table);
+}
+
 /* A report is old soon; neighbours' words replace each other, by sender. */
 TEST(BackendTableTest, LoadIsOwnAndOthers)
 {
--- a/tests/edge/beat_test.cc
+++ b/tests/edge/beat_test.cc
@@ -33,6 +33,7 @@
 		row->slots = 3;
 		row->draining = !i;
 		row->cold_left_ms = 1200;
+		row->started_ms = 1777081648000ull + i;
 	}
 	return beat;
 }
@@ -69,6 +70,7 @@
 	EXPECT_STREQ("", got.rows[1].service);
 	EXPECT_TRUE(got.rows[0].draining);
 	EXPECT_EQ(80, got.rows[0].address.port);
+	EXPECT_EQ(1777081648001u, got.rows[1].started_ms);
 }
 
 /* The fullest beat that a node makes still fits into one frame. */
--- a/tests/edge/edge_world.h
+++ b/tests/edge/edge_world.h
@@ -260,7 +260,8 @@
 		return apps.back();
 	}
 	void list_app(const App &app, const std::string &state,
-		      const std::string &cold_left = "0ms", int seq = 1)
+		      const std::string &cold_left = "0ms", int seq = 1,
+		      const std::string &more = "")
 	{
 		std::string text =
 			"{\"service\":\"" + app.service + "\",\"addr\":\"" +
@@ -269,7 +270,7 @@
 			"\",\"zone\":\"" + app.domain +
 			"\",\"version\":\"v1\",\"slots\":4,\"state\":\"" +
 			state + "\",\"cold_left\":\"" + cold_left +
-			"\",\"seq\":" + std::to_string(seq) + "}";
+			"\",\"seq\":" + std::to_string(seq) + more + "}";
 
 		store_stand_put(store, "servers", app.id.c_str(), text.c_str());
 	}
--- a/tests/edge/exchange_test.cc
+++ b/tests/edge/exchange_test.cc
@@ -126,6 +126,21 @@
 	EXPECT_EQ("a3 by i-1 run 1", body_of(answer_to(get("a3", "/r/"))));
 }
 
+/*
+ * A late answer to a request that is long over comes where this one's is due,
+ * whole and with its seal. It is another caller's; the own one follows.
+ */
+TEST_F(ExchangeTest, AnotherRequestsAnswerIsPassedOver)
+{
+	App &app = add_app("i-1");
+
+	start_node();
+	app_stand_set_fault(app.stand, APP_STRAY);
+	EXPECT_EQ("a1 by i-1 run 1", body_of(answer_to(get("a1", "/r/"))));
+	EXPECT_EQ("a2 by i-1 run 1", body_of(answer_to(get("a2", "/o/"))));
+	EXPECT_EQ(2u, metric_value(edge->stats.strays));
+}
+
 /*
  * The address of a server that ended went to another start. The list still
  * names the old one: the request names whom it expects, is turned away unrun,
@@ -342,7 +357,7 @@
 		callers.push_back(call(get("a" + std::to_string(i), "/r/")));
 	wait_for([&] { return app_stand_running(app.stand) == 4; });
 	const struct warm_pair pair = {
-		backend_table_find(edge->backends, "i-1")->hash,
+		backend_table_find(edge->backends, "i-1")->life,
 		hash_text("7"),
 	};
 	EXPECT_NE(0u, warmth_ready_us(&edge->warmth, pair, edge_now_us(edge)));
--- a/tests/edge/sync_test.cc
+++ b/tests/edge/sync_test.cc
@@ -1,4 +1,7 @@
 /* What a node believes of the platform's tables, with the store in trouble. */
+#include <set>
+
+#include "core/hash.h"
 #include "edge/edge_world.h"
 #include "edge/snapshot.h"
 
@@ -301,6 +304,83 @@
 	edge_release(&second);
 }
 
+/*
+ * Another writer spoils the entry of one server, and adds some that are none.
+ * Requests went on to whatever stood there before; the other server, and the
+ * one whose own next entry is whole, serve.
+ */
+TEST_F(SyncTest, AnEntryThatCannotBeReadNamesNoServer)
+{
+	App &spoiled = add_app("i-1");
+
+	add_app("i-2");
+	start_node();
+	ASSERT_TRUE(knows("i-1"));
+	store_stand_put(store, "servers", "i-8", "\xff\xfe\x01");
+	store_stand_put(store, "servers", "i-9", "{\"service\":7}");
+	store_stand_put(store, "servers", "i-1", "{\"state\":\"ready\"}");
+	wait_for([this] { return !knows("i-1"); });
+	EXPECT_TRUE(knows("i-2"));
+	EXPECT_FALSE(knows("i-8"));
+	EXPECT_FALSE(knows("i-9"));
+	for (int i = 0; i < 4; i++)
+		EXPECT_EQ(200, status_of(answer_to(
+				       get("a" + std::to_string(i), "/o/"))));
+	EXPECT_EQ(0u, app_stand_total_runs(spoiled.stand));
+	/* What it knows is told to a node that starts, but for such bytes. */
+	GBytes *bytes = sync_snapshot(sync);
+	std::set<std::string> told;
+	EXPECT_TRUE(snapshot_read(
+		g_bytes_get_data(bytes, nullptr), g_bytes_get_size(bytes),
+		[](void *context, const struct snapshot_row *row) {
+			((std::set<std::string> *)context)->insert(row->key);
+		},
+		&told));
+	g_bytes_unref(bytes);
+	EXPECT_EQ(0u, told.count("i-8"));
+	EXPECT_EQ(1u, told.count("i-2"));
+	list_app(spoiled, "ready");
+	wait_for([this] { return knows("i-1"); });
+}
+
+/*
+ * A server crashes and starts again under its id, at another port; the one
+ * before hangs with its connections open. A posting sent on such a kept
+ * connection ran into its time-out. Nothing that was known of the life before
+ * holds for this one: neither its connections nor its cache.
+ */
+TEST_F(SyncTest, AServerThatStartedAgainUnderItsIdIsAnother)
+{
+	App &before = add_app("i-1");
+
+	timeout = "500ms";
+	put_routes(2);
+	list_app(before, "ready", "0ms", 2, ",\"born\":1000");
+	start_node();
+	ASSERT_EQ(200, status_of(answer_to(get("a1", "/o/"))));
+	const struct warm_pair pair = {
+		backend_table_find(edge->backends, "i-1")->life,
+		hash_text("7"),
+	};
+	EXPECT_TRUE(warmth_has(&edge->warmth, pair));
+	app_stand_silence(before.stand, true);
+	App &again = add_app("i-1");
+	list_app(again, "ready", "0ms", 1, ",\"born\":2000");
+	wait_for([this] {
+		return backend_table_find(edge->backends, "i-1")->started_ms ==
+		       2000;
+	});
+	EXPECT_NE(pair.backend,
+		  backend_table_find(edge->backends, "i-1")->life);
+	EXPECT_EQ(200, status_of(answer_to(get("a2", "/o/"))));
+	EXPECT_EQ(1u, app_stand_runs(again.stand, "a2"));
+	/* A late entry of the life before changes nothing. */
+	list_app(before, "draining", "0ms", 3, ",\"born\":1000");
+	turn_for(300);
+	EXPECT_FALSE(backend_table_find(edge->backends, "i-1")->draining);
+	EXPECT_EQ(200, status_of(answer_to(get("a3", "/o/"))));
+}
+
 /* The row of a node that is gone for good is struck from the store. */
 TEST_F(SyncTest, ALostNodesRowIsStruck)
 {
--- a/tests/standins/app_stand.c
+++ b/tests/standins/app_stand.c
@@ -116,22 +116,28 @@
 	g_free(headers);
 }
 
-static void write_twice(struct app_stand *app, struct run *run,
+static void write_whole(struct app_stand *app, struct run *run, const char *id,
 			const char *body)
 {
-	char *headers =
-		headers_for(app, run->id, "Lilacfield-Response-Seal: s\r\n");
+	char *headers = headers_for(app, id, "Lilacfield-Response-Seal: s\r\n");
 	char *text = g_strdup_printf(
 		"HTTP/1.1 200 OK\r\n%sContent-Length: %zu\r\n\r\n%s", headers,
 		strlen(body), body);
 
 	http_call_write(run->call, text, strlen(text));
-	http_call_write(run->call, text, strlen(text));
-	http_call_end(run->call);
 	g_free(text);
 	g_free(headers);
 }
 
+static void write_two(struct app_stand *app, struct run *run,
+		      const char *first_id, const char *first_body,
+		      const char *body)
+{
+	write_whole(app, run, first_id, first_body);
+	write_whole(app, run, run->id, body);
+	http_call_end(run->call);
+}
+
 static void end_faulty(struct app_stand *app, struct run *run, const char *body)
 {
 	static const char spoiled[] = "\x01\x02 this is no answer\r\n\r\n";
@@ -150,7 +156,10 @@
 		write_unframed(app, run, "half of");
 		break;
 	case APP_TWICE:
-		write_twice(app, run, body);
+		write_two(app, run, run->id, body, body);
+		break;
+	case APP_STRAY:
+		write_two(app, run, "another", "another's", body);
 		break;
 	case APP_SPOILED:
 		http_call_write(run->call, spoiled, sizeof(spoiled) - 1);
--- a/tests/standins/app_stand.h
+++ b/tests/standins/app_stand.h
@@ -35,6 +35,7 @@
 	APP_UNFRAMED, /* an answer without a length, whole */
 	APP_UNFRAMED_CUT, /* the same, cut: only half of the body */
 	APP_TWICE, /* a second, late answer to the same request */
+	APP_STRAY, /* an answer to another request comes before its own */
 	APP_SPOILED, /* bytes that are no HTTP */
 	APP_FAIL, /* status 500 */
 	APP_FALSE_REFUSAL, /* runs it, then 503 without "not executed" */
