--- a/Makefile
+++ b/Makefile
@@ -8,11 +8,11 @@
 PACKAGES = liburcu-dev libtirpc-dev rpcsvc-proto libcivetweb-dev libpopt-dev \
 	libglib2.0-dev libgtest-dev libcurl4-openssl-dev libjansson-dev \
 	libxxhash-dev libtomlplusplus-dev libuv1-dev \
-	libhttp-parser-dev spin clang-format clang-tidy \
+	libhttp-parser-dev libgsl-dev gnuplot-nox spin clang-format clang-tidy \
 	pkg-config cmake make gcc g++
 SOURCES = $(shell git ls-files -co --exclude-standard 'packages/*.[ch]' \
 	'platform/*.[ch]' 'packages/*.cc' 'tests/*.[ch]' 'tests/*.cc' \
-	'examples/*.c' \
+	'examples/*.c' 'experiment/*.[ch]' \
 	| grep -v /generated/)
 
 all: build
@@ -35,7 +35,7 @@
 lint: build
 	@git ls-files -co --exclude-standard 'packages/*.c' 'platform/*.c' \
 		'tests/*.c' \
-		'examples/*.c' | \
+		'examples/*.c' 'experiment/*.c' | \
 		grep -v /generated/ | \
 		xargs -P $(JOBS) -n 4 clang-tidy -p $(BUILD) --quiet 2>/dev/null
 
@@ -79,6 +79,13 @@
 		xargs -P 4 -I N sh -c 'tests/emulator/play.sh $(BUILD) \
 		$$([ $$((N % 2)) = 0 ] && echo coop || echo calderas) N'
 
+# Days in virtual time by several deciders; pages with plots in the folder.
+experiment: build
+	@mkdir -p $(BUILD)/report
+	$(BUILD)/experiment/experiment --report $(BUILD)/report \
+		experiment/days/*.toml
+	@cd $(BUILD)/report && for script in *.gp; do gnuplot $$script; done
+
 bench: build
 	$(BUILD)/tests/bench/bench
 
@@ -100,4 +107,4 @@
 
 .PHONY: all setup build format format-check lint test sanitize \
 	sanitize-thread check demo \
-	bench capacity prove faults soak play play-soak clean
+	bench experiment capacity prove faults soak play play-soak clean
--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -213,7 +213,8 @@
 			  warmth_has(chooser->warmth, pair);
 	candidate->full = load >= slots + fmax(1.0, QUEUE_PART * slots);
 	candidate->spare = load < SPARE_PART * slots;
-	if (!candidate->warm && load >= slots)
+	if (!(chooser->off & CHOOSE_HOLD_REQUESTS) && !candidate->warm &&
+	    load >= slots)
 		candidate->hold_us = hold_us(chooser, times, pair, now_us);
 	work_us = (candidate->warm || candidate->hold_us > 0 ? times->warm_us :
 							       times->cold_us) *
@@ -427,14 +428,16 @@
 				    const struct service_times *times,
 				    const GArray *candidates, uint64_t now_us)
 {
-	bool kept_warm = is_kept_warm(candidates, times);
+	bool kept_warm = !(chooser->off & CHOOSE_KEEP_WARM) &&
+			 is_kept_warm(candidates, times);
 	const struct candidate *near = least(candidates, true, kept_warm);
 	const struct candidate *far = least(candidates, false, kept_warm);
 	struct region_flow *flow = flow_of(chooser, query->service->name);
 	const struct region_flow_request request = {
 		.prefers_to_leave = far &&
 				    (!near || far->cost_us < near->cost_us),
-		.has_object = query->has_object,
+		.has_object = query->has_object &&
+			      !(chooser->off & CHOOSE_LEAVE_BY_OBJECT),
 		.object = query->object,
 		.free = region_is_disturbed(chooser, now_us),
 	};
@@ -455,7 +458,8 @@
 	return candidate->warm ? CHOOSE_WARM : CHOOSE_RANK;
 }
 
-static bool is_taken(const struct choose_query *query,
+static bool is_taken(const struct chooser *chooser,
+		     const struct choose_query *query,
 		     const struct candidate *best)
 {
 	const struct admission_request request = {
@@ -466,7 +470,11 @@
 		.target_us = query->route->target_us,
 	};
 
-	return admission_decide(&request) == ADMISSION_TAKE;
+	enum admission_verdict verdict = admission_decide(&request);
+
+	if (chooser->off & CHOOSE_ADMIT)
+		return verdict != ADMISSION_TOO_LATE;
+	return verdict == ADMISSION_TAKE;
 }
 
 void choose_backend(struct chooser *chooser, const struct choose_query *query,
@@ -484,8 +492,8 @@
 	    best->expected_us < (double)query->left_us) {
 		choice->reason = CHOOSE_HOLD;
 		choice->hold_us = (uint64_t)fmin(best->hold_us, HOLD_STEP_US);
-	} else if (best &&
-		   (times->samples < TRUST_SAMPLES || is_taken(query, best))) {
+	} else if (best && (times->samples < TRUST_SAMPLES ||
+			    is_taken(chooser, query, best))) {
 		choice->backend = best->backend;
 		choice->expected_us = best->expected_us;
 		choice->work_us = best->work_us;
--- a/packages/core/choose.h
+++ b/packages/core/choose.h
@@ -29,6 +29,17 @@
 /* Backend servers that one request may have been sent to before. */
 #define CHOOSE_MAX_TRIED 8
 
+/*
+ * Mechanisms that can be switched off, to measure what each is worth: bits of
+ * chooser.off.
+ */
+enum choose_mechanism {
+	CHOOSE_LEAVE_BY_OBJECT = 1 << 0, /* region_flow by objects */
+	CHOOSE_KEEP_WARM = 1 << 1, /* nothing cold on a busy server */
+	CHOOSE_HOLD_REQUESTS = 1 << 2, /* for one about to be warm */
+	CHOOSE_ADMIT = 1 << 3, /* refuse who would queue and be late */
+};
+
 struct chooser {
 	struct backend_table *backends;
 	struct member_table *members;
@@ -38,6 +49,7 @@
 	GHashTable *links; /* region -> struct link_time */
 	GHashTable *flows; /* service -> struct region_flow */
 	double trial_credit; /* requests that may warm another server */
+	uint32_t off; /* of enum choose_mechanism; 0 but in experiments */
 };
 
 struct choose_query {
