--- a/experiment/fleet_parts.h
+++ b/experiment/fleet_parts.h
@@ -121,6 +121,9 @@
 void node_failed(struct request *request, enum send_outcome outcome);
 void node_heard_load(struct request *request);
 
+/* beats.c: what nodes tell each other, from now on. */
+void beats_start(struct node *node);
+
 /* baselines.c: a server by another policy; NULL if none is up. */
 struct backend *baseline_choose(struct node *node,
 				const struct choose_query *query);
--- a/experiment/nodes.c
+++ b/experiment/nodes.c
@@ -5,10 +5,6 @@
 #include "core/hash.h"
 #include "experiment/fleet_parts.h"
 
-/* As the deployed node: between two ticks, and ticks between two beats. */
-#define TICK_US (100 * US_PER_MS)
-#define TICKS_A_BEAT 4
-
 /* Of a deployment's extra requests: part, allowance and window. */
 #define EXTRA_RATIO 0.2
 #define EXTRA_ALLOWANCE 60
@@ -19,19 +15,6 @@
 
 #define SERVICE "service"
 
-/* A beat on its way. */
-struct letter {
-	struct node *from;
-	struct node *to;
-	GArray *news; /* of struct warm_news */
-	GArray *loads; /* of struct node_load; NULL: none */
-};
-
-struct node_load {
-	uint32_t backend;
-	uint32_t in_flight;
-};
-
 static void dispatch(struct fleet *fleet, void *subject);
 
 static char *region_name(uint32_t region)
@@ -39,139 +22,6 @@
 	return g_strdup_printf("r%u", region);
 }
 
-/* --- beats -------------------------------------------------------------- */
-
-static void take_news(struct node *node, const struct letter *letter)
-{
-	uint64_t now_us = node->fleet->now_us;
-	enum warm_source source = letter->from->region == node->region ?
-					  WARM_TOLD :
-					  WARM_PASSED_ON;
-	guint i;
-
-	for (i = 0; i < letter->news->len; i++) {
-		const struct warm_news *news =
-			&g_array_index(letter->news, struct warm_news, i);
-
-		if (!news->ready_us)
-			warmth_note(&node->warmth, news->pair, source, now_us);
-		else if (news->ready_us > now_us)
-			warmth_begin(&node->warmth, news->pair, source,
-				     news->ready_us, now_us);
-	}
-}
-
-static void take_loads(struct node *node, const struct letter *letter)
-{
-	guint i;
-
-	backend_table_forget_words(node->backends, letter->from->index);
-	for (i = 0; i < letter->loads->len; i++) {
-		const struct node_load *load =
-			&g_array_index(letter->loads, struct node_load, i);
-		struct backend *backend =
-			backend_table_find_life(node->backends, load->backend);
-
-		if (backend)
-			backend_told(backend, letter->from->index,
-				     load->in_flight, node->fleet->now_us);
-	}
-}
-
-static void on_letter(struct fleet *fleet, void *subject)
-{
-	struct letter *letter = subject;
-
-	(void)fleet;
-	if (letter->to->up) {
-		take_news(letter->to, letter);
-		if (letter->loads)
-			take_loads(letter->to, letter);
-	}
-	g_array_unref(letter->news);
-	if (letter->loads)
-		g_array_unref(letter->loads);
-	g_free(letter);
-}
-
-static void post(struct node *from, struct node *to, GArray *news,
-		 GArray *loads)
-{
-	struct fleet *fleet = from->fleet;
-	struct letter *letter;
-
-	if (gsl_rng_uniform(fleet->random) < fleet->plan->beat_loss)
-		return;
-	letter = g_new0(struct letter, 1);
-	letter->from = from;
-	letter->to = to;
-	letter->news = g_array_ref(news);
-	letter->loads = loads ? g_array_ref(loads) : NULL;
-	fleet_at(fleet,
-		 fleet->now_us + fleet_way_us(fleet, from->region, to->region),
-		 on_letter, letter);
-}
-
-static GArray *own_loads(const struct node *node)
-{
-	GArray *loads = g_array_new(FALSE, FALSE, sizeof(struct node_load));
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, node->backends->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct backend *backend = value;
-		const struct node_load load = { backend->life,
-						backend->in_flight };
-
-		if (backend->in_flight)
-			g_array_append_val(loads, load);
-	}
-	return loads;
-}
-
-static GArray *taken_news(GArray **news)
-{
-	GArray *taken = *news;
-
-	*news = g_array_new(FALSE, FALSE, sizeof(struct warm_news));
-	return taken;
-}
-
-static void beat(struct node *node)
-{
-	struct fleet *fleet = node->fleet;
-	GArray *news = taken_news(&node->warmth.news);
-	GArray *far_news = taken_news(&node->warmth.far_news);
-	GArray *loads = own_loads(node);
-	uint32_t i;
-
-	for (i = 0; i < fleet->node_count; i++) {
-		struct node *to = &fleet->nodes[i];
-
-		if (to == node)
-			continue;
-		if (to->region == node->region)
-			post(node, to, news, loads);
-		else if (far_news->len)
-			post(node, to, far_news, NULL);
-	}
-	g_array_unref(news);
-	g_array_unref(far_news);
-	g_array_unref(loads);
-}
-
-static void on_tick(struct fleet *fleet, void *subject)
-{
-	struct node *node = subject;
-
-	if (node->up && (node->ticks % TICKS_A_BEAT == 0 ||
-			 node->warmth.news->len || node->warmth.far_news->len))
-		beat(node);
-	node->ticks++;
-	fleet_at(fleet, fleet->now_us + TICK_US, on_tick, node);
-}
-
 /* --- sends -------------------------------------------------------------- */
 
 static void end_try(struct request *request)
@@ -527,8 +377,7 @@
 		}
 	nodes_set_up(fleet, true);
 	for (i = 0; i < fleet->node_count; i++)
-		fleet_at(fleet, i * TICK_US / fleet->node_count, on_tick,
-			 &fleet->nodes[i]);
+		beats_start(&fleet->nodes[i]);
 }
 
 void nodes_stop(struct fleet *fleet)
