--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -199,6 +199,21 @@
 	deliver_failure(exchange, failure);
 }
 
+/* Choose again in a moment: a server is about to be warm for the object. */
+static void hold(struct exchange *exchange)
+{
+	uint64_t now_us = exchange_now_us(exchange);
+
+	if (!exchange->was_held)
+		log_event(LOG_DEBUG, "held",
+			  "request=%s object=%08x left_us=%" PRIu64,
+			  exchange->id, exchange->query.object,
+			  exchange->query.left_us);
+	exchange->was_held = true;
+	exchange->held_until_us = now_us + exchange->choice.hold_us;
+	arm(exchange);
+}
+
 static void dispatch(struct exchange *exchange)
 {
 	struct edge *edge = exchange->edge;
@@ -209,9 +224,7 @@
 	choose_backend(&edge->chooser, &exchange->query,
 		       exchange_now_us(exchange), &exchange->choice);
 	if (exchange->choice.reason == CHOOSE_HOLD) {
-		exchange->held_until_us =
-			exchange_now_us(exchange) + exchange->choice.hold_us;
-		arm(exchange);
+		hold(exchange);
 		return;
 	}
 	if (!exchange->choice.backend) {
--- a/packages/edge/exchange_parts.h
+++ b/packages/edge/exchange_parts.h
@@ -22,6 +22,7 @@
 	struct choice choice; /* behind conn; holds a reference */
 	uint64_t connect_by_us; /* 0 once open */
 	uint64_t held_until_us; /* 0, or when to choose again */
+	bool was_held;
 	uint64_t sent_us; /* 0: not sent on conn yet */
 	uint32_t strays;
 	bool in_grace;
