--- a/experiment/beats.c
+++ b/experiment/beats.c
@@ -55,6 +55,16 @@
 	}
 }
 
+static void letter_free(gpointer data)
+{
+	struct letter *letter = data;
+
+	g_array_unref(letter->news);
+	if (letter->loads)
+		g_array_unref(letter->loads);
+	g_free(letter);
+}
+
 static void on_letter(struct fleet *fleet, void *subject)
 {
 	struct letter *letter = subject;
@@ -65,10 +75,7 @@
 		if (letter->loads)
 			take_loads(letter->to, letter);
 	}
-	g_array_unref(letter->news);
-	if (letter->loads)
-		g_array_unref(letter->loads);
-	g_free(letter);
+	letter_free(letter);
 }
 
 static void post(struct node *from, struct node *to, GArray *news,
@@ -84,9 +91,10 @@
 	letter->to = to;
 	letter->news = g_array_ref(news);
 	letter->loads = loads ? g_array_ref(loads) : NULL;
-	fleet_at(fleet,
-		 fleet->now_us + fleet_way_us(fleet, from->region, to->region),
-		 on_letter, letter);
+	fleet_at_owned(fleet,
+		       fleet->now_us +
+			       fleet_way_us(fleet, from->region, to->region),
+		       on_letter, letter, letter_free);
 }
 
 static GArray *own_loads(const struct node *node)
--- a/experiment/fleet.c
+++ b/experiment/fleet.c
@@ -15,6 +15,7 @@
 	void *subject;
 	struct request *request; /* NULL: of none */
 	uint32_t stage;
+	GDestroyNotify drop; /* frees the subject of one that isn't fired */
 };
 
 /* A fault that begins or ends. */
@@ -34,8 +35,18 @@
 	return (left->number > right->number) - (left->number < right->number);
 }
 
+static void event_free(gpointer data)
+{
+	struct event *event = data;
+
+	if (event->drop)
+		event->drop(event->subject);
+	g_free(event);
+}
+
 static void add_event(struct fleet *fleet, uint64_t at_us, fleet_event fire,
-		      void *subject, struct request *request)
+		      void *subject, struct request *request,
+		      GDestroyNotify drop)
 {
 	struct event *event = g_new0(struct event, 1);
 
@@ -45,19 +56,26 @@
 	event->subject = subject;
 	event->request = request;
 	event->stage = request ? request->stage : 0;
+	event->drop = drop;
 	g_sequence_insert_sorted(fleet->queue, event, compare_events, NULL);
 }
 
 void fleet_at(struct fleet *fleet, uint64_t at_us, fleet_event event,
 	      void *subject)
 {
-	add_event(fleet, at_us, event, subject, NULL);
+	add_event(fleet, at_us, event, subject, NULL, NULL);
+}
+
+void fleet_at_owned(struct fleet *fleet, uint64_t at_us, fleet_event event,
+		    void *subject, GDestroyNotify drop)
+{
+	add_event(fleet, at_us, event, subject, NULL, drop);
 }
 
 void fleet_request_at(struct fleet *fleet, uint64_t at_us, fleet_event event,
 		      struct request *request)
 {
-	add_event(fleet, at_us, event, request, request);
+	add_event(fleet, at_us, event, request, request, NULL);
 }
 
 struct fleet_window *fleet_window_now(struct fleet *fleet)
@@ -122,8 +140,8 @@
 
 	turn->fault = fault;
 	turn->begins = begins;
-	fleet_at(fleet, fault->at_us + (begins ? 0 : fault->for_us), on_turn,
-		 turn);
+	fleet_at_owned(fleet, fault->at_us + (begins ? 0 : fault->for_us),
+		       on_turn, turn, g_free);
 }
 
 /* --- the day ------------------------------------------------------------ */
@@ -132,11 +150,13 @@
 {
 	while (!g_sequence_is_empty(fleet->queue)) {
 		GSequenceIter *first = g_sequence_get_begin_iter(fleet->queue);
-		struct event event = *(struct event *)g_sequence_get(first);
+		struct event *next = g_sequence_get(first);
+		struct event event = *next;
 
-		g_sequence_remove(first);
 		if (event.at_us > fleet->plan->length_us)
 			return;
+		next->drop = NULL;
+		g_sequence_remove(first);
 		fleet->now_us = event.at_us;
 		if (!event.request || event.request->stage == event.stage)
 			event.fire(fleet, event.subject);
@@ -210,7 +230,7 @@
 	fleet->options = options;
 	fleet->result = result;
 	fleet->burst = 1.0;
-	fleet->queue = g_sequence_new(g_free);
+	fleet->queue = g_sequence_new(event_free);
 	fleet->random = gsl_rng_alloc(gsl_rng_mt19937);
 	gsl_rng_set(fleet->random, options->seed);
 	/* The decision code draws from GLib's. */
--- a/experiment/fleet_parts.h
+++ b/experiment/fleet_parts.h
@@ -90,6 +90,9 @@
 typedef void (*fleet_event)(struct fleet *fleet, void *subject);
 void fleet_at(struct fleet *fleet, uint64_t at_us, fleet_event event,
 	      void *subject);
+/* The same for a subject that the event frees; drop does where the day ends. */
+void fleet_at_owned(struct fleet *fleet, uint64_t at_us, fleet_event event,
+		    void *subject, GDestroyNotify drop);
 void fleet_request_at(struct fleet *fleet, uint64_t at_us, fleet_event event,
 		      struct request *request);
 struct fleet_window *fleet_window_now(struct fleet *fleet);
--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -36,8 +36,7 @@
 /* When to come back to a service that has no server yet. */
 #define RETRY_UNKNOWN_US (1 * US_PER_S)
 
-/* The cheapest in this region or out of it; kept_warm as
- * candidates_keep_warm(). */
+/* The cheapest in this region or out of it; see candidates_keep_warm(). */
 static const struct candidate *least(const GArray *candidates, bool near,
 				     bool kept_warm)
 {
