edge, explain: what a node believed, and what had arrived, stands in its logs

Cause: the record of denied requests can't tell a slow path to the platform from a silent one, nor an old belief from a fresh one: registry-lost came once, without what had arrived, and a 404 didn't say what the node knew of the routes. Change: registry-lost at the first, second, fourth and so on of the failures in a row, with the time and bytes of the call and the age of what is believed; own answers with the routes' version and the age of its confirmation; counters of the platform's bytes, whole and given up; explain tells them. No change of logic.

--- a/packages/ctl/explain.c
+++ b/packages/ctl/explain.c
@@ -155,6 +155,15 @@
 {
 	g_string_append_printf(out, "the node answers %s itself: %s",
 			       get(step, "status"), get(step, "cause"));
+	if (!g_hash_table_contains(step->pairs, "routes_age_us"))
+		return;
+	g_string_append_printf(out, " (routes version %s, ",
+			       get(step, "routes_version"));
+	if (!strcmp(get(step, "routes_age_us"), "unconfirmed"))
+		g_string_append(out, "never confirmed)");
+	else
+		g_string_append_printf(out, "confirmed %.0f ms before)",
+				       ms(step, "routes_age_us"));
 }
 
 static void tell_answered(const struct step *step, GString *out)
--- a/packages/edge/exchange_end.c
+++ b/packages/edge/exchange_end.c
@@ -5,6 +5,7 @@
 
 #include "adapters/log.h"
 #include "core/duration.h"
+#include "edge/sync.h"
 
 static void on_timer_closed(uv_handle_t *handle)
 {
@@ -75,11 +76,30 @@
 	exchange_free(exchange);
 }
 
+/* What the node knew of the routes, for a line of its log. */
+static char *routes_belief(const struct edge *edge)
+{
+	uint64_t age_us = edge->sync ? sync_routes_age_us(edge->sync) :
+				       UINT64_MAX;
+
+	if (!edge->routes)
+		return g_strdup("routes_version=none");
+	if (age_us == UINT64_MAX)
+		return g_strdup_printf("routes_version=%" PRIu64
+				       " routes_age_us=unconfirmed",
+				       edge->routes->version);
+	return g_strdup_printf("routes_version=%" PRIu64
+			       " routes_age_us=%" PRIu64,
+			       edge->routes->version, age_us);
+}
+
 static void finish_own(struct exchange *exchange, uint16_t status,
 		       uint64_t retry_after_us, const char *cause)
 {
+	struct edge *edge = exchange->edge;
 	GString *headers = g_string_new(NULL);
 	GByteArray *body = g_byte_array_new();
+	char *belief = routes_belief(edge);
 	const struct exchange_answer answer = { status, headers, body, false };
 
 	if (retry_after_us)
@@ -89,10 +109,11 @@
 	g_string_append(headers, "Content-Type: text/plain\r\n");
 	g_byte_array_append(body, (const guint8 *)cause, strlen(cause));
 	g_byte_array_append(body, (const guint8 *)"\n", 1);
-	edge_note_refusal(exchange->edge, cause, status, exchange->id);
+	edge_note_refusal(edge, cause, status, exchange->id);
 	log_event(LOG_INFO, "own-answer",
-		  "request=%s status=%u cause=%s unsettled=%u", exchange->id,
-		  status, cause, exchange->unsettled);
+		  "request=%s status=%u cause=%s unsettled=%u %s", exchange->id,
+		  status, cause, exchange->unsettled, belief);
+	g_free(belief);
 	finish(exchange, &answer);
 	g_string_free(headers, TRUE);
 	g_byte_array_unref(body);
--- a/packages/edge/lane.c
+++ b/packages/edge/lane.c
@@ -20,6 +20,7 @@
 	if (!conn)
 		return;
 	lane->conn = NULL;
+	lane->got_bytes = conn->link.got_bytes;
 	conn->lane = NULL;
 	link_close(&conn->link);
 }
@@ -53,6 +54,8 @@
 {
 	struct lane *lane = ((struct lane_conn *)link)->lane;
 
+	if (lane)
+		lane->got_bytes = link->got_bytes;
 	if (lane && (!answer->keep_alive || link->extra))
 		let_go(lane);
 	if (lane)
@@ -147,6 +150,7 @@
 
 	lane->done = done;
 	lane->context = context;
+	lane->got_bytes = 0;
 	uv_timer_start(&lane->timer, on_timeout, timeout_us / US_PER_MS, 0);
 	if (lane->conn) {
 		link_send(&lane->conn->link, request, false);
--- a/packages/edge/lane.h
+++ b/packages/edge/lane.h
@@ -32,6 +32,7 @@
 	GString *request; /* waits for the connection */
 	lane_done done; /* of the call that is out; NULL: none */
 	void *context;
+	uint64_t got_bytes; /* of the latest answer, whole or not */
 };
 
 void lane_init(struct lane *lane, uv_loop_t *loop, const struct endpoint *to);
--- a/packages/edge/link.c
+++ b/packages/edge/link.c
@@ -63,6 +63,7 @@
 		return;
 	}
 	if (count > 0) {
+		link->got_bytes += (uint64_t)count;
 		feed(link, buffer->base, (size_t)count);
 		return;
 	}
@@ -118,6 +119,7 @@
 {
 	message_reader_next(&link->reader, is_head);
 	link->awaiting = true;
+	link->got_bytes = 0;
 	link->writing = true;
 	wire_write((uv_stream_t *)&link->tcp, request, on_written, link);
 }
--- a/packages/edge/link.h
+++ b/packages/edge/link.h
@@ -42,6 +42,7 @@
 	bool awaiting; /* an answer is due */
 	bool writing; /* part of a request isn't out yet */
 	bool extra; /* bytes came after the answer: don't use it again */
+	uint64_t got_bytes; /* of the answer that is due, so far */
 };
 
 /* Start to connect; ended() tells of a failure. 0 or a libuv error. */
--- a/packages/edge/stats.c
+++ b/packages/edge/stats.c
@@ -38,6 +38,10 @@
 	  AT(registry_calls) },
 	{ "lilacfield_registry_failures_total", "of these, without success",
 	  AT(registry_failures) },
+	{ "lilacfield_registry_bytes_total", "bytes of the platform's answers",
+	  AT(registry_bytes) },
+	{ "lilacfield_registry_lost_bytes_total",
+	  "bytes of answers that were given up", AT(registry_lost_bytes) },
 };
 
 void stats_init(struct stats *stats)
--- a/packages/edge/stats.h
+++ b/packages/edge/stats.h
@@ -27,6 +27,8 @@
 	struct metric *lookups;
 	struct metric *registry_calls;
 	struct metric *registry_failures;
+	struct metric *registry_bytes; /* of whole answers */
+	struct metric *registry_lost_bytes; /* of answers that broke off */
 	struct metric *latency_us; /* arrival to answer */
 	struct metric *backend_us; /* sending to answer */
 };
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -370,14 +370,33 @@
 	follower->retry_us = 0;
 }
 
+/*
+ * The first failure in a row, the second, the fourth and so on: one that goes
+ * on for a minute shows in ten lines. What had arrived by then tells a slow
+ * path from a silent one.
+ */
+static void log_failure(const struct follower *follower, const char *cause)
+{
+	uint64_t now_us = edge_now_us(follower->sync->edge);
+
+	if (follower->failures & (follower->failures - 1))
+		return;
+	log_event(LOG_WARNING, "registry-lost",
+		  "table=%s cause=%s failures=%u whole=%s took_us=%" PRIu64
+		  " got_bytes=%" PRIu64 " confirmed_age_us=%" PRIu64,
+		  follower->rule->name, cause, follower->failures,
+		  follower->whole ? "yes" : "no", now_us - follower->called_us,
+		  follower->lane.got_bytes, now_us - follower->confirmed_us);
+}
+
 static void note_failure(struct follower *follower, const char *cause)
 {
 	struct stats *stats = &follower->sync->edge->stats;
 
 	metric_add(stats->registry_failures, 1);
-	if (!follower->failures++)
-		log_event(LOG_WARNING, "registry-lost", "table=%s cause=%s",
-			  follower->rule->name, cause);
+	metric_add(stats->registry_lost_bytes, follower->lane.got_bytes);
+	follower->failures++;
+	log_failure(follower, cause);
 	follower->retry_us =
 		CLAMP(2 * follower->retry_us, RETRY_FIRST_US, RETRY_MOST_US);
 	call_later(follower, follower->retry_us);
@@ -404,6 +423,8 @@
 		(const char *)answer->body->data, answer->body->len, &rows);
 	switch (result) {
 	case REGISTRY_OK:
+		metric_add(edge->stats.registry_bytes,
+			   follower->lane.got_bytes);
 		note_success(follower);
 		if (!follower->whole) {
 			take_page(follower, &rows);
@@ -541,6 +562,15 @@
 	return FOLLOWERS;
 }
 
+uint64_t sync_routes_age_us(const struct sync *sync)
+{
+	const struct follower *follower = &sync->followers[REGISTRY_CONFIG];
+
+	if (!follower->confirmed_us)
+		return UINT64_MAX;
+	return edge_now_us(sync->edge) - follower->confirmed_us;
+}
+
 uint64_t sync_lapse_left_us(const struct sync *sync)
 {
 	uint64_t now_us = edge_now_us(sync->edge);
--- a/packages/edge/sync.h
+++ b/packages/edge/sync.h
@@ -36,6 +36,12 @@
 /* Fill in SYNC_TABLES views; returns how many. */
 uint32_t sync_views(const struct sync *sync, struct sync_view *views);
 
+/*
+ * How long ago the platform's word, one's own or a neighbour's, confirmed the
+ * routes in force; UINT64_MAX: never.
+ */
+uint64_t sync_routes_age_us(const struct sync *sync);
+
 /* For how long missing backend servers are still taken for lapsed ones. */
 uint64_t sync_lapse_left_us(const struct sync *sync);
 
--- a/packages/edge/sync_tables.c
+++ b/packages/edge/sync_tables.c
@@ -31,8 +31,9 @@
 		return;
 	}
 	log_event(LOG_INFO, "routes-in-force",
-		  "version=%" PRIu64 " routes=%u services=%u", table->version,
-		  table->route_count, g_hash_table_size(table->services));
+		  "version=%" PRIu64 " routes=%u services=%u bytes=%zu",
+		  table->version, table->route_count,
+		  g_hash_table_size(table->services), strlen(row->value));
 	route_table_unref(edge->routes);
 	edge->routes = table;
 }
--- a/tests/ctl/explain_test.cc
+++ b/tests/ctl/explain_test.cc
@@ -34,6 +34,20 @@
 	  "status=503 cause=none-free unsettled=0\n",
 	  "       0.0 ms  n1  the node answers 503 itself: none-free\n"
 	  "It did not run, and never will.\n" },
+	{ "DeniedByOldRoutes",
+	  "ts_us=1000000 level=info node=n1 event=own-answer request=a1 "
+	  "status=404 cause=\"no route\" unsettled=0 routes_version=15 "
+	  "routes_age_us=4200000\n",
+	  "       0.0 ms  n1  the node answers 404 itself: no route (routes "
+	  "version 15, confirmed 4200 ms before)\n"
+	  "It did not run, and never will.\n" },
+	{ "RoutesByHearsay",
+	  "ts_us=1000000 level=info node=n1 event=own-answer request=a1 "
+	  "status=503 cause=none-free unsettled=0 routes_version=15 "
+	  "routes_age_us=unconfirmed\n",
+	  "       0.0 ms  n1  the node answers 503 itself: none-free (routes "
+	  "version 15, never confirmed)\n"
+	  "It did not run, and never will.\n" },
 	{ "OutcomeOpen",
 	  "ts_us=2000000 level=info node=n1 event=send-failed request=a1 "
 	  "backend=i-9 outcome=broken cause=ECONNRESET sends=1 left_us=5 "
