--- a/tests/standins/store_stand.h
+++ b/tests/standins/store_stand.h
@@ -3,7 +3,7 @@
  *
  * Rows in tables with one version counter, atomic transactions, a feed with a
  * bounded history and held calls. Faults are set from outside: silent,
- * refusing, slow, losing answers, forgetting its history. Writes of operator
+ * refusing, slow, behind a narrow link, losing answers, forgetting its history. Writes of operator
  * and backend servers go in by store_stand_put().
  */
 #ifndef STANDINS_STORE_STAND_H
@@ -26,6 +26,7 @@
 	unsigned refuse_status; /* 0, or the status of every answer */
 	uint64_t slow_us; /* each answer is late by this */
 	bool lose_answers; /* does the write, then resets the connection */
+	uint64_t bytes_per_s; /* 0, or the rate of each answer's body */
 };
 
 struct store_stand *store_stand_open(uv_loop_t *loop,
