sync: rows that are being replaced aren't confirmed

Cause: a held call counts as one with nothing to tell while others are answered. Its answer may be arriving for seconds; meanwhile a reader confirmed its old routes to the region. Change: a call whose answer is arriving confirms nothing.

--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -344,7 +344,8 @@
 		struct follower *follower = &sync->followers[i];
 
 		if (follower != by && follower->whole && !follower->failures &&
-		    lane_is_busy(&follower->lane) && wait_us(follower) &&
+		    lane_is_busy(&follower->lane) &&
+		    !lane_is_receiving(&follower->lane) && wait_us(follower) &&
 		    now_us - follower->called_us > ARRIVED_AFTER_US)
 			follower->confirmed_us = now_us - UNDER_WAY_US;
 	}
