edge: only a node that may be sure denies; else 503 and when to come back

Cause: a 404 for a route, and a 413 or 431 over a limit, is final to callers. It was given out of whatever table was in force, also by a node whose table was confirmed long ago or never, by one whose neighbours knew a newer one, and, for the limits, by one that knew none. Change: edge_may_deny() asks how old the confirmation is (the time within which a version must be in force), whether a neighbour that asked later knows others, whether others are arriving, and whether the newest can't be read. Where it may not: 503, which is true, and Retry-After. What the table does hold is served as before.

--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -17,6 +17,9 @@
 /* An orderly close waits so long for the caller's end. */
 #define LINGER_US (1 * US_PER_S)
 
+/* When to come back to a node that doesn't know the limits: in seconds. */
+#define LIMITS_RETRY_S "0.5"
+
 /* Limits before the first configuration is known. */
 static const struct route_limits first_limits = {
 	.max_header_bytes = 16 * 1024,
@@ -165,7 +168,13 @@
 
 	log_event(LOG_INFO, "request-rejected", "status=%u cause=%s", status,
 		  cause);
-	metric_add(caller->edge->stats.denied, 1);
+	edge_note_refusal(caller->edge, cause, status, "none");
+	if (status == 503) {
+		metric_add(caller->edge->stats.refused, 1);
+		g_string_append(headers, "Retry-After: " LIMITS_RETRY_S "\r\n");
+	} else {
+		metric_add(caller->edge->stats.denied, 1);
+	}
 	caller->keep_alive = false;
 	caller->is_head = false;
 	g_byte_array_append(body, (const guint8 *)cause, strlen(cause));
@@ -174,6 +183,19 @@
 	g_byte_array_unref(body);
 }
 
+/*
+ * Over a limit that the operator set. One that isn't known yet, or may have
+ * been raised since, is no ground to turn a caller away for good.
+ */
+static void reject_too_large(struct caller *caller, uint16_t status,
+			     const char *cause)
+{
+	if (edge_may_deny(caller->edge))
+		reject(caller, status, cause);
+	else
+		reject(caller, 503, "limits unconfirmed");
+}
+
 /* --- requests ----------------------------------------------------------- */
 
 static void answer_locally(struct caller *caller, const struct message *request)
@@ -248,10 +270,10 @@
 			reject(caller, 400, "malformed request");
 			return;
 		case MESSAGE_HEAD_TOO_LARGE:
-			reject(caller, 431, "head too large");
+			reject_too_large(caller, 431, "head too large");
 			return;
 		case MESSAGE_BODY_TOO_LARGE:
-			reject(caller, 413, "body too large");
+			reject_too_large(caller, 413, "body too large");
 			return;
 		default:
 			offer_continue(caller);
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -571,6 +571,19 @@
 	exchange->due_us = exchange->arrived_us + wait_us;
 }
 
+/*
+ * A node that may be behind doesn't know whether the route is there. Denied by
+ * it, callers of a route that was just added are turned away for good.
+ */
+static void finish_without_route(struct exchange *exchange)
+{
+	if (edge_may_deny(exchange->edge))
+		exchange_finish_denied(exchange, 404, "no route");
+	else
+		exchange_finish_refused(exchange, RETRY_SOON_US,
+					"routes unconfirmed");
+}
+
 static void begin(struct exchange *exchange)
 {
 	struct edge *edge = exchange->edge;
@@ -581,7 +594,7 @@
 				   edge->dialect->attempt_id)) {
 		exchange_finish_denied(exchange, 400, "the request has no id");
 	} else if (!find_route(exchange)) {
-		exchange_finish_denied(exchange, 404, "no route");
+		finish_without_route(exchange);
 	} else {
 		read_headers(exchange);
 		extra_budget_first(
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -577,6 +577,17 @@
 	return edge_now_us(sync->edge) - follower->confirmed_us;
 }
 
+bool sync_routes_are_current(const struct sync *sync)
+{
+	const struct follower *follower = &sync->followers[REGISTRY_CONFIG];
+
+	return sync->edge->routes && !sync->routes_unread &&
+	       follower->doubted_us <= follower->confirmed_us &&
+	       !lane_is_receiving(&follower->lane) &&
+	       sync_routes_age_us(sync) <=
+		       sync->edge->settings.config_within_us;
+}
+
 uint64_t sync_lapse_left_us(const struct sync *sync)
 {
 	uint64_t now_us = edge_now_us(sync->edge);
--- a/packages/edge/sync_neighbours.c
+++ b/packages/edge/sync_neighbours.c
@@ -175,6 +175,7 @@
 		follower->answered_us = MAX(follower->answered_us, at_us);
 		return;
 	}
+	follower->doubted_us = MAX(follower->doubted_us, at_us);
 	if (now_us - follower->called_us > follower->rule->mismatch_us)
 		follower_call(follower);
 }
--- a/packages/edge/sync_parts.h
+++ b/packages/edge/sync_parts.h
@@ -49,6 +49,7 @@
 	uint64_t called_us;
 	uint64_t answered_us; /* last good answer */
 	uint64_t confirmed_us; /* the platform confirmed what is believed */
+	uint64_t doubted_us; /* and by then it said otherwise to a neighbour */
 	uint64_t retry_us;
 	uint32_t failures; /* in a row */
 };
@@ -64,6 +65,7 @@
 	bool own_written;
 	struct lane neighbour; /* gives its snapshot where the platform won't */
 	bool was_away; /* since the last rows of backend servers */
+	bool routes_unread; /* the newest routes can't be read */
 	uint64_t lapse_until_us; /* missing backend servers are kept till then
 				  */
 };
--- a/packages/edge/sync_tables.c
+++ b/packages/edge/sync_tables.c
@@ -18,6 +18,7 @@
 	if (row->deleted)
 		return;
 	table = registry->vtable->decode_routes(registry, row->value, &error);
+	sync->routes_unread = !table;
 	if (!table) {
 		log_event(LOG_ERROR, "routes-invalid",
 			  "row_version=%" PRIu64 " cause=%s", row->version,
--- a/tests/edge/large_document_test.cc
+++ b/tests/edge/large_document_test.cc
@@ -283,6 +283,20 @@
 INSTANTIATE_TEST_SUITE_P(Cases, BeliefTest, ::testing::ValuesIn(belief_cases),
 			 [](const auto &info) { return info.param.name; });
 
+/* There is a newer version, and nobody here knows what it says. */
+TEST_F(LargeDocumentTest, ADocumentThatCannotBeReadDeniesNothing)
+{
+	add_app("i-1");
+	start_node();
+	EXPECT_EQ(404, status_at("/added-later/"));
+	store_stand_put(store, "op", "config", "{\"version\":2,\"routes\":{");
+	wait_for([this] { return status_at("/added-later/") == 503; });
+	EXPECT_EQ(200, status_at("/r/"));
+	put_routes(3);
+	wait_for([this] { return edge->routes->version == 3; });
+	EXPECT_EQ(404, status_at("/added-later/"));
+}
+
 /* Before the first routes are known the limits are a guess, too. */
 TEST_F(LargeDocumentTest, ANodeThatKnowsNothingDeniesNothing)
 {
--- a/tests/standins/store_stand.h
+++ b/tests/standins/store_stand.h
@@ -3,8 +3,8 @@
  *
  * Rows in tables with one version counter, atomic transactions, a feed with a
  * bounded history and held calls. Faults are set from outside: silent,
- * refusing, slow, behind a narrow link, losing answers, forgetting its history. Writes of operator
- * and backend servers go in by store_stand_put().
+ * refusing, slow, behind a narrow link, losing answers, forgetting its history.
+ * Writes of operator and backend servers go in by store_stand_put().
  */
 #ifndef STANDINS_STORE_STAND_H
 #define STANDINS_STORE_STAND_H
