--- a/tests/edge/documents_test.cc
+++ b/tests/edge/documents_test.cc
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "core/route_table.h"
 #include "platform/documents.h"
 #include "platform/store.h"
 
@@ -100,4 +101,78 @@
 	registry_rows_release(&rows);
 }
 
+#define LIMITS                                                     \
+	"\"limits\":{\"max_header_bytes\":1,\"max_body_bytes\":2," \
+	"\"header_timeout\":\"3s\",\"idle_timeout\":\"4s\"}"
+#define SERVICES                                                          \
+	"\"services\":{\"columns\":[\"name\",\"warmup\",\"cold_per_s\"]," \
+	"\"rows\":[[\"s\",\"3s\",5.5],[\"t\",null,null]]}"
+#define COLUMNS                                                           \
+	"\"columns\":[\"name\",\"host\",\"prefix\",\"kind\",\"timeout\"," \
+	"\"target_latency\",\"split\",\"allowed_regions\",\"service\"]"
+#define ROW(name, end) \
+	"[" name ",\"h\",\"/p/\",\"idempotent\",\"2s\",\"1s\"," end "]"
+#define ROUTES(rows)                                             \
+	"{\"version\":7,\"routes\":{" COLUMNS ",\"rows\":[" rows \
+	"]}," SERVICES "," LIMITS "}"
+
+/* Routes as columns and rows; a document is taken whole or not at all. */
+struct columns_case {
+	const char *name;
+	const char *text;
+	bool good;
+	uint32_t routes;
+	guint parts; /* of the first route */
+};
+
+const columns_case columns_cases[] = {
+	{ "None", ROUTES(""), true, 0, 0 },
+	{ "OneService", ROUTES(ROW("\"a\"", "null,[],\"s\"")), true, 1, 1 },
+	{ "ASplit",
+	  ROUTES(ROW("\"a\"", "[{\"service\":\"s\",\"weight\":9},"
+			      "{\"service\":\"t\",\"weight\":1}],[],null")),
+	  true, 1, 2 },
+	{ "TwoRoutes",
+	  ROUTES(ROW("\"a\"", "null,[],\"s\"") "," ROW("\"b\"",
+						       "null,[],\"t\"")),
+	  true, 2, 1 },
+	{ "NoName", ROUTES(ROW("null", "null,[],\"s\"")), false, 0, 0 },
+	{ "NameAsNumber", ROUTES(ROW("5", "null,[],\"s\"")), false, 0, 0 },
+	{ "NoService", ROUTES(ROW("\"a\"", "null,[],null")), false, 0, 0 },
+	{ "ShortRow", ROUTES("[\"a\",\"h\"]"), false, 0, 0 },
+	{ "RowNoList", ROUTES("7"), false, 0, 0 },
+};
+
+class ColumnsTest : public ::testing::TestWithParam<columns_case>
+{
+};
+
+TEST_P(ColumnsTest, AreReadAsRoutes)
+{
+	const columns_case &c = GetParam();
+	GError *error = nullptr;
+	struct route_table *table = document_routes(c.text, &error);
+
+	EXPECT_EQ(c.good, table != nullptr);
+	EXPECT_EQ(c.good, error == nullptr);
+	g_clear_error(&error);
+	if (!table)
+		return;
+	EXPECT_EQ(7u, table->version);
+	EXPECT_EQ(c.routes, table->route_count);
+	ASSERT_NE(nullptr, route_table_service(table, "s"));
+	EXPECT_EQ(3000000u, route_table_service(table, "s")->warmup_us);
+	EXPECT_EQ(5.5, route_table_service(table, "s")->cold_per_s);
+	const struct route *route = route_table_find(table, "h", "/p/x");
+	ASSERT_EQ(c.routes > 0, route != nullptr);
+	if (route) {
+		EXPECT_EQ(c.parts, route->parts->len);
+		EXPECT_EQ(2000000u, route->timeout_us);
+	}
+	route_table_unref(table);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, ColumnsTest, ::testing::ValuesIn(columns_cases),
+			 [](const auto &info) { return info.param.name; });
+
 } // namespace
