--- a/models/prove.sh
+++ b/models/prove.sh
@@ -93,6 +93,11 @@
 	word NO_DIGEST caught
 	word NO_OWN_CALL caught
 	word LONG_WORD caught
+	deny SOUND clean
+	deny DENY_ANY_AGE caught
+	deny CONFIRM_ARRIVING caught
+	deny NO_AGE caught
+	deny CALL_LIMIT caught
 	cold SOUND clean
 	cold HEARD_ONLY caught
 	cold COUNT_SENT caught
