lane: a process that stood still reads once more; a trickle ends by its table's time

A trickling answer of backend servers was waited for up to 20 s. Change: the time-out reads once more before it gives up; a suspension spares what is arriving, whose own silence ends it; each table has its longest arrival, 5 s for backend servers.

--- a/packages/edge/lane.c
+++ b/packages/edge/lane.c
@@ -14,12 +14,6 @@
  */
 #define SILENCE_US (1000 * US_PER_MS)
 
-/*
- * Longest time that an answer may arrive: one of the largest size over the
- * narrowest link that nodes have, 10 Mbit/s, takes 13.4 s.
- */
-#define ARRIVAL_MOST_US (20 * US_PER_S)
-
 struct lane_conn {
 	struct link link; /* first member */
 	struct lane *lane; /* NULL once the lane has let go of it */
@@ -62,9 +56,22 @@
 	link_send(link, request, false);
 }
 
+/*
+ * The loop runs timers before it reads. A process that stood still, because it
+ * decoded a large document or was off the processor, finds the time over while
+ * the answer's bytes lie in its socket: given up, they would be asked for again
+ * from the first. So it reads once more before it gives up.
+ */
 static void on_timeout(uv_timer_t *timer)
 {
-	lane_abort(timer->data, "timeout");
+	struct lane *lane = timer->data;
+
+	if (lane->read_again) {
+		lane_abort(lane, "timeout");
+		return;
+	}
+	lane->read_again = true;
+	uv_timer_start(timer, on_timeout, 1, 0);
 }
 
 static void on_progressed(struct link *link)
@@ -76,11 +83,12 @@
 		return;
 	now_ms = uv_now(lane->loop);
 	if (!lane->end_ms)
-		lane->end_ms = now_ms + ARRIVAL_MOST_US / US_PER_MS;
-	if (now_ms < lane->end_ms)
-		uv_timer_start(
-			&lane->timer, on_timeout,
-			MIN(SILENCE_US / US_PER_MS, lane->end_ms - now_ms), 0);
+		lane->end_ms = now_ms + lane->arrival_most_us / US_PER_MS;
+	if (now_ms >= lane->end_ms)
+		return;
+	lane->read_again = false;
+	uv_timer_start(&lane->timer, on_timeout,
+		       MIN(SILENCE_US / US_PER_MS, lane->end_ms - now_ms), 0);
 }
 
 static void on_answered(struct link *link, struct message *answer)
@@ -121,11 +129,13 @@
 	.released = on_released,
 };
 
-void lane_init(struct lane *lane, uv_loop_t *loop, const struct endpoint *to)
+void lane_init(struct lane *lane, uv_loop_t *loop, const struct endpoint *to,
+	       uint64_t arrival_most_us)
 {
 	memset(lane, 0, sizeof(*lane));
 	lane->loop = loop;
 	lane->to = *to;
+	lane->arrival_most_us = arrival_most_us;
 	uv_timer_init(loop, &lane->timer);
 	lane->timer.data = lane;
 }
@@ -187,6 +197,7 @@
 	lane->context = context;
 	lane->got_bytes = 0;
 	lane->end_ms = 0;
+	lane->read_again = false;
 	uv_timer_start(&lane->timer, on_timeout, timeout_us / US_PER_MS, 0);
 	if (lane->conn) {
 		link_send(&lane->conn->link, request, false);
--- a/packages/edge/lane.h
+++ b/packages/edge/lane.h
@@ -38,11 +38,15 @@
 	lane_done done; /* of the call that is out; NULL: none */
 	void *context;
 	uint64_t got_bytes; /* of the latest answer, whole or not */
+	uint64_t arrival_most_us; /* longest time that an answer may arrive */
+	bool read_again; /* the time was over; a last read comes first */
 	uint64_t end_ms; /* uv_now() by which an answer has arrived; 0: none
 			    has begun to */
 };
 
-void lane_init(struct lane *lane, uv_loop_t *loop, const struct endpoint *to);
+/* arrival_most_us ends an answer that trickles. */
+void lane_init(struct lane *lane, uv_loop_t *loop, const struct endpoint *to,
+	       uint64_t arrival_most_us);
 void lane_close(struct lane *lane);
 
 /* Calls go to another address from the next one on. */
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -52,6 +52,13 @@
 #define MISMATCH_US (800 * US_PER_MS)
 #define MEMBERS_MISMATCH_US (2 * US_PER_S)
 
+/*
+ * The same for backend servers: what such an answer says grows old as it comes,
+ * and a new connection may be quick where this one trickles. A page of 1 MB
+ * takes 0.8 s over 10 Mbit/s, which callers' traffic may fill at the time.
+ */
+#define BACKENDS_ARRIVAL_US (5 * US_PER_S)
+
 static uint64_t wait_us(const struct follower *follower);
 
 /* --- the own row ---------------------------------------------------------- */
@@ -114,6 +121,7 @@
 		.wait.us = 2500 * US_PER_MS,
 		.spacing.us = 50 * US_PER_MS,
 		.word.percent = WORD_PERCENT,
+		.arrival_most_us = SYNC_ARRIVAL_MOST_US,
 		.mismatch_us = MISMATCH_US,
 		.apply = apply_config_row,
 		.prune = prune_config,
@@ -125,6 +133,7 @@
 		.wait.percent = WAIT_PERCENT,
 		.spacing.percent = SPACING_PERCENT,
 		.word.percent = WORD_PERCENT,
+		.arrival_most_us = BACKENDS_ARRIVAL_US,
 		.mismatch_us = MISMATCH_US,
 		.apply = apply_backend_row,
 		.prune = prune_backends,
@@ -135,6 +144,7 @@
 		.wait.us = 15 * US_PER_S,
 		.spacing.us = MEMBERS_SPACING_US,
 		.word.us = MEMBERS_WORD_US,
+		.arrival_most_us = SYNC_ARRIVAL_MOST_US,
 		.mismatch_us = MEMBERS_MISMATCH_US,
 		.apply = apply_member_row,
 		.prune = prune_members,
@@ -513,7 +523,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	follower->rows =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	lane_init(&follower->lane, edge->loop, &edge->settings.registry);
+	lane_init(&follower->lane, edge->loop, &edge->settings.registry,
+		  rule->arrival_most_us);
 	uv_timer_init(edge->loop, &follower->timer);
 	follower->timer.data = follower;
 	follower_call(follower);
@@ -526,8 +537,10 @@
 
 	sync->edge = edge;
 	edge->sync = sync;
-	lane_init(&sync->own_lane, edge->loop, &edge->settings.registry);
-	lane_init(&sync->neighbour, edge->loop, &edge->settings.peer);
+	lane_init(&sync->own_lane, edge->loop, &edge->settings.registry,
+		  SYNC_ARRIVAL_MOST_US);
+	lane_init(&sync->neighbour, edge->loop, &edge->settings.peer,
+		  SYNC_ARRIVAL_MOST_US);
 	uv_timer_init(edge->loop, &sync->own_timer);
 	sync->own_timer.data = sync;
 	for (i = 0; i < FOLLOWERS; i++)
@@ -637,6 +650,8 @@
 {
 	uint32_t i;
 
+	/* Cut off each time, an answer that takes longer never arrives. */
 	for (i = 0; i < FOLLOWERS; i++)
-		lane_abort(&sync->followers[i].lane, "suspended");
+		if (!lane_is_receiving(&sync->followers[i].lane))
+			lane_abort(&sync->followers[i].lane, "suspended");
 }
--- a/packages/edge/sync_parts.h
+++ b/packages/edge/sync_parts.h
@@ -14,6 +14,13 @@
  */
 #define SYNC_CALL_TIMEOUT_US (1000 * US_PER_MS)
 
+/*
+ * Longest time that an answer of the platform may arrive: one of the largest
+ * size, 16 MB, over the narrowest link that nodes have, 10 Mbit/s, takes 13.4
+ * s.
+ */
+#define SYNC_ARRIVAL_MOST_US (20 * US_PER_S)
+
 struct follower;
 
 /* A time that is fixed, or a part of that within which changes are known. */
@@ -29,6 +36,7 @@
 	struct follow_time wait; /* how long the platform may hold a call */
 	struct follow_time spacing; /* from one call's start to the next */
 	struct follow_time word; /* how long a neighbour's word is good */
+	uint64_t arrival_most_us; /* for an answer */
 	uint64_t mismatch_us; /* between calls for a word that differs */
 	void (*apply)(struct sync *sync, const struct registry_row *row);
 	/* After a whole read: what it didn't hold is gone. */
