caller: an answer that is being taken isn't silence

Cause: a connection's silence was counted from when an answer began. A caller on a slow path that took a large one for longer than idle_timeout, or for longer than 1 s where the answer ends the connection, had it broken off midway, each time it asked. Change: bytes that the caller took count; one that takes none for 15 s is gone. Backend servers of the tests can pad their answers, callers of the tests can stop reading. Ruled out: the backend server's side (the answer was whole at the node), the kernel's buffers (what it had taken was delivered).

--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -17,6 +17,13 @@
 /* An orderly close waits so long for the caller's end. */
 #define LINGER_US (1 * US_PER_S)
 
+/*
+ * A caller that takes no byte of its answer for so long is gone. The kernel
+ * takes bytes in steps of up to a third of its buffer of 4 MB at most; over
+ * 1 Mbit/s such a step takes 11 s.
+ */
+#define UNREAD_US (15 * US_PER_S)
+
 /* When to come back to a node that doesn't know the limits: in seconds. */
 #define LIMITS_RETRY_S "0.5"
 
@@ -38,7 +45,8 @@
 	struct message_reader reader;
 	GByteArray *ahead; /* bytes of later requests */
 	struct exchange *exchange;
-	uint64_t since_us; /* of the last byte or answer */
+	uint64_t since_us; /* of the last byte, either way */
+	size_t unwritten_bytes; /* of answers, at the last sweep */
 	uint64_t head_since_us; /* of the first byte of a head; 0: none */
 	bool is_head;
 	bool keep_alive; /* as the request asks */
@@ -367,19 +375,42 @@
 	uv_close((uv_handle_t *)&listener->tcp, NULL);
 }
 
+/*
+ * A caller on a slow path takes an answer for seconds, without a byte of its
+ * own. Were that time taken for silence, each large answer to it would break
+ * off at the same place, however often it asked again.
+ */
+static void note_written(struct caller *caller, uint64_t now_us)
+{
+	size_t unwritten_bytes =
+		uv_stream_get_write_queue_size((uv_stream_t *)&caller->tcp);
+
+	if (unwritten_bytes < caller->unwritten_bytes)
+		caller->since_us = now_us;
+	caller->unwritten_bytes = unwritten_bytes;
+}
+
 static void sweep(struct caller *caller, uint64_t now_us)
 {
 	const struct route_limits *most = limits(caller->edge);
+	uint64_t silent_us;
 
-	if (caller->closing || caller->exchange)
+	if (caller->closing)
+		return;
+	note_written(caller, now_us);
+	silent_us = now_us - caller->since_us;
+	if (caller->exchange)
 		return;
-	if (caller->lingering) {
-		if (now_us - caller->since_us > LINGER_US)
+	if (caller->unwritten_bytes) {
+		if (silent_us > UNREAD_US)
+			caller_close(caller);
+	} else if (caller->lingering) {
+		if (silent_us > LINGER_US)
 			caller_close(caller);
 	} else if (caller->head_since_us &&
-		   now_us - caller->since_us > most->header_timeout_us) {
+		   silent_us > most->header_timeout_us) {
 		reject(caller, 408, "the request did not come in time");
-	} else if (now_us - caller->since_us > most->idle_timeout_us) {
+	} else if (silent_us > most->idle_timeout_us) {
 		caller_close(caller);
 	}
 }
--- /dev/null
+++ b/tests/edge/early_ends_test.cc
@@ -0,0 +1,69 @@
+/*
+ * Requests and answers that the node ended too early, out of what it took for
+ * silence: while an answer was still on its way to a slow caller, while the
+ * node itself had not listened, or by limits that were not the operator's.
+ */
+#include "edge/edge_world.h"
+
+namespace
+{
+
+class EarlyEndsTest : public EdgeWorld
+{
+      protected:
+	/* Take so many bytes, then leave the rest in the buffers for a while.
+	 */
+	void take(RawCaller &caller, size_t bytes, uint64_t pause_ms)
+	{
+		size_t until = caller.got.size() + bytes;
+
+		caller.resume();
+		wait_for([&] {
+			return caller.got.size() >= until || is_whole(caller);
+		});
+		caller.pause();
+		turn_for(pause_ms);
+	}
+};
+
+/*
+ * A caller on a narrow link takes a large answer for longer than an idle
+ * connection may last, or than an ended one is kept for its last bytes. It saw
+ * the connection break off midway, each time it asked. The cause: its time was
+ * counted from when the answer began, not from the last byte that it took.
+ */
+struct slow_case {
+	const char *name;
+	const char *headers;
+	const char *idle_timeout;
+};
+
+const slow_case slow_cases[] = {
+	{ "OnAKeptConnection", "", "700ms" },
+	{ "OnOneThatEnds", "Connection: close\r\n", "15000ms" },
+};
+
+class SlowCallerTest : public EarlyEndsTest,
+		       public ::testing::WithParamInterface<slow_case>
+{
+};
+
+TEST_P(SlowCallerTest, GetsTheWholeAnswer)
+{
+	idle_timeout = GetParam().idle_timeout;
+	put_routes(2);
+	answer_bytes = 7 * 1024 * 1024;
+	add_app("i-1");
+	start_node();
+	auto caller = call(get("a1", "/r/", GetParam().headers));
+
+	while (!is_whole(*caller))
+		take(*caller, 600 * 1024, 300);
+	EXPECT_EQ(200, status_of(caller->got));
+	EXPECT_GE(body_of(caller->got).size(), answer_bytes);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, SlowCallerTest, ::testing::ValuesIn(slow_cases),
+			 [](const auto &info) { return info.param.name; });
+
+} // namespace
--- a/tests/edge/edge_world.h
+++ b/tests/edge/edge_world.h
@@ -7,6 +7,7 @@
 #ifndef TESTS_EDGE_WORLD_H
 #define TESTS_EDGE_WORLD_H
 
+#include <csignal>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -65,9 +66,19 @@
 		uv_close((uv_handle_t *)&client_->tcp, on_closed);
 		client_ = nullptr;
 	}
+	/* Leave what comes in the kernel's buffers, as a slow caller does. */
+	void pause()
+	{
+		uv_read_stop((uv_stream_t *)&client_->tcp);
+	}
+	void resume()
+	{
+		uv_read_start((uv_stream_t *)&client_->tcp, on_buffer, on_read);
+	}
 	std::string got;
 	bool connected = false;
 	bool ended = false;
+	bool broken = false; /* a write met a reset */
 
       private:
 	struct Client {
@@ -117,9 +128,14 @@
 		else if (count < 0)
 			client->owner->ended = true;
 	}
-	static void on_written(uv_write_t *request, int)
+	static void on_written(uv_write_t *request, int status)
 	{
-		delete (Write *)request->data;
+		auto *write = (Write *)request->data;
+		auto *client = (Client *)request->handle->data;
+
+		if (status && client->owner)
+			client->owner->broken = true;
+		delete write;
 	}
 	void write(const std::string &bytes)
 	{
@@ -152,6 +168,8 @@
 	{
 		struct endpoint any = endpoint_at(0);
 
+		/* As in the program: a write to a reset connection fails. */
+		signal(SIGPIPE, SIG_IGN);
 		ASSERT_TRUE(log_open("n1", "/dev/null", LOG_DEBUG, nullptr));
 		metrics_open();
 		uv_loop_init(&loop);
@@ -209,6 +227,8 @@
 
 	/* What the operator writes; times in ms. */
 	std::string timeout = "2000ms";
+	std::string idle_timeout = "15000ms";
+	std::string max_header_bytes = "16384";
 	std::string extra_routes;
 	void put_routes(int version)
 	{
@@ -232,14 +252,18 @@
 			"\"warmup\":\"3s\",\"cold_per_s\":5.6},"
 			"\"t\":{\"max_conns\":300,\"warmup\":\"3s\","
 			"\"cold_per_s\":5.6}},"
-			"\"limits\":{\"max_header_bytes\":16384,"
-			"\"max_body_bytes\":1048576,"
+			"\"limits\":{\"max_header_bytes\":" +
+			max_header_bytes +
+			",\"max_body_bytes\":1048576,"
 			"\"header_timeout\":\"3000ms\","
-			"\"idle_timeout\":\"15000ms\"}}";
+			"\"idle_timeout\":\"" +
+			idle_timeout + "\"}}";
 
 		store_stand_put(store, "op", "config", text.c_str());
 	}
 
+	uint32_t answer_bytes = 0; /* least size of backend servers' answers */
+
 	/* Start a backend server and list it. */
 	App &add_app(const std::string &id, uint64_t work_ms = 20,
 		     const std::string &service = "s",
@@ -254,6 +278,7 @@
 		settings.work_us = work_ms * 1000;
 		settings.warm_part = 0.3;
 		settings.objects = 10;
+		settings.answer_bytes = answer_bytes;
 		apps.push_back({ app_stand_open(&loop, &any, &settings), id,
 				 service, domain });
 		list_app(apps.back(), "ready");
--- a/tests/standins/app_stand.c
+++ b/tests/standins/app_stand.c
@@ -202,12 +202,22 @@
 	start_next(app);
 }
 
+static char *body_for(const struct app_stand *app, const struct run *run)
+{
+	GString *body = g_string_new(NULL);
+
+	g_string_printf(body, "%s by %s run %u", run->id, app->id,
+			app_stand_runs(app, run->id));
+	while (body->len < app->settings.answer_bytes)
+		g_string_append_c(body, '.');
+	return g_string_free(body, FALSE);
+}
+
 static void on_done(uv_timer_t *timer)
 {
 	struct run *run = timer->data;
 	struct app_stand *app = run->app;
-	char *body = g_strdup_printf("%s by %s run %u", run->id, app->id,
-				     app_stand_runs(app, run->id));
+	char *body = body_for(app, run);
 
 	if (run->object)
 		cache_add(app, run->object);
--- a/tests/standins/app_stand.h
+++ b/tests/standins/app_stand.h
@@ -26,6 +26,7 @@
 	uint64_t work_us; /* for an object that is not in the cache */
 	double warm_part; /* of it, where the object is */
 	uint32_t objects; /* that the cache holds */
+	uint32_t answer_bytes; /* shorter bodies are padded to this size */
 };
 
 enum app_fault {
