caller: an orderly close waits while the caller still sends

Cause: a connection whose last answer was out was closed after 1 s, whether bytes came or not. A caller that sends its body on and reads afterwards met a reset, and the 413 or the 503, which promises that the request did not run, was lost with it. Change: it ends after 1 s of silence, and after 20 s at the latest. Ruled out: that unread bytes reset it before that second: they are read and dropped. The bound of 20 s has no test.

--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -14,9 +14,15 @@
 /* Requests that a caller may send ahead of answers, in bytes. */
 #define AHEAD_MAX_BYTES (256 * 1024)
 
-/* An orderly close waits so long for the caller's end. */
+/* An orderly close waits for the caller's end until it is silent so long. */
 #define LINGER_US (1 * US_PER_S)
 
+/*
+ * Longest orderly close, for a caller that goes on to send: a body of 16 MB,
+ * which nobody reads any more, takes 13.4 s over a link of 10 Mbit/s.
+ */
+#define LINGER_MOST_US (20 * US_PER_S)
+
 /*
  * A caller that takes no byte of its answer for so long is gone. The kernel
  * takes bytes in steps of up to a third of its buffer of 4 MB at most; over
@@ -46,6 +52,7 @@
 	GByteArray *ahead; /* bytes of later requests */
 	struct exchange *exchange;
 	uint64_t since_us; /* of the last byte, either way */
+	uint64_t linger_since_us; /* the answer that ends it was written */
 	size_t unwritten_bytes; /* of answers, at the last sweep */
 	uint64_t head_since_us; /* of the first byte of a head; 0: none */
 	bool is_head;
@@ -95,10 +102,16 @@
 		caller_close(caller);
 }
 
+/*
+ * Bytes that come after the last answer are read and dropped. Closed with some
+ * unread, the connection is reset, and a caller that sends its whole body
+ * before it reads loses the answer.
+ */
 static void caller_linger(struct caller *caller)
 {
 	caller->lingering = true;
 	caller->since_us = edge_now_us(caller->edge);
+	caller->linger_since_us = caller->since_us;
 	caller->shutdown.data = caller;
 	if (uv_shutdown(&caller->shutdown, (uv_stream_t *)&caller->tcp,
 			on_shut_down))
@@ -302,9 +315,9 @@
 		caller_close(caller);
 		return;
 	}
+	caller->since_us = edge_now_us(caller->edge);
 	if (caller->lingering)
 		return;
-	caller->since_us = edge_now_us(caller->edge);
 	read_on(caller, buffer->base, (size_t)count);
 	if (caller->ahead->len > AHEAD_MAX_BYTES)
 		caller_close(caller);
@@ -385,8 +398,10 @@
 	size_t unwritten_bytes =
 		uv_stream_get_write_queue_size((uv_stream_t *)&caller->tcp);
 
-	if (unwritten_bytes < caller->unwritten_bytes)
+	if (unwritten_bytes < caller->unwritten_bytes) {
 		caller->since_us = now_us;
+		caller->linger_since_us = now_us;
+	}
 	caller->unwritten_bytes = unwritten_bytes;
 }
 
@@ -405,7 +420,8 @@
 		if (silent_us > UNREAD_US)
 			caller_close(caller);
 	} else if (caller->lingering) {
-		if (silent_us > LINGER_US)
+		if (silent_us > LINGER_US ||
+		    now_us - caller->linger_since_us > LINGER_MOST_US)
 			caller_close(caller);
 	} else if (caller->head_since_us &&
 		   silent_us > most->header_timeout_us) {
--- a/tests/edge/early_ends_test.cc
+++ b/tests/edge/early_ends_test.cc
@@ -66,4 +66,29 @@
 INSTANTIATE_TEST_SUITE_P(Cases, SlowCallerTest, ::testing::ValuesIn(slow_cases),
 			 [](const auto &info) { return info.param.name; });
 
+/*
+ * A caller sends the body of a request that was turned away on and reads the
+ * answer after it. The connection was closed a second after the answer was
+ * written, the body's next bytes met a reset, and the answer was lost with it.
+ */
+TEST_F(EarlyEndsTest, ARefusedCallerMaySendItsBodyOn)
+{
+	const std::string piece(50 * 1000, 'x');
+
+	add_app("i-1");
+	start_node();
+	auto caller =
+		call(get("a1", "/r/", "Content-Length: 2000000\r\n", "POST"));
+	wait_for([&] { return caller->connected; });
+	caller->pause();
+	for (int i = 0; i < 10; i++) {
+		turn_for(200);
+		caller->send(piece);
+		ASSERT_FALSE(caller->broken) << i * 200 << " ms";
+	}
+	caller->resume();
+	wait_for([&] { return is_whole(*caller); });
+	EXPECT_EQ(413, status_of(caller->got));
+}
+
 } // namespace
