caller: one that sends ahead is held back, not closed

Cause: over 256 KB of later requests behind one that is being run closed the connection, which cancelled that one too, also where it may run only once. A body within the operator's max_body_bytes is enough. Change: nothing more is read until the answer is out. Ruled out: a limit of the operator; the bound is the node's own memory, and holds as before. Run: ALargeBodySentAheadEndsNothing, three requests, two with 900 KB: before, none of them was answered; after, all three. Open: while it is held back, a caller's leaving is seen only with the answer.

--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -11,7 +11,10 @@
 
 #define LISTEN_BACKLOG 512
 
-/* Requests that a caller may send ahead of answers, in bytes. */
+/*
+ * Requests that a caller may send ahead of answers, in bytes; what comes after
+ * them stays in the kernel's buffers.
+ */
 #define AHEAD_MAX_BYTES (256 * 1024)
 
 /* An orderly close waits for the caller's end until it is silent so long. */
@@ -56,12 +59,14 @@
 	size_t unwritten_bytes; /* of answers, at the last sweep */
 	uint64_t head_since_us; /* of the first byte of a head; 0: none */
 	bool is_head;
+	bool held_back; /* too much was sent ahead: nothing is read */
 	bool keep_alive; /* as the request asks */
 	bool continued; /* "100 Continue" was sent */
 	bool lingering; /* the answer that ends the connection is out */
 	bool closing;
 };
 
+static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer);
 static void read_on(struct caller *caller, const char *bytes, size_t length);
 
 static const struct route_limits *limits(const struct edge *edge)
@@ -161,22 +166,50 @@
 	message_reader_next(&caller->reader, false);
 }
 
+/*
+ * A caller that sends large bodies ahead of its answers is held back, not
+ * closed: a close would cancel the request that is being run, which may be one
+ * that must not run twice. While it is held back, its leaving shows only once
+ * the answer is written; the request's own deadline bounds that.
+ */
+static void pace_reading(struct caller *caller)
+{
+	uv_stream_t *stream = (uv_stream_t *)&caller->tcp;
+	bool is_full = caller->ahead->len > AHEAD_MAX_BYTES &&
+		       !caller->lingering;
+
+	if (caller->closing || is_full == caller->held_back)
+		return;
+	caller->held_back = is_full;
+	if (is_full)
+		uv_read_stop(stream);
+	else
+		uv_read_start(stream, wire_buffer, on_read);
+}
+
+static void read_ahead(struct caller *caller)
+{
+	GByteArray *ahead = caller->ahead;
+
+	if (!ahead->len || caller->lingering)
+		return;
+	caller->ahead = g_byte_array_new();
+	read_on(caller, (const char *)ahead->data, ahead->len);
+	g_byte_array_unref(ahead);
+}
+
 static void on_finish(struct exchange_sink *sink,
 		      const struct exchange_answer *answer)
 {
 	struct caller *caller = (struct caller *)sink;
-	GByteArray *ahead = caller->ahead;
 
 	caller->exchange = NULL;
 	if (caller->closing)
 		return;
 	write_answer(caller, answer);
 	next_request(caller);
-	if (!ahead->len || caller->lingering)
-		return;
-	caller->ahead = g_byte_array_new();
-	read_on(caller, (const char *)ahead->data, ahead->len);
-	g_byte_array_unref(ahead);
+	read_ahead(caller);
+	pace_reading(caller);
 }
 
 static const struct exchange_sink_vtable sink_events = { on_finish };
@@ -319,8 +352,7 @@
 	if (caller->lingering)
 		return;
 	read_on(caller, buffer->base, (size_t)count);
-	if (caller->ahead->len > AHEAD_MAX_BYTES)
-		caller_close(caller);
+	pace_reading(caller);
 }
 
 /* --- listening ---------------------------------------------------------- */
--- a/tests/edge/early_ends_test.cc
+++ b/tests/edge/early_ends_test.cc
@@ -91,4 +91,28 @@
 	EXPECT_EQ(413, status_of(caller->got));
 }
 
+/*
+ * A caller sends its next request ahead of an answer, with a large body. The
+ * connection was closed at once, and with it a request that was already being
+ * run, perhaps one that may run only once.
+ */
+TEST_F(EarlyEndsTest, ALargeBodySentAheadEndsNothing)
+{
+	const std::string body(900 * 1000, 'x');
+	const std::string length =
+		"Content-Length: " + std::to_string(body.size()) + "\r\n";
+
+	add_app("i-1", 300);
+	start_node();
+	auto caller = call(get("a1", "/o/"));
+	caller->send(get("a2", "/o/", length, "POST") + body);
+	caller->send(get("a3", "/o/", length, "POST") + body);
+	wait_for([&] {
+		return caller->ended ||
+		       caller->got.find("a3 by") != std::string::npos;
+	});
+	for (const char *id : { "a1 by", "a2 by", "a3 by" })
+		EXPECT_NE(std::string::npos, caller->got.find(id)) << id;
+}
+
 } // namespace
