caller: a standstill of the VM isn't the callers' silence

Cause: after a standstill the loop looks at its timers before it reads. A request whose rest had come meanwhile got a 408, and an idle connection with a request on it was closed. Ruled out: that the bytes hadn't come: the tests' caller writes them before the standstill. Run: StandstillTest, 3.3 s with limits of 3 s: before 408 and a closed connection, after 200 in both. With EarlyEndsTest, SlowCallerTest, ExchangeTest 21 pass.

--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -36,6 +36,12 @@
 /* When to come back to a node that doesn't know the limits: in seconds. */
 #define LIMITS_RETRY_S "0.5"
 
+/*
+ * A sweep so late means that the node didn't read either. Sweeps are due every
+ * 200 ms; no limit of callers that operators set is as short.
+ */
+#define LATE_SWEEP_US (500 * US_PER_MS)
+
 /* Limits before the first configuration is known. */
 static const struct route_limits first_limits = {
 	.max_header_bytes = 16 * 1024,
@@ -464,12 +470,31 @@
 	}
 }
 
+/*
+ * After a standstill of the VM timers come before what callers sent meanwhile.
+ * Taken for their silence, it ends requests that are there, whole, in the
+ * kernel's buffers, and idle connections with a request on them. Silence counts
+ * from the end of the standstill.
+ */
+static void forgive_standstill(struct edge *edge, uint64_t now_us)
+{
+	uint64_t passed_us = now_us - edge->swept_us;
+	GList *at;
+
+	edge->swept_us = now_us;
+	if (passed_us < LATE_SWEEP_US)
+		return;
+	for (at = edge->callers.head; at; at = at->next)
+		((struct caller *)at->data)->since_us = now_us;
+}
+
 void callers_sweep(struct edge *edge)
 {
 	uint64_t now_us = edge_now_us(edge);
 	GList *next;
 	GList *at;
 
+	forgive_standstill(edge, now_us);
 	for (at = edge->callers.head; at; at = next) {
 		next = at->next;
 		sweep(at->data, now_us);
--- a/packages/edge/edge.h
+++ b/packages/edge/edge.h
@@ -63,6 +63,7 @@
 	uint64_t stopping_us; /* when the stop began */
 	uint32_t exchanges; /* requests in flight */
 	GQueue callers; /* of struct caller, connections that are open */
+	uint64_t swept_us; /* when their time-outs were last looked at */
 };
 
 static inline uint64_t edge_now_us(const struct edge *edge)
--- a/tests/edge/early_ends_test.cc
+++ b/tests/edge/early_ends_test.cc
@@ -133,4 +133,47 @@
 			       "X: " + std::string(200000, 'x') + "\r\n"))));
 }
 
+/*
+ * The VM stood still while a caller sent the rest of its request. When it ran
+ * again, time-outs were looked at before the bytes: the caller was told that
+ * its request had not come in time, or found its idle connection closed.
+ */
+struct standstill_case {
+	const char *name;
+	const char *before; /* sent before the standstill */
+	const char *after; /* and during it */
+};
+
+const standstill_case standstill_cases[] = {
+	{ "WithinARequest", "GET /r/ HTTP/1.1\r\nHost: h.example\r\n",
+	  "Lilacfield-Attempt-Id: a\r\n\r\n" },
+	{ "OnAnIdleConnection", "",
+	  "GET /r/ HTTP/1.1\r\nHost: h.example\r\n"
+	  "Lilacfield-Attempt-Id: a\r\n\r\n" },
+};
+
+class StandstillTest : public EarlyEndsTest,
+		       public ::testing::WithParamInterface<standstill_case>
+{
+};
+
+TEST_P(StandstillTest, IsNotTheCallersSilence)
+{
+	idle_timeout = "3000ms";
+	put_routes(2);
+	add_app("i-1");
+	start_node();
+	auto caller = call(GetParam().before);
+	wait_for([&] { return caller->connected; });
+	turn_for(200);
+	caller->send(GetParam().after);
+	g_usleep(3300 * 1000);
+	wait_for([&] { return is_whole(*caller); });
+	EXPECT_EQ(200, status_of(caller->got));
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, StandstillTest,
+			 ::testing::ValuesIn(standstill_cases),
+			 [](const auto &info) { return info.param.name; });
+
 } // namespace
