exchange: an answer that came during a standstill is delivered

Cause: the time for an answer's way back was counted from the deadline. After a standstill over both, the timers of one turn of the loop ended the request with 504, and the answer in the kernel's buffers was read after that. Change: it counts from when the deadline was noticed. Without a standstill that is the same. Ruled out: that the backend server was late: it had answered 500 ms before the deadline. Run: AnAnswerThatCameMeanwhileIsDelivered: before 504, after 200; with EarlyEndsTest, ExchangeTest, FaultTest 31 pass.

--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -44,8 +44,8 @@
 	uint64_t now = exchange_now_us(exchange);
 	uint64_t at = exchange->due_us;
 
-	if (exchange->in_grace)
-		at += ANSWER_GRACE_US;
+	if (exchange->grace_until_us)
+		at = exchange->grace_until_us;
 	if (exchange->connect_by_us && exchange->connect_by_us < at)
 		at = exchange->connect_by_us;
 	if (exchange->held_until_us && exchange->held_until_us < at)
@@ -321,6 +321,17 @@
 		pool_drop_idle_of(&exchange->edge->pool, backend);
 }
 
+/*
+ * From now, not from due_us: after a standstill of the VM timers come before
+ * what was received meanwhile, and an answer that is there would be read after
+ * its request had been answered with 504.
+ */
+static void begin_grace(struct exchange *exchange)
+{
+	exchange->grace_until_us = exchange_now_us(exchange) + ANSWER_GRACE_US;
+	arm(exchange);
+}
+
 static void on_timer(uv_timer_t *timer)
 {
 	struct exchange *exchange = timer->data;
@@ -334,9 +345,8 @@
 		dispatch(exchange);
 	} else if (exchange_left_us(exchange)) {
 		arm(exchange);
-	} else if (exchange->sent_us && !exchange->in_grace) {
-		exchange->in_grace = true;
-		arm(exchange);
+	} else if (exchange->sent_us && !exchange->grace_until_us) {
+		begin_grace(exchange);
 	} else if (exchange->unsettled) {
 		note_silence(exchange);
 		exchange_finish_failed(exchange, 504, "timeout");
--- a/packages/edge/exchange_parts.h
+++ b/packages/edge/exchange_parts.h
@@ -25,7 +25,7 @@
 	bool was_held;
 	uint64_t sent_us; /* 0: not sent on conn yet */
 	uint32_t strays;
-	bool in_grace;
+	uint64_t grace_until_us; /* 0, or a sent request's end past due_us */
 
 	struct retry_state retry;
 	uint32_t unsettled; /* sends that may have run */
--- a/tests/edge/early_ends_test.cc
+++ b/tests/edge/early_ends_test.cc
@@ -176,4 +176,23 @@
 			 ::testing::ValuesIn(standstill_cases),
 			 [](const auto &info) { return info.param.name; });
 
+/*
+ * The same with a backend server's answer: it had come while the VM stood
+ * still, and the caller was told 504 before it was read.
+ */
+TEST_F(EarlyEndsTest, AnAnswerThatCameMeanwhileIsDelivered)
+{
+	timeout = "700ms";
+	put_routes(2);
+	App &app = add_app("i-1", 200);
+	start_node();
+	auto caller = call(get("a1", "/r/"));
+	wait_for([&] { return app_stand_running(app.stand) == 1; });
+	wait_for([&] { return app_stand_running(app.stand) == 0; });
+	ASSERT_TRUE(caller->got.empty());
+	g_usleep(1000 * 1000);
+	wait_for([&] { return is_whole(*caller); });
+	EXPECT_EQ(200, status_of(caller->got));
+}
+
 } // namespace
