run: a stop waits for answers that aren't written yet

Cause: a stop was whole once no request was in flight, and a request is over when its answer begins to be written. The process ended, and what a caller on a narrow link hadn't taken yet was lost with it, with "stop-ends whole=yes" in the log. Change: a stop also waits for the bytes of answers, within the time that it has. Ruled out: the kernel, which delivers what was handed to it after the process's end. Run: AStopWaitsForAnswersThatAreBeingTaken, on the condition alone, which is new and so had no failing run.

--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -517,6 +517,21 @@
 	}
 }
 
+bool callers_are_waiting(const struct edge *edge)
+{
+	const GList *at;
+
+	for (at = edge->callers.head; at; at = at->next) {
+		const struct caller *caller = at->data;
+		const uv_stream_t *stream = (const uv_stream_t *)&caller->tcp;
+
+		if (caller->kind == LISTENER_FRONT && !caller->closing &&
+		    uv_stream_get_write_queue_size(stream))
+			return true;
+	}
+	return edge->exchanges > 0;
+}
+
 void callers_close_all(struct edge *edge)
 {
 	GList *at;
--- a/packages/edge/caller.h
+++ b/packages/edge/caller.h
@@ -43,6 +43,12 @@
 /* End, in order, the connections that no request is on. */
 void callers_close_idle(struct edge *edge);
 
+/*
+ * Whether a request is in flight or part of an answer to one isn't out yet. A
+ * process that ends before cuts the answer off.
+ */
+bool callers_are_waiting(const struct edge *edge);
+
 /* Close all connections at once; what is in flight is cancelled. */
 void callers_close_all(struct edge *edge);
 
--- a/packages/edge/run.c
+++ b/packages/edge/run.c
@@ -134,7 +134,7 @@
 		listener_close(&run->listeners[AT_FRONT]);
 	}
 	callers_close_idle(edge);
-	if (!edge->exchanges && passed_us > taking_us + TICK_US) {
+	if (!callers_are_waiting(edge) && passed_us > taking_us + TICK_US) {
 		log_event(LOG_INFO, "stop-ends", "whole=yes took_us=%" PRIu64,
 			  passed_us);
 		close_all(run);
--- a/tests/edge/early_ends_test.cc
+++ b/tests/edge/early_ends_test.cc
@@ -195,4 +195,29 @@
 	EXPECT_EQ(200, status_of(caller->got));
 }
 
+/*
+ * A node was stopped while a caller on a narrow link took a large answer. The
+ * request counted as over once the answer had begun, the process ended, and
+ * what it hadn't written yet was lost: a planned stop cut an answer off.
+ */
+TEST_F(EarlyEndsTest, AStopWaitsForAnswersThatAreBeingTaken)
+{
+	answer_bytes = 7 * 1024 * 1024;
+	add_app("i-1");
+	start_node();
+	EXPECT_FALSE(callers_are_waiting(edge));
+	auto caller = call(get("a1", "/r/"));
+	wait_for([&] { return !caller->got.empty(); });
+	edge->stopping = true;
+	caller->pause();
+	turn_for(300);
+	EXPECT_EQ(0u, edge->exchanges);
+	EXPECT_TRUE(callers_are_waiting(edge));
+	callers_close_idle(edge);
+	caller->resume();
+	wait_for([&] { return is_whole(*caller); });
+	EXPECT_GE(body_of(caller->got).size(), answer_bytes);
+	EXPECT_FALSE(callers_are_waiting(edge));
+}
+
 } // namespace
