lane: a standstill doesn't begin a document anew

Cause: after a standstill the timer for a silent platform came before what had arrived meanwhile. Change: when the time is over, sockets are read once more; bytes that were there go on. Ruled out: the platform's silence: the stand had written before the timer. Open: a tick that is 1.5 s late still aborts all calls (sync_refresh).

--- a/packages/edge/lane.c
+++ b/packages/edge/lane.c
@@ -20,6 +20,9 @@
  */
 #define ARRIVAL_MOST_US (20 * US_PER_S)
 
+/* Not 0: such a timer may run before the loop has read. */
+#define LAST_LOOK_MS 1
+
 struct lane_conn {
 	struct link link; /* first member */
 	struct lane *lane; /* NULL once the lane has let go of it */
@@ -62,9 +65,22 @@
 	link_send(link, request, false);
 }
 
+/*
+ * After a standstill of the VM timers come before what arrived meanwhile. Taken
+ * for silence, it ends an answer that is arriving, and the call begins anew
+ * from the first byte; on a node that is often busy a large one never arrives.
+ * So sockets are read once more before the call ends.
+ */
 static void on_timeout(uv_timer_t *timer)
 {
-	lane_abort(timer->data, "timeout");
+	struct lane *lane = timer->data;
+
+	if (lane->is_last_look) {
+		lane_abort(lane, "timeout");
+		return;
+	}
+	lane->is_last_look = true;
+	uv_timer_start(&lane->timer, on_timeout, LAST_LOOK_MS, 0);
 }
 
 static void on_progressed(struct link *link)
@@ -77,10 +93,11 @@
 	now_ms = uv_now(lane->loop);
 	if (!lane->end_ms)
 		lane->end_ms = now_ms + ARRIVAL_MOST_US / US_PER_MS;
-	if (now_ms < lane->end_ms)
-		uv_timer_start(
-			&lane->timer, on_timeout,
-			MIN(SILENCE_US / US_PER_MS, lane->end_ms - now_ms), 0);
+	if (now_ms >= lane->end_ms)
+		return;
+	lane->is_last_look = false;
+	uv_timer_start(&lane->timer, on_timeout,
+		       MIN(SILENCE_US / US_PER_MS, lane->end_ms - now_ms), 0);
 }
 
 static void on_answered(struct link *link, struct message *answer)
@@ -187,6 +204,7 @@
 	lane->context = context;
 	lane->got_bytes = 0;
 	lane->end_ms = 0;
+	lane->is_last_look = false;
 	uv_timer_start(&lane->timer, on_timeout, timeout_us / US_PER_MS, 0);
 	if (lane->conn) {
 		link_send(&lane->conn->link, request, false);
--- a/packages/edge/lane.h
+++ b/packages/edge/lane.h
@@ -40,6 +40,7 @@
 	uint64_t got_bytes; /* of the latest answer, whole or not */
 	uint64_t end_ms; /* uv_now() by which an answer has arrived; 0: none
 			    has begun to */
+	bool is_last_look; /* the time is over; what has arrived is read */
 };
 
 void lane_init(struct lane *lane, uv_loop_t *loop, const struct endpoint *to);
--- a/tests/edge/early_ends_test.cc
+++ b/tests/edge/early_ends_test.cc
@@ -220,4 +220,37 @@
 	EXPECT_FALSE(callers_are_waiting(edge));
 }
 
+/*
+ * The node stood still, or was busy, while a large document of routes arrived.
+ * Its timer for a silent platform came before what had arrived meanwhile, the
+ * call was made anew from the first byte, and a node that is busy often never
+ * got the document.
+ */
+TEST_F(EarlyEndsTest, AStandstillDoesNotBeginADocumentAnew)
+{
+	struct store_faults faults = {};
+
+	add_app("i-1");
+	start_node();
+	turn_for(300);
+	for (int i = 0; i < 400; i++) {
+		const std::string name = "n" + std::to_string(i);
+
+		extra_routes +=
+			",\"" + name +
+			"\":{\"host\":\"h.example\",\"prefix\":\"/" + name +
+			"/\",\"kind\":\"idempotent\",\"timeout\":\"2000ms\","
+			"\"target_latency\":\"600ms\",\"priority\":2,"
+			"\"service\":\"s\",\"max_attempts\":2,"
+			"\"sticky\":true,\"allowed_regions\":[]}";
+	}
+	faults.bytes_per_s = extra_routes.size(); /* takes more than 1 s */
+	store_stand_set_faults(store, &faults);
+	put_routes(2);
+	turn_for(500);
+	g_usleep(1500 * 1000);
+	wait_for([this] { return edge->routes->version == 2; });
+	EXPECT_EQ(0u, metric_value(edge->stats.registry_lost_bytes));
+}
+
 } // namespace
