sync: an answer is as old as its first byte

Cause: routes counted as confirmed when the last byte of their document came. It says what the store had read when it began to answer, seconds before on a narrow link. A node with routes that were replaced meanwhile was sure of them: it answered 404, and confirmed them to its neighbours. Change: what an answer confirms is dated at its first byte. Ruled out: a neighbour's word, and the next call's answer: none had come.

--- a/packages/edge/lane.c
+++ b/packages/edge/lane.c
@@ -87,17 +87,19 @@
 {
 	struct lane *lane = ((struct lane_conn *)link)->lane;
 	uint64_t now_ms;
+	uint64_t end_ms;
 
 	if (!lane)
 		return;
 	now_ms = uv_now(lane->loop);
-	if (!lane->end_ms)
-		lane->end_ms = now_ms + ARRIVAL_MOST_US / US_PER_MS;
-	if (now_ms >= lane->end_ms)
+	if (!lane->began_ms)
+		lane->began_ms = now_ms;
+	end_ms = lane->began_ms + ARRIVAL_MOST_US / US_PER_MS;
+	if (now_ms >= end_ms)
 		return;
 	lane->is_last_look = false;
 	uv_timer_start(&lane->timer, on_timeout,
-		       MIN(SILENCE_US / US_PER_MS, lane->end_ms - now_ms), 0);
+		       MIN(SILENCE_US / US_PER_MS, end_ms - now_ms), 0);
 }
 
 static void on_answered(struct link *link, struct message *answer)
@@ -171,6 +173,13 @@
 	       lane->conn->link.got_bytes > 0;
 }
 
+uint64_t lane_arrival_us(const struct lane *lane)
+{
+	if (!lane->began_ms)
+		return 0;
+	return (uv_now(lane->loop) - lane->began_ms) * US_PER_MS;
+}
+
 void lane_abort(struct lane *lane, const char *cause)
 {
 	let_go(lane);
@@ -203,7 +212,7 @@
 	lane->done = done;
 	lane->context = context;
 	lane->got_bytes = 0;
-	lane->end_ms = 0;
+	lane->began_ms = 0;
 	lane->is_last_look = false;
 	uv_timer_start(&lane->timer, on_timeout, timeout_us / US_PER_MS, 0);
 	if (lane->conn) {
--- a/packages/edge/lane.h
+++ b/packages/edge/lane.h
@@ -38,8 +38,7 @@
 	lane_done done; /* of the call that is out; NULL: none */
 	void *context;
 	uint64_t got_bytes; /* of the latest answer, whole or not */
-	uint64_t end_ms; /* uv_now() by which an answer has arrived; 0: none
-			    has begun to */
+	uint64_t began_ms; /* uv_now() at the answer's first byte; 0: none */
 	bool is_last_look; /* the time is over; what has arrived is read */
 };
 
@@ -54,6 +53,12 @@
 /* Whether the answer to the call that is out is arriving. */
 bool lane_is_receiving(const struct lane *lane);
 
+/*
+ * How long the latest answer has been arriving, or took to. What it says is at
+ * least as old.
+ */
+uint64_t lane_arrival_us(const struct lane *lane);
+
 /*
  * Start a call; none may be out. The body is text or NULL, timeout_us the time
  * until the answer begins.
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -371,7 +371,12 @@
 	if (follower->rule->table == REGISTRY_BACKENDS)
 		confirm_waiting(sync, follower);
 	follower->answered_us = now_us;
-	follower->confirmed_us = now_us;
+	/*
+	 * A large answer tells of the moment at which it began. Dated at its
+	 * end, routes that were replaced while it arrived would count as
+	 * current, and callers of newer ones would be denied for good.
+	 */
+	follower->confirmed_us = now_us - lane_arrival_us(&follower->lane);
 	follower->failures = 0;
 	follower->retry_us = 0;
 }
--- a/tests/edge/early_ends_test.cc
+++ b/tests/edge/early_ends_test.cc
@@ -24,6 +24,20 @@
 		caller.pause();
 		turn_for(pause_ms);
 	}
+	void add_routes(int count)
+	{
+		for (int i = 0; i < count; i++)
+			extra_routes +=
+				",\"n" + std::to_string(i) +
+				"\":{\"host\":\"h.example\",\"prefix\":\"/n" +
+				std::to_string(i) +
+				"/\",\"kind\":\"idempotent\","
+				"\"timeout\":\"2000ms\","
+				"\"target_latency\":\"600ms\","
+				"\"priority\":2,\"service\":\"s\","
+				"\"max_attempts\":2,\"sticky\":true,"
+				"\"allowed_regions\":[]}";
+	}
 };
 
 /*
@@ -233,17 +247,7 @@
 	add_app("i-1");
 	start_node();
 	turn_for(300);
-	for (int i = 0; i < 400; i++) {
-		const std::string name = "n" + std::to_string(i);
-
-		extra_routes +=
-			",\"" + name +
-			"\":{\"host\":\"h.example\",\"prefix\":\"/" + name +
-			"/\",\"kind\":\"idempotent\",\"timeout\":\"2000ms\","
-			"\"target_latency\":\"600ms\",\"priority\":2,"
-			"\"service\":\"s\",\"max_attempts\":2,"
-			"\"sticky\":true,\"allowed_regions\":[]}";
-	}
+	add_routes(400);
 	faults.bytes_per_s = extra_routes.size(); /* takes more than 1 s */
 	store_stand_set_faults(store, &faults);
 	put_routes(2);
@@ -253,4 +257,29 @@
 	EXPECT_EQ(0u, metric_value(edge->stats.registry_lost_bytes));
 }
 
+/*
+ * A document of routes took 3 s to arrive, and meanwhile the operator had
+ * written a newer one. The old one counted as confirmed when its last byte
+ * came, though the store had read it 3 s before: callers of the newest routes
+ * got a final 404, and neighbours heard that the old ones hold.
+ */
+TEST_F(EarlyEndsTest, ADocumentIsAsOldAsItsFirstByte)
+{
+	struct store_faults faults = {};
+
+	add_app("i-1");
+	start_node();
+	turn_for(300);
+	add_routes(400);
+	faults.bytes_per_s = extra_routes.size() * 4 / 3 / 3;
+	store_stand_set_faults(store, &faults);
+	put_routes(2);
+	wait_for([this] { return edge->routes->version == 2; });
+	faults.silent = true;
+	store_stand_set_faults(store, &faults);
+	EXPECT_GE(sync_routes_age_us(sync), 2500 * 1000u);
+	EXPECT_EQ(503, status_of(answer_to(get("a1", "/newest/"))));
+	EXPECT_EQ(200, status_of(answer_to(get("a2", "/n7/"))));
+}
+
 } // namespace
