exchange: a standstill doesn't make servers unreachable

Cause: after a standstill of some 250 ms the timers of connections that were being opened came before their opening was seen. Their servers were shunned, and a caller whose service had no other got a 503. Change: when that time is over the loop turns once more before the server is given up. Ruled out: the server: on loopback its kernel had taken the connection. Open: the time that such a connection took is still learnt as the link's.

--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -19,6 +19,9 @@
 #define CONNECT_ROUND_TRIPS 3
 #define CONNECT_EXTRA_US (200 * US_PER_MS)
 
+/* One turn of the loop: what has arrived is read in it. */
+#define LAST_LOOK_US (1 * US_PER_MS)
+
 /*
  * Kept connections may have been dropped by the server while idle; what was
  * sent on such a one may have run. A request that may not run twice only takes
@@ -150,6 +153,7 @@
 		after_failure(exchange, SEND_UNREACHABLE, "connect");
 		return;
 	}
+	exchange->connect_is_late = false;
 	exchange->connect_by_us =
 		exchange_now_us(exchange) + CONNECT_EXTRA_US +
 		CONNECT_ROUND_TRIPS *
@@ -321,6 +325,22 @@
 		pool_drop_idle_of(&exchange->edge->pool, backend);
 }
 
+/*
+ * After a standstill of the VM timers come before connections that opened
+ * meanwhile. Taken for unreachable, their servers would be shunned, all at
+ * once, by a node that was late itself; so the loop turns once more.
+ */
+static void connect_late(struct exchange *exchange)
+{
+	if (exchange->connect_is_late) {
+		after_failure(exchange, SEND_UNREACHABLE, "connect timeout");
+		return;
+	}
+	exchange->connect_is_late = true;
+	exchange->connect_by_us = exchange_now_us(exchange) + LAST_LOOK_US;
+	arm(exchange);
+}
+
 /*
  * From now, not from due_us: after a standstill of the VM timers come before
  * what was received meanwhile, and an answer that is there would be read after
@@ -338,7 +358,7 @@
 
 	if (exchange_left_us(exchange) && exchange->connect_by_us &&
 	    exchange_now_us(exchange) >= exchange->connect_by_us) {
-		after_failure(exchange, SEND_UNREACHABLE, "connect timeout");
+		connect_late(exchange);
 	} else if (exchange_left_us(exchange) && exchange->held_until_us &&
 		   exchange_now_us(exchange) >= exchange->held_until_us) {
 		exchange->held_until_us = 0;
--- a/packages/edge/exchange_parts.h
+++ b/packages/edge/exchange_parts.h
@@ -21,6 +21,7 @@
 	struct conn *conn; /* in use, or NULL */
 	struct choice choice; /* behind conn; holds a reference */
 	uint64_t connect_by_us; /* 0 once open */
+	bool connect_is_late; /* connect_by_us was put off for a last look */
 	uint64_t held_until_us; /* 0, or when to choose again */
 	bool was_held;
 	uint64_t sent_us; /* 0: not sent on conn yet */
--- a/tests/edge/early_ends_test.cc
+++ b/tests/edge/early_ends_test.cc
@@ -282,4 +282,21 @@
 	EXPECT_EQ(200, status_of(answer_to(get("a2", "/n7/"))));
 }
 
+/*
+ * The VM stood still while a connection to a backend server opened. The server
+ * was taken for unreachable, and shunned, though the connection was there; a
+ * caller whose service has one server was refused.
+ */
+TEST_F(EarlyEndsTest, AStandstillDoesNotMakeAServerUnreachable)
+{
+	add_app("i-1");
+	start_node();
+	auto caller = call(get("a1", "/r/"));
+	wait_for([this] { return edge->exchanges == 1; });
+	ASSERT_EQ(0u, metric_value(edge->stats.sent));
+	g_usleep(500 * 1000);
+	wait_for([&] { return is_whole(*caller); });
+	EXPECT_EQ(200, status_of(caller->got));
+}
+
 } // namespace
