exchange: a standstill isn't learnt as a link's time

Cause: a connection that opened while the VM stood still was measured as the link's time, 500 ms to a server on the same machine. Choices for the region went by that until enough others had opened. Change: a connection that was found open after its time teaches nothing. Open: a standstill shorter than the time for a connection is still learnt.

--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -526,8 +526,14 @@
 	struct exchange *exchange = (struct exchange *)user;
 	struct edge *edge = exchange->edge;
 
-	chooser_link_measured(&edge->chooser, conn->backend->region,
-			      exchange_now_us(exchange) - conn->opening_us);
+	/*
+	 * One that opened while the VM stood still tells of that, not of the
+	 * link: its region would be too far for most deadlines.
+	 */
+	if (!exchange->connect_is_late)
+		chooser_link_measured(&edge->chooser, conn->backend->region,
+				      exchange_now_us(exchange) -
+					      conn->opening_us);
 	/* It may have begun to leave while the connection opened. */
 	if (backend_is_closed(edge->backends, conn->backend)) {
 		exchange_drop_conn(exchange);
--- a/tests/edge/early_ends_test.cc
+++ b/tests/edge/early_ends_test.cc
@@ -297,6 +297,8 @@
 	g_usleep(500 * 1000);
 	wait_for([&] { return is_whole(*caller); });
 	EXPECT_EQ(200, status_of(caller->got));
+	/* Nor is its region far away from now on. */
+	EXPECT_LT(chooser_link_us(&edge->chooser, "r1"), 50 * 1000u);
 }
 
 } // namespace
