--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -11,15 +11,37 @@
 
 #define LISTEN_BACKLOG 512
 
-/* Requests that a caller may send ahead of answers, in bytes. */
+/*
+ * Requests that a caller may send ahead of answers, in bytes; what comes after
+ * them stays in the kernel's buffers.
+ */
 #define AHEAD_MAX_BYTES (256 * 1024)
 
-/* An orderly close waits so long for the caller's end. */
+/* An orderly close waits for the caller's end until it is silent so long. */
 #define LINGER_US (1 * US_PER_S)
 
+/*
+ * Longest orderly close, for a caller that goes on to send: a body of 16 MB,
+ * which nobody reads any more, takes 13.4 s over a link of 10 Mbit/s.
+ */
+#define LINGER_MOST_US (20 * US_PER_S)
+
+/*
+ * A caller that takes no byte of its answer for so long is gone. The kernel
+ * takes bytes in steps of up to a third of its buffer of 4 MB at most; over
+ * 1 Mbit/s such a step takes 11 s.
+ */
+#define UNREAD_US (15 * US_PER_S)
+
 /* When to come back to a node that doesn't know the limits: in seconds. */
 #define LIMITS_RETRY_S "0.5"
 
+/*
+ * A sweep so late means that the node didn't read either. Sweeps are due every
+ * 200 ms; no limit of callers that operators set is as short.
+ */
+#define LATE_SWEEP_US (500 * US_PER_MS)
+
 /* Limits before the first configuration is known. */
 static const struct route_limits first_limits = {
 	.max_header_bytes = 16 * 1024,
@@ -38,15 +60,19 @@
 	struct message_reader reader;
 	GByteArray *ahead; /* bytes of later requests */
 	struct exchange *exchange;
-	uint64_t since_us; /* of the last byte or answer */
+	uint64_t since_us; /* of the last byte, either way */
+	uint64_t linger_since_us; /* the answer that ends it was written */
+	size_t unwritten_bytes; /* of answers, at the last sweep */
 	uint64_t head_since_us; /* of the first byte of a head; 0: none */
 	bool is_head;
+	bool held_back; /* too much was sent ahead: nothing is read */
 	bool keep_alive; /* as the request asks */
 	bool continued; /* "100 Continue" was sent */
 	bool lingering; /* the answer that ends the connection is out */
 	bool closing;
 };
 
+static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer);
 static void read_on(struct caller *caller, const char *bytes, size_t length);
 
 static const struct route_limits *limits(const struct edge *edge)
@@ -87,10 +113,16 @@
 		caller_close(caller);
 }
 
+/*
+ * Bytes that come after the last answer are read and dropped. Closed with some
+ * unread, the connection is reset, and a caller that sends its whole body
+ * before it reads loses the answer.
+ */
 static void caller_linger(struct caller *caller)
 {
 	caller->lingering = true;
 	caller->since_us = edge_now_us(caller->edge);
+	caller->linger_since_us = caller->since_us;
 	caller->shutdown.data = caller;
 	if (uv_shutdown(&caller->shutdown, (uv_stream_t *)&caller->tcp,
 			on_shut_down))
@@ -140,22 +172,50 @@
 	message_reader_next(&caller->reader, false);
 }
 
+/*
+ * A caller that sends large bodies ahead of its answers is held back, not
+ * closed: a close would cancel the request that is being run, which may be one
+ * that must not run twice. While it is held back, its leaving shows only once
+ * the answer is written; the request's own deadline bounds that.
+ */
+static void pace_reading(struct caller *caller)
+{
+	uv_stream_t *stream = (uv_stream_t *)&caller->tcp;
+	bool is_full = caller->ahead->len > AHEAD_MAX_BYTES &&
+		       !caller->lingering;
+
+	if (caller->closing || is_full == caller->held_back)
+		return;
+	caller->held_back = is_full;
+	if (is_full)
+		uv_read_stop(stream);
+	else
+		uv_read_start(stream, wire_buffer, on_read);
+}
+
+static void read_ahead(struct caller *caller)
+{
+	GByteArray *ahead = caller->ahead;
+
+	if (!ahead->len || caller->lingering)
+		return;
+	caller->ahead = g_byte_array_new();
+	read_on(caller, (const char *)ahead->data, ahead->len);
+	g_byte_array_unref(ahead);
+}
+
 static void on_finish(struct exchange_sink *sink,
 		      const struct exchange_answer *answer)
 {
 	struct caller *caller = (struct caller *)sink;
-	GByteArray *ahead = caller->ahead;
 
 	caller->exchange = NULL;
 	if (caller->closing)
 		return;
 	write_answer(caller, answer);
 	next_request(caller);
-	if (!ahead->len || caller->lingering)
-		return;
-	caller->ahead = g_byte_array_new();
-	read_on(caller, (const char *)ahead->data, ahead->len);
-	g_byte_array_unref(ahead);
+	read_ahead(caller);
+	pace_reading(caller);
 }
 
 static const struct exchange_sink_vtable sink_events = { on_finish };
@@ -257,7 +317,8 @@
 		if (!caller->head_since_us)
 			caller->head_since_us = edge_now_us(caller->edge);
 		caller->reader.limits.head_bytes =
-			limits(caller->edge)->max_header_bytes;
+			MIN(limits(caller->edge)->max_header_bytes,
+			    REQUEST_HEAD_MAX_BYTES);
 		caller->reader.limits.body_bytes =
 			MIN(limits(caller->edge)->max_body_bytes,
 			    REQUEST_BODY_MAX_BYTES);
@@ -294,12 +355,11 @@
 		caller_close(caller);
 		return;
 	}
+	caller->since_us = edge_now_us(caller->edge);
 	if (caller->lingering)
 		return;
-	caller->since_us = edge_now_us(caller->edge);
 	read_on(caller, buffer->base, (size_t)count);
-	if (caller->ahead->len > AHEAD_MAX_BYTES)
-		caller_close(caller);
+	pace_reading(caller);
 }
 
 /* --- listening ---------------------------------------------------------- */
@@ -367,29 +427,74 @@
 	uv_close((uv_handle_t *)&listener->tcp, NULL);
 }
 
+/*
+ * A caller on a slow path takes an answer for seconds, without a byte of its
+ * own. Were that time taken for silence, each large answer to it would break
+ * off at the same place, however often it asked again.
+ */
+static void note_written(struct caller *caller, uint64_t now_us)
+{
+	size_t unwritten_bytes =
+		uv_stream_get_write_queue_size((uv_stream_t *)&caller->tcp);
+
+	if (unwritten_bytes < caller->unwritten_bytes) {
+		caller->since_us = now_us;
+		caller->linger_since_us = now_us;
+	}
+	caller->unwritten_bytes = unwritten_bytes;
+}
+
 static void sweep(struct caller *caller, uint64_t now_us)
 {
 	const struct route_limits *most = limits(caller->edge);
+	uint64_t silent_us;
 
-	if (caller->closing || caller->exchange)
+	if (caller->closing)
+		return;
+	note_written(caller, now_us);
+	silent_us = now_us - caller->since_us;
+	if (caller->exchange)
 		return;
-	if (caller->lingering) {
-		if (now_us - caller->since_us > LINGER_US)
+	if (caller->unwritten_bytes) {
+		if (silent_us > UNREAD_US)
+			caller_close(caller);
+	} else if (caller->lingering) {
+		if (silent_us > LINGER_US ||
+		    now_us - caller->linger_since_us > LINGER_MOST_US)
 			caller_close(caller);
 	} else if (caller->head_since_us &&
-		   now_us - caller->since_us > most->header_timeout_us) {
+		   silent_us > most->header_timeout_us) {
 		reject(caller, 408, "the request did not come in time");
-	} else if (now_us - caller->since_us > most->idle_timeout_us) {
+	} else if (silent_us > most->idle_timeout_us) {
 		caller_close(caller);
 	}
 }
 
+/*
+ * After a standstill of the VM timers come before what callers sent meanwhile.
+ * Taken for their silence, it ends requests that are there, whole, in the
+ * kernel's buffers, and idle connections with a request on them. Silence counts
+ * from the end of the standstill.
+ */
+static void forgive_standstill(struct edge *edge, uint64_t now_us)
+{
+	uint64_t passed_us = now_us - edge->swept_us;
+	GList *at;
+
+	edge->swept_us = now_us;
+	if (passed_us < LATE_SWEEP_US)
+		return;
+	for (at = edge->callers.head; at; at = at->next)
+		((struct caller *)at->data)->since_us = now_us;
+}
+
 void callers_sweep(struct edge *edge)
 {
 	uint64_t now_us = edge_now_us(edge);
 	GList *next;
 	GList *at;
 
+	forgive_standstill(edge, now_us);
 	for (at = edge->callers.head; at; at = next) {
 		next = at->next;
 		sweep(at->data, now_us);
@@ -412,6 +517,21 @@
 	}
 }
 
+bool callers_are_waiting(const struct edge *edge)
+{
+	const GList *at;
+
+	for (at = edge->callers.head; at; at = at->next) {
+		const struct caller *caller = at->data;
+		const uv_stream_t *stream = (const uv_stream_t *)&caller->tcp;
+
+		if (caller->kind == LISTENER_FRONT && !caller->closing &&
+		    uv_stream_get_write_queue_size(stream))
+			return true;
+	}
+	return edge->exchanges > 0;
+}
+
 void callers_close_all(struct edge *edge)
 {
 	GList *at;
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -19,6 +19,9 @@
 #define CONNECT_ROUND_TRIPS 3
 #define CONNECT_EXTRA_US (200 * US_PER_MS)
 
+/* One turn of the loop: what has arrived is read in it. */
+#define LAST_LOOK_US (1 * US_PER_MS)
+
 /*
  * Kept connections may have been dropped by the server while idle; what was
  * sent on such a one may have run. A request that may not run twice only takes
@@ -44,8 +47,8 @@
 	uint64_t now = exchange_now_us(exchange);
 	uint64_t at = exchange->due_us;
 
-	if (exchange->in_grace)
-		at += ANSWER_GRACE_US;
+	if (exchange->grace_until_us)
+		at = exchange->grace_until_us;
 	if (exchange->connect_by_us && exchange->connect_by_us < at)
 		at = exchange->connect_by_us;
 	if (exchange->held_until_us && exchange->held_until_us < at)
@@ -150,6 +153,7 @@
 		after_failure(exchange, SEND_UNREACHABLE, "connect");
 		return;
 	}
+	exchange->connect_is_late = false;
 	exchange->connect_by_us =
 		exchange_now_us(exchange) + CONNECT_EXTRA_US +
 		CONNECT_ROUND_TRIPS *
@@ -321,22 +325,48 @@
 		pool_drop_idle_of(&exchange->edge->pool, backend);
 }
 
+/*
+ * After a standstill of the VM timers come before connections that opened
+ * meanwhile. Taken for unreachable, their servers would be shunned, all at
+ * once, by a node that was late itself; so the loop turns once more.
+ */
+static void connect_late(struct exchange *exchange)
+{
+	if (exchange->connect_is_late) {
+		after_failure(exchange, SEND_UNREACHABLE, "connect timeout");
+		return;
+	}
+	exchange->connect_is_late = true;
+	exchange->connect_by_us = exchange_now_us(exchange) + LAST_LOOK_US;
+	arm(exchange);
+}
+
+/*
+ * From now, not from due_us: after a standstill of the VM timers come before
+ * what was received meanwhile, and an answer that is there would be read after
+ * its request had been answered with 504.
+ */
+static void begin_grace(struct exchange *exchange)
+{
+	exchange->grace_until_us = exchange_now_us(exchange) + ANSWER_GRACE_US;
+	arm(exchange);
+}
+
 static void on_timer(uv_timer_t *timer)
 {
 	struct exchange *exchange = timer->data;
 
 	if (exchange_left_us(exchange) && exchange->connect_by_us &&
 	    exchange_now_us(exchange) >= exchange->connect_by_us) {
-		after_failure(exchange, SEND_UNREACHABLE, "connect timeout");
+		connect_late(exchange);
 	} else if (exchange_left_us(exchange) && exchange->held_until_us &&
 		   exchange_now_us(exchange) >= exchange->held_until_us) {
 		exchange->held_until_us = 0;
 		dispatch(exchange);
 	} else if (exchange_left_us(exchange)) {
 		arm(exchange);
-	} else if (exchange->sent_us && !exchange->in_grace) {
-		exchange->in_grace = true;
-		arm(exchange);
+	} else if (exchange->sent_us && !exchange->grace_until_us) {
+		begin_grace(exchange);
 	} else if (exchange->unsettled) {
 		note_silence(exchange);
 		exchange_finish_failed(exchange, 504, "timeout");
@@ -496,8 +526,14 @@
 	struct exchange *exchange = (struct exchange *)user;
 	struct edge *edge = exchange->edge;
 
-	chooser_link_measured(&edge->chooser, conn->backend->region,
-			      exchange_now_us(exchange) - conn->opening_us);
+	/*
+	 * One that opened while the VM stood still tells of that, not of the
+	 * link: its region would be too far for most deadlines.
+	 */
+	if (!exchange->connect_is_late)
+		chooser_link_measured(&edge->chooser, conn->backend->region,
+				      exchange_now_us(exchange) -
+					      conn->opening_us);
 	/* It may have begun to leave while the connection opened. */
 	if (backend_is_closed(edge->backends, conn->backend)) {
 		exchange_drop_conn(exchange);
