sync: rows are confirmed as of their answer's sending

Cause: an answer's rows counted as confirmed when its last byte was there. A large document arrives for seconds. Where the next version came meanwhile, the node, and each neighbour that took its word, held the older one for confirmed by that much too late, and answered 404 for the newer one's routes past the time by which it must be in force. Change: the lane keeps when an answer began; the rows are as of then less the time under way, and not before the call. So are held calls that the answer speaks for. An answer that only says that history is lost confirms nothing. Ruled out: the call's start as the time (a held call's is up to 2.5 s old, a neighbour's word would then be out of date before the next).

--- a/packages/edge/lane.c
+++ b/packages/edge/lane.c
@@ -71,16 +71,17 @@
 {
 	struct lane *lane = ((struct lane_conn *)link)->lane;
 	uint64_t now_ms;
+	uint64_t end_ms;
 
 	if (!lane)
 		return;
 	now_ms = uv_now(lane->loop);
-	if (!lane->end_ms)
-		lane->end_ms = now_ms + ARRIVAL_MOST_US / US_PER_MS;
-	if (now_ms < lane->end_ms)
-		uv_timer_start(
-			&lane->timer, on_timeout,
-			MIN(SILENCE_US / US_PER_MS, lane->end_ms - now_ms), 0);
+	if (!lane->begun_ms)
+		lane->begun_ms = now_ms;
+	end_ms = lane->begun_ms + ARRIVAL_MOST_US / US_PER_MS;
+	if (now_ms < end_ms)
+		uv_timer_start(&lane->timer, on_timeout,
+			       MIN(SILENCE_US / US_PER_MS, end_ms - now_ms), 0);
 }
 
 static void on_answered(struct link *link, struct message *answer)
@@ -154,6 +155,13 @@
 	       lane->conn->link.got_bytes > 0;
 }
 
+uint64_t lane_arriving_us(const struct lane *lane)
+{
+	if (!lane->begun_ms)
+		return 0;
+	return (uv_now(lane->loop) - lane->begun_ms) * US_PER_MS;
+}
+
 void lane_abort(struct lane *lane, const char *cause)
 {
 	let_go(lane);
@@ -186,7 +194,7 @@
 	lane->done = done;
 	lane->context = context;
 	lane->got_bytes = 0;
-	lane->end_ms = 0;
+	lane->begun_ms = 0;
 	uv_timer_start(&lane->timer, on_timeout, timeout_us / US_PER_MS, 0);
 	if (lane->conn) {
 		link_send(&lane->conn->link, request, false);
--- a/packages/edge/lane.h
+++ b/packages/edge/lane.h
@@ -38,8 +38,8 @@
 	lane_done done; /* of the call that is out; NULL: none */
 	void *context;
 	uint64_t got_bytes; /* of the latest answer, whole or not */
-	uint64_t end_ms; /* uv_now() by which an answer has arrived; 0: none
-			    has begun to */
+	uint64_t begun_ms; /* uv_now() at the answer's first byte; 0: none yet
+			    */
 };
 
 void lane_init(struct lane *lane, uv_loop_t *loop, const struct endpoint *to);
@@ -53,6 +53,9 @@
 /* Whether the answer to the call that is out is arriving. */
 bool lane_is_receiving(const struct lane *lane);
 
+/* How long ago the first byte of the latest answer came; 0: none has. */
+uint64_t lane_arriving_us(const struct lane *lane);
+
 /*
  * Start a call; none may be out. The body is text or NULL, timeout_us the time
  * until the answer begins.
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -329,13 +329,28 @@
 			lane_abort(&sync->followers[i].lane, "silent path");
 }
 
+/*
+ * When the platform sent the answer that has just arrived. Its rows are of that
+ * time: a large document arrives for seconds, in which the next version may
+ * have come. Counted as of its last byte it was taken for confirmed, and the
+ * next version's routes denied, for as long again.
+ */
+static uint64_t sent_us(const struct follower *follower)
+{
+	uint64_t now_us = edge_now_us(follower->sync->edge);
+	uint64_t ago_us = lane_arriving_us(&follower->lane) + UNDER_WAY_US;
+
+	return MAX(follower->called_us, now_us - MIN(now_us, ago_us));
+}
+
 /*
  * A call that is held while another one is answered has nothing to tell yet:
  * what its table says is confirmed as of that answer's sending. One whose
  * answer is arriving has: to confirm the rows that it replaces would tell the
  * whole region, for the seconds of a large answer, that the old ones hold.
  */
-static void confirm_waiting(struct sync *sync, const struct follower *by)
+static void confirm_waiting(struct sync *sync, const struct follower *by,
+			    uint64_t by_sent_us)
 {
 	uint64_t now_us = edge_now_us(sync->edge);
 	uint32_t i;
@@ -347,11 +362,12 @@
 		    lane_is_busy(&follower->lane) &&
 		    !lane_is_receiving(&follower->lane) && wait_us(follower) &&
 		    now_us - follower->called_us > ARRIVED_AFTER_US)
-			follower->confirmed_us = now_us - UNDER_WAY_US;
+			follower->confirmed_us =
+				MAX(follower->confirmed_us, by_sent_us);
 	}
 }
 
-static void note_success(struct follower *follower)
+static void note_success(struct follower *follower, uint64_t answer_sent_us)
 {
 	struct sync *sync = follower->sync;
 	uint64_t now_us = edge_now_us(sync->edge);
@@ -369,9 +385,8 @@
 	if (follower->rule->table == REGISTRY_BACKENDS && follower->failures)
 		abort_waiting(sync, follower);
 	if (follower->rule->table == REGISTRY_BACKENDS)
-		confirm_waiting(sync, follower);
+		confirm_waiting(sync, follower, answer_sent_us);
 	follower->answered_us = now_us;
-	follower->confirmed_us = now_us;
 	follower->failures = 0;
 	follower->retry_us = 0;
 }
@@ -415,6 +430,7 @@
 	struct edge *edge = follower->sync->edge;
 	struct registry_rows rows = { 0 };
 	enum registry_result result;
+	uint64_t answer_sent_us;
 
 	if (!answer) {
 		bool silent = !strcmp(cause, "timeout") && !follower->failures;
@@ -424,6 +440,8 @@
 			abort_waiting(follower->sync, follower);
 		return;
 	}
+	/* Before it is read, which takes its time as well. */
+	answer_sent_us = sent_us(follower);
 	result = edge->registry->vtable->decode(
 		edge->registry, answer->status,
 		(const char *)answer->body->data, answer->body->len, &rows);
@@ -431,7 +449,9 @@
 	case REGISTRY_OK:
 		metric_add(edge->stats.registry_bytes,
 			   follower->lane.got_bytes);
-		note_success(follower);
+		note_success(follower, answer_sent_us);
+		follower->confirmed_us =
+			MAX(follower->confirmed_us, answer_sent_us);
 		if (!follower->whole) {
 			take_page(follower, &rows);
 		} else {
@@ -445,7 +465,7 @@
 		log_event(LOG_WARNING, "history-lost",
 			  "table=%s after=%" PRIu64, follower->rule->name,
 			  follower->version);
-		note_success(follower);
+		note_success(follower, answer_sent_us);
 		begin_whole_read(follower);
 		call_next(follower);
 		break;
--- a/tests/edge/large_document_test.cc
+++ b/tests/edge/large_document_test.cc
@@ -228,6 +228,31 @@
 	EXPECT_EQ(2u, edge->routes->version);
 }
 
+/*
+ * Two versions in quick succession. The first one's transfer took so long that
+ * the second was due when it ended, and its rows counted as confirmed at that
+ * moment: for as long again the node, and each neighbour that it told, denied
+ * the routes of the second. They are as old as the answer's sending.
+ */
+TEST_F(LargeDocumentTest, RowsAreConfirmedAsOfTheirSending)
+{
+	const uint64_t under_way_ms = 150;
+	uint64_t put_us;
+
+	add_app("i-1");
+	start_node();
+	turn_for(700);
+	narrow_link();
+	put_large(2);
+	turn_for(300);
+	put_large(3);
+	put_us = edge_now_us(edge);
+	wait_for([this] { return edge->routes->version == 2; });
+	EXPECT_GE(sync_routes_age_us(sync) + under_way_ms * 1000,
+		  edge_now_us(edge) - put_us);
+	wait_for([this] { return edge->routes->version == 3; });
+}
+
 /*
  * A node that isn't sure of its routes: what it doesn't find may be there. A
  * 404 is final, so it says when to come back instead.
