standins: a relay that is a narrow link

relay_narrow() lets all connections through a relay share a rate towards the caller, in turn. What a connection that is given up hasn't got yet is dropped, so a call that is made again begins at its first byte. Run: LinkFaultTest.ANarrowLinkTakesItsTime, and the 8 earlier tests of relays, pass.

--- a/tests/edge/link_fault_test.cc
+++ b/tests/edge/link_fault_test.cc
@@ -1,4 +1,5 @@
 /* Links to backend servers and to the store that are harmed on the way. */
+#include "core/duration.h"
 #include "edge/edge_world.h"
 #include "standins/relay.h"
 
@@ -95,6 +96,21 @@
 INSTANTIATE_TEST_SUITE_P(Cases, HarmTest, ::testing::ValuesIn(harm_cases),
 			 [](const auto &info) { return info.param.name; });
 
+/* The answer comes whole, and no faster than the link brings it. */
+TEST_F(LinkFaultTest, ANarrowLinkTakesItsTime)
+{
+	const uint64_t bytes_per_s = 1000;
+	const uint64_t least_bytes = 60; /* of an answer with its headers */
+
+	relay_narrow(relay, bytes_per_s);
+	uint64_t begin_us = edge_now_us(edge);
+	EXPECT_EQ(200, status_of(answer_to(get("a0", "/r/"))));
+	EXPECT_GE(edge_now_us(edge) - begin_us,
+		  least_bytes * US_PER_S / bytes_per_s);
+	relay_set(relay, RELAY_PASS);
+	EXPECT_EQ(200, status_of(answer_to(get("a1", "/r/"))));
+}
+
 /*
  * A middlebox forgets all connections of a quiet spell. The first request finds
  * out by its time; each other kept connection cost one more caller the same.
--- a/tests/standins/relay.c
+++ b/tests/standins/relay.c
@@ -7,6 +7,10 @@
 
 #define BACKLOG 128
 
+/* A narrow link is served each so often, its connections a part in turn. */
+#define PIECE_MS 10
+#define PART_BYTES 4096
+
 struct pair;
 
 /* One side of a connection through the relay. */
@@ -15,6 +19,9 @@
 	struct pair *pair;
 	bool is_target;
 	bool closed; /* it sent its end */
+	GString *queue; /* bytes for it that a narrow link holds, or NULL */
+	size_t passed; /* of these */
+	bool ends; /* after them: the other side sent its end */
 };
 
 struct pair {
@@ -35,9 +42,12 @@
 	struct endpoint at;
 	struct endpoint to;
 	enum relay_harm harm;
+	uint64_t bytes_per_s; /* of a narrow link */
+	uv_timer_t pieces; /* of what it holds */
+	uint64_t served_ms; /* uv_now() up to which its time is used */
 	GQueue pairs;
 	bool closing;
-	bool closed; /* the listener's handle is */
+	bool closed; /* all handles but the pairs' are */
 };
 
 /* Bytes that are late; without bytes, the end of them. */
@@ -62,6 +72,8 @@
 	if (pair->handles || pair->parcels)
 		return;
 	g_queue_unlink(&relay->pairs, &pair->link);
+	if (pair->caller.queue)
+		g_string_free(pair->caller.queue, TRUE);
 	g_free(pair);
 	free_when_empty(relay);
 }
@@ -152,6 +164,77 @@
 	uv_timer_start(&parcel->timer, on_parcel_due, RELAY_DELAY_MS, 0);
 }
 
+static size_t held_bytes(const struct end *to)
+{
+	return to->queue ? to->queue->len - to->passed : 0;
+}
+
+/* Pass on at most so many of the bytes that are held; returns how many. */
+static size_t pass_part(struct end *to, size_t most)
+{
+	size_t length = MIN(held_bytes(to), most);
+
+	if (!length || to->pair->closing || to->pair->stale)
+		return 0;
+	pass(to, g_string_new_len(to->queue->str + to->passed, (gssize)length));
+	to->passed += length;
+	if (held_bytes(to))
+		return length;
+	g_string_truncate(to->queue, 0);
+	to->passed = 0;
+	if (to->ends)
+		pass(to, NULL);
+	return length;
+}
+
+static void on_piece(uv_timer_t *timer)
+{
+	struct relay *relay = timer->data;
+	uint64_t now_ms = uv_now(relay->loop);
+	size_t left = relay->bytes_per_s * (now_ms - relay->served_ms) / 1000;
+	size_t before;
+	GList *link;
+
+	relay->served_ms = now_ms;
+	do {
+		before = left;
+		for (link = relay->pairs.head; link && left; link = link->next)
+			left -= pass_part(&((struct pair *)link->data)->caller,
+					  MIN(left, PART_BYTES));
+	} while (left && left < before);
+	/* The link had nothing left to bring. */
+	if (left)
+		uv_timer_stop(timer);
+}
+
+static void pass_narrow(struct end *to, GString *bytes)
+{
+	struct relay *relay = to->pair->relay;
+
+	if (!to->queue)
+		to->queue = g_string_new(NULL);
+	if (bytes) {
+		g_string_append_len(to->queue, bytes->str, (gssize)bytes->len);
+		g_string_free(bytes, TRUE);
+	} else if (held_bytes(to)) {
+		to->ends = true;
+	} else {
+		pass(to, NULL);
+	}
+	if (uv_is_active((uv_handle_t *)&relay->pieces))
+		return;
+	relay->served_ms = uv_now(relay->loop);
+	uv_timer_start(&relay->pieces, on_piece, PIECE_MS, PIECE_MS);
+}
+
+/* Bytes over a narrow link, and what follows those that it holds. */
+static bool is_narrow(const struct end *to)
+{
+	if (held_bytes(to))
+		return true;
+	return to->pair->relay->harm == RELAY_NARROW && !to->is_target;
+}
+
 static bool is_lost(const struct end *to)
 {
 	switch (to->pair->relay->harm) {
@@ -176,6 +259,8 @@
 			g_string_free(bytes, TRUE);
 	} else if (to->pair->relay->harm == RELAY_DELAY || to->pair->parcels) {
 		pass_late(to, bytes);
+	} else if (is_narrow(to)) {
+		pass_narrow(to, bytes);
 	} else {
 		pass(to, bytes);
 	}
@@ -263,7 +348,7 @@
 	return true;
 }
 
-static void on_relay_closed(uv_handle_t *handle)
+static void on_pieces_closed(uv_handle_t *handle)
 {
 	struct relay *relay = handle->data;
 
@@ -271,6 +356,13 @@
 	free_when_empty(relay);
 }
 
+static void on_listener_closed(uv_handle_t *handle)
+{
+	struct relay *relay = handle->data;
+
+	uv_close((uv_handle_t *)&relay->pieces, on_pieces_closed);
+}
+
 struct relay *relay_open(uv_loop_t *loop, const struct endpoint *at,
 			 const struct endpoint *to)
 {
@@ -279,6 +371,8 @@
 	relay->loop = loop;
 	relay->to = *to;
 	g_queue_init(&relay->pairs);
+	uv_timer_init(loop, &relay->pieces);
+	relay->pieces.data = relay;
 	uv_tcp_init(loop, &relay->tcp);
 	relay->tcp.data = relay;
 	if (listen_at(relay, at))
@@ -297,7 +391,7 @@
 {
 	relay->closing = true;
 	g_queue_foreach(&relay->pairs, close_each, NULL);
-	uv_close((uv_handle_t *)&relay->tcp, on_relay_closed);
+	uv_close((uv_handle_t *)&relay->tcp, on_listener_closed);
 }
 
 const struct endpoint *relay_at(const struct relay *relay)
@@ -322,6 +416,12 @@
 		g_queue_foreach(&relay->pairs, make_stale, NULL);
 }
 
+void relay_narrow(struct relay *relay, uint64_t bytes_per_s)
+{
+	relay->bytes_per_s = bytes_per_s;
+	relay_set(relay, RELAY_NARROW);
+}
+
 uint32_t relay_connections(const struct relay *relay)
 {
 	return relay->pairs.length;
--- a/tests/standins/relay.h
+++ b/tests/standins/relay.h
@@ -2,8 +2,8 @@
  * relay - a TCP proxy on loopback that harms what passes through it
  *
  * It stands for the network between two programs: bytes pass unchanged until a
- * harm is set, which strikes open connections and, but for the last two, new
- * ones as well.
+ * harm is set, which strikes open connections and, but for RELAY_RESET and
+ * RELAY_STALE, new ones as well.
  */
 #ifndef STANDINS_RELAY_H
 #define STANDINS_RELAY_H
@@ -28,6 +28,7 @@
 	RELAY_CUT_BACK, /* lost towards the caller only */
 	RELAY_RESET, /* open connections are reset, once; new ones pass */
 	RELAY_STALE, /* open connections are silent for good; new ones pass */
+	RELAY_NARROW, /* bytes come back at a rate; see relay_narrow() */
 };
 
 #define RELAY_DELAY_MS 150
@@ -41,6 +42,13 @@
 
 void relay_set(struct relay *relay, enum relay_harm harm);
 
+/*
+ * Set RELAY_NARROW: all connections together get so many bytes a second towards
+ * the caller, in turn, as over a VM's link. What a closed one hasn't got yet is
+ * dropped.
+ */
+void relay_narrow(struct relay *relay, uint64_t bytes_per_s);
+
 /* Connections open through it. */
 uint32_t relay_connections(const struct relay *relay);
 
