emulator: the operator's document grows; callers judge its routes at each node

Cause: the data path's soak had one small version of the operator's document and one width of link. A node that never received a large one, and denied its routes for good, passed. Change: play.sh tells the emulator, over a pipe, which nodes run, what link each has to the store (half narrow, a quarter far) and how many routes the operator adds, in series of up to three versions tenths of a second apart; nodes are suspended, killed, stopped and started in series that overlap, one more starts when the document is large. route_watch calls the newest routes at each node, over connections that it keeps, and judges: none is denied later than config_within after its version by any node; each node that runs and reaches the store serves it by then and what its link needs (4 s more after a start, a suspension, a cut); all are ready at the end. Where the emulator itself stood still for 330 ms nodes count as cut off for the second of these; how long, and how much of it it worked, is printed. The emulator ignores SIGPIPE: a node that gave up an answer ended it, and the script with it. Ruled out: the store's own rate (it is each answer's; a link is shared by all of a node's).

--- a/tests/emulator/emulator.c
+++ b/tests/emulator/emulator.c
@@ -10,9 +10,20 @@
  * rows that they write there. A service is NAME:once|many:SLOTS:WORK_MS:COUNT,
  * COUNT for each failure domain. It prints a table a service and ends with 1
  * where a promise broke.
+ *
+ * With --commands it reads lines from its standard input, a pipe:
+ *
+ *     link NODE ADDRESS:PORT RATE   the node's own way to the store: RATE bytes
+ *                                   a second, or far where it is 0
+ *     up NODE ADDRESS:PORT          the node runs, its callers' address is this
+ *     down NODE                     it is about to be stopped, for good or not
+ *     grow COUNT                    the operator adds COUNT routes
+ *
+ * The routes that were added are called at each node; see route_watch.h.
  */
 #include <inttypes.h>
 #include <popt.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -24,6 +35,8 @@
 #include "adapters/log.h"
 #include "core/duration.h"
 #include "edge/link.h"
+#include "emulator/commands.h"
+#include "emulator/route_watch.h"
 #include "standins/app_stand.h"
 #include "standins/relay.h"
 #include "standins/store_stand.h"
@@ -64,6 +77,11 @@
 	uv_loop_t loop;
 	struct store_stand *store;
 	struct relay *store_relay; /* before it, for the nodes */
+	struct commands *commands; /* NULL: without */
+	struct route_watch *watch;
+	GString *added_routes; /* of the operator's document */
+	int config_version;
+	guint batches; /* of added routes */
 	GPtrArray *services;
 	GPtrArray *refused; /* of struct judged: said not to have run */
 	GPtrArray *nodes; /* of struct endpoint, fronts by the store's rows */
@@ -102,27 +120,50 @@
 
 /* --- the store's rows --------------------------------------------------- */
 
-static void put_config(struct world *world, int version)
+static void append_route(GString *text, const char *name, const char *prefix,
+			 const struct service *service)
+{
+	g_string_append_printf(
+		text,
+		"%s\"%s\":{\"host\":\"demo.example\",\"prefix\":\"/%s/\","
+		"\"kind\":\"%s\",\"timeout\":\"2500ms\","
+		"\"target_latency\":\"%ums\",\"priority\":1,"
+		"\"service\":\"%s\",\"max_attempts\":2,\"sticky\":true,"
+		"\"allowed_regions\":[]}",
+		text->len ? "," : "", name, prefix,
+		service->once ? "non_idempotent" : "idempotent",
+		service->work_ms * 2, service->name);
+}
+
+static GString *compose_routes(const struct world *world)
 {
 	GString *text = g_string_new(NULL);
 	guint i;
 
-	g_string_append_printf(text, "{\"version\":%d,\"routes\":{", version);
 	for (i = 0; i < world->services->len; i++) {
 		const struct service *service = world->services->pdata[i];
+		char *name = g_strdup_printf("r-%s", service->name);
 
-		g_string_append_printf(
-			text,
-			"%s\"r-%s\":{\"host\":\"demo.example\",\"prefix\":"
-			"\"/%s/\",\"kind\":\"%s\",\"timeout\":\"2500ms\","
-			"\"target_latency\":\"%ums\",\"priority\":1,"
-			"\"service\":\"%s\",\"max_attempts\":2,\"sticky\":true,"
-			"\"allowed_regions\":[]}",
-			i ? "," : "", service->name, service->name,
-			service->once ? "non_idempotent" : "idempotent",
-			service->work_ms * 2, service->name);
+		append_route(text, name, service->name, service);
+		g_free(name);
 	}
-	g_string_append(text, "},\"services\":{");
+	if (world->added_routes->len)
+		g_string_append_printf(text, ",%s", world->added_routes->str);
+	return text;
+}
+
+/* The next version of the operator's document; returns its bytes. */
+static size_t put_config(struct world *world)
+{
+	GString *routes = compose_routes(world);
+	GString *text = g_string_new(NULL);
+	size_t length;
+	guint i;
+
+	g_string_append_printf(text,
+			       "{\"version\":%d,\"routes\":{%s},"
+			       "\"services\":{",
+			       ++world->config_version, routes->str);
 	for (i = 0; i < world->services->len; i++) {
 		const struct service *service = world->services->pdata[i];
 
@@ -135,7 +176,42 @@
 			      "\"max_body_bytes\":1048576,\"header_timeout\":"
 			      "\"3000ms\",\"idle_timeout\":\"15000ms\"}}");
 	store_stand_put(world->store, "op", "config", text->str);
+	length = text->len;
 	g_string_free(text, TRUE);
+	g_string_free(routes, TRUE);
+	return length;
+}
+
+/* A service whose requests may be repeated: its routes are called at will. */
+static const struct service *read_only_service(const struct world *world)
+{
+	guint i;
+
+	for (i = 0; i < world->services->len; i++) {
+		const struct service *service = world->services->pdata[i];
+
+		if (!service->once)
+			return service;
+	}
+	return NULL;
+}
+
+static void add_routes(struct world *world, uint32_t count)
+{
+	const struct service *service = read_only_service(world);
+	char *batch = g_strdup_printf("added-%u", ++world->batches);
+	uint32_t i;
+
+	for (i = 0; service && i < count; i++) {
+		char *name = g_strdup_printf("%s-%u", batch, i);
+
+		append_route(world->added_routes, name, name, service);
+		g_free(name);
+	}
+	if (service)
+		route_watch_added(world->watch, batch, count,
+				  put_config(world));
+	g_free(batch);
 }
 
 static void list_app(struct world *world, const struct service *service,
@@ -430,6 +506,11 @@
 	{ "reset", RELAY_RESET },	  { "stale", RELAY_STALE },
 };
 
+/* During the others nodes reach the store, though late. */
+static const char *const cutting_faults[] = { "silent",	   "refuse",   "part",
+					      "partthere", "partback", "reset",
+					      "stale",	   NULL };
+
 static void set_harm(struct world *world, enum relay_harm harm)
 {
 	guint i;
@@ -455,6 +536,8 @@
 
 	printf("fault %s %s\n", name, on ? "begins" : "ends");
 	fflush(stdout);
+	if (g_strv_contains(cutting_faults, name))
+		route_watch_cut(world->watch, on);
 	for (i = 0; i < G_N_ELEMENTS(harms); i++)
 		if (!strcmp(name, harms[i].name))
 			set_harm(world, on ? harms[i].harm : RELAY_PASS);
@@ -511,6 +594,45 @@
 	return true;
 }
 
+/* --- commands ----------------------------------------------------------- */
+
+/* A relay of the node's own before the store: what it brings, it shares. */
+static void open_node_link(struct world *world, const struct command *command)
+{
+	struct relay *relay = relay_open(&world->loop, &command->at,
+					 relay_at(world->store_relay));
+
+	if (!relay) {
+		fprintf(stderr, "emulator: no link for %s\n", command->node);
+		exit(2);
+	}
+	if (command->number)
+		relay_narrow(relay, command->number);
+	else
+		relay_set(relay, RELAY_DELAY);
+	route_watch_link(world->watch, command->node, command->number);
+}
+
+static void on_command(void *context, const struct command *command)
+{
+	struct world *world = context;
+
+	switch (command->kind) {
+	case COMMAND_LINK:
+		open_node_link(world, command);
+		break;
+	case COMMAND_UP:
+		route_watch_up(world->watch, command->node, &command->at);
+		break;
+	case COMMAND_DOWN:
+		route_watch_down(world->watch, command->node);
+		break;
+	case COMMAND_GROW:
+		add_routes(world, command->number);
+		break;
+	}
+}
+
 /* --- the judge ---------------------------------------------------------- */
 
 static uint32_t runs_of(const struct service *service, const char *id)
@@ -603,7 +725,8 @@
 	       "%u, false statuses %u\n",
 	       world->nodes->len, store_stand_calls(world->store), doubled,
 	       untrue, world->wrong, other);
-	return doubled || untrue || world->wrong || other || !answered;
+	return route_watch_report(world->watch) || doubled || untrue ||
+	       world->wrong || other || !answered;
 }
 
 static void on_end(uv_timer_t *timer)
@@ -612,6 +735,7 @@
 
 	if (!world->ending) {
 		world->ending = true;
+		route_watch_end(world->watch);
 		uv_timer_start(timer, on_end,
 			       CALL_DEADLINE_MS + 2 * KEPT_ANSWERS_MS, 0);
 		return;
@@ -664,6 +788,7 @@
 	int rate = 50;
 	int seconds = 20;
 	int seed = 1;
+	int commands = 0;
 	const struct poptOption table[] = {
 		{ "store", 0, POPT_ARG_STRING, &store_text, 0,
 		  "address of the store", "ADDRESS:PORT" },
@@ -678,6 +803,8 @@
 		  "links: delay, part, partthere, partback, reset, stale",
 		  "NAME@AT_S:FOR_S" },
 		{ "seed", 0, POPT_ARG_INT, &seed, 0, "of the callers", "N" },
+		{ "commands", 0, POPT_ARG_NONE, &commands, 0,
+		  "read commands from the standard input", NULL },
 		POPT_AUTOHELP POPT_TABLEEND
 	};
 	poptContext context = poptGetContext("emulator", argc, argv, table, 0);
@@ -688,6 +815,9 @@
 	if (poptGetNextOpt(context) != -1 || !store_text || !domains ||
 	    !services || !endpoint_parse(store_text, &at))
 		return fail("see --help");
+	/* A node that gives up an answer closes its end while bytes still come.
+	 */
+	signal(SIGPIPE, SIG_IGN);
 	g_random_set_seed((guint32)seed);
 	uv_loop_init(&world.loop);
 	world.rate = (uint32_t)rate;
@@ -695,6 +825,8 @@
 	world.services = g_ptr_array_new();
 	world.refused = g_ptr_array_new();
 	world.nodes = g_ptr_array_new();
+	world.added_routes = g_string_new(NULL);
+	world.watch = route_watch_new(&world.loop);
 	any = at;
 	any.port = 0;
 	world.store = store_stand_open(&world.loop, &any);
@@ -714,8 +846,11 @@
 	}
 	if (fault && !plan_fault(&world, fault))
 		return fail(fault);
-	put_config(&world, 1);
+	put_config(&world);
 	list_apps(&world);
+	if (commands)
+		world.commands =
+			commands_open(&world.loop, 0, on_command, &world);
 	start_timer(&world, &world.beat, on_beat, BEAT_MS, BEAT_MS);
 	start_timer(&world, &world.pace, on_pace, 2000, 10);
 	start_timer(&world, &world.end, on_end, seconds * 1000ull + 2000, 0);
