sync: an answer that came during a standstill is dated before it

Cause: what waits in a socket while the process stands still is dated when it is read, up to 1.5 s too late; with shorter held calls a node that stood for 1 s confirmed its routes by an answer from the middle of that second.

--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -527,9 +527,11 @@
 	uint64_t passed_us = now_us - edge->swept_us;
 	GList *at;
 
-	edge->swept_us = now_us;
-	if (passed_us >= LATE_READ_US)
+	if (passed_us >= LATE_READ_US) {
 		edge->late_until_us = now_us + LATE_READ_US;
+		edge->stood_since_us = edge->swept_us;
+	}
+	edge->swept_us = now_us;
 	if (passed_us < LATE_SWEEP_US)
 		return;
 	for (at = edge->callers.head; at; at = at->next)
--- a/packages/edge/edge.h
+++ b/packages/edge/edge.h
@@ -65,6 +65,7 @@
 	GQueue callers; /* of struct caller, connections that are open */
 	uint64_t swept_us; /* when their time-outs were last looked at */
 	uint64_t late_until_us; /* after a standstill: what is read is old */
+	uint64_t stood_since_us; /* when that standstill began, or before */
 };
 
 static inline uint64_t edge_now_us(const struct edge *edge)
@@ -72,6 +73,17 @@
 	return clock_now_us(edge->clock);
 }
 
+/*
+ * When what is read now had come at the earliest: now, or, where the process
+ * stood still, before that. Sockets are read after timers, which tell.
+ */
+static inline uint64_t edge_came_by_us(const struct edge *edge)
+{
+	uint64_t now_us = edge_now_us(edge);
+
+	return now_us < edge->late_until_us ? edge->stood_since_us : now_us;
+}
+
 /* Make and free the tables; the loop's handles are not among them. */
 void edge_init(struct edge *edge, uv_loop_t *loop, const struct clock *clock,
 	       const struct dialect *dialect, const struct registry *registry,
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -300,14 +300,15 @@
 /*
  * The platform's word is as of when it answered, not of when the answer was
  * whole. One that took seconds to arrive would else be taken for fresh, and
- * what was acknowledged meanwhile denied for as much longer than it may.
+ * what was acknowledged meanwhile denied for as much longer than it may. The
+ * same holds for one that waited in its socket while the process stood still.
  */
 static uint64_t answered_by_us(const struct follower *follower)
 {
-	uint64_t now_us = edge_now_us(follower->sync->edge);
+	uint64_t came_us = edge_came_by_us(follower->sync->edge);
 	uint64_t passed_us = lane_arrival_us(&follower->lane) + UNDER_WAY_US;
 
-	return MAX(follower->called_us, now_us - MIN(now_us, passed_us));
+	return MAX(follower->called_us, came_us - MIN(came_us, passed_us));
 }
 
 /* What is believed of the table is the platform's word of that time. */
