--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -520,9 +520,9 @@
  * After a standstill of the VM timers come before what callers sent meanwhile.
  * Taken for their silence, it ends requests that are there, whole, in the
  * kernel's buffers, and idle connections with a request on them. Silence counts
- * from the end of the standstill.
+ * from the end of the standstill, and what is read next may be as old as it.
  */
-static void forgive_standstill(struct edge *edge, uint64_t now_us)
+static void note_standstill(struct edge *edge, uint64_t now_us)
 {
 	uint64_t passed_us = now_us - edge->swept_us;
 	GList *at;
@@ -544,7 +544,7 @@
 	GList *next;
 	GList *at;
 
-	forgive_standstill(edge, now_us);
+	note_standstill(edge, now_us);
 	for (at = edge->callers.head; at; at = next) {
 		next = at->next;
 		sweep(at->data, now_us);
--- a/packages/edge/lane.c
+++ b/packages/edge/lane.c
@@ -4,7 +4,7 @@
 
 #include "core/duration.h"
 
-/* Largest answer: a page of 500 rows, or a row of 64 KB in base64 and JSON. */
+/* Largest answer: a page of 500 rows, or the row of all routes in base64. */
 static const struct message_limits answer_limits = { 64 * 1024,
 						     16 * 1024 * 1024 };
 
@@ -14,6 +14,9 @@
  */
 #define SILENCE_US (1000 * US_PER_MS)
 
+/* One turn of the loop, in which sockets are read. */
+#define LAST_READ_MS 1
+
 struct lane_conn {
 	struct link link; /* first member */
 	struct lane *lane; /* NULL once the lane has let go of it */
@@ -71,7 +74,7 @@
 		return;
 	}
 	lane->read_again = true;
-	uv_timer_start(timer, on_timeout, 1, 0);
+	uv_timer_start(timer, on_timeout, LAST_READ_MS, 0);
 }
 
 static void on_progressed(struct link *link)
