run: a stop closes nothing at a late tick

A node that was told to stop read a document of 6,024 routes in one piece, 0.6 s; the tick after it came before the reads and closed the listener and idle connections, on which requests from the middle of that time lay unread. Ruled out: the linger's time (the request was dropped at its beginning), the exit (requests that were read are waited for). AStopClosesNothingThatMayLieUnread covers the new condition, so it had no failing run.

--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -567,6 +567,11 @@
 	}
 }
 
+bool callers_are_unread(const struct edge *edge)
+{
+	return edge_now_us(edge) < edge->late_until_us;
+}
+
 bool callers_are_waiting(const struct edge *edge)
 {
 	const GList *at;
--- a/packages/edge/run.c
+++ b/packages/edge/run.c
@@ -120,6 +120,12 @@
 	gossip_hurry(run->gossip);
 }
 
+/*
+ * Timers come before reads. While a node that stops read a large document,
+ * requests came to its listener and on its idle connections; closed at that
+ * tick, they ended without an answer. So closing waits for a tick that isn't
+ * late, unless the time for the stop is over.
+ */
 static void go_on_stopping(struct run *run)
 {
 	struct edge *edge = &run->edge;
@@ -129,6 +135,9 @@
 	taking_us = MIN(taking_us, edge->settings.stop_most_us / 2);
 	if (passed_us < taking_us)
 		return;
+	if (callers_are_unread(edge) &&
+	    passed_us + STOP_MARGIN_US <= edge->settings.stop_most_us)
+		return;
 	if (!run->front_closed) {
 		run->front_closed = true;
 		listener_close(&run->listeners[AT_FRONT]);
--- a/tests/edge/early_ends_test.cc
+++ b/tests/edge/early_ends_test.cc
@@ -328,4 +328,33 @@
 	EXPECT_EQ(200, status_of(stayer->got));
 }
 
+/*
+ * A node that stops reads a large document in one piece. A request came on an
+ * idle connection meanwhile; the tick after it closed that connection before
+ * the request was read, and the caller got no answer.
+ */
+TEST_F(EarlyEndsTest, AStopClosesNothingThatMayLieUnread)
+{
+	App &app = add_app("i-1");
+
+	start_node();
+	auto caller = call(get("a1", "/r/"));
+	wait_for([&] { return is_whole(*caller); });
+	turn_for(400);
+	ASSERT_FALSE(callers_are_unread(edge));
+	caller->got.clear();
+	caller->send(get("a2", "/r/"));
+	g_usleep(600 * 1000);
+	/* What a stop does at each tick once its requests are taken. */
+	callers_sweep(edge);
+	EXPECT_TRUE(callers_are_unread(edge));
+	if (!callers_are_unread(edge))
+		callers_close_idle(edge);
+	wait_for([&] { return is_whole(*caller); });
+	EXPECT_EQ(200, status_of(caller->got));
+	EXPECT_EQ(1u, app_stand_runs(app.stand, "a2"));
+	turn_for(600);
+	EXPECT_FALSE(callers_are_unread(edge));
+}
+
 } // namespace
