--- a/tests/edge/confirmation_test.cc
+++ b/tests/edge/confirmation_test.cc
@@ -112,11 +112,7 @@
 		"\"allowed_regions\":[]}";
 	uint64_t put_us;
 
-	add_app("i-1");
-	start_node();
-	add_reader();
-	vouch(0);
-	turn_for(1000);
+	start_beside_reader();
 	narrow_link();
 	put_large(2);
 	vouch(1);
--- a/tests/edge/early_ends_test.cc
+++ b/tests/edge/early_ends_test.cc
@@ -24,20 +24,6 @@
 		caller.pause();
 		turn_for(pause_ms);
 	}
-	void add_routes(int count)
-	{
-		for (int i = 0; i < count; i++)
-			extra_routes +=
-				",\"n" + std::to_string(i) +
-				"\":{\"host\":\"h.example\",\"prefix\":\"/n" +
-				std::to_string(i) +
-				"/\",\"kind\":\"idempotent\","
-				"\"timeout\":\"2000ms\","
-				"\"target_latency\":\"600ms\","
-				"\"priority\":2,\"service\":\"s\","
-				"\"max_attempts\":2,\"sticky\":true,"
-				"\"allowed_regions\":[]}";
-	}
 };
 
 /*
@@ -247,7 +233,7 @@
 	add_app("i-1");
 	start_node();
 	turn_for(300);
-	add_routes(400);
+	extra_routes += routes_named_n(400);
 	faults.bytes_per_s = extra_routes.size(); /* takes more than 1 s */
 	store_stand_set_faults(store, &faults);
 	put_routes(2);
@@ -270,7 +256,7 @@
 	add_app("i-1");
 	start_node();
 	turn_for(300);
-	add_routes(400);
+	extra_routes += routes_named_n(400);
 	faults.bytes_per_s = extra_routes.size() * 4 / 3 / 3;
 	store_stand_set_faults(store, &faults);
 	put_routes(2);
--- a/tests/edge/edge_world.h
+++ b/tests/edge/edge_world.h
@@ -264,6 +264,24 @@
 
 	uint32_t answer_bytes = 0; /* least size of backend servers' answers */
 
+	/* For extra_routes: /n0/, /n1/ and so on. */
+	static std::string routes_named_n(int count)
+	{
+		std::string text;
+
+		for (int i = 0; i < count; i++)
+			text += ",\"n" + std::to_string(i) +
+				"\":{\"host\":\"h.example\",\"prefix\":\"/n" +
+				std::to_string(i) +
+				"/\",\"kind\":\"idempotent\","
+				"\"timeout\":\"2000ms\","
+				"\"target_latency\":\"600ms\","
+				"\"priority\":2,\"service\":\"s\","
+				"\"max_attempts\":2,\"sticky\":true,"
+				"\"allowed_regions\":[]}";
+		return text;
+	}
+
 	/* Start a backend server and list it. */
 	App &add_app(const std::string &id, uint64_t work_ms = 20,
 		     const std::string &service = "s",
@@ -347,6 +365,17 @@
 				 "the node is ready");
 	}
 
+	/* A neighbour that reads the tables for the region. */
+	void add_reader()
+	{
+		struct member *reader =
+			member_table_put(edge->members, "reader");
+
+		g_free(reader->region);
+		reader->region = g_strdup("r1");
+		reader->hash = 0;
+	}
+
 	struct endpoint at(const struct listener &listener)
 	{
 		struct sockaddr_in address;
--- a/tests/edge/large_document.h
+++ b/tests/edge/large_document.h
@@ -41,34 +41,21 @@
 	}
 	static std::string routes_text()
 	{
-		std::string text;
-
-		for (int i = 0; i < added_routes; i++)
-			text += ",\"n" + std::to_string(i) +
-				"\":{\"host\":\"h.example\",\"prefix\":\"/n" +
-				std::to_string(i) +
-				"/\",\"kind\":\"idempotent\","
-				"\"timeout\":\"2000ms\","
-				"\"target_latency\":\"600ms\","
-				"\"priority\":2,\"service\":\"s\","
-				"\"max_attempts\":2,\"sticky\":true,"
-				"\"allowed_regions\":[]}";
-		return text;
+		return routes_named_n(added_routes);
 	}
 	void put_large(int version, const std::string &more = "")
 	{
 		extra_routes = routes_text() + more;
 		put_routes(version);
 	}
-	/* A neighbour reads the tables for the region. */
-	void add_reader()
+	/* A node that has its routes by a neighbour's word. */
+	void start_beside_reader()
 	{
-		struct member *reader =
-			member_table_put(edge->members, "reader");
-
-		g_free(reader->region);
-		reader->region = g_strdup("r1");
-		reader->hash = 0;
+		add_app("i-1");
+		start_node();
+		add_reader();
+		vouch(0);
+		turn_for(1000);
 	}
 	/*
 	 * The reader's beat; its routes differ by so much from this node's, and
--- a/tests/edge/large_document_test.cc
+++ b/tests/edge/large_document_test.cc
@@ -23,11 +23,7 @@
 
 TEST_F(LargeDocumentTest, ANodeBesideAReaderHasItInForce)
 {
-	add_app("i-1");
-	start_node();
-	add_reader();
-	vouch(0);
-	turn_for(1000);
+	start_beside_reader();
 	narrow_link();
 	put_large(2);
 	vouch_until([this] { return edge->routes->version == 2; },
@@ -55,11 +51,7 @@
  */
 TEST_F(LargeDocumentTest, ItArrivesWhileOtherCallsTimeOut)
 {
-	add_app("i-1");
-	start_node();
-	add_reader();
-	vouch(0);
-	turn_for(1000);
+	start_beside_reader();
 	narrow_link();
 	put_large(2);
 	vouch(1);
@@ -74,11 +66,7 @@
 /* A path that falls silent in the middle of it is given up soon. */
 TEST_F(LargeDocumentTest, ASilentPathIsStillFound)
 {
-	add_app("i-1");
-	start_node();
-	add_reader();
-	vouch(0);
-	turn_for(1000);
+	start_beside_reader();
 	struct store_faults faults = {};
 	faults.bytes_per_s = 1; /* a piece of no bytes: nothing comes */
 	store_stand_set_faults(store, &faults);
@@ -137,11 +125,7 @@
 {
 	uint64_t before;
 
-	add_app("i-1");
-	start_node();
-	add_reader();
-	vouch(0);
-	turn_for(1000);
+	start_beside_reader();
 	narrow_link();
 	put_large(2);
 	vouch(1);
@@ -155,11 +139,7 @@
 /* Suspended each 2 s, a node never gets a document that takes 2.5 s. */
 TEST_F(LargeDocumentTest, SuspensionsDoNotKeepADocumentAway)
 {
-	add_app("i-1");
-	start_node();
-	add_reader();
-	vouch(0);
-	turn_for(1000);
+	start_beside_reader();
 	narrow_link();
 	put_large(2);
 	vouch(1);
--- a/tests/edge/sync_test.cc
+++ b/tests/edge/sync_test.cc
@@ -189,15 +189,6 @@
 class ReaderSyncTest : public SyncTest
 {
       protected:
-	void add_reader()
-	{
-		struct member *reader =
-			member_table_put(edge->members, "reader");
-
-		g_free(reader->region);
-		reader->region = g_strdup("r1");
-		reader->hash = 0;
-	}
 	/* What the reader's beat says of both tables. */
 	void vouch(uint32_t age_ms, uint64_t differs = 0)
 	{
