edge: what is read before a late timer is old, too

One place says what late is. Ruled out: the beats (none were taken), the suspension's tick, which came after the read. Run: WhatIsReadBeforeALateTimerIsOld; early end, gossip and standstill cases 22 pass.

--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -44,13 +44,6 @@
  */
 #define LATE_SWEEP_US (500 * US_PER_MS)
 
-/*
- * From such a sweep on, and for so long, what is read may have waited in the
- * kernel for over a tenth of a second. A server must not get a request half a
- * second after its caller has left.
- */
-#define LATE_READ_US (300 * US_PER_MS)
-
 /* Limits before the first configuration is known. */
 static const struct route_limits first_limits = {
 	.max_header_bytes = 16 * 1024,
@@ -294,7 +287,7 @@
 	ssize_t count;
 	char byte;
 
-	if (edge_now_us(caller->edge) >= caller->edge->late_until_us ||
+	if (!edge_is_late(caller->edge) ||
 	    uv_fileno((const uv_handle_t *)&caller->tcp, &fd))
 		return false;
 	count = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
@@ -527,8 +520,8 @@
 	uint64_t passed_us = now_us - edge->swept_us;
 	GList *at;
 
-	if (passed_us >= LATE_READ_US) {
-		edge->late_until_us = now_us + LATE_READ_US;
+	if (passed_us >= EDGE_LATE_US) {
+		edge->late_until_us = now_us + EDGE_LATE_US;
 		edge->stood_since_us = edge->swept_us;
 	}
 	edge->swept_us = now_us;
@@ -569,7 +562,7 @@
 
 bool callers_are_unread(const struct edge *edge)
 {
-	return edge_now_us(edge) < edge->late_until_us;
+	return edge_is_late(edge);
 }
 
 bool callers_are_waiting(const struct edge *edge)
--- a/packages/edge/edge.h
+++ b/packages/edge/edge.h
@@ -32,6 +32,13 @@
 
 struct sync;
 
+/*
+ * Sweeps are due every 200 ms. After one that comes so late, and for so long,
+ * what is read may have waited in the kernel for over a tenth of a second. A
+ * server must not get a request half a second after its caller has left.
+ */
+#define EDGE_LATE_US (300 * 1000ull)
+
 /* Answers of the node's own with one cause. */
 struct refusal {
 	char *cause;
@@ -74,14 +81,27 @@
 }
 
 /*
- * When what is read now had come at the earliest: now, or, where the process
- * stood still, before that. Sockets are read after timers, which tell.
+ * Whether the process stood still just now, so that what is read may be old. A
+ * process that is suspended while it waits for its sockets reads them before
+ * its timers run: then the last sweep tells, which is overdue.
  */
+static inline bool edge_is_late(const struct edge *edge)
+{
+	uint64_t now_us = edge_now_us(edge);
+
+	return now_us < edge->late_until_us ||
+	       now_us - edge->swept_us >= EDGE_LATE_US;
+}
+
+/* When what is read now had come at the earliest. */
 static inline uint64_t edge_came_by_us(const struct edge *edge)
 {
 	uint64_t now_us = edge_now_us(edge);
 
-	return now_us < edge->late_until_us ? edge->stood_since_us : now_us;
+	if (!edge_is_late(edge))
+		return now_us;
+	return now_us < edge->late_until_us ? edge->stood_since_us :
+					      edge->swept_us;
 }
 
 /* Make and free the tables; the loop's handles are not among them. */
--- a/tests/edge/early_ends_test.cc
+++ b/tests/edge/early_ends_test.cc
@@ -343,4 +343,22 @@
 	EXPECT_FALSE(callers_are_unread(edge));
 }
 
+/*
+ * A node is suspended while it waits for its sockets. An answer of the store
+ * that came before lies in one, and is read before any timer tells of the
+ * suspension: dated as it was read, it confirmed routes that had been replaced
+ * seconds ago, and callers of new ones got a final 404.
+ */
+TEST_F(EarlyEndsTest, WhatIsReadBeforeALateTimerIsOld)
+{
+	uint64_t before_us;
+
+	start_node(false);
+	turn_for(500);
+	before_us = edge_now_us(edge);
+	EXPECT_GE(edge_came_by_us(edge) + 100000, before_us);
+	g_usleep(600 * 1000);
+	EXPECT_LE(edge_came_by_us(edge), before_us);
+}
+
 } // namespace
