--- a/models/prove.sh
+++ b/models/prove.sh
@@ -93,6 +93,7 @@
 	word NO_DIGEST caught
 	word NO_OWN_CALL caught
 	word LONG_WORD caught
+	word NO_TABLE_AGE caught
 	deny SOUND clean
 	deny DENY_ANY_AGE caught
 	deny CONFIRM_ARRIVING caught
--- a/models/word.pml
+++ b/models/word.pml
@@ -5,9 +5,10 @@
  * ticks after each SPACING, unless it is cut off from it, for any time; a node
  * that hears the reader's beats, of which any may be lost. A beat says what the
  * reader believes (a digest) and how long ago the platform confirmed it. A
- * change may be told beside, or be lost. The node asks the platform itself when
- * its last confirmation is WORD ticks old or the digests differ; its call takes
- * a tick and may fail twice in a row. At any moment a backend server leaves.
+ * change may be told beside, or be lost. Where the digests differ the node asks
+ * the reader for its table, which may not answer, or the platform. It asks the
+ * platform when its last confirmation is WORD ticks old; its call takes a tick
+ * and may fail twice in a row. At any moment a backend server leaves.
  *
  * Property. BOUND ticks after the list said that the server leaves, the node
  * sends nothing there (send).
@@ -23,6 +24,7 @@
  *   NO_DIGEST       a word is taken although the reader believes otherwise
  *   NO_OWN_CALL     the node never asks for itself
  *   LONG_WORD       a word is good for all of the time
+ *   NO_TABLE_AGE    a table of the reader's counts as new when it comes
  */
 #define BOUND 10
 #define SPACING 4
@@ -92,6 +94,17 @@
 	fi
 }
 
+/* The reader's table is as old as the platform's confirmation to the reader. */
+inline take_table()
+{
+	node_knows = reader_knows;
+#ifdef NO_TABLE_AGE
+	node_age = 0
+#else
+	node_age = reader_age
+#endif
+}
+
 inline hear()
 {
 #ifdef NO_AGE
@@ -104,7 +117,13 @@
 #else
 	:: reader_age < node_age && reader_knows == node_knows ->
 		node_age = reader_age
-	:: reader_age < node_age && reader_knows != node_knows -> ask()
+	:: reader_age < node_age -> take_table() /* another row differs */
+	:: reader_age < node_age && reader_knows != node_knows ->
+		if
+		:: ask()
+		:: take_table()
+		:: true -> skip /* the reader doesn't answer */
+		fi
 #endif
 	fi
 }
--- a/packages/core/member_table.c
+++ b/packages/core/member_table.c
@@ -106,7 +106,8 @@
 
 		digest += hash_pair(member->hash,
 				    hash_text(member->front.address) ^
-					    member->front.port);
+					    member->front.port ^
+					    member->link_mbps << 16);
 	}
 	return digest;
 }
@@ -141,10 +142,24 @@
 	return count ? count : collect(table, NULL, now_us, entries, most);
 }
 
+static bool is_near(const struct member_table *table,
+		    const struct member *member)
+{
+	return !strcmp(member->region, table->self->region);
+}
+
+/* Whether the one reads for the region rather than the other. */
+static bool reads_before(const struct member *one, const struct member *other)
+{
+	if (one->link_mbps != other->link_mbps)
+		return one->link_mbps > other->link_mbps;
+	return one->hash < other->hash;
+}
+
 const struct member *member_table_reader(const struct member_table *table,
 					 uint64_t now_us)
 {
-	const struct member *reader = table->self;
+	const struct member *reader = NULL;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -152,12 +167,86 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct member *member = value;
 
-		if (!strcmp(member->region, table->self->region) &&
+		if (is_near(table, member) &&
 		    member_serves(table, member, now_us) &&
-		    (table->self->leaving || member->hash < reader->hash))
+		    (!reader || reads_before(member, reader)))
 			reader = member;
 	}
-	return reader;
+	return reader ? reader : table->self;
+}
+
+static bool may_live(const struct member_table *table,
+		     const struct member *member, uint64_t now_us)
+{
+	/* One that starts as well says for a moment that it takes nothing. */
+	bool is_fresh = member->known_us &&
+			now_us - member->known_us < MEMBER_SILENT_US;
+
+	return is_fresh || member_serves(table, member, now_us);
+}
+
+bool member_table_reads(const struct member_table *table, uint64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct member *member = value;
+
+		if (member != table->self && is_near(table, member) &&
+		    may_live(table, member, now_us) &&
+		    (table->self->leaving || reads_before(member, table->self)))
+			return false;
+	}
+	return true;
+}
+
+uint32_t member_table_read_rank(const struct member_table *table)
+{
+	GHashTableIter iter;
+	uint32_t rank = 0;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (is_near(table, value) && reads_before(value, table->self))
+			rank++;
+	return rank;
+}
+
+/* Put it at its place among the first, of which the last may fall out. */
+static uint32_t insert_reader(const struct member **first, uint32_t count,
+			      uint32_t most, const struct member *member)
+{
+	uint32_t at = count;
+
+	while (at > 0 && reads_before(member, first[at - 1]))
+		at--;
+	if (at == most)
+		return count;
+	count = MIN(count + 1, most);
+	memmove(&first[at + 1], &first[at], (count - at - 1) * sizeof(*first));
+	first[at] = member;
+	return count;
+}
+
+uint32_t member_table_first_readers(const struct member_table *table,
+				    const struct member **first, uint32_t most)
+{
+	GHashTableIter iter;
+	uint32_t count = 0;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct member *member = value;
+
+		if (member != table->self && member->peer.port &&
+		    is_near(table, member))
+			count = insert_reader(first, count, most, member);
+	}
+	return count;
 }
 
 static bool lives_in(const struct member_table *table, const char *region,
--- a/packages/core/member_table.h
+++ b/packages/core/member_table.h
@@ -32,6 +32,7 @@
 	char *region;
 	struct endpoint front; /* for callers */
 	struct endpoint peer; /* for beats */
+	uint32_t link_mbps; /* of its VM; 0: not said */
 	uint64_t beat; /* highest number heard */
 	uint64_t heard_us; /* when it rose; 0: never */
 	uint64_t known_us; /* when its row was first read */
@@ -79,12 +80,27 @@
 
 /*
  * The member of one's own region that reads the platform's tables for all of
- * it: the live one with the lowest hash. Members that disagree for a moment
- * read once too often.
+ * it: of the live ones with the widest link the one with the lowest hash, since
+ * a reader tells all of its region. Members that disagree for a moment read
+ * once too often.
  */
 const struct member *member_table_reader(const struct member_table *table,
 					 uint64_t now_us);
 
+/*
+ * Whether oneself reads for the region. A node that has just started has heard
+ * nobody yet: members that it has known for less than MEMBER_SILENT_US count as
+ * live, or all that start together would take themselves for the reader.
+ */
+bool member_table_reads(const struct member_table *table, uint64_t now_us);
+
+/* How many of one's own region, dead ones too, come before oneself in that. */
+uint32_t member_table_read_rank(const struct member_table *table);
+
+/* The first others of one's own region in that order; returns how many. */
+uint32_t member_table_first_readers(const struct member_table *table,
+				    const struct member **first, uint32_t most);
+
 /*
  * A member that this node, which reads for its region, should strike from the
  * platform's table: silent for forget_us, and of this region or of one where
--- /dev/null
+++ b/packages/edge/backend_row.c
@@ -0,0 +1,46 @@
+#include "edge/backend_row.h"
+
+#include "core/duration.h"
+
+/*
+ * A server whose entry says that it is cold is told as cold, also where that
+ * time is over: two nodes that differ in this differ in their digests.
+ */
+static uint32_t cold_left_ms(const struct backend *backend, uint64_t now_us)
+{
+	if (!backend->listed_cold)
+		return 0;
+	if (backend->cold_until_us <= now_us)
+		return 1;
+	return (uint32_t)((backend->cold_until_us - now_us) / US_PER_MS) + 1;
+}
+
+void backend_row_fill(const struct backend *backend, uint64_t now_us,
+		      struct beat_row *row)
+{
+	g_strlcpy(row->id, backend->id, sizeof(row->id));
+	g_strlcpy(row->service, backend->service, sizeof(row->service));
+	g_strlcpy(row->domain, backend->domain, sizeof(row->domain));
+	row->address = backend->address;
+	row->slots = backend->slots;
+	row->draining = backend->draining;
+	row->started_ms = backend->started_ms;
+	row->cold_left_ms = cold_left_ms(backend, now_us);
+}
+
+void backend_row_take(struct edge *edge, const struct beat_row *row)
+{
+	const struct backend_facts facts = {
+		.id = row->id,
+		.service = row->service,
+		.address = row->address,
+		.domain = row->domain,
+		.region = edge_settings_region(&edge->settings, row->domain),
+		.slots = row->slots,
+		.draining = row->draining,
+		.cold_left_us = row->cold_left_ms * US_PER_MS,
+		.started_ms = row->started_ms,
+	};
+
+	backend_table_put(edge->backends, &facts, edge_now_us(edge));
+}
--- a/packages/edge/beat.c
+++ b/packages/edge/beat.c
@@ -5,11 +5,11 @@
 /* Format version, so that nodes of two versions ignore each other's news. */
 #define BEAT_VERSION 4
 
-#define BEAT_TYPE "(ua(utb)a(uuq)a(uu)a(utu)a(ssssqubut))"
+#define BEAT_TYPE "(ua(utb)a(uuq)a(uu)a(utu)a" BEAT_ROW_TYPE ")"
 
-static void add_row(GVariantBuilder *rows, const struct beat_row *row)
+void beat_row_add(GVariantBuilder *rows, const struct beat_row *row)
 {
-	g_variant_builder_add(rows, "(ssssqubut)", row->id, row->service,
+	g_variant_builder_add(rows, BEAT_ROW_TYPE, row->id, row->service,
 			      row->domain, row->address.address,
 			      (guint16)row->address.port, row->slots,
 			      (gboolean)row->draining, row->cold_left_ms,
@@ -47,9 +47,9 @@
 		g_variant_builder_add(&vouches, "(utu)", beat->vouches[i].table,
 				      (guint64)beat->vouches[i].digest,
 				      beat->vouches[i].age_ms);
-	g_variant_builder_init(&rows, G_VARIANT_TYPE("a(ssssqubut)"));
+	g_variant_builder_init(&rows, G_VARIANT_TYPE("a" BEAT_ROW_TYPE));
 	for (i = 0; i < beat->row_count; i++)
-		add_row(&rows, &beat->rows[i]);
+		beat_row_add(&rows, &beat->rows[i]);
 	variant = g_variant_ref_sink(g_variant_new(BEAT_TYPE, BEAT_VERSION,
 						   &lives, &pairs, &loads,
 						   &vouches, &rows));
@@ -121,7 +121,7 @@
 	}
 }
 
-static void read_rows(GVariantIter *iter, struct beat *beat)
+bool beat_row_next(GVariantIter *iter, struct beat_row *row)
 {
 	const char *id;
 	const char *service;
@@ -133,23 +133,27 @@
 	guint32 cold_left_ms;
 	guint64 started_ms;
 
+	if (!g_variant_iter_next(iter, "(&s&s&s&squbut)", &id, &service,
+				 &domain, &address, &port, &slots, &draining,
+				 &cold_left_ms, &started_ms))
+		return false;
+	g_strlcpy(row->id, id, sizeof(row->id));
+	g_strlcpy(row->service, service, sizeof(row->service));
+	g_strlcpy(row->domain, domain, sizeof(row->domain));
+	g_strlcpy(row->address.address, address, sizeof(row->address.address));
+	row->address.port = port;
+	row->slots = slots;
+	row->draining = draining;
+	row->cold_left_ms = cold_left_ms;
+	row->started_ms = started_ms;
+	return true;
+}
+
+static void read_rows(GVariantIter *iter, struct beat *beat)
+{
 	while (beat->row_count < BEAT_MAX_ROWS &&
-	       g_variant_iter_next(iter, "(&s&s&s&squbut)", &id, &service,
-				   &domain, &address, &port, &slots, &draining,
-				   &cold_left_ms, &started_ms)) {
-		struct beat_row *row = &beat->rows[beat->row_count++];
-
-		g_strlcpy(row->id, id, sizeof(row->id));
-		g_strlcpy(row->service, service, sizeof(row->service));
-		g_strlcpy(row->domain, domain, sizeof(row->domain));
-		g_strlcpy(row->address.address, address,
-			  sizeof(row->address.address));
-		row->address.port = port;
-		row->slots = slots;
-		row->draining = draining;
-		row->cold_left_ms = cold_left_ms;
-		row->started_ms = started_ms;
-	}
+	       beat_row_next(iter, &beat->rows[beat->row_count]))
+		beat->row_count++;
 }
 
 bool beat_decode(const void *bytes, size_t length, struct beat *beat)
--- a/packages/edge/beat.h
+++ b/packages/edge/beat.h
@@ -80,6 +80,12 @@
 	uint32_t row_count;
 };
 
+/* One row in GVariant's words, for whatever carries rows between nodes. */
+#define BEAT_ROW_TYPE "(ssssqubut)"
+void beat_row_add(GVariantBuilder *rows, const struct beat_row *row);
+/* The next row; false at the end. */
+bool beat_row_next(GVariantIter *iter, struct beat_row *row);
+
 /* The bytes, for g_bytes_unref(). */
 GBytes *beat_encode(const struct beat *beat);
 
--- a/packages/edge/edge.c
+++ b/packages/edge/edge.c
@@ -42,6 +42,7 @@
 	edge->members->self->region = g_strdup(settings->region);
 	edge->members->self->front = settings->front;
 	edge->members->self->peer = settings->peer;
+	edge->members->self->link_mbps = (uint32_t)settings->link_mbps;
 	warmth_init(&edge->warmth);
 	chooser_init(&edge->chooser, edge->backends, edge->members,
 		     &edge->warmth, edge->settings.domain,
--- a/packages/edge/edge_settings.c
+++ b/packages/edge/edge_settings.c
@@ -17,6 +17,7 @@
 	KIND_COUNT, /* uint32_t */
 	KIND_NUMBER, /* text of a number, double */
 	KIND_LEVEL,
+	KIND_FLAG,
 };
 
 struct setting {
@@ -33,6 +34,8 @@
 	{ "node", "name", KIND_NAME, AT(name), NULL },
 	{ "node", "domain", KIND_NAME, AT(domain), NULL },
 	{ "node", "region", KIND_NAME, AT(region), NULL },
+	{ "node", "link_mbps", KIND_NUMBER, AT(link_mbps), "10" },
+	{ "node", "first_start", KIND_FLAG, AT(first_start), "false" },
 	{ "listen", "front", KIND_ENDPOINT, AT(front), NULL },
 	{ "listen", "ready", KIND_ENDPOINT, AT(ready), "" },
 	{ "listen", "lookup", KIND_ENDPOINT, AT(lookup), "" },
@@ -119,6 +122,14 @@
 	return NULL;
 }
 
+static const char *store_flag(void *at, const char *text)
+{
+	*(bool *)at = !strcmp(text, "true");
+	if (*(bool *)at || !strcmp(text, "false"))
+		return NULL;
+	return "true or false";
+}
+
 static const char *store(struct edge_settings *settings,
 			 const struct setting *setting, const char *text)
 {
@@ -137,6 +148,8 @@
 		return store_number(at, text);
 	case KIND_LEVEL:
 		return store_level(at, text);
+	case KIND_FLAG:
+		return store_flag(at, text);
 	}
 	return "known";
 }
--- a/packages/edge/edge_settings.h
+++ b/packages/edge/edge_settings.h
@@ -36,6 +36,8 @@
 	struct endpoint operators; /* metrics; port 0: not served */
 	struct endpoint peer; /* datagrams between nodes */
 	struct endpoint registry; /* the platform's tables */
+	double link_mbps; /* of this VM */
+	bool first_start; /* all nodes start for the first time */
 	uint64_t leave_within_us; /* a leaving server gets nothing after that */
 	uint64_t config_within_us; /* a change is in force by then */
 	struct extra_budget_rule extra;
--- a/packages/edge/gossip.c
+++ b/packages/edge/gossip.c
@@ -1,3 +1,4 @@
+#include "edge/backend_row.h"
 #include "edge/gossip_parts.h"
 
 #include <string.h>
@@ -115,25 +116,13 @@
 
 	for (i = 0; i < beat->row_count; i++) {
 		const struct beat_row *row = &beat->rows[i];
-		const struct backend_facts facts = {
-			.id = row->id,
-			.service = row->service,
-			.address = row->address,
-			.domain = row->domain,
-			.region = edge_settings_region(&edge->settings,
-						       row->domain),
-			.slots = row->slots,
-			.draining = row->draining,
-			.cold_left_us = row->cold_left_ms * US_PER_MS,
-			.started_ms = row->started_ms,
-		};
 
 		log_event(LOG_INFO, "backend-told",
 			  "backend=%s left=%s draining=%s cold_left_ms=%u",
 			  row->id, *row->service ? "no" : "yes",
 			  row->draining ? "yes" : "no", row->cold_left_ms);
 		if (*row->service)
-			backend_table_put(edge->backends, &facts, now_us);
+			backend_row_take(edge, row);
 		else
 			backend_table_remove(edge->backends, row->id, 0,
 					     now_us);
--- a/packages/edge/gossip_send.c
+++ b/packages/edge/gossip_send.c
@@ -1,3 +1,4 @@
+#include "edge/backend_row.h"
 #include "edge/gossip_parts.h"
 
 #include <string.h>
@@ -24,11 +25,11 @@
 #define FEW_LIVES 2
 
 /*
- * Datagrams of changes at one time, of up to 1.4 KB: 1.1 MB/s at five times a
- * second is what a link of 10 Mbit/s carries. What would take more is read by
- * each for itself, since its digest will differ.
+ * Datagrams of changes at one time, of up to 1.4 KB, for each Mbit/s of the
+ * link: five times a second they fill nine tenths of it. What would take more
+ * isn't told; the neighbours ask for it, since their digests differ.
  */
-#define CHANGE_DATAGRAMS_MOST 160
+#define CHANGE_DATAGRAMS_PER_MBPS 16
 
 struct datagram {
 	uv_udp_send_t request;
@@ -150,8 +151,7 @@
 {
 	const struct edge *edge = gossip->edge;
 
-	return member_table_reader(edge->members, edge_now_us(edge)) ==
-	       edge->members->self;
+	return member_table_reads(edge->members, edge_now_us(edge));
 }
 
 /* Whether this round's beat goes to the neighbour. */
@@ -244,22 +244,10 @@
 {
 	const struct backend *backend = backend_table_find(edge->backends, id);
 	struct beat_row *row = &beat->rows[beat->row_count++];
-	uint64_t now_us = edge_now_us(edge);
 
 	g_strlcpy(row->id, id, sizeof(row->id));
-	if (!backend)
-		return;
-	g_strlcpy(row->service, backend->service, sizeof(row->service));
-	g_strlcpy(row->domain, backend->domain, sizeof(row->domain));
-	row->address = backend->address;
-	row->slots = backend->slots;
-	row->draining = backend->draining;
-	row->started_ms = backend->started_ms;
-	if (backend->listed_cold && backend->cold_until_us > now_us)
-		row->cold_left_ms =
-			(uint32_t)((backend->cold_until_us - now_us) /
-				   US_PER_MS) +
-			1;
+	if (backend)
+		backend_row_fill(backend, edge_now_us(edge), row);
 }
 
 static void tell_some(struct gossip *gossip, const GPtrArray *changes,
@@ -275,9 +263,10 @@
 }
 
 /* How many changes may be told at one time, to so many neighbours. */
-static guint changes_most(guint neighbours)
+static guint changes_most(const struct edge *edge, guint neighbours)
 {
-	guint beats = CHANGE_DATAGRAMS_MOST / MAX(neighbours, 1);
+	double datagrams = CHANGE_DATAGRAMS_PER_MBPS * edge->settings.link_mbps;
+	guint beats = (guint)(datagrams / MAX(neighbours, 1));
 
 	return BEAT_MAX_ROWS * MAX(beats, 1);
 }
@@ -289,7 +278,7 @@
 	guint at;
 
 	if (gossip_reads_for_others(gossip) &&
-	    changes->len <= changes_most(near->len))
+	    changes->len <= changes_most(gossip->edge, near->len))
 		for (at = 0; at < changes->len; at += BEAT_MAX_ROWS)
 			tell_some(gossip, changes, at,
 				  MIN(BEAT_MAX_ROWS, changes->len - at));
--- a/packages/edge/local.c
+++ b/packages/edge/local.c
@@ -115,17 +115,25 @@
 }
 
 static void answer_snapshot(const struct edge *edge,
+			    const struct message *request,
 			    struct local_answer *answer)
 {
+	char *tables = parameter(request, SNAPSHOT_PARAMETER);
 	GBytes *bytes;
 	gsize length;
 	gconstpointer data;
 
-	if (!edge_is_ready(edge) || !edge->sync) {
+	bytes = edge_is_ready(edge) && edge->sync ?
+			sync_snapshot(edge->sync,
+				      tables ? (uint32_t)strtoul(tables, NULL,
+								 10) :
+					       SNAPSHOT_ALL) :
+			NULL;
+	g_free(tables);
+	if (!bytes) {
 		answer->status = 503;
 		return;
 	}
-	bytes = sync_snapshot(edge->sync);
 	data = g_bytes_get_data(bytes, &length);
 	g_byte_array_append(answer->body, data, (guint)length);
 	g_bytes_unref(bytes);
@@ -146,7 +154,7 @@
 	else if (kind == LISTENER_OPERATORS)
 		answer_operators(edge, request, answer);
 	else if (kind == LISTENER_PEERS && path_is(request, SNAPSHOT_PATH))
-		answer_snapshot(edge, answer);
+		answer_snapshot(edge, request, answer);
 	else
 		answer->status = 404;
 }
--- a/packages/edge/snapshot.c
+++ b/packages/edge/snapshot.c
@@ -1,12 +1,25 @@
 #include "edge/snapshot.h"
 
-/* Format version and rows. */
-#define SNAPSHOT_VERSION 1
-#define SNAPSHOT_TYPE "(ua(uss))"
+#define SNAPSHOT_VERSION 2
+
+#define TABLES_TYPE "a(utu)"
+#define ROWS_TYPE "a(uss)"
+#define BACKENDS_TYPE "a" BEAT_ROW_TYPE
+#define SNAPSHOT_TYPE "(u" TABLES_TYPE ROWS_TYPE BACKENDS_TYPE ")"
 
 void snapshot_begin(struct snapshot_writer *writer)
 {
-	g_variant_builder_init(&writer->rows, G_VARIANT_TYPE("a(uss)"));
+	g_variant_builder_init(&writer->tables, G_VARIANT_TYPE(TABLES_TYPE));
+	g_variant_builder_init(&writer->rows, G_VARIANT_TYPE(ROWS_TYPE));
+	g_variant_builder_init(&writer->backends,
+			       G_VARIANT_TYPE(BACKENDS_TYPE));
+}
+
+void snapshot_add_table(struct snapshot_writer *writer,
+			const struct snapshot_table *table)
+{
+	g_variant_builder_add(&writer->tables, "(utu)", table->table,
+			      (guint64)table->version, table->age_ms);
 }
 
 void snapshot_add(struct snapshot_writer *writer,
@@ -16,49 +29,72 @@
 			      row->value);
 }
 
+void snapshot_add_backend(struct snapshot_writer *writer,
+			  const struct beat_row *backend)
+{
+	beat_row_add(&writer->backends, backend);
+}
+
 GBytes *snapshot_end(struct snapshot_writer *writer)
 {
 	GVariant *variant = g_variant_ref_sink(
-		g_variant_new(SNAPSHOT_TYPE, SNAPSHOT_VERSION, &writer->rows));
+		g_variant_new(SNAPSHOT_TYPE, SNAPSHOT_VERSION, &writer->tables,
+			      &writer->rows, &writer->backends));
 	GBytes *bytes = g_variant_get_data_as_bytes(variant);
 
 	g_variant_unref(variant);
 	return bytes;
 }
 
-static void visit_rows(GVariantIter *rows, snapshot_visitor visitor,
-		       void *context)
+static void visit_all(GVariant *variant, const struct snapshot_visitor *visitor,
+		      void *context)
 {
+	struct snapshot_table table;
 	struct snapshot_row row;
+	struct beat_row backend;
+	GVariantIter *tables;
+	GVariantIter *rows;
+	GVariantIter *backends;
+	guint64 version;
 
+	g_variant_get(variant, SNAPSHOT_TYPE, NULL, &tables, &rows, &backends);
+	while (g_variant_iter_next(tables, "(utu)", &table.table, &version,
+				   &table.age_ms)) {
+		table.version = version;
+		visitor->table(context, &table);
+	}
 	while (g_variant_iter_next(rows, "(u&s&s)", &row.table, &row.key,
 				   &row.value))
-		visitor(context, &row);
+		visitor->row(context, &row);
+	while (beat_row_next(backends, &backend))
+		visitor->backend(context, &backend);
+	g_variant_iter_free(tables);
+	g_variant_iter_free(rows);
+	g_variant_iter_free(backends);
 }
 
-bool snapshot_read(const void *bytes, size_t length, snapshot_visitor visitor,
-		   void *context)
+bool snapshot_read(const void *bytes, size_t length,
+		   const struct snapshot_visitor *visitor, void *context)
 {
-	GVariantIter *rows;
 	GVariant *variant;
-	guint32 version;
+	guint32 version = 0;
 	gpointer copy;
 	bool good;
 
 	if (!length)
 		return false;
+	/* GVariant wants its bytes aligned, which a copy of the heap is. */
 	copy = g_memdup2(bytes, length);
 	variant = g_variant_ref_sink(
 		g_variant_new_from_data(G_VARIANT_TYPE(SNAPSHOT_TYPE), copy,
 					length, FALSE, g_free, copy));
 	good = g_variant_is_normal_form(variant);
 	if (good) {
-		g_variant_get(variant, SNAPSHOT_TYPE, &version, &rows);
+		g_variant_get_child(variant, 0, "u", &version);
 		good = version == SNAPSHOT_VERSION;
-		if (good)
-			visit_rows(rows, visitor, context);
-		g_variant_iter_free(rows);
 	}
+	if (good)
+		visit_all(variant, visitor, context);
 	g_variant_unref(variant);
 	return good;
 }
--- a/packages/edge/snapshot.h
+++ b/packages/edge/snapshot.h
@@ -1,10 +1,11 @@
 /*
  * snapshot - what a node knows of the platform's tables, for a neighbour
  *
- * A node that starts while the platform is away knows nothing. A neighbour that
- * beats to it gives it the rows as the platform gave them, which it takes for
- * hearsay: versions still only go forward, and the platform's own answer
- * replaces all of it. Encoded by GVariant.
+ * A node that starts, or whose rows differ from its region's reader's, has them
+ * from a neighbour where it can, so that the platform isn't asked for the same
+ * by each. Each table comes whole, with the platform's version and how long ago
+ * the platform confirmed it. Backend servers come as what is believed of them,
+ * in the form in which beats tell of changes. Encoded by GVariant.
  */
 #ifndef EDGE_SNAPSHOT_H
 #define EDGE_SNAPSHOT_H
@@ -14,12 +15,27 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "edge/beat.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
 
-/* Where neighbours ask for it, on the peer address. */
+/*
+ * Where neighbours ask for it, on the peer address. The parameter is a sum of
+ * SNAPSHOT_TABLE(), and all tables where it is missing.
+ */
 #define SNAPSHOT_PATH "/v1/snapshot"
+#define SNAPSHOT_PARAMETER "tables"
+
+#define SNAPSHOT_TABLE(table) (1u << (table))
+#define SNAPSHOT_ALL UINT32_MAX
+
+struct snapshot_table {
+	uint32_t table; /* enum registry_table */
+	uint64_t version; /* of the platform's newest row in it */
+	uint32_t age_ms; /* since the platform confirmed it, at most */
+};
 
 struct snapshot_row {
 	uint32_t table; /* enum registry_table */
@@ -27,21 +43,32 @@
 	const char *value; /* as the registry decodes it */
 };
 
-typedef void (*snapshot_visitor)(void *context, const struct snapshot_row *row);
+/* The tables come first, then rows, then backend servers. */
+struct snapshot_visitor {
+	void (*table)(void *context, const struct snapshot_table *table);
+	void (*row)(void *context, const struct snapshot_row *row);
+	void (*backend)(void *context, const struct beat_row *backend);
+};
 
 struct snapshot_writer {
+	GVariantBuilder tables;
 	GVariantBuilder rows;
+	GVariantBuilder backends;
 };
 
 void snapshot_begin(struct snapshot_writer *writer);
+void snapshot_add_table(struct snapshot_writer *writer,
+			const struct snapshot_table *table);
 void snapshot_add(struct snapshot_writer *writer,
 		  const struct snapshot_row *row);
+void snapshot_add_backend(struct snapshot_writer *writer,
+			  const struct beat_row *backend);
 /* The bytes, for g_bytes_unref(). */
 GBytes *snapshot_end(struct snapshot_writer *writer);
 
-/* Visit all rows; false, and none visited, where the bytes are no snapshot. */
-bool snapshot_read(const void *bytes, size_t length, snapshot_visitor visitor,
-		   void *context);
+/* Visit all of it; false, and nothing visited, where it is no snapshot. */
+bool snapshot_read(const void *bytes, size_t length,
+		   const struct snapshot_visitor *visitor, void *context);
 
 #ifdef __cplusplus
 }
--- a/packages/edge/stats.c
+++ b/packages/edge/stats.c
@@ -34,8 +34,13 @@
 	{ "lilacfield_strays_total", "answers of other requests, dropped",
 	  AT(strays) },
 	{ "lilacfield_lookups_total", "look-ups answered", AT(lookups) },
-	{ "lilacfield_registry_calls_total", "calls to the platform's tables",
-	  AT(registry_calls) },
+	{ "lilacfield_registry_writes_total",
+	  "calls that write the node's own row or strike one",
+	  AT(registry_writes) },
+	{ "lilacfield_neighbours_asked_total", "calls to neighbours for tables",
+	  AT(asked) },
+	{ "lilacfield_neighbours_given_total",
+	  "answers with tables to neighbours", AT(given) },
 	{ "lilacfield_registry_failures_total", "of these, without success",
 	  AT(registry_failures) },
 	{ "lilacfield_registry_bytes_total", "bytes of the platform's answers",
@@ -44,6 +49,21 @@
 	  "bytes of answers that were given up", AT(registry_lost_bytes) },
 };
 
+static void init_reads(struct stats *stats)
+{
+	uint32_t i;
+
+	for (i = 0; i < READ_CAUSES; i++) {
+		char *label =
+			g_strdup_printf("cause=\"%s\"", read_cause_name(i));
+
+		stats->registry_reads[i] = metric_counter(
+			"lilacfield_registry_calls_total",
+			"calls that read the platform's tables", label);
+		g_free(label);
+	}
+}
+
 void stats_init(struct stats *stats)
 {
 	size_t i;
@@ -54,6 +74,7 @@
 
 		*at = metric_counter(counters[i].name, counters[i].help, NULL);
 	}
+	init_reads(stats);
 	stats->latency_us =
 		metric_histogram("lilacfield_latency_us",
 				 "arrival of a request to its answer", NULL);
@@ -61,3 +82,8 @@
 		metric_histogram("lilacfield_backend_us",
 				 "sending of a request to its answer", NULL);
 }
+
+void stats_count_read(struct stats *stats, enum read_cause cause)
+{
+	metric_add(stats->registry_reads[cause], 1);
+}
--- a/packages/edge/stats.h
+++ b/packages/edge/stats.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "adapters/metrics.h"
+#include "core/read_plan.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -25,7 +26,10 @@
 	struct metric *shed; /* answers that say "not run" */
 	struct metric *strays; /* answers of other requests, dropped */
 	struct metric *lookups;
-	struct metric *registry_calls;
+	struct metric *registry_reads[READ_CAUSES];
+	struct metric *registry_writes;
+	struct metric *asked; /* neighbours, for tables */
+	struct metric *given; /* tables to neighbours */
 	struct metric *registry_failures;
 	struct metric *registry_bytes; /* of whole answers */
 	struct metric *registry_lost_bytes; /* of answers that broke off */
@@ -36,6 +40,9 @@
 /* Register them; metrics_open() comes before. */
 void stats_init(struct stats *stats);
 
+/* A call to the platform that reads. */
+void stats_count_read(struct stats *stats, enum read_cause cause);
+
 #ifdef __cplusplus
 }
 #endif
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -6,13 +6,6 @@
 #include "adapters/log.h"
 #include "core/duration.h"
 
-/*
- * Pause before a call is repeated after a failure, doubled up to the most: with
- * the time-out, a node knows within 2 s that the platform is back.
- */
-#define RETRY_FIRST_US (200 * US_PER_MS)
-#define RETRY_MOST_US (400 * US_PER_MS)
-
 /*
  * Entries of backend servers that lapsed while the platform was away come back
  * within about 2 s of its return. A missing one is kept for as much of this as
@@ -27,6 +20,16 @@
  */
 #define BEAT_UNDER_WAY_US (400 * US_PER_MS)
 
+/*
+ * Where all nodes start for the first time, each writes its row within this,
+ * for a table takes some 200 writes a second, and reads the others' rows then.
+ */
+#define FIRST_ROW_SPREAD_US (1500 * US_PER_MS)
+#define FIRST_MEMBERS_US (2 * US_PER_S)
+
+/* Written anyway after so long, where the table can't be read. */
+#define OWN_ROW_LATEST_US (1500 * US_PER_MS)
+
 /* An answer's first byte was under way for no longer than this. */
 #define UNDER_WAY_US (100 * US_PER_MS)
 
@@ -59,13 +62,20 @@
 #define MEMBERS_MISMATCH_US (2 * US_PER_S)
 
 /*
- * The same for backend servers: what such an answer says grows old as it comes,
+ * Neighbours asked for what differs before the platform is. One for routes: a
+ * large document doesn't fit a neighbour's link, and must be there soon.
+ */
+#define ASKS_MOST 4
+
+/*
+ * An answer about backend servers: what it says grows old as it comes,
  * and a new connection may be quick where this one trickles. A page of 1 MB
  * takes 0.8 s over 10 Mbit/s, which callers' traffic may fill at the time.
  */
 #define BACKENDS_ARRIVAL_US (5 * US_PER_S)
 
 static uint64_t wait_us(const struct follower *follower);
+static uint32_t own_rank(const struct sync *sync);
 
 /* --- the own row ---------------------------------------------------------- */
 
@@ -78,18 +88,18 @@
 			   const char *cause)
 {
 	struct sync *sync = context;
+	uint64_t retry_us;
 
 	if (answer && answer->status == 200) {
-		sync->own_written = true;
-		sync->own_retry_us = 0;
+		sync->own_listed = true;
+		sync->own_failures = 0;
 		return;
 	}
-	sync->own_retry_us =
-		CLAMP(2 * sync->own_retry_us, RETRY_FIRST_US, RETRY_MOST_US);
+	retry_us = read_retry_us(++sync->own_failures, own_rank(sync),
+				 g_random_double());
 	log_event(LOG_WARNING, "own-row", "written=no status=%u cause=%s",
 		  answer ? answer->status : 0, cause ? cause : "status");
-	uv_timer_start(&sync->own_timer, on_own_time,
-		       sync->own_retry_us / US_PER_MS, 0);
+	uv_timer_start(&sync->own_timer, on_own_time, retry_us / US_PER_MS, 0);
 }
 
 void sync_write_own_row(struct sync *sync)
@@ -100,14 +110,15 @@
 		.region = edge->settings.region,
 		.front = edge->settings.front,
 		.peer = edge->settings.peer,
+		.link_mbps = (uint32_t)edge->settings.link_mbps,
 	};
 	struct registry_call call;
 
-	if (lane_is_busy(&sync->own_lane))
+	if (lane_is_busy(&sync->own_lane) || sync->own_listed)
 		return;
 	edge->registry->vtable->put_member(edge->registry, edge->settings.name,
 					   &record, &call);
-	metric_add(edge->stats.registry_calls, 1);
+	metric_add(edge->stats.registry_writes, 1);
 	lane_call(&sync->own_lane, call.method, call.target, call.body,
 		  SYNC_CALL_TIMEOUT_US, on_own_written, sync);
 	registry_call_release(&call);
@@ -131,6 +142,7 @@
 		.word.percent = WORD_PERCENT,
 		.arrival_most_us = SYNC_ARRIVAL_MOST_US,
 		.mismatch_us = MISMATCH_US,
+		.asks_most = 1,
 		.apply = apply_config_row,
 		.prune = prune_config,
 	},
@@ -143,6 +155,7 @@
 		.word.percent = WORD_PERCENT,
 		.arrival_most_us = BACKENDS_ARRIVAL_US,
 		.mismatch_us = MISMATCH_US,
+		.asks_most = ASKS_MOST,
 		.apply = apply_backend_row,
 		.prune = prune_backends,
 	},
@@ -154,6 +167,7 @@
 		.word.us = MEMBERS_WORD_US,
 		.arrival_most_us = SYNC_ARRIVAL_MOST_US,
 		.mismatch_us = MEMBERS_MISMATCH_US,
+		.asks_most = ASKS_MOST,
 		.apply = apply_member_row,
 		.prune = prune_members,
 	},
@@ -174,36 +188,74 @@
 	return change_within_us(follower->sync->edge) * time->percent / 100;
 }
 
-static void call_later(struct follower *follower, uint64_t delay_us);
+static bool reads_for_region(const struct sync *sync)
+{
+	const struct edge *edge = sync->edge;
+
+	return member_table_reads(edge->members, edge_now_us(edge));
+}
 
-/* How much longer a neighbour's word spares the call; 0: it is due. */
-static uint64_t spared_us(const struct follower *follower)
+static uint32_t own_rank(const struct sync *sync)
 {
-	struct edge *edge = follower->sync->edge;
-	uint64_t now_us = edge_now_us(edge);
-	uint64_t until_us = follower->confirmed_us +
-			    time_us(follower, &follower->rule->word);
+	if (!sync->followers[REGISTRY_MEMBERS].whole)
+		return READ_RANK_UNKNOWN;
+	return member_table_read_rank(sync->edge->members);
+}
 
-	if (!follower->whole || until_us <= now_us ||
-	    member_table_reader(edge->members, now_us) == edge->members->self)
+/* Nobody can tell a node which nodes there are before it has read that. */
+static uint32_t read_rank(const struct follower *follower)
+{
+	if (follower->rule->table == REGISTRY_MEMBERS)
 		return 0;
-	return until_us - now_us;
+	return own_rank(follower->sync);
 }
 
-static void on_call_time(uv_timer_t *timer)
+static void fill_state(const struct follower *follower,
+		       struct read_state *state)
 {
-	struct follower *follower = timer->data;
-	uint64_t spared = spared_us(follower);
+	const struct sync *sync = follower->sync;
+	const struct member *neighbour;
 
-	if (spared)
-		call_later(follower, spared);
-	else
+	state->is_reader = reads_for_region(sync);
+	state->whole = follower->whole;
+	state->rank = read_rank(follower);
+	state->has_neighbours = member_table_first_readers(sync->edge->members,
+							   &neighbour, 1) > 0;
+	state->started_us = sync->started_us;
+	state->confirmed_us = follower->confirmed_us;
+	state->word_us = time_us(follower, &follower->rule->word);
+	state->differs = follower_differs(follower);
+	state->path_fails = follower->rule->table != REGISTRY_BACKENDS &&
+			    sync->followers[REGISTRY_BACKENDS].failures;
+	state->asks = follower->asks;
+	state->asks_most = follower->rule->asks_most;
+}
+
+void follower_step(struct follower *follower)
+{
+	struct read_state state;
+	struct read_step step;
+
+	fill_state(follower, &state);
+	read_plan(&state, edge_now_us(follower->sync->edge), &step);
+	follower->cause = step.cause;
+	if (step.from == READ_PLATFORM) {
 		follower_call(follower);
+		return;
+	}
+	if (step.from == READ_NEIGHBOUR)
+		sync_ask_neighbour(follower->sync);
+	follower_step_later(follower, step.wait_us);
 }
 
-static void call_later(struct follower *follower, uint64_t delay_us)
+static void on_step_time(uv_timer_t *timer)
 {
-	uv_timer_start(&follower->timer, on_call_time,
+	follower_step(timer->data);
+}
+
+void follower_step_later(struct follower *follower, uint64_t delay_us)
+{
+	uv_timer_start(&follower->timer, on_step_time,
 		       (delay_us + US_PER_MS - 1) / US_PER_MS, 0);
 }
 
@@ -215,7 +267,8 @@
 				   time_us(follower, &follower->rule->spacing) :
 				   0;
 
-	call_later(follower, spacing > since_us ? spacing - since_us : 0);
+	follower_step_later(follower,
+			    spacing > since_us ? spacing - since_us : 0);
 }
 
 static void begin_whole_read(struct follower *follower)
@@ -263,6 +316,8 @@
 		       const struct registry_row *row)
 {
 	/* Bytes that are no text can't be told to a node that starts. */
+	if (follower->rule->table == REGISTRY_BACKENDS)
+		return;
 	if (row->deleted || !g_utf8_validate(row->value, -1, NULL))
 		g_hash_table_remove(follower->rows, row->key);
 	else
@@ -317,6 +372,41 @@
 	follower->confirmed_us = MAX(follower->confirmed_us, as_of_us);
 }
 
+/*
+ * The other nodes are known: this node makes itself known where it isn't yet,
+ * and can tell whom to ask for the rest.
+ */
+static void know_members(struct sync *sync)
+{
+	uint32_t i;
+
+	uv_timer_stop(&sync->own_timer);
+	sync_write_own_row(sync);
+	if (edge_is_ready(sync->edge))
+		return;
+	sync->started_us = edge_now_us(sync->edge);
+	for (i = 0; i < FOLLOWERS; i++)
+		if (!sync->followers[i].whole)
+			follower_step_later(&sync->followers[i], 0);
+}
+
+void follower_end_pass(struct follower *follower, uint64_t version,
+		       uint64_t as_of_us)
+{
+	follower->rule->prune(follower->sync, follower->seen);
+	g_hash_table_foreach_remove(follower->rows, is_unseen, follower->seen);
+	log_event(LOG_INFO, "table-read", "table=%s rows=%u version=%" PRIu64,
+		  follower->rule->name, g_hash_table_size(follower->seen),
+		  version);
+	begin_whole_read(follower);
+	follower->whole = true;
+	follower->version = version;
+	follower->asks = 0;
+	confirm(follower, as_of_us);
+	if (follower->rule->table == REGISTRY_MEMBERS)
+		know_members(follower->sync);
+}
+
 static void take_page(struct follower *follower,
 		      const struct registry_rows *rows)
 {
@@ -340,16 +430,8 @@
 		follower->page_key = g_strdup(last->key);
 		return;
 	}
-	follower->whole = true;
-	follower->version = follower->page_version;
-	follower->rule->prune(follower->sync, follower->seen);
-	g_hash_table_foreach_remove(follower->rows, is_unseen, follower->seen);
-	log_event(LOG_INFO, "table-read", "table=%s rows=%u version=%" PRIu64,
-		  follower->rule->name, g_hash_table_size(follower->seen),
-		  follower->version);
-	begin_whole_read(follower);
-	follower->whole = true;
-	confirm(follower, follower->page_as_of_us);
+	follower_end_pass(follower, follower->page_version,
+			  follower->page_as_of_us);
 }
 
 /*
@@ -370,6 +452,18 @@
 			lane_abort(&sync->followers[i].lane, "silent path");
 }
 
+/* The path is back: calls that still wait on it are made anew. */
+static void resume_others(struct sync *sync, const struct follower *but)
+{
+	uint32_t i;
+
+	abort_waiting(sync, but);
+	for (i = 0; i < FOLLOWERS; i++)
+		if (&sync->followers[i] != but &&
+		    !lane_is_busy(&sync->followers[i].lane))
+			follower_step_later(&sync->followers[i], 0);
+}
+
 static void note_success(struct follower *follower)
 {
 	struct sync *sync = follower->sync;
@@ -386,10 +480,9 @@
 	    (follower->failures || gap_us > change_within_us(sync->edge)))
 		sync->was_away = true;
 	if (follower->rule->table == REGISTRY_BACKENDS && follower->failures)
-		abort_waiting(sync, follower);
+		resume_others(sync, follower);
 	follower->answered_us = now_us;
 	follower->failures = 0;
-	follower->retry_us = 0;
 }
 
 /*
@@ -419,9 +512,9 @@
 	metric_add(stats->registry_lost_bytes, follower->lane.got_bytes);
 	follower->failures++;
 	log_failure(follower, cause);
-	follower->retry_us =
-		CLAMP(2 * follower->retry_us, RETRY_FIRST_US, RETRY_MOST_US);
-	call_later(follower, follower->retry_us);
+	follower_step_later(follower, read_retry_us(follower->failures,
+						    own_rank(follower->sync),
+						    g_random_double()));
 }
 
 static void on_answer(void *context, const struct message *answer,
@@ -448,7 +541,9 @@
 		metric_add(edge->stats.registry_bytes,
 			   follower->lane.got_bytes);
 		note_success(follower);
-		if (!follower->whole) {
+		if (follower->overtaken) {
+			/* A page, or rows older than what is known by now. */
+		} else if (!follower->whole) {
 			take_page(follower, &rows);
 		} else {
 			apply_rows(follower, &rows);
@@ -479,13 +574,10 @@
  */
 static uint64_t wait_us(const struct follower *follower)
 {
-	struct edge *edge = follower->sync->edge;
-
 	/* After a failure there is much to know, and the path to be tried. */
 	if (follower->failures)
 		return 0;
-	if (member_table_reader(edge->members, edge_now_us(edge)) !=
-	    edge->members->self)
+	if (!reads_for_region(follower->sync))
 		return 0;
 	return time_us(follower, &follower->rule->wait);
 }
@@ -511,9 +603,11 @@
 			follower->page_key ? follower->page_key : "", &call);
 	}
 	follower->called_us = edge_now_us(edge);
-	log_event(LOG_DEBUG, "registry-call", "table=%s whole=%s", rule->name,
-		  follower->whole ? "yes" : "no");
-	metric_add(edge->stats.registry_calls, 1);
+	follower->overtaken = false;
+	log_event(LOG_DEBUG, "registry-call", "table=%s whole=%s cause=%s",
+		  rule->name, follower->whole ? "yes" : "no",
+		  read_cause_name(follower->cause));
+	stats_count_read(&edge->stats, follower->cause);
 	lane_call(&follower->lane, call.method, call.target, call.body,
 		  timeout_us, on_answer, follower);
 	registry_call_release(&call);
@@ -534,7 +628,27 @@
 		  rule->arrival_most_us);
 	uv_timer_init(edge->loop, &follower->timer);
 	follower->timer.data = follower;
-	follower_call(follower);
+}
+
+/*
+ * The members' table comes first, for it says whom to ask for the others. Where
+ * all nodes start for the first time it is empty until they have written it.
+ */
+static void begin_start(struct sync *sync)
+{
+	struct edge *edge = sync->edge;
+	uint64_t members_us = 0;
+	uint64_t own_us = OWN_ROW_LATEST_US;
+	uint32_t i;
+
+	if (edge->settings.first_start) {
+		members_us = FIRST_MEMBERS_US;
+		own_us = (uint64_t)(g_random_double() * FIRST_ROW_SPREAD_US);
+	}
+	sync->started_us = edge_now_us(edge) + members_us;
+	uv_timer_start(&sync->own_timer, on_own_time, own_us / US_PER_MS, 0);
+	for (i = 0; i < FOLLOWERS; i++)
+		follower_step_later(&sync->followers[i], members_us);
 }
 
 struct sync *sync_open(struct edge *edge)
@@ -552,7 +666,7 @@
 	sync->own_timer.data = sync;
 	for (i = 0; i < FOLLOWERS; i++)
 		follower_open(&sync->followers[i], sync, &rules[i]);
-	sync_write_own_row(sync);
+	begin_start(sync);
 	return sync;
 }
 
@@ -569,6 +683,7 @@
 	}
 	lane_close(&sync->own_lane);
 	lane_close(&sync->neighbour);
+	g_clear_pointer(&sync->given, g_bytes_unref);
 	uv_close((uv_handle_t *)&sync->own_timer, NULL);
 }
 
@@ -632,12 +747,12 @@
 		edge->members, edge->settings.forget_us, edge_now_us(edge));
 	struct registry_call call;
 
-	if (!lost || lane_is_busy(&sync->own_lane) || !sync->own_written)
+	if (!lost || lane_is_busy(&sync->own_lane) || !sync->own_listed)
 		return;
 	log_event(LOG_INFO, "member-lost", "member=%s", lost->name);
 	edge->registry->vtable->put_member(edge->registry, lost->name, NULL,
 					   &call);
-	metric_add(edge->stats.registry_calls, 1);
+	metric_add(edge->stats.registry_writes, 1);
 	lane_call(&sync->own_lane, call.method, call.target, call.body,
 		  SYNC_CALL_TIMEOUT_US, on_struck, sync);
 	registry_call_release(&call);
--- a/packages/edge/sync.h
+++ b/packages/edge/sync.h
@@ -62,8 +62,11 @@
 uint32_t sync_vouches(const struct sync *sync, struct beat_vouch *vouches);
 void sync_vouched(struct sync *sync, const struct beat_vouch *vouch);
 
-/* The rows that this node knows, for a neighbour; for g_bytes_unref(). */
-GBytes *sync_snapshot(const struct sync *sync);
+/*
+ * What this node knows of the tables (a sum of SNAPSHOT_TABLE()), for a
+ * neighbour and for g_bytes_unref(); NULL where its link has no room for it.
+ */
+GBytes *sync_snapshot(struct sync *sync, uint32_t tables);
 
 /*
  * A neighbour beats from there. Where this node can't reach the platform and
--- a/packages/edge/sync_neighbours.c
+++ b/packages/edge/sync_neighbours.c
@@ -6,21 +6,24 @@
 #include "adapters/log.h"
 #include "core/duration.h"
 #include "core/hash.h"
+#include "edge/backend_row.h"
 #include "edge/snapshot.h"
 
-/* --- hearsay at the start ----------------------------------------------- */
+/*
+ * A snapshot is given to all who ask within this, for most of them ask at once.
+ * Its ages are told larger by it.
+ */
+#define GIVEN_VALID_US (100 * US_PER_MS)
 
-/* Neighbours tell of changes without the row; what has left is known by now. */
-static bool row_holds(const struct follower *follower, const char *key)
-{
-	const struct edge *edge = follower->sync->edge;
-	const struct backend *backend;
+/*
+ * Until a neighbour's answer begins: one of this region is near, and another
+ * one, or the platform, is asked instead.
+ */
+#define ASK_TIMEOUT_US (300 * US_PER_MS)
 
-	if (follower->rule->table != REGISTRY_BACKENDS)
-		return true;
-	backend = backend_table_find(edge->backends, key);
-	return backend && !backend->draining;
-}
+static bool is_unread(const struct follower *follower);
+
+/* --- giving ------------------------------------------------------------- */
 
 static void add_rows(const struct follower *follower,
 		     struct snapshot_writer *writer)
@@ -34,34 +37,181 @@
 		const struct snapshot_row row = { follower->rule->table, key,
 						  value };
 
-		if (row_holds(follower, key))
-			snapshot_add(writer, &row);
+		snapshot_add(writer, &row);
 	}
 }
 
-GBytes *sync_snapshot(const struct sync *sync)
+static void add_backends(const struct edge *edge,
+			 struct snapshot_writer *writer)
+{
+	uint64_t now_us = edge_now_us(edge);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, edge->backends->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct beat_row row;
+
+		backend_row_fill(value, now_us, &row);
+		snapshot_add_backend(writer, &row);
+	}
+}
+
+static void add_table(const struct follower *follower,
+		      struct snapshot_writer *writer)
+{
+	const struct edge *edge = follower->sync->edge;
+	uint64_t age_us = edge_now_us(edge) - follower->confirmed_us;
+	const struct snapshot_table table = {
+		.table = follower->rule->table,
+		.version = follower->version,
+		.age_ms = (uint32_t)MIN((age_us + GIVEN_VALID_US) / US_PER_MS,
+					UINT32_MAX),
+	};
+
+	snapshot_add_table(writer, &table);
+	if (follower->rule->table == REGISTRY_BACKENDS)
+		add_backends(edge, writer);
+	else
+		add_rows(follower, writer);
+}
+
+/* Without what this node itself doesn't know whole, or can't read. */
+static GBytes *make_snapshot(const struct sync *sync, uint32_t tables)
 {
 	struct snapshot_writer writer;
 	uint32_t i;
 
 	snapshot_begin(&writer);
-	for (i = 0; i < FOLLOWERS; i++)
-		add_rows(&sync->followers[i], &writer);
+	for (i = 0; i < FOLLOWERS; i++) {
+		const struct follower *follower = &sync->followers[i];
+
+		if (tables & SNAPSHOT_TABLE(follower->rule->table) &&
+		    follower->whole && !is_unread(follower))
+			add_table(follower, &writer);
+	}
 	return snapshot_end(&writer);
 }
 
-static void take_hearsay_row(void *context, const struct snapshot_row *row)
+GBytes *sync_snapshot(struct sync *sync, uint32_t tables)
 {
-	struct sync *sync = context;
+	const struct edge *edge = sync->edge;
+	uint64_t now_us = edge_now_us(edge);
+	bool fits;
+
+	if (!sync->given || sync->given_tables != tables ||
+	    now_us - sync->given_us > GIVEN_VALID_US) {
+		g_clear_pointer(&sync->given, g_bytes_unref);
+		sync->given = make_snapshot(sync, tables);
+		sync->given_tables = tables;
+		sync->given_us = now_us;
+	}
+	fits = read_may_give(&sync->giving_until_us,
+			     g_bytes_get_size(sync->given),
+			     (uint32_t)edge->settings.link_mbps, now_us);
+	if (!fits)
+		return NULL;
+	metric_add(edge->stats.given, 1);
+	return g_bytes_ref(sync->given);
+}
+
+/* --- asking ------------------------------------------------------------- */
+
+/* A snapshot as it is read. */
+struct taking {
+	struct sync *sync;
+	bool takes[FOLLOWERS];
+	struct snapshot_table tables[FOLLOWERS];
+};
+
+/*
+ * A table is taken where it was asked for and isn't older than what this node
+ * has: the neighbour may be the one that is behind.
+ */
+static void take_table(void *context, const struct snapshot_table *table)
+{
+	struct taking *taking = context;
+	struct follower *follower;
+
+	if (table->table >= FOLLOWERS ||
+	    !(taking->sync->asked_tables & SNAPSHOT_TABLE(table->table)))
+		return;
+	follower = &taking->sync->followers[table->table];
+	if (follower->whole && table->version < follower->version)
+		return;
+	taking->takes[table->table] = true;
+	taking->tables[table->table] = *table;
+	g_hash_table_remove_all(follower->seen);
+	g_clear_pointer(&follower->page_key, g_free);
+}
+
+static void take_row(void *context, const struct snapshot_row *row)
+{
+	struct taking *taking = context;
 	const struct registry_row known = {
 		.key = (char *)row->key,
 		.value = (char *)row->value,
 	};
+	struct follower *follower;
+
+	if (row->table >= FOLLOWERS || !taking->takes[row->table] ||
+	    row->table == REGISTRY_BACKENDS)
+		return;
+	follower = &taking->sync->followers[row->table];
+	g_hash_table_add(follower->seen, g_strdup(row->key));
+	follower_keep_row(follower, &known);
+	follower->rule->apply(taking->sync, &known);
+}
+
+static void take_backend(void *context, const struct beat_row *backend)
+{
+	struct taking *taking = context;
+	struct follower *follower = &taking->sync->followers[REGISTRY_BACKENDS];
 
-	if (row->table >= FOLLOWERS)
+	if (!taking->takes[REGISTRY_BACKENDS])
 		return;
-	follower_keep_row(&sync->followers[row->table], &known);
-	sync->followers[row->table].rule->apply(sync, &known);
+	g_hash_table_add(follower->seen, g_strdup(backend->id));
+	backend_row_take(taking->sync->edge, backend);
+}
+
+/*
+ * The table is the platform's word of when it was confirmed to the neighbour,
+ * counted back from when that was asked, which is before it answered.
+ */
+static void end_table(struct taking *taking, struct follower *follower)
+{
+	struct sync *sync = taking->sync;
+	const struct snapshot_table *table =
+		&taking->tables[follower->rule->table];
+	uint64_t age_us = table->age_ms * US_PER_MS;
+
+	follower->overtaken = lane_is_busy(&follower->lane);
+	if (sync->asked_reader && follower->doubted_us <= follower->asked_us)
+		follower->doubted_us = 0;
+	follower_end_pass(follower, table->version,
+			  follower->asked_us - MIN(age_us, follower->asked_us));
+	follower_step_later(follower, 0);
+}
+
+static const struct snapshot_visitor taking_visitor = {
+	.table = take_table,
+	.row = take_row,
+	.backend = take_backend,
+};
+
+static bool take_snapshot(struct sync *sync, const struct message *answer)
+{
+	struct taking taking = { .sync = sync };
+	uint32_t i;
+
+	if (!answer || answer->status != 200 ||
+	    !snapshot_read(answer->body->data, answer->body->len,
+			   &taking_visitor, &taking))
+		return false;
+	for (i = 0; i < FOLLOWERS; i++)
+		if (taking.takes[i])
+			end_table(&taking, &sync->followers[i]);
+	return true;
 }
 
 static void on_snapshot(void *context, const struct message *answer,
@@ -69,43 +219,110 @@
 {
 	struct sync *sync = context;
 	struct edge *edge = sync->edge;
+	bool taken = take_snapshot(sync, answer);
 
-	if (!answer || answer->status != 200 ||
-	    !snapshot_read(answer->body->data, answer->body->len,
-			   take_hearsay_row, sync)) {
-		log_event(LOG_WARNING, "hearsay", "taken=no status=%u cause=%s",
-			  answer ? answer->status : 0,
-			  cause ? cause : "answer");
-		return;
-	}
-	edge->backends->whole = g_hash_table_size(edge->backends->by_id) > 0;
-	log_event(LOG_INFO, "hearsay",
-		  "taken=yes from=%s routes_version=%" PRIu64 " backends=%u",
-		  sync->neighbour.to.address,
+	log_event(taken ? LOG_INFO : LOG_DEBUG, "neighbour-asked",
+		  "taken=%s from=%s tables=%u status=%u cause=%s bytes=%" PRIu64
+		  " routes_version=%" PRIu64 " backends=%u",
+		  taken ? "yes" : "no", sync->neighbour.to.address,
+		  sync->asked_tables, answer ? answer->status : 0,
+		  cause ? cause : "answer", sync->neighbour.got_bytes,
 		  edge->routes ? edge->routes->version : 0,
 		  g_hash_table_size(edge->backends->by_id));
+	sync->asked_tables = 0;
+}
+
+bool follower_differs(const struct follower *follower)
+{
+	return follower->doubted_us > follower->confirmed_us;
 }
 
-static bool is_cut_off(const struct sync *sync)
+/* The tables that a neighbour should be asked for. */
+static uint32_t missing_tables(const struct sync *sync)
 {
+	uint32_t tables = 0;
 	uint32_t i;
 
 	for (i = 0; i < FOLLOWERS; i++)
-		if (!sync->followers[i].failures)
-			return false;
-	return true;
+		if (!sync->followers[i].whole ||
+		    follower_differs(&sync->followers[i]))
+			tables |=
+				SNAPSHOT_TABLE(sync->followers[i].rule->table);
+	return tables;
+}
+
+static void ask(struct sync *sync, const struct endpoint *to)
+{
+	uint32_t tables = missing_tables(sync);
+	char *target;
+	uint32_t i;
+
+	if (!tables || lane_is_busy(&sync->neighbour))
+		return;
+	for (i = 0; i < FOLLOWERS; i++) {
+		struct follower *follower = &sync->followers[i];
+
+		if (!(tables & SNAPSHOT_TABLE(follower->rule->table)))
+			continue;
+		follower->asked_us = edge_now_us(sync->edge);
+		follower->asks++;
+	}
+	sync->asked_tables = tables;
+	target = g_strdup_printf(SNAPSHOT_PATH "?" SNAPSHOT_PARAMETER "=%u",
+				 tables);
+	if (strcmp(sync->neighbour.to.address, to->address) != 0 ||
+	    sync->neighbour.to.port != to->port)
+		lane_redirect(&sync->neighbour, to);
+	metric_add(sync->edge->stats.asked, 1);
+	lane_call(&sync->neighbour, "GET", target, NULL, ASK_TIMEOUT_US,
+		  on_snapshot, sync);
+	g_free(target);
+}
+
+/*
+ * The reader knows what it vouches for. A node that starts knows of no reader
+ * yet; it asks those that read first, beginning with another one than the next
+ * node does.
+ */
+void sync_ask_neighbour(struct sync *sync)
+{
+	struct edge *edge = sync->edge;
+	struct member_table *members = edge->members;
+	const struct member *first[READ_FIRST_NODES];
+	const struct member *reader =
+		member_table_reader(members, edge_now_us(edge));
+	uint32_t count =
+		member_table_first_readers(members, first, READ_FIRST_NODES);
+	uint32_t turn = members->self->hash +
+			sync->followers[REGISTRY_BACKENDS].asks +
+			sync->followers[REGISTRY_CONFIG].asks;
+
+	sync->asked_reader = edge_is_ready(edge) && reader != members->self &&
+			     reader->peer.port;
+	if (sync->asked_reader)
+		ask(sync, &reader->peer);
+	else if (count)
+		ask(sync, &first[turn % count]->peer);
+}
+
+static bool some_call_fails(const struct sync *sync)
+{
+	uint32_t i;
+
+	for (i = 0; i < FOLLOWERS; i++)
+		if (sync->followers[i].failures)
+			return true;
+	return false;
 }
 
 void sync_heard_neighbour(struct sync *sync, const struct endpoint *from)
 {
 	struct edge *edge = sync->edge;
 
-	if ((edge->routes && edge->backends->whole) || !is_cut_off(sync) ||
-	    lane_is_busy(&sync->neighbour))
+	if ((edge->routes && edge->backends->whole) || !some_call_fails(sync))
 		return;
-	lane_redirect(&sync->neighbour, from);
-	lane_call(&sync->neighbour, "GET", SNAPSHOT_PATH, NULL,
-		  SYNC_CALL_TIMEOUT_US, on_snapshot, sync);
+	sync->asked_reader = false;
+	ask(sync, from);
 }
 
 /* --- one reader a region ------------------------------------------------ */
@@ -183,11 +400,13 @@
 	if (vouch->digest == digest_of(follower)) {
 		follower->confirmed_us = at_us;
 		follower->answered_us = MAX(follower->answered_us, at_us);
+		follower->asks = 0;
 		return;
 	}
 	follower->doubted_us = MAX(follower->doubted_us, at_us);
-	if (now_us - follower->called_us > follower->rule->mismatch_us)
-		follower_call(follower);
+	if (now_us - MAX(follower->called_us, follower->asked_us) >
+	    follower->rule->mismatch_us)
+		follower_step(follower);
 }
 
 void sync_read_members(struct sync *sync)
@@ -195,6 +414,7 @@
 	struct follower *follower = &sync->followers[REGISTRY_MEMBERS];
 	uint64_t since_us = edge_now_us(sync->edge) - follower->called_us;
 
+	follower->cause = READ_MEMBER_UNKNOWN;
 	if (since_us > follower->rule->mismatch_us)
 		follower_call(follower);
 }
--- a/packages/edge/sync_parts.h
+++ b/packages/edge/sync_parts.h
@@ -4,6 +4,7 @@
 #ifndef EDGE_SYNC_PARTS_H
 #define EDGE_SYNC_PARTS_H
 
+#include "core/read_plan.h"
 #include "edge/lane.h"
 #include "edge/sync.h"
 
@@ -37,7 +38,8 @@
 	struct follow_time spacing; /* from one call's start to the next */
 	struct follow_time word; /* how long a neighbour's word is good */
 	uint64_t arrival_most_us; /* for an answer */
-	uint64_t mismatch_us; /* between calls for a word that differs */
+	uint64_t mismatch_us; /* between reads for a word that differs */
+	uint32_t asks_most; /* of neighbours, for one that differs */
 	void (*apply)(struct sync *sync, const struct registry_row *row);
 	/* After a whole read: what it didn't hold is gone. */
 	void (*prune)(struct sync *sync, GHashTable *seen);
@@ -54,12 +56,16 @@
 	uint64_t page_version; /* version of the first page */
 	uint64_t page_as_of_us; /* when the platform gave it */
 	GHashTable *seen; /* keys of the pages read so far */
-	GHashTable *rows; /* key -> value, as the platform gave them */
+	/* Key -> value, as the platform gave them; not of backend servers. */
+	GHashTable *rows;
 	uint64_t called_us;
+	bool overtaken; /* a neighbour gave the table while it was out */
+	uint64_t asked_us; /* a neighbour, last */
+	uint32_t asks; /* of neighbours in a row without the table */
+	enum read_cause cause; /* of the latest step */
 	uint64_t answered_us; /* last good answer */
 	uint64_t confirmed_us; /* the platform confirmed what is believed */
 	uint64_t doubted_us; /* and by then it said otherwise to a neighbour */
-	uint64_t retry_us;
 	uint32_t failures; /* in a row */
 };
 
@@ -68,20 +74,43 @@
 struct sync {
 	struct edge *edge;
 	struct follower followers[FOLLOWERS];
+	uint64_t started_us; /* when members were known, else the start */
 	struct lane own_lane; /* writes this node's row */
 	uv_timer_t own_timer;
-	uint64_t own_retry_us;
-	bool own_written;
-	struct lane neighbour; /* gives its snapshot where the platform won't */
+	uint32_t own_failures; /* of its writes, in a row */
+	bool own_listed; /* this node's row is in the table as it should be */
+	struct lane neighbour; /* asks a neighbour for tables */
+	uint32_t asked_tables; /* sum of SNAPSHOT_TABLE() */
+	bool asked_reader; /* the neighbour asked is the region's reader */
+	GBytes *given; /* the latest snapshot, for neighbours */
+	uint32_t given_tables;
+	uint64_t given_us; /* when it was made */
+	uint64_t giving_until_us; /* see read_may_give() */
 	bool was_away; /* since the last rows of backend servers */
 	bool routes_unread; /* the newest routes can't be read */
 	uint64_t lapse_until_us; /* missing backend servers are kept till then
 				  */
 };
 
-/* sync.c: call now; no call may be out for longer than its time. */
+/* sync.c: ask the platform now; no call may be out for longer than its time. */
 void follower_call(struct follower *follower);
 
+/* sync.c: ask whom the plan says, or wait. */
+void follower_step(struct follower *follower);
+
+/* sync.c: look again after so long. */
+void follower_step_later(struct follower *follower, uint64_t delay_us);
+
+/* sync.c: a pass over the whole table ends; what it didn't hold is gone. */
+void follower_end_pass(struct follower *follower, uint64_t version,
+		       uint64_t as_of_us);
+
+/* sync_neighbours.c: ask a neighbour for what this node should know. */
+void sync_ask_neighbour(struct sync *sync);
+
+/* sync_neighbours.c: whether the reader's word was another one lately. */
+bool follower_differs(const struct follower *follower);
+
 /* Keep the row as the platform gave it. */
 void follower_keep_row(struct follower *follower,
 		       const struct registry_row *row);
--- a/packages/edge/sync_tables.c
+++ b/packages/edge/sync_tables.c
@@ -131,6 +131,18 @@
 	backend_table_remove(edge->backends, id, sync->lapse_until_us, now_us);
 }
 
+/* The first list is one line of the log, not one for each server. */
+static bool is_news(const struct edge *edge, const struct backend *known,
+		    const struct backend_record *record)
+{
+	if (!known)
+		return edge->backends->whole;
+	return known->draining != record->draining ||
+	       known->started_ms != record->started_ms ||
+	       (record->cold_left_us &&
+		known->cold_until_us <= edge_now_us(edge));
+}
+
 static void put_backend(struct sync *sync, const struct registry_row *row,
 			const struct backend_record *record)
 {
@@ -149,9 +161,7 @@
 		.started_ms = record->started_ms,
 	};
 
-	if (!known || known->draining != record->draining ||
-	    known->started_ms != record->started_ms ||
-	    (record->cold_left_us && known->cold_until_us <= edge_now_us(edge)))
+	if (is_news(edge, known, record))
 		log_event(LOG_INFO, "backend",
 			  "backend=%s service=%s address=%s:%u domain=%s "
 			  "slots=%u draining=%s cold_left_us=%" PRIu64
@@ -229,6 +239,7 @@
 	member->region = g_strdup(record->region);
 	member->front = record->front;
 	member->peer = record->peer;
+	member->link_mbps = record->link_mbps;
 	if (is_new)
 		member->known_us = edge_now_us(edge);
 	if (is_new)
@@ -236,6 +247,39 @@
 			  record->domain);
 }
 
+static bool same_endpoint(const struct endpoint *a, const struct endpoint *b)
+{
+	return a->port == b->port && !strcmp(a->address, b->address);
+}
+
+/* A row that a life of this node before wrote may still say what it should. */
+static bool is_own_row(const struct edge *edge, const char *value)
+{
+	const struct edge_settings *settings = &edge->settings;
+	const struct registry *registry = edge->registry;
+	struct member_record record;
+	bool same;
+
+	if (!registry->vtable->decode_member(registry, value, &record, NULL))
+		return false;
+	same = !strcmp(record.domain, settings->domain) &&
+	       !strcmp(record.region, settings->region) &&
+	       same_endpoint(&record.front, &settings->front) &&
+	       same_endpoint(&record.peer, &settings->peer) &&
+	       record.link_mbps == (uint32_t)settings->link_mbps;
+	member_record_release(&record);
+	return same;
+}
+
+static void take_own_row(struct sync *sync, const struct registry_row *row)
+{
+	bool known = sync->followers[REGISTRY_MEMBERS].whole;
+
+	sync->own_listed = !row->deleted && is_own_row(sync->edge, row->value);
+	if (known && !sync->edge->stopping)
+		sync_write_own_row(sync);
+}
+
 void apply_member_row(struct sync *sync, const struct registry_row *row)
 {
 	struct edge *edge = sync->edge;
@@ -244,8 +288,7 @@
 	GError *error = NULL;
 
 	if (!strcmp(row->key, edge->settings.name)) {
-		if (row->deleted && !edge->stopping)
-			sync_write_own_row(sync);
+		take_own_row(sync, row);
 		return;
 	}
 	if (row->deleted) {
--- a/packages/ports/registry.h
+++ b/packages/ports/registry.h
@@ -74,6 +74,7 @@
 	char *region;
 	struct endpoint front;
 	struct endpoint peer;
+	uint32_t link_mbps; /* 0: not said */
 };
 
 enum config_row {
--- a/tests/core/edge_core_test.cc
+++ b/tests/core/edge_core_test.cc
@@ -404,6 +404,58 @@
 	EXPECT_EQ(table->self, member_table_reader(table, now_us));
 }
 
+/* What it tells goes to all of its region: a wide link comes first. */
+TEST_F(MemberTableTest, TheWidestLinkReads)
+{
+	struct member *b = member_table_find(table, "b");
+	struct member *d = place("d", "r1");
+	const struct member *first[2];
+
+	b->hash = 0;
+	b->peer.port = 1;
+	d->peer.port = 1;
+	d->link_mbps = 200;
+	for (const char *name : { "b", "d" })
+		member_heard(member_table_find(table, name), 1, false, now_us);
+	EXPECT_EQ(d, member_table_reader(table, now_us));
+	EXPECT_EQ(2u, member_table_read_rank(table));
+	ASSERT_EQ(2u, member_table_first_readers(table, first, 2));
+	EXPECT_EQ(d, first[0]);
+	EXPECT_EQ(b, first[1]);
+	ASSERT_EQ(1u, member_table_first_readers(table, first, 1));
+	EXPECT_EQ(d, first[0]);
+	table->self->link_mbps = 1000;
+	EXPECT_EQ(table->self, member_table_reader(table, now_us));
+	EXPECT_EQ(0u, member_table_read_rank(table));
+	table->self->leaving = true;
+	EXPECT_EQ(d, member_table_reader(table, now_us));
+}
+
+/*
+ * All nodes of a region start at once and have heard nobody yet. Each took
+ * itself for the region's reader and called the store, until the first beats
+ * were there.
+ */
+TEST_F(MemberTableTest, ANodeThatHasJustStartedIsNoReaderYet)
+{
+	struct member *b = member_table_find(table, "b");
+
+	b->hash = 0;
+	EXPECT_TRUE(member_table_reads(table, now_us));
+	b->known_us = now_us;
+	EXPECT_FALSE(member_table_reads(table, now_us));
+	member_heard(b, 1, true, now_us);
+	EXPECT_FALSE(member_table_reads(table, now_us)) << "b starts, too";
+	now_us += MEMBER_SILENT_US;
+	EXPECT_TRUE(member_table_reads(table, now_us)) << "b never came";
+	member_heard(b, 2, false, now_us);
+	EXPECT_FALSE(member_table_reads(table, now_us));
+	table->self->link_mbps = 1;
+	EXPECT_TRUE(member_table_reads(table, now_us));
+	table->self->leaving = true;
+	EXPECT_FALSE(member_table_reads(table, now_us));
+}
+
 /*
  * 82 nodes are replaced a day. A row of one that is gone would keep its part of
  * the extra requests, and be an owner of cold servers, for ever.
--- /dev/null
+++ b/tests/core/read_plan_test.cc
@@ -0,0 +1,256 @@
+/* Whom a node asks for the platform's tables, alone and among hundreds. */
+#include <functional>
+#include <vector>
+
+#include <glib.h>
+#include <gtest/gtest.h>
+
+#include "core/duration.h"
+#include "core/read_plan.h"
+
+namespace
+{
+
+const uint64_t WORD_US = 2 * US_PER_S;
+const uint64_t NOW_US = 100 * US_PER_S;
+
+struct plan_case {
+	const char *name;
+	bool whole;
+	bool is_reader;
+	uint32_t rank;
+	bool has_neighbours;
+	uint64_t since_start_us;
+	uint64_t word_age_us;
+	bool differs;
+	bool path_fails;
+	uint32_t asks;
+	enum read_from from;
+	enum read_cause cause;
+};
+
+const plan_case plan_cases[] = {
+	{ "OneOfTheFirstReadsAtOnce", false, false, 2, true, 0, 0, false, false,
+	  0, READ_PLATFORM, READ_STARTS },
+	{ "TheOthersAskThem", false, false, 3, true, 0, 0, false, false, 9,
+	  READ_NEIGHBOUR, READ_STARTS },
+	{ "ButNotForLong", false, false, 3, true, 1500 * US_PER_MS, 0, false,
+	  false, 9, READ_PLATFORM, READ_STARTS },
+	{ "NobodyIsKnownYet", false, false, READ_RANK_UNKNOWN, false, 0, 0,
+	  false, false, 0, READ_NOBODY, READ_STARTS },
+	{ "TheReaderFollows", true, true, 0, true, NOW_US, 0, false, false, 0,
+	  READ_PLATFORM, READ_FOLLOWS },
+	{ "AFreshWordSparesTheCall", true, false, 9, true, NOW_US, 0, false,
+	  false, 0, READ_NOBODY, READ_IN_TIME },
+	{ "AnOldWordDoesNot", true, false, 9, true, NOW_US, WORD_US, false,
+	  false, 0, READ_PLATFORM, READ_WORD_OLD },
+	{ "AnotherWordIsAskedFor", true, false, 9, true, NOW_US, 0, true, false,
+	  1, READ_NEIGHBOUR, READ_WORD_DIFFERS },
+	{ "OfThePlatformInTheEnd", true, false, 9, true, NOW_US, 0, true, false,
+	  2, READ_PLATFORM, READ_WORD_DIFFERS },
+	{ "OrWhereNobodyElseIs", true, false, 9, false, NOW_US, 0, true, false,
+	  0, READ_PLATFORM, READ_WORD_DIFFERS },
+	{ "AnOldWordThatDiffersIsOld", true, false, 9, true, NOW_US, WORD_US,
+	  true, false, 0, READ_PLATFORM, READ_WORD_OLD },
+	{ "AnotherTableTriesThePath", true, false, 9, true, NOW_US, WORD_US,
+	  false, true, 0, READ_NOBODY, READ_WORD_OLD },
+	{ "TheFirstTryByAll", true, false, 2, true, NOW_US, WORD_US, false,
+	  true, 0, READ_PLATFORM, READ_WORD_OLD },
+};
+
+class ReadPlanTest : public ::testing::TestWithParam<plan_case>
+{
+};
+
+TEST_P(ReadPlanTest, AsksWhomItShould)
+{
+	const plan_case &c = GetParam();
+	const struct read_state state = {
+		.is_reader = c.is_reader,
+		.whole = c.whole,
+		.rank = c.rank,
+		.has_neighbours = c.has_neighbours,
+		.started_us = NOW_US - c.since_start_us,
+		.confirmed_us = NOW_US - c.word_age_us,
+		.word_us = WORD_US,
+		.differs = c.differs,
+		.path_fails = c.path_fails,
+		.asks = c.asks,
+		.asks_most = 2,
+	};
+	struct read_step step;
+
+	read_plan(&state, NOW_US, &step);
+	EXPECT_EQ(c.from, step.from);
+	EXPECT_EQ(c.cause, step.cause);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, ReadPlanTest, ::testing::ValuesIn(plan_cases),
+			 [](const auto &info) { return info.param.name; });
+
+/*
+ * A region of hundreds of nodes loses power and all of them start again in the
+ * same moment. Each read the three tables for itself, over a thousand calls at
+ * once, and those that the store turned away came back later still. Whoever
+ * isn't among the first asks them, so that the calls don't grow with the nodes;
+ * and where just these are lost, the others serve all the same.
+ */
+class StartTest : public ::testing::Test
+{
+      protected:
+	struct Node {
+		struct read_state state = {};
+		uint64_t next_us = 0;
+		uint64_t whole_us = UINT64_MAX; /* when it has the table */
+		uint32_t calls = 0;
+	};
+	static constexpr uint64_t READ_US = 600 * US_PER_MS;
+	static constexpr uint64_t GIVE_US = 20 * US_PER_MS;
+
+	/* All of them start; the first so many are gone for good. */
+	void play(uint32_t count, uint32_t lost)
+	{
+		nodes.assign(count, Node());
+		for (uint32_t i = 0; i < count; i++) {
+			nodes[i].state.rank = i;
+			nodes[i].state.has_neighbours = count > 1;
+			nodes[i].state.word_us = WORD_US;
+		}
+		for (uint64_t now = 0; now < 5 * US_PER_S; now += 10000)
+			for (uint32_t i = lost; i < count; i++)
+				turn(nodes[i], now, lost);
+	}
+	void turn(Node &node, uint64_t now, uint32_t lost)
+	{
+		struct read_step step;
+
+		if (node.whole_us != UINT64_MAX || now < node.next_us)
+			return;
+		read_plan(&node.state, now, &step);
+		if (step.from == READ_PLATFORM) {
+			node.calls++;
+			node.whole_us = now + READ_US;
+		} else if (step.from == READ_NEIGHBOUR &&
+			   gives(node, now, lost)) {
+			node.whole_us = now + GIVE_US;
+		}
+		node.next_us = now + step.wait_us;
+	}
+	bool gives(Node &node, uint64_t now, uint32_t lost)
+	{
+		uint32_t giver = (node.state.rank + node.state.asks++) %
+				 READ_FIRST_NODES;
+
+		return giver >= lost && nodes[giver].whole_us <= now;
+	}
+	uint32_t calls() const
+	{
+		uint32_t sum = 0;
+
+		for (const Node &node : nodes)
+			sum += node.calls;
+		return sum;
+	}
+	uint64_t last_whole_us(uint32_t from) const
+	{
+		uint64_t last = 0;
+
+		for (size_t i = from; i < nodes.size(); i++)
+			last = MAX(last, nodes[i].whole_us);
+		return last;
+	}
+	std::vector<Node> nodes;
+};
+
+TEST_F(StartTest, CallsDoNotGrowWithTheNodes)
+{
+	for (uint32_t count : { 1u, 3u, 98u, 367u }) {
+		play(count, 0);
+		EXPECT_EQ(MIN(count, READ_FIRST_NODES), calls()) << count;
+		EXPECT_LE(last_whole_us(0), US_PER_S) << count;
+	}
+}
+
+TEST_F(StartTest, OneLostNodeOfTheFirstCostsNoCall)
+{
+	play(98, 1);
+	EXPECT_EQ(READ_FIRST_NODES - 1u, calls());
+	EXPECT_LE(last_whole_us(1), 1200 * US_PER_MS);
+}
+
+TEST_F(StartTest, WithoutTheFirstTheOthersReadForThemselves)
+{
+	play(98, READ_FIRST_NODES);
+	EXPECT_EQ(95u, calls());
+	EXPECT_LE(last_whole_us(READ_FIRST_NODES), 2200 * US_PER_MS);
+}
+
+/*
+ * The store turns everybody away for five seconds. Nodes that went on calling
+ * it several times a second each, hundreds of them, were the largest part of a
+ * day's calls, and none of them learnt anything. The first nodes still know
+ * within half a second that it is back.
+ */
+TEST(ReadRetryTest, AnAwayStoreIsCalledByFew)
+{
+	const uint64_t away_us = 5 * US_PER_S;
+	uint32_t calls = 0;
+	uint32_t calls_of_first = 0;
+
+	for (uint32_t rank = 0; rank < 98; rank++) {
+		uint64_t now_us = 0;
+		uint32_t failures = 0;
+
+		while (now_us < away_us) {
+			uint64_t pause_us =
+				read_retry_us(++failures, rank, 0.5);
+
+			EXPECT_LE(pause_us, rank < READ_FIRST_NODES ?
+						    400 * US_PER_MS :
+						    1600 * US_PER_MS);
+			EXPECT_GE(pause_us, 150 * US_PER_MS);
+			now_us += pause_us;
+		}
+		calls += failures;
+		calls_of_first += rank < READ_FIRST_NODES ? failures : 0;
+	}
+	EXPECT_GE(calls_of_first, 3u * 12);
+	EXPECT_LE(calls - calls_of_first, 95u * 6);
+}
+
+/* Nodes that failed together don't come back together. */
+TEST(ReadRetryTest, PausesAreSpread)
+{
+	EXPECT_GT(read_retry_us(9, 50, 0.0) - read_retry_us(9, 50, 1.0),
+		  300 * US_PER_MS);
+}
+
+/* Neighbours that all ask at once leave callers half of the link. */
+TEST(ReadMayGiveTest, HalfOfTheLinkStaysFree)
+{
+	const struct {
+		uint64_t bytes;
+		uint32_t link_mbps;
+		int least; /* answers within a second */
+		int most;
+	} cases[] = {
+		{ 100000, 200, 115, 140 },
+		{ 10000, 10, 50, 75 },
+		{ 1000000, 10, 0, 0 }, /* it would fill the link for seconds */
+		{ 100, 0, 600, 700 },
+	};
+
+	for (const auto &c : cases) {
+		uint64_t busy_until_us = 0;
+		int given = 0;
+
+		for (uint64_t now = 0; now < US_PER_S; now += 1000)
+			for (int i = 0; i < 10; i++)
+				given += read_may_give(&busy_until_us, c.bytes,
+						       c.link_mbps, now);
+		EXPECT_GE(given, c.least) << c.bytes << " " << c.link_mbps;
+		EXPECT_LE(given, c.most) << c.bytes << " " << c.link_mbps;
+	}
+}
+
+} // namespace
--- a/tests/edge/edge_world.h
+++ b/tests/edge/edge_world.h
@@ -332,6 +332,7 @@
 		settings.front = endpoint_at(1);
 		settings.extra = { 0.2, 50, 10000000 };
 		settings.nodes_least = 1;
+		settings.link_mbps = 10;
 		settings.leave_within_us = 2500000;
 		settings.config_within_us = 2500000;
 		settings.lookup_keep_us = 1000000;
@@ -374,6 +375,7 @@
 		g_free(reader->region);
 		reader->region = g_strdup("r1");
 		reader->hash = 0;
+		reader->link_mbps = edge->members->self->link_mbps;
 	}
 
 	struct endpoint at(const struct listener &listener)
--- a/tests/edge/gossip_test.cc
+++ b/tests/edge/gossip_test.cc
@@ -82,7 +82,11 @@
 	{
 		struct beat beat = {};
 
-		member_table_find(edge->members, "neighbour")->hash = 0;
+		struct member *neighbour =
+			member_table_find(edge->members, "neighbour");
+
+		neighbour->hash = 0;
+		neighbour->link_mbps = edge->members->self->link_mbps;
 		beat.lives[beat.life_count++] = { 0, 1, false };
 		beat.vouch_count = sync_vouches(sync, beat.vouches);
 		for (uint32_t i = 0; i < beat.vouch_count; i++)
--- /dev/null
+++ b/tests/edge/neighbour_test.cc
@@ -0,0 +1,232 @@
+/* What a node has from a neighbour, and what it still asks the store. */
+#include "edge/edge_world.h"
+#include "edge/snapshot.h"
+
+namespace
+{
+
+/* A second node, n2, beside the world's own, which the store names to it. */
+class NeighbourTest : public EdgeWorld
+{
+      protected:
+	void TearDown() override
+	{
+		if (second_sync)
+			sync_close(second_sync);
+		turn_for(50);
+		g_free(second_sync);
+		if (second_sync)
+			edge_release(&second);
+		EdgeWorld::TearDown();
+	}
+	void put_member(const char *name, const struct endpoint &peer,
+			int link_mbps)
+	{
+		std::string text =
+			"{\"domain\":\"d1\",\"region\":\"r1\","
+			"\"front\":\"127.0.0.1:1\",\"peer\":\"127.0.0.1:" +
+			std::to_string(peer.port) +
+			"\",\"link_mbps\":" + std::to_string(link_mbps) + "}";
+
+		store_stand_put(store, "members", name, text.c_str());
+	}
+	/* The world's node is one of three that read first; n2 isn't. */
+	void start_first(const struct endpoint &others)
+	{
+		start_node();
+		put_member("n1", at(peers), 200);
+		put_member("n3", others, 100);
+		put_member("n4", others, 100);
+	}
+	void start_second()
+	{
+		second_settings = settings;
+		g_strlcpy(second_settings.name, "n2", NAME_SIZE);
+		second_settings.front = endpoint_at(1);
+		second_settings.peer = endpoint_at(2);
+		edge_init(&second, &loop, clock_system(), platform_dialect(),
+			  platform_store(), &second_settings);
+		stats_init(&second.stats);
+		second_sync = sync_open(&second);
+		wait_for([this] { return edge_is_ready(&second); });
+	}
+	/* The first node, the reader, beats to the second. */
+	void vouch_to_second()
+	{
+		struct beat_vouch vouches[BEAT_MAX_VOUCHES];
+		uint32_t count = sync_vouches(sync, vouches);
+
+		member_heard(member_table_find(second.members, "n1"), ++beat,
+			     false, edge_now_us(&second));
+		for (uint32_t i = 0; i < count; i++)
+			sync_vouched(second_sync, &vouches[i]);
+	}
+	/* Both nodes' calls: counters are the process's. */
+	uint64_t reads(enum read_cause cause) const
+	{
+		return metric_value(edge->stats.registry_reads[cause]);
+	}
+	uint64_t writes() const
+	{
+		return metric_value(edge->stats.registry_writes);
+	}
+	struct edge second = {};
+	struct edge_settings second_settings = {};
+	struct sync *second_sync = nullptr;
+	struct endpoint dead = endpoint_at(1); /* nobody listens there */
+	uint64_t beat = 0;
+};
+
+/*
+ * A third of 295 nodes is restarted. Each read three tables of 1,209 servers
+ * and wrote the row that it had written in its life before: six calls to the
+ * store. All but the list of nodes is known next door.
+ */
+TEST_F(NeighbourTest, ARestartCostsTheStoreOneCall)
+{
+	for (int i = 0; i < 20; i++)
+		add_app("i-" + std::to_string(i));
+	start_first(at(peers));
+	put_member("n2", endpoint_at(2), 10);
+	turn_for(300);
+	uint64_t before = reads(READ_STARTS);
+	uint64_t written = writes();
+	start_second();
+	turn_for(100);
+	EXPECT_EQ(1u, reads(READ_STARTS) - before);
+	EXPECT_EQ(written, writes());
+	EXPECT_EQ(backend_table_digest(edge->backends),
+		  backend_table_digest(second.backends));
+	EXPECT_EQ(edge->routes->version, second.routes->version);
+	EXPECT_LT(sync_routes_age_us(second_sync), 2500000u);
+}
+
+/* A node that is new to the table writes its row, and only then. */
+TEST_F(NeighbourTest, ANewNodeMakesItselfKnown)
+{
+	start_first(at(peers));
+	turn_for(300);
+	uint64_t written = writes();
+	start_second();
+	wait_for([this] {
+		return store_stand_get(store, "members", "n2") != nullptr;
+	});
+	turn_for(300);
+	EXPECT_EQ(1u, writes() - written);
+}
+
+/* The ones that read first are lost: the node reads for itself in a moment. */
+TEST_F(NeighbourTest, AStartDoesNotWaitForLostNeighbours)
+{
+	add_app("i-1");
+	start_first(endpoint_at(1));
+	put_member("n1", endpoint_at(1), 200);
+	turn_for(100);
+	start_second();
+	EXPECT_NE(nullptr, backend_table_find(second.backends, "i-1"));
+}
+
+/*
+ * The operator changes the routes, and a server begins to drain without the
+ * nodes being told. Each of a region's hundred nodes asked the store for what
+ * its reader had just read.
+ */
+TEST_F(NeighbourTest, WhatTheReaderKnowsIsAskedOfIt)
+{
+	App &app = add_app("i-1");
+
+	start_first(at(peers));
+	put_member("n2", endpoint_at(2), 10);
+	start_second();
+	vouch_to_second();
+	turn_for(1000);
+	uint64_t differing = reads(READ_WORD_DIFFERS);
+	uint64_t old = reads(READ_WORD_OLD);
+	put_routes(9);
+	list_app(app, "draining");
+	wait_for([this] {
+		return edge->routes->version == 9 &&
+		       backend_table_find(edge->backends, "i-1")->draining;
+	});
+	vouch_to_second();
+	wait_for([this] {
+		return second.routes->version == 9 &&
+		       backend_table_find(second.backends, "i-1")->draining;
+	});
+	EXPECT_EQ(differing, reads(READ_WORD_DIFFERS));
+	EXPECT_EQ(old, reads(READ_WORD_OLD));
+	vouch_to_second();
+	EXPECT_TRUE(sync_routes_are_current(second_sync));
+}
+
+/*
+ * The reader doesn't answer, though its beats come: its link is full. The store
+ * is asked, as soon as for a reader that can't be asked at all.
+ */
+TEST_F(NeighbourTest, AReaderThatDoesNotAnswerIsPassedOver)
+{
+	start_first(at(peers));
+	put_member("n2", endpoint_at(2), 10);
+	start_second();
+	vouch_to_second();
+	turn_for(1000);
+	edge->settings.link_mbps = 0.00001; /* no answer fits */
+	put_routes(9);
+	wait_for([this] { return edge->routes->version == 9; });
+	vouch_to_second();
+	uint64_t began = uv_hrtime();
+	wait_for([this] { return second.routes->version == 9; });
+	EXPECT_LT((uv_hrtime() - began) / 1000000, 600u);
+}
+
+/*
+ * The neighbour that is asked is the one that is behind: it was cut off from
+ * the store. Its table would bring back a server that has left.
+ */
+TEST_F(NeighbourTest, AnOlderTableIsNotTaken)
+{
+	struct store_faults faults = {};
+
+	add_app("i-1");
+	add_app("i-2");
+	start_first(at(peers));
+	put_member("n2", endpoint_at(2), 10);
+	start_second();
+	turn_for(1000);
+	uint64_t before = backend_table_digest(edge->backends);
+	faults.silent = true;
+	store_stand_set_faults(store, &faults);
+	turn_for(100);
+	store_stand_put(store, "servers", "i-2", nullptr);
+	/* Only the second one reaches the store from here on. */
+	sync_redirect(sync, &dead);
+	faults.silent = false;
+	store_stand_set_faults(store, &faults);
+	wait_for(
+		[this] { return !backend_table_find(second.backends, "i-2"); });
+	ASSERT_EQ(before, backend_table_digest(edge->backends));
+	for (int i = 0; i < 10; i++) {
+		vouch_to_second();
+		turn_for(100);
+		EXPECT_EQ(nullptr, backend_table_find(second.backends, "i-2"));
+	}
+}
+
+/*
+ * A neighbour's word is as old as the platform's confirmation to it. Dated by
+ * when it was heard, routes that had been replaced were denied by for longer
+ * than they may.
+ */
+TEST_F(NeighbourTest, AnOldTableIsAsOldAsItIs)
+{
+	add_app("i-1");
+	start_first(at(peers));
+	put_member("n2", endpoint_at(2), 10);
+	turn_for(300);
+	sync_redirect(sync, &dead);
+	turn_for(1200);
+	start_second();
+	EXPECT_GE(sync_routes_age_us(second_sync), 1200000u);
+}
+
+} // namespace
--- a/tests/edge/sync_test.cc
+++ b/tests/edge/sync_test.cc
@@ -287,7 +287,8 @@
 	});
 	EXPECT_EQ(6u, second.routes->version);
 	EXPECT_NE(nullptr, backend_table_find(second.backends, "i-1"));
-	EXPECT_EQ(nullptr, backend_table_find(second.backends, "i-2"));
+	/* It is known as one that leaves, as to the neighbour. */
+	EXPECT_TRUE(backend_table_find(second.backends, "i-2")->draining);
 	/* Back in touch, the store's word replaces all of it. */
 	store_stand_put(store, "servers", "i-1", nullptr);
 	put_routes(7);
@@ -324,14 +325,19 @@
 				       get("a" + std::to_string(i), "/o/"))));
 	EXPECT_EQ(0u, app_stand_total_runs(spoiled.stand));
 	/* What it knows is told to a node that starts, but for such bytes. */
-	GBytes *bytes = sync_snapshot(sync);
+	GBytes *bytes = sync_snapshot(sync, SNAPSHOT_ALL);
 	std::set<std::string> told;
-	EXPECT_TRUE(snapshot_read(
-		g_bytes_get_data(bytes, nullptr), g_bytes_get_size(bytes),
-		[](void *context, const struct snapshot_row *row) {
-			((std::set<std::string> *)context)->insert(row->key);
-		},
-		&told));
+	const struct snapshot_visitor names = {
+		.table = [](void *, const struct snapshot_table *) {},
+		.row = [](void *, const struct snapshot_row *) {},
+		.backend =
+			[](void *context, const struct beat_row *backend) {
+				((std::set<std::string> *)context)
+					->insert(backend->id);
+			},
+	};
+	EXPECT_TRUE(snapshot_read(g_bytes_get_data(bytes, nullptr),
+				  g_bytes_get_size(bytes), &names, &told));
 	g_bytes_unref(bytes);
 	EXPECT_EQ(0u, told.count("i-8"));
 	EXPECT_EQ(1u, told.count("i-2"));
@@ -400,28 +406,43 @@
 TEST(SnapshotTest, OnlyWholeSnapshotsAreRead)
 {
 	struct snapshot_writer writer;
-	struct snapshot_row row = { 1, "key", "value" };
+	const struct snapshot_table table = { 1, 7, 300 };
+	const struct snapshot_row row = { 1, "key", "value" };
+	const struct beat_row backend = {};
 	int seen = 0;
-	auto count = [](void *context, const struct snapshot_row *) {
-		++*static_cast<int *>(context);
+	const struct snapshot_visitor count = {
+		.table =
+			[](void *context, const struct snapshot_table *) {
+				++*static_cast<int *>(context);
+			},
+		.row =
+			[](void *context, const struct snapshot_row *) {
+				++*static_cast<int *>(context);
+			},
+		.backend =
+			[](void *context, const struct beat_row *) {
+				++*static_cast<int *>(context);
+			},
 	};
 	gsize length;
 
 	snapshot_begin(&writer);
+	snapshot_add_table(&writer, &table);
 	snapshot_add(&writer, &row);
 	snapshot_add(&writer, &row);
+	snapshot_add_backend(&writer, &backend);
 	GBytes *bytes = snapshot_end(&writer);
 	const char *data =
 		static_cast<const char *>(g_bytes_get_data(bytes, &length));
-	EXPECT_TRUE(snapshot_read(data, length, count, &seen));
-	EXPECT_EQ(2, seen);
+	EXPECT_TRUE(snapshot_read(data, length, &count, &seen));
+	EXPECT_EQ(4, seen);
 	for (gsize cut = 0; cut < length; cut++) {
 		seen = 0;
-		bool whole = snapshot_read(data, cut, count, &seen);
+		bool whole = snapshot_read(data, cut, &count, &seen);
 		EXPECT_TRUE(whole || !seen) << cut;
 	}
 	EXPECT_FALSE(
-		snapshot_read("hello world, no snapshot", 24, count, &seen));
+		snapshot_read("hello world, no snapshot", 24, &count, &seen));
 	g_bytes_unref(bytes);
 }
 
