sync: a missing entry isn't told as one that is there; routes after a cut

The region's reader was cut off until 13.0 s, read the list anew and kept the missing entry for 54 ms, as one that may have lapsed; a neighbour that had dropped it 8 s before took the reader's table.

Change: missing entries are told by their ids; a node that has the server keeps it, one that hasn't doesn't take it. The path counts as tried only while the call for servers goes on. Both with a test that failed before.

--- a/packages/edge/snapshot.c
+++ b/packages/edge/snapshot.c
@@ -1,11 +1,12 @@
 #include "edge/snapshot.h"
 
-#define SNAPSHOT_VERSION 2
+#define SNAPSHOT_VERSION 3
 
 #define TABLES_TYPE "a(utu)"
 #define ROWS_TYPE "a(uss)"
 #define BACKENDS_TYPE "a" BEAT_ROW_TYPE
-#define SNAPSHOT_TYPE "(u" TABLES_TYPE ROWS_TYPE BACKENDS_TYPE ")"
+#define LAPSED_TYPE "as"
+#define SNAPSHOT_TYPE "(u" TABLES_TYPE ROWS_TYPE BACKENDS_TYPE LAPSED_TYPE ")"
 
 void snapshot_begin(struct snapshot_writer *writer)
 {
@@ -13,6 +14,7 @@
 	g_variant_builder_init(&writer->rows, G_VARIANT_TYPE(ROWS_TYPE));
 	g_variant_builder_init(&writer->backends,
 			       G_VARIANT_TYPE(BACKENDS_TYPE));
+	g_variant_builder_init(&writer->lapsed, G_VARIANT_TYPE(LAPSED_TYPE));
 }
 
 void snapshot_add_table(struct snapshot_writer *writer,
@@ -35,11 +37,16 @@
 	beat_row_add(&writer->backends, backend);
 }
 
+void snapshot_add_lapsed(struct snapshot_writer *writer, const char *id)
+{
+	g_variant_builder_add(&writer->lapsed, "s", id);
+}
+
 GBytes *snapshot_end(struct snapshot_writer *writer)
 {
-	GVariant *variant = g_variant_ref_sink(
-		g_variant_new(SNAPSHOT_TYPE, SNAPSHOT_VERSION, &writer->tables,
-			      &writer->rows, &writer->backends));
+	GVariant *variant = g_variant_ref_sink(g_variant_new(
+		SNAPSHOT_TYPE, SNAPSHOT_VERSION, &writer->tables, &writer->rows,
+		&writer->backends, &writer->lapsed));
 	GBytes *bytes = g_variant_get_data_as_bytes(variant);
 
 	g_variant_unref(variant);
@@ -55,9 +62,12 @@
 	GVariantIter *tables;
 	GVariantIter *rows;
 	GVariantIter *backends;
+	GVariantIter *lapsed;
+	const char *id;
 	guint64 version;
 
-	g_variant_get(variant, SNAPSHOT_TYPE, NULL, &tables, &rows, &backends);
+	g_variant_get(variant, SNAPSHOT_TYPE, NULL, &tables, &rows, &backends,
+		      &lapsed);
 	while (g_variant_iter_next(tables, "(utu)", &table.table, &version,
 				   &table.age_ms)) {
 		table.version = version;
@@ -68,9 +78,12 @@
 		visitor->row(context, &row);
 	while (beat_row_next(backends, &backend))
 		visitor->backend(context, &backend);
+	while (g_variant_iter_next(lapsed, "&s", &id))
+		visitor->lapsed(context, id);
 	g_variant_iter_free(tables);
 	g_variant_iter_free(rows);
 	g_variant_iter_free(backends);
+	g_variant_iter_free(lapsed);
 }
 
 bool snapshot_read(const void *bytes, size_t length,
--- a/packages/edge/snapshot.h
+++ b/packages/edge/snapshot.h
@@ -5,7 +5,9 @@
  * from a neighbour where it can, so that the platform isn't asked for the same
  * by each. Each table comes whole, with the platform's version and how long ago
  * the platform confirmed it. Backend servers come as what is believed of them,
- * in the form in which beats tell of changes. Encoded by GVariant.
+ * in the form in which beats tell of changes; of those whose entries are
+ * missing, and which may be back in a moment, only the ids. Encoded by
+ * GVariant.
  */
 #ifndef EDGE_SNAPSHOT_H
 #define EDGE_SNAPSHOT_H
@@ -48,12 +50,14 @@
 	void (*table)(void *context, const struct snapshot_table *table);
 	void (*row)(void *context, const struct snapshot_row *row);
 	void (*backend)(void *context, const struct beat_row *backend);
+	void (*lapsed)(void *context, const char *id);
 };
 
 struct snapshot_writer {
 	GVariantBuilder tables;
 	GVariantBuilder rows;
 	GVariantBuilder backends;
+	GVariantBuilder lapsed;
 };
 
 void snapshot_begin(struct snapshot_writer *writer);
@@ -63,6 +67,7 @@
 		  const struct snapshot_row *row);
 void snapshot_add_backend(struct snapshot_writer *writer,
 			  const struct beat_row *backend);
+void snapshot_add_lapsed(struct snapshot_writer *writer, const char *id);
 /* The bytes, for g_bytes_unref(). */
 GBytes *snapshot_end(struct snapshot_writer *writer);
 
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -210,6 +210,19 @@
 	return own_rank(follower->sync);
 }
 
+/*
+ * Whether its calls fail and go on. Where a neighbour's word spares them they
+ * don't, and nobody would notice that the path is back.
+ */
+static bool tries_path(const struct follower *follower)
+{
+	uint64_t until_us = follower->confirmed_us +
+			    time_us(follower, &follower->rule->word);
+
+	return follower->failures &&
+	       until_us <= edge_now_us(follower->sync->edge);
+}
+
 static void fill_state(const struct follower *follower,
 		       struct read_state *state)
 {
@@ -226,7 +239,7 @@
 	state->word_us = time_us(follower, &follower->rule->word);
 	state->differs = follower_differs(follower);
 	state->path_fails = follower->rule->table != REGISTRY_BACKENDS &&
-			    sync->followers[REGISTRY_BACKENDS].failures;
+			    tries_path(&sync->followers[REGISTRY_BACKENDS]);
 	state->asks = follower->asks;
 	state->asks_most = follower->rule->asks_most;
 }
--- a/packages/edge/sync_neighbours.c
+++ b/packages/edge/sync_neighbours.c
@@ -50,9 +50,14 @@
 
 	g_hash_table_iter_init(&iter, edge->backends->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct backend *backend = value;
 		struct beat_row row;
 
-		backend_row_fill(value, now_us, &row);
+		if (backend->lapsed_us) {
+			snapshot_add_lapsed(writer, backend->id);
+			continue;
+		}
+		backend_row_fill(backend, now_us, &row);
 		snapshot_add_backend(writer, &row);
 	}
 }
@@ -174,6 +179,20 @@
 	backend_row_take(taking->sync->edge, backend);
 }
 
+/*
+ * The neighbour keeps a server whose entry is missing for a moment, since it
+ * may have lapsed with the platform. A node that knows the server keeps it as
+ * well; one that has dropped it doesn't take it for one that is there.
+ */
+static void take_lapsed(void *context, const char *id)
+{
+	struct taking *taking = context;
+	struct follower *follower = &taking->sync->followers[REGISTRY_BACKENDS];
+
+	if (taking->takes[REGISTRY_BACKENDS])
+		g_hash_table_add(follower->seen, g_strdup(id));
+}
+
 /*
  * The table is the platform's word of when it was confirmed to the neighbour,
  * counted back from when that was asked, which is before it answered.
@@ -197,6 +216,7 @@
 	.table = take_table,
 	.row = take_row,
 	.backend = take_backend,
+	.lapsed = take_lapsed,
 };
 
 static bool take_snapshot(struct sync *sync, const struct message *answer)
--- a/tests/edge/neighbour_test.cc
+++ b/tests/edge/neighbour_test.cc
@@ -212,6 +212,64 @@
 	}
 }
 
+/*
+ * The reader was cut off while a server left. Back in touch it keeps the
+ * missing entry for a moment, for it may have lapsed with the store. A
+ * neighbour that had known for long that the server was gone took it from the
+ * reader's table as one that is there, and sent requests to it.
+ */
+TEST_F(NeighbourTest, AServerThatMayHaveLapsedIsNotTakenForOneThatIsThere)
+{
+	for (int i = 0; i < 10; i++)
+		add_app("i-" + std::to_string(i));
+	start_first(at(peers));
+	put_member("n2", endpoint_at(2), 10);
+	start_second();
+	turn_for(300);
+	store_stand_put(store, "servers", "i-3", nullptr);
+	wait_for([this] { return !backend_table_find(edge->backends, "i-3"); });
+	vouch_to_second();
+	wait_for(
+		[this] { return !backend_table_find(second.backends, "i-3"); });
+	/* As after the cut: the reader keeps it, and vouches for what it has.
+	 */
+	struct backend_facts facts = {};
+	facts.id = "i-3";
+	facts.service = "s";
+	facts.domain = "d1";
+	facts.region = "r1";
+	facts.slots = 4;
+	backend_table_put(edge->backends, &facts, edge_now_us(edge));
+	backend_table_remove(edge->backends, "i-3", edge_now_us(edge) + 2000000,
+			     edge_now_us(edge));
+	for (int i = 0; i < 12; i++) {
+		vouch_to_second();
+		turn_for(100);
+		EXPECT_EQ(nullptr, backend_table_find(second.backends, "i-3"));
+	}
+	EXPECT_NE(nullptr, backend_table_find(edge->backends, "i-3"));
+}
+
+/* A node that knows the server keeps it for as long as the reader does. */
+TEST_F(NeighbourTest, AServerThatMayHaveLapsedIsKeptWhereItIsKnown)
+{
+	for (int i = 0; i < 10; i++)
+		add_app("i-" + std::to_string(i));
+	start_first(at(peers));
+	put_member("n2", endpoint_at(2), 10);
+	start_second();
+	turn_for(1000);
+	backend_table_remove(edge->backends, "i-3", edge_now_us(edge) + 2000000,
+			     edge_now_us(edge));
+	list_app(apps[5], "draining");
+	wait_for([this] {
+		vouch_to_second();
+		turn_for(50);
+		return backend_table_find(second.backends, "i-5")->draining;
+	});
+	EXPECT_NE(nullptr, backend_table_find(second.backends, "i-3"));
+}
+
 /*
  * A neighbour's word is as old as the platform's confirmation to it. Dated by
  * when it was heard, routes that had been replaced were denied by for longer
--- a/tests/edge/sync_test.cc
+++ b/tests/edge/sync_test.cc
@@ -255,6 +255,48 @@
 	});
 }
 
+/*
+ * A node was cut off for seconds. Its neighbours' beats were back before its
+ * own calls went through, and confirmed the servers; the routes that had
+ * changed meanwhile it never asked for, since the call that was to try the path
+ * for both tables wasn't made any more. Callers got what older routes say.
+ */
+TEST_F(ReaderSyncTest, ATableWithoutAWordIsReadThoughAnotherHasOne)
+{
+	add_app("i-1");
+	start_node();
+	add_reader();
+	for (const char *name : { "m1", "m2" }) {
+		struct member *member = member_table_put(edge->members, name);
+
+		g_free(member->region);
+		member->region = g_strdup("r1");
+		member->hash = 0;
+		member->link_mbps = edge->members->self->link_mbps;
+	}
+	vouch(0);
+	set_silent(true);
+	wait_for([this] { return has_lost("backends") && has_lost("config"); });
+	put_routes(8);
+	set_silent(false);
+	uint64_t end_ns = uv_hrtime() + 3000ull * 1000000;
+	while (edge->routes->version != 8 && uv_hrtime() < end_ns) {
+		struct beat_vouch vouches[BEAT_MAX_VOUCHES];
+		uint32_t count = sync_vouches(sync, vouches);
+
+		member_heard(member_table_find(edge->members, "reader"), ++beat,
+			     false, edge_now_us(edge));
+		for (uint32_t i = 0; i < count; i++) {
+			vouches[i].age_ms = 0;
+			vouches[i].digest += vouches[i].table ==
+					     REGISTRY_CONFIG;
+			sync_vouched(sync, &vouches[i]);
+		}
+		turn_for(100);
+	}
+	EXPECT_EQ(8u, edge->routes->version);
+}
+
 /*
  * A planned restart while the store is away: the node knew nothing and refused
  * everything until the store was back. A neighbour gives it what it knows; a
@@ -335,6 +377,7 @@
 				((std::set<std::string> *)context)
 					->insert(backend->id);
 			},
+		.lapsed = [](void *, const char *) {},
 	};
 	EXPECT_TRUE(snapshot_read(g_bytes_get_data(bytes, nullptr),
 				  g_bytes_get_size(bytes), &names, &told));
@@ -412,17 +455,19 @@
 	int seen = 0;
 	const struct snapshot_visitor count = {
 		.table =
-			[](void *context, const struct snapshot_table *) {
-				++*static_cast<int *>(context);
+			[](void *at, const struct snapshot_table *) {
+				++*static_cast<int *>(at);
 			},
 		.row =
-			[](void *context, const struct snapshot_row *) {
-				++*static_cast<int *>(context);
+			[](void *at, const struct snapshot_row *) {
+				++*static_cast<int *>(at);
 			},
 		.backend =
-			[](void *context, const struct beat_row *) {
-				++*static_cast<int *>(context);
+			[](void *at, const struct beat_row *) {
+				++*static_cast<int *>(at);
 			},
+		.lapsed = [](void *at,
+			     const char *) { ++*static_cast<int *>(at); },
 	};
 	gsize length;
 
@@ -431,11 +476,12 @@
 	snapshot_add(&writer, &row);
 	snapshot_add(&writer, &row);
 	snapshot_add_backend(&writer, &backend);
+	snapshot_add_lapsed(&writer, "i-1");
 	GBytes *bytes = snapshot_end(&writer);
 	const char *data =
 		static_cast<const char *>(g_bytes_get_data(bytes, &length));
 	EXPECT_TRUE(snapshot_read(data, length, &count, &seen));
-	EXPECT_EQ(4, seen);
+	EXPECT_EQ(5, seen);
 	for (gsize cut = 0; cut < length; cut++) {
 		seen = 0;
 		bool whole = snapshot_read(data, cut, &count, &seen);
