sync: a reader reads as soon as it is ready; routes are asked for alone

Change: once ready a node looks again at whom to ask. Routes that differ are asked for alone. Tests with both stories, which failed before.

--- a/packages/core/member_table.c
+++ b/packages/core/member_table.c
@@ -219,14 +219,15 @@
 static uint32_t insert_reader(const struct member **first, uint32_t count,
 			      uint32_t most, const struct member *member)
 {
-	uint32_t at = count;
+	uint32_t at;
 
-	while (at > 0 && reads_before(member, first[at - 1]))
-		at--;
-	if (at == most)
+	if (count < most)
+		count++;
+	else if (!reads_before(member, first[count - 1]))
 		return count;
-	count = MIN(count + 1, most);
-	memmove(&first[at + 1], &first[at], (count - at - 1) * sizeof(*first));
+	for (at = count - 1; at > 0 && reads_before(member, first[at - 1]);
+	     at--)
+		first[at] = first[at - 1];
 	first[at] = member;
 	return count;
 }
--- a/packages/edge/run.c
+++ b/packages/edge/run.c
@@ -189,8 +189,10 @@
 		return;
 	run->was_ready = ready;
 	log_event(LOG_INFO, "readiness", "ready=%s", ready ? "yes" : "no");
-	if (ready)
-		gossip_hurry(run->gossip);
+	if (!ready)
+		return;
+	gossip_hurry(run->gossip);
+	sync_became_ready(run->sync);
 }
 
 static void on_tick(uv_timer_t *timer)
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -65,7 +65,7 @@
  * Neighbours asked for what differs before the platform is. One for routes: a
  * large document doesn't fit a neighbour's link, and must be there soon.
  */
-#define ASKS_MOST 4
+#define ASKS_MOST 8
 
 /*
  * An answer about backend servers: what it says grows old as it comes,
@@ -700,6 +700,15 @@
 	uv_close((uv_handle_t *)&sync->own_timer, NULL);
 }
 
+void sync_became_ready(struct sync *sync)
+{
+	uint32_t i;
+
+	for (i = 0; i < FOLLOWERS; i++)
+		if (!lane_is_busy(&sync->followers[i].lane))
+			follower_step_later(&sync->followers[i], 0);
+}
+
 uint32_t sync_views(const struct sync *sync, struct sync_view *views)
 {
 	uint32_t i;
--- a/packages/edge/sync.h
+++ b/packages/edge/sync.h
@@ -74,6 +74,12 @@
  */
 void sync_heard_neighbour(struct sync *sync, const struct endpoint *from);
 
+/*
+ * The node has become ready: it may read for its region from now on, and looks
+ * again at whom to ask.
+ */
+void sync_became_ready(struct sync *sync);
+
 /* A node was heard of that the members' table didn't name yet. */
 void sync_read_members(struct sync *sync);
 
--- a/packages/edge/sync_neighbours.c
+++ b/packages/edge/sync_neighbours.c
@@ -257,12 +257,19 @@
 	return follower->doubted_us > follower->confirmed_us;
 }
 
-/* The tables that a neighbour should be asked for. */
+/*
+ * The tables that a neighbour should be asked for. Routes that differ are asked
+ * for alone: they are few bytes and needed soon, and a list of all servers may
+ * have to wait for room on the neighbour's link.
+ */
 static uint32_t missing_tables(const struct sync *sync)
 {
+	const struct follower *config = &sync->followers[REGISTRY_CONFIG];
 	uint32_t tables = 0;
 	uint32_t i;
 
+	if (config->whole && follower_differs(config))
+		return SNAPSHOT_TABLE(REGISTRY_CONFIG);
 	for (i = 0; i < FOLLOWERS; i++)
 		if (!sync->followers[i].whole ||
 		    follower_differs(&sync->followers[i]))
--- a/tests/edge/neighbour_test.cc
+++ b/tests/edge/neighbour_test.cc
@@ -159,6 +159,39 @@
 	EXPECT_TRUE(sync_routes_are_current(second_sync));
 }
 
+/*
+ * Routes and servers change together, and the list of servers doesn't fit the
+ * reader's link. Asked for in one, neither came, and each node of the region
+ * asked the store for a few bytes of routes.
+ */
+TEST_F(NeighbourTest, RoutesDoNotWaitForAListOfServers)
+{
+	App &app = add_app("i-1");
+
+	for (int i = 0; i < 200; i++)
+		store_stand_put(
+			store, "servers",
+			("other-" + std::to_string(i)).c_str(),
+			"{\"service\":\"t\",\"addr\":\"127.0.0.9:1\","
+			"\"zone\":\"d1\",\"slots\":4,\"state\":\"ready\"}");
+	start_first(at(peers));
+	put_member("n2", endpoint_at(2), 10);
+	start_second();
+	vouch_to_second();
+	turn_for(1000);
+	edge->settings.link_mbps = 1;
+	uint64_t differing = reads(READ_WORD_DIFFERS);
+	put_routes(9);
+	list_app(app, "draining");
+	wait_for([this] {
+		return edge->routes->version == 9 &&
+		       backend_table_find(edge->backends, "i-1")->draining;
+	});
+	vouch_to_second();
+	wait_for([this] { return second.routes->version == 9; });
+	EXPECT_EQ(differing, reads(READ_WORD_DIFFERS));
+}
+
 /*
  * The reader doesn't answer, though its beats come: its link is full. The store
  * is asked, as soon as for a reader that can't be asked at all.
@@ -212,6 +245,26 @@
 	}
 }
 
+/*
+ * The node that reads for its region starts. While it isn't ready others may
+ * be the readers, so it waited for their word of the routes; ready, it went on
+ * waiting, and the word that it gave to all of its region grew old.
+ */
+TEST_F(NeighbourTest, AReaderThatBecomesReadyReadsAtOnce)
+{
+	add_app("i-1");
+	put_member("n3", dead, 1);
+	start_node();
+	ASSERT_EQ(2u, member_table_count(edge->members));
+	edge->members->self->leaving = true;
+	turn_for(1200);
+	uint64_t before = reads(READ_FOLLOWS);
+	edge->members->self->leaving = false;
+	sync_became_ready(sync);
+	turn_for(100);
+	EXPECT_GE(reads(READ_FOLLOWS) - before, 2u);
+}
+
 /*
  * The reader was cut off while a server left. Back in touch it keeps the
  * missing entry for a moment, for it may have lapsed with the store. A
