--- a/packages/core/admission.c
+++ b/packages/core/admission.c
@@ -5,10 +5,7 @@
 /*
  * When refused callers come back, as a part of the time that they have: they
  * wait a third of it at most. They are late already, so that what counts for
- * them is room, and there is most of it when the burst has passed: of 0.1 to
- * 0.2, 0.2 to 0.32 and 0.3 to 0.33 the last gave the highest mean worth
- * (five days with trouble, 3 seeds, 10 nodes: 0.658, 0.662, 0.664), and the
- * fewest requests never served.
+ * them is room, and there is most of it when the burst has passed.
  */
 #define RETRY_PART_LEAST 0.3
 #define RETRY_PART_MOST 0.33
@@ -22,10 +19,6 @@
 
 	if (request->expected_us > (double)request->left_us)
 		return ADMISSION_TOO_LATE;
-	/*
-	 * Of 1.0, 1.15 and 1.3 objectives the first gave the highest mean worth
-	 * (five days with trouble, 3 seeds, 10 nodes: 0.679, 0.678, 0.677).
-	 */
 	if (request->wait_us > 0 && total_us > (double)request->target_us)
 		return ADMISSION_QUEUE_LATE;
 	return ADMISSION_TAKE;
--- a/packages/core/candidate.c
+++ b/packages/core/candidate.c
@@ -11,17 +11,13 @@
 
 /*
  * Part of a service time that a place further down the rendezvous order costs:
- * objects then have few owners, whose caches hold them. Of 0.2, 0.3 and 0.4
- * this gave the highest mean worth (0.675, 0.690, 0.692 and 0.753, 0.760,
- * 0.766).
+ * objects then have few owners, whose caches hold them.
  */
 #define RANK_COST 0.4
 
 /*
  * Cost of a server in another region beside its link, in warm service times:
- * the bytes on the links are paid for, and its slots are another region's. Of
- * 0, 0.5, 1, 1.5 and 2 this gave the highest mean worth (6 days, 4 seeds, two
- * deployments: 0.690 and 0.760 against 0.664 and 0.748 for 0).
+ * the bytes on the links are paid for, and its slots are another region's.
  */
 #define FAR_COST 1.0
 
@@ -35,19 +31,14 @@
  * Load, as a part of its slots, up to which a server may do cold what another
  * has warm. A cold run holds a slot several times as long: where slots are
  * short, sending an object elsewhere because its own server is busy takes more
- * from the others than it gives. With three regions, 10 nodes and three
- * services, the mean worth of five days with trouble (3 seeds) rose from 0.621
- * to 0.646, that of the heaviest day from 0.550 to 0.583. Loads are known late
- * and too low, so that a limit of all slots gains half as much.
+ * from the others than it gives. Well below all slots, since loads are known
+ * late and too low.
  */
 #define SPARE_PART 0.4
 
 /*
- * How much longer a cold run takes, in warm ones, for it to be worth a wait.
- * Holding requests for an object while all slots of the server that runs its
- * first one are taken, the mean worth rose from 0.660 to 0.677 (five days with
- * trouble, 3 seeds, 10 nodes); from 0.8 or 1.3 of the slots on, it is 0.675 and
- * 0.674, and on a calm day holding whatever the load costs 0.015.
+ * How much longer a cold run takes, in warm ones, for it to be worth a wait
+ * while all slots of the server that runs the object's first one are taken.
  */
 #define HOLD_GAIN 0.5
 
--- a/packages/core/candidate.h
+++ b/packages/core/candidate.h
@@ -24,7 +24,7 @@
 	struct backend *backend;
 	/*
 	 * In the rendezvous order, the larger first. Taken once, not at each
-	 * comparison: a choice among 118 servers took 106 us, and takes 34.
+	 * comparison, where it would be most of a choice's time.
 	 */
 	double score;
 	double cost_us; /* expected time with the tie-break's part */
--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -8,10 +8,9 @@
 #include "core/duration.h"
 
 /*
- * Answers of a service before its times are a reason to refuse. Until then the
- * queues of a start grow past the objective, when they matter most: of 20 and 5
- * the latter gave a mean worth of 0.687 against 0.680 (five days with trouble,
- * 3 seeds, 10 nodes), 2 was worse than 5 in virtual time.
+ * Answers of a service before its times are a reason to refuse. Few, since
+ * until then the queues of a start grow past the objective; one or two say
+ * little.
  */
 #define TRUST_SAMPLES 5
 
@@ -20,10 +19,9 @@
 
 /*
  * Nodes of a region that give a server that joined its first request. Were it
- * each node, 90 nodes and 260 servers made a fifth of all requests of half a
- * minute such first ones, most of them late. One that dies is followed by the
- * next as soon as its silence is noticed; a second one at once cost 0.002 of
- * the mean worth (five days with trouble, 3 seeds, 10 nodes).
+ * each node, dozens of nodes and of such servers would make a large part of all
+ * requests first ones, most of them late. One node that dies is followed by the
+ * next as soon as its silence is noticed.
  */
 #define NEWCOMER_SENDERS 1
 
--- a/packages/edge/gossip.c
+++ b/packages/edge/gossip.c
@@ -10,17 +10,14 @@
 /*
  * Between two ticks. A beat goes to a neighbour each fourth, 400 ms, since
  * loads change within a service time. News of what is warm goes with each:
- * until a neighbour knows, it has the object run cold once more. Of 400 ms and
- * 100 ms the latter gave a mean worth of 0.660 against 0.657 (five days with
- * trouble, 3 seeds, 10 nodes).
+ * until a neighbour knows, it has the object run cold once more.
  */
 #define TICK_US (100 * US_PER_MS)
 
 /*
  * A loop that is at its timer so late stood still, and beats that came in the
- * meantime wait in the socket. Three ticks: reading a document of 5,716 routes
- * keeps a whole core busy for 78 ms. Where a small part of a core takes longer,
- * the reader's next beat comes 400 ms later.
+ * meantime wait in the socket. Three ticks, since reading a large document may
+ * take one; where it takes longer, the reader's next beat comes soon enough.
  */
 #define STOOD_US (3 * TICK_US)
 
@@ -28,7 +25,7 @@
 
 /*
  * Of other regions a node hears now and then, so that their members seem to
- * come and go: not worth a line each (7 a second and node, of 66 nodes).
+ * come and go: not worth a line each.
  */
 static void note_state(const struct edge *edge, const struct member *member)
 {
