--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -328,9 +328,10 @@
 void follower_keep_row(struct follower *follower,
 		       const struct registry_row *row)
 {
-	/* Bytes that are no text can't be told to a node that starts. */
+	/* These are told as they are believed, not as they came. */
 	if (follower->rule->table == REGISTRY_BACKENDS)
 		return;
+	/* Bytes that are no text can't be told to a neighbour. */
 	if (row->deleted || !g_utf8_validate(row->value, -1, NULL))
 		g_hash_table_remove(follower->rows, row->key);
 	else
