tests: a neighbour's address is read once its listener is open

Cause: the test took the address of a listener that wasn't open yet, an argument evaluated before the call; what stood in memory was a good port in one build and none in the other, so that two of the four members' rows couldn't be read. The checks are as they were.

--- a/tests/edge/neighbour_test.cc
+++ b/tests/edge/neighbour_test.cc
@@ -31,12 +31,17 @@
 		store_stand_put(store, "members", name, text.c_str());
 	}
 	/* The world's node is one of three that read first; n2 isn't. */
-	void start_first(const struct endpoint &others)
+	void start_first(bool others_live = true)
 	{
 		start_node();
+		/* Written later, its own row would replace this one. */
+		wait_for([this] {
+			return store_stand_get(store, "members", "n1") !=
+			       nullptr;
+		});
 		put_member("n1", at(peers), 200);
-		put_member("n3", others, 100);
-		put_member("n4", others, 100);
+		put_member("n3", others_live ? at(peers) : dead, 100);
+		put_member("n4", others_live ? at(peers) : dead, 100);
 	}
 	void start_second()
 	{
@@ -86,7 +91,7 @@
 {
 	for (int i = 0; i < 20; i++)
 		add_app("i-" + std::to_string(i));
-	start_first(at(peers));
+	start_first();
 	put_member("n2", endpoint_at(2), 10);
 	turn_for(300);
 	uint64_t before = reads(READ_STARTS);
@@ -104,7 +109,7 @@
 /* A node that is new to the table writes its row, and only then. */
 TEST_F(NeighbourTest, ANewNodeMakesItselfKnown)
 {
-	start_first(at(peers));
+	start_first();
 	turn_for(300);
 	uint64_t written = writes();
 	start_second();
@@ -119,7 +124,7 @@
 TEST_F(NeighbourTest, AStartDoesNotWaitForLostNeighbours)
 {
 	add_app("i-1");
-	start_first(endpoint_at(1));
+	start_first(false);
 	put_member("n1", endpoint_at(1), 200);
 	turn_for(100);
 	start_second();
@@ -135,7 +140,7 @@
 {
 	App &app = add_app("i-1");
 
-	start_first(at(peers));
+	start_first();
 	put_member("n2", endpoint_at(2), 10);
 	start_second();
 	vouch_to_second();
@@ -174,7 +179,7 @@
 			("other-" + std::to_string(i)).c_str(),
 			"{\"service\":\"t\",\"addr\":\"127.0.0.9:1\","
 			"\"zone\":\"d1\",\"slots\":4,\"state\":\"ready\"}");
-	start_first(at(peers));
+	start_first();
 	put_member("n2", endpoint_at(2), 10);
 	start_second();
 	vouch_to_second();
@@ -198,7 +203,7 @@
  */
 TEST_F(NeighbourTest, AReaderThatDoesNotAnswerIsPassedOver)
 {
-	start_first(at(peers));
+	start_first();
 	put_member("n2", endpoint_at(2), 10);
 	start_second();
 	vouch_to_second();
@@ -222,7 +227,7 @@
 
 	add_app("i-1");
 	add_app("i-2");
-	start_first(at(peers));
+	start_first();
 	put_member("n2", endpoint_at(2), 10);
 	start_second();
 	turn_for(1000);
@@ -275,7 +280,7 @@
 {
 	for (int i = 0; i < 10; i++)
 		add_app("i-" + std::to_string(i));
-	start_first(at(peers));
+	start_first();
 	put_member("n2", endpoint_at(2), 10);
 	start_second();
 	turn_for(300);
@@ -308,7 +313,7 @@
 {
 	for (int i = 0; i < 10; i++)
 		add_app("i-" + std::to_string(i));
-	start_first(at(peers));
+	start_first();
 	put_member("n2", endpoint_at(2), 10);
 	start_second();
 	turn_for(1000);
@@ -331,7 +336,7 @@
 TEST_F(NeighbourTest, AnOldTableIsAsOldAsItIs)
 {
 	add_app("i-1");
-	start_first(at(peers));
+	start_first();
 	put_member("n2", endpoint_at(2), 10);
 	turn_for(300);
 	sync_redirect(sync, &dead);
