sync: logs say where the store's answer began and ended, and whom a neighbour's table changed

Neither the place in the history from which a node goes on, nor whether an answer went as far as the newest version, nor what a neighbour's table says of leaving servers could be seen. table-followed is written by nodes that don't read for their region, which ask the store seldom; backend-given for servers whose leaving changed.

--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -536,6 +536,28 @@
 						    g_random_double()));
 }
 
+/*
+ * How far behind the node was, and whether the answer went all the way: last is
+ * the version of its last row, version where to go on.
+ */
+static void log_followed(const struct follower *follower,
+			 const struct registry_rows *rows)
+{
+	const struct registry_row *last;
+
+	if (!rows->rows->len || follower->cause == READ_FOLLOWS)
+		return;
+	last = &g_array_index(rows->rows, struct registry_row,
+			      rows->rows->len - 1);
+	log_event(LOG_INFO, "table-followed",
+		  "table=%s cause=%s rows=%u after=%" PRIu64 " last=%" PRIu64
+		  " version=%" PRIu64 " confirmed_age_us=%" PRIu64,
+		  follower->rule->name, read_cause_name(follower->cause),
+		  rows->rows->len, follower->version, last->version,
+		  rows->version,
+		  edge_now_us(follower->sync->edge) - follower->confirmed_us);
+}
+
 static void on_answer(void *context, const struct message *answer,
 		      const char *cause)
 {
@@ -565,6 +587,7 @@
 		} else if (!follower->whole) {
 			take_page(follower, &rows);
 		} else {
+			log_followed(follower, &rows);
 			apply_rows(follower, &rows);
 			follower->version =
 				MAX(follower->version, rows.version);
--- a/packages/edge/sync_neighbours.c
+++ b/packages/edge/sync_neighbours.c
@@ -168,6 +168,17 @@
 	follower->rule->apply(taking->sync, &known);
 }
 
+static void log_if_leaving(const struct edge *edge,
+			   const struct beat_row *backend)
+{
+	const struct backend *known =
+		backend_table_find(edge->backends, backend->id);
+
+	if (known && known->draining != backend->draining)
+		log_event(LOG_INFO, "backend-given", "backend=%s draining=%s",
+			  backend->id, backend->draining ? "yes" : "no");
+}
+
 static void take_backend(void *context, const struct beat_row *backend)
 {
 	struct taking *taking = context;
@@ -176,6 +187,7 @@
 	if (!taking->takes[REGISTRY_BACKENDS])
 		return;
 	g_hash_table_add(follower->seen, g_strdup(backend->id));
+	log_if_leaving(taking->sync->edge, backend);
 	backend_row_take(taking->sync->edge, backend);
 }
 
