--- a/tests/edge/neighbour_test.cc
+++ b/tests/edge/neighbour_test.cc
@@ -1,4 +1,5 @@
 /* What a node has from a neighbour, and what it still asks the store. */
+#include "edge/backend_row.h"
 #include "edge/edge_world.h"
 #include "edge/snapshot.h"
 
@@ -66,6 +67,41 @@
 		for (uint32_t i = 0; i < count; i++)
 			sync_vouched(second_sync, &vouches[i]);
 	}
+	/* A beat tells the second node that the server leaves, or has left. */
+	void tell_second_draining(const char *id)
+	{
+		struct beat_row row;
+
+		backend_row_fill(backend_table_find(second.backends, id),
+				 edge_now_us(&second), &row);
+		row.draining = true;
+		backend_row_take(&second, &row);
+	}
+	void tell_second_left(const char *id)
+	{
+		backend_table_remove(second.backends, id, 0,
+				     edge_now_us(&second));
+	}
+	/* Other servers' rows change so often; the store holds each change. */
+	void change_others(int times)
+	{
+		for (int i = 0; i < times; i++)
+			store_stand_put(
+				store, "servers",
+				("other-" + std::to_string(i % 20)).c_str(),
+				("{\"service\":\"t\",\"addr\":\"127.0.0.9:1\","
+				 "\"zone\":\"d1\",\"state\":\"ready\","
+				 "\"slots\":" +
+				 std::to_string(4 + i % 7) + "}")
+					.c_str());
+	}
+	bool drains(const struct edge &node, const char *id)
+	{
+		const struct backend *backend =
+			backend_table_find(node.backends, id);
+
+		return backend && backend->draining;
+	}
 	/* Both nodes' calls: counters are the process's. */
 	uint64_t reads(enum read_cause cause) const
 	{
@@ -345,4 +381,113 @@
 	EXPECT_GE(sync_routes_age_us(second_sync), 1200000u);
 }
 
+/* A server that leaves is taken for one that is there, by its older row. */
+TEST_F(NeighbourTest, AnOlderRowDoesNotReplaceANewerWord)
+{
+	App &app = add_app("i-1");
+
+	start_first();
+	put_member("n2", endpoint_at(2), 10);
+	start_second();
+	list_app(app, "ready", "2000ms");
+	list_app(app, "ready");
+	change_others(600);
+	list_app(app, "draining");
+	tell_second_draining("i-1");
+	uint64_t old = reads(READ_WORD_OLD);
+	wait_for([&] { return reads(READ_WORD_OLD) > old; });
+	for (int i = 0; i < 40; i++) {
+		turn_for(10);
+		ASSERT_TRUE(drains(second, "i-1"));
+	}
+}
+
+/* The same with one that has left, and is in the table no more. */
+TEST_F(NeighbourTest, AnOlderRowDoesNotBringBackAServerThatLeft)
+{
+	App &app = add_app("i-1");
+
+	start_first();
+	put_member("n2", endpoint_at(2), 10);
+	start_second();
+	list_app(app, "ready", "2000ms");
+	list_app(app, "ready");
+	change_others(600);
+	store_stand_put(store, "servers", "i-1", nullptr);
+	tell_second_left("i-1");
+	uint64_t old = reads(READ_WORD_OLD);
+	wait_for([&] { return reads(READ_WORD_OLD) > old; });
+	for (int i = 0; i < 40; i++) {
+		turn_for(10);
+		ASSERT_EQ(nullptr, backend_table_find(second.backends, "i-1"));
+	}
+}
+
+/* A node asks for the next changes as late as if it knew them all. */
+TEST_F(NeighbourTest, APartOfTheChangesIsNotTakenForAllOfThem)
+{
+	App &app = add_app("i-1");
+
+	start_first();
+	put_member("n2", endpoint_at(2), 10);
+	start_second();
+	change_others(1200);
+	list_app(app, "draining");
+	uint64_t old = reads(READ_WORD_OLD);
+	wait_for([&] { return reads(READ_WORD_OLD) > old; });
+	uint64_t began = uv_hrtime();
+	wait_for([this] { return drains(second, "i-1"); });
+	EXPECT_LT((uv_hrtime() - began) / 1000000, 500u);
+}
+
+/* Routes change before each question is answered; servers are never asked for.
+ */
+TEST_F(NeighbourTest, RoutesThatKeepChangingDoNotKeepServersWaiting)
+{
+	App &app = add_app("i-1");
+
+	start_first();
+	put_member("n2", endpoint_at(2), 10);
+	start_second();
+	turn_for(1000);
+	list_app(app, "draining");
+	while (!drains(*edge, "i-1")) {
+		vouch_to_second();
+		turn_for(20);
+	}
+	for (unsigned i = 0; i < 6 && !drains(second, "i-1"); i++) {
+		put_routes(100 + i);
+		wait_for([&] { return edge->routes->version == 100 + i; });
+		vouch_to_second();
+		turn_for(100);
+	}
+	EXPECT_TRUE(drains(second, "i-1"));
+}
+
+/* Changes that the node knows come again, page after page, before the newest.
+ */
+TEST_F(NeighbourTest, AWordThatAgreesMovesTheNodeOnInTheHistory)
+{
+	struct sync_view first[SYNC_TABLES];
+	struct sync_view second_views[SYNC_TABLES];
+	App &app = add_app("i-1");
+
+	start_first();
+	put_member("n2", endpoint_at(2), 10);
+	start_second();
+	turn_for(1000);
+	sync_views(sync, first);
+	uint64_t before = first[REGISTRY_BACKENDS].version;
+	for (int i = 2; i < 10; i++)
+		list_app(app, "ready", "0ms", i);
+	wait_for([&] {
+		sync_views(sync, first);
+		return first[REGISTRY_BACKENDS].version > before;
+	});
+	vouch_to_second();
+	sync_views(second_sync, second_views);
+	EXPECT_EQ(first[REGISTRY_BACKENDS].version,
+		  second_views[REGISTRY_BACKENDS].version);
+}
+
 } // namespace
--- a/tests/standins/store_stand.c
+++ b/tests/standins/store_stand.c
@@ -10,6 +10,7 @@
 #include "core/duration.h"
 #include "standins/http_stand.h"
 
+/* Rows in one answer at most, also about changes. */
 #define PAGE_ROWS 500
 
 /* A row, or what is left of a deleted one for those who follow. */
@@ -39,6 +40,7 @@
 	uv_loop_t *loop;
 	struct http_stand *http;
 	GPtrArray *rows; /* of struct row, sorted by table and key */
+	GPtrArray *history; /* of struct row: each change, in order */
 	GPtrArray *held; /* of struct waiting */
 	uint64_t version;
 	uint64_t forgotten; /* history up to here is gone */
@@ -67,15 +69,6 @@
 	return order ? order : strcmp(left->key, right->key);
 }
 
-static gint compare_versions(gconstpointer a, gconstpointer b)
-{
-	const struct row *left = *(struct row *const *)a;
-	const struct row *right = *(struct row *const *)b;
-
-	return (left->version > right->version) -
-	       (left->version < right->version);
-}
-
 static struct row *find_row(const struct store_stand *store, const char *table,
 			    const char *key)
 {
@@ -90,21 +83,32 @@
 	return NULL;
 }
 
+static struct row *row_new(const char *table, const char *key)
+{
+	struct row *row = g_new0(struct row, 1);
+
+	row->table = g_strdup(table);
+	row->key = g_strdup(key);
+	return row;
+}
+
 static void set_row(struct store_stand *store, const char *table,
 		    const char *key, const char *value)
 {
 	struct row *row = find_row(store, table, key);
+	struct row *change = row_new(table, key);
 
 	if (!row) {
-		row = g_new0(struct row, 1);
-		row->table = g_strdup(table);
-		row->key = g_strdup(key);
+		row = row_new(table, key);
 		g_ptr_array_add(store->rows, row);
 		g_ptr_array_sort(store->rows, compare_rows);
 	}
 	g_free(row->value);
 	row->value = g_strdup(value);
 	row->version = store->version;
+	change->value = g_strdup(value);
+	change->version = store->version;
+	g_ptr_array_add(store->history, change);
 }
 
 static json_t *json_of_row(const struct row *row)
@@ -128,7 +132,8 @@
 	return object;
 }
 
-static char *body_of(struct store_stand *store, json_t *rows, bool has_more)
+static char *body_as_of(const struct store_stand *store, json_t *rows,
+			bool has_more, uint64_t version)
 {
 	json_t *root = json_object();
 	char *text;
@@ -137,8 +142,7 @@
 	if (rows)
 		json_object_set_new(root, "rows", rows);
 	json_object_set_new(root, "has_more", json_boolean(has_more));
-	json_object_set_new(root, "ver",
-			    json_integer((json_int_t)store->version));
+	json_object_set_new(root, "ver", json_integer((json_int_t)version));
 	json_object_set_new(root, "now",
 			    json_sprintf("%" PRIu64 "ms",
 					 (uint64_t)uv_now(store->loop)));
@@ -149,6 +153,12 @@
 	return copy;
 }
 
+static char *body_of(const struct store_stand *store, json_t *rows,
+		     bool has_more)
+{
+	return body_as_of(store, rows, has_more, store->version);
+}
+
 /* --- answers ------------------------------------------------------------ */
 
 static void waiting_free(uv_handle_t *handle)
@@ -247,26 +257,56 @@
 
 /* --- following ---------------------------------------------------------- */
 
+/*
+ * Each change after the version, in order, also those that a later one of the
+ * same row replaces. Where they don't fit, *version is the last one's.
+ */
 static json_t *changes(const struct store_stand *store, const char *table,
-		       uint64_t after)
+		       uint64_t after, uint64_t *version)
 {
-	GPtrArray *changed = g_ptr_array_new();
 	json_t *rows = json_array();
 	guint i;
 
-	for (i = 0; i < store->rows->len; i++) {
-		struct row *row = store->rows->pdata[i];
+	*version = store->version;
+	for (i = 0; i < store->history->len; i++) {
+		const struct row *row = store->history->pdata[i];
 
-		if (!strcmp(row->table, table) && row->version > after)
-			g_ptr_array_add(changed, row);
+		if (strcmp(row->table, table) != 0 || row->version <= after)
+			continue;
+		json_array_append_new(rows, json_of_row(row));
+		if (json_array_size(rows) < PAGE_ROWS)
+			continue;
+		*version = row->version;
+		break;
 	}
-	g_ptr_array_sort(changed, compare_versions);
-	for (i = 0; i < changed->len; i++)
-		json_array_append_new(rows, json_of_row(changed->pdata[i]));
-	g_ptr_array_unref(changed);
 	return rows;
 }
 
+static void answer_changes(struct store_stand *store, struct http_call *call,
+			   const char *table, uint64_t after)
+{
+	uint64_t version;
+	json_t *rows = changes(store, table, after, &version);
+
+	answer(store, call, 200, body_as_of(store, rows, false, version));
+}
+
+static bool has_changed(const struct store_stand *store, const char *table,
+			uint64_t after)
+{
+	guint i;
+
+	for (i = store->history->len; i > 0; i--) {
+		const struct row *row = store->history->pdata[i - 1];
+
+		if (row->version <= after)
+			return false;
+		if (!strcmp(row->table, table))
+			return true;
+	}
+	return false;
+}
+
 static bool is_silent_about(const struct store_stand *store, const char *table)
 {
 	return store->faults.silent_table &&
@@ -283,9 +323,7 @@
 		uv_timer_start(timer, on_held_for_long, 60 * 1000, 0);
 		return;
 	}
-	answer(store, waiting->call, 200,
-	       body_of(store, changes(store, waiting->table, waiting->after),
-		       false));
+	answer_changes(store, waiting->call, waiting->table, waiting->after);
 	waiting_end(waiting);
 }
 
@@ -295,16 +333,13 @@
 
 	for (i = store->held->len; i > 0; i--) {
 		struct waiting *waiting = store->held->pdata[i - 1];
-		json_t *rows;
 
 		if (!waiting->table || is_silent_about(store, waiting->table))
 			continue;
-		rows = changes(store, waiting->table, waiting->after);
-		if (!json_array_size(rows)) {
-			json_decref(rows);
+		if (!has_changed(store, waiting->table, waiting->after))
 			continue;
-		}
-		answer(store, waiting->call, 200, body_of(store, rows, false));
+		answer_changes(store, waiting->call, waiting->table,
+			       waiting->after);
 		waiting_end(waiting);
 	}
 }
@@ -320,19 +355,16 @@
 	uint64_t wait_ms =
 		g_ascii_strtoull(wait_text ? wait_text : "0", NULL, 10);
 	struct waiting *waiting;
-	json_t *rows;
 
 	if (after < store->forgotten) {
 		answer(store, call, 410, g_strdup("{}"));
 		return;
 	}
-	rows = changes(store, table, after);
-	if ((json_array_size(rows) || !wait_ms) &&
+	if ((has_changed(store, table, after) || !wait_ms) &&
 	    !is_silent_about(store, table)) {
-		answer(store, call, 200, body_of(store, rows, false));
+		answer_changes(store, call, table, after);
 		return;
 	}
-	json_decref(rows);
 	waiting = hold(store, call, on_held_for_long, wait_ms * US_PER_MS);
 	waiting->table = g_strdup(table);
 	waiting->after = after;
@@ -478,6 +510,7 @@
 
 	store->loop = loop;
 	store->rows = g_ptr_array_new_with_free_func(row_free);
+	store->history = g_ptr_array_new_with_free_func(row_free);
 	store->held = g_ptr_array_new();
 	store->http = http_stand_open(loop, at, &events, store);
 	return store;
@@ -493,6 +526,7 @@
 	}
 	http_stand_close(store->http, true);
 	g_ptr_array_unref(store->rows);
+	g_ptr_array_unref(store->history);
 	g_ptr_array_unref(store->held);
 	g_free(store);
 }
--- a/tests/standins/store_stand.h
+++ b/tests/standins/store_stand.h
@@ -1,8 +1,8 @@
 /*
  * store_stand - the platform's metadata store, as its protocol is published
  *
- * Rows in tables with one version counter, atomic transactions, a feed with a
- * bounded history and held calls. Faults are set from outside: silent,
+ * Rows in tables with one version counter, atomic transactions, a feed of each
+ * change with a bounded history, held calls, answers of 500 rows at most. Faults are set from outside: silent,
  * refusing, slow, behind a narrow link, losing answers, forgetting its history.
  * Writes of operator and backend servers go in by store_stand_put().
  */
