backend_table: an older row doesn't replace a newer one

Cause: a node that goes by its reader's word doesn't move on in the store's history. When it asks the store itself, the answer begins where it last read, many seconds back, and each row in it was believed, whatever the reader had told since. Class: unordered updates of one replica from two sources.

A whole read as of one version doesn't remove what a newer row says is there.

Elsewhere: routes and evacuations come from the store or whole from a neighbour with the table's version, members from the store alone: neither has two sources that overlap.

--- a/packages/core/backend_table.c
+++ b/packages/core/backend_table.c
@@ -32,6 +32,12 @@
 #define WARM_PRIOR 0.5
 #define COLD_PRIOR 1.5
 
+/*
+ * How long the version that removed a server is kept: the platform tells of
+ * changes for as long as its history lasts, a minute at most.
+ */
+#define REMOVED_KEEP_US (60 * US_PER_S)
+
 struct backend_table *backend_table_new(void)
 {
 	struct backend_table *table = g_new0(struct backend_table, 1);
@@ -47,6 +53,8 @@
 	table->changes = g_ptr_array_new_with_free_func(g_free);
 	table->evacuated =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	table->removed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return table;
 }
 
@@ -57,6 +65,7 @@
 	g_hash_table_destroy(table->by_id);
 	g_hash_table_destroy(table->times);
 	g_hash_table_destroy(table->evacuated);
+	g_hash_table_destroy(table->removed);
 	g_ptr_array_unref(table->changes);
 	g_free(table);
 }
@@ -187,13 +196,26 @@
 	return backend;
 }
 
+bool backend_table_knows_newer(const struct backend_table *table,
+			       const struct backend_facts *facts)
+{
+	const struct backend *known = backend_table_find(table, facts->id);
+
+	if (!known)
+		return facts->version &&
+		       facts->version <
+			       backend_table_removed_version(table, facts->id);
+	return facts->started_ms < known->started_ms ||
+	       (facts->version && facts->version < known->version);
+}
+
 struct backend *backend_table_put(struct backend_table *table,
 				  const struct backend_facts *facts,
 				  uint64_t now_us)
 {
 	struct backend *backend = backend_table_find(table, facts->id);
 
-	if (backend && facts->started_ms < backend->started_ms)
+	if (backend_table_knows_newer(table, facts))
 		return backend;
 	if (!backend)
 		backend = add(table, facts, now_us);
@@ -205,6 +227,7 @@
 		table->disturbed_us = now_us;
 	backend->address = facts->address;
 	backend->slots = facts->slots ? facts->slots : 1;
+	backend->version = MAX(backend->version, facts->version);
 	backend->draining = facts->draining;
 	backend->lapsed_us = 0;
 	backend->listed_cold = facts->cold_left_us > 0;
@@ -213,11 +236,37 @@
 	return backend;
 }
 
+uint64_t backend_table_removed_version(const struct backend_table *table,
+				       const char *id)
+{
+	const struct removed_row *row = g_hash_table_lookup(table->removed, id);
+
+	return row ? row->version : 0;
+}
+
+static void note_removed(struct backend_table *table, const char *id,
+			 uint64_t version, uint64_t now_us)
+{
+	struct removed_row *row = g_hash_table_lookup(table->removed, id);
+
+	if (!row) {
+		row = g_new0(struct removed_row, 1);
+		g_hash_table_insert(table->removed, g_strdup(id), row);
+	}
+	row->version = MAX(row->version, version);
+	row->at_us = now_us;
+}
+
 void backend_table_remove(struct backend_table *table, const char *id,
-			  uint64_t keep_until_us, uint64_t now_us)
+			  uint64_t version, uint64_t keep_until_us,
+			  uint64_t now_us)
 {
 	struct backend *backend = backend_table_find(table, id);
 
+	if (backend && version && version < backend->version)
+		return;
+	if (version)
+		note_removed(table, id, version, now_us);
 	if (!backend)
 		return;
 	if (backend->draining || keep_until_us <= now_us)
@@ -226,6 +275,14 @@
 		backend->lapsed_us = keep_until_us;
 }
 
+static gboolean is_long_removed(gpointer id, gpointer value, gpointer now)
+{
+	const struct removed_row *row = value;
+
+	(void)id;
+	return *(const uint64_t *)now - row->at_us > REMOVED_KEEP_US;
+}
+
 void backend_table_expire(struct backend_table *table, uint64_t now_us)
 {
 	GPtrArray *expired = g_ptr_array_new();
@@ -243,6 +300,7 @@
 	for (i = 0; i < expired->len; i++)
 		take_out(table, expired->pdata[i], now_us);
 	g_ptr_array_unref(expired);
+	g_hash_table_foreach_remove(table->removed, is_long_removed, &now_us);
 }
 
 struct backend *backend_table_find(const struct backend_table *table,
--- a/packages/core/backend_table.h
+++ b/packages/core/backend_table.h
@@ -40,6 +40,7 @@
 	bool draining;
 	uint64_t cold_left_us;
 	uint64_t started_ms; /* since 1970; 0: not said */
+	uint64_t version; /* of its row in the list; 0: not said */
 };
 
 /* A neighbour's word on how many requests of its own are there. */
@@ -60,6 +61,7 @@
 	char *domain;
 	char *region;
 	uint32_t slots;
+	uint64_t version; /* of the newest row known */
 	bool draining;
 	bool gone; /* no longer in the table */
 	uint64_t joined_us; /* 0: in the list when it was first read whole */
@@ -101,30 +103,49 @@
 	GHashTable *by_service; /* name -> GPtrArray of struct backend */
 	GHashTable *times; /* service name -> struct service_times */
 	GHashTable *evacuated; /* domains that get nothing */
+	GHashTable *removed; /* id -> struct removed_row, of those that left */
 	bool whole; /* the list was read whole once */
 	GPtrArray *changes; /* ids that changed, joined or left; not yet taken
 			     */
 	uint64_t disturbed_us; /* when a backend server was last lost */
 };
 
+/* What is kept of a backend server that has left. */
+struct removed_row {
+	uint64_t version; /* of the row that said so */
+	uint64_t at_us;
+};
+
 struct backend_table *backend_table_new(void);
 void backend_table_free(struct backend_table *table);
 
 /*
  * Add or refresh; the backend server, which the table owns. One that started
  * again under its id is another one: what was known of its cache, load and
- * failures isn't of this life. Word of a life before the known one is ignored.
+ * failures isn't of this life. Word of a life before the known one is ignored,
+ * and so is a row older than the newest known: neighbours tell of changes
+ * before they come from the list. NULL where a newer row removed the server.
  */
 struct backend *backend_table_put(struct backend_table *table,
 				  const struct backend_facts *facts,
 				  uint64_t now_us);
 
+/* Whether what is known is newer than this; such facts are ignored. */
+bool backend_table_knows_newer(const struct backend_table *table,
+			       const struct backend_facts *facts);
+
 /*
- * The list has it no longer. Where the list itself was away until lately, it
- * may only have lapsed, and is kept until keep_until_us (0: remove at once).
+ * The list of this version (0: not said) has it no longer; ignored where a
+ * newer row is known. Where the list itself was away until lately, it may only
+ * have lapsed, and is kept until keep_until_us (0: remove at once).
  */
 void backend_table_remove(struct backend_table *table, const char *id,
-			  uint64_t keep_until_us, uint64_t now_us);
+			  uint64_t version, uint64_t keep_until_us,
+			  uint64_t now_us);
+
+/* Version of the row that removed it last; 0: unknown. */
+uint64_t backend_table_removed_version(const struct backend_table *table,
+				       const char *id);
 
 /* Remove those whose time to come back has passed. */
 void backend_table_expire(struct backend_table *table, uint64_t now_us);
--- a/packages/edge/backend_row.c
+++ b/packages/edge/backend_row.c
@@ -25,6 +25,7 @@
 	row->slots = backend->slots;
 	row->draining = backend->draining;
 	row->started_ms = backend->started_ms;
+	row->version = backend->version;
 	row->cold_left_ms = cold_left_ms(backend, now_us);
 }
 
@@ -40,7 +41,13 @@
 		.draining = row->draining,
 		.cold_left_us = row->cold_left_ms * US_PER_MS,
 		.started_ms = row->started_ms,
+		.version = row->version,
 	};
 
+	if (!*row->service) {
+		backend_table_remove(edge->backends, row->id, row->version, 0,
+				     edge_now_us(edge));
+		return;
+	}
 	backend_table_put(edge->backends, &facts, edge_now_us(edge));
 }
--- a/packages/edge/beat.c
+++ b/packages/edge/beat.c
@@ -5,7 +5,7 @@
 #include "core/duration.h"
 
 /* Format version, so that nodes of two versions ignore each other's news. */
-#define BEAT_VERSION 5
+#define BEAT_VERSION 6
 
 /*
  * A suspect: fingerprint, crashes (life, age, run), quarantines and what is
@@ -23,7 +23,7 @@
 			      row->domain, row->address.address,
 			      (guint16)row->address.port, row->slots,
 			      (gboolean)row->draining, row->cold_left_ms,
-			      (guint64)row->started_ms);
+			      (guint64)row->started_ms, (guint64)row->version);
 }
 
 static void add_suspect(GVariantBuilder *suspects,
@@ -166,10 +166,11 @@
 	gboolean draining;
 	guint32 cold_left_ms;
 	guint64 started_ms;
+	guint64 version;
 
-	if (!g_variant_iter_next(iter, "(&s&s&s&squbut)", &id, &service,
+	if (!g_variant_iter_next(iter, "(&s&s&s&squbutt)", &id, &service,
 				 &domain, &address, &port, &slots, &draining,
-				 &cold_left_ms, &started_ms))
+				 &cold_left_ms, &started_ms, &version))
 		return false;
 	g_strlcpy(row->id, id, sizeof(row->id));
 	g_strlcpy(row->service, service, sizeof(row->service));
@@ -180,6 +181,7 @@
 	row->draining = draining;
 	row->cold_left_ms = cold_left_ms;
 	row->started_ms = started_ms;
+	row->version = version;
 	return true;
 }
 
--- a/packages/edge/beat.h
+++ b/packages/edge/beat.h
@@ -68,6 +68,7 @@
 	bool draining;
 	uint32_t cold_left_ms;
 	uint64_t started_ms; /* of its life; 0: not said */
+	uint64_t version; /* of its row in the platform's table */
 };
 
 struct beat {
@@ -86,7 +87,7 @@
 };
 
 /* One row in GVariant's words, for whatever carries rows between nodes. */
-#define BEAT_ROW_TYPE "(ssssqubut)"
+#define BEAT_ROW_TYPE "(ssssqubutt)"
 void beat_row_add(GVariantBuilder *rows, const struct beat_row *row);
 /* The next row; false at the end. */
 bool beat_row_next(GVariantIter *iter, struct beat_row *row);
--- a/packages/edge/gossip.c
+++ b/packages/edge/gossip.c
@@ -108,7 +108,6 @@
 
 static void take_rows(struct edge *edge, const struct beat *beat)
 {
-	uint64_t now_us = edge_now_us(edge);
 	uint32_t i;
 
 	for (i = 0; i < beat->row_count; i++) {
@@ -118,11 +117,7 @@
 			  "backend=%s left=%s draining=%s cold_left_ms=%u",
 			  row->id, *row->service ? "no" : "yes",
 			  row->draining ? "yes" : "no", row->cold_left_ms);
-		if (*row->service)
-			backend_row_take(edge, row);
-		else
-			backend_table_remove(edge->backends, row->id, 0,
-					     now_us);
+		backend_row_take(edge, row);
 	}
 }
 
--- a/packages/edge/gossip_send.c
+++ b/packages/edge/gossip_send.c
@@ -285,6 +285,9 @@
 	g_strlcpy(row->id, id, sizeof(row->id));
 	if (backend)
 		backend_row_fill(backend, edge_now_us(edge), row);
+	else
+		row->version =
+			backend_table_removed_version(edge->backends, id);
 }
 
 static void tell_some(struct gossip *gossip, const GPtrArray *changes,
--- a/packages/edge/snapshot.c
+++ b/packages/edge/snapshot.c
@@ -1,6 +1,6 @@
 #include "edge/snapshot.h"
 
-#define SNAPSHOT_VERSION 3
+#define SNAPSHOT_VERSION 4
 
 #define TABLES_TYPE "a(utu)"
 #define ROWS_TYPE "a(uss)"
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -408,7 +408,7 @@
 void follower_end_pass(struct follower *follower, uint64_t version,
 		       uint64_t as_of_us)
 {
-	follower->rule->prune(follower->sync, follower->seen);
+	follower->rule->prune(follower->sync, follower->seen, version);
 	g_hash_table_foreach_remove(follower->rows, is_unseen, follower->seen);
 	log_event(LOG_INFO, "table-read", "table=%s rows=%u version=%" PRIu64,
 		  follower->rule->name, g_hash_table_size(follower->seen),
--- a/packages/edge/sync_parts.h
+++ b/packages/edge/sync_parts.h
@@ -41,8 +41,9 @@
 	uint64_t mismatch_us; /* between reads for a word that differs */
 	uint32_t asks_most; /* of neighbours, for one that differs */
 	void (*apply)(struct sync *sync, const struct registry_row *row);
-	/* After a whole read: what it didn't hold is gone. */
-	void (*prune)(struct sync *sync, GHashTable *seen);
+	/* After a whole read as of that version: what it didn't hold is gone.
+	 */
+	void (*prune)(struct sync *sync, GHashTable *seen, uint64_t version);
 };
 
 struct follower {
@@ -120,10 +121,10 @@
 
 /* sync_tables.c: what a row says, and what a whole table doesn't say. */
 void apply_config_row(struct sync *sync, const struct registry_row *row);
-void prune_config(struct sync *sync, GHashTable *seen);
+void prune_config(struct sync *sync, GHashTable *seen, uint64_t version);
 void apply_backend_row(struct sync *sync, const struct registry_row *row);
-void prune_backends(struct sync *sync, GHashTable *seen);
+void prune_backends(struct sync *sync, GHashTable *seen, uint64_t version);
 void apply_member_row(struct sync *sync, const struct registry_row *row);
-void prune_members(struct sync *sync, GHashTable *seen);
+void prune_members(struct sync *sync, GHashTable *seen, uint64_t version);
 
 #endif
--- a/packages/edge/sync_tables.c
+++ b/packages/edge/sync_tables.c
@@ -85,7 +85,7 @@
 	g_free(domain);
 }
 
-void prune_config(struct sync *sync, GHashTable *seen)
+void prune_config(struct sync *sync, GHashTable *seen, uint64_t version)
 {
 	const struct registry *registry = sync->edge->registry;
 	GHashTable *standing =
@@ -95,6 +95,7 @@
 	gpointer key;
 	GList *at;
 
+	(void)version;
 	g_hash_table_iter_init(&iter, seen);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		char *domain = NULL;
@@ -116,19 +117,18 @@
 
 /* --- backend servers ---------------------------------------------------- */
 
-static void remove_backend(struct sync *sync, const char *id)
+static void remove_backend(struct sync *sync, const char *id, uint64_t version)
 {
 	struct edge *edge = sync->edge;
 	uint64_t now_us = edge_now_us(edge);
-	struct backend *backend = backend_table_find(edge->backends, id);
+	const struct backend *backend = backend_table_find(edge->backends, id);
 
-	if (!backend)
-		return;
-	if (!backend->lapsed_us)
+	if (backend && !backend->lapsed_us && backend->version <= version)
 		log_event(LOG_INFO, "backend-missing",
 			  "backend=%s service=%s kept_us=%" PRIu64, id,
 			  backend->service, sync_lapse_left_us(sync));
-	backend_table_remove(edge->backends, id, sync->lapse_until_us, now_us);
+	backend_table_remove(edge->backends, id, version, sync->lapse_until_us,
+			     now_us);
 }
 
 /* The first list is one line of the log, not one for each server. */
@@ -159,8 +159,11 @@
 		.draining = record->draining,
 		.cold_left_us = record->cold_left_us,
 		.started_ms = record->started_ms,
+		.version = row->version,
 	};
 
+	if (backend_table_knows_newer(edge->backends, &facts))
+		return;
 	if (is_news(edge, known, record))
 		log_event(LOG_INFO, "backend",
 			  "backend=%s service=%s address=%s:%u domain=%s "
@@ -178,11 +181,11 @@
  * use, and nothing tells that the one known by this id is still there. Requests
  * that run there go on; its own next entry brings it back.
  */
-static void drop_backend(struct sync *sync, const char *id)
+static void drop_backend(struct sync *sync, const char *id, uint64_t version)
 {
 	struct edge *edge = sync->edge;
 
-	backend_table_remove(edge->backends, id, 0, edge_now_us(edge));
+	backend_table_remove(edge->backends, id, version, 0, edge_now_us(edge));
 }
 
 void apply_backend_row(struct sync *sync, const struct registry_row *row)
@@ -192,7 +195,7 @@
 	GError *error = NULL;
 
 	if (row->deleted) {
-		remove_backend(sync, row->key);
+		remove_backend(sync, row->key, row->version);
 		return;
 	}
 	if (!registry->vtable->decode_backend(registry, row->value, &record,
@@ -200,14 +203,14 @@
 		log_event(LOG_WARNING, "backend-invalid", "backend=%s cause=%s",
 			  row->key, error->message);
 		g_error_free(error);
-		drop_backend(sync, row->key);
+		drop_backend(sync, row->key, row->version);
 		return;
 	}
 	put_backend(sync, row, &record);
 	backend_record_release(&record);
 }
 
-void prune_backends(struct sync *sync, GHashTable *seen)
+void prune_backends(struct sync *sync, GHashTable *seen, uint64_t version)
 {
 	struct edge *edge = sync->edge;
 	GList *ids = g_hash_table_get_keys(edge->backends->by_id);
@@ -218,7 +221,7 @@
 		char *id = g_strdup(at->data);
 
 		if (!g_hash_table_contains(seen, id))
-			remove_backend(sync, id);
+			remove_backend(sync, id, version);
 		g_free(id);
 	}
 	g_list_free(ids);
@@ -306,12 +309,13 @@
 	member_record_release(&record);
 }
 
-void prune_members(struct sync *sync, GHashTable *seen)
+void prune_members(struct sync *sync, GHashTable *seen, uint64_t version)
 {
 	struct edge *edge = sync->edge;
 	GList *names = g_hash_table_get_keys(edge->members->by_name);
 	GList *at;
 
+	(void)version;
 	for (at = names; at; at = at->next) {
 		char *name = g_strdup(at->data);
 
--- a/tests/core/edge_core_test.cc
+++ b/tests/core/edge_core_test.cc
@@ -558,7 +558,7 @@
 	EXPECT_NE(backend_table_digest(a), backend_table_digest(b));
 	backend_table_put(a, &facts, 3);
 	EXPECT_EQ(backend_table_digest(a), backend_table_digest(b));
-	backend_table_remove(a, "i-1", 0, 4);
+	backend_table_remove(a, "i-1", 0, 0, 4);
 	EXPECT_NE(backend_table_digest(a), backend_table_digest(b));
 	backend_table_free(a);
 	backend_table_free(b);
@@ -640,4 +640,66 @@
 	backend_table_free(table);
 }
 
+/* Rows of one server in the order in which they come, and what is believed. */
+struct row_step {
+	uint64_t version;
+	char says; /* 'r'eady, 'd'raining, 'g'one */
+	char believed;
+};
+
+struct row_case {
+	const char *name;
+	std::vector<row_step> steps;
+};
+
+const row_case row_cases[] = {
+	{ "InOrder", { { 3, 'r', 'r' }, { 5, 'd', 'd' }, { 9, 'g', 'g' } } },
+	{ "AnOlderRowThatIsReady", { { 5, 'd', 'd' }, { 3, 'r', 'd' } } },
+	{ "AnOlderRowOfOneThatLeft",
+	  { { 3, 'r', 'r' }, { 9, 'g', 'g' }, { 5, 'd', 'g' } } },
+	{ "AnOlderRowOfOneNeverSeen", { { 9, 'g', 'g' }, { 5, 'r', 'g' } } },
+	{ "AnOlderRemoval", { { 9, 'r', 'r' }, { 5, 'g', 'r' } } },
+	{ "BackAfterALapse",
+	  { { 3, 'r', 'r' }, { 5, 'g', 'g' }, { 6, 'r', 'r' } } },
+	{ "TheSameAgain", { { 5, 'd', 'd' }, { 5, 'd', 'd' } } },
+	{ "WithoutVersions",
+	  { { 0, 'd', 'd' },
+	    { 0, 'r', 'r' },
+	    { 0, 'g', 'g' },
+	    { 0, 'r', 'r' } } },
+};
+
+class RowTest : public ::testing::TestWithParam<row_case>
+{
+};
+
+TEST_P(RowTest, TheNewestRowIsBelieved)
+{
+	struct backend_table *table = backend_table_new();
+	struct backend_facts facts = {};
+	uint64_t now_us = 1;
+
+	facts.id = "i-1";
+	facts.service = "s";
+	facts.domain = "d1";
+	facts.region = "r1";
+	for (const row_step &step : GetParam().steps) {
+		facts.version = step.version;
+		facts.draining = step.says == 'd';
+		if (step.says == 'g')
+			backend_table_remove(table, "i-1", step.version, 0,
+					     now_us);
+		else
+			backend_table_put(table, &facts, now_us);
+		const struct backend *known = backend_table_find(table, "i-1");
+		char believed = !known ? 'g' : known->draining ? 'd' : 'r';
+		EXPECT_EQ(step.believed, believed) << step.version;
+		now_us++;
+	}
+	backend_table_free(table);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, RowTest, ::testing::ValuesIn(row_cases),
+			 [](const auto &info) { return info.param.name; });
+
 } // namespace
--- a/tests/edge/neighbour_test.cc
+++ b/tests/edge/neighbour_test.cc
@@ -75,12 +75,16 @@
 		backend_row_fill(backend_table_find(second.backends, id),
 				 edge_now_us(&second), &row);
 		row.draining = true;
+		row.version = store_stand_version(store);
 		backend_row_take(&second, &row);
 	}
 	void tell_second_left(const char *id)
 	{
-		backend_table_remove(second.backends, id, 0,
-				     edge_now_us(&second));
+		struct beat_row row = {};
+
+		g_strlcpy(row.id, id, sizeof(row.id));
+		row.version = store_stand_version(store);
+		backend_row_take(&second, &row);
 	}
 	/* Other servers' rows change so often; the store holds each change. */
 	void change_others(int times)
@@ -334,8 +338,8 @@
 	facts.region = "r1";
 	facts.slots = 4;
 	backend_table_put(edge->backends, &facts, edge_now_us(edge));
-	backend_table_remove(edge->backends, "i-3", edge_now_us(edge) + 2000000,
-			     edge_now_us(edge));
+	backend_table_remove(edge->backends, "i-3", 0,
+			     edge_now_us(edge) + 2000000, edge_now_us(edge));
 	for (int i = 0; i < 12; i++) {
 		vouch_to_second();
 		turn_for(100);
@@ -353,8 +357,8 @@
 	put_member("n2", endpoint_at(2), 10);
 	start_second();
 	turn_for(1000);
-	backend_table_remove(edge->backends, "i-3", edge_now_us(edge) + 2000000,
-			     edge_now_us(edge));
+	backend_table_remove(edge->backends, "i-3", 0,
+			     edge_now_us(edge) + 2000000, edge_now_us(edge));
 	list_app(apps[5], "draining");
 	wait_for([this] {
 		vouch_to_second();
--- a/tests/standins/store_stand.c
+++ b/tests/standins/store_stand.c
@@ -565,6 +565,11 @@
 	store->forgotten = store->version;
 }
 
+uint64_t store_stand_version(const struct store_stand *store)
+{
+	return store->version;
+}
+
 uint64_t store_stand_calls(const struct store_stand *store)
 {
 	return store->calls;
--- a/tests/standins/store_stand.h
+++ b/tests/standins/store_stand.h
@@ -2,9 +2,10 @@
  * store_stand - the platform's metadata store, as its protocol is published
  *
  * Rows in tables with one version counter, atomic transactions, a feed of each
- * change with a bounded history, held calls, answers of 500 rows at most. Faults are set from outside: silent,
- * refusing, slow, behind a narrow link, losing answers, forgetting its history.
- * Writes of operator and backend servers go in by store_stand_put().
+ * change with a bounded history, held calls, answers of 500 rows at most.
+ * Faults are set from outside: silent, refusing, slow, behind a narrow link,
+ * losing answers, forgetting its history. Writes of operator and backend
+ * servers go in by store_stand_put().
  */
 #ifndef STANDINS_STORE_STAND_H
 #define STANDINS_STORE_STAND_H
@@ -50,6 +51,9 @@
 /* Forget what changed so far: who follows from before gets 410. */
 void store_stand_forget(struct store_stand *store);
 
+/* Version of the newest change. */
+uint64_t store_stand_version(const struct store_stand *store);
+
 /* Calls taken, also refused ones. */
 uint64_t store_stand_calls(const struct store_stand *store);
 
