sync: a part of the changes doesn't confirm what is believed

Cause: the store gives 500 changes in one answer. A node that had got the first 500 of 1,500 took what it believed for confirmed as of then, and asked again as late as one that knows all, 2.5 to 2.9 s after; a leaving server named by the 600th got requests meanwhile. Class: a page taken for the whole.

Change: the adapter says whether an answer may have been cut short, which the platform doesn't: as many rows or bytes as fit, ending with its last row. What was cut short is applied, confirms nothing, and the next is asked for at once.

--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -273,7 +273,9 @@
 		       (delay_us + US_PER_MS - 1) / US_PER_MS, 0);
 }
 
-static void call_next(struct follower *follower)
+/* After an answer that was cut short, or a page of a table, at once. */
+static void call_next(struct follower *follower,
+		      const struct registry_rows *rows)
 {
 	uint64_t since_us =
 		edge_now_us(follower->sync->edge) - follower->called_us;
@@ -281,6 +283,10 @@
 				   time_us(follower, &follower->rule->spacing) :
 				   0;
 
+	if (follower->whole && rows->has_more) {
+		follower_call(follower);
+		return;
+	}
 	follower_step_later(follower,
 			    spacing > since_us ? spacing - since_us : 0);
 }
@@ -558,6 +564,20 @@
 		  edge_now_us(follower->sync->edge) - follower->confirmed_us);
 }
 
+/*
+ * Changes up to some number of rows don't confirm what is believed: taken for
+ * all, a node would hear of the next ones as late as if there were none.
+ */
+static void take_changes(struct follower *follower,
+			 const struct registry_rows *rows)
+{
+	log_followed(follower, rows);
+	apply_rows(follower, rows);
+	follower->version = MAX(follower->version, rows->version);
+	if (!rows->has_more)
+		confirm(follower, answered_by_us(follower));
+}
+
 static void on_answer(void *context, const struct message *answer,
 		      const char *cause)
 {
@@ -587,13 +607,9 @@
 		} else if (!follower->whole) {
 			take_page(follower, &rows);
 		} else {
-			log_followed(follower, &rows);
-			apply_rows(follower, &rows);
-			follower->version =
-				MAX(follower->version, rows.version);
-			confirm(follower, answered_by_us(follower));
+			take_changes(follower, &rows);
 		}
-		call_next(follower);
+		call_next(follower, &rows);
 		break;
 	case REGISTRY_HISTORY_LOST:
 		log_event(LOG_WARNING, "history-lost",
@@ -601,7 +617,7 @@
 			  follower->version);
 		note_success(follower);
 		begin_whole_read(follower);
-		call_next(follower);
+		call_next(follower, &rows);
 		break;
 	default:
 		note_failure(follower, "refused");
--- a/packages/ports/registry.h
+++ b/packages/ports/registry.h
@@ -54,8 +54,11 @@
 
 struct registry_rows {
 	GArray *rows; /* of struct registry_row */
-	uint64_t version; /* newest of the store when it answered */
-	bool has_more; /* go on after the last row's key */
+	uint64_t version; /* where to follow from; the newest, unless has_more
+			   */
+	/* Read: go on after the last row's key. Follow: from version, at once.
+	 */
+	bool has_more;
 };
 
 /* A backend server as its row has it; texts are for g_free(). */
@@ -102,7 +105,10 @@
 	/* The rows of a table after a key ("": from the start). */
 	void (*read)(const struct registry *registry, enum registry_table table,
 		     const char *after_key, struct registry_call *call);
-	/* What changed after a version, at once or within wait_us. */
+	/*
+	 * What changed after a version, at once or within wait_us: each change
+	 * in order, also those that a later one of the same row replaces.
+	 */
 	void (*follow)(const struct registry *registry,
 		       enum registry_table table, uint64_t after_version,
 		       uint64_t wait_us, struct registry_call *call);
--- a/tests/edge/documents_test.cc
+++ b/tests/edge/documents_test.cc
@@ -101,6 +101,54 @@
 	registry_rows_release(&rows);
 }
 
+/* Answers that may lack changes which are there: nothing in them says so. */
+struct short_case {
+	const char *name;
+	int rows;
+	int value_bytes; /* of each */
+	int after_last; /* from the last row's version to the answer's */
+	const char *more; /* what the answer says of it */
+	bool has_more;
+};
+
+const short_case short_cases[] = {
+	{ "Empty", 0, 4, 0, "", false },
+	{ "OneChange", 1, 4, 0, "", false },
+	{ "AsManyRowsAsFit", 500, 4, 0, "", true },
+	{ "OneLess", 499, 4, 0, "", false },
+	{ "AsManyBytesAsFit", 20, 60000, 0, "", true },
+	{ "AllUpToANewerVersion", 500, 4, 3, "", false },
+	{ "APageThatSaysSo", 500, 4, 0, ",\"has_more\":false", false },
+	{ "APageWithMore", 3, 4, 3, ",\"has_more\":true", true },
+};
+
+class ShortTest : public ::testing::TestWithParam<short_case>
+{
+};
+
+TEST_P(ShortTest, WhatMayBeCutShortHasMore)
+{
+	const struct registry *store = platform_store();
+	const short_case &c = GetParam();
+	const std::string value(c.value_bytes, 'A');
+	std::string body = "{\"ver\":" + std::to_string(c.rows + c.after_last) +
+			   c.more + ",\"now\":\"1s\",\"rows\":[";
+	struct registry_rows rows;
+
+	for (int i = 1; i <= c.rows; i++)
+		body += std::string(i > 1 ? "," : "") +
+			"{\"key\":\"k\",\"ver\":" + std::to_string(i) +
+			",\"value\":\"" + value + "\"}";
+	body += "]}";
+	ASSERT_EQ(REGISTRY_OK, store->vtable->decode(store, 200, body.c_str(),
+						     body.size(), &rows));
+	EXPECT_EQ(c.has_more, rows.has_more);
+	registry_rows_release(&rows);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, ShortTest, ::testing::ValuesIn(short_cases),
+			 [](const auto &info) { return info.param.name; });
+
 #define LIMITS                                                     \
 	"\"limits\":{\"max_header_bytes\":1,\"max_body_bytes\":2," \
 	"\"header_timeout\":\"3s\",\"idle_timeout\":\"4s\"}"
--- a/tests/standins/store_stand.c
+++ b/tests/standins/store_stand.c
@@ -132,22 +132,25 @@
 	return object;
 }
 
-static char *body_as_of(const struct store_stand *store, json_t *rows,
-			bool has_more, uint64_t version)
+static json_t *answer_as_of(const struct store_stand *store, json_t *rows,
+			    uint64_t version)
 {
 	json_t *root = json_object();
-	char *text;
-	char *copy;
 
 	if (rows)
 		json_object_set_new(root, "rows", rows);
-	json_object_set_new(root, "has_more", json_boolean(has_more));
 	json_object_set_new(root, "ver", json_integer((json_int_t)version));
 	json_object_set_new(root, "now",
 			    json_sprintf("%" PRIu64 "ms",
 					 (uint64_t)uv_now(store->loop)));
-	text = json_dumps(root, JSON_COMPACT);
-	copy = g_strdup(text);
+	return root;
+}
+
+static char *dump_and_free(json_t *root)
+{
+	char *text = json_dumps(root, JSON_COMPACT);
+	char *copy = g_strdup(text);
+
 	free(text);
 	json_decref(root);
 	return copy;
@@ -156,7 +159,10 @@
 static char *body_of(const struct store_stand *store, json_t *rows,
 		     bool has_more)
 {
-	return body_as_of(store, rows, has_more, store->version);
+	json_t *root = answer_as_of(store, rows, store->version);
+
+	json_object_set_new(root, "has_more", json_boolean(has_more));
+	return dump_and_free(root);
 }
 
 /* --- answers ------------------------------------------------------------ */
@@ -288,7 +294,8 @@
 	uint64_t version;
 	json_t *rows = changes(store, table, after, &version);
 
-	answer(store, call, 200, body_as_of(store, rows, false, version));
+	answer(store, call, 200,
+	       dump_and_free(answer_as_of(store, rows, version)));
 }
 
 static bool has_changed(const struct store_stand *store, const char *table,
