sync: routes that keep changing don't keep the list of servers waiting

Cause: of tables that differ from the reader's word routes are asked for alone, and while they change more often than each 0.15 s every question was for routes. Class: starvation by priority.

Change: where others differ too, they have every second question.

--- a/packages/edge/sync_neighbours.c
+++ b/packages/edge/sync_neighbours.c
@@ -272,22 +272,25 @@
 /*
  * The tables that a neighbour should be asked for. Routes that differ are asked
  * for alone: they are few bytes and needed soon, and a list of all servers may
- * have to wait for room on the neighbour's link.
+ * have to wait for room on the neighbour's link. The others have every second
+ * question, since routes may change faster than they can be asked for.
  */
 static uint32_t missing_tables(const struct sync *sync)
 {
-	const struct follower *config = &sync->followers[REGISTRY_CONFIG];
+	const uint32_t routes = SNAPSHOT_TABLE(REGISTRY_CONFIG);
 	uint32_t tables = 0;
 	uint32_t i;
 
-	if (config->whole && follower_differs(config))
-		return SNAPSHOT_TABLE(REGISTRY_CONFIG);
 	for (i = 0; i < FOLLOWERS; i++)
 		if (!sync->followers[i].whole ||
 		    follower_differs(&sync->followers[i]))
 			tables |=
 				SNAPSHOT_TABLE(sync->followers[i].rule->table);
-	return tables;
+	if (!(tables & routes) || !sync->followers[REGISTRY_CONFIG].whole)
+		return tables;
+	if (tables != routes && sync->last_asked == routes)
+		return tables & ~routes;
+	return routes;
 }
 
 static void ask(struct sync *sync, const struct endpoint *to)
@@ -307,6 +310,7 @@
 		follower->asks++;
 	}
 	sync->asked_tables = tables;
+	sync->last_asked = tables;
 	target = g_strdup_printf(SNAPSHOT_PATH "?" SNAPSHOT_PARAMETER "=%u",
 				 tables);
 	if (strcmp(sync->neighbour.to.address, to->address) != 0 ||
--- a/packages/edge/sync_parts.h
+++ b/packages/edge/sync_parts.h
@@ -81,7 +81,8 @@
 	uint32_t own_failures; /* of its writes, in a row */
 	bool own_listed; /* this node's row is in the table as it should be */
 	struct lane neighbour; /* asks a neighbour for tables */
-	uint32_t asked_tables; /* sum of SNAPSHOT_TABLE() */
+	uint32_t asked_tables; /* sum of SNAPSHOT_TABLE(); 0: not asking */
+	uint32_t last_asked; /* the same of the latest question */
 	bool asked_reader; /* the neighbour asked is the region's reader */
 	GBytes *given; /* the latest snapshot, for neighbours */
 	uint32_t given_tables;
