sync: a word that agrees moves the node on in the store's history

Cause: a node that its reader's word confirmed stayed where it had read last, up to 20 s behind, and its own call began there: pages of changes that it knew, each a round trip and 100 KB, before the newest one.

Change: the reader's word names the version up to which it holds, and where the digests are the same the node goes on from there.

--- a/packages/edge/beat.c
+++ b/packages/edge/beat.c
@@ -15,7 +15,7 @@
 #define SUSPECT_TYPE "(ta(uuu)uubbuuu)"
 
 #define BEAT_TYPE \
-	"(ua(utb)a(uuq)a(uu)a(utu)a" BEAT_ROW_TYPE "a" SUSPECT_TYPE ")"
+	"(ua(utb)a(uuq)a(uu)a(uttu)a" BEAT_ROW_TYPE "a" SUSPECT_TYPE ")"
 
 void beat_row_add(GVariantBuilder *rows, const struct beat_row *row)
 {
@@ -73,10 +73,12 @@
 	for (i = 0; i < beat->load_count; i++)
 		g_variant_builder_add(&loads, "(uu)", beat->loads[i].backend,
 				      beat->loads[i].in_flight);
-	g_variant_builder_init(&vouches, G_VARIANT_TYPE("a(utu)"));
+	g_variant_builder_init(&vouches, G_VARIANT_TYPE("a(uttu)"));
 	for (i = 0; i < beat->vouch_count; i++)
-		g_variant_builder_add(&vouches, "(utu)", beat->vouches[i].table,
+		g_variant_builder_add(&vouches, "(uttu)",
+				      beat->vouches[i].table,
 				      (guint64)beat->vouches[i].digest,
+				      (guint64)beat->vouches[i].version,
 				      beat->vouches[i].age_ms);
 	g_variant_builder_init(&rows, G_VARIANT_TYPE("a" BEAT_ROW_TYPE));
 	for (i = 0; i < beat->row_count; i++)
@@ -143,14 +145,17 @@
 {
 	guint32 table;
 	guint64 digest;
+	guint64 version;
 	guint32 age_ms;
 
 	while (beat->vouch_count < BEAT_MAX_VOUCHES &&
-	       g_variant_iter_next(iter, "(utu)", &table, &digest, &age_ms)) {
+	       g_variant_iter_next(iter, "(uttu)", &table, &digest, &version,
+				   &age_ms)) {
 		struct beat_vouch *vouch = &beat->vouches[beat->vouch_count++];
 
 		vouch->table = table;
 		vouch->digest = digest;
+		vouch->version = version;
 		vouch->age_ms = age_ms;
 	}
 }
--- a/packages/edge/beat.h
+++ b/packages/edge/beat.h
@@ -55,6 +55,7 @@
 struct beat_vouch {
 	uint32_t table; /* enum registry_table */
 	uint64_t digest; /* of what it believes */
+	uint64_t version; /* of the platform's newest row in that */
 	uint32_t age_ms; /* since the platform last confirmed it */
 };
 
--- a/packages/edge/sync.h
+++ b/packages/edge/sync.h
@@ -56,8 +56,8 @@
 /*
  * One node of a region reads the tables for all of it. It vouches for what it
  * believes by digests; a neighbour whose digest is the same has the platform's
- * word by it, and calls the platform itself only where digests differ or the
- * word grows old.
+ * word by it, up to the same version, and calls the platform itself only where
+ * digests differ or the word grows old.
  */
 uint32_t sync_vouches(const struct sync *sync, struct beat_vouch *vouches);
 void sync_vouched(struct sync *sync, const struct beat_vouch *vouch);
--- a/packages/edge/sync_neighbours.c
+++ b/packages/edge/sync_neighbours.c
@@ -422,6 +422,7 @@
 			continue;
 		vouches[count].table = follower->rule->table;
 		vouches[count].digest = digest_of(follower);
+		vouches[count].version = follower->version;
 		vouches[count].age_ms =
 			(uint32_t)((now_us - follower->confirmed_us) /
 				   US_PER_MS);
@@ -444,6 +445,7 @@
 		return;
 	if (vouch->digest == digest_of(follower)) {
 		follower->confirmed_us = at_us;
+		follower->version = MAX(follower->version, vouch->version);
 		follower->answered_us = MAX(follower->answered_us, at_us);
 		follower->asks = 0;
 		return;
--- a/tests/edge/beat_test.cc
+++ b/tests/edge/beat_test.cc
@@ -20,7 +20,8 @@
 		beat.pairs[beat.pair_count++] = { { i, i * 7 }, (uint16_t)i };
 	for (uint32_t i = 0; i < 10; i++)
 		beat.loads[beat.load_count++] = { i, i + 1 };
-	beat.vouches[beat.vouch_count++] = { 1, 0x1234567890abcdefull, 250 };
+	beat.vouches[beat.vouch_count++] = { 1, 0x1234567890abcdefull, 3148,
+					     250 };
 	for (uint32_t i = 0; i < 2; i++) {
 		struct beat_row *row = &beat.rows[beat.row_count++];
 
@@ -34,6 +35,7 @@
 		row->draining = !i;
 		row->cold_left_ms = 1200;
 		row->started_ms = 1777081648000ull + i;
+		row->version = 5166 + i;
 	}
 	return beat;
 }
@@ -66,6 +68,9 @@
 	EXPECT_EQ(19u, got.pairs[19].ready_ms);
 	EXPECT_EQ(10u, got.loads[9].in_flight);
 	EXPECT_EQ(sent.vouches[0].digest, got.vouches[0].digest);
+	EXPECT_EQ(3148u, got.vouches[0].version);
+	EXPECT_EQ(250u, got.vouches[0].age_ms);
+	EXPECT_EQ(5167u, got.rows[1].version);
 	EXPECT_STREQ("i-left", got.rows[1].id);
 	EXPECT_STREQ("", got.rows[1].service);
 	EXPECT_TRUE(got.rows[0].draining);
