exchange: logs say which server names a limit, and what can't be read as one

Neither the logs nor a metric said which backend server named how many requests a second, or when a node heard of it. Nothing goes by it yet.

A rate is digits with at most one point, from 0.001 to a million; anything else, or two in one answer, changes nothing and is logged once a server.

--- a/packages/core/backend_table.h
+++ b/packages/core/backend_table.h
@@ -15,6 +15,7 @@
 #include <stdint.h>
 
 #include "core/endpoint.h"
+#include "core/rate_limit.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -69,6 +70,7 @@
 	uint64_t cold_until_us;
 	bool listed_cold; /* as its latest entry says */
 
+	struct rate_limit limit; /* as its latest answer says */
 	uint32_t kept; /* this node's idle connections to it */
 	uint32_t connections; /* of this node, open, idle or not */
 	uint64_t ended_us; /* when the server's side last ended one */
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -409,6 +409,29 @@
 				 exchange_now_us(exchange));
 }
 
+/* A word that can't be read changes nothing; the first of a server is logged.
+ */
+static void note_limit(struct exchange *exchange, const struct message *answer)
+{
+	const char *name = exchange->edge->dialect->rate_limit;
+	const char *text = message_header(answer, name);
+	struct backend *backend = exchange->choice.backend;
+	double per_s = 0;
+
+	if (text && (message_count(answer, name) > 1 ||
+		     !rate_limit_parse(text, &per_s))) {
+		if (!backend->limit.refused++)
+			log_event(LOG_WARNING, "backend-limit-refused",
+				  "backend=%s limit=%.32s", backend->id, text);
+		return;
+	}
+	if (per_s == backend->limit.per_s)
+		return;
+	backend->limit.per_s = per_s;
+	log_event(LOG_INFO, "backend-limit", "backend=%s per_s=%g", backend->id,
+		  per_s);
+}
+
 static bool says_not_executed(const struct exchange *exchange,
 			      const struct message *answer)
 {
@@ -480,6 +503,7 @@
 static void on_own_answer(struct exchange *exchange, struct message *answer)
 {
 	note_load(exchange, answer);
+	note_limit(exchange, answer);
 	log_event(LOG_DEBUG, "backend-answer",
 		  "request=%s backend=%s status=%u body_bytes=%u framed=%s "
 		  "took_us=%" PRIu64,
--- a/packages/ports/dialect.h
+++ b/packages/ports/dialect.h
@@ -28,6 +28,8 @@
 	const char *not_executed; /* present: the request did not run */
 	const char *seal; /* each success of a backend server bears one */
 	const char *load; /* "running,waiting,slots" */
+	/* Requests a second that it takes from all nodes together. */
+	const char *rate_limit;
 
 	/* What a node answers itself */
 	const char *ready_path;
--- a/tests/standins/app_stand.c
+++ b/tests/standins/app_stand.c
@@ -30,6 +30,7 @@
 	struct app_settings settings;
 	char *id;
 	char *deadly_path; /* NULL: none */
+	char *headers; /* of each answer besides; NULL: none */
 	enum app_fault fault;
 	bool draining;
 	GHashTable *runs; /* request id -> how often it ran */
@@ -71,12 +72,12 @@
 {
 	return g_strdup_printf(ATTEMPT_ID ": %s\r\n"
 					  "Lilacfield-Server-Load: %u,%u,%u\r\n"
-					  "%s%s",
+					  "%s%s%s",
 			       id, g_queue_get_length((GQueue *)&app->active),
 			       g_queue_get_length((GQueue *)&app->queue),
 			       app->settings.slots,
 			       app->draining ? "Connection: close\r\n" : "",
-			       more);
+			       app->headers ? app->headers : "", more);
 }
 
 static void answer(struct app_stand *app, struct http_call *call,
@@ -371,6 +372,7 @@
 	g_hash_table_destroy(app->runs);
 	g_queue_clear_full(&app->cache, g_free);
 	g_free(app->deadly_path);
+	g_free(app->headers);
 	g_free(app->id);
 	g_free(app);
 }
@@ -396,6 +398,12 @@
 	return !app->http;
 }
 
+void app_stand_set_headers(struct app_stand *app, const char *lines)
+{
+	g_free(app->headers);
+	app->headers = g_strdup(lines);
+}
+
 void app_stand_set_draining(struct app_stand *app, bool draining)
 {
 	app->draining = draining;
--- a/tests/standins/app_stand.h
+++ b/tests/standins/app_stand.h
@@ -57,6 +57,8 @@
  */
 void app_stand_set_deadly(struct app_stand *app, const char *path);
 bool app_stand_has_ended(const struct app_stand *app);
+/* Lines that each answer has besides; NULL: none. */
+void app_stand_set_headers(struct app_stand *app, const char *lines);
 void app_stand_set_draining(struct app_stand *app, bool draining);
 /* Connections stay, nothing is read or answered. */
 void app_stand_silence(struct app_stand *app, bool silent);
