--- a/packages/edge/gossip.c
+++ b/packages/edge/gossip.c
@@ -175,7 +175,7 @@
 		ask_neighbour(gossip, from);
 	take_lives(gossip, &beat);
 	take_news(gossip->edge, &beat);
-	gossip_take_suspects(gossip, &beat);
+	gossip_take_words(gossip, &beat);
 	/*
 	 * The ages of vouches count from their receipt. From before the node
 	 * was suspended, they confirmed routes that had been replaced since,
@@ -231,7 +231,7 @@
 	uv_timer_init(edge->loop, &gossip->timer);
 	gossip->udp.data = gossip;
 	gossip->timer.data = gossip;
-	gossip_suspects_open(gossip);
+	gossip_words_open(gossip);
 	status =
 		uv_udp_bind(&gossip->udp, (const struct sockaddr *)&address, 0);
 	if (!status)
@@ -253,7 +253,7 @@
 {
 	uv_close((uv_handle_t *)&gossip->udp, NULL);
 	uv_close((uv_handle_t *)&gossip->timer, NULL);
-	gossip_suspects_close(gossip);
+	gossip_words_close(gossip);
 }
 
 void gossip_attach(struct gossip *gossip, struct sync *sync)
--- a/packages/edge/gossip.h
+++ b/packages/edge/gossip.h
@@ -27,10 +27,11 @@
 void gossip_tell_changes(struct gossip *gossip);
 
 /*
- * Tell all nodes, wherever they are, what is new of suspects: until one knows,
- * it sends such a request to one more server. Told a moment later, together.
+ * Tell all nodes, wherever they are, the words that can't wait for a beat: of
+ * suspects, since a node that doesn't know sends such a request to one more
+ * server. Told a moment later, together.
  */
-void gossip_tell_suspects(struct gossip *gossip);
+void gossip_tell_words(struct gossip *gossip);
 
 /* Beat now, since something changed that others should know at once. */
 void gossip_hurry(struct gossip *gossip);
--- a/packages/edge/gossip_parts.h
+++ b/packages/edge/gossip_parts.h
@@ -23,7 +23,7 @@
 	uint32_t ticks; /* of the timer */
 	uint32_t rounds; /* beats sent */
 	bool unknown; /* a member was heard of that the list didn't name */
-	uv_timer_t suspect_timer; /* runs while there is news of suspects */
+	uv_timer_t word_timer; /* runs while there are urgent words */
 	uint32_t relay_at; /* which members were passed on last */
 };
 
@@ -37,11 +37,11 @@
 /* gossip_send.c: one round of beats. */
 void gossip_beat(struct gossip *gossip);
 
-/* gossip_suspects.c: what beats carry of suspects, either way. */
-void gossip_suspects_open(struct gossip *gossip);
-void gossip_suspects_close(struct gossip *gossip);
-void gossip_beat_suspects(struct gossip *gossip);
-void gossip_take_suspects(struct gossip *gossip, const struct beat *beat);
+/* gossip_words.c: words that beats carry, either way. */
+void gossip_words_open(struct gossip *gossip);
+void gossip_words_close(struct gossip *gossip);
+void gossip_beat_words(struct gossip *gossip);
+void gossip_take_words(struct gossip *gossip, const struct beat *beat);
 
 /* gossip_send.c: a beat to one member, to all, or to the usual few of them. */
 void gossip_send_to_one(struct gossip *gossip, const struct member *member,
--- a/packages/edge/gossip_send.c
+++ b/packages/edge/gossip_send.c
@@ -360,7 +360,7 @@
 	self->beat = gossip->epoch_us + edge_now_us(edge);
 	self->leaving = !edge_is_ready(edge);
 	beat_near(gossip);
-	gossip_beat_suspects(gossip);
+	gossip_beat_words(gossip);
 	if (gossip->rounds++ % FAR_EVERY == 0 || edge->warmth.far_news->len)
 		beat_far(gossip);
 }
--- a/packages/edge/gossip_suspects.c
+++ b/packages/edge/gossip_words.c
@@ -16,7 +16,7 @@
 /* Of a beat: quarantines are told again and again. */
 #define WORDS_A_BEAT 4
 
-static void on_suspect_timer(uv_timer_t *timer)
+static void on_word_timer(uv_timer_t *timer)
 {
 	struct gossip *gossip = timer->data;
 	struct edge *edge = gossip->edge;
@@ -29,31 +29,30 @@
 	if (beat.suspect_count)
 		gossip_send_to_all(gossip, &beat);
 	if (suspect_is_urgent(edge->suspects))
-		uv_timer_start(timer, on_suspect_timer, AGAIN_US / US_PER_MS,
-			       0);
+		uv_timer_start(timer, on_word_timer, AGAIN_US / US_PER_MS, 0);
 }
 
-void gossip_suspects_open(struct gossip *gossip)
+void gossip_words_open(struct gossip *gossip)
 {
-	uv_timer_init(gossip->edge->loop, &gossip->suspect_timer);
-	gossip->suspect_timer.data = gossip;
+	uv_timer_init(gossip->edge->loop, &gossip->word_timer);
+	gossip->word_timer.data = gossip;
 	gossip->edge->gossip = gossip;
 }
 
-void gossip_suspects_close(struct gossip *gossip)
+void gossip_words_close(struct gossip *gossip)
 {
 	gossip->edge->gossip = NULL;
-	uv_close((uv_handle_t *)&gossip->suspect_timer, NULL);
+	uv_close((uv_handle_t *)&gossip->word_timer, NULL);
 }
 
-void gossip_tell_suspects(struct gossip *gossip)
+void gossip_tell_words(struct gossip *gossip)
 {
-	if (!uv_is_active((uv_handle_t *)&gossip->suspect_timer))
-		uv_timer_start(&gossip->suspect_timer, on_suspect_timer,
+	if (!uv_is_active((uv_handle_t *)&gossip->word_timer))
+		uv_timer_start(&gossip->word_timer, on_word_timer,
 			       GATHER_US / US_PER_MS, 0);
 }
 
-void gossip_beat_suspects(struct gossip *gossip)
+void gossip_beat_words(struct gossip *gossip)
 {
 	struct edge *edge = gossip->edge;
 	struct beat beat = { .life_count = 0 };
@@ -118,7 +117,7 @@
 	return suspect && suspect->rounds;
 }
 
-void gossip_take_suspects(struct gossip *gossip, const struct beat *beat)
+void gossip_take_words(struct gossip *gossip, const struct beat *beat)
 {
 	struct edge *edge = gossip->edge;
 	uint64_t now_us = edge_now_us(edge);
