edge, core: backend servers that name a rate get no more than that from all nodes

Servers saw it, callers didn't: one that had named 2 requests a second got 63 in 4 s.

Class: a bound on what all nodes do together that no node kept.

Change: answers are read for it, all nodes are told at once and again with beats, and a few nodes of the server's region, its senders, share the rate by equal, fixed parts, each a token bucket; the others send nothing. The parts add up to the rate by who is in the members' table, dead nodes included: a cut or a death frees nothing for anybody, and a node that starts waits until the others know of it. A choice passes over a server without a token, as one that is full; what was taken and not sent goes back; a connection that opens when the rate was named meanwhile needs a token too. What no server has rate for is refused at once as no-rate.

--- a/packages/core/candidate.c
+++ b/packages/core/candidate.c
@@ -126,6 +126,8 @@
 	if (query->apart != CHOOSE_TOGETHER &&
 	    has_suspect(chooser, backend, false, now_us))
 		return CHOOSE_SUSPECT;
+	if (!rate_limit_allows(&backend->limit, now_us))
+		return CHOOSE_LIMITED;
 	return CHOOSE_OPEN;
 }
 
--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -227,6 +227,21 @@
 	return verdict == ADMISSION_TAKE;
 }
 
+/* Whether a server would be used but for the rate that it named. */
+static bool is_short_of_rate(const struct chooser *chooser,
+			     const struct choose_query *query, uint64_t now_us)
+{
+	const GPtrArray *backends =
+		backend_table_of(chooser->backends, query->service->name);
+	guint i;
+
+	for (i = 0; backends && i < backends->len; i++)
+		if (candidate_blocked(chooser, query, backends->pdata[i],
+				      now_us) == CHOOSE_LIMITED)
+			return true;
+	return false;
+}
+
 static void choose_among_all(struct chooser *chooser,
 			     const struct choose_query *query, uint64_t now_us,
 			     struct choice *choice)
@@ -252,8 +267,10 @@
 		choice->wait_us = best->wait_us;
 		choice->warm = best->warm;
 		choice->reason = reason_for(best);
-	} else if (candidates->len) {
-		choice->reason = CHOOSE_NONE_FREE;
+	} else if (candidates->len ||
+		   is_short_of_rate(chooser, query, now_us)) {
+		choice->reason = candidates->len ? CHOOSE_NONE_FREE :
+						   CHOOSE_NO_RATE;
 		choice->retry_after_us = admission_retry_after_us(
 			query->patience_us, g_random_double());
 	} else {
--- a/packages/core/choose.h
+++ b/packages/core/choose.h
@@ -3,11 +3,12 @@
  *
  * Filters come first and nothing passes them: allowed regions, evacuated
  * failure domains, servers that leave, servers that were tried, the allowance
- * of cold ones. Of the rest the one with the least expected time is chosen: the
- * way there and back, the service time (short where the object is warm), the
- * wait for a slot, and a surcharge for its share of failures. A rendezvous
- * order of the object's hash breaks ties, so that all nodes warm the same
- * servers for it. Pure but for the tables passed in; not thread-safe.
+ * of cold ones, the rate of those that named one. Of the rest the one with the
+ * least expected time is chosen: the way there and back, the service time
+ * (short where the object is warm), the wait for a slot, and a surcharge for
+ * its share of failures. A rendezvous order of the object's hash breaks ties,
+ * so that all nodes warm the same servers for it. Pure but for the tables
+ * passed in; not thread-safe.
  */
 #ifndef CORE_CHOOSE_H
 #define CORE_CHOOSE_H
@@ -81,6 +82,7 @@
 	CHOOSE_HOLD, /* none yet: a server is about to be warm for the object */
 	CHOOSE_NONE_KNOWN, /* no backend server may be used */
 	CHOOSE_NONE_FREE, /* all are full, or too slow for what time is left */
+	CHOOSE_NO_RATE, /* this node has no more of what their limits allow */
 };
 
 /* What keeps a backend server out of a choice. */
@@ -93,6 +95,7 @@
 	CHOOSE_FORBIDDEN, /* its region isn't among the route's */
 	CHOOSE_COLD, /* no more of its cold allowance is this node's */
 	CHOOSE_SUSPECT, /* another request that may crash it is there */
+	CHOOSE_LIMITED, /* no more of the rate that it named is this node's */
 };
 
 /* A backend server as a choice sees it. */
--- a/packages/core/chooser.c
+++ b/packages/core/chooser.c
@@ -145,6 +145,8 @@
 		return "none-known";
 	case CHOOSE_NONE_FREE:
 		return "none-free";
+	case CHOOSE_NO_RATE:
+		return "no-rate";
 	}
 	return "unknown";
 }
@@ -168,6 +170,8 @@
 		return "cold-allowance";
 	case CHOOSE_SUSPECT:
 		return "suspect-at-work";
+	case CHOOSE_LIMITED:
+		return "rate-limit";
 	}
 	return "unknown";
 }
--- a/packages/core/member_table.c
+++ b/packages/core/member_table.c
@@ -325,3 +325,46 @@
 {
 	return rank_among(table, hash, true, now_us);
 }
+
+static uint32_t count_region(const struct member_table *table,
+			     const char *region)
+{
+	GHashTableIter iter;
+	uint32_t count = 0;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (!strcmp(((struct member *)value)->region, region))
+			count++;
+	return count;
+}
+
+uint32_t member_table_region_rank(const struct member_table *table,
+				  const char *region, uint32_t hash,
+				  uint32_t *rank)
+{
+	uint64_t own = hash_pair(table->self->hash, hash);
+	uint32_t count = count_region(table, region);
+	GHashTableIter iter;
+	gpointer value;
+
+	*rank = 0;
+	if (!count) {
+		*rank = member_table_rank(table, hash);
+		return member_table_count(table);
+	}
+	if (strcmp(table->self->region, region) != 0) {
+		*rank = UINT32_MAX;
+		return count;
+	}
+	g_hash_table_iter_init(&iter, table->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct member *member = value;
+
+		if (!strcmp(member->region, region) &&
+		    hash_pair(member->hash, hash) > own)
+			++*rank;
+	}
+	return count;
+}
--- a/packages/core/member_table.h
+++ b/packages/core/member_table.h
@@ -120,6 +120,15 @@
 uint32_t member_table_near_rank(const struct member_table *table, uint32_t hash,
 				uint64_t now_us);
 
+/*
+ * How many members of this region are known, dead ones too, and the place of
+ * oneself in the rendezvous order of these; UINT32_MAX for one that isn't of
+ * it. Where none is known, all members count.
+ */
+uint32_t member_table_region_rank(const struct member_table *table,
+				  const char *region, uint32_t hash,
+				  uint32_t *rank);
+
 #ifdef __cplusplus
 }
 #endif
--- a/packages/core/rate_limit.c
+++ b/packages/core/rate_limit.c
@@ -1,12 +1,28 @@
 #include "core/rate_limit.h"
 
+#include <math.h>
 #include <string.h>
 
 #include <glib.h>
 
+#include "core/duration.h"
+
 /* Longest text of a rate: the largest one with six places. */
 #define TEXT_MOST 16
 
+/* A word that is older is of no server that is still limited so. */
+#define WORD_AGE_MOST_US (600 * US_PER_S)
+
+/*
+ * What a sender's part is at least, unless there are too few senders for one
+ * of them to be lost: smaller parts add up to a larger burst.
+ */
+#define SENDER_PER_S 2.0
+#define SENDERS_LEAST 2
+
+/* Requests that a part may save up, as time of its rate; at least one. */
+#define BURST_US (100 * US_PER_MS)
+
 bool rate_limit_parse(const char *text, double *per_s)
 {
 	size_t length = strlen(text);
@@ -23,3 +39,117 @@
 	*per_s = value;
 	return true;
 }
+
+bool rate_limit_is_sane(const struct rate_word *word)
+{
+	if (word->age_us > WORD_AGE_MOST_US || !isfinite(word->per_s))
+		return false;
+	return word->per_s == 0 || (word->per_s >= RATE_LIMIT_LEAST_PER_S &&
+				    word->per_s <= RATE_LIMIT_MOST_PER_S);
+}
+
+static bool is_stricter(double per_s, double known_per_s)
+{
+	return per_s > 0 && (known_per_s == 0 || per_s < known_per_s);
+}
+
+static void set_rate(struct rate_limit *limit, double per_s, uint64_t at_us,
+		     uint64_t now_us)
+{
+	/* The part's bucket begins empty, or a flapping rate would fill it. */
+	if (!limit->per_s) {
+		limit->part_per_s = 0;
+		limit->tokens = 0;
+		limit->filled_us = now_us;
+	}
+	limit->per_s = per_s;
+	limit->named_us = at_us;
+}
+
+bool rate_limit_heard(struct rate_limit *limit, double per_s, uint64_t sent_us,
+		      uint64_t now_us)
+{
+	if (per_s == limit->per_s) {
+		if (per_s > 0)
+			limit->named_us = now_us;
+		return false;
+	}
+	if (!is_stricter(per_s, limit->per_s) && sent_us < limit->named_us)
+		return false;
+	set_rate(limit, per_s, now_us, now_us);
+	return true;
+}
+
+bool rate_limit_told(struct rate_limit *limit, double per_s, uint64_t at_us,
+		     uint64_t now_us)
+{
+	if (per_s == limit->per_s || at_us <= limit->named_us)
+		return false;
+	set_rate(limit, per_s, at_us, now_us);
+	return true;
+}
+
+uint32_t rate_limit_senders(double per_s, uint32_t nodes)
+{
+	uint32_t senders = (uint32_t)fmin(ceil(per_s / SENDER_PER_S), nodes);
+
+	return MIN(MAX(senders, SENDERS_LEAST), MAX(nodes, 1));
+}
+
+double rate_limit_part(const struct member_table *members, const char *region,
+		       uint32_t hash, double per_s)
+{
+	uint32_t rank;
+	uint32_t nodes = member_table_region_rank(members, region, hash, &rank);
+	uint32_t senders = rate_limit_senders(per_s, nodes);
+
+	return rank < senders ? per_s / senders : 0;
+}
+
+static double burst(const struct rate_limit *limit)
+{
+	return fmax(1.0,
+		    limit->part_per_s * (double)BURST_US / (double)US_PER_S);
+}
+
+static double tokens_at(const struct rate_limit *limit, uint64_t now_us)
+{
+	double since_s = (double)(now_us - limit->filled_us) / (double)US_PER_S;
+
+	return fmin(burst(limit), limit->tokens + since_s * limit->part_per_s);
+}
+
+static void fill(struct rate_limit *limit, uint64_t now_us)
+{
+	limit->tokens = tokens_at(limit, now_us);
+	limit->filled_us = now_us;
+}
+
+void rate_limit_share(struct rate_limit *limit, double part_per_s,
+		      uint64_t now_us)
+{
+	fill(limit, now_us);
+	limit->part_per_s = part_per_s;
+}
+
+bool rate_limit_allows(const struct rate_limit *limit, uint64_t now_us)
+{
+	return limit->per_s == 0 || tokens_at(limit, now_us) >= 1;
+}
+
+bool rate_limit_take(struct rate_limit *limit, uint64_t now_us)
+{
+	if (limit->per_s == 0)
+		return false;
+	fill(limit, now_us);
+	limit->tokens -= 1;
+	limit->sent++;
+	return true;
+}
+
+void rate_limit_give_back(struct rate_limit *limit, uint64_t now_us)
+{
+	fill(limit, now_us);
+	limit->tokens += 1;
+	limit->sent--;
+}
--- a/packages/core/rate_limit.h
+++ b/packages/core/rate_limit.h
@@ -1,8 +1,12 @@
 /*
  * rate_limit - the rate that a backend server in need takes from all nodes
  *
- * The server names it in its answers, for as long as it holds. Pure; not
- * thread-safe. Times are those of the clock port.
+ * The server names it in its answers, for as long as it holds. A few nodes of
+ * its region, the senders, share the rate by equal, fixed parts, and the others
+ * send nothing, so that the parts add up to the rate whoever dies, starts or is
+ * cut off. Each part is a token bucket that holds next to nothing. Which
+ * members are senders follows from the members' table, dead ones included.
+ * Pure; not thread-safe. Times are those of the clock port.
  */
 #ifndef CORE_RATE_LIMIT_H
 #define CORE_RATE_LIMIT_H
@@ -10,6 +14,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "core/member_table.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -20,7 +26,20 @@
 
 struct rate_limit {
 	double per_s; /* of all nodes together; 0: none is named */
-	uint32_t refused; /* words that can't be read */
+	uint64_t named_us; /* when that was learned; 0: never named */
+	double part_per_s; /* this node's */
+	double tokens;
+	uint64_t filled_us;
+	uint32_t urgent; /* times it is still told to all at once */
+	uint32_t rejected; /* words that can't be read */
+	uint64_t sent; /* requests, while it was limited */
+};
+
+/* What one node tells another of a server's rate; times are ages. */
+struct rate_word {
+	uint32_t life; /* of the backend server */
+	double per_s; /* 0: it names none any more */
+	uint64_t age_us; /* since it was learned from the server */
 };
 
 /*
@@ -29,6 +48,45 @@
  */
 bool rate_limit_parse(const char *text, double *per_s);
 
+/* Whether a neighbour's word can be true. */
+bool rate_limit_is_sane(const struct rate_word *word);
+
+/*
+ * An answer named this rate, 0 for none; it was asked for at sent_us. A higher
+ * one counts only if the server was asked after the known one was learned:
+ * answers of different nodes overtake each other. Whether that was news.
+ */
+bool rate_limit_heard(struct rate_limit *limit, double per_s, uint64_t sent_us,
+		      uint64_t now_us);
+
+/* A neighbour learned this rate then. Whether that was news. */
+bool rate_limit_told(struct rate_limit *limit, double per_s, uint64_t at_us,
+		     uint64_t now_us);
+
+/* How many of a region's nodes send to a server that names this rate. */
+uint32_t rate_limit_senders(double per_s, uint32_t nodes);
+
+/*
+ * This node's part of the rate that a server of this region names, by the
+ * server's hash; 0 for a node that isn't a sender.
+ */
+double rate_limit_part(const struct member_table *members, const char *region,
+		       uint32_t hash, double per_s);
+
+/* The part that the bucket fills with from now on. */
+void rate_limit_share(struct rate_limit *limit, double part_per_s,
+		      uint64_t now_us);
+
+/* Whether a request may be sent now. */
+bool rate_limit_allows(const struct rate_limit *limit, uint64_t now_us);
+
+/*
+ * Take a token for one request; whether one was needed, and has to be given
+ * back if the request isn't sent.
+ */
+bool rate_limit_take(struct rate_limit *limit, uint64_t now_us);
+void rate_limit_give_back(struct rate_limit *limit, uint64_t now_us);
+
 #ifdef __cplusplus
 }
 #endif
--- a/packages/edge/beat.c
+++ b/packages/edge/beat.c
@@ -14,8 +14,12 @@
  */
 #define SUSPECT_TYPE "(ta(uuu)uubbuuu)"
 
-#define BEAT_TYPE \
-	"(ua(utb)a(uuq)a(uu)a(uttu)a" BEAT_ROW_TYPE "a" SUSPECT_TYPE ")"
+/* Rates that servers named: life, rate, age in ms. */
+#define RATES_TYPE "a(udu)"
+
+#define BEAT_TYPE                                   \
+	"(ua(utb)a(uuq)a(uu)a(uttu)a" BEAT_ROW_TYPE \
+	"a" SUSPECT_TYPE RATES_TYPE ")"
 
 void beat_row_add(GVariantBuilder *rows, const struct beat_row *row)
 {
@@ -46,6 +50,18 @@
 		(guint32)(word->run_left_us / US_PER_MS));
 }
 
+static void add_rates(GVariantBuilder *rates, const struct beat *beat)
+{
+	uint32_t i;
+
+	g_variant_builder_init(rates, G_VARIANT_TYPE(RATES_TYPE));
+	for (i = 0; i < beat->rate_count; i++)
+		g_variant_builder_add(
+			rates, "(udu)", beat->rates[i].life,
+			beat->rates[i].per_s,
+			(guint32)(beat->rates[i].age_us / US_PER_MS));
+}
+
 GBytes *beat_encode(const struct beat *beat)
 {
 	GVariantBuilder lives;
@@ -54,6 +70,7 @@
 	GVariantBuilder vouches;
 	GVariantBuilder rows;
 	GVariantBuilder suspects;
+	GVariantBuilder rates;
 	GVariant *variant;
 	GBytes *bytes;
 	uint32_t i;
@@ -86,9 +103,10 @@
 	g_variant_builder_init(&suspects, G_VARIANT_TYPE("a" SUSPECT_TYPE));
 	for (i = 0; i < beat->suspect_count; i++)
 		add_suspect(&suspects, &beat->suspects[i]);
-	variant = g_variant_ref_sink(g_variant_new(BEAT_TYPE, BEAT_VERSION,
-						   &lives, &pairs, &loads,
-						   &vouches, &rows, &suspects));
+	add_rates(&rates, beat);
+	variant = g_variant_ref_sink(
+		g_variant_new(BEAT_TYPE, BEAT_VERSION, &lives, &pairs, &loads,
+			      &vouches, &rows, &suspects, &rates));
 	bytes = g_variant_get_data_as_bytes(variant);
 	g_variant_unref(variant);
 	return bytes;
@@ -248,6 +266,22 @@
 	}
 }
 
+static void read_rates(GVariantIter *iter, struct beat *beat)
+{
+	guint32 life;
+	double per_s;
+	guint32 age_ms;
+
+	while (beat->rate_count < BEAT_MAX_RATES &&
+	       g_variant_iter_next(iter, "(udu)", &life, &per_s, &age_ms)) {
+		struct rate_word *word = &beat->rates[beat->rate_count++];
+
+		word->life = life;
+		word->per_s = per_s;
+		word->age_us = age_ms * US_PER_MS;
+	}
+}
+
 bool beat_decode(const void *bytes, size_t length, struct beat *beat)
 {
 	GVariant *variant;
@@ -257,6 +291,7 @@
 	GVariantIter *vouches;
 	GVariantIter *rows;
 	GVariantIter *suspects;
+	GVariantIter *rates;
 	guint32 version;
 	gpointer copy;
 
@@ -272,7 +307,7 @@
 		return false;
 	}
 	g_variant_get(variant, BEAT_TYPE, &version, &lives, &pairs, &loads,
-		      &vouches, &rows, &suspects);
+		      &vouches, &rows, &suspects, &rates);
 	if (version == BEAT_VERSION) {
 		read_lives(lives, beat);
 		read_pairs(pairs, beat);
@@ -280,6 +315,7 @@
 		read_vouches(vouches, beat);
 		read_rows(rows, beat);
 		read_suspects(suspects, beat);
+		read_rates(rates, beat);
 	}
 	g_variant_iter_free(lives);
 	g_variant_iter_free(pairs);
@@ -287,6 +323,7 @@
 	g_variant_iter_free(vouches);
 	g_variant_iter_free(rows);
 	g_variant_iter_free(suspects);
+	g_variant_iter_free(rates);
 	g_variant_unref(variant);
 	return beat->life_count > 0;
 }
--- a/packages/edge/beat.h
+++ b/packages/edge/beat.h
@@ -4,7 +4,8 @@
  * Encoded by GVariant. A beat says that its sender lives, which others it heard
  * lately, which backend servers are warm for which objects, and, to neighbours,
  * how many of its requests are at which. Requests that are suspected of
- * crashing servers are told in beats of their own.
+ * crashing servers, and rates that servers named, are told in beats of their
+ * own.
  */
 #ifndef EDGE_BEAT_H
 #define EDGE_BEAT_H
@@ -16,6 +17,7 @@
 
 #include "core/build_options.h"
 #include "core/endpoint.h"
+#include "core/rate_limit.h"
 #include "core/suspect_table.h"
 #include "core/warmth.h"
 
@@ -33,6 +35,7 @@
 #define BEAT_MAX_VOUCHES 3
 #define BEAT_MAX_ROWS 8
 #define BEAT_MAX_SUSPECTS 10
+#define BEAT_MAX_RATES 20
 
 struct beat_life {
 	uint32_t member; /* hash of its name */
@@ -85,6 +88,8 @@
 	uint32_t row_count;
 	struct suspect_word suspects[BEAT_MAX_SUSPECTS];
 	uint32_t suspect_count;
+	struct rate_word rates[BEAT_MAX_RATES];
+	uint32_t rate_count;
 };
 
 /* One row in GVariant's words, for whatever carries rows between nodes. */
--- a/packages/edge/edge.c
+++ b/packages/edge/edge.c
@@ -34,6 +34,7 @@
 	edge->dialect = dialect;
 	edge->registry = registry;
 	edge->settings = *settings;
+	edge->began_us = clock_now_us(clock);
 	edge->backends = backend_table_new();
 	edge->members = member_table_new(settings->name);
 	g_free(edge->members->self->domain);
--- a/packages/edge/edge.h
+++ b/packages/edge/edge.h
@@ -74,6 +74,8 @@
 	struct quarantine_store *quarantines; /* NULL: none are kept */
 	struct stats stats;
 
+	uint64_t began_us; /* when this life of the node began */
+	uint32_t rates_told; /* servers' rates told in this round of beats */
 	bool stopping;
 	uint64_t stopping_us; /* when the stop began */
 	uint32_t exchanges; /* requests in flight */
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -9,6 +9,7 @@
 #include "core/hash.h"
 #include "edge/crash_watch.h"
 #include "edge/quarantine_store.h"
+#include "edge/server_limits.h"
 
 /*
  * A backend server stops work at the deadline it was given; its answer then
@@ -109,6 +110,7 @@
 	struct conn *conn = exchange->conn;
 
 	exchange->connect_by_us = 0;
+	exchange->took_token = false;
 	exchange->sent_us = exchange_now_us(exchange);
 	exchange->strays = 0;
 	exchange->retry.sends++;
@@ -250,6 +252,8 @@
 		      exchange_now_us(exchange));
 	chooser_began(&edge->chooser, &exchange->query, &exchange->choice,
 		      exchange_now_us(exchange));
+	exchange->took_token = rate_limit_take(&exchange->choice.backend->limit,
+					       exchange_now_us(exchange));
 	exchange->retry.usual_us = (uint64_t)exchange->choice.expected_us;
 	exchange_run_begins(exchange);
 	use_conn(exchange);
@@ -409,29 +413,6 @@
 				 exchange_now_us(exchange));
 }
 
-/* A word that can't be read changes nothing; the first of a server is logged.
- */
-static void note_limit(struct exchange *exchange, const struct message *answer)
-{
-	const char *name = exchange->edge->dialect->rate_limit;
-	const char *text = message_header(answer, name);
-	struct backend *backend = exchange->choice.backend;
-	double per_s = 0;
-
-	if (text && (message_count(answer, name) > 1 ||
-		     !rate_limit_parse(text, &per_s))) {
-		if (!backend->limit.refused++)
-			log_event(LOG_WARNING, "backend-limit-refused",
-				  "backend=%s limit=%.32s", backend->id, text);
-		return;
-	}
-	if (per_s == backend->limit.per_s)
-		return;
-	backend->limit.per_s = per_s;
-	log_event(LOG_INFO, "backend-limit", "backend=%s per_s=%g", backend->id,
-		  per_s);
-}
-
 static bool says_not_executed(const struct exchange *exchange,
 			      const struct message *answer)
 {
@@ -503,7 +484,8 @@
 static void on_own_answer(struct exchange *exchange, struct message *answer)
 {
 	note_load(exchange, answer);
-	note_limit(exchange, answer);
+	server_limits_heard(exchange->edge, exchange->choice.backend, answer,
+			    exchange->sent_us);
 	log_event(LOG_DEBUG, "backend-answer",
 		  "request=%s backend=%s status=%u body_bytes=%u framed=%s "
 		  "took_us=%" PRIu64,
@@ -569,6 +551,19 @@
 		conn->link.awaiting = true;
 }
 
+static bool has_token(struct exchange *exchange)
+{
+	struct rate_limit *limit = &exchange->choice.backend->limit;
+	uint64_t now_us = exchange_now_us(exchange);
+
+	if (exchange->took_token)
+		return true;
+	if (!rate_limit_allows(limit, now_us))
+		return false;
+	exchange->took_token = rate_limit_take(limit, now_us);
+	return true;
+}
+
 static void on_opened(struct conn_user *user, struct conn *conn)
 {
 	struct exchange *exchange = (struct exchange *)user;
@@ -582,8 +577,9 @@
 		chooser_link_measured(&edge->chooser, conn->backend->region,
 				      exchange_now_us(exchange) -
 					      conn->opening_us);
-	/* It may have begun to leave while the connection opened. */
-	if (backend_is_closed(edge->backends, conn->backend)) {
+	/* It may have begun to leave, or named a rate, while it opened. */
+	if (backend_is_closed(edge->backends, conn->backend) ||
+	    !has_token(exchange)) {
 		exchange_drop_conn(exchange);
 		exchange_release_choice(exchange);
 		exchange->connect_by_us = 0;
--- a/packages/edge/exchange_end.c
+++ b/packages/edge/exchange_end.c
@@ -21,6 +21,10 @@
 	if (!backend)
 		return;
 	exchange_run_ends(exchange);
+	if (exchange->took_token)
+		rate_limit_give_back(&backend->limit,
+				     exchange_now_us(exchange));
+	exchange->took_token = false;
 	backend_end(backend, exchange->choice.work_us);
 	backend_unref(backend);
 	exchange->choice.backend = NULL;
--- a/packages/edge/gossip_words.c
+++ b/packages/edge/gossip_words.c
@@ -5,6 +5,7 @@
 #include "adapters/log.h"
 #include "core/duration.h"
 #include "edge/quarantine_store.h"
+#include "edge/server_limits.h"
 
 /*
  * What breaks off at one server breaks off together; told together, it is one
@@ -16,6 +17,13 @@
 /* Of a beat: quarantines are told again and again. */
 #define WORDS_A_BEAT 4
 
+/*
+ * Servers' rates are told again in turn, so many with each third beat, for a
+ * node may have been cut off.
+ */
+#define RATES_A_BEAT 4
+#define RATES_EVERY 3
+
 static void on_word_timer(uv_timer_t *timer)
 {
 	struct gossip *gossip = timer->data;
@@ -26,9 +34,11 @@
 	beat.suspect_count = suspect_urgent_words(
 		edge->suspects, edge->members->self->hash, edge_now_us(edge),
 		beat.suspects, BEAT_MAX_SUSPECTS);
-	if (beat.suspect_count)
+	beat.rate_count =
+		server_limits_urgent_words(edge, beat.rates, BEAT_MAX_RATES);
+	if (beat.suspect_count || beat.rate_count)
 		gossip_send_to_all(gossip, &beat);
-	if (suspect_is_urgent(edge->suspects))
+	if (suspect_is_urgent(edge->suspects) || server_limits_are_urgent(edge))
 		uv_timer_start(timer, on_word_timer, AGAIN_US / US_PER_MS, 0);
 }
 
@@ -63,13 +73,16 @@
 	beat.suspect_count = suspect_words(edge->suspects,
 					   edge->members->self->hash, now_us,
 					   beat.suspects, WORDS_A_BEAT);
-	if (beat.suspect_count)
+	if (gossip->rounds % RATES_EVERY == 0)
+		beat.rate_count =
+			server_limits_words(edge, beat.rates, RATES_A_BEAT);
+	if (beat.suspect_count || beat.rate_count)
 		gossip_send_to_some(gossip, &beat);
 }
 
 /*
- * A node that isn't ready yet may have just started, and knows no quarantine.
- * Told by chance with beats, it would send such a request first.
+ * A node that isn't ready yet may have just started, and knows no quarantine
+ * and no server's rate. Told by chance with beats, it would send first.
  */
 static void tell_starting(struct gossip *gossip, const struct beat *beat)
 {
@@ -80,14 +93,16 @@
 	struct beat words = { .life_count = 0 };
 
 	if (!sender->leaving || !member || member == edge->members->self ||
-	    !member->peer.port || !edge->suspects->count)
+	    !member->peer.port)
 		return;
 	gossip_sign(gossip, &words);
 	words.suspect_count = suspect_words(edge->suspects,
 					    edge->members->self->hash,
 					    edge_now_us(edge), words.suspects,
 					    BEAT_MAX_SUSPECTS);
-	if (words.suspect_count)
+	words.rate_count =
+		server_limits_words(edge, words.rates, BEAT_MAX_RATES);
+	if (words.suspect_count || words.rate_count)
 		gossip_send_to_one(gossip, member, &words);
 }
 
@@ -124,13 +139,16 @@
 	uint32_t i;
 
 	tell_starting(gossip, beat);
+	for (i = 0; i < beat->rate_count; i++)
+		if (!server_limits_take(edge, &beat->rates[i]))
+			metric_add(edge->stats.words_rejected, 1);
 	for (i = 0; i < beat->suspect_count; i++) {
 		const struct suspect_word *word = &beat->suspects[i];
 		bool was = is_quarantined(edge, word->fingerprint);
 
 		if (!suspect_take(edge->suspects, word, beat->lives[0].member,
 				  edge->backends, now_us))
-			metric_add(edge->stats.suspects_rejected, 1);
+			metric_add(edge->stats.words_rejected, 1);
 		else if (!was && is_quarantined(edge, word->fingerprint))
 			note_quarantine(edge, word);
 	}
--- a/packages/edge/run.c
+++ b/packages/edge/run.c
@@ -11,6 +11,7 @@
 #include "edge/crash_watch.h"
 #include "edge/gossip.h"
 #include "edge/quarantine_store.h"
+#include "edge/server_limits.h"
 #include "edge/sync.h"
 
 /* How often time-outs of connections are looked at. */
@@ -217,6 +218,7 @@
 		after_suspension(run, passed_us);
 	backend_table_expire(edge->backends, now_us);
 	gossip_tell_changes(run->gossip);
+	server_limits_share(edge);
 	callers_sweep(edge);
 	pool_sweep(&edge->pool, edge->backends);
 	note_readiness(run);
--- /dev/null
+++ b/packages/edge/server_limits.c
@@ -0,0 +1,149 @@
+#include "edge/server_limits.h"
+
+#include <inttypes.h>
+
+#include "adapters/log.h"
+#include "core/duration.h"
+#include "edge/gossip.h"
+
+/*
+ * A node that starts may displace another as a sender, which hears of it within
+ * two seconds; until then both would use the part.
+ */
+#define SENDER_WAIT_US (5 * US_PER_S)
+
+/* Times that a rate is told to all nodes at once, for a datagram may be lost.
+ */
+#define URGENT_TELLS 2
+
+static double part_of(const struct edge *edge, const struct backend *backend)
+{
+	if (edge_now_us(edge) - edge->began_us < SENDER_WAIT_US)
+		return 0;
+	return rate_limit_part(edge->members, backend->region, backend->hash,
+			       backend->limit.per_s);
+}
+
+static void share(struct edge *edge, struct backend *backend)
+{
+	double part_per_s = backend->limit.per_s ? part_of(edge, backend) : 0;
+
+	rate_limit_share(&backend->limit, part_per_s, edge_now_us(edge));
+}
+
+void server_limits_share(struct edge *edge)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, edge->backends->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((struct backend *)value)->limit.per_s)
+			share(edge, value);
+}
+
+static void note_change(struct edge *edge, struct backend *backend,
+			const char *by)
+{
+	share(edge, backend);
+	log_event(LOG_INFO, "backend-limit",
+		  "backend=%s per_s=%g part_per_s=%g by=%s", backend->id,
+		  backend->limit.per_s, backend->limit.part_per_s, by);
+}
+
+void server_limits_heard(struct edge *edge, struct backend *backend,
+			 const struct message *answer, uint64_t sent_us)
+{
+	const char *name = edge->dialect->rate_limit;
+	const char *text = message_header(answer, name);
+	double per_s = 0;
+
+	if (text && (message_count(answer, name) > 1 ||
+		     !rate_limit_parse(text, &per_s))) {
+		if (!backend->limit.rejected++)
+			log_event(LOG_WARNING, "backend-limit-refused",
+				  "backend=%s limit=%.32s", backend->id, text);
+		return;
+	}
+	if (!rate_limit_heard(&backend->limit, per_s, sent_us,
+			      edge_now_us(edge)))
+		return;
+	note_change(edge, backend, "answer");
+	backend->limit.urgent = URGENT_TELLS;
+	if (edge->gossip)
+		gossip_tell_words(edge->gossip);
+}
+
+bool server_limits_take(struct edge *edge, const struct rate_word *word)
+{
+	struct backend *backend =
+		backend_table_find_life(edge->backends, word->life);
+	uint64_t now_us = edge_now_us(edge);
+
+	if (!rate_limit_is_sane(word))
+		return false;
+	if (backend &&
+	    rate_limit_told(&backend->limit, word->per_s,
+			    now_us - MIN(now_us, word->age_us), now_us))
+		note_change(edge, backend, "word");
+	return true;
+}
+
+static void fill_word(const struct edge *edge, const struct backend *backend,
+		      struct rate_word *word)
+{
+	word->life = backend->life;
+	word->per_s = backend->limit.per_s;
+	word->age_us = edge_now_us(edge) - backend->limit.named_us;
+}
+
+uint32_t server_limits_urgent_words(struct edge *edge, struct rate_word *words,
+				    uint32_t most)
+{
+	GHashTableIter iter;
+	uint32_t count = 0;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, edge->backends->by_id);
+	while (count < most && g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct backend *backend = value;
+
+		if (!backend->limit.urgent)
+			continue;
+		backend->limit.urgent--;
+		fill_word(edge, backend, &words[count++]);
+	}
+	return count;
+}
+
+/* Those that were passed over this time are told the next time. */
+uint32_t server_limits_words(struct edge *edge, struct rate_word *words,
+			     uint32_t most)
+{
+	uint32_t seen = 0;
+	uint32_t count = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, edge->backends->by_id);
+	while (count < most && g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct backend *backend = value;
+
+		if (backend->limit.per_s && seen++ >= edge->rates_told)
+			fill_word(edge, backend, &words[count++]);
+	}
+	edge->rates_told = count == most ? edge->rates_told + count : 0;
+	return count;
+}
+
+bool server_limits_are_urgent(const struct edge *edge)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, edge->backends->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((struct backend *)value)->limit.urgent)
+			return true;
+	return false;
+}
--- /dev/null
+++ b/packages/edge/server_limits.h
@@ -0,0 +1,42 @@
+/*
+ * server_limits - rates that backend servers named, at this node
+ *
+ * Joins what answers and neighbours say with the members' table, which says
+ * what part of each rate is this node's.
+ */
+#ifndef EDGE_SERVER_LIMITS_H
+#define EDGE_SERVER_LIMITS_H
+
+#include "core/rate_limit.h"
+#include "edge/edge.h"
+#include "edge/message.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* The server's answer to what was sent then; it may name a rate or none. */
+void server_limits_heard(struct edge *edge, struct backend *backend,
+			 const struct message *answer, uint64_t sent_us);
+
+/* A neighbour's word; false where it can't be true. */
+bool server_limits_take(struct edge *edge, const struct rate_word *word);
+
+/* This node's parts, by the members as they are known now. */
+void server_limits_share(struct edge *edge);
+
+/*
+ * Words to tell, at most most: those that all should hear at once, or with a
+ * beat some of all in turn. Returns how many.
+ */
+uint32_t server_limits_urgent_words(struct edge *edge, struct rate_word *words,
+				    uint32_t most);
+uint32_t server_limits_words(struct edge *edge, struct rate_word *words,
+			     uint32_t most);
+bool server_limits_are_urgent(const struct edge *edge);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/packages/edge/stats.h
+++ b/packages/edge/stats.h
@@ -25,7 +25,7 @@
 	struct metric *connects; /* connections opened to them */
 	struct metric *shed; /* answers that say "not run" */
 	struct metric *strays; /* answers of other requests, dropped */
-	struct metric *suspects_rejected; /* absurd words of neighbours */
+	struct metric *words_rejected; /* absurd ones, of neighbours */
 	struct metric *quarantined; /* requests refused as quarantined */
 	struct metric *lookups;
 	struct metric *registry_reads[READ_CAUSES];
--- a/tests/core/rate_limit_test.cc
+++ b/tests/core/rate_limit_test.cc
@@ -1,8 +1,15 @@
-/* Rates that backend servers name: how they are read. */
+/* Rates that backend servers name: how they are read, believed and shared. */
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstdlib>
+#include <memory>
+#include <random>
 #include <string>
+#include <vector>
 
+#include "core/duration.h"
+#include "core/hash.h"
 #include "core/rate_limit.h"
 
 namespace
@@ -52,4 +59,327 @@
 INSTANTIATE_TEST_SUITE_P(RateLimit, ParseTest, ::testing::ValuesIn(parse_cases),
 			 [](const auto &info) { return info.param.name; });
 
+/* Words on one server's rate in the order in which they come. */
+struct belief_step {
+	char from; /* 'a'nswer or 'w'ord of a neighbour */
+	double per_s;
+	uint64_t when_s; /* asked for, or learned by the neighbour */
+	uint64_t now_s;
+	double believed;
+};
+
+struct belief_case {
+	const char *name;
+	std::vector<belief_step> steps;
+};
+
+const belief_case belief_cases[] = {
+	{ "Named", { { 'a', 2, 10, 11, 2 } } },
+	{ "NeverNamed", { { 'a', 0, 10, 11, 0 } } },
+	{ "Lowered", { { 'a', 9, 10, 12, 9 }, { 'a', 2, 11, 13, 2 } } },
+	{ "Raised", { { 'a', 2, 10, 12, 2 }, { 'a', 9, 13, 14, 9 } } },
+	{ "Gone", { { 'a', 2, 10, 12, 2 }, { 'a', 0, 13, 14, 0 } } },
+	{ "NamedAgain",
+	  { { 'a', 2, 10, 12, 2 },
+	    { 'a', 0, 13, 14, 0 },
+	    { 'a', 2, 15, 16, 2 } } },
+	{ "AnOlderAnswerWithout",
+	  { { 'a', 2, 10, 12, 2 }, { 'a', 0, 11, 13, 2 } } },
+	{ "AnOlderAnswerWithMore",
+	  { { 'a', 2, 10, 12, 2 }, { 'a', 9, 11, 13, 2 } } },
+	{ "Told", { { 'w', 2, 10, 11, 2 } } },
+	{ "TheSameToldLater",
+	  { { 'a', 2, 10, 11, 2 }, { 'w', 2, 10, 30, 2 } } },
+	{ "AnOlderWord", { { 'a', 2, 10, 12, 2 }, { 'w', 9, 11, 13, 2 } } },
+	{ "AnOlderWordThatItIsGone",
+	  { { 'a', 2, 10, 12, 2 }, { 'w', 0, 11, 13, 2 } } },
+	{ "ANewerWord", { { 'a', 2, 10, 12, 2 }, { 'w', 9, 13, 14, 9 } } },
+	{ "AnAnswerFromBeforeTheWord",
+	  { { 'w', 2, 12, 13, 2 }, { 'a', 0, 11, 14, 2 } } },
+};
+
+class BeliefTest : public ::testing::TestWithParam<belief_case>
+{
+};
+
+TEST_P(BeliefTest, TheNewestRateIsBelieved)
+{
+	struct rate_limit limit = {};
+
+	for (const belief_step &step : GetParam().steps) {
+		uint64_t when_us = step.when_s * US_PER_S;
+		uint64_t now_us = step.now_s * US_PER_S;
+
+		if (step.from == 'a')
+			rate_limit_heard(&limit, step.per_s, when_us, now_us);
+		else
+			rate_limit_told(&limit, step.per_s, when_us, now_us);
+		EXPECT_DOUBLE_EQ(step.believed, limit.per_s) << step.now_s;
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(RateLimit, BeliefTest,
+			 ::testing::ValuesIn(belief_cases),
+			 [](const auto &info) { return info.param.name; });
+
+/* A request that was chosen for the server and never sent costs it nothing. */
+TEST(RateLimitTest, WhatWasNotSentGoesBack)
+{
+	struct rate_limit limit = {};
+	uint64_t now_us = 10 * US_PER_S;
+
+	rate_limit_heard(&limit, 1, now_us, now_us);
+	rate_limit_share(&limit, 1, now_us);
+	now_us += 2 * US_PER_S;
+	ASSERT_TRUE(rate_limit_allows(&limit, now_us));
+	ASSERT_TRUE(rate_limit_take(&limit, now_us));
+	EXPECT_FALSE(rate_limit_allows(&limit, now_us));
+	rate_limit_give_back(&limit, now_us);
+	EXPECT_TRUE(rate_limit_allows(&limit, now_us));
+	EXPECT_EQ(0u, limit.sent);
+	rate_limit_give_back(&limit, now_us);
+	rate_limit_take(&limit, now_us);
+	EXPECT_FALSE(rate_limit_allows(&limit, now_us));
+}
+
+/* All nodes of three regions beside one server of the first that names a rate.
+ */
+class RateFleet
+{
+      public:
+	RateFleet(int nodes, double per_s, unsigned seed)
+	    : per_s(per_s), random(seed)
+	{
+		for (int i = 0; i < nodes; i++)
+			start(i, nodes, 0);
+		for (int i = 0; i < nodes; i++)
+			region_nodes += i % 3 == 0;
+	}
+	~RateFleet()
+	{
+		for (Node &node : all)
+			member_table_free(node.members);
+	}
+	/* Demand of five times the rate, evenly over the server's region. */
+	void play_for(double seconds)
+	{
+		uint64_t end_us = now_us + (uint64_t)(seconds * 1e6);
+		std::exponential_distribution<double> gap(5 * per_s);
+
+		while ((now_us += (uint64_t)(gap(random) * 1e6) + 1) < end_us) {
+			Node &node = all[3 * (random() % region_nodes)];
+
+			if (now_us < node.frozen_until_us)
+				continue;
+			share(node);
+			if (!rate_limit_allows(&node.limit, now_us))
+				continue;
+			rate_limit_take(&node.limit, now_us);
+			sends.push_back(now_us);
+		}
+		now_us = end_us;
+	}
+	void restart(int i)
+	{
+		Node &node = all[i];
+
+		node.limit = {};
+		node.shared_us = 0;
+		node.began_us = now_us;
+		rate_limit_told(&node.limit, per_s, now_us, now_us);
+	}
+	void freeze(int i, double seconds)
+	{
+		all[i].frozen_until_us = now_us + (uint64_t)(seconds * 1e6);
+	}
+	void name(double rate)
+	{
+		per_s = rate;
+		for (Node &node : all) {
+			rate_limit_heard(&node.limit, rate, now_us, now_us);
+			node.shared_us = 0;
+		}
+	}
+	/* A node that the others learn of up to two seconds later. */
+	void add_node()
+	{
+		int count = (int)all.size();
+
+		start(count, count + 1, now_us);
+		for (int i = 0; i < count; i++)
+			all[i].learns_us = now_us + random() % 2000000;
+		region_nodes += count % 3 == 0;
+		restart(count);
+	}
+	/* The most that came in any 4 s from then on. */
+	size_t most(uint64_t from_us) const
+	{
+		size_t most = 0;
+		size_t first = 0;
+
+		for (size_t i = 0; i < sends.size(); i++) {
+			while (sends[i] - sends[first] >= 4 * US_PER_S)
+				first++;
+			if (sends[first] >= from_us)
+				most = std::max(most, i - first + 1);
+		}
+		return most;
+	}
+	size_t since(uint64_t from_us) const
+	{
+		return sends.end() -
+		       std::lower_bound(sends.begin(), sends.end(), from_us);
+	}
+	double per_s;
+	uint64_t now_us = 100 * US_PER_S;
+	std::mt19937 random;
+
+      private:
+	struct Node {
+		struct member_table *members;
+		struct rate_limit limit;
+		uint64_t began_us;
+		uint64_t frozen_until_us;
+		uint64_t learns_us;
+		uint64_t shared_us;
+	};
+	static std::string region(int i)
+	{
+		return "r" + std::to_string(i % 3);
+	}
+	void put(struct member_table *members, int i)
+	{
+		struct member *member = member_table_put(
+			members, ("n" + std::to_string(i)).c_str());
+
+		g_free(member->region);
+		member->region = g_strdup(region(i).c_str());
+	}
+	void start(int i, int nodes, uint64_t began_us)
+	{
+		Node node = {
+			member_table_new(("n" + std::to_string(i)).c_str()),
+			{},
+			began_us,
+			0,
+			0,
+			0
+		};
+
+		for (int other = 0; other < nodes; other++)
+			put(node.members, other);
+		all.push_back(node);
+	}
+	void share(Node &node)
+	{
+		bool waits = now_us - node.began_us < 5 * US_PER_S;
+
+		if (node.learns_us && node.learns_us <= now_us) {
+			put(node.members, (int)all.size() - 1);
+			node.learns_us = 0;
+		}
+		/* As a node does, some times a second. */
+		if (now_us - node.shared_us < 200000)
+			return;
+		node.shared_us = now_us;
+		double part = waits ? 0 :
+				      rate_limit_part(node.members, "r0",
+						      hash_text("i-1"), per_s);
+		rate_limit_share(&node.limit, part, now_us);
+	}
+	std::vector<Node> all;
+	std::vector<uint64_t> sends;
+	size_t region_nodes = 0;
+};
+
+struct fleet_case {
+	int nodes;
+	double per_s;
+};
+
+class RateFleetTest : public ::testing::TestWithParam<fleet_case>
+{
+      protected:
+	/* More by hand: LILACFIELD_SEEDS. */
+	static int seeds()
+	{
+		const char *count = g_getenv("LILACFIELD_SEEDS");
+
+		return count ? atoi(count) : 4;
+	}
+	static double bound(double per_s)
+	{
+		return 1.2 * 4 * per_s + 5;
+	}
+};
+
+/* All together send no more than the rate, and a burst, in any 4 s. */
+TEST_P(RateFleetTest, TheSumStaysWithinTheRate)
+{
+	const fleet_case &c = GetParam();
+
+	for (int seed = 1; seed <= seeds(); seed++) {
+		RateFleet fleet(c.nodes, c.per_s, seed);
+
+		fleet.name(c.per_s);
+		fleet.play_for(10);
+		EXPECT_LE(fleet.most(0), bound(c.per_s)) << seed;
+	}
+}
+
+/* One, a third and all restarted, others frozen, one added meanwhile. */
+TEST_P(RateFleetTest, TheSumHoldsWhateverNodesDo)
+{
+	const fleet_case &c = GetParam();
+
+	for (int seed = 1; seed <= seeds(); seed++) {
+		RateFleet fleet(c.nodes, c.per_s, seed);
+
+		fleet.name(c.per_s);
+		fleet.play_for(3);
+		fleet.restart(0);
+		fleet.add_node();
+		for (int i = 1; i < c.nodes; i += 4)
+			fleet.freeze(i, 2.5);
+		fleet.play_for(4);
+		for (int i = 0; i < c.nodes; i += 3)
+			fleet.restart(i);
+		fleet.play_for(6);
+		for (int i = 0; i < c.nodes; i++)
+			fleet.restart(i);
+		fleet.play_for(7);
+		EXPECT_LE(fleet.most(0), bound(c.per_s)) << seed;
+	}
+}
+
+/* Halved, the bound of the lower rate holds a second later. */
+TEST_P(RateFleetTest, ALowerRateHoldsASecondLater)
+{
+	const fleet_case &c = GetParam();
+
+	for (int seed = 1; seed <= seeds(); seed++) {
+		RateFleet fleet(c.nodes, c.per_s, seed);
+
+		fleet.name(c.per_s);
+		fleet.play_for(6);
+		fleet.name(c.per_s / 2);
+		uint64_t from_us = fleet.now_us + US_PER_S;
+		fleet.play_for(8);
+		EXPECT_LE(fleet.most(from_us), bound(c.per_s / 2)) << seed;
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	RateLimit, RateFleetTest,
+	::testing::Values(fleet_case{ 8, 0.5 }, fleet_case{ 8, 2 },
+			  fleet_case{ 8, 50 }, fleet_case{ 8, 1000 },
+			  fleet_case{ 60, 0.5 }, fleet_case{ 60, 2 },
+			  fleet_case{ 60, 50 }, fleet_case{ 60, 1000 },
+			  fleet_case{ 295, 0.5 }, fleet_case{ 295, 2 },
+			  fleet_case{ 295, 50 }, fleet_case{ 295, 1000 }),
+	[](const auto &info) {
+		return std::to_string(info.param.nodes) + "Nodes" +
+		       std::to_string((int)(info.param.per_s * 10)) + "Tenths";
+	});
+
 } // namespace
--- a/tests/edge/beat_test.cc
+++ b/tests/edge/beat_test.cc
@@ -90,6 +90,26 @@
 	EXPECT_LE(encode(beat).size(), (size_t)BEAT_MAX_BYTES);
 }
 
+/* The words that go to all at once, as many as one datagram may hold. */
+TEST(BeatTest, TheMostWordsFitIntoAFrame)
+{
+	struct beat beat = {};
+	struct beat got;
+
+	beat.life_count = 1;
+	beat.suspect_count = BEAT_MAX_SUSPECTS;
+	for (struct suspect_word &word : beat.suspects)
+		word.crash_count = SUSPECT_CRASHES;
+	beat.rate_count = BEAT_MAX_RATES;
+	beat.rates[19] = { 7, 1.8, 2000000 };
+	std::string bytes = encode(beat);
+	ASSERT_LE(bytes.size(), (size_t)BEAT_MAX_BYTES);
+	ASSERT_TRUE(beat_decode(bytes.data(), bytes.size(), &got));
+	EXPECT_EQ(7u, got.rates[19].life);
+	EXPECT_DOUBLE_EQ(1.8, got.rates[19].per_s);
+	EXPECT_EQ(2000000u, got.rates[19].age_us);
+}
+
 TEST(BeatTest, WhatIsNoBeatIsNotRead)
 {
 	std::string bytes = encode(full_beat());
--- a/tests/edge/server_limit_test.cc
+++ b/tests/edge/server_limit_test.cc
@@ -1,5 +1,6 @@
 /* Backend servers that name how many requests a second they take. */
 #include "edge/edge_world.h"
+#include "edge/server_limits.h"
 
 namespace
 {
@@ -21,6 +22,16 @@
 		}
 		return app_stand_total_runs(app.stand) - before;
 	}
+	/* As one that has run for long: it uses its part of a rate at once. */
+	void start_settled_node()
+	{
+		start_node();
+		edge->began_us = 0;
+	}
+	const struct rate_limit &limit_of(const char *id)
+	{
+		return backend_table_find(edge->backends, id)->limit;
+	}
 	int number = 0;
 };
 
@@ -35,4 +46,104 @@
 	EXPECT_LE(runs_within(needy, 4000), 17u);
 }
 
+/* Where there is demand the server gets what it takes. */
+TEST_F(ServerLimitTest, TheRateIsUsed)
+{
+	App &needy = add_app("i-1");
+
+	start_settled_node();
+	app_stand_set_headers(needy.stand, "Server-Limit: 5\r\n");
+	runs_within(needy, 500);
+	uint32_t runs = runs_within(needy, 2000);
+	EXPECT_GE(runs, 9u);
+	EXPECT_LE(runs, 11u);
+}
+
+/* What it doesn't take another server does. */
+TEST_F(ServerLimitTest, AnotherServerTakesTheRest)
+{
+	App &needy = add_app("i-1");
+
+	start_settled_node();
+	app_stand_set_headers(needy.stand, "Server-Limit: 1\r\n");
+	answer_to(get("a1", "/r/"));
+	add_app("i-2");
+	wait_for([this] { return backend_table_find(edge->backends, "i-2"); });
+	for (int i = 0; i < 10; i++)
+		EXPECT_EQ(200, status_of(answer_to(
+				       get("b" + std::to_string(i), "/r/"))));
+	EXPECT_LE(app_stand_total_runs(needy.stand), 2u);
+}
+
+/* What no server has rate for is refused at once, and has not run. */
+TEST_F(ServerLimitTest, WithoutRateTheRefusalIsAtOnce)
+{
+	App &needy = add_app("i-1");
+
+	start_settled_node();
+	app_stand_set_headers(needy.stand, "Server-Limit: 0.5\r\n");
+	answer_to(get("a1", "/r/"));
+	uint64_t began = uv_hrtime();
+	std::string answer = answer_to(get("a2", "/r/"));
+	EXPECT_LT((uv_hrtime() - began) / 1000000, 200u);
+	EXPECT_EQ(503, status_of(answer));
+	EXPECT_NE(std::string::npos, answer.find("Retry-After"));
+	EXPECT_NE(std::string::npos, answer.find("no-rate"));
+	EXPECT_EQ(0u, app_stand_runs(needy.stand, "a2"));
+}
+
+/* The server names none any more: it is filled again. */
+TEST_F(ServerLimitTest, ARateThatIsGoneBindsNobody)
+{
+	App &needy = add_app("i-1");
+
+	start_settled_node();
+	app_stand_set_headers(needy.stand, "Server-Limit: 5\r\n");
+	runs_within(needy, 400);
+	ASSERT_DOUBLE_EQ(5, limit_of("i-1").per_s);
+	app_stand_set_headers(needy.stand, nullptr);
+	runs_within(needy, 600);
+	ASSERT_DOUBLE_EQ(0, limit_of("i-1").per_s);
+	EXPECT_GE(runs_within(needy, 400), 9u);
+}
+
+/* Words that aren't a rate, or are two, leave the last good one in force. */
+TEST_F(ServerLimitTest, WhatIsNoRateChangesNothing)
+{
+	App &needy = add_app("i-1");
+
+	start_settled_node();
+	app_stand_set_headers(needy.stand, "Server-Limit: 20\r\n");
+	answer_to(get("a0", "/r/"));
+	for (const char *bad : { "Server-Limit: 0\r\n", "Server-Limit: nan\r\n",
+				 "Server-Limit: \r\n",
+				 "Server-Limit: 3\r\nServer-Limit: 3\r\n" }) {
+		turn_for(60);
+		app_stand_set_headers(needy.stand, bad);
+		EXPECT_EQ(200,
+			  status_of(answer_to(
+				  get("a" + std::to_string(++number), "/r/"))));
+		EXPECT_DOUBLE_EQ(20, limit_of("i-1").per_s) << bad;
+	}
+	EXPECT_EQ(4u, limit_of("i-1").rejected);
+}
+
+/* A node that only hears of the rate keeps to it as well. */
+TEST_F(ServerLimitTest, ANeighboursWordIsKeptTo)
+{
+	App &needy = add_app("i-1");
+
+	start_settled_node();
+	uint32_t life = backend_table_find(edge->backends, "i-1")->life;
+	for (const struct rate_word &absurd :
+	     { rate_word{ life, -1, 0 }, rate_word{ life, 1e300, 0 },
+	       rate_word{ life, 2, 3600ull * 1000000 } })
+		EXPECT_FALSE(server_limits_take(edge, &absurd));
+	EXPECT_DOUBLE_EQ(0, limit_of("i-1").per_s);
+	const struct rate_word word = { life, 1, 0 };
+	EXPECT_TRUE(server_limits_take(edge, &word));
+	EXPECT_EQ(503, status_of(answer_to(get("a1", "/r/"))));
+	EXPECT_EQ(0u, app_stand_total_runs(needy.stand));
+}
+
 } // namespace
