--- a/packages/core/query.h
+++ b/packages/core/query.h
@@ -38,6 +38,7 @@
 	QUERY_SHOW_ROUTES,
 	QUERY_SHOW_REFUSALS, /* answers of the node's own, by cause */
 	QUERY_SHOW_SUSPECTS, /* requests that servers ended under */
+	QUERY_SHOW_LIMITS, /* backend servers that named a rate */
 	QUERY_QUARANTINE, /* one of these, by hand */
 	QUERY_RELEASE,
 	COMMAND_SHIFT,
--- a/packages/core/rate_limit.c
+++ b/packages/core/rate_limit.c
@@ -112,7 +112,7 @@
 		    limit->part_per_s * (double)BURST_US / (double)US_PER_S);
 }
 
-static double tokens_at(const struct rate_limit *limit, uint64_t now_us)
+double rate_limit_tokens(const struct rate_limit *limit, uint64_t now_us)
 {
 	double since_s = (double)(now_us - limit->filled_us) / (double)US_PER_S;
 
@@ -121,7 +121,7 @@
 
 static void fill(struct rate_limit *limit, uint64_t now_us)
 {
-	limit->tokens = tokens_at(limit, now_us);
+	limit->tokens = rate_limit_tokens(limit, now_us);
 	limit->filled_us = now_us;
 }
 
@@ -134,7 +134,7 @@
 
 bool rate_limit_allows(const struct rate_limit *limit, uint64_t now_us)
 {
-	return limit->per_s == 0 || tokens_at(limit, now_us) >= 1;
+	return limit->per_s == 0 || rate_limit_tokens(limit, now_us) >= 1;
 }
 
 bool rate_limit_take(struct rate_limit *limit, uint64_t now_us)
--- a/packages/core/rate_limit.h
+++ b/packages/core/rate_limit.h
@@ -77,6 +77,9 @@
 void rate_limit_share(struct rate_limit *limit, double part_per_s,
 		      uint64_t now_us);
 
+/* What the bucket holds, in requests. */
+double rate_limit_tokens(const struct rate_limit *limit, uint64_t now_us);
+
 /* Whether a request may be sent now. */
 bool rate_limit_allows(const struct rate_limit *limit, uint64_t now_us);
 
--- a/packages/edge/admin_parts.h
+++ b/packages/edge/admin_parts.h
@@ -16,6 +16,7 @@
 json_t *admin_finish_table(const struct edge *edge, struct admin_table *table,
 			   const char *what);
 json_t *admin_show_suspects(const struct edge *edge);
+json_t *admin_show_limits(const struct edge *edge);
 json_t *admin_rule_suspect(struct edge *edge, const struct query *query,
 			   GError **error);
 json_t *admin_show_table(const struct edge *edge, const struct query *query,
--- a/tests/edge/admin_test.cc
+++ b/tests/edge/admin_test.cc
@@ -2,6 +2,7 @@
 #include <jansson.h>
 
 #include "edge/edge_world.h"
+#include "edge/server_limits.h"
 
 namespace
 {
@@ -103,6 +104,7 @@
 	{ "Version", "show version", 200, 0, "3 tables" },
 	{ "Refusals", "show refusals", 200, 0, "0 causes" },
 	{ "Suspects", "show suspects", 200, 0, "0 suspects" },
+	{ "Limits", "show limits", 200, 0, "0 limits" },
 	{ "Quarantine", "quarantine 00000000000000ff", 200, 0,
 	  "00000000000000ff is quarantined" },
 	{ "ReleaseUnknown", "release 00000000000000ff", 404, 303,
@@ -154,6 +156,23 @@
 	EXPECT_EQ("cleared", text(row("fingerprint", print), "state"));
 }
 
+/* A server that named a rate, and what part of it is this node's. */
+TEST_F(AdminTest, LimitsAreListedWithTheNodesPart)
+{
+	struct backend *backend = backend_table_find(edge->backends, "i-1");
+	const struct rate_word word = { backend->life, 1.5, 0 };
+
+	edge->began_us = 0;
+	ASSERT_TRUE(server_limits_take(edge, &word));
+	ask("show limits");
+	json_t *listed = row("backend", "i-1");
+	ASSERT_NE(nullptr, listed);
+	EXPECT_DOUBLE_EQ(1.5,
+			 json_real_value(json_object_get(listed, "per_s")));
+	EXPECT_DOUBLE_EQ(
+		1.5, json_real_value(json_object_get(listed, "part_per_s")));
+}
+
 /* Where a request goes, as told, is where the next one does go. */
 TEST_F(AdminTest, WhereTellsWhatTheNextChoiceDoes)
 {
