models: a server's rows from two sources

history has the order that brought requests to leaving servers: a neighbour's word, then an older row of an answer that was cut short; without versions, without those of removals, or with a part that confirms, an assertion is violated.

--- a/models/prove.sh
+++ b/models/prove.sh
@@ -109,6 +109,10 @@
 	suspect COUNT_BESIDE caught
 	suspect NO_LIMIT caught
 	suspect NO_ROW caught
+	history SOUND clean
+	history NO_VERSION caught
+	history NO_REMOVED caught
+	history PART_CONFIRMS caught
 	END
 }
 
