models: who uses a part of a rate

One sender at a time uses a part, whoever is silent; a node that doesn't wait after its start, or members that don't count while silent, break it.

--- a/models/prove.sh
+++ b/models/prove.sh
@@ -113,6 +113,9 @@
 	history NO_VERSION caught
 	history NO_REMOVED caught
 	history PART_CONFIRMS caught
+	parts SOUND clean
+	parts NO_WAIT caught
+	parts LIVE_ONLY caught
 	END
 }
 
