rate_limit: nodes that are no senders borrow tokens

Cause: of a region's 98 nodes two are senders of a rate of 2 a second, and each has a request for that server once in some ten seconds, so that the rate goes unused while others have requests for it.

Change: a node whose best server is kept out by its rate alone asks one of its senders, by datagram, for one token; a second one where the first has none. The request is held for up to 12 ms, one at a time on each node, and is chosen for anew. A token lent is no longer the sender's, is good for 0.3 s and for one request; lost on its way it is nobody's, so the sum stays within the rate. Buckets may save up two requests more, all together.

TokenTest: a borrowed token runs a request, none refuses it at once, one that wasn't asked for lets nothing through.

--- a/packages/core/candidate.c
+++ b/packages/core/candidate.c
@@ -264,3 +264,39 @@
 	}
 	return false;
 }
+
+static bool only_rate_is_short(const struct chooser *chooser,
+			       const struct choose_query *query,
+			       const struct backend *backend, uint64_t now_us)
+{
+	return backend->limit.per_s > 0 &&
+	       !strcmp(backend->region, chooser->region) &&
+	       candidate_blocked(chooser, query, backend, now_us) ==
+		       CHOOSE_LIMITED;
+}
+
+struct backend *candidates_wanted(const struct chooser *chooser,
+				  const struct choose_query *query,
+				  const struct service_times *times,
+				  double cost_us, uint64_t now_us)
+{
+	const GPtrArray *backends =
+		backend_table_of(chooser->backends, query->service->name);
+	struct backend *wanted = NULL;
+	guint i;
+
+	for (i = 0; backends && i < backends->len; i++) {
+		struct candidate candidate = { .backend = backends->pdata[i] };
+
+		if (!only_rate_is_short(chooser, query, candidate.backend,
+					now_us) ||
+		    !rate_limit_may_ask(&candidate.backend->limit, now_us))
+			continue;
+		estimate(chooser, query, times, now_us, &candidate);
+		if (candidate.full || candidate.cost_us >= cost_us)
+			continue;
+		cost_us = candidate.cost_us;
+		wanted = candidate.backend;
+	}
+	return wanted;
+}
--- a/packages/core/candidate.h
+++ b/packages/core/candidate.h
@@ -54,6 +54,15 @@
 			   const struct choose_query *query,
 			   const struct service_times *times, uint64_t now_us);
 
+/*
+ * The cheapest server of this region that only its rate keeps out and that
+ * costs less than this; NULL if there is none, or no sender may be asked now.
+ */
+struct backend *candidates_wanted(const struct chooser *chooser,
+				  const struct choose_query *query,
+				  const struct service_times *times,
+				  double cost_us, uint64_t now_us);
+
 /* Whether some server has the object warm and isn't so slow that it's no use.
  */
 bool candidates_keep_warm(const GArray *candidates,
--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -254,6 +254,8 @@
 
 	memset(choice, 0, sizeof(*choice));
 	best = pick(chooser, query, times, candidates, now_us);
+	choice->wanted = candidates_wanted(
+		chooser, query, times, best ? best->cost_us : INFINITY, now_us);
 	if (best && best->hold_us > 0 && !best->trial &&
 	    best->expected_us < (double)query->left_us) {
 		choice->reason = CHOOSE_HOLD;
--- a/packages/core/choose.h
+++ b/packages/core/choose.h
@@ -119,6 +119,8 @@
 	bool warm; /* the server counts as warm for the object */
 	uint64_t hold_us; /* when held: choose again after that */
 	uint64_t retry_after_us; /* when refused: when to come back */
+	/* It would be this one, had this node a token of its rate; or NULL. */
+	struct backend *wanted;
 };
 
 void chooser_init(struct chooser *chooser, struct backend_table *backends,
--- a/packages/core/member_table.c
+++ b/packages/core/member_table.c
@@ -368,3 +368,59 @@
 	}
 	return count;
 }
+
+struct scored {
+	uint64_t score;
+	const struct member *member;
+};
+
+static gint compare_scored(gconstpointer a, gconstpointer b)
+{
+	const struct scored *left = a;
+	const struct scored *right = b;
+
+	return (left->score < right->score) - (left->score > right->score);
+}
+
+static GArray *region_order(const struct member_table *table,
+			    const char *region, uint32_t hash)
+{
+	GArray *order = g_array_new(FALSE, FALSE, sizeof(struct scored));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct member *member = value;
+		const struct scored scored = { hash_pair(member->hash, hash),
+					       member };
+
+		if (!strcmp(member->region, region))
+			g_array_append_val(order, scored);
+	}
+	g_array_sort(order, compare_scored);
+	return order;
+}
+
+const struct member *member_table_region_draw(const struct member_table *table,
+					      const char *region, uint32_t hash,
+					      uint32_t first, uint32_t but,
+					      double spread, uint64_t now_us)
+{
+	GArray *order = region_order(table, region, hash);
+	guint count = MIN(first, order->len);
+	const struct member *drawn = NULL;
+	guint i;
+
+	for (i = 0; i < count && !drawn; i++) {
+		guint at = (i + (guint)(spread * count)) % count;
+		const struct member *member =
+			g_array_index(order, struct scored, at).member;
+
+		if (member != table->self && member->hash != but &&
+		    member->peer.port && member_serves(table, member, now_us))
+			drawn = member;
+	}
+	g_array_unref(order);
+	return drawn;
+}
--- a/packages/core/member_table.h
+++ b/packages/core/member_table.h
@@ -129,6 +129,15 @@
 				  const char *region, uint32_t hash,
 				  uint32_t *rank);
 
+/*
+ * One of the first so many of that order that lives and is neither oneself nor
+ * of this hash, drawn by spread, 0 to 1; NULL if none does.
+ */
+const struct member *member_table_region_draw(const struct member_table *table,
+					      const char *region, uint32_t hash,
+					      uint32_t first, uint32_t but,
+					      double spread, uint64_t now_us);
+
 #ifdef __cplusplus
 }
 #endif
--- a/packages/core/rate_limit.c
+++ b/packages/core/rate_limit.c
@@ -20,9 +20,24 @@
 #define SENDER_PER_S 2.0
 #define SENDERS_LEAST 2
 
-/* Requests that a part may save up, as time of its rate; at least one. */
+/*
+ * What a part may save up: one request and its share of these, or so much time
+ * of its rate where that is more.
+ */
+#define SHARED_BURST 2.0
 #define BURST_US (100 * US_PER_MS)
 
+/*
+ * A borrowed token is good for so long after it was asked for, and an answer is
+ * waited for as long before another sender is asked: a few round trips within a
+ * region, on nodes that are busy.
+ */
+#define BORROW_US (300 * US_PER_MS)
+#define ANSWER_WAIT_US (100 * US_PER_MS)
+
+/* Longest time that a sender says to wait: its part may change. */
+#define ASK_AGAIN_MOST_US (500 * US_PER_MS)
+
 bool rate_limit_parse(const char *text, double *per_s)
 {
 	size_t length = strlen(text);
@@ -106,10 +121,25 @@
 	return rank < senders ? per_s / senders : 0;
 }
 
+const struct member *rate_limit_sender(const struct rate_limit *limit,
+				       const struct member_table *members,
+				       const char *region, uint32_t hash,
+				       double spread, uint64_t now_us)
+{
+	uint32_t rank;
+	uint32_t nodes = member_table_region_rank(members, region, hash, &rank);
+	uint32_t senders = rate_limit_senders(limit->per_s, nodes);
+
+	return member_table_region_draw(members, region, hash, senders,
+					limit->refused_by, spread, now_us);
+}
+
 static double burst(const struct rate_limit *limit)
 {
-	return fmax(1.0,
-		    limit->part_per_s * (double)BURST_US / (double)US_PER_S);
+	double share = limit->per_s > 0 ? limit->part_per_s / limit->per_s : 0;
+	double burst_s = (double)BURST_US / (double)US_PER_S;
+
+	return fmax(1.0 + SHARED_BURST * share, limit->part_per_s * burst_s);
 }
 
 double rate_limit_tokens(const struct rate_limit *limit, uint64_t now_us)
@@ -132,24 +162,86 @@
 	limit->part_per_s = part_per_s;
 }
 
+bool rate_limit_may_ask(const struct rate_limit *limit, uint64_t now_us)
+{
+	if (limit->asked && now_us - limit->asked_us < ANSWER_WAIT_US)
+		return false;
+	return limit->per_s > 0 && now_us >= limit->ask_again_us;
+}
+
+void rate_limit_ask(struct rate_limit *limit, uint32_t sender, uint64_t now_us)
+{
+	limit->asked = sender;
+	limit->asked_us = now_us;
+}
+
+bool rate_limit_lend(struct rate_limit *limit, uint64_t now_us,
+		     uint64_t *wait_us)
+{
+	*wait_us = 0;
+	fill(limit, now_us);
+	if (limit->per_s > 0 && limit->tokens >= 1) {
+		limit->tokens -= 1;
+		return true;
+	}
+	*wait_us = ASK_AGAIN_MOST_US;
+	if (limit->part_per_s > 0)
+		*wait_us = (uint64_t)fmin((1 - limit->tokens) /
+						  limit->part_per_s * US_PER_S,
+					  ASK_AGAIN_MOST_US);
+	return false;
+}
+
+void rate_limit_answered(struct rate_limit *limit, uint32_t sender, bool lent,
+			 uint64_t wait_us, uint64_t now_us)
+{
+	if (!limit->asked || limit->asked != sender)
+		return;
+	limit->asked = 0;
+	if (lent) {
+		limit->refused_by = 0;
+		limit->borrowed = 1;
+		limit->borrowed_until_us = limit->asked_us + BORROW_US;
+	} else if (!limit->refused_by) {
+		limit->refused_by = sender;
+	} else {
+		limit->refused_by = 0;
+		limit->ask_again_us = now_us + MIN(wait_us, ASK_AGAIN_MOST_US);
+	}
+}
+
+static bool has_borrowed(const struct rate_limit *limit, uint64_t now_us)
+{
+	return limit->borrowed && now_us < limit->borrowed_until_us;
+}
+
 bool rate_limit_allows(const struct rate_limit *limit, uint64_t now_us)
 {
-	return limit->per_s == 0 || rate_limit_tokens(limit, now_us) >= 1;
+	return limit->per_s == 0 || has_borrowed(limit, now_us) ||
+	       rate_limit_tokens(limit, now_us) >= 1;
 }
 
 bool rate_limit_take(struct rate_limit *limit, uint64_t now_us)
 {
 	if (limit->per_s == 0)
 		return false;
+	limit->sent++;
+	if (has_borrowed(limit, now_us)) {
+		limit->borrowed = 0;
+		return true;
+	}
 	fill(limit, now_us);
 	limit->tokens -= 1;
-	limit->sent++;
 	return true;
 }
 
 void rate_limit_give_back(struct rate_limit *limit, uint64_t now_us)
 {
-	fill(limit, now_us);
-	limit->tokens += 1;
 	limit->sent--;
+	if (limit->part_per_s > 0) {
+		fill(limit, now_us);
+		limit->tokens += 1;
+	} else if (now_us < limit->borrowed_until_us) {
+		limit->borrowed = 1;
+	}
 }
--- a/packages/core/rate_limit.h
+++ b/packages/core/rate_limit.h
@@ -2,11 +2,13 @@
  * rate_limit - the rate that a backend server in need takes from all nodes
  *
  * The server names it in its answers, for as long as it holds. A few nodes of
- * its region, the senders, share the rate by equal, fixed parts, and the others
- * send nothing, so that the parts add up to the rate whoever dies, starts or is
- * cut off. Each part is a token bucket that holds next to nothing. Which
- * members are senders follows from the members' table, dead ones included.
- * Pure; not thread-safe. Times are those of the clock port.
+ * its region, the senders, share the rate by equal, fixed parts, so that the
+ * parts add up to the rate whoever dies, starts or is cut off. Each part is a
+ * token bucket that holds next to nothing. Which members are senders follows
+ * from the members' table, dead ones included. Another node of the region that
+ * has a request for the server borrows a token of a sender, which then isn't
+ * the sender's any more; one that is lost on its way is nobody's. Pure; not
+ * thread-safe. Times are those of the clock port.
  */
 #ifndef CORE_RATE_LIMIT_H
 #define CORE_RATE_LIMIT_H
@@ -30,6 +32,12 @@
 	double part_per_s; /* this node's */
 	double tokens;
 	uint64_t filled_us;
+	uint32_t borrowed; /* tokens of a sender's */
+	uint64_t borrowed_until_us;
+	uint32_t asked; /* the sender whose answer is due, by hash; 0: none */
+	uint64_t asked_us;
+	uint32_t refused_by; /* the sender that had none, by hash; 0: none */
+	uint64_t ask_again_us; /* senders have none before that */
 	uint32_t urgent; /* times it is still told to all at once */
 	uint32_t rejected; /* words that can't be read */
 	uint64_t sent; /* requests, while it was limited */
@@ -73,6 +81,27 @@
 double rate_limit_part(const struct member_table *members, const char *region,
 		       uint32_t hash, double per_s);
 
+/*
+ * One of the server's senders that lives, but not one that had no token just
+ * now, drawn by spread, 0 to 1; or NULL.
+ */
+const struct member *rate_limit_sender(const struct rate_limit *limit,
+				       const struct member_table *members,
+				       const char *region, uint32_t hash,
+				       double spread, uint64_t now_us);
+
+/* Whether to ask a sender for a token; and that this one was asked. */
+bool rate_limit_may_ask(const struct rate_limit *limit, uint64_t now_us);
+void rate_limit_ask(struct rate_limit *limit, uint32_t sender, uint64_t now_us);
+
+/* Lend a token of one's own; false, and how long to wait, without one. */
+bool rate_limit_lend(struct rate_limit *limit, uint64_t now_us,
+		     uint64_t *wait_us);
+
+/* The sender's answer; one that wasn't asked for is ignored. */
+void rate_limit_answered(struct rate_limit *limit, uint32_t sender, bool lent,
+			 uint64_t wait_us, uint64_t now_us);
+
 /* The part that the bucket fills with from now on. */
 void rate_limit_share(struct rate_limit *limit, double part_per_s,
 		      uint64_t now_us);
@@ -84,8 +113,8 @@
 bool rate_limit_allows(const struct rate_limit *limit, uint64_t now_us);
 
 /*
- * Take a token for one request; whether one was needed, and has to be given
- * back if the request isn't sent.
+ * Take a token for one request, where rate_limit_allows() it; whether one was
+ * needed, and has to be given back if the request isn't sent.
  */
 bool rate_limit_take(struct rate_limit *limit, uint64_t now_us);
 void rate_limit_give_back(struct rate_limit *limit, uint64_t now_us);
--- a/packages/edge/beat.c
+++ b/packages/edge/beat.c
@@ -17,9 +17,12 @@
 /* Rates that servers named: life, rate, age in ms. */
 #define RATES_TYPE "a(udu)"
 
+/* Tokens: life, whether it is asked for, whether it is lent, wait in ms. */
+#define TOKENS_TYPE "a(ubbu)"
+
 #define BEAT_TYPE                                   \
 	"(ua(utb)a(uuq)a(uu)a(uttu)a" BEAT_ROW_TYPE \
-	"a" SUSPECT_TYPE RATES_TYPE ")"
+	"a" SUSPECT_TYPE RATES_TYPE TOKENS_TYPE ")"
 
 void beat_row_add(GVariantBuilder *rows, const struct beat_row *row)
 {
@@ -62,6 +65,18 @@
 			(guint32)(beat->rates[i].age_us / US_PER_MS));
 }
 
+static void add_tokens(GVariantBuilder *tokens, const struct beat *beat)
+{
+	uint32_t i;
+
+	g_variant_builder_init(tokens, G_VARIANT_TYPE(TOKENS_TYPE));
+	for (i = 0; i < beat->token_count; i++)
+		g_variant_builder_add(tokens, "(ubbu)", beat->tokens[i].life,
+				      (gboolean)beat->tokens[i].asks,
+				      (gboolean)beat->tokens[i].lent,
+				      beat->tokens[i].wait_ms);
+}
+
 GBytes *beat_encode(const struct beat *beat)
 {
 	GVariantBuilder lives;
@@ -71,6 +86,7 @@
 	GVariantBuilder rows;
 	GVariantBuilder suspects;
 	GVariantBuilder rates;
+	GVariantBuilder tokens;
 	GVariant *variant;
 	GBytes *bytes;
 	uint32_t i;
@@ -104,9 +120,10 @@
 	for (i = 0; i < beat->suspect_count; i++)
 		add_suspect(&suspects, &beat->suspects[i]);
 	add_rates(&rates, beat);
+	add_tokens(&tokens, beat);
 	variant = g_variant_ref_sink(
 		g_variant_new(BEAT_TYPE, BEAT_VERSION, &lives, &pairs, &loads,
-			      &vouches, &rows, &suspects, &rates));
+			      &vouches, &rows, &suspects, &rates, &tokens));
 	bytes = g_variant_get_data_as_bytes(variant);
 	g_variant_unref(variant);
 	return bytes;
@@ -282,6 +299,25 @@
 	}
 }
 
+static void read_tokens(GVariantIter *iter, struct beat *beat)
+{
+	guint32 life;
+	gboolean asks;
+	gboolean lent;
+	guint32 wait_ms;
+
+	while (beat->token_count < BEAT_MAX_TOKENS &&
+	       g_variant_iter_next(iter, "(ubbu)", &life, &asks, &lent,
+				   &wait_ms)) {
+		struct beat_token *token = &beat->tokens[beat->token_count++];
+
+		token->life = life;
+		token->asks = asks;
+		token->lent = lent;
+		token->wait_ms = wait_ms;
+	}
+}
+
 bool beat_decode(const void *bytes, size_t length, struct beat *beat)
 {
 	GVariant *variant;
@@ -292,6 +328,7 @@
 	GVariantIter *rows;
 	GVariantIter *suspects;
 	GVariantIter *rates;
+	GVariantIter *tokens;
 	guint32 version;
 	gpointer copy;
 
@@ -307,7 +344,7 @@
 		return false;
 	}
 	g_variant_get(variant, BEAT_TYPE, &version, &lives, &pairs, &loads,
-		      &vouches, &rows, &suspects, &rates);
+		      &vouches, &rows, &suspects, &rates, &tokens);
 	if (version == BEAT_VERSION) {
 		read_lives(lives, beat);
 		read_pairs(pairs, beat);
@@ -316,6 +353,7 @@
 		read_rows(rows, beat);
 		read_suspects(suspects, beat);
 		read_rates(rates, beat);
+		read_tokens(tokens, beat);
 	}
 	g_variant_iter_free(lives);
 	g_variant_iter_free(pairs);
@@ -324,6 +362,7 @@
 	g_variant_iter_free(rows);
 	g_variant_iter_free(suspects);
 	g_variant_iter_free(rates);
+	g_variant_iter_free(tokens);
 	g_variant_unref(variant);
 	return beat->life_count > 0;
 }
--- a/packages/edge/beat.h
+++ b/packages/edge/beat.h
@@ -36,6 +36,7 @@
 #define BEAT_MAX_ROWS 8
 #define BEAT_MAX_SUSPECTS 10
 #define BEAT_MAX_RATES 20
+#define BEAT_MAX_TOKENS 8
 
 struct beat_life {
 	uint32_t member; /* hash of its name */
@@ -75,6 +76,14 @@
 	uint64_t version; /* of its row in the platform's table */
 };
 
+/* A token of a server's rate: asked for, or the answer to that. */
+struct beat_token {
+	uint32_t life; /* of the server */
+	bool asks;
+	bool lent; /* of an answer */
+	uint32_t wait_ms; /* of an answer without: until there may be one */
+};
+
 struct beat {
 	struct beat_life lives[BEAT_MAX_LIVES]; /* the sender's own first */
 	uint32_t life_count;
@@ -90,6 +99,8 @@
 	uint32_t suspect_count;
 	struct rate_word rates[BEAT_MAX_RATES];
 	uint32_t rate_count;
+	struct beat_token tokens[BEAT_MAX_TOKENS];
+	uint32_t token_count;
 };
 
 /* One row in GVariant's words, for whatever carries rows between nodes. */
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -39,6 +39,10 @@
 /* When to come back: a node starts, or another server answers, within that. */
 #define RETRY_SOON_US (500 * US_PER_MS)
 
+/* How often, and for how long, a request is held for a token of a rate. */
+#define TOKEN_HOLDS 3
+#define TOKEN_STEP_US (4 * US_PER_MS)
+
 static void dispatch(struct exchange *exchange);
 
 /* --- time --------------------------------------------------------------- */
@@ -207,6 +211,27 @@
 	arm(exchange);
 }
 
+/*
+ * A sender of the best server's rate is near: its answer, a token or none, is
+ * there in a few ms. Where it has none another one is asked. One request at a
+ * time asks, the others go elsewhere.
+ */
+static bool hold_for_token(struct exchange *exchange)
+{
+	const struct choice *choice = &exchange->choice;
+	bool has_come = choice->backend && choice->backend->limit.per_s > 0;
+
+	if (exchange->token_holds >= TOKEN_HOLDS || has_come)
+		return false;
+	if (choice->wanted)
+		server_limits_ask(exchange->edge, choice->wanted);
+	else if (!exchange->token_holds)
+		return false;
+	exchange->token_holds++;
+	hold_for(exchange, TOKEN_STEP_US);
+	return true;
+}
+
 /* A server is about to be warm for the object. */
 static void hold(struct exchange *exchange)
 {
@@ -239,6 +264,8 @@
 		exchange_now_us(exchange) - exchange->arrived_us;
 	choose_backend(&edge->chooser, &exchange->query,
 		       exchange_now_us(exchange), &exchange->choice);
+	if (hold_for_token(exchange))
+		return;
 	if (exchange->choice.reason == CHOOSE_HOLD) {
 		hold(exchange);
 		return;
--- a/packages/edge/exchange_parts.h
+++ b/packages/edge/exchange_parts.h
@@ -25,6 +25,7 @@
 	bool waited_turn; /* for words of other nodes, before the next run */
 	bool is_suspect; /* servers may have ended under it */
 	bool runs_as_suspect; /* a run of it is noted at choice.backend */
+	uint32_t token_holds; /* times it was held for a token */
 	bool took_token; /* of the server's rate, for a request not sent yet */
 	bool connect_is_late; /* connect_by_us was put off for a last look */
 	uint64_t held_until_us; /* 0, or when to choose again */
--- a/packages/edge/gossip_words.c
+++ b/packages/edge/gossip_words.c
@@ -106,6 +106,36 @@
 		gossip_send_to_one(gossip, member, &words);
 }
 
+void gossip_ask_token(struct gossip *gossip, const struct member *member,
+		      uint32_t life)
+{
+	struct beat beat = { .life_count = 0 };
+
+	gossip_sign(gossip, &beat);
+	beat.tokens[beat.token_count].life = life;
+	beat.tokens[beat.token_count++].asks = true;
+	gossip_send_to_one(gossip, member, &beat);
+}
+
+static void take_tokens(struct gossip *gossip, const struct beat *beat)
+{
+	struct edge *edge = gossip->edge;
+	const struct member *from =
+		member_table_find_hash(edge->members, beat->lives[0].member);
+	struct beat answers = { .life_count = 0 };
+	uint32_t i;
+
+	if (!from || from == edge->members->self || !from->peer.port)
+		return;
+	gossip_sign(gossip, &answers);
+	for (i = 0; i < beat->token_count; i++)
+		if (server_limits_token(edge, from, &beat->tokens[i],
+					&answers.tokens[answers.token_count]))
+			answers.token_count++;
+	if (answers.token_count)
+		gossip_send_to_one(gossip, from, &answers);
+}
+
 /*
  * Crashes that several nodes saw may add up here first. One of those that saw
  * any writes the row, not each node that hears of all.
@@ -139,6 +169,7 @@
 	uint32_t i;
 
 	tell_starting(gossip, beat);
+	take_tokens(gossip, beat);
 	for (i = 0; i < beat->rate_count; i++)
 		if (!server_limits_take(edge, &beat->rates[i]))
 			metric_add(edge->stats.words_rejected, 1);
--- a/packages/edge/server_limits.c
+++ b/packages/edge/server_limits.c
@@ -89,6 +89,46 @@
 	return true;
 }
 
+bool server_limits_ask(struct edge *edge, struct backend *backend)
+{
+	uint64_t now_us = edge_now_us(edge);
+	const struct member *sender;
+
+	if (!edge->gossip)
+		return false;
+	sender = rate_limit_sender(&backend->limit, edge->members,
+				   backend->region, backend->hash,
+				   g_random_double(), now_us);
+	if (!sender)
+		return false;
+	rate_limit_ask(&backend->limit, sender->hash, now_us);
+	gossip_ask_token(edge->gossip, sender, backend->life);
+	return true;
+}
+
+bool server_limits_token(struct edge *edge, const struct member *from,
+			 const struct beat_token *token,
+			 struct beat_token *answer)
+{
+	struct backend *backend =
+		backend_table_find_life(edge->backends, token->life);
+	uint64_t now_us = edge_now_us(edge);
+	uint64_t wait_us;
+
+	if (!backend)
+		return false;
+	if (!token->asks) {
+		rate_limit_answered(&backend->limit, from->hash, token->lent,
+				    token->wait_ms * US_PER_MS, now_us);
+		return false;
+	}
+	answer->life = token->life;
+	answer->asks = false;
+	answer->lent = rate_limit_lend(&backend->limit, now_us, &wait_us);
+	answer->wait_ms = (uint32_t)(wait_us / US_PER_MS) + 1;
+	return true;
+}
+
 static void fill_word(const struct edge *edge, const struct backend *backend,
 		      struct rate_word *word)
 {
--- a/packages/edge/server_limits.h
+++ b/packages/edge/server_limits.h
@@ -8,6 +8,7 @@
 #define EDGE_SERVER_LIMITS_H
 
 #include "core/rate_limit.h"
+#include "edge/beat.h"
 #include "edge/edge.h"
 #include "edge/message.h"
 
@@ -22,6 +23,17 @@
 /* A neighbour's word; false where it can't be true. */
 bool server_limits_take(struct edge *edge, const struct rate_word *word);
 
+/*
+ * Ask one of the server's senders for a token; whether one was asked. Its
+ * answer comes in a moment, or never.
+ */
+bool server_limits_ask(struct edge *edge, struct backend *backend);
+
+/* A member asks for a token, or answers; whether it gets an answer to that. */
+bool server_limits_token(struct edge *edge, const struct member *from,
+			 const struct beat_token *token,
+			 struct beat_token *answer);
+
 /* This node's parts, by the members as they are known now. */
 void server_limits_share(struct edge *edge);
 
--- a/tests/edge/beat_test.cc
+++ b/tests/edge/beat_test.cc
@@ -102,12 +102,17 @@
 		word.crash_count = SUSPECT_CRASHES;
 	beat.rate_count = BEAT_MAX_RATES;
 	beat.rates[19] = { 7, 1.8, 2000000 };
+	beat.token_count = BEAT_MAX_TOKENS;
+	beat.tokens[7] = { 9, false, true, 250 };
 	std::string bytes = encode(beat);
 	ASSERT_LE(bytes.size(), (size_t)BEAT_MAX_BYTES);
 	ASSERT_TRUE(beat_decode(bytes.data(), bytes.size(), &got));
 	EXPECT_EQ(7u, got.rates[19].life);
 	EXPECT_DOUBLE_EQ(1.8, got.rates[19].per_s);
 	EXPECT_EQ(2000000u, got.rates[19].age_us);
+	EXPECT_EQ(9u, got.tokens[7].life);
+	EXPECT_TRUE(got.tokens[7].lent);
+	EXPECT_EQ(250u, got.tokens[7].wait_ms);
 }
 
 TEST(BeatTest, WhatIsNoBeatIsNotRead)
--- a/tests/edge/gossip_test.cc
+++ b/tests/edge/gossip_test.cc
@@ -10,10 +10,12 @@
 
 #include "core/duration.h"
 #include "core/fingerprint.h"
+#include "core/hash.h"
 #include "edge/beat.h"
 #include "edge/edge_world.h"
 #include "edge/gossip_parts.h"
 #include "edge/quarantine_store.h"
+#include "edge/server_limits.h"
 
 namespace
 {
@@ -473,4 +475,112 @@
 	EXPECT_GT(100 * US_PER_MS, beats.back().suspects[0].crashes[0].age_us);
 }
 
+/* A node that is no sender of a server's rate, and a neighbour that is one. */
+class TokenTest : public GossipTest
+{
+      protected:
+	void start_beside_sender()
+	{
+		struct member *neighbour;
+
+		app = &add_app("i-1");
+		app_stand_set_headers(app->stand, "Server-Limit: 1\r\n");
+		start_with_neighbour();
+		edge->began_us = 0;
+		neighbour = member_table_find(edge->members, "neighbour");
+		backend = backend_table_find(edge->backends, "i-1");
+		neighbour->hash = hash_before(0);
+		put_dead_sender(hash_before(neighbour->hash + 1));
+		member_heard(neighbour, 1, false, edge_now_us(edge));
+		const struct rate_word word = { backend->life, 1, 0 };
+		ASSERT_TRUE(server_limits_take(edge, &word));
+		ASSERT_DOUBLE_EQ(0, backend->limit.part_per_s);
+	}
+	/* The node's question for a token reaches the neighbour. */
+	bool was_asked()
+	{
+		hear();
+		for (const struct beat &beat : beats)
+			if (beat.token_count && beat.tokens[0].asks)
+				return beat.tokens[0].life == backend->life;
+		return false;
+	}
+	void answer(bool lent)
+	{
+		struct beat beat = {};
+		struct member *neighbour =
+			member_table_find(edge->members, "neighbour");
+
+		beat.lives[beat.life_count++] = { neighbour->hash, ++number,
+						  false };
+		beat.tokens[beat.token_count++] = { backend->life, false, lent,
+						    100 };
+		say(beat);
+	}
+	App *app;
+	struct backend *backend;
+	uint64_t number = 1;
+
+      private:
+	/* One that comes before the node itself for this server. */
+	uint32_t hash_before(uint32_t from)
+	{
+		uint64_t own =
+			hash_pair(edge->members->self->hash, backend->hash);
+
+		while (hash_pair(from, backend->hash) <= own)
+			from++;
+		return from;
+	}
+	void put_dead_sender(uint32_t hash)
+	{
+		struct member *dead = member_table_put(edge->members, "dead");
+
+		g_free(dead->region);
+		dead->region = g_strdup("r1");
+		dead->hash = hash;
+	}
+};
+
+TEST_F(TokenTest, ARequestRunsWithABorrowedToken)
+{
+	start_beside_sender();
+	auto caller = call(get("a1", "/r/"));
+	wait_for([this] { return was_asked(); });
+	answer(true);
+	wait_for([&] { return is_whole(*caller); });
+	EXPECT_EQ(200, status_of(caller->got));
+	EXPECT_EQ(1u, app_stand_runs(app->stand, "a1"));
+}
+
+TEST_F(TokenTest, WithoutATokenItIsRefusedAtOnce)
+{
+	start_beside_sender();
+	auto caller = call(get("a1", "/r/"));
+	wait_for([this] { return was_asked(); });
+	answer(false);
+	uint64_t began = uv_hrtime();
+	wait_for([&] { return is_whole(*caller); });
+	EXPECT_LT((uv_hrtime() - began) / 1000000, 100u);
+	EXPECT_EQ(503, status_of(caller->got));
+	EXPECT_EQ(0u, app_stand_total_runs(app->stand));
+}
+
+/* Tokens that nobody was asked for, or that come twice, let nothing through. */
+TEST_F(TokenTest, ATokenThatWasNotAskedForCountsNothing)
+{
+	start_beside_sender();
+	for (int i = 0; i < 5; i++)
+		answer(true);
+	turn_for(50);
+	EXPECT_FALSE(rate_limit_allows(&backend->limit, edge_now_us(edge)));
+	auto caller = call(get("a1", "/r/"));
+	wait_for([this] { return was_asked(); });
+	answer(true);
+	answer(true);
+	wait_for([&] { return is_whole(*caller); });
+	turn_for(20);
+	EXPECT_FALSE(rate_limit_allows(&backend->limit, edge_now_us(edge)));
+}
+
 } // namespace
