sync: routes that are known to differ are read anew, not change by change

Cause, from its logs: n4 had been suspended for 8 s and was six versions behind; the store's answer about changes holds each version of the document, 0.4 to 1.1 MB each, over a link of 10 Mbit/s: 5.4 s for four of them, and as old by then as its first byte. It shows since the stand-in keeps the history, as the platform does.

Change: where the reader's word is another one the node reads the table, which has the newest document alone. A node that doesn't know of a change follows as before, for an answer without any is small. The stand-in ends an answer at 1 MB, as the platform's page says.

--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -144,6 +144,7 @@
 		.arrival_most_us = SYNC_ARRIVAL_MOST_US,
 		.mismatch_us = MISMATCH_US,
 		.asks_most = 1,
+		.reads_anew = true,
 		.apply = apply_config_row,
 		.prune = prune_config,
 	},
@@ -650,6 +651,13 @@
 
 	if (lane_is_busy(&follower->lane))
 		return;
+	/*
+	 * The changes since hold each version of a large document, one after
+	 * the other, and the table only the newest.
+	 */
+	if (rule->reads_anew && follower->whole &&
+	    follower->cause != READ_FOLLOWS && follower_differs(follower))
+		begin_whole_read(follower);
 	if (follower->whole) {
 		registry->vtable->follow(registry, rule->table,
 					 follower->version, wait_us(follower),
--- a/packages/edge/sync_parts.h
+++ b/packages/edge/sync_parts.h
@@ -40,6 +40,7 @@
 	uint64_t arrival_most_us; /* for an answer */
 	uint64_t mismatch_us; /* between reads for a word that differs */
 	uint32_t asks_most; /* of neighbours, for one that differs */
+	bool reads_anew; /* where it differs, rather than each change since */
 	void (*apply)(struct sync *sync, const struct registry_row *row);
 	/* After a whole read as of that version: what it didn't hold is gone.
 	 */
--- a/tests/edge/neighbour_test.cc
+++ b/tests/edge/neighbour_test.cc
@@ -494,4 +494,30 @@
 		  second_views[REGISTRY_BACKENDS].version);
 }
 
+/* Each version of a large document comes, of which only the newest is needed.
+ */
+TEST_F(NeighbourTest, RoutesThatAreFarBehindAreReadOnce)
+{
+	const int routes = 600;
+
+	extra_routes = routes_named_n(routes);
+	put_routes(2);
+	start_first();
+	put_member("n2", endpoint_at(2), 10);
+	start_second();
+	vouch_to_second();
+	turn_for(1000);
+	edge->settings.link_mbps = 0.00001; /* no answer fits */
+	for (int version = 3; version <= 8; version++)
+		put_routes(version);
+	wait_for([this] { return edge->routes->version == 8; });
+	uint64_t before = metric_value(edge->stats.registry_bytes);
+	vouch_to_second();
+	wait_for([this] { return second.routes->version == 8; });
+	uint64_t document =
+		strlen(store_stand_get(store, "op", "config")) * 4 / 3;
+	EXPECT_LT(metric_value(edge->stats.registry_bytes) - before,
+		  2 * document);
+}
+
 } // namespace
--- a/tests/standins/store_stand.c
+++ b/tests/standins/store_stand.c
@@ -10,8 +10,9 @@
 #include "core/duration.h"
 #include "standins/http_stand.h"
 
-/* Rows in one answer at most, also about changes. */
+/* Rows, and bytes of values, in one answer at most, also about changes. */
 #define PAGE_ROWS 500
+#define PAGE_BYTES (1024 * 1024)
 
 /* A row, or what is left of a deleted one for those who follow. */
 struct row {
@@ -271,6 +272,7 @@
 		       uint64_t after, uint64_t *version)
 {
 	json_t *rows = json_array();
+	size_t bytes = 0;
 	guint i;
 
 	*version = store->version;
@@ -280,7 +282,8 @@
 		if (strcmp(row->table, table) != 0 || row->version <= after)
 			continue;
 		json_array_append_new(rows, json_of_row(row));
-		if (json_array_size(rows) < PAGE_ROWS)
+		bytes += row->value ? strlen(row->value) : 0;
+		if (json_array_size(rows) < PAGE_ROWS && bytes < PAGE_BYTES)
 			continue;
 		*version = row->version;
 		break;
