--- a/packages/core/candidate.c
+++ b/packages/core/candidate.c
@@ -290,7 +290,7 @@
 
 		if (!only_rate_is_short(chooser, query, candidate.backend,
 					now_us) ||
-		    !rate_limit_may_ask(&candidate.backend->limit, now_us))
+		    now_us < candidate.backend->limit.ask_again_us)
 			continue;
 		estimate(chooser, query, times, now_us, &candidate);
 		if (candidate.full || candidate.cost_us >= cost_us)
--- a/packages/core/candidate.h
+++ b/packages/core/candidate.h
@@ -56,7 +56,8 @@
 
 /*
  * The cheapest server of this region that only its rate keeps out and that
- * costs less than this; NULL if there is none, or no sender may be asked now.
+ * costs less than this; NULL if there is none. Those whose senders have just
+ * said that they have no token are out.
  */
 struct backend *candidates_wanted(const struct chooser *chooser,
 				  const struct choose_query *query,
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -223,10 +223,15 @@
 
 	if (exchange->token_holds >= TOKEN_HOLDS || has_come)
 		return false;
-	if (choice->wanted)
-		server_limits_ask(exchange->edge, choice->wanted);
-	else if (!exchange->token_holds)
+	if (!choice->wanted)
 		return false;
+	if (rate_limit_may_ask(&choice->wanted->limit,
+			       exchange_now_us(exchange))) {
+		if (!server_limits_ask(exchange->edge, choice->wanted))
+			return false;
+	} else if (!exchange->token_holds) {
+		return false;
+	}
 	exchange->token_holds++;
 	hold_for(exchange, TOKEN_STEP_US);
 	return true;
@@ -511,16 +516,18 @@
 static void on_own_answer(struct exchange *exchange, struct message *answer)
 {
 	note_load(exchange, answer);
-	server_limits_heard(exchange->edge, exchange->choice.backend, answer,
-			    exchange->sent_us);
 	log_event(LOG_DEBUG, "backend-answer",
 		  "request=%s backend=%s status=%u body_bytes=%u framed=%s "
 		  "took_us=%" PRIu64,
 		  exchange->id, exchange->choice.backend->id, answer->status,
 		  answer->body->len, answer->has_length ? "yes" : "no",
 		  exchange_now_us(exchange) - exchange->sent_us);
-	if (answer->status != 421)
+	/* A 421 is another server's, which has the address now. */
+	if (answer->status != 421) {
 		backend_answered(exchange->choice.backend, exchange->sent_us);
+		server_limits_heard(exchange->edge, exchange->choice.backend,
+				    answer, exchange->sent_us);
+	}
 	if (!says_not_executed(exchange, answer))
 		exchange_was_run(exchange);
 	if (says_not_executed(exchange, answer)) {
--- a/packages/edge/gossip_words.c
+++ b/packages/edge/gossip_words.c
@@ -120,11 +120,13 @@
 static void take_tokens(struct gossip *gossip, const struct beat *beat)
 {
 	struct edge *edge = gossip->edge;
-	const struct member *from =
-		member_table_find_hash(edge->members, beat->lives[0].member);
 	struct beat answers = { .life_count = 0 };
+	const struct member *from;
 	uint32_t i;
 
+	if (!beat->token_count)
+		return;
+	from = member_table_find_hash(edge->members, beat->lives[0].member);
 	if (!from || from == edge->members->self || !from->peer.port)
 		return;
 	gossip_sign(gossip, &answers);
--- a/tests/edge/server_limit_test.cc
+++ b/tests/edge/server_limit_test.cc
@@ -146,4 +146,22 @@
 	EXPECT_EQ(0u, app_stand_total_runs(needy.stand));
 }
 
+/* Another server has the address now, and names a rate of its own. */
+TEST_F(ServerLimitTest, AnotherServersRateIsNotBelieved)
+{
+	App &app = add_app("i-1");
+	std::string row = "{\"service\":\"s\",\"addr\":\"127.0.0.1:" +
+			  std::to_string(app_stand_at(app.stand)->port) +
+			  "\",\"zone\":\"d1\",\"slots\":4,"
+			  "\"state\":\"ready\"}";
+
+	store_stand_put(store, "servers", "i-1", nullptr);
+	store_stand_put(store, "servers", "i-old", row.c_str());
+	start_settled_node();
+	app_stand_set_headers(app.stand, "Server-Limit: 2\r\n");
+	EXPECT_EQ(503, status_of(answer_to(get("a1", "/r/"))));
+	EXPECT_EQ(1u, app_stand_rejected(app.stand));
+	EXPECT_DOUBLE_EQ(0, limit_of("i-old").per_s);
+}
+
 } // namespace
