--- a/tests/edge/neighbour_test.cc
+++ b/tests/edge/neighbour_test.cc
@@ -56,6 +56,12 @@
 		second_sync = sync_open(&second);
 		wait_for([this] { return edge_is_ready(&second); });
 	}
+	void start_both()
+	{
+		start_first();
+		put_member("n2", endpoint_at(2), 10);
+		start_second();
+	}
 	/* The first node, the reader, beats to the second. */
 	void vouch_to_second()
 	{
@@ -180,9 +186,7 @@
 {
 	App &app = add_app("i-1");
 
-	start_first();
-	put_member("n2", endpoint_at(2), 10);
-	start_second();
+	start_both();
 	vouch_to_second();
 	turn_for(1000);
 	uint64_t differing = reads(READ_WORD_DIFFERS);
@@ -219,9 +223,7 @@
 			("other-" + std::to_string(i)).c_str(),
 			"{\"service\":\"t\",\"addr\":\"127.0.0.9:1\","
 			"\"zone\":\"d1\",\"slots\":4,\"state\":\"ready\"}");
-	start_first();
-	put_member("n2", endpoint_at(2), 10);
-	start_second();
+	start_both();
 	vouch_to_second();
 	turn_for(1000);
 	edge->settings.link_mbps = 1;
@@ -243,9 +245,7 @@
  */
 TEST_F(NeighbourTest, AReaderThatDoesNotAnswerIsPassedOver)
 {
-	start_first();
-	put_member("n2", endpoint_at(2), 10);
-	start_second();
+	start_both();
 	vouch_to_second();
 	turn_for(1000);
 	edge->settings.link_mbps = 0.00001; /* no answer fits */
@@ -267,9 +267,7 @@
 
 	add_app("i-1");
 	add_app("i-2");
-	start_first();
-	put_member("n2", endpoint_at(2), 10);
-	start_second();
+	start_both();
 	turn_for(1000);
 	uint64_t before = backend_table_digest(edge->backends);
 	faults.silent = true;
@@ -320,9 +318,7 @@
 {
 	for (int i = 0; i < 10; i++)
 		add_app("i-" + std::to_string(i));
-	start_first();
-	put_member("n2", endpoint_at(2), 10);
-	start_second();
+	start_both();
 	turn_for(300);
 	store_stand_put(store, "servers", "i-3", nullptr);
 	wait_for([this] { return !backend_table_find(edge->backends, "i-3"); });
@@ -353,9 +349,7 @@
 {
 	for (int i = 0; i < 10; i++)
 		add_app("i-" + std::to_string(i));
-	start_first();
-	put_member("n2", endpoint_at(2), 10);
-	start_second();
+	start_both();
 	turn_for(1000);
 	backend_table_remove(edge->backends, "i-3", 0,
 			     edge_now_us(edge) + 2000000, edge_now_us(edge));
@@ -390,9 +384,7 @@
 {
 	App &app = add_app("i-1");
 
-	start_first();
-	put_member("n2", endpoint_at(2), 10);
-	start_second();
+	start_both();
 	list_app(app, "ready", "2000ms");
 	list_app(app, "ready");
 	change_others(600);
@@ -411,9 +403,7 @@
 {
 	App &app = add_app("i-1");
 
-	start_first();
-	put_member("n2", endpoint_at(2), 10);
-	start_second();
+	start_both();
 	list_app(app, "ready", "2000ms");
 	list_app(app, "ready");
 	change_others(600);
@@ -432,9 +422,7 @@
 {
 	App &app = add_app("i-1");
 
-	start_first();
-	put_member("n2", endpoint_at(2), 10);
-	start_second();
+	start_both();
 	change_others(1200);
 	list_app(app, "draining");
 	uint64_t old = reads(READ_WORD_OLD);
@@ -450,9 +438,7 @@
 {
 	App &app = add_app("i-1");
 
-	start_first();
-	put_member("n2", endpoint_at(2), 10);
-	start_second();
+	start_both();
 	turn_for(1000);
 	list_app(app, "draining");
 	while (!drains(*edge, "i-1")) {
@@ -476,9 +462,7 @@
 	struct sync_view second_views[SYNC_TABLES];
 	App &app = add_app("i-1");
 
-	start_first();
-	put_member("n2", endpoint_at(2), 10);
-	start_second();
+	start_both();
 	turn_for(1000);
 	sync_views(sync, first);
 	uint64_t before = first[REGISTRY_BACKENDS].version;
@@ -502,9 +486,7 @@
 
 	extra_routes = routes_named_n(routes);
 	put_routes(2);
-	start_first();
-	put_member("n2", endpoint_at(2), 10);
-	start_second();
+	start_both();
 	vouch_to_second();
 	turn_for(1000);
 	edge->settings.link_mbps = 0.00001; /* no answer fits */
