node: a start is logged before what it brings

Traced in its log: config-in-force version=8 was written 0.4 ms before node-started of the same life, so the checker took it for the life before; the node had it in time. Two threads wrote the two lines. The start is logged first now, before peers and loops run. No test without processes: the order is that of the statements.

--- a/packages/node/node.c
+++ b/packages/node/node.c
@@ -31,6 +31,11 @@
 					      settings->platform_port,
 					      settings->platform_timeout_us);
 	running->node = state_new(settings, clock_system(), running->platform);
+	/* Before peers and loops, whose first words may come at once. */
+	log_event(LOG_INFO, "node-started",
+		  "place=%s address=%s port=%u incarnation=%" PRIu64,
+		  settings->place, settings->address, settings->http_port,
+		  running->node->incarnation);
 	running->handler = loops_peer_handler(running->node);
 	running->peers = peer_server_open(settings->address,
 					  settings->peer_port,
@@ -42,10 +47,6 @@
 		return NULL;
 	}
 	running->loops = loops_open(running->node);
-	log_event(LOG_INFO, "node-started",
-		  "place=%s address=%s port=%u incarnation=%" PRIu64,
-		  settings->place, settings->address, settings->http_port,
-		  running->node->incarnation);
 	return running;
 }
 
