sync: a table's version stands in its follower alone; a row that is ignored isn't logged

The version of a whole read went to three functions, of which two had no use for it; it is the follower's by then. backend-given was logged for a neighbour's row that is older than what is known, and so isn't believed. Two tests share the rows that they put and the look at a node's own read. No other change of what it does; the assertions are the same.

--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -415,14 +415,14 @@
 void follower_end_pass(struct follower *follower, uint64_t version,
 		       uint64_t as_of_us)
 {
-	follower->rule->prune(follower->sync, follower->seen, version);
+	follower->version = version;
+	follower->rule->prune(follower->sync, follower->seen);
 	g_hash_table_foreach_remove(follower->rows, is_unseen, follower->seen);
 	log_event(LOG_INFO, "table-read", "table=%s rows=%u version=%" PRIu64,
 		  follower->rule->name, g_hash_table_size(follower->seen),
 		  version);
 	begin_whole_read(follower);
 	follower->whole = true;
-	follower->version = version;
 	follower->asks = 0;
 	confirm(follower, as_of_us);
 	if (follower->rule->table == REGISTRY_MEMBERS)
--- a/packages/edge/sync_neighbours.c
+++ b/packages/edge/sync_neighbours.c
@@ -174,7 +174,8 @@
 	const struct backend *known =
 		backend_table_find(edge->backends, backend->id);
 
-	if (known && known->draining != backend->draining)
+	if (known && known->version <= backend->version &&
+	    known->draining != backend->draining)
 		log_event(LOG_INFO, "backend-given", "backend=%s draining=%s",
 			  backend->id, backend->draining ? "yes" : "no");
 }
--- a/packages/edge/sync_parts.h
+++ b/packages/edge/sync_parts.h
@@ -44,7 +44,7 @@
 	void (*apply)(struct sync *sync, const struct registry_row *row);
 	/* After a whole read as of that version: what it didn't hold is gone.
 	 */
-	void (*prune)(struct sync *sync, GHashTable *seen, uint64_t version);
+	void (*prune)(struct sync *sync, GHashTable *seen);
 };
 
 struct follower {
@@ -123,10 +123,10 @@
 
 /* sync_tables.c: what a row says, and what a whole table doesn't say. */
 void apply_config_row(struct sync *sync, const struct registry_row *row);
-void prune_config(struct sync *sync, GHashTable *seen, uint64_t version);
+void prune_config(struct sync *sync, GHashTable *seen);
 void apply_backend_row(struct sync *sync, const struct registry_row *row);
-void prune_backends(struct sync *sync, GHashTable *seen, uint64_t version);
+void prune_backends(struct sync *sync, GHashTable *seen);
 void apply_member_row(struct sync *sync, const struct registry_row *row);
-void prune_members(struct sync *sync, GHashTable *seen, uint64_t version);
+void prune_members(struct sync *sync, GHashTable *seen);
 
 #endif
--- a/packages/edge/sync_tables.c
+++ b/packages/edge/sync_tables.c
@@ -85,7 +85,7 @@
 	g_free(domain);
 }
 
-void prune_config(struct sync *sync, GHashTable *seen, uint64_t version)
+void prune_config(struct sync *sync, GHashTable *seen)
 {
 	const struct registry *registry = sync->edge->registry;
 	GHashTable *standing =
@@ -95,7 +95,6 @@
 	gpointer key;
 	GList *at;
 
-	(void)version;
 	g_hash_table_iter_init(&iter, seen);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		char *domain = NULL;
@@ -210,9 +209,10 @@
 	backend_record_release(&record);
 }
 
-void prune_backends(struct sync *sync, GHashTable *seen, uint64_t version)
+void prune_backends(struct sync *sync, GHashTable *seen)
 {
 	struct edge *edge = sync->edge;
+	uint64_t version = sync->followers[REGISTRY_BACKENDS].version;
 	GList *ids = g_hash_table_get_keys(edge->backends->by_id);
 	GList *at;
 
@@ -309,13 +309,12 @@
 	member_record_release(&record);
 }
 
-void prune_members(struct sync *sync, GHashTable *seen, uint64_t version)
+void prune_members(struct sync *sync, GHashTable *seen)
 {
 	struct edge *edge = sync->edge;
 	GList *names = g_hash_table_get_keys(edge->members->by_name);
 	GList *at;
 
-	(void)version;
 	for (at = names; at; at = at->next) {
 		char *name = g_strdup(at->data);
 
--- a/tests/edge/neighbour_test.cc
+++ b/tests/edge/neighbour_test.cc
@@ -105,6 +105,29 @@
 				 std::to_string(4 + i % 7) + "}")
 					.c_str());
 	}
+	/* Rows of a server that is there, and enough others to end an answer.
+	 */
+	void put_older_rows(const App &app)
+	{
+		list_app(app, "ready", "2000ms");
+		list_app(app, "ready");
+		change_others(600);
+	}
+	/* The second node's word grows old, and it asks the store itself. */
+	void wait_for_own_read()
+	{
+		uint64_t old = reads(READ_WORD_OLD);
+
+		wait_for([&] { return reads(READ_WORD_OLD) > old; });
+	}
+	void expect_through_own_read(const std::function<bool()> &holds)
+	{
+		wait_for_own_read();
+		for (int i = 0; i < 40; i++) {
+			turn_for(10);
+			ASSERT_TRUE(holds());
+		}
+	}
 	bool drains(const struct edge &node, const char *id)
 	{
 		const struct backend *backend =
@@ -385,17 +408,10 @@
 	App &app = add_app("i-1");
 
 	start_both();
-	list_app(app, "ready", "2000ms");
-	list_app(app, "ready");
-	change_others(600);
+	put_older_rows(app);
 	list_app(app, "draining");
 	tell_second_draining("i-1");
-	uint64_t old = reads(READ_WORD_OLD);
-	wait_for([&] { return reads(READ_WORD_OLD) > old; });
-	for (int i = 0; i < 40; i++) {
-		turn_for(10);
-		ASSERT_TRUE(drains(second, "i-1"));
-	}
+	expect_through_own_read([this] { return drains(second, "i-1"); });
 }
 
 /* The same with one that has left, and is in the table no more. */
@@ -404,17 +420,11 @@
 	App &app = add_app("i-1");
 
 	start_both();
-	list_app(app, "ready", "2000ms");
-	list_app(app, "ready");
-	change_others(600);
+	put_older_rows(app);
 	store_stand_put(store, "servers", "i-1", nullptr);
 	tell_second_left("i-1");
-	uint64_t old = reads(READ_WORD_OLD);
-	wait_for([&] { return reads(READ_WORD_OLD) > old; });
-	for (int i = 0; i < 40; i++) {
-		turn_for(10);
-		ASSERT_EQ(nullptr, backend_table_find(second.backends, "i-1"));
-	}
+	expect_through_own_read(
+		[this] { return !backend_table_find(second.backends, "i-1"); });
 }
 
 /* A node asks for the next changes as late as if it knew them all. */
@@ -425,8 +435,7 @@
 	start_both();
 	change_others(1200);
 	list_app(app, "draining");
-	uint64_t old = reads(READ_WORD_OLD);
-	wait_for([&] { return reads(READ_WORD_OLD) > old; });
+	wait_for_own_read();
 	uint64_t began = uv_hrtime();
 	wait_for([this] { return drains(second, "i-1"); });
 	EXPECT_LT((uv_hrtime() - began) / 1000000, 500u);
