member_table, rate_limit: one walk for a rank; nothing to scan where no server is limited

The rank within a region was a second copy of rank_among, and the sender of a rate asked for it without a use.

--- a/packages/core/member_table.c
+++ b/packages/core/member_table.c
@@ -290,10 +290,12 @@
 	return NULL;
 }
 
-/* Place of oneself in the hash's order, among all or who serves in the region.
+/*
+ * Place of oneself in the hash's order, among the region's members or all
+ * (NULL), dead ones included or not.
  */
 static uint32_t rank_among(const struct member_table *table, uint32_t hash,
-			   bool near_only, uint64_t now_us)
+			   const char *region, bool live_only, uint64_t now_us)
 {
 	uint64_t own = hash_pair(table->self->hash, hash);
 	GHashTableIter iter;
@@ -306,9 +308,9 @@
 
 		if (hash_pair(member->hash, hash) <= own)
 			continue;
-		if (near_only &&
-		    (strcmp(member->region, table->self->region) != 0 ||
-		     !member_serves(table, member, now_us)))
+		if (region && strcmp(member->region, region) != 0)
+			continue;
+		if (live_only && !member_serves(table, member, now_us))
 			continue;
 		rank++;
 	}
@@ -317,17 +319,25 @@
 
 uint32_t member_table_rank(const struct member_table *table, uint32_t hash)
 {
-	return rank_among(table, hash, false, 0);
+	return rank_among(table, hash, NULL, false, 0);
 }
 
 uint32_t member_table_near_rank(const struct member_table *table, uint32_t hash,
 				uint64_t now_us)
 {
-	return rank_among(table, hash, true, now_us);
+	return rank_among(table, hash, table->self->region, true, now_us);
+}
+
+uint32_t member_table_region_rank(const struct member_table *table,
+				  const char *region, uint32_t hash)
+{
+	if (strcmp(table->self->region, region) != 0)
+		return UINT32_MAX;
+	return rank_among(table, hash, region, false, 0);
 }
 
-static uint32_t count_region(const struct member_table *table,
-			     const char *region)
+uint32_t member_table_region_count(const struct member_table *table,
+				   const char *region)
 {
 	GHashTableIter iter;
 	uint32_t count = 0;
@@ -340,35 +350,6 @@
 	return count;
 }
 
-uint32_t member_table_region_rank(const struct member_table *table,
-				  const char *region, uint32_t hash,
-				  uint32_t *rank)
-{
-	uint64_t own = hash_pair(table->self->hash, hash);
-	uint32_t count = count_region(table, region);
-	GHashTableIter iter;
-	gpointer value;
-
-	*rank = 0;
-	if (!count) {
-		*rank = member_table_rank(table, hash);
-		return member_table_count(table);
-	}
-	if (strcmp(table->self->region, region) != 0) {
-		*rank = UINT32_MAX;
-		return count;
-	}
-	g_hash_table_iter_init(&iter, table->by_name);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct member *member = value;
-
-		if (!strcmp(member->region, region) &&
-		    hash_pair(member->hash, hash) > own)
-			++*rank;
-	}
-	return count;
-}
-
 struct scored {
 	uint64_t score;
 	const struct member *member;
--- a/packages/core/member_table.h
+++ b/packages/core/member_table.h
@@ -121,13 +121,13 @@
 				uint64_t now_us);
 
 /*
- * How many members of this region are known, dead ones too, and the place of
- * oneself in the rendezvous order of these; UINT32_MAX for one that isn't of
- * it. Where none is known, all members count.
+ * The same among the members of this region, dead ones too; UINT32_MAX for one
+ * that isn't of it. And how many these are.
  */
 uint32_t member_table_region_rank(const struct member_table *table,
-				  const char *region, uint32_t hash,
-				  uint32_t *rank);
+				  const char *region, uint32_t hash);
+uint32_t member_table_region_count(const struct member_table *table,
+				   const char *region);
 
 /*
  * One of the first so many of that order that lives and is neither oneself nor
--- a/packages/core/rate_limit.c
+++ b/packages/core/rate_limit.c
@@ -104,7 +104,8 @@
 	return true;
 }
 
-uint32_t rate_limit_senders(double per_s, uint32_t nodes)
+/* How many of so many nodes send to a server that names this rate. */
+static uint32_t count_senders(double per_s, uint32_t nodes)
 {
 	uint32_t senders = (uint32_t)fmin(ceil(per_s / SENDER_PER_S), nodes);
 
@@ -114,10 +115,17 @@
 double rate_limit_part(const struct member_table *members, const char *region,
 		       uint32_t hash, double per_s)
 {
+	uint32_t nodes = member_table_region_count(members, region);
+	uint32_t senders;
 	uint32_t rank;
-	uint32_t nodes = member_table_region_rank(members, region, hash, &rank);
-	uint32_t senders = rate_limit_senders(per_s, nodes);
 
+	if (nodes) {
+		rank = member_table_region_rank(members, region, hash);
+	} else {
+		nodes = member_table_count(members);
+		rank = member_table_rank(members, hash);
+	}
+	senders = count_senders(per_s, nodes);
 	return rank < senders ? per_s / senders : 0;
 }
 
@@ -126,11 +134,10 @@
 				       const char *region, uint32_t hash,
 				       double spread, uint64_t now_us)
 {
-	uint32_t rank;
-	uint32_t nodes = member_table_region_rank(members, region, hash, &rank);
-	uint32_t senders = rate_limit_senders(limit->per_s, nodes);
+	uint32_t nodes = member_table_region_count(members, region);
 
-	return member_table_region_draw(members, region, hash, senders,
+	return member_table_region_draw(members, region, hash,
+					count_senders(limit->per_s, nodes),
 					limit->refused_by, spread, now_us);
 }
 
--- a/packages/core/rate_limit.h
+++ b/packages/core/rate_limit.h
@@ -71,12 +71,10 @@
 bool rate_limit_told(struct rate_limit *limit, double per_s, uint64_t at_us,
 		     uint64_t now_us);
 
-/* How many of a region's nodes send to a server that names this rate. */
-uint32_t rate_limit_senders(double per_s, uint32_t nodes);
-
 /*
  * This node's part of the rate that a server of this region names, by the
- * server's hash; 0 for a node that isn't a sender.
+ * server's hash; 0 for a node that isn't a sender. Senders are some of the
+ * region's nodes, or of all where none of these is known.
  */
 double rate_limit_part(const struct member_table *members, const char *region,
 		       uint32_t hash, double per_s);
--- a/packages/edge/edge.h
+++ b/packages/edge/edge.h
@@ -75,6 +75,7 @@
 	struct stats stats;
 
 	uint64_t began_us; /* when this life of the node began */
+	bool are_limited; /* some backend server may have named a rate */
 	uint32_t rates_told; /* servers' rates told in this round of beats */
 	bool stopping;
 	uint64_t stopping_us; /* when the stop began */
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -221,9 +221,7 @@
 	const struct choice *choice = &exchange->choice;
 	bool has_come = choice->backend && choice->backend->limit.per_s > 0;
 
-	if (exchange->token_holds >= TOKEN_HOLDS || has_come)
-		return false;
-	if (!choice->wanted)
+	if (!choice->wanted || has_come || exchange->token_holds >= TOKEN_HOLDS)
 		return false;
 	if (rate_limit_may_ask(&choice->wanted->limit,
 			       exchange_now_us(exchange))) {
--- a/packages/edge/server_limits.c
+++ b/packages/edge/server_limits.c
@@ -1,7 +1,5 @@
 #include "edge/server_limits.h"
 
-#include <inttypes.h>
-
 #include "adapters/log.h"
 #include "core/duration.h"
 #include "edge/gossip.h"
@@ -33,18 +31,28 @@
 
 void server_limits_share(struct edge *edge)
 {
+	bool are_limited = false;
 	GHashTableIter iter;
 	gpointer value;
 
+	if (!edge->are_limited)
+		return;
 	g_hash_table_iter_init(&iter, edge->backends->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (((struct backend *)value)->limit.per_s)
-			share(edge, value);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct backend *backend = value;
+
+		if (backend->limit.per_s)
+			share(edge, backend);
+		if (backend->limit.per_s || backend->limit.urgent)
+			are_limited = true;
+	}
+	edge->are_limited = are_limited;
 }
 
 static void note_change(struct edge *edge, struct backend *backend,
 			const char *by)
 {
+	edge->are_limited = true;
 	share(edge, backend);
 	log_event(LOG_INFO, "backend-limit",
 		  "backend=%s per_s=%g part_per_s=%g by=%s", backend->id,
@@ -144,6 +152,8 @@
 	uint32_t count = 0;
 	gpointer value;
 
+	if (!edge->are_limited)
+		return 0;
 	g_hash_table_iter_init(&iter, edge->backends->by_id);
 	while (count < most && g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct backend *backend = value;
@@ -165,6 +175,8 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	if (!edge->are_limited)
+		return 0;
 	g_hash_table_iter_init(&iter, edge->backends->by_id);
 	while (count < most && g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct backend *backend = value;
@@ -181,6 +193,8 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	if (!edge->are_limited)
+		return false;
 	g_hash_table_iter_init(&iter, edge->backends->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (((struct backend *)value)->limit.urgent)
