sync: changes of routes that are larger than the table are given up for the table

Cause, from n6's log: its reader was suspended, so its word grew old and it asked the store for what had changed; the answer held two versions of the document, 0.8 and 0.9 MB before base64, and took 2.9 s over a link of 0.83 MB a second. The mend before (routes that are known to differ are read anew) needs a reader that says so.

Change: an answer about changes of routes ends at its head where its body is more than one and a half times the table, and the table is read instead. That serves the reader of a region as well, and takes the place of the earlier rule.

Ruled out: the table each time the word is old. It is a large document, most times for no change. RoutesOfAnOldWordAreReadOnce failed before: 911,389 bytes for six versions behind, 303,496 allowed.

--- a/packages/edge/lane.c
+++ b/packages/edge/lane.c
@@ -4,9 +4,10 @@
 
 #include "core/duration.h"
 
+#define HEAD_MOST (64 * 1024)
+
 /* Largest answer: a page of 500 rows, or the row of all routes in base64. */
-static const struct message_limits answer_limits = { 64 * 1024,
-						     16 * 1024 * 1024 };
+#define BODY_MOST (16 * 1024 * 1024)
 
 /*
  * An answer that is arriving counts as lost after so long without a byte: a
@@ -141,6 +142,7 @@
 	lane->loop = loop;
 	lane->to = *to;
 	lane->arrival_most_us = arrival_most_us;
+	lane->body_most = BODY_MOST;
 	uv_timer_init(loop, &lane->timer);
 	lane->timer.data = lane;
 }
@@ -180,6 +182,11 @@
 	finish(lane, NULL, cause);
 }
 
+void lane_limit_body(struct lane *lane, uint64_t bytes)
+{
+	lane->body_most = bytes && bytes < BODY_MOST ? bytes : BODY_MOST;
+}
+
 static GString *compose(const struct lane *lane, const char *method,
 			const char *target, const char *body)
 {
@@ -201,6 +208,7 @@
 	       const char *body, uint64_t timeout_us, lane_done done,
 	       void *context)
 {
+	const struct message_limits limits = { HEAD_MOST, lane->body_most };
 	GString *request = compose(lane, method, target, body);
 
 	lane->done = done;
@@ -210,6 +218,7 @@
 	lane->read_again = false;
 	uv_timer_start(&lane->timer, on_timeout, timeout_us / US_PER_MS, 0);
 	if (lane->conn) {
+		lane->conn->link.reader.limits = limits;
 		link_send(&lane->conn->link, request, false);
 		return;
 	}
@@ -217,6 +226,6 @@
 	lane->conn = g_new0(struct lane_conn, 1);
 	lane->conn->lane = lane;
 	if (link_open(&lane->conn->link, &link_events, lane->loop, &lane->to,
-		      &answer_limits))
+		      &limits))
 		lane_abort(lane, "connect");
 }
--- a/packages/edge/lane.h
+++ b/packages/edge/lane.h
@@ -39,6 +39,7 @@
 	void *context;
 	uint64_t got_bytes; /* of the latest answer, whole or not */
 	uint64_t arrival_most_us; /* longest time that an answer may arrive */
+	uint64_t body_most; /* bytes of an answer's body */
 	bool read_again; /* the time was over; a last read comes first */
 	uint64_t begun_ms; /* uv_now() when the latest answer's first byte came
 			    */
@@ -62,6 +63,12 @@
 /* Whether the answer to the call that is out is arriving. */
 bool lane_is_receiving(const struct lane *lane);
 
+/*
+ * The next calls end with LINK_TOO_LARGE where the answer's body has more
+ * bytes, as soon as its head says so; 0: the most that any answer may have.
+ */
+void lane_limit_body(struct lane *lane, uint64_t bytes);
+
 /*
  * Start a call; none may be out. The body is text or NULL, timeout_us the time
  * until the answer begins.
--- a/packages/edge/link.c
+++ b/packages/edge/link.c
@@ -44,6 +44,9 @@
 			break;
 		case MESSAGE_PARTIAL:
 			return;
+		case MESSAGE_BODY_TOO_LARGE:
+			end(link, LINK_TOO_LARGE);
+			return;
 		default:
 			end(link, "malformed answer");
 			return;
--- a/packages/edge/link.h
+++ b/packages/edge/link.h
@@ -20,6 +20,9 @@
 
 struct link;
 
+/* Why a connection ended: the answer's body is over the limit. */
+#define LINK_TOO_LARGE "answer too large"
+
 struct link_vtable {
 	void (*opened)(struct link *link);
 	/* Bytes of the answer that is due have come; may be NULL. */
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -75,6 +75,16 @@
  */
 #define BACKENDS_ARRIVAL_US (5 * US_PER_S)
 
+/*
+ * Changes that are so much larger than the whole table hold more than its
+ * newest rows: it is read whole instead. Below the least size either is quick.
+ */
+#define CHANGES_MOST_PERCENT 150
+#define CHANGES_MOST_LEAST (64 * 1024)
+
+/* A row's names and version in an answer. */
+#define ROW_OVERHEAD 200
+
 static uint64_t wait_us(const struct follower *follower);
 static uint32_t own_rank(const struct sync *sync);
 
@@ -579,6 +589,18 @@
 		confirm(follower, answered_by_us(follower));
 }
 
+/*
+ * The changes since hold each version of a large document, one after the other,
+ * and the table only the newest.
+ */
+static void read_anew(struct follower *follower)
+{
+	metric_add(follower->sync->edge->stats.registry_lost_bytes,
+		   follower->lane.got_bytes);
+	begin_whole_read(follower);
+	follower_call(follower);
+}
+
 static void on_answer(void *context, const struct message *answer,
 		      const char *cause)
 {
@@ -587,6 +609,10 @@
 	struct registry_rows rows = { 0 };
 	enum registry_result result;
 
+	if (!answer && follower->whole && !strcmp(cause, LINK_TOO_LARGE)) {
+		read_anew(follower);
+		return;
+	}
 	if (!answer) {
 		bool silent = !strcmp(cause, "timeout") && !follower->failures;
 
@@ -641,6 +667,27 @@
 	return time_us(follower, &follower->rule->wait);
 }
 
+static uint64_t base64_bytes(uint64_t bytes)
+{
+	return (bytes + 2) / 3 * 4;
+}
+
+/* How large an answer about changes may be; 0: as large as any. */
+static uint64_t changes_most(const struct follower *follower)
+{
+	uint64_t whole_bytes = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!follower->rule->reads_anew || !follower->whole)
+		return 0;
+	g_hash_table_iter_init(&iter, follower->rows);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		whole_bytes += base64_bytes(strlen(value)) + ROW_OVERHEAD;
+	return MAX(whole_bytes * CHANGES_MOST_PERCENT / 100,
+		   CHANGES_MOST_LEAST);
+}
+
 void follower_call(struct follower *follower)
 {
 	struct edge *edge = follower->sync->edge;
@@ -651,13 +698,7 @@
 
 	if (lane_is_busy(&follower->lane))
 		return;
-	/*
-	 * The changes since hold each version of a large document, one after
-	 * the other, and the table only the newest.
-	 */
-	if (rule->reads_anew && follower->whole &&
-	    follower->cause != READ_FOLLOWS && follower_differs(follower))
-		begin_whole_read(follower);
+	lane_limit_body(&follower->lane, changes_most(follower));
 	if (follower->whole) {
 		registry->vtable->follow(registry, rule->table,
 					 follower->version, wait_us(follower),
--- a/tests/edge/neighbour_test.cc
+++ b/tests/edge/neighbour_test.cc
@@ -135,6 +135,12 @@
 
 		return backend && backend->draining;
 	}
+	/* Bytes of the store's answers to both, also of those given up. */
+	uint64_t store_bytes() const
+	{
+		return metric_value(edge->stats.registry_bytes) +
+		       metric_value(edge->stats.registry_lost_bytes);
+	}
 	/* Both nodes' calls: counters are the process's. */
 	uint64_t reads(enum read_cause cause) const
 	{
@@ -511,4 +517,23 @@
 		  2 * document);
 }
 
+/* The reader is gone: nobody says that there are several newer versions. */
+TEST_F(NeighbourTest, RoutesOfAnOldWordAreReadOnce)
+{
+	extra_routes = routes_named_n(600);
+	put_routes(2);
+	start_first();
+	put_member("n2", endpoint_at(2), 10);
+	start_second();
+	vouch_to_second();
+	for (int version = 3; version <= 8; version++)
+		put_routes(version);
+	wait_for([this] { return edge->routes->version == 8; });
+	uint64_t before = store_bytes();
+	wait_for([this] { return second.routes->version == 8; });
+	uint64_t document =
+		strlen(store_stand_get(store, "op", "config")) * 4 / 3;
+	EXPECT_LT(store_bytes() - before, 2 * document);
+}
+
 } // namespace
