rate_limit: a server that names no rate any more is filled by degrees

What callers would see: a server in need that had just recovered got all requests that had been kept from it in one moment. Now what all nodes together send doubles each 250 ms from the last rate on, by the same senders' parts, and is unbounded after 2 s.

Ruled out: each node by itself, for the sum of many small steps is a jump.

--- a/packages/core/candidate.c
+++ b/packages/core/candidate.c
@@ -269,7 +269,7 @@
 			       const struct choose_query *query,
 			       const struct backend *backend, uint64_t now_us)
 {
-	return backend->limit.per_s > 0 &&
+	return rate_limit_is_limited(&backend->limit, now_us) &&
 	       !strcmp(backend->region, chooser->region) &&
 	       candidate_blocked(chooser, query, backend, now_us) ==
 		       CHOOSE_LIMITED;
--- a/packages/core/rate_limit.c
+++ b/packages/core/rate_limit.c
@@ -38,6 +38,13 @@
 /* Longest time that a sender says to wait: its part may change. */
 #define ASK_AGAIN_MOST_US (500 * US_PER_MS)
 
+/*
+ * Once a server names no rate any more, what it gets doubles in each such time
+ * from the last rate on, and is unbounded after the whole.
+ */
+#define REFILL_DOUBLING_US (250 * US_PER_MS)
+#define REFILL_US (2 * US_PER_S)
+
 bool rate_limit_parse(const char *text, double *per_s)
 {
 	size_t length = strlen(text);
@@ -63,6 +70,23 @@
 				    word->per_s <= RATE_LIMIT_MOST_PER_S);
 }
 
+double rate_limit_in_force(const struct rate_limit *limit, uint64_t now_us)
+{
+	uint64_t since_us = now_us - MIN(now_us, limit->named_us);
+
+	if (limit->per_s > 0)
+		return limit->per_s;
+	if (!limit->last_per_s || since_us >= REFILL_US)
+		return 0;
+	return limit->last_per_s *
+	       exp2((double)since_us / (double)REFILL_DOUBLING_US);
+}
+
+bool rate_limit_is_limited(const struct rate_limit *limit, uint64_t now_us)
+{
+	return rate_limit_in_force(limit, now_us) > 0;
+}
+
 static bool is_stricter(double per_s, double known_per_s)
 {
 	return per_s > 0 && (known_per_s == 0 || per_s < known_per_s);
@@ -77,6 +101,8 @@
 		limit->tokens = 0;
 		limit->filled_us = now_us;
 	}
+	if (per_s == 0)
+		limit->last_per_s = limit->per_s;
 	limit->per_s = per_s;
 	limit->named_us = at_us;
 }
@@ -135,15 +161,17 @@
 				       double spread, uint64_t now_us)
 {
 	uint32_t nodes = member_table_region_count(members, region);
+	double per_s = rate_limit_in_force(limit, now_us);
 
 	return member_table_region_draw(members, region, hash,
-					count_senders(limit->per_s, nodes),
+					count_senders(per_s, nodes),
 					limit->refused_by, spread, now_us);
 }
 
-static double burst(const struct rate_limit *limit)
+static double burst(const struct rate_limit *limit, uint64_t now_us)
 {
-	double share = limit->per_s > 0 ? limit->part_per_s / limit->per_s : 0;
+	double per_s = rate_limit_in_force(limit, now_us);
+	double share = per_s > 0 ? limit->part_per_s / per_s : 0;
 	double burst_s = (double)BURST_US / (double)US_PER_S;
 
 	return fmax(1.0 + SHARED_BURST * share, limit->part_per_s * burst_s);
@@ -153,7 +181,8 @@
 {
 	double since_s = (double)(now_us - limit->filled_us) / (double)US_PER_S;
 
-	return fmin(burst(limit), limit->tokens + since_s * limit->part_per_s);
+	return fmin(burst(limit, now_us),
+		    limit->tokens + since_s * limit->part_per_s);
 }
 
 static void fill(struct rate_limit *limit, uint64_t now_us)
@@ -173,7 +202,8 @@
 {
 	if (limit->asked && now_us - limit->asked_us < ANSWER_WAIT_US)
 		return false;
-	return limit->per_s > 0 && now_us >= limit->ask_again_us;
+	return rate_limit_is_limited(limit, now_us) &&
+	       now_us >= limit->ask_again_us;
 }
 
 void rate_limit_ask(struct rate_limit *limit, uint32_t sender, uint64_t now_us)
@@ -187,7 +217,7 @@
 {
 	*wait_us = 0;
 	fill(limit, now_us);
-	if (limit->per_s > 0 && limit->tokens >= 1) {
+	if (rate_limit_is_limited(limit, now_us) && limit->tokens >= 1) {
 		limit->tokens -= 1;
 		return true;
 	}
@@ -224,13 +254,14 @@
 
 bool rate_limit_allows(const struct rate_limit *limit, uint64_t now_us)
 {
-	return limit->per_s == 0 || has_borrowed(limit, now_us) ||
+	return !rate_limit_is_limited(limit, now_us) ||
+	       has_borrowed(limit, now_us) ||
 	       rate_limit_tokens(limit, now_us) >= 1;
 }
 
 bool rate_limit_take(struct rate_limit *limit, uint64_t now_us)
 {
-	if (limit->per_s == 0)
+	if (!rate_limit_is_limited(limit, now_us))
 		return false;
 	limit->sent++;
 	if (has_borrowed(limit, now_us)) {
--- a/packages/core/rate_limit.h
+++ b/packages/core/rate_limit.h
@@ -28,6 +28,7 @@
 
 struct rate_limit {
 	double per_s; /* of all nodes together; 0: none is named */
+	double last_per_s; /* the rate before it named none; 0: none */
 	uint64_t named_us; /* when that was learned; 0: never named */
 	double part_per_s; /* this node's */
 	double tokens;
@@ -71,6 +72,14 @@
 bool rate_limit_told(struct rate_limit *limit, double per_s, uint64_t at_us,
 		     uint64_t now_us);
 
+/*
+ * What all nodes together may send a second: the rate that the server names, or
+ * for a moment after it named one a rising one, since all that was held back
+ * would come at once. 0: as much as they like.
+ */
+double rate_limit_in_force(const struct rate_limit *limit, uint64_t now_us);
+bool rate_limit_is_limited(const struct rate_limit *limit, uint64_t now_us);
+
 /*
  * This node's part of the rate that a server of this region names, by the
  * server's hash; 0 for a node that isn't a sender. Senders are some of the
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -219,7 +219,9 @@
 static bool hold_for_token(struct exchange *exchange)
 {
 	const struct choice *choice = &exchange->choice;
-	bool has_come = choice->backend && choice->backend->limit.per_s > 0;
+	bool has_come = choice->backend &&
+			rate_limit_is_limited(&choice->backend->limit,
+					      exchange_now_us(exchange));
 
 	if (!choice->wanted || has_come || exchange->token_holds >= TOKEN_HOLDS)
 		return false;
--- a/packages/edge/server_limits.c
+++ b/packages/edge/server_limits.c
@@ -16,21 +16,24 @@
 
 static double part_of(const struct edge *edge, const struct backend *backend)
 {
-	if (edge_now_us(edge) - edge->began_us < SENDER_WAIT_US)
+	uint64_t now_us = edge_now_us(edge);
+	double per_s = rate_limit_in_force(&backend->limit, now_us);
+
+	if (per_s == 0 || now_us - edge->began_us < SENDER_WAIT_US)
 		return 0;
 	return rate_limit_part(edge->members, backend->region, backend->hash,
-			       backend->limit.per_s);
+			       per_s);
 }
 
 static void share(struct edge *edge, struct backend *backend)
 {
-	double part_per_s = backend->limit.per_s ? part_of(edge, backend) : 0;
-
-	rate_limit_share(&backend->limit, part_per_s, edge_now_us(edge));
+	rate_limit_share(&backend->limit, part_of(edge, backend),
+			 edge_now_us(edge));
 }
 
 void server_limits_share(struct edge *edge)
 {
+	uint64_t now_us = edge_now_us(edge);
 	bool are_limited = false;
 	GHashTableIter iter;
 	gpointer value;
@@ -41,9 +44,12 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct backend *backend = value;
 
-		if (backend->limit.per_s)
+		bool is_limited =
+			rate_limit_is_limited(&backend->limit, now_us);
+
+		if (is_limited)
 			share(edge, backend);
-		if (backend->limit.per_s || backend->limit.urgent)
+		if (is_limited || backend->limit.urgent)
 			are_limited = true;
 	}
 	edge->are_limited = are_limited;
