rate_limit: a rate that flaps costs bounded words

A server that names two rates in turn, a hundred times a second, made each answer news that went to all nodes twice. A higher rate is now believed only 0.3 s after the lower one was last named, and a server's rate is told to all at once at most five times a second; what it is then goes out.

--- a/packages/core/rate_limit.c
+++ b/packages/core/rate_limit.c
@@ -45,6 +45,12 @@
 #define REFILL_DOUBLING_US (250 * US_PER_MS)
 #define REFILL_US (2 * US_PER_S)
 
+/*
+ * A higher rate isn't believed for so long after a lower one was named: each
+ * change of one that flaps would be told to all nodes.
+ */
+#define RAISE_WAIT_US (300 * US_PER_MS)
+
 bool rate_limit_parse(const char *text, double *per_s)
 {
 	size_t length = strlen(text);
@@ -92,6 +98,12 @@
 	return per_s > 0 && (known_per_s == 0 || per_s < known_per_s);
 }
 
+/* Whether a higher rate that was learned then follows a lower one too soon. */
+static bool is_early(const struct rate_limit *limit, uint64_t at_us)
+{
+	return limit->per_s > 0 && at_us - limit->named_us < RAISE_WAIT_US;
+}
+
 static void set_rate(struct rate_limit *limit, double per_s, uint64_t at_us,
 		     uint64_t now_us)
 {
@@ -115,7 +127,8 @@
 			limit->named_us = now_us;
 		return false;
 	}
-	if (!is_stricter(per_s, limit->per_s) && sent_us < limit->named_us)
+	if (!is_stricter(per_s, limit->per_s) &&
+	    (sent_us < limit->named_us || is_early(limit, now_us)))
 		return false;
 	set_rate(limit, per_s, now_us, now_us);
 	return true;
@@ -126,6 +139,8 @@
 {
 	if (per_s == limit->per_s || at_us <= limit->named_us)
 		return false;
+	if (!is_stricter(per_s, limit->per_s) && is_early(limit, at_us))
+		return false;
 	set_rate(limit, per_s, at_us, now_us);
 	return true;
 }
--- a/packages/core/rate_limit.h
+++ b/packages/core/rate_limit.h
@@ -40,6 +40,7 @@
 	uint32_t refused_by; /* the sender that had none, by hash; 0: none */
 	uint64_t ask_again_us; /* senders have none before that */
 	uint32_t urgent; /* times it is still told to all at once */
+	uint64_t told_us; /* when it last was */
 	uint32_t rejected; /* words that can't be read */
 	uint64_t sent; /* requests, while it was limited */
 };
@@ -62,8 +63,9 @@
 
 /*
  * An answer named this rate, 0 for none; it was asked for at sent_us. A higher
- * one counts only if the server was asked after the known one was learned:
- * answers of different nodes overtake each other. Whether that was news.
+ * one counts only if the server was asked after the known one was learned, for
+ * answers of different nodes overtake each other, and not at once. Whether that
+ * was news.
  */
 bool rate_limit_heard(struct rate_limit *limit, double per_s, uint64_t sent_us,
 		      uint64_t now_us);
--- a/packages/edge/server_limits.c
+++ b/packages/edge/server_limits.c
@@ -14,6 +14,9 @@
  */
 #define URGENT_TELLS 2
 
+/* Between two times that a server's rate is told to all nodes at once. */
+#define URGENT_SPACING_US (200 * US_PER_MS)
+
 static double part_of(const struct edge *edge, const struct backend *backend)
 {
 	uint64_t now_us = edge_now_us(edge);
@@ -154,6 +157,7 @@
 uint32_t server_limits_urgent_words(struct edge *edge, struct rate_word *words,
 				    uint32_t most)
 {
+	uint64_t now_us = edge_now_us(edge);
 	GHashTableIter iter;
 	uint32_t count = 0;
 	gpointer value;
@@ -164,9 +168,11 @@
 	while (count < most && g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct backend *backend = value;
 
-		if (!backend->limit.urgent)
+		if (!backend->limit.urgent ||
+		    now_us - backend->limit.told_us < URGENT_SPACING_US)
 			continue;
 		backend->limit.urgent--;
+		backend->limit.told_us = now_us;
 		fill_word(edge, backend, &words[count++]);
 	}
 	return count;
--- a/tests/core/rate_limit_test.cc
+++ b/tests/core/rate_limit_test.cc
@@ -184,6 +184,39 @@
 	EXPECT_TRUE(rate_limit_may_ask(&limit, now_us + 200000));
 }
 
+/* Each change of a rate that flaps would be told to all nodes. */
+TEST(RateLimitTest, ARateThatFlapsIsTheLowerOne)
+{
+	struct rate_limit limit = {};
+	uint64_t now_us = 10 * US_PER_S;
+	int news = 0;
+
+	for (int i = 0; i < 1000; i++) {
+		now_us += 10000;
+		news += rate_limit_heard(&limit, i % 2 ? 9 : 2, now_us - 5000,
+					 now_us);
+		EXPECT_DOUBLE_EQ(2, limit.per_s);
+	}
+	EXPECT_EQ(1, news);
+	now_us += US_PER_S;
+	EXPECT_TRUE(rate_limit_heard(&limit, 9, now_us - 5000, now_us));
+}
+
+/* The same where its answers go to different nodes. */
+TEST(RateLimitTest, ARateThatFlapsByOthersWordsChangesSeldom)
+{
+	struct rate_limit limit = {};
+	uint64_t now_us = 10 * US_PER_S;
+	int news = 0;
+
+	for (int i = 0; i < 1000; i++) {
+		now_us += 10000;
+		news += rate_limit_told(&limit, i % 2 ? 9 : 2, now_us - 5000,
+					now_us);
+	}
+	EXPECT_LE(news, 70);
+}
+
 /* All that was held back from a server comes to it in one moment. */
 TEST(RateLimitTest, AServerThatNamesNoRateAnyMoreIsFilledGradually)
 {
--- a/tests/edge/server_limit_test.cc
+++ b/tests/edge/server_limit_test.cc
@@ -148,6 +148,27 @@
 	EXPECT_EQ(0u, app_stand_total_runs(needy.stand));
 }
 
+/* Ever lower rates, each of them news for all nodes. */
+TEST_F(ServerLimitTest, RatesThatKeepFallingCostBoundedWords)
+{
+	struct rate_word told[BEAT_MAX_RATES];
+	uint32_t words = 0;
+	App &needy = add_app("i-1");
+
+	start_settled_node();
+	for (int i = 0; i < 50; i++) {
+		app_stand_set_headers(
+			needy.stand,
+			("Server-Limit: " + std::to_string(2000 - i) + "\r\n")
+				.c_str());
+		answer_to(get("a" + std::to_string(i), "/r/"));
+		words += server_limits_urgent_words(edge, told, BEAT_MAX_RATES);
+		turn_for(10);
+	}
+	ASSERT_DOUBLE_EQ(1951, limit_of("i-1").per_s);
+	EXPECT_LE(words, 8u);
+}
+
 /* Another server has the address now, and names a rate of its own. */
 TEST_F(ServerLimitTest, AnotherServersRateIsNotBelieved)
 {
