rate_limit: nodes of other regions borrow tokens as well

A server's rate was for nodes of its own region alone: demand that moved to another region found servers with rate left and no way to it. A node elsewhere now asks up to three senders at once for as many tokens as it has requests waiting or turned away since it last asked, holds one request for the round trip, and only as far as the share that may leave the region goes (region_flow_would_leave). A part saves up one request and 0.15 s of its rate, 0.1 s before, for it is asked once a round trip.

TokensOfAnotherRegionAreAskedForAsFarAsTheShareGoes is the border's.

--- a/packages/core/candidate.c
+++ b/packages/core/candidate.c
@@ -270,15 +270,28 @@
 			       const struct backend *backend, uint64_t now_us)
 {
 	return rate_limit_is_limited(&backend->limit, now_us) &&
-	       !strcmp(backend->region, chooser->region) &&
 	       candidate_blocked(chooser, query, backend, now_us) ==
 		       CHOOSE_LIMITED;
 }
 
+/* Those that lend tokens are near the server. */
+static void add_token_way(const struct chooser *chooser,
+			  struct candidate *candidate)
+{
+	double way_us;
+
+	if (candidate->near)
+		return;
+	way_us = (double)chooser_link_us(chooser, candidate->backend->region);
+	candidate->expected_us += way_us;
+	candidate->cost_us += way_us;
+}
+
 struct backend *candidates_wanted(const struct chooser *chooser,
 				  const struct choose_query *query,
 				  const struct service_times *times,
-				  double cost_us, uint64_t now_us)
+				  double cost_us, bool may_leave,
+				  uint64_t now_us)
 {
 	const GPtrArray *backends =
 		backend_table_of(chooser->backends, query->service->name);
@@ -293,7 +306,10 @@
 		    now_us < candidate.backend->limit.ask_again_us)
 			continue;
 		estimate(chooser, query, times, now_us, &candidate);
-		if (candidate.full || candidate.cost_us >= cost_us)
+		add_token_way(chooser, &candidate);
+		if (candidate.full || candidate.cost_us >= cost_us ||
+		    (!candidate.near && !may_leave) ||
+		    candidate.expected_us >= (double)query->left_us)
 			continue;
 		cost_us = candidate.cost_us;
 		wanted = candidate.backend;
--- a/packages/core/candidate.h
+++ b/packages/core/candidate.h
@@ -55,14 +55,15 @@
 			   const struct service_times *times, uint64_t now_us);
 
 /*
- * The cheapest server of this region that only its rate keeps out and that
- * costs less than this; NULL if there is none. Those whose senders have just
- * said that they have no token are out.
+ * The cheapest server that only its rate keeps out and that costs less than
+ * this, of another region only where the request may leave; NULL if there is
+ * none. Those whose senders have just said that they have no token are out.
  */
 struct backend *candidates_wanted(const struct chooser *chooser,
 				  const struct choose_query *query,
 				  const struct service_times *times,
-				  double cost_us, uint64_t now_us);
+				  double cost_us, bool may_leave,
+				  uint64_t now_us);
 
 /* Whether some server has the object warm and isn't so slow that it's no use.
  */
--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -202,6 +202,27 @@
 	return near ? trial(chooser, candidates, near, now_us) : NULL;
 }
 
+/*
+ * Whether a request that no server takes now, or one of another region, would
+ * be let go there.
+ */
+static bool may_leave(struct chooser *chooser, const struct choose_query *query,
+		      const struct candidate *best, uint64_t now_us)
+{
+	const struct region_flow_request request = {
+		.prefers_to_leave = true,
+		.has_object = query->has_object &&
+			      !(chooser->off & CHOOSE_LEAVE_BY_OBJECT),
+		.object = query->object,
+		.free = region_is_disturbed(chooser, now_us),
+	};
+
+	if (best)
+		return !best->near;
+	return region_flow_would_leave(flow_of(chooser, query->service->name),
+				       &request, now_us);
+}
+
 static enum choose_reason reason_for(const struct candidate *candidate)
 {
 	if (candidate->trial)
@@ -255,7 +276,8 @@
 	memset(choice, 0, sizeof(*choice));
 	best = pick(chooser, query, times, candidates, now_us);
 	choice->wanted = candidates_wanted(
-		chooser, query, times, best ? best->cost_us : INFINITY, now_us);
+		chooser, query, times, best ? best->cost_us : INFINITY,
+		may_leave(chooser, query, best, now_us), now_us);
 	if (best && best->hold_us > 0 && !best->trial &&
 	    best->expected_us < (double)query->left_us) {
 		choice->reason = CHOOSE_HOLD;
--- a/packages/core/rate_limit.c
+++ b/packages/core/rate_limit.c
@@ -21,20 +21,24 @@
 #define SENDERS_LEAST 2
 
 /*
- * What a part may save up: one request and its share of these, or so much time
- * of its rate where that is more.
+ * What a part may save up: one request, and its share of these or so much time
+ * of its rate where that is more. Nodes of other regions come for it once in a
+ * round trip.
  */
 #define SHARED_BURST 2.0
-#define BURST_US (100 * US_PER_MS)
+#define BURST_US (150 * US_PER_MS)
 
 /*
- * A borrowed token is good for so long after it was asked for, and an answer is
- * waited for as long before another sender is asked: a few round trips within a
- * region, on nodes that are busy.
+ * A borrowed token is good for so long after it was asked for, beside the way,
+ * and an answer is waited for as long before another sender is asked: a few
+ * round trips within a region, on nodes that are busy.
  */
 #define BORROW_US (300 * US_PER_MS)
 #define ANSWER_WAIT_US (100 * US_PER_MS)
 
+/* Tokens that are asked for at one time. */
+#define BORROW_MOST 64
+
 /* Longest time that a sender says to wait: its part may change. */
 #define ASK_AGAIN_MOST_US (500 * US_PER_MS)
 
@@ -189,7 +193,7 @@
 	double share = per_s > 0 ? limit->part_per_s / per_s : 0;
 	double burst_s = (double)BURST_US / (double)US_PER_S;
 
-	return fmax(1.0 + SHARED_BURST * share, limit->part_per_s * burst_s);
+	return 1.0 + fmax(SHARED_BURST * share, limit->part_per_s * burst_s);
 }
 
 double rate_limit_tokens(const struct rate_limit *limit, uint64_t now_us)
@@ -213,60 +217,104 @@
 	limit->part_per_s = part_per_s;
 }
 
+static bool has_borrowed(const struct rate_limit *limit, uint64_t now_us)
+{
+	return limit->borrowed && now_us < limit->borrowed_until_us;
+}
+
 bool rate_limit_may_ask(const struct rate_limit *limit, uint64_t now_us)
 {
-	if (limit->asked && now_us - limit->asked_us < ANSWER_WAIT_US)
+	if (limit->asked_count &&
+	    now_us - limit->asked_us < ANSWER_WAIT_US + limit->way_us)
 		return false;
 	return rate_limit_is_limited(limit, now_us) &&
 	       now_us >= limit->ask_again_us;
 }
 
-void rate_limit_ask(struct rate_limit *limit, uint32_t sender, uint64_t now_us)
+uint32_t rate_limit_begin_asking(struct rate_limit *limit, uint64_t way_us,
+				 uint64_t now_us)
 {
-	limit->asked = sender;
+	uint32_t tokens = MIN(limit->missed + 1, BORROW_MOST);
+
+	if (!has_borrowed(limit, now_us))
+		limit->borrowed = 0;
+	limit->asked_count = 0;
 	limit->asked_us = now_us;
+	limit->way_us = way_us;
+	limit->missed = 0;
+	return tokens;
+}
+
+bool rate_limit_ask(struct rate_limit *limit, uint32_t sender)
+{
+	uint32_t i;
+
+	if (limit->asked_count == RATE_LIMIT_ASKS_MOST)
+		return false;
+	for (i = 0; i < limit->asked_count; i++)
+		if (limit->asked[i] == sender)
+			return false;
+	limit->asked[limit->asked_count++] = sender;
+	return true;
+}
+
+void rate_limit_miss(struct rate_limit *limit)
+{
+	limit->missed++;
 }
 
-bool rate_limit_lend(struct rate_limit *limit, uint64_t now_us,
-		     uint64_t *wait_us)
+uint32_t rate_limit_lend(struct rate_limit *limit, uint32_t most,
+			 uint64_t now_us, uint64_t *wait_us)
 {
+	uint32_t lent;
+
 	*wait_us = 0;
 	fill(limit, now_us);
 	if (rate_limit_is_limited(limit, now_us) && limit->tokens >= 1) {
-		limit->tokens -= 1;
-		return true;
+		lent = (uint32_t)fmin(limit->tokens, MIN(most, BORROW_MOST));
+		limit->tokens -= lent;
+		return lent;
 	}
 	*wait_us = ASK_AGAIN_MOST_US;
 	if (limit->part_per_s > 0)
 		*wait_us = (uint64_t)fmin((1 - limit->tokens) /
 						  limit->part_per_s * US_PER_S,
 					  ASK_AGAIN_MOST_US);
-	return false;
+	return 0;
+}
+
+/* Whether an answer of the sender was due, which it isn't any more. */
+static bool take_answer(struct rate_limit *limit, uint32_t sender)
+{
+	uint32_t i;
+
+	for (i = 0; i < limit->asked_count; i++)
+		if (limit->asked[i] == sender)
+			break;
+	if (i == limit->asked_count)
+		return false;
+	limit->asked[i] = limit->asked[--limit->asked_count];
+	return true;
 }
 
-void rate_limit_answered(struct rate_limit *limit, uint32_t sender, bool lent,
-			 uint64_t wait_us, uint64_t now_us)
+void rate_limit_answered(struct rate_limit *limit, uint32_t sender,
+			 uint32_t lent, uint64_t wait_us, uint64_t now_us)
 {
-	if (!limit->asked || limit->asked != sender)
+	if (!take_answer(limit, sender))
 		return;
-	limit->asked = 0;
 	if (lent) {
 		limit->refused_by = 0;
-		limit->borrowed = 1;
-		limit->borrowed_until_us = limit->asked_us + BORROW_US;
+		limit->borrowed += MIN(lent, BORROW_MOST);
+		limit->borrowed_until_us =
+			limit->asked_us + limit->way_us + BORROW_US;
 	} else if (!limit->refused_by) {
 		limit->refused_by = sender;
-	} else {
+	} else if (!limit->asked_count && !limit->borrowed) {
 		limit->refused_by = 0;
 		limit->ask_again_us = now_us + MIN(wait_us, ASK_AGAIN_MOST_US);
 	}
 }
 
-static bool has_borrowed(const struct rate_limit *limit, uint64_t now_us)
-{
-	return limit->borrowed && now_us < limit->borrowed_until_us;
-}
-
 bool rate_limit_allows(const struct rate_limit *limit, uint64_t now_us)
 {
 	return !rate_limit_is_limited(limit, now_us) ||
@@ -280,7 +328,7 @@
 		return false;
 	limit->sent++;
 	if (has_borrowed(limit, now_us)) {
-		limit->borrowed = 0;
+		limit->borrowed--;
 		return true;
 	}
 	fill(limit, now_us);
@@ -295,6 +343,6 @@
 		fill(limit, now_us);
 		limit->tokens += 1;
 	} else if (now_us < limit->borrowed_until_us) {
-		limit->borrowed = 1;
+		limit->borrowed++;
 	}
 }
--- a/packages/core/rate_limit.h
+++ b/packages/core/rate_limit.h
@@ -5,10 +5,10 @@
  * its region, the senders, share the rate by equal, fixed parts, so that the
  * parts add up to the rate whoever dies, starts or is cut off. Each part is a
  * token bucket that holds next to nothing. Which members are senders follows
- * from the members' table, dead ones included. Another node of the region that
- * has a request for the server borrows a token of a sender, which then isn't
- * the sender's any more; one that is lost on its way is nobody's. Pure; not
- * thread-safe. Times are those of the clock port.
+ * from the members' table, dead ones included. Another node that has requests
+ * for the server borrows tokens of a sender, which then aren't the sender's any
+ * more; what is lost on its way is nobody's. Pure; not thread-safe. Times are
+ * those of the clock port.
  */
 #ifndef CORE_RATE_LIMIT_H
 #define CORE_RATE_LIMIT_H
@@ -26,6 +26,9 @@
 #define RATE_LIMIT_LEAST_PER_S 0.001
 #define RATE_LIMIT_MOST_PER_S 1000000.0
 
+/* Senders that are asked for tokens at one time. */
+#define RATE_LIMIT_ASKS_MOST 3
+
 struct rate_limit {
 	double per_s; /* of all nodes together; 0: none is named */
 	double last_per_s; /* the rate before it named none; 0: none */
@@ -35,8 +38,12 @@
 	uint64_t filled_us;
 	uint32_t borrowed; /* tokens of a sender's */
 	uint64_t borrowed_until_us;
-	uint32_t asked; /* the sender whose answer is due, by hash; 0: none */
+	/* Senders whose answers are due, by hash. */
+	uint32_t asked[RATE_LIMIT_ASKS_MOST];
+	uint32_t asked_count;
 	uint64_t asked_us;
+	uint64_t way_us; /* to these and back */
+	uint32_t missed; /* requests that had no token since then */
 	uint32_t refused_by; /* the sender that had none, by hash; 0: none */
 	uint64_t ask_again_us; /* senders have none before that */
 	uint32_t urgent; /* times it is still told to all at once */
@@ -99,17 +106,27 @@
 				       const char *region, uint32_t hash,
 				       double spread, uint64_t now_us);
 
-/* Whether to ask a sender for a token; and that this one was asked. */
+/* Whether to ask a sender for tokens. */
 bool rate_limit_may_ask(const struct rate_limit *limit, uint64_t now_us);
-void rate_limit_ask(struct rate_limit *limit, uint32_t sender, uint64_t now_us);
 
-/* Lend a token of one's own; false, and how long to wait, without one. */
-bool rate_limit_lend(struct rate_limit *limit, uint64_t now_us,
-		     uint64_t *wait_us);
+/*
+ * Begin to ask, over a way of so long; returns how many tokens are needed. And
+ * note that this sender is asked; false if it is already, or too many are.
+ */
+uint32_t rate_limit_begin_asking(struct rate_limit *limit, uint64_t way_us,
+				 uint64_t now_us);
+bool rate_limit_ask(struct rate_limit *limit, uint32_t sender);
+
+/* A request has no token, and doesn't ask: another one's answer is due. */
+void rate_limit_miss(struct rate_limit *limit);
+
+/* Lend tokens of one's own, at most most; how long to wait without any. */
+uint32_t rate_limit_lend(struct rate_limit *limit, uint32_t most,
+			 uint64_t now_us, uint64_t *wait_us);
 
 /* The sender's answer; one that wasn't asked for is ignored. */
-void rate_limit_answered(struct rate_limit *limit, uint32_t sender, bool lent,
-			 uint64_t wait_us, uint64_t now_us);
+void rate_limit_answered(struct rate_limit *limit, uint32_t sender,
+			 uint32_t lent, uint64_t wait_us, uint64_t now_us);
 
 /* The part that the bucket fills with from now on. */
 void rate_limit_share(struct rate_limit *limit, double part_per_s,
--- a/packages/core/region_flow.c
+++ b/packages/core/region_flow.c
@@ -115,3 +115,12 @@
 		flow->credit = fmax(CREDIT_LEAST, flow->credit - 1.0);
 	return leave;
 }
+
+bool region_flow_would_leave(const struct region_flow *flow,
+			     const struct region_flow_request *request,
+			     uint64_t now_us)
+{
+	struct region_flow tried = *flow;
+
+	return region_flow_leave(&tried, request, now_us);
+}
--- a/packages/core/region_flow.h
+++ b/packages/core/region_flow.h
@@ -50,6 +50,11 @@
 		       const struct region_flow_request *request,
 		       uint64_t now_us);
 
+/* The same without its being so. */
+bool region_flow_would_leave(const struct region_flow *flow,
+			     const struct region_flow_request *request,
+			     uint64_t now_us);
+
 #ifdef __cplusplus
 }
 #endif
--- a/packages/edge/beat.c
+++ b/packages/edge/beat.c
@@ -5,7 +5,7 @@
 #include "core/duration.h"
 
 /* Format version, so that nodes of two versions ignore each other's news. */
-#define BEAT_VERSION 6
+#define BEAT_VERSION 7
 
 /*
  * A suspect: fingerprint, crashes (life, age, run), quarantines and what is
@@ -18,7 +18,7 @@
 #define RATES_TYPE "a(udu)"
 
 /* Tokens: life, whether it is asked for, whether it is lent, wait in ms. */
-#define TOKENS_TYPE "a(ubbu)"
+#define TOKENS_TYPE "a(uuuu)"
 
 #define BEAT_TYPE                                   \
 	"(ua(utb)a(uuq)a(uu)a(uttu)a" BEAT_ROW_TYPE \
@@ -71,9 +71,9 @@
 
 	g_variant_builder_init(tokens, G_VARIANT_TYPE(TOKENS_TYPE));
 	for (i = 0; i < beat->token_count; i++)
-		g_variant_builder_add(tokens, "(ubbu)", beat->tokens[i].life,
-				      (gboolean)beat->tokens[i].asks,
-				      (gboolean)beat->tokens[i].lent,
+		g_variant_builder_add(tokens, "(uuuu)", beat->tokens[i].life,
+				      beat->tokens[i].asked,
+				      beat->tokens[i].lent,
 				      beat->tokens[i].wait_ms);
 }
 
@@ -302,17 +302,17 @@
 static void read_tokens(GVariantIter *iter, struct beat *beat)
 {
 	guint32 life;
-	gboolean asks;
-	gboolean lent;
+	guint32 asked;
+	guint32 lent;
 	guint32 wait_ms;
 
 	while (beat->token_count < BEAT_MAX_TOKENS &&
-	       g_variant_iter_next(iter, "(ubbu)", &life, &asks, &lent,
+	       g_variant_iter_next(iter, "(uuuu)", &life, &asked, &lent,
 				   &wait_ms)) {
 		struct beat_token *token = &beat->tokens[beat->token_count++];
 
 		token->life = life;
-		token->asks = asks;
+		token->asked = asked;
 		token->lent = lent;
 		token->wait_ms = wait_ms;
 	}
--- a/packages/edge/beat.h
+++ b/packages/edge/beat.h
@@ -76,11 +76,11 @@
 	uint64_t version; /* of its row in the platform's table */
 };
 
-/* A token of a server's rate: asked for, or the answer to that. */
+/* Tokens of a server's rate: asked for, or the answer to that. */
 struct beat_token {
 	uint32_t life; /* of the server */
-	bool asks;
-	bool lent; /* of an answer */
+	uint32_t asked; /* how many; 0: an answer */
+	uint32_t lent; /* of an answer */
 	uint32_t wait_ms; /* of an answer without: until there may be one */
 };
 
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -211,29 +211,45 @@
 	arm(exchange);
 }
 
+/* To those that lend tokens of the server's rate, and back. */
+static uint64_t token_way_us(const struct exchange *exchange,
+			     const struct backend *backend)
+{
+	const struct chooser *chooser = &exchange->edge->chooser;
+
+	if (!strcmp(backend->region, chooser->region))
+		return 0;
+	return chooser_link_us(chooser, backend->region);
+}
+
 /*
- * A sender of the best server's rate is near: its answer, a token or none, is
- * there in a few ms. Where it has none another one is asked. One request at a
- * time asks, the others go elsewhere.
+ * A sender of the best server's rate answers after the way to it, with tokens
+ * or none. Where it has none another one is asked, if it is near. One request
+ * at a time asks, the others go elsewhere.
  */
 static bool hold_for_token(struct exchange *exchange)
 {
 	const struct choice *choice = &exchange->choice;
+	struct backend *wanted = choice->wanted;
+	uint64_t now_us = exchange_now_us(exchange);
+	uint64_t way_us;
 	bool has_come = choice->backend &&
-			rate_limit_is_limited(&choice->backend->limit,
-					      exchange_now_us(exchange));
+			rate_limit_is_limited(&choice->backend->limit, now_us);
 
-	if (!choice->wanted || has_come || exchange->token_holds >= TOKEN_HOLDS)
+	if (!wanted || has_come || exchange->token_holds >= TOKEN_HOLDS)
 		return false;
-	if (rate_limit_may_ask(&choice->wanted->limit,
-			       exchange_now_us(exchange))) {
-		if (!server_limits_ask(exchange->edge, choice->wanted))
+	way_us = exchange->token_holds ? 0 : token_way_us(exchange, wanted);
+	if (rate_limit_may_ask(&wanted->limit, now_us)) {
+		if (exchange->token_holds && token_way_us(exchange, wanted))
+			return false;
+		if (!server_limits_ask(exchange->edge, wanted, way_us))
 			return false;
 	} else if (!exchange->token_holds) {
+		rate_limit_miss(&wanted->limit);
 		return false;
 	}
 	exchange->token_holds++;
-	hold_for(exchange, TOKEN_STEP_US);
+	hold_for(exchange, way_us + TOKEN_STEP_US);
 	return true;
 }
 
--- a/packages/edge/gossip.h
+++ b/packages/edge/gossip.h
@@ -34,8 +34,8 @@
 void gossip_tell_words(struct gossip *gossip);
 
 /* Ask a member for a token of the rate of the server of this life. */
-void gossip_ask_token(struct gossip *gossip, const struct member *member,
-		      uint32_t life);
+void gossip_ask_tokens(struct gossip *gossip, const struct member *member,
+		       uint32_t life, uint32_t count);
 
 /* Beat now, since something changed that others should know at once. */
 void gossip_hurry(struct gossip *gossip);
--- a/packages/edge/gossip_words.c
+++ b/packages/edge/gossip_words.c
@@ -106,14 +106,14 @@
 		gossip_send_to_one(gossip, member, &words);
 }
 
-void gossip_ask_token(struct gossip *gossip, const struct member *member,
-		      uint32_t life)
+void gossip_ask_tokens(struct gossip *gossip, const struct member *member,
+		       uint32_t life, uint32_t count)
 {
 	struct beat beat = { .life_count = 0 };
 
 	gossip_sign(gossip, &beat);
 	beat.tokens[beat.token_count].life = life;
-	beat.tokens[beat.token_count++].asks = true;
+	beat.tokens[beat.token_count++].asked = count;
 	gossip_send_to_one(gossip, member, &beat);
 }
 
--- a/packages/edge/server_limits.c
+++ b/packages/edge/server_limits.c
@@ -106,23 +106,37 @@
 	return true;
 }
 
-bool server_limits_ask(struct edge *edge, struct backend *backend)
+/* One of the senders, so many tokens; whether another one was drawn. */
+static bool ask_one(struct edge *edge, struct backend *backend, uint32_t tokens)
 {
-	uint64_t now_us = edge_now_us(edge);
-	const struct member *sender;
+	const struct member *sender = rate_limit_sender(
+		&backend->limit, edge->members, backend->region, backend->hash,
+		g_random_double(), edge_now_us(edge));
 
-	if (!edge->gossip)
-		return false;
-	sender = rate_limit_sender(&backend->limit, edge->members,
-				   backend->region, backend->hash,
-				   g_random_double(), now_us);
-	if (!sender)
+	if (!sender || !rate_limit_ask(&backend->limit, sender->hash))
 		return false;
-	rate_limit_ask(&backend->limit, sender->hash, now_us);
-	gossip_ask_token(edge->gossip, sender, backend->life);
+	gossip_ask_tokens(edge->gossip, sender, backend->life, tokens);
 	return true;
 }
 
+bool server_limits_ask(struct edge *edge, struct backend *backend,
+		       uint64_t way_us)
+{
+	uint32_t tokens;
+	uint32_t senders;
+	uint32_t i;
+
+	if (!edge->gossip)
+		return false;
+	tokens = rate_limit_begin_asking(&backend->limit, way_us,
+					 edge_now_us(edge));
+	/* A second question would cost the way once more. */
+	senders = way_us ? MIN(tokens, RATE_LIMIT_ASKS_MOST) : 1;
+	for (i = 0; i < senders; i++)
+		ask_one(edge, backend, (tokens + senders - 1) / senders);
+	return backend->limit.asked_count > 0;
+}
+
 bool server_limits_token(struct edge *edge, const struct member *from,
 			 const struct beat_token *token,
 			 struct beat_token *answer)
@@ -134,14 +148,15 @@
 
 	if (!backend)
 		return false;
-	if (!token->asks) {
+	if (!token->asked) {
 		rate_limit_answered(&backend->limit, from->hash, token->lent,
 				    token->wait_ms * US_PER_MS, now_us);
 		return false;
 	}
 	answer->life = token->life;
-	answer->asks = false;
-	answer->lent = rate_limit_lend(&backend->limit, now_us, &wait_us);
+	answer->asked = 0;
+	answer->lent = rate_limit_lend(&backend->limit, token->asked, now_us,
+				       &wait_us);
 	answer->wait_ms = (uint32_t)(wait_us / US_PER_MS) + 1;
 	return true;
 }
--- a/packages/edge/server_limits.h
+++ b/packages/edge/server_limits.h
@@ -24,12 +24,13 @@
 bool server_limits_take(struct edge *edge, const struct rate_word *word);
 
 /*
- * Ask one of the server's senders for a token; whether one was asked. Its
- * answer comes in a moment, or never.
+ * Ask one of the server's senders for tokens, over a way of so long there and
+ * back; whether one was asked. Its answer comes in a moment, or never.
  */
-bool server_limits_ask(struct edge *edge, struct backend *backend);
+bool server_limits_ask(struct edge *edge, struct backend *backend,
+		       uint64_t way_us);
 
-/* A member asks for a token, or answers; whether it gets an answer to that. */
+/* A member asks for tokens, or answers; whether it gets an answer to that. */
 bool server_limits_token(struct edge *edge, const struct member *from,
 			 const struct beat_token *token,
 			 struct beat_token *answer);
--- a/tests/core/choose_test.cc
+++ b/tests/core/choose_test.cc
@@ -62,6 +62,12 @@
 		facts.cold_left_us = cold_us;
 		return backend_table_put(backends, &facts, now_us);
 	}
+	/* How much of the service's requests leaves the region. */
+	struct region_flow *chooser_flow(const char *of)
+	{
+		return (struct region_flow *)g_hash_table_lookup(chooser.flows,
+								 of);
+	}
 	struct choice choose()
 	{
 		struct choice choice;
@@ -530,4 +536,28 @@
 	EXPECT_EQ(10, left);
 }
 
+/* All servers named a rate: a region's requests don't all cross at once. */
+TEST_F(ChooseTest, TokensOfAnotherRegionAreAskedForAsFarAsTheShareGoes)
+{
+	struct backend *far = add("f-1", "d3", "r2");
+	struct rate_limit *near = &add("i-1")->limit;
+	int wanted = 0;
+
+	rate_limit_heard(near, 2, now_us, now_us);
+	near->ask_again_us = now_us + US_PER_S;
+	rate_limit_heard(&far->limit, 50, now_us, now_us);
+	for (int i = 0; i < 100; i++) {
+		struct choice choice = choose();
+
+		EXPECT_EQ(nullptr, choice.backend);
+		EXPECT_EQ(CHOOSE_NO_RATE, choice.reason);
+		wanted += choice.wanted == far;
+	}
+	EXPECT_EQ(0, wanted);
+	region_flow_init(chooser_flow("s"), 1);
+	EXPECT_EQ(far, choose().wanted);
+	query.left_us = 50 * US_PER_MS;
+	EXPECT_EQ(nullptr, choose().wanted);
+}
+
 } // namespace
--- a/tests/core/rate_limit_test.cc
+++ b/tests/core/rate_limit_test.cc
@@ -154,13 +154,15 @@
 	const uint32_t sender = 7;
 
 	rate_limit_heard(&limit, 2, now_us, now_us);
-	rate_limit_answered(&limit, sender, true, 0, now_us);
+	rate_limit_answered(&limit, sender, 1, 0, now_us);
 	EXPECT_FALSE(rate_limit_allows(&limit, now_us));
-	rate_limit_ask(&limit, sender, now_us);
+	rate_limit_begin_asking(&limit, 0, now_us);
+	EXPECT_TRUE(rate_limit_ask(&limit, sender));
+	EXPECT_FALSE(rate_limit_ask(&limit, sender));
 	EXPECT_FALSE(rate_limit_may_ask(&limit, now_us));
-	rate_limit_answered(&limit, sender + 1, true, 0, now_us);
+	rate_limit_answered(&limit, sender + 1, 1, 0, now_us);
 	EXPECT_FALSE(rate_limit_allows(&limit, now_us));
-	rate_limit_answered(&limit, sender, true, 0, now_us);
+	rate_limit_answered(&limit, sender, 1, 0, now_us);
 	rate_limit_take(&limit, now_us);
 	EXPECT_FALSE(rate_limit_allows(&limit, now_us));
 	rate_limit_give_back(&limit, now_us);
@@ -175,11 +177,13 @@
 	uint64_t now_us = 10 * US_PER_S;
 
 	rate_limit_heard(&limit, 2, now_us, now_us);
-	rate_limit_ask(&limit, 7, now_us);
-	rate_limit_answered(&limit, 7, false, 200000, now_us);
+	rate_limit_begin_asking(&limit, 0, now_us);
+	rate_limit_ask(&limit, 7);
+	rate_limit_answered(&limit, 7, 0, 200000, now_us);
 	EXPECT_TRUE(rate_limit_may_ask(&limit, now_us));
-	rate_limit_ask(&limit, 8, now_us);
-	rate_limit_answered(&limit, 8, false, 200000, now_us);
+	rate_limit_begin_asking(&limit, 0, now_us);
+	rate_limit_ask(&limit, 8);
+	rate_limit_answered(&limit, 8, 0, 200000, now_us);
 	EXPECT_FALSE(rate_limit_may_ask(&limit, now_us + 199999));
 	EXPECT_TRUE(rate_limit_may_ask(&limit, now_us + 200000));
 }
@@ -260,8 +264,8 @@
 			member_table_free(node.members);
 	}
 	/*
-	 * Demand of five times the rate, evenly over the server's region. A
-	 * node without a token asks a sender; words take a few ms each way.
+	 * Demand of five times the rate, evenly over one region. A node without
+	 * a token asks a sender.
 	 */
 	void play_for(double seconds)
 	{
@@ -273,7 +277,7 @@
 		       end_us) {
 			deliver_until(next_us);
 			now_us = next_us;
-			request_at(3 * (random() % region_nodes));
+			request_at(3 * (random() % region_nodes) + region_at);
 		}
 		deliver_until(end_us);
 		now_us = end_us;
@@ -333,24 +337,34 @@
 	}
 	double per_s;
 	double demand_per_s;
+	int region_at = 0; /* where the demand is; the server is in 0 */
+	bool is_cut = false; /* even nodes from odd ones */
 	uint64_t now_us = 100 * US_PER_S;
 	std::mt19937 random;
 
       private:
 	static constexpr uint64_t HOLD_US = 12000;
+	static constexpr uint64_t LINK_US = 110000;
 
 	struct Node;
 
 	struct Word {
 		int from;
 		int to;
-		bool asks;
-		bool lent;
+		uint32_t asked;
+		uint32_t lent;
 		uint64_t wait_us;
 	};
+	/* Between regions 55 ms more; nothing crosses a cut. */
 	void say(const Word &word)
 	{
-		words.emplace(now_us + 1000 + random() % 3000, word);
+		uint64_t way_us = 1000 + random() % 3000;
+
+		if (is_cut && word.from % 2 != word.to % 2)
+			return;
+		if (word.from % 3 != word.to % 3)
+			way_us += LINK_US / 2;
+		words.emplace(now_us + way_us, word);
 	}
 	void deliver_until(uint64_t until_us)
 	{
@@ -368,17 +382,18 @@
 		Node &node = all[word.to];
 
 		share(node);
-		if (word.asks) {
-			Word answer = { word.to, word.from, false, false, 0 };
+		if (word.asked) {
+			Word answer = { word.to, word.from, 0, 0, 0 };
 
-			answer.lent = rate_limit_lend(&node.limit, now_us,
-						      &answer.wait_us);
+			answer.lent = rate_limit_lend(&node.limit, word.asked,
+						      now_us, &answer.wait_us);
 			say(answer);
 			return;
 		}
 		rate_limit_answered(&node.limit, hash_of(word.from), word.lent,
 				    word.wait_us, now_us);
-		if (now_us - node.waits_since_us < HOLD_US && !send(node) &&
+		if (now_us - node.waits_since_us < HOLD_US + way_us(word.to) &&
+		    !send(node) && !way_us(word.to) &&
 		    rate_limit_may_ask(&node.limit, now_us))
 			ask(word.to);
 	}
@@ -397,22 +412,36 @@
 		if (now_us < node.frozen_until_us)
 			return;
 		share(node);
-		if (send(node) || !rate_limit_may_ask(&node.limit, now_us))
+		if (send(node))
 			return;
+		if (!rate_limit_may_ask(&node.limit, now_us)) {
+			rate_limit_miss(&node.limit);
+			return;
+		}
 		node.waits_since_us = now_us;
 		ask(i);
 	}
 	void ask(int i)
 	{
 		Node &node = all[i];
-		const struct member *sender = rate_limit_sender(
-			&node.limit, node.members, "r0", hash_text("i-1"),
-			(double)(random() % 1000) / 1000, now_us);
-
-		if (!sender)
-			return;
-		rate_limit_ask(&node.limit, sender->hash, now_us);
-		say({ i, atoi(sender->name + 1), true, false, 0 });
+		uint32_t tokens =
+			rate_limit_begin_asking(&node.limit, way_us(i), now_us);
+		uint32_t senders = way_us(i) ? std::min(tokens, 3u) : 1;
+
+		for (uint32_t k = 0; k < senders; k++) {
+			const struct member *sender = rate_limit_sender(
+				&node.limit, node.members, "r0",
+				hash_text("i-1"),
+				(double)(random() % 1000) / 1000, now_us);
+
+			if (sender && rate_limit_ask(&node.limit, sender->hash))
+				say({ i, atoi(sender->name + 1),
+				      (tokens + senders - 1) / senders, 0, 0 });
+		}
+	}
+	static uint64_t way_us(int i)
+	{
+		return i % 3 ? LINK_US : 0;
 	}
 	static uint32_t hash_of(int i)
 	{
@@ -456,15 +485,22 @@
 			put(node.members, other);
 		all.push_back(node);
 	}
-	/* All live members are heard of all the time. */
+	/* Who lives is heard of all the time, but across a cut. */
 	void keep_heard(Node &node)
 	{
 		GHashTableIter iter;
 		gpointer value;
 
 		g_hash_table_iter_init(&iter, node.members->by_name);
-		while (g_hash_table_iter_next(&iter, NULL, &value))
-			((struct member *)value)->heard_us = now_us;
+		while (g_hash_table_iter_next(&iter, NULL, &value)) {
+			struct member *member = (struct member *)value;
+
+			if (!is_cut || (atoi(member->name + 1) -
+					atoi(node.members->self->name + 1)) %
+						       2 ==
+					       0)
+				member->heard_us = now_us;
+		}
 	}
 	void share(Node &node)
 	{
@@ -580,6 +616,35 @@
 	});
 }
 
+/* Demand moves to another region within a second, and the rate with it. */
+TEST_P(RateFleetTest, TheRateFollowsDemandToAnotherRegion)
+{
+	for_each_seed([](RateFleet &fleet) {
+		fleet.play_for(6);
+		fleet.region_at = 1;
+		fleet.play_for(3);
+		uint64_t from_us = fleet.now_us;
+		fleet.play_for(10);
+		EXPECT_LE(fleet.most(0), bound(fleet.per_s));
+		if (fleet.per_s < 2)
+			return;
+		EXPECT_GE(fleet.since(from_us), 0.85 * 10 * fleet.per_s);
+	});
+}
+
+/* Two halves that can't hear each other, for longer than a beat's silence. */
+TEST_P(RateFleetTest, TheSumHoldsThroughACut)
+{
+	for_each_seed([](RateFleet &fleet) {
+		fleet.play_for(5);
+		fleet.is_cut = true;
+		fleet.play_for(8);
+		fleet.is_cut = false;
+		fleet.play_for(5);
+		EXPECT_LE(fleet.most(0), bound(fleet.per_s));
+	});
+}
+
 /* Gone, it is filled within seconds and not in one moment. */
 TEST_P(RateFleetTest, ARateThatIsGoneIsLeftByDegrees)
 {
--- a/tests/edge/gossip_test.cc
+++ b/tests/edge/gossip_test.cc
@@ -501,11 +501,11 @@
 	{
 		hear();
 		for (const struct beat &beat : beats)
-			if (beat.token_count && beat.tokens[0].asks)
+			if (beat.token_count && beat.tokens[0].asked)
 				return beat.tokens[0].life == backend->life;
 		return false;
 	}
-	void answer(bool lent)
+	void answer(uint32_t lent)
 	{
 		struct beat beat = {};
 		struct member *neighbour =
@@ -513,7 +513,7 @@
 
 		beat.lives[beat.life_count++] = { neighbour->hash, ++number,
 						  false };
-		beat.tokens[beat.token_count++] = { backend->life, false, lent,
+		beat.tokens[beat.token_count++] = { backend->life, 0, lent,
 						    100 };
 		say(beat);
 	}
