tests: a crash from before an answer, an older answer after a newer one

Two guards of suspect_table could be taken out without any test's noticing: in is_new_crash the crash from before a clearing, in clear the older clearing. Each has a test that fails without it (both taken out in turn).

--- a/tests/core/suspect_table_test.cc
+++ b/tests/core/suspect_table_test.cc
@@ -154,6 +154,19 @@
 	EXPECT_EQ(SUSPECT_ALONE, rule().verdict);
 }
 
+/* Guards against a crash that is noticed late outliving the answer after it. */
+TEST_F(SuspectTest, ACrashFromBeforeAnAnswerIsNone)
+{
+	crash_times(1);
+	const struct suspect_crash late = { next_life++, now_us - US_PER_S,
+					    100 * US_PER_MS };
+
+	suspect_cleared(table, PRINT, now_us);
+	EXPECT_FALSE(
+		suspect_crashed(table, PRINT, backends, &late, "GET /r/x"));
+	EXPECT_EQ(0u, suspect_table_find(table, PRINT)->crash_count);
+}
+
 /* Guards against connections that were reset passing for servers that ended. */
 TEST_F(SuspectTest, AServerThatAnswersLaterDidNotEnd)
 {
@@ -340,6 +353,28 @@
 	EXPECT_EQ(SUSPECT_NONE, their_verdict());
 }
 
+/* Guards against a late word on an older answer undoing a newer one. */
+TEST_F(WordTest, AnOlderAnswerAfterANewerOneChangesNothing)
+{
+	crash_times(2);
+	tell();
+	const uint64_t newer_us = now_us + 2 * US_PER_S;
+	struct suspect_word older = {};
+
+	now_us = newer_us;
+	suspect_cleared(theirs, PRINT, now_us);
+	older.fingerprint = PRINT;
+	older.cleared = true;
+	older.cleared_age_us = US_PER_S;
+	EXPECT_TRUE(take(older));
+	EXPECT_EQ(newer_us, suspect_table_find(theirs, PRINT)->cleared_us);
+	const struct suspect_crash between = { next_life++,
+					       newer_us - US_PER_S / 2,
+					       100 * US_PER_MS };
+
+	EXPECT_FALSE(suspect_crashed(theirs, PRINT, backends, &between, ""));
+}
+
 TEST_F(WordTest, ARunIsTold)
 {
 	crash_times(2);
