--- a/models/deny.pml
+++ b/models/deny.pml
@@ -15,7 +15,7 @@
  * time to ask and for the answer to arrive (has).
  *
  * Stands for. packages/edge/lane.c, sync.c, sync_neighbours.c and
- * edge_may_deny(), with a tick of a sixth of the time within which a change
+ * sync_may_deny(), with a tick of a sixth of the time within which a change
  * must be in force.
  *
  * Faults, each removing one guard:
--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -9,6 +9,7 @@
 #include "core/result.h"
 #include "edge/exchange.h"
 #include "edge/local.h"
+#include "edge/sync.h"
 #include "edge/wire.h"
 
 #define LISTEN_BACKLOG 512
@@ -267,7 +268,7 @@
 static void reject_too_large(struct caller *caller, uint16_t status,
 			     const char *cause)
 {
-	if (edge_may_deny(caller->edge))
+	if (sync_may_deny(caller->edge->sync))
 		reject(caller, status, cause);
 	else
 		reject(caller, 503, "limits unconfirmed");
--- a/packages/edge/edge.c
+++ b/packages/edge/edge.c
@@ -3,8 +3,6 @@
 #include <http_parser.h>
 #include <string.h>
 
-#include "edge/sync.h"
-
 /* Idle connections that are kept to each backend server. */
 #define IDLE_MOST 4
 
@@ -76,11 +74,6 @@
 	return edge->routes && edge->backends->whole && !edge->stopping;
 }
 
-bool edge_may_deny(const struct edge *edge)
-{
-	return edge->sync && sync_routes_are_current(edge->sync);
-}
-
 void edge_note_refusal(struct edge *edge, const char *cause, uint16_t status,
 		       const char *request_id)
 {
--- a/packages/edge/edge.h
+++ b/packages/edge/edge.h
@@ -124,13 +124,6 @@
 /* Whether requests can be served: routes and backend servers are known. */
 bool edge_is_ready(const struct edge *edge);
 
-/*
- * Whether what the routes and limits in force don't allow may be denied with a
- * 4xx; see sync_routes_are_current(). Callers don't come back after one, so a
- * node that may be behind refuses with 503 and a time instead: it doesn't know.
- */
-bool edge_may_deny(const struct edge *edge);
-
 /* Account an answer of the node's own, for operators. */
 void edge_note_refusal(struct edge *edge, const char *cause, uint16_t status,
 		       const char *request_id);
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -10,6 +10,7 @@
 #include "edge/crash_watch.h"
 #include "edge/quarantine_store.h"
 #include "edge/server_limits.h"
+#include "edge/sync.h"
 
 /*
  * A backend server stops work at the deadline it was given; its answer then
@@ -710,7 +711,7 @@
  */
 static void finish_without_route(struct exchange *exchange)
 {
-	if (edge_may_deny(exchange->edge))
+	if (sync_may_deny(exchange->edge->sync))
 		exchange_finish_denied(exchange, 404, "no route");
 	else
 		exchange_finish_refused(exchange, RETRY_SOON_US,
--- a/packages/edge/sync.h
+++ b/packages/edge/sync.h
@@ -43,12 +43,13 @@
 uint64_t sync_routes_age_us(const struct sync *sync);
 
 /*
- * Whether what the routes in force don't allow may be denied for good. It may
- * not where a change could be in force elsewhere by now that isn't here: the
- * routes were confirmed too long ago or never, a neighbour that asked later
- * knows others, others are arriving, or the newest can't be read.
+ * Whether what the routes and limits in force don't allow may be denied with a
+ * 4xx. Callers don't come back after one, so it may not where a change could be
+ * in force elsewhere by now that isn't here: the routes were confirmed too long
+ * ago or never, a neighbour that asked later knows others, others are arriving,
+ * or the newest can't be read. NULL: no.
  */
-bool sync_routes_are_current(const struct sync *sync);
+bool sync_may_deny(const struct sync *sync);
 
 /* For how long missing backend servers are still taken for lapsed ones. */
 uint64_t sync_lapse_left_us(const struct sync *sync);
--- a/packages/edge/sync_parts.h
+++ b/packages/edge/sync_parts.h
@@ -95,31 +95,50 @@
 				  */
 };
 
-/* sync.c: ask the platform now; no call may be out for longer than its time. */
+/* sync_plan.c: how each table is followed. */
+extern const struct follow_rule follow_rules[FOLLOWERS];
+
+/* sync_plan.c: how soon what the platform says must be known here. */
+uint64_t sync_change_within_us(const struct edge *edge);
+
+/* sync_plan.c: this node among those of its region that may read. */
+uint32_t sync_own_rank(const struct sync *sync);
+
+uint64_t follower_time_us(const struct follower *follower,
+			  const struct follow_time *time);
+
+/* sync_plan.c: ask the platform now; no call may be out for longer than its
+ * time. */
 void follower_call(struct follower *follower);
 
-/* sync.c: ask whom the plan says, or wait. */
+/* sync_plan.c: ask whom the plan says, or wait. */
 void follower_step(struct follower *follower);
 
-/* sync.c: look again after so long. */
+/* sync_plan.c: look again after so long. */
 void follower_step_later(struct follower *follower, uint64_t delay_us);
 
-/* sync.c: a pass over the whole table ends; what it didn't hold is gone. */
+/* sync_answer.c: the platform's answer, NULL without one; see lane_done. */
+void follower_answered(void *context, const struct message *answer,
+		       const char *cause);
+
+/* sync_answer.c: a pass over the whole table ends; what it didn't hold is gone.
+ */
 void follower_end_pass(struct follower *follower, uint64_t version,
 		       uint64_t as_of_us);
 
+/* sync_answer.c: keep the row as the platform gave it. */
+void follower_keep_row(struct follower *follower,
+		       const struct registry_row *row);
+
 /* sync_neighbours.c: ask a neighbour for what this node should know. */
 void sync_ask_neighbour(struct sync *sync);
 
 /* sync_neighbours.c: whether the reader's word was another one lately. */
 bool follower_differs(const struct follower *follower);
 
-/* Keep the row as the platform gave it. */
-void follower_keep_row(struct follower *follower,
-		       const struct registry_row *row);
-
-/* sync.c: write this node's own row, again if need be. */
+/* sync_own.c: write this node's own row, again if need be. */
 void sync_write_own_row(struct sync *sync);
+void sync_write_own_row_later(struct sync *sync, uint64_t delay_us);
 
 /* sync_tables.c: what a row says, and what a whole table doesn't say. */
 void apply_config_row(struct sync *sync, const struct registry_row *row);
--- a/tests/edge/neighbour_test.cc
+++ b/tests/edge/neighbour_test.cc
@@ -234,7 +234,7 @@
 	EXPECT_EQ(differing, reads(READ_WORD_DIFFERS));
 	EXPECT_EQ(old, reads(READ_WORD_OLD));
 	vouch_to_second();
-	EXPECT_TRUE(sync_routes_are_current(second_sync));
+	EXPECT_TRUE(sync_may_deny(second_sync));
 }
 
 /*
