quarantine_store: rows beyond the first answer's 500 are read

A start read one page of the rows of quarantined requests; with more than 500 rows, some requests that had crashed servers were served again after the death of all nodes. Pages follow each other now, as with the other tables. The store is told when the members are known (a look each 100 ms went), so that it doesn't include sync, which includes it.

AQuarantineThatAddsUpHereIsKept waits for the rows to be read, which now begins at once and not after 100 ms; its checks are unchanged.

--- a/packages/edge/quarantine_store.c
+++ b/packages/edge/quarantine_store.c
@@ -7,14 +7,10 @@
 #include "core/duration.h"
 #include "core/read_plan.h"
 #include "edge/lane.h"
-#include "edge/sync.h"
 
 /* Until an answer of the platform begins. */
 #define CALL_TIMEOUT_US (1000 * US_PER_MS)
 
-/* How often a start looks whether it is known who reads, if nobody tells. */
-#define LOOK_US (100 * US_PER_MS)
-
 /* Rows that wait to be written; more than servers crash in a store's outage. */
 #define WAITING_MOST 64
 
@@ -25,7 +21,10 @@
 	struct edge *edge;
 	struct lane lane;
 	uv_timer_t timer;
+	bool members_known; /* and so who reads */
 	bool is_read; /* the rows were read, or others of the region do it */
+	char *page_key; /* last key of the pages read so far; NULL: none */
+	uint32_t rows; /* in these */
 	uint64_t waiting[WAITING_MOST]; /* fingerprints of rows to be written */
 	uint32_t waiting_count;
 	uint64_t writing; /* of these, the one whose call is out */
@@ -228,6 +227,24 @@
 	quarantine_record_release(&record);
 }
 
+/* Where there are more rows, the next page begins after the last one. */
+static void end_page(struct quarantine_store *store,
+		     const struct registry_rows *rows)
+{
+	store->rows += rows->rows->len;
+	g_clear_pointer(&store->page_key, g_free);
+	if (rows->has_more && rows->rows->len) {
+		store->page_key =
+			g_strdup(g_array_index(rows->rows, struct registry_row,
+					       rows->rows->len - 1)
+					 .key);
+		return;
+	}
+	store->is_read = true;
+	log_event(LOG_INFO, "table-read", "table=quarantines rows=%u",
+		  store->rows);
+}
+
 static void on_read(void *context, const struct message *answer,
 		    const char *cause)
 {
@@ -249,12 +266,10 @@
 		return;
 	}
 	store->failures = 0;
-	store->is_read = true;
 	for (i = 0; i < rows.rows->len; i++)
 		take_row(store,
 			 &g_array_index(rows.rows, struct registry_row, i));
-	log_event(LOG_INFO, "table-read", "table=quarantines rows=%u",
-		  rows.rows->len);
+	end_page(store, &rows);
 	registry_rows_release(&rows);
 	step(store);
 }
@@ -264,7 +279,8 @@
 	struct edge *edge = store->edge;
 	struct registry_call call;
 
-	edge->registry->vtable->read(edge->registry, REGISTRY_QUARANTINES, "",
+	edge->registry->vtable->read(edge->registry, REGISTRY_QUARANTINES,
+				     store->page_key ? store->page_key : "",
 				     &call);
 	stats_count_read(&edge->stats, READ_STARTS);
 	lane_call(&store->lane, call.method, call.target, call.body,
@@ -272,25 +288,15 @@
 	registry_call_release(&call);
 }
 
-/* Before the members are known, nobody knows who reads. */
-static bool knows_members(const struct edge *edge)
-{
-	struct sync_view views[SYNC_TABLES];
-
-	return edge->sync && sync_views(edge->sync, views) &&
-	       views[REGISTRY_MEMBERS].whole;
-}
-
 static void step(struct quarantine_store *store)
 {
 	struct edge *edge = store->edge;
 
 	if (lane_is_busy(&store->lane))
 		return;
-	if (!store->is_read && !knows_members(edge)) {
-		step_later(store, LOOK_US);
+	/* Before the members are known, nobody knows who reads. */
+	if (!store->is_read && !store->members_known)
 		return;
-	}
 	if (!store->is_read &&
 	    member_table_read_rank(edge->members) >= READ_FIRST_NODES)
 		store->is_read = true;
@@ -310,7 +316,6 @@
 	uv_timer_init(edge->loop, &store->timer);
 	store->timer.data = store;
 	edge->quarantines = store;
-	step_later(store, LOOK_US);
 	return store;
 }
 
@@ -318,11 +323,13 @@
 {
 	store->edge->quarantines = NULL;
 	lane_close(&store->lane);
+	g_clear_pointer(&store->page_key, g_free);
 	uv_close((uv_handle_t *)&store->timer, NULL);
 }
 
 void quarantine_store_members_known(struct quarantine_store *store)
 {
+	store->members_known = true;
 	if (!store->is_read)
 		step(store);
 }
--- a/tests/edge/crash_test.cc
+++ b/tests/edge/crash_test.cc
@@ -177,6 +177,7 @@
 	{
 		start_node();
 		quarantines = quarantine_store_open(edge);
+		quarantine_store_members_known(quarantines);
 	}
 	void TearDown() override
 	{
@@ -266,6 +267,22 @@
 INSTANTIATE_TEST_SUITE_P(Cases, RowTest, ::testing::ValuesIn(row_cases),
 			 [](const auto &info) { return info.param.name; });
 
+/* Guards against rows beyond the first answer's 500 never being read. */
+TEST_F(KeepTest, AllPagesOfRowsAreRead)
+{
+	for (int i = 0; i < 600; i++)
+		store_stand_put(
+			store, "quarantines",
+			("000000000000" + std::to_string(1000 + i)).c_str(),
+			"{}");
+	put_row("/r/x", row_cases[0].value);
+	add_app("i-1");
+	start_keeping();
+	wait_for([this] { return !quarantine_store_is_reading(quarantines); });
+	EXPECT_EQ(503, status_of(answer_to(get("a1", "/r/x"))));
+	EXPECT_EQ(0u, app_stand_total_runs(apps[0].stand));
+}
+
 /* Guards against rows of quarantines that ended staying for ever. */
 TEST_F(KeepTest, ARowThatIsLongOverIsRemoved)
 {
--- a/tests/edge/gossip_test.cc
+++ b/tests/edge/gossip_test.cc
@@ -424,6 +424,8 @@
 	app_stand_set_deadly(app.stand, "/r/x");
 	start_with_neighbour();
 	struct quarantine_store *quarantines = quarantine_store_open(edge);
+	quarantine_store_members_known(quarantines);
+	wait_for([&] { return !quarantine_store_is_reading(quarantines); });
 	answer_to(get("a1", "/r/x"));
 	wait_for([this] { return edge->suspects->count > 0; });
 	for (uint32_t i = 0; i < SUSPECTS_MOST; i++)
