--- a/Makefile
+++ b/Makefile
@@ -76,6 +76,7 @@
 	@printf 'calderas $(SEED)\ncoop $(SEED)\n' | xargs -P 2 -L 1 sh -c \
 		'tests/emulator/play.sh $(BUILD) $$0 $$1'
 	@tests/emulator/deadly.sh $(BUILD) $(SEED)
+	@tests/emulator/limited.sh $(BUILD) $(SEED)
 
 # Beside one request that ends servers, ROUNDS seeds from SEED on.
 play-deadly: build
@@ -83,6 +84,11 @@
 		tests/emulator/deadly.sh $(BUILD) $$seed || exit 1; \
 	done
 
+# Beside servers that name a rate, ROUNDS seeds from SEED on, three at a time.
+play-limited: build
+	@seq $(SEED) $$(($(SEED) + $(ROUNDS) - 1)) | \
+		xargs -P 3 -I N tests/emulator/limited.sh $(BUILD) N
+
 # Both users with ROUNDS seeds from SEED on, four at a time.
 play-soak: build
 	@seq $(SEED) $$(($(SEED) + $(ROUNDS) - 1)) | \
@@ -122,5 +128,5 @@
 
 .PHONY: all setup build format format-check lint test sanitize \
 	sanitize-thread check demo \
-	experiment capacity prove faults soak play play-deadly play-soak \
-	play-seeds clean
+	experiment capacity prove faults soak play play-deadly play-limited \
+	play-soak play-seeds clean
--- a/tests/emulator/emulator.c
+++ b/tests/emulator/emulator.c
@@ -21,6 +21,9 @@
  *
  * The routes that were added are called at each node; see route_watch.h.
  *
+ * With --limited COUNT:RATE so many servers of the first service name a rate;
+ * see limit_watch.h.
+ *
  * With --deadly a caller brings one request so often a second to any node,
  * under which each server ends that runs it; another starts in its place.
  */
@@ -39,6 +42,7 @@
 #include "core/duration.h"
 #include "edge/link.h"
 #include "emulator/commands.h"
+#include "emulator/limit_watch.h"
 #include "emulator/route_watch.h"
 #include "standins/app_stand.h"
 #include "standins/relay.h"
@@ -55,6 +59,9 @@
 /* A server that ended starts again after so long, with another id. */
 #define RESTART_MS 3000
 
+/* When servers begin to name their rate, after the start. */
+#define LIMITED_FROM_MS 5000
+
 /* Servers that may end under the deadly request. */
 #define DEADLY_ENDS_MOST 4
 
@@ -116,6 +123,7 @@
 	uint32_t deadly_sent;
 	uint32_t deadly_refused;
 	GArray *ends_us; /* of servers, in order */
+	struct limit_watch *limits; /* NULL: no server names a rate */
 	uint32_t rate;
 	bool ending;
 };
@@ -824,6 +832,7 @@
 	uint32_t other = 0;
 	uint32_t answered = 0;
 	bool deadly = report_deadly(world);
+	bool over = world->limits && limit_watch_report(world->limits);
 	guint i;
 
 	printf("| service | sent | answered | not run | unknown | p50 ms | p99 "
@@ -846,7 +855,7 @@
 	       "%u, false statuses %u\n",
 	       world->nodes->len, store_stand_calls(world->store), doubled,
 	       untrue, world->wrong, other);
-	return route_watch_report(world->watch) || deadly || doubled ||
+	return route_watch_report(world->watch) || deadly || over || doubled ||
 	       untrue || world->wrong || other || !answered;
 }
 
@@ -904,6 +913,26 @@
 		make_mortal(world->deadly, world->deadly->apps->pdata[i]);
 }
 
+/* "COUNT:RATE" */
+static bool begin_limited(struct world *world, const char *text)
+{
+	const struct service *service = world->services->pdata[0];
+	unsigned count;
+	double per_s;
+	guint i;
+
+	if (sscanf(text, "%u:%lf", &count, &per_s) != 2 ||
+	    count > service->apps->len)
+		return false;
+	world->limits = limit_watch_new(&world->loop, per_s, LIMITED_FROM_MS);
+	for (i = 0; i < count; i++) {
+		const struct app *app = service->apps->pdata[i];
+
+		limit_watch_add(world->limits, app->stand);
+	}
+	return true;
+}
+
 static int fail(const char *what)
 {
 	fprintf(stderr, "emulator: %s\n", what);
@@ -917,6 +946,7 @@
 	char *domains = NULL;
 	char **services = NULL;
 	char *fault = NULL;
+	char *limited = NULL;
 	int rate = 50;
 	int seconds = 20;
 	int seed = 1;
@@ -938,6 +968,9 @@
 		{ "seed", 0, POPT_ARG_INT, &seed, 0, "of the callers", "N" },
 		{ "deadly", 0, POPT_ARG_INT, &deadly, 0,
 		  "a request that ends servers, so often a second", "N" },
+		{ "limited", 0, POPT_ARG_STRING, &limited, 0,
+		  "servers of the first service that name a rate",
+		  "COUNT:RATE" },
 		{ "commands", 0, POPT_ARG_NONE, &commands, 0,
 		  "read commands from the standard input", NULL },
 		POPT_AUTOHELP POPT_TABLEEND
@@ -982,6 +1015,8 @@
 	}
 	if (deadly)
 		begin_deadly(&world, (uint32_t)deadly);
+	if (limited && !begin_limited(&world, limited))
+		return fail(limited);
 	if (fault && !plan_fault(&world, fault))
 		return fail(fault);
 	put_config(&world);
