--- a/tests/demo/demo.sh
+++ b/tests/demo/demo.sh
@@ -8,8 +8,10 @@
 # Exit status 1 where a promise broke. Everything runs on this machine's
 # loopback network and is stopped at the end.
 set -Eeuo pipefail
-export DEMO_OCTET=${DEMO_OCTET:-$((128 + $$ % 120))}
 here=$(cd "$(dirname "$0")" && pwd)
+. "$here/../tools/net.sh"
+claim_net ${DEMO_OCTET:-}
+export DEMO_OCTET=${net#127.}
 . "$here/users.sh"
 
 build=$(cd "$1" && pwd)
--- a/tests/emulator/deadly.sh
+++ b/tests/emulator/deadly.sh
@@ -11,7 +11,8 @@
 seed=$2
 per_domain=${3:-2}
 seconds=14
-net=127.${PLAY_NET:-$((40 + ($$ + seed) % 180))}
+. "$(dirname "$0")/../tools/net.sh"
+claim_net ${PLAY_NET:-}
 domains=central-1:central,central-2:central,sur-1:sur,altiplano-1:altiplano
 work=$(mktemp -d "${TMPDIR:-/tmp}/lilacfield-deadly.XXXXXX")
 declare -A pids=()
--- a/tests/emulator/play.sh
+++ b/tests/emulator/play.sh
@@ -19,7 +19,8 @@
 seed=$3
 seconds=${4:-26}
 per_domain=${5:-2}
-net=127.${PLAY_NET:-$((40 + ($$ + seed) % 180))}
+. "$(dirname "$0")/../tools/net.sh"
+claim_net ${PLAY_NET:-}
 work=$(mktemp -d "${TMPDIR:-/tmp}/lilacfield-play.XXXXXX")
 declare -A pids=() stopping=()
 emulator_pid=
--- a/tests/history/faults.sh
+++ b/tests/history/faults.sh
@@ -15,7 +15,8 @@
 # FAULTS names some of the faults, for a trial; all of them else.
 #
 # Exit status 1 where a promise broke or one wasn't exercised. Everything runs on
-# loopback addresses 127.77.0.0/16 (FAULTS_NET) and is stopped at the end.
+# loopback addresses 127.N.0.0/16, N being FAULTS_NET or any that is free, and is
+# stopped at the end.
 set -Eeuo pipefail
 
 build=$(cd "$1" && pwd)
@@ -30,7 +31,8 @@
 
 work=$(mktemp -d "${TMPDIR:-/tmp}/lilacfield-faults.XXXXXX")
 history=$work/driver.history
-net=${FAULTS_NET:-127.77}
+. "$(dirname "$0")/../tools/net.sh"
+claim_net ${FAULTS_NET:-}
 platform=$net.9.1:7700
 fleet=$net.9.2:7701
 declare -A pids=()
