gossip_words: servers' rates are told again with each seventh beat

With each third, 4 rates to some 18 nodes in 150 bytes were 2.2 KB a second and node on hundreds of nodes, as long as any server is limited; 1 KB is the aim. By count: 18 x 150 bytes each 2.8 s are 0.96 KB. Changes go to all nodes at once as before, and a node that starts is told all.

--- a/packages/edge/gossip_words.c
+++ b/packages/edge/gossip_words.c
@@ -18,11 +18,11 @@
 #define WORDS_A_BEAT 4
 
 /*
- * Servers' rates are told again in turn, so many with each third beat, for a
+ * Servers' rates are told again in turn, so many with each seventh beat, for a
  * node may have been cut off.
  */
 #define RATES_A_BEAT 4
-#define RATES_EVERY 3
+#define RATES_EVERY 7
 
 static void on_word_timer(uv_timer_t *timer)
 {
