admission: callers that wait for a rate return as it allows

All that was refused for want of a rate came back after 0.3 to 0.33 of its time, whatever the rate was: five times as many as it could serve, again and again. Each is now told the next free moment of the node's part of the rate, one after another, and as late as it will wait for where that is beyond. CallersReturnAsTheRateAllows.

--- a/packages/core/admission.c
+++ b/packages/core/admission.c
@@ -33,3 +33,20 @@
 		return RETRY_DEFAULT_US;
 	return (uint64_t)(part * (double)patience_us);
 }
+
+uint64_t admission_return_us(struct admission_returns *returns, double per_s,
+			     uint64_t patience_us, double spread,
+			     uint64_t now_us)
+{
+	uint64_t latest_us = admission_retry_after_us(patience_us, spread);
+	uint64_t at_us = returns->next_us > now_us ? returns->next_us : now_us;
+	double gap_us = (double)US_PER_S / per_s;
+
+	if (!(per_s > 0) || gap_us > (double)latest_us)
+		return latest_us;
+	at_us += (uint64_t)gap_us;
+	if (at_us > now_us + latest_us)
+		return latest_us;
+	returns->next_us = at_us;
+	return at_us - now_us;
+}
--- a/packages/core/admission.h
+++ b/packages/core/admission.h
@@ -44,6 +44,20 @@
  */
 uint64_t admission_retry_after_us(uint64_t patience_us, double spread);
 
+/* Callers that were refused for want of a rate, and when they return. */
+struct admission_returns {
+	uint64_t next_us; /* the latest one's time */
+};
+
+/*
+ * The same for one that waits for a rate of so many a second: one after another
+ * as that allows. Where the rate is spoken for beyond its time it comes back as
+ * late as it will wait for.
+ */
+uint64_t admission_return_us(struct admission_returns *returns, double per_s,
+			     uint64_t patience_us, double spread,
+			     uint64_t now_us);
+
 #ifdef __cplusplus
 }
 #endif
--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -248,19 +248,68 @@
 	return verdict == ADMISSION_TAKE;
 }
 
-/* Whether a server would be used but for the rate that it named. */
-static bool is_short_of_rate(const struct chooser *chooser,
-			     const struct choose_query *query, uint64_t now_us)
+/* What servers that would be used but for their rates take a second. */
+static double short_rate(const struct chooser *chooser,
+			 const struct choose_query *query, uint64_t now_us)
 {
 	const GPtrArray *backends =
 		backend_table_of(chooser->backends, query->service->name);
+	double per_s = 0;
 	guint i;
 
-	for (i = 0; backends && i < backends->len; i++)
-		if (candidate_blocked(chooser, query, backends->pdata[i],
-				      now_us) == CHOOSE_LIMITED)
-			return true;
-	return false;
+	for (i = 0; backends && i < backends->len; i++) {
+		const struct backend *backend = backends->pdata[i];
+
+		if (candidate_blocked(chooser, query, backend, now_us) ==
+		    CHOOSE_LIMITED)
+			per_s += rate_limit_in_force(&backend->limit, now_us);
+	}
+	return per_s;
+}
+
+static struct admission_returns *returns_of(struct chooser *chooser,
+					    const char *service)
+{
+	struct admission_returns *returns =
+		g_hash_table_lookup(chooser->returns, service);
+
+	if (!returns) {
+		returns = g_new0(struct admission_returns, 1);
+		g_hash_table_insert(chooser->returns, g_strdup(service),
+				    returns);
+	}
+	return returns;
+}
+
+/* Each node gives out its part of the rate to those who come back. */
+static uint64_t return_us(struct chooser *chooser,
+			  const struct choose_query *query, double per_s,
+			  uint64_t now_us)
+{
+	uint32_t nodes = member_table_count(chooser->members);
+
+	return admission_return_us(returns_of(chooser, query->service->name),
+				   per_s / MAX(nodes, 1), query->patience_us,
+				   g_random_double(), now_us);
+}
+
+static void refuse(struct chooser *chooser, const struct choose_query *query,
+		   bool has_candidates, uint64_t now_us, struct choice *choice)
+{
+	double per_s = has_candidates ? 0 : short_rate(chooser, query, now_us);
+
+	if (has_candidates) {
+		choice->reason = CHOOSE_NONE_FREE;
+		choice->retry_after_us = admission_retry_after_us(
+			query->patience_us, g_random_double());
+	} else if (per_s > 0) {
+		choice->reason = CHOOSE_NO_RATE;
+		choice->retry_after_us =
+			return_us(chooser, query, per_s, now_us);
+	} else {
+		choice->reason = CHOOSE_NONE_KNOWN;
+		choice->retry_after_us = RETRY_UNKNOWN_US;
+	}
 }
 
 static void choose_among_all(struct chooser *chooser,
@@ -291,15 +340,8 @@
 		choice->wait_us = best->wait_us;
 		choice->warm = best->warm;
 		choice->reason = reason_for(best);
-	} else if (candidates->len ||
-		   is_short_of_rate(chooser, query, now_us)) {
-		choice->reason = candidates->len ? CHOOSE_NONE_FREE :
-						   CHOOSE_NO_RATE;
-		choice->retry_after_us = admission_retry_after_us(
-			query->patience_us, g_random_double());
 	} else {
-		choice->reason = CHOOSE_NONE_KNOWN;
-		choice->retry_after_us = RETRY_UNKNOWN_US;
+		refuse(chooser, query, candidates->len > 0, now_us, choice);
 	}
 	g_array_unref(candidates);
 }
--- a/packages/core/chooser.c
+++ b/packages/core/chooser.c
@@ -44,12 +44,15 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	chooser->flows =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	chooser->returns =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 void chooser_release(struct chooser *chooser)
 {
 	g_hash_table_destroy(chooser->links);
 	g_hash_table_destroy(chooser->flows);
+	g_hash_table_destroy(chooser->returns);
 }
 
 void chooser_link_measured(struct chooser *chooser, const char *region,
--- a/tests/core/admission_test.cc
+++ b/tests/core/admission_test.cc
@@ -67,4 +67,31 @@
 	EXPECT_GT(admission_retry_after_us(0, 0.5), 0u);
 }
 
+/* Those who wait for a rate would all return for the same few tokens. */
+TEST(AdmissionRetryTest, CallersReturnAsTheRateAllows)
+{
+	const uint64_t patience_us = 12 * US_PER_S;
+	struct admission_returns returns = {};
+	uint64_t now_us = 5 * US_PER_S;
+
+	for (uint64_t i = 1; i <= 6; i++)
+		EXPECT_EQ(i * US_PER_S / 2,
+			  admission_return_us(&returns, 2, patience_us, 0.5,
+					      now_us));
+	/* The rate is spoken for as long as callers wait. */
+	for (int i = 0; i < 20; i++)
+		admission_return_us(&returns, 2, patience_us, 0.5, now_us);
+	EXPECT_EQ(admission_retry_after_us(patience_us, 0.9),
+		  admission_return_us(&returns, 2, patience_us, 0.9, now_us));
+	now_us += 2 * US_PER_S;
+	EXPECT_LE(admission_return_us(&returns, 2, patience_us, 0.5, now_us),
+		  2500 * US_PER_MS);
+	/* None comes in time. */
+	EXPECT_EQ(admission_retry_after_us(patience_us, 0.1),
+		  admission_return_us(&returns, 0.01, patience_us, 0.1,
+				      now_us));
+	EXPECT_EQ(admission_retry_after_us(patience_us, 0.1),
+		  admission_return_us(&returns, 0, patience_us, 0.1, now_us));
+}
+
 } // namespace
