--- a/packages/edge/admin_show.c
+++ b/packages/edge/admin_show.c
@@ -25,18 +25,6 @@
 				    now_us - since_us);
 }
 
-json_t *admin_finish_table(const struct edge *edge, struct admin_table *table,
-			   const char *what)
-{
-	size_t count = json_array_size(table->rows);
-	char *message = g_strdup_printf("%zu %s", count, what);
-	json_t *root = admin_json_new(RESULT_OK, message);
-
-	admin_table_move(root, table, edge->routes->version);
-	g_free(message);
-	return root;
-}
-
 /* Values of a table in the order of their names, for g_list_free(). */
 static GList *in_order(GHashTable *by_name)
 {
--- a/packages/edge/gossip.c
+++ b/packages/edge/gossip.c
@@ -194,6 +194,24 @@
 	*buffer = uv_buf_init(bytes, sizeof(bytes));
 }
 
+/* --- beating ------------------------------------------------------------ */
+
+static void beat(struct gossip *gossip)
+{
+	struct edge *edge = gossip->edge;
+	struct member *self = edge->members->self;
+
+	/* Told after the digests, each change would make neighbours call. */
+	gossip_tell_changes(gossip);
+	self->beat = gossip->epoch_us + edge_now_us(edge);
+	self->leaving = !edge_is_ready(edge);
+	gossip_beat_near(gossip);
+	gossip_beat_words(gossip);
+	if (gossip->rounds++ % GOSSIP_FAR_EVERY == 0 ||
+	    edge->warmth.far_news->len)
+		gossip_beat_far(gossip);
+}
+
 bool gossip_is_due(const struct gossip *gossip)
 {
 	const struct warmth *warmth = &gossip->edge->warmth;
@@ -208,7 +226,7 @@
 
 	note_turn(gossip);
 	if (gossip_is_due(gossip))
-		gossip_beat(gossip);
+		beat(gossip);
 	gossip->ticks++;
 	if (gossip->unknown && gossip->sync && gossip_reads_for_others(gossip))
 		sync_read_members(gossip->sync);
@@ -264,5 +282,5 @@
 void gossip_hurry(struct gossip *gossip)
 {
 	gossip->rounds = 0;
-	gossip_beat(gossip);
+	beat(gossip);
 }
--- a/packages/edge/gossip_parts.h
+++ b/packages/edge/gossip_parts.h
@@ -34,8 +34,15 @@
 #define GOSSIP_TICKS_A_BEAT 4
 bool gossip_is_due(const struct gossip *gossip);
 
-/* gossip_send.c: one round of beats. */
-void gossip_beat(struct gossip *gossip);
+/*
+ * Beats without news go to other regions less often, and not each beat passes
+ * many lives on: bytes are dear.
+ */
+#define GOSSIP_FAR_EVERY 3
+
+/* gossip_send.c: one beat to the own region, or to a few of each other one. */
+void gossip_beat_near(struct gossip *gossip);
+void gossip_beat_far(struct gossip *gossip);
 
 /* gossip_words.c: words that beats carry, either way. */
 void gossip_words_open(struct gossip *gossip);
--- a/packages/edge/gossip_send.c
+++ b/packages/edge/gossip_send.c
@@ -5,12 +5,6 @@
 
 #include "core/duration.h"
 
-/*
- * Beats without news go to other regions less often, and not each beat passes
- * many lives on: bytes are dear.
- */
-#define FAR_EVERY 3
-
 /*
  * Where there are more members than the first, each round's beat goes to the
  * region's reader and draws some of the region, and what is heard is passed on.
@@ -326,13 +320,14 @@
 	g_ptr_array_unref(changes);
 }
 
-static void beat_near(struct gossip *gossip)
+void gossip_beat_near(struct gossip *gossip)
 {
 	struct edge *edge = gossip->edge;
 	struct beat beat = { .life_count = 0 };
 
 	add_lives(gossip, &beat,
-		  gossip->rounds % FAR_EVERY ? FEW_LIVES : BEAT_MAX_LIVES - 1);
+		  gossip->rounds % GOSSIP_FAR_EVERY ? FEW_LIVES :
+						      BEAT_MAX_LIVES - 1);
 	add_loads(edge, &beat);
 	move_news(edge->warmth.news, &beat, edge_now_us(edge));
 	if (gossip->sync && gossip_reads_for_others(gossip))
@@ -340,7 +335,7 @@
 	send_near(gossip, &beat);
 }
 
-static void beat_far(struct gossip *gossip)
+void gossip_beat_far(struct gossip *gossip)
 {
 	struct beat beat = { .life_count = 0 };
 
@@ -349,18 +344,3 @@
 		  edge_now_us(gossip->edge));
 	send_far(gossip, &beat);
 }
-
-void gossip_beat(struct gossip *gossip)
-{
-	struct edge *edge = gossip->edge;
-	struct member *self = edge->members->self;
-
-	/* Told after the digests, each change would make neighbours call. */
-	gossip_tell_changes(gossip);
-	self->beat = gossip->epoch_us + edge_now_us(edge);
-	self->leaving = !edge_is_ready(edge);
-	beat_near(gossip);
-	gossip_beat_words(gossip);
-	if (gossip->rounds++ % FAR_EVERY == 0 || edge->warmth.far_news->len)
-		beat_far(gossip);
-}
