--- a/models/history.pml
+++ b/models/history.pml
@@ -12,7 +12,7 @@
  * (newest). What is confirmed is no older than the platform's newest version
  * when it answered (confirmed).
  *
- * Stands for. packages/core/backend_table.c, packages/edge/sync.c,
+ * Stands for. packages/core/backend_table.c, packages/edge/sync_answer.c,
  * platform/store.c.
  *
  * Faults, each removing one guard:
