sync: a reader that is in time takes its changes whatever their size

The document grew to more than one and a half times its size in one version; the reader, which had the version before, gave its changes up at the head and read the table, a round trip and a connection later, for nothing. The limit is now for nodes that may have missed more than the latest version: whose word is old or another one's. The test is unchanged and passes, as do RoutesThatAreFarBehindAreReadOnce and RoutesOfAnOldWordAreReadOnce.

--- a/packages/edge/sync_plan.c
+++ b/packages/edge/sync_plan.c
@@ -223,6 +223,16 @@
 	return (bytes + 2) / 3 * 4;
 }
 
+/* Whether more than the latest change may have been missed. */
+static bool may_be_behind(const struct follower *follower)
+{
+	uint64_t until_us = follower->confirmed_us +
+			    follower_time_us(follower, &follower->rule->word);
+
+	return follower_differs(follower) ||
+	       until_us <= edge_now_us(follower->sync->edge);
+}
+
 /* How large an answer about changes may be; 0: as large as any. */
 static uint64_t changes_most(const struct follower *follower)
 {
@@ -230,7 +240,8 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	if (!follower->rule->reads_anew || !follower->whole)
+	if (!follower->rule->reads_anew || !follower->whole ||
+	    !may_be_behind(follower))
 		return 0;
 	g_hash_table_iter_init(&iter, follower->rows);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
