--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -175,6 +175,20 @@
 	return lost_us && now_us - lost_us < FREE_AFTER_LOSS_US;
 }
 
+static struct region_flow_request flow_request(const struct chooser *chooser,
+					       const struct choose_query *query,
+					       bool prefers_to_leave,
+					       uint64_t now_us)
+{
+	return (struct region_flow_request){
+		.prefers_to_leave = prefers_to_leave,
+		.has_object = query->has_object &&
+			      !(chooser->off & CHOOSE_LEAVE_BY_OBJECT),
+		.object = query->object,
+		.free = region_is_disturbed(chooser, now_us),
+	};
+}
+
 static const struct candidate *pick(struct chooser *chooser,
 				    const struct choose_query *query,
 				    const struct service_times *times,
@@ -184,14 +198,9 @@
 	const struct candidate *near = least(candidates, true, kept_warm);
 	const struct candidate *far = least(candidates, false, kept_warm);
 	struct region_flow *flow = flow_of(chooser, query->service->name);
-	const struct region_flow_request request = {
-		.prefers_to_leave = far &&
-				    (!near || far->cost_us < near->cost_us),
-		.has_object = query->has_object &&
-			      !(chooser->off & CHOOSE_LEAVE_BY_OBJECT),
-		.object = query->object,
-		.free = region_is_disturbed(chooser, now_us),
-	};
+	const struct region_flow_request request = flow_request(
+		chooser, query, far && (!near || far->cost_us < near->cost_us),
+		now_us);
 
 	if (!near && !far)
 		return NULL;
@@ -209,13 +218,8 @@
 static bool may_leave(struct chooser *chooser, const struct choose_query *query,
 		      const struct candidate *best, uint64_t now_us)
 {
-	const struct region_flow_request request = {
-		.prefers_to_leave = true,
-		.has_object = query->has_object &&
-			      !(chooser->off & CHOOSE_LEAVE_BY_OBJECT),
-		.object = query->object,
-		.free = region_is_disturbed(chooser, now_us),
-	};
+	const struct region_flow_request request =
+		flow_request(chooser, query, true, now_us);
 
 	if (best)
 		return !best->near;
