--- a/packages/edge/beat.c
+++ b/packages/edge/beat.c
@@ -17,7 +17,7 @@
 /* Rates that servers named: life, rate, age in ms. */
 #define RATES_TYPE "a(udu)"
 
-/* Tokens: life, whether it is asked for, whether it is lent, wait in ms. */
+/* Tokens: life, how many are asked for, how many are lent, wait in ms. */
 #define TOKENS_TYPE "a(uuuu)"
 
 #define BEAT_TYPE                                   \
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -233,24 +233,25 @@
 	const struct choice *choice = &exchange->choice;
 	struct backend *wanted = choice->wanted;
 	uint64_t now_us = exchange_now_us(exchange);
+	bool is_first = !exchange->token_holds;
 	uint64_t way_us;
 	bool has_come = choice->backend &&
 			rate_limit_is_limited(&choice->backend->limit, now_us);
 
 	if (!wanted || has_come || exchange->token_holds >= TOKEN_HOLDS)
 		return false;
-	way_us = exchange->token_holds ? 0 : token_way_us(exchange, wanted);
+	way_us = token_way_us(exchange, wanted);
 	if (rate_limit_may_ask(&wanted->limit, now_us)) {
-		if (exchange->token_holds && token_way_us(exchange, wanted))
+		if (!is_first && way_us)
 			return false;
 		if (!server_limits_ask(exchange->edge, wanted, way_us))
 			return false;
-	} else if (!exchange->token_holds) {
+	} else if (is_first) {
 		rate_limit_miss(&wanted->limit);
 		return false;
 	}
 	exchange->token_holds++;
-	hold_for(exchange, way_us + TOKEN_STEP_US);
+	hold_for(exchange, (is_first ? way_us : 0) + TOKEN_STEP_US);
 	return true;
 }
 
--- a/packages/edge/server_limits.c
+++ b/packages/edge/server_limits.c
@@ -46,7 +46,6 @@
 	g_hash_table_iter_init(&iter, edge->backends->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct backend *backend = value;
-
 		bool is_limited =
 			rate_limit_is_limited(&backend->limit, now_us);
 
@@ -106,17 +105,15 @@
 	return true;
 }
 
-/* One of the senders, so many tokens; whether another one was drawn. */
-static bool ask_one(struct edge *edge, struct backend *backend, uint32_t tokens)
+/* One of the senders, for so many tokens, unless it is asked already. */
+static void ask_one(struct edge *edge, struct backend *backend, uint32_t tokens)
 {
 	const struct member *sender = rate_limit_sender(
 		&backend->limit, edge->members, backend->region, backend->hash,
 		g_random_double(), edge_now_us(edge));
 
-	if (!sender || !rate_limit_ask(&backend->limit, sender->hash))
-		return false;
-	gossip_ask_tokens(edge->gossip, sender, backend->life, tokens);
-	return true;
+	if (sender && rate_limit_ask(&backend->limit, sender->hash))
+		gossip_ask_tokens(edge->gossip, sender, backend->life, tokens);
 }
 
 bool server_limits_ask(struct edge *edge, struct backend *backend,
