tests: plays that only start, kill and pause nodes share one script

limited.sh had been written beside deadly.sh with the same start, end and verdict. nodes.sh has them once.

--- /dev/null
+++ b/tests/emulator/nodes.sh
@@ -0,0 +1,67 @@
+# What plays share that only start, kill and pause nodes beside the emulator. They
+# set build, seed, per_domain and domains; claims net, and makes work, the folder
+# of settings and logs, which stays where the play fails.
+
+here=$(dirname "${BASH_SOURCE[0]}")
+. "$here/../tools/net.sh"
+claim_net ${PLAY_NET:-}
+. "$here/settings.sh"
+play=$(basename "$0")
+work=$(mktemp -d "${TMPDIR:-/tmp}/lilacfield-${play%.sh}.XXXXXX")
+declare -A pids=()
+number=0
+emulator_pid=
+
+end() {
+	local status=$?
+	kill -KILL "${pids[@]}" $emulator_pid 2>/dev/null || true
+	wait 2>/dev/null || true
+	if [ $status != 0 ]; then
+		echo "$play: seed $seed failed; logs in $work" >&2
+	else
+		rm -rf "$work"
+	fi
+}
+trap end EXIT
+
+start_emulator() { # ARGUMENTS
+	"$build/tests/emulator/emulator" --store "$net.0.1:7000" \
+		--domains "$domains" --seed "$seed" "$@" >"$work/report" 2>&1 &
+	emulator_pid=$!
+}
+
+start_node() { # NODE_NUMBER
+	"$build/packages/edge/lilacfield-edge" --settings "$work/n$1.toml" \
+		>>"$work/n$1.log" 2>&1 &
+	pids[$1]=$!
+}
+
+start_nodes() { # per_domain in each failure domain
+	local place
+	for place in ${domains//,/ }; do
+		for _ in $(seq "$per_domain"); do
+			number=$((number + 1))
+			settings_of $number "${place%%:*}" "${place##*:}" \
+				"$net.0.1:7000" >"$work/n$number.toml"
+			start_node $number
+		done
+	done
+}
+
+kill_nodes() { # NODE_NUMBER...
+	local node
+	{ # without the shell's word on each
+		for node in "$@"; do kill -KILL "${pids[$node]}"; done
+		for node in "$@"; do wait "${pids[$node]}" || true; done
+	} 2>/dev/null
+}
+
+# The emulator's verdict, and what of the play to print above its report.
+await_verdict() { # TEXT
+	local verdict=0
+	wait $emulator_pid || verdict=$?
+	emulator_pid=
+	echo "== seed $seed, $number nodes$1"
+	cat "$work/report"
+	exit $verdict
+}
