--- a/packages/edge/sync_plan.c
+++ b/packages/edge/sync_plan.c
@@ -142,17 +142,22 @@
 	return sync_own_rank(follower->sync);
 }
 
+/* Whether nobody has vouched for the table for as long as a word is good. */
+static bool word_is_old(const struct follower *follower)
+{
+	uint64_t until_us = follower->confirmed_us +
+			    follower_time_us(follower, &follower->rule->word);
+
+	return until_us <= edge_now_us(follower->sync->edge);
+}
+
 /*
  * Whether its calls fail and go on. Where a neighbour's word spares them they
  * don't, and nobody would notice that the path is back.
  */
 static bool tries_path(const struct follower *follower)
 {
-	uint64_t until_us = follower->confirmed_us +
-			    follower_time_us(follower, &follower->rule->word);
-
-	return follower->failures &&
-	       until_us <= edge_now_us(follower->sync->edge);
+	return follower->failures && word_is_old(follower);
 }
 
 static void fill_state(const struct follower *follower,
@@ -226,11 +231,7 @@
 /* Whether more than the latest change may have been missed. */
 static bool may_be_behind(const struct follower *follower)
 {
-	uint64_t until_us = follower->confirmed_us +
-			    follower_time_us(follower, &follower->rule->word);
-
-	return follower_differs(follower) ||
-	       until_us <= edge_now_us(follower->sync->edge);
+	return follower_differs(follower) || word_is_old(follower);
 }
 
 /* How large an answer about changes may be; 0: as large as any. */
