tests: a play of suspects shows who stood beside whom

It prints now each crash of the requests judged wrongly, with all that the crash broke off, where each was sent from and how long it had run.

--- /dev/null
+++ b/tests/core/suspect_fleet.h
@@ -0,0 +1,578 @@
+/*
+ * suspect_fleet - nodes with tables of suspects in virtual time
+ *
+ * Words are under way, some are lost, and callers bring a request that crashes
+ * whatever server runs it to any node, beside others that crash nothing. What
+ * each crash broke off is kept, so that a request that was judged wrongly can
+ * be told from what stood beside it.
+ */
+#ifndef TESTS_CORE_SUSPECT_FLEET_H
+#define TESTS_CORE_SUSPECT_FLEET_H
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "core/suspect_table.h"
+
+inline const uint64_t STEP_US = US_PER_MS;
+inline const uint64_t DEADLY = 1; /* to DEADLY + the number of deadly requests
+				   */
+inline const int REGIONS = 3;
+inline const int NEAR_DRAWN = 12;
+inline const int FAR_DRAWN = 3;
+inline const uint64_t NEAR_US = US_PER_MS;
+inline const uint64_t FAR_US = 55 * US_PER_MS;
+inline const double LOSS = 0.01;
+inline const uint64_t DRAIN_US = 4 * US_PER_S; /* what runs at the end is
+						  answered */
+
+struct fleet_case {
+	std::string name;
+	int nodes;
+	int servers;
+	int deadly; /* requests that crash servers */
+	double deadly_per_s; /* each of them */
+	bool bunched; /* at random times, not evenly */
+	double harmless_per_s; /* for each server */
+	double crashes_per_s; /* of servers by themselves */
+	bool power; /* a third of the servers end at once, three times */
+	bool kill_all; /* nodes die at 5 s; the store's rows stay */
+	bool cut; /* a region is cut off from 1 to 6 s */
+	int most_crashes; /* under each deadly request */
+	int most_late; /* runs of one later than 1 s after its third crash */
+};
+
+class Fleet
+{
+      public:
+	Fleet(const fleet_case &c, unsigned seed) : case_(c), random_(seed)
+	{
+		for (int i = 0; i < c.nodes; i++)
+			add_node();
+		servers_.resize((size_t)c.servers);
+		for (Server &server : servers_)
+			server.life = next_life_++;
+		stats.resize((size_t)c.deadly);
+	}
+	void play(uint64_t until_us)
+	{
+		while (now_us < until_us + DRAIN_US) {
+			now_us += STEP_US;
+			ending_ = now_us >= until_us;
+			if (case_.kill_all && now_us == START_US + 5 * US_PER_S)
+				kill_all();
+			if (!ending_) {
+				arrive();
+				crash_by_themselves();
+				lose_power();
+			}
+			end_runs();
+			retry();
+			deliver();
+			tell();
+		}
+	}
+	uint64_t quarantined_falsely()
+	{
+		uint64_t count = 0;
+
+		for (const auto &node : nodes_)
+			for (uint32_t i = 0; i < SUSPECTS_MOST; i++)
+				count += is_falsely_quarantined(*node, i);
+		return count;
+	}
+	/* The crashes of requests that were judged wrongly, a line each. */
+	std::string wrong_history() const
+	{
+		std::set<uint64_t> wrong;
+		std::string text;
+
+		for (const auto &node : nodes_)
+			for (uint32_t i = 0; i < SUSPECTS_MOST; i++)
+				if (is_falsely_quarantined(*node, i))
+					wrong.insert(node->table->keys[i]);
+		for (size_t i = 0; i < stats.size(); i++)
+			if (stats[i].crashes > case_.most_crashes ||
+			    stats[i].late > case_.most_late)
+				wrong.insert(DEADLY + i);
+		for (const Crash &crash : history_)
+			if (crash.concerns(wrong))
+				text += crash.line() + "\n";
+		return text;
+	}
+
+	struct Stats {
+		int crashes = 0;
+		int late = 0; /* runs after its third crash and 1 s */
+		uint64_t third_us = 0;
+	};
+	static const uint64_t START_US = 1000 * US_PER_S;
+	uint64_t now_us = START_US;
+	std::vector<Stats> stats;
+	int shared = 0; /* harmless ones whose server crashed */
+	int shared_served = 0;
+	std::vector<uint64_t> served_after_us; /* their first crash */
+
+      private:
+	struct Word {
+		size_t to;
+		uint32_t from;
+		struct suspect_word word;
+	};
+	struct Node {
+		struct suspect_table *table = suspect_table_new();
+		int region;
+		uint64_t urgent_us = 0; /* when it tells urgent words; 0: none
+					 */
+		uint64_t beat_us;
+		uint64_t ready_us = 0; /* refuses all before */
+		~Node()
+		{
+			suspect_table_free(table);
+		}
+	};
+	struct Run {
+		uint64_t print;
+		size_t node;
+		uint64_t began_us;
+		uint64_t end_us;
+		int sends;
+		bool shared;
+		bool noted;
+		bool waited;
+		uint64_t broke_us; /* first; 0: never */
+	};
+	struct Crash {
+		uint64_t at_us;
+		uint32_t life;
+		uint64_t culprit; /* 0: none */
+		std::vector<Run> runs; /* that it broke off */
+
+		bool concerns(const std::set<uint64_t> &prints) const
+		{
+			return std::any_of(
+				runs.begin(), runs.end(), [&](const Run &run) {
+					return prints.count(run.print);
+				});
+		}
+		std::string line() const
+		{
+			std::string text =
+				std::to_string((at_us - START_US) / US_PER_MS) +
+				" ms, life " + std::to_string(life) +
+				", culprit " + std::to_string(culprit) + ":";
+
+			for (const Run &run : runs)
+				text += " " + std::to_string(run.print) +
+					" (node " + std::to_string(run.node) +
+					", send " + std::to_string(run.sends) +
+					", ran " +
+					std::to_string((at_us - run.began_us) /
+						       US_PER_MS) +
+					" ms" +
+					(run.noted ? ", as suspect)" : ")");
+			return text;
+		}
+	};
+	struct Retry {
+		uint64_t at_us;
+		Run run;
+	};
+	struct Server {
+		uint32_t life;
+		uint64_t back_us = 0; /* it is down until then */
+		std::vector<Run> runs;
+	};
+
+	void add_node()
+	{
+		nodes_.push_back(std::make_unique<Node>());
+		nodes_.back()->region = (int)nodes_.size() % REGIONS;
+		nodes_.back()->beat_us =
+			now_us + (uint64_t)below(400) * US_PER_MS;
+	}
+	int below(int most)
+	{
+		return std::uniform_int_distribution<int>(0, most - 1)(random_);
+	}
+	bool happens(double per_s)
+	{
+		double part = per_s * (double)STEP_US / (double)US_PER_S;
+
+		return std::uniform_real_distribution<>(0, 1)(random_) < part;
+	}
+	bool comes(int deadly)
+	{
+		uint64_t gap_us = (uint64_t)(1e6 / case_.deadly_per_s);
+		uint64_t phase_us = (uint64_t)deadly * 71 * US_PER_MS;
+
+		if (case_.bunched)
+			return happens(case_.deadly_per_s);
+		return (now_us + phase_us) % gap_us < STEP_US;
+	}
+	bool is_deadly(uint64_t print) const
+	{
+		return print < DEADLY + (uint64_t)case_.deadly;
+	}
+	bool is_falsely_quarantined(const Node &node, uint32_t at) const
+	{
+		return node.table->entries[at].rounds &&
+		       !is_deadly(node.table->keys[at]);
+	}
+	bool is_cut(int region) const
+	{
+		return case_.cut && region == 0 &&
+		       now_us >= START_US + US_PER_S &&
+		       now_us < START_US + 6 * US_PER_S;
+	}
+
+	/* --- requests --------------------------------------------------- */
+
+	void arrive()
+	{
+		for (int i = 0; i < case_.deadly; i++)
+			if (comes(i))
+				send({ DEADLY + (uint64_t)i,
+				       (size_t)below(case_.nodes), 0, 0, 0,
+				       false, false, false, 0 });
+		for (size_t i = 0; i < servers_.size(); i++)
+			if (happens(case_.harmless_per_s))
+				send({ next_print_++,
+				       (size_t)below(case_.nodes), 0, 0, 0,
+				       false, false, false, 0 });
+	}
+	/* An order of nodes that all agree on. */
+	uint32_t rank(const Run &run) const
+	{
+		return (uint32_t)((run.node + run.print) % nodes_.size());
+	}
+	/* As the choice of a server weighs suspects. */
+	Server *pick(const Node &node, const struct suspect_ruling &ruling)
+	{
+		bool is_suspect = ruling.verdict == SUSPECT_ALONE;
+
+		for (int i = 0; i < 200; i++) {
+			Server &server =
+				servers_[(size_t)below((int)servers_.size())];
+
+			if (server.back_us > now_us)
+				continue;
+			if (!suspect_runs_on(node.table, server.life,
+					     !is_suspect, now_us) ||
+			    (i > 100 && !ruling.apart))
+				return &server;
+		}
+		return nullptr;
+	}
+	void send(Run run)
+	{
+		Node &node = *nodes_[run.node];
+		struct suspect_ruling ruling;
+
+		if (node.ready_us > now_us)
+			return;
+		suspect_rule(node.table, run.print, backends_.get(), false,
+			     now_us, &ruling);
+		if (ruling.verdict == SUSPECT_AT_WORK)
+			retries_.push_back({ now_us + 20 * US_PER_MS, run });
+		if (ruling.verdict == SUSPECT_AT_WORK ||
+		    ruling.verdict == SUSPECT_QUARANTINED)
+			return;
+		if (ruling.apart && !run.waited) {
+			run.waited = true;
+			retries_.push_back(
+				{ now_us + suspect_turn_us(rank(run)), run });
+			return;
+		}
+		run.waited = false;
+		Server *server = pick(node, ruling);
+		if (!server)
+			return;
+		run.sends++;
+		run.began_us = now_us;
+		run.end_us = now_us + (is_deadly(run.print) ?
+					       30 + (uint64_t)below(140) :
+					       500 + (uint64_t)below(500)) *
+					      US_PER_MS;
+		run.noted = ruling.verdict == SUSPECT_ALONE;
+		if (run.noted) {
+			const struct suspect_run noted = {
+				run.print, (uint32_t)run.node, server->life,
+				run.end_us + US_PER_S, ruling.apart
+			};
+			suspect_run_begins(node.table, &noted);
+			hurry(node);
+		}
+		note_late(run);
+		server->runs.push_back(run);
+	}
+	void note_late(const Run &run)
+	{
+		if (!is_deadly(run.print))
+			return;
+		Stats &stat = stats[run.print - DEADLY];
+
+		stat.late += stat.third_us && now_us > stat.third_us + US_PER_S;
+	}
+	void end_noted(const Run &run)
+	{
+		Node &node = *nodes_[run.node];
+
+		if (!run.noted)
+			return;
+		suspect_run_ends(node.table, run.print, (uint32_t)run.node);
+		hurry(node);
+	}
+	void end_runs()
+	{
+		for (Server &server : servers_) {
+			for (size_t i = server.runs.size(); i > 0; i--) {
+				const Run run = server.runs[i - 1];
+
+				if (run.end_us > now_us)
+					continue;
+				if (is_deadly(run.print)) {
+					crash(server, &run);
+					break;
+				}
+				answer(run);
+				server.runs.erase(server.runs.begin() +
+						  (long)i - 1);
+			}
+		}
+	}
+	void answer(const Run &run)
+	{
+		shared_served += run.shared;
+		if (run.shared)
+			served_after_us.push_back(now_us - run.broke_us);
+		suspect_cleared(nodes_[run.node]->table, run.print, now_us);
+		end_noted(run);
+	}
+	void crash(Server &server, const Run *deadly)
+	{
+		std::vector<Run> runs;
+
+		std::swap(runs, server.runs);
+		history_.push_back({ now_us, server.life,
+				     deadly ? deadly->print : 0, runs });
+		server.back_us = now_us + 3 * US_PER_S;
+		if (deadly) {
+			Stats &stat = stats[deadly->print - DEADLY];
+
+			if (++stat.crashes == 3)
+				stat.third_us = now_us;
+		}
+		for (Run &run : runs)
+			break_off(server, run);
+		server.life = next_life_++;
+	}
+	void break_off(const Server &server, Run run)
+	{
+		Node &node = *nodes_[run.node];
+		const struct suspect_crash crash = { server.life, now_us,
+						     now_us - run.began_us };
+
+		if (suspect_crashed(node.table, run.print, backends_.get(),
+				    &crash, ""))
+			hurry(node);
+		end_noted(run);
+		keep(node, run.print);
+		if (!is_deadly(run.print) && !run.shared)
+			shared++;
+		if (!run.shared)
+			run.broke_us = now_us;
+		run.shared = true;
+		if (run.sends < 3)
+			retries_.push_back({ now_us + 4 * US_PER_MS, run });
+	}
+	void retry()
+	{
+		std::vector<Retry> due;
+
+		for (size_t i = retries_.size(); i > 0; i--) {
+			if (retries_[i - 1].at_us > now_us)
+				continue;
+			due.push_back(retries_[i - 1]);
+			retries_.erase(retries_.begin() + (long)i - 1);
+		}
+		for (const Retry &one : due)
+			send(one.run);
+	}
+	void lose_power()
+	{
+		if (!case_.power || (now_us - START_US) % (3 * US_PER_S))
+			return;
+		for (size_t i = 0; i < servers_.size(); i += 3)
+			if (servers_[i].back_us <= now_us)
+				crash(servers_[i], nullptr);
+	}
+	void crash_by_themselves()
+	{
+		if (!happens(case_.crashes_per_s))
+			return;
+		Server &server = servers_[(size_t)below((int)servers_.size())];
+
+		if (server.back_us <= now_us)
+			crash(server, nullptr);
+	}
+
+	/* --- words ------------------------------------------------------ */
+
+	void hurry(Node &node)
+	{
+		if (!node.urgent_us)
+			node.urgent_us = now_us + 5 * US_PER_MS;
+	}
+	void post(size_t from, size_t to, const struct suspect_word &word)
+	{
+		bool far = nodes_[from]->region != nodes_[to]->region;
+
+		if (std::uniform_real_distribution<>(0, 1)(random_) < LOSS)
+			return;
+		if (far && (is_cut(nodes_[from]->region) ||
+			    is_cut(nodes_[to]->region)))
+			return;
+		posted_.insert({ now_us + (far ? FAR_US : NEAR_US),
+				 { to, (uint32_t)from, word } });
+	}
+	void tell()
+	{
+		for (size_t i = 0; i < nodes_.size(); i++) {
+			Node &node = *nodes_[i];
+
+			if (node.urgent_us && node.urgent_us <= now_us)
+				tell_all(i);
+			if (node.beat_us <= now_us)
+				beat(i);
+		}
+	}
+	void tell_all(size_t from)
+	{
+		Node &node = *nodes_[from];
+		struct suspect_word words[10];
+		uint32_t count = suspect_urgent_words(
+			node.table, (uint32_t)from, now_us, words, 10);
+
+		for (size_t to = 0; to < nodes_.size(); to++)
+			for (uint32_t i = 0; to != from && i < count; i++)
+				post(from, to, words[i]);
+		node.urgent_us = suspect_is_urgent(node.table) ?
+					 now_us + 40 * US_PER_MS :
+					 0;
+	}
+	void beat(size_t from)
+	{
+		Node &node = *nodes_[from];
+		struct suspect_word words[4];
+		uint32_t count = suspect_words(node.table, (uint32_t)from,
+					       now_us, words, 4);
+
+		node.beat_us = now_us + 400 * US_PER_MS;
+		if (node.ready_us > now_us)
+			tell_starting(from);
+		for (int i = 0; count && i < NEAR_DRAWN + 2 * FAR_DRAWN; i++) {
+			size_t to = (size_t)below((int)nodes_.size());
+
+			for (uint32_t j = 0; to != from && j < count; j++)
+				post(from, to, words[j]);
+		}
+	}
+	void deliver()
+	{
+		for (auto at = posted_.begin();
+		     at != posted_.end() && at->first <= now_us;
+		     at = posted_.erase(at)) {
+			const Word &word = at->second;
+
+			EXPECT_TRUE(suspect_take(nodes_[word.to]->table,
+						 &word.word, word.from,
+						 backends_.get(), now_us));
+			keep(*nodes_[word.to], word.word.fingerprint);
+		}
+	}
+
+	/* --- the store -------------------------------------------------- */
+
+	void keep(const Node &node, uint64_t print)
+	{
+		const struct suspect *suspect =
+			suspect_table_find(node.table, print);
+
+		if (suspect && suspect->rounds && suspect->seen_here)
+			kept_.insert(print);
+	}
+	bool is_reader(size_t node) const
+	{
+		return node < 2 * REGIONS;
+	}
+	/*
+	 * All start anew after a second; the first two of each region read the
+	 * rows, the others are ready once these have told them of the tables.
+	 */
+	void kill_all()
+	{
+		for (Server &server : servers_)
+			server.runs.clear();
+		retries_.clear();
+		posted_.clear();
+		for (size_t i = 0; i < nodes_.size(); i++) {
+			Node &node = *nodes_[i];
+
+			suspect_table_free(node.table);
+			node.table = suspect_table_new();
+			node.beat_us = now_us + US_PER_S +
+				       (uint64_t)below(400) * US_PER_MS;
+			node.ready_us = now_us + US_PER_S +
+					(is_reader(i) ? 300 : 700) * US_PER_MS;
+			for (uint64_t print : kept_)
+				if (is_reader(i))
+					suspect_quarantine(node.table, print,
+							   now_us);
+		}
+	}
+	/* As a reader answers a beat of a node that isn't ready. */
+	void tell_starting(size_t to)
+	{
+		struct suspect_word words[10];
+
+		for (size_t from = 0; is_reader(from); from++) {
+			uint32_t count = suspect_words(nodes_[from]->table,
+						       (uint32_t)from, now_us,
+						       words, 10);
+
+			for (uint32_t i = 0; from != to && i < count; i++)
+				post(from, to, words[i]);
+		}
+	}
+
+	struct FreeTable {
+		void operator()(struct backend_table *table) const
+		{
+			backend_table_free(table);
+		}
+	};
+	fleet_case case_;
+	std::mt19937 random_;
+	std::unique_ptr<struct backend_table, FreeTable> backends_{
+		backend_table_new()
+	};
+	std::vector<std::unique_ptr<Node>> nodes_;
+	std::vector<Server> servers_;
+	std::vector<Retry> retries_;
+	std::multimap<uint64_t, Word> posted_; /* by when they arrive */
+	std::vector<Crash> history_;
+	std::set<uint64_t> kept_;
+	bool ending_ = false;
+	uint32_t next_life_ = 1;
+	uint64_t next_print_ = 1000;
+};
+
+#endif
