suspect_table: a node claims a suspect's run and waits until all know

Callers saw a request that crashes servers end up to five of them, and now and then one that stood beside it refused for five minutes.

Cause: after two crashes each node let the request wait for a turn of 60 to 240 ms from when it came to that node.

A node now claims the run, tells all, and waits two words' time: any claim that was made before its own arrived has reached it by then, and an order that all agree on says which goes first, also between claims of different requests, so that each knows where the other is at work before it chooses.

Tests: ClaimTest (with one word's wait two of its cases fail), models/claim (four faults caught).

--- a/models/prove.sh
+++ b/models/prove.sh
@@ -103,6 +103,11 @@
 	cold SOUND clean
 	cold HEARD_ONLY caught
 	cold COUNT_SENT caught
+	claim SOUND clean
+	claim SHORT_WAIT caught
+	claim NO_WAIT caught
+	claim NO_ORDER caught
+	claim END_UNTOLD caught
 	suspect SOUND clean
 	suspect COUNT_REPORTS caught
 	suspect COUNT_BREAKS caught
--- a/packages/core/suspect_table.c
+++ b/packages/core/suspect_table.c
@@ -9,6 +9,9 @@
  */
 #define TOGETHER_US (60 * US_PER_MS)
 
+/* By how much a claim outlives its wait, for timers that are late. */
+#define CLAIM_EXTRA_US (60 * US_PER_MS)
+
 /* What was cleared is told for so long, then forgotten. */
 #define CLEARED_KEEP_US (30 * US_PER_S)
 
@@ -269,14 +272,54 @@
 			remove_run(table, i - 1);
 }
 
-static bool is_at_work(struct suspect_table *table, uint64_t fingerprint,
+static struct suspect_run *find_run(struct suspect_table *table,
+				    uint64_t fingerprint, uint32_t node)
+{
+	uint32_t i;
+
+	for (i = 0; i < table->run_count; i++) {
+		struct suspect_run *run = &table->runs[i];
+
+		if (run->fingerprint == fingerprint && run->node == node)
+			return run;
+	}
+	return NULL;
+}
+
+static bool is_claim(const struct suspect_run *run)
+{
+	return !run->life;
+}
+
+/* An order of claims that all nodes agree on. */
+static bool claim_precedes(const struct suspect_run *claim,
+			   const struct suspect_query *query)
+{
+	if (claim->fingerprint != query->fingerprint)
+		return claim->fingerprint < query->fingerprint;
+	return claim->node < query->node;
+}
+
+/* Whether the query's request has to wait for this run. */
+static bool holds_back(const struct suspect_run *run,
+		       const struct suspect_query *query, bool has_claimed)
+{
+	bool is_same = run->fingerprint == query->fingerprint;
+
+	if (!is_claim(run) || !has_claimed)
+		return is_same;
+	return claim_precedes(run, query);
+}
+
+static bool is_at_work(struct suspect_table *table,
+		       const struct suspect_query *query, bool has_claimed,
 		       uint64_t now_us)
 {
 	uint32_t i;
 
 	drop_ended_runs(table, now_us);
 	for (i = 0; i < table->run_count; i++)
-		if (table->runs[i].fingerprint == fingerprint)
+		if (holds_back(&table->runs[i], query, has_claimed))
 			return true;
 	return false;
 }
@@ -284,17 +327,11 @@
 static bool end_run(struct suspect_table *table, uint64_t fingerprint,
 		    uint32_t node)
 {
-	uint32_t i;
+	struct suspect_run *run = find_run(table, fingerprint, node);
 
-	for (i = 0; i < table->run_count; i++) {
-		const struct suspect_run *run = &table->runs[i];
-
-		if (run->fingerprint == fingerprint && run->node == node) {
-			remove_run(table, i);
-			return true;
-		}
-	}
-	return false;
+	if (run)
+		remove_run(table, (uint32_t)(run - table->runs));
+	return run != NULL;
 }
 
 static void put_run(struct suspect_table *table, const struct suspect_run *run)
@@ -339,17 +376,29 @@
 
 /* --- rulings ------------------------------------------------------------ */
 
-void suspect_rule(struct suspect_table *table, uint64_t fingerprint,
-		  const struct backend_table *backends, bool is_prober,
-		  uint64_t now_us, struct suspect_ruling *ruling)
+static bool has_claim(struct suspect_table *table,
+		      const struct suspect_query *query, uint64_t now_us)
 {
-	struct suspect *entry = suspect_table_find(table, fingerprint);
+	const struct suspect_run *run =
+		find_run(table, query->fingerprint, query->node);
+
+	return query->has_claimed && run && is_claim(run) &&
+	       run->until_us > now_us;
+}
+
+void suspect_rule(struct suspect_table *table,
+		  const struct suspect_query *query,
+		  const struct backend_table *backends, uint64_t now_us,
+		  struct suspect_ruling *ruling)
+{
+	struct suspect *entry = suspect_table_find(table, query->fingerprint);
+	bool has_claimed = has_claim(table, query, now_us);
 
 	memset(ruling, 0, sizeof(*ruling));
 	if (!entry)
 		return;
 	review(entry, backends);
-	if (entry->rounds && (entry->until_us > now_us || !is_prober)) {
+	if (entry->rounds && (entry->until_us > now_us || !query->is_prober)) {
 		ruling->verdict = SUSPECT_QUARANTINED;
 		ruling->left_us =
 			entry->until_us > now_us ? entry->until_us - now_us : 0;
@@ -358,15 +407,24 @@
 	if (!entry->rounds && !entry->crash_count)
 		return;
 	ruling->apart = is_strong_suspect(entry);
+	ruling->claims = ruling->apart && !has_claimed;
 	ruling->verdict = SUSPECT_ALONE;
-	if (is_at_work(table, fingerprint, now_us) ||
-	    (ruling->apart && table->run_count == SUSPECT_RUNS_MOST))
+	if (is_at_work(table, query, has_claimed, now_us) ||
+	    (ruling->claims && table->run_count == SUSPECT_RUNS_MOST))
 		ruling->verdict = SUSPECT_AT_WORK;
 }
 
-uint64_t suspect_turn_us(uint32_t rank)
+void suspect_claim(struct suspect_table *table, uint64_t fingerprint,
+		   uint32_t node, uint64_t now_us)
 {
-	return SUSPECT_TURN_US * (1 + MIN(rank, SUSPECT_TURNS));
+	const struct suspect_run claim = {
+		.fingerprint = fingerprint,
+		.node = node,
+		.until_us = now_us + SUSPECT_CLAIM_US + CLAIM_EXTRA_US,
+		.apart = true,
+	};
+
+	suspect_run_begins(table, &claim);
 }
 
 bool suspect_quarantine(struct suspect_table *table, uint64_t fingerprint,
--- a/packages/core/suspect_table.h
+++ b/packages/core/suspect_table.h
@@ -4,10 +4,11 @@
  * A request that was at work at a backend server when that ended is suspected,
  * by its fingerprint, and so is each that was there beside it. A suspect runs
  * once at a time in all that can be reached, away from other suspects if that
- * can be had; after a second crash only so, and where little is at work. An
- * answer of a server clears it. One that SUSPECT_CRASHES servers ended under is
- * quarantined: no node sends it, until one node tries it once after a long
- * time, which doubles with each crash.
+ * can be had; after a second crash only so, where little is at work, and once
+ * its node's claim to run it has been heard by all. An answer of a server
+ * clears it. One that SUSPECT_CRASHES servers ended under is quarantined: no
+ * node sends it, until one node tries it once after a long time, which doubles
+ * with each crash.
  *
  * Crashes count by the server's life, once each, whoever tells of them, so
  * words of other nodes may come twice, late or in any order. A server that
@@ -42,14 +43,14 @@
 /* A request that isn't heard of for so long is forgotten. */
 #define SUSPECT_KEEP_US (1800 * US_PER_S)
 
+/* A word from one region to another is there by then, gathering included. */
+#define SUSPECT_WORD_US (70 * US_PER_MS)
+
 /*
- * A word is under way for about so long. A suspect that two servers ended under
- * waits for it, and as often again as there are nodes before this one in its
- * rendezvous order, up to SUSPECT_TURNS: where several nodes have it, the first
- * one's run is known to the others by then.
+ * How long a claim waits: for its word to arrive, and for that of any claim
+ * made before it did.
  */
-#define SUSPECT_TURN_US (60 * US_PER_MS)
-#define SUSPECT_TURNS 3
+#define SUSPECT_CLAIM_US (2 * SUSPECT_WORD_US)
 
 /* Longest run that a word may tell of. */
 #define SUSPECT_RUN_MOST_US (60 * US_PER_S)
@@ -78,11 +79,11 @@
 	char text[SUSPECT_TEXT_SIZE]; /* method and path; "": not known here */
 };
 
-/* A suspect that a server is at work at. */
+/* A suspect that a server is at work at, or that a node claims to run next. */
 struct suspect_run {
 	uint64_t fingerprint;
 	uint32_t node; /* hash of the name of the node that sent it */
-	uint32_t life;
+	uint32_t life; /* 0: a claim, no server has been chosen yet */
 	uint64_t until_us; /* it has ended by then */
 	bool apart; /* others should keep away from it */
 };
@@ -103,9 +104,17 @@
 	SUSPECT_QUARANTINED,
 };
 
+struct suspect_query {
+	uint64_t fingerprint;
+	uint32_t node; /* hash of the name of the one that asks */
+	bool is_prober; /* it tries the request after a quarantine has ended */
+	bool has_claimed; /* for this try, and waited since */
+};
+
 struct suspect_ruling {
 	enum suspect_verdict verdict;
 	bool apart; /* only where no other suspect is at work */
+	bool claims; /* it may be claimed, not run yet; see suspect_claim() */
 	uint64_t left_us; /* of the quarantine */
 };
 
@@ -134,13 +143,20 @@
 struct suspect *suspect_table_find(struct suspect_table *table,
 				   uint64_t fingerprint);
 
+/* What may be done with a request. */
+void suspect_rule(struct suspect_table *table,
+		  const struct suspect_query *query,
+		  const struct backend_table *backends, uint64_t now_us,
+		  struct suspect_ruling *ruling);
+
 /*
- * What may be done with a request. is_prober says whether this node is the one
- * that tries it after a quarantine has ended.
+ * The node is going to run the request. It asks again after SUSPECT_CLAIM_US:
+ * of several nodes that claimed it, one may run it, and of several requests
+ * that are claimed, one at a time has its server chosen, so that each knows
+ * where the others are at work.
  */
-void suspect_rule(struct suspect_table *table, uint64_t fingerprint,
-		  const struct backend_table *backends, bool is_prober,
-		  uint64_t now_us, struct suspect_ruling *ruling);
+void suspect_claim(struct suspect_table *table, uint64_t fingerprint,
+		   uint32_t node, uint64_t now_us);
 
 /*
  * A server ended while the request was at work there; whether that was new.
@@ -160,9 +176,6 @@
 void suspect_run_ends(struct suspect_table *table, uint64_t fingerprint,
 		      uint32_t node);
 
-/* How long a suspect that runs apart waits first, at the node of this rank. */
-uint64_t suspect_turn_us(uint32_t rank);
-
 /* Whether a suspect is at work at this server; apart_only: one that others
  * keep away from. */
 bool suspect_runs_on(const struct suspect_table *table, uint32_t life,
--- a/packages/edge/exchange_parts.h
+++ b/packages/edge/exchange_parts.h
@@ -22,7 +22,7 @@
 	struct conn *conn; /* in use, or NULL */
 	struct choice choice; /* behind conn; holds a reference */
 	uint64_t connect_by_us; /* 0 once open */
-	bool waited_turn; /* for words of other nodes, before the next run */
+	bool has_claimed; /* the next run, as that of a suspect */
 	bool is_suspect; /* servers may have ended under it */
 	bool runs_as_suspect; /* a run of it is noted at choice.backend */
 	uint32_t token_holds; /* times it was held for a token */
--- a/packages/edge/exchange_suspect.c
+++ b/packages/edge/exchange_suspect.c
@@ -62,6 +62,7 @@
 static enum exchange_leave wait_for_run(struct exchange *exchange,
 					const char **cause)
 {
+	exchange->has_claimed = false;
 	exchange->choice.hold_us = LOOK_AGAIN_US;
 	exchange->choice.retry_after_us = RETRY_AT_WORK_US;
 	*cause = suspect_verdict_name(SUSPECT_AT_WORK);
@@ -71,11 +72,16 @@
 	return EXCHANGE_REFUSE;
 }
 
-static enum exchange_leave wait_for_turn(struct exchange *exchange)
+/* Other nodes may be about to run it, too, or another suspect. */
+static enum exchange_leave claim(struct exchange *exchange)
 {
-	exchange->waited_turn = true;
-	exchange->choice.hold_us =
-		suspect_turn_us(rank(exchange->edge, exchange->fingerprint));
+	struct edge *edge = exchange->edge;
+
+	suspect_claim(edge->suspects, exchange->fingerprint,
+		      edge->members->self->hash, exchange_now_us(exchange));
+	tell_others(exchange);
+	exchange->has_claimed = true;
+	exchange->choice.hold_us = SUSPECT_CLAIM_US;
 	return EXCHANGE_WAIT;
 }
 
@@ -114,8 +120,11 @@
 				     const char **cause)
 {
 	struct edge *edge = exchange->edge;
+	struct suspect_query query = {
+		.node = edge->members->self->hash,
+		.has_claimed = exchange->has_claimed,
+	};
 	struct suspect_ruling ruling;
-	uint64_t print;
 
 	exchange->query.apart = CHOOSE_TOGETHER;
 	exchange->is_suspect = false;
@@ -123,8 +132,9 @@
 		return wait_for_watch(exchange);
 	if (nothing_is_suspected(exchange))
 		return EXCHANGE_RUN;
-	print = fingerprint(exchange);
-	suspect_rule(edge->suspects, print, edge->backends, !rank(edge, print),
+	query.fingerprint = fingerprint(exchange);
+	query.is_prober = !rank(edge, query.fingerprint);
+	suspect_rule(edge->suspects, &query, edge->backends,
 		     exchange_now_us(exchange), &ruling);
 	switch (ruling.verdict) {
 	case SUSPECT_AT_WORK:
@@ -132,8 +142,8 @@
 	case SUSPECT_QUARANTINED:
 		return refuse_quarantined(exchange, ruling.left_us, cause);
 	case SUSPECT_ALONE:
-		if (ruling.apart && !exchange->waited_turn)
-			return wait_for_turn(exchange);
+		if (ruling.claims)
+			return claim(exchange);
 		exchange->is_suspect = true;
 		exchange->query.apart = ruling.apart ? CHOOSE_APART_ONLY :
 						       CHOOSE_APART;
@@ -158,7 +168,7 @@
 	if (!exchange->is_suspect)
 		return;
 	exchange->runs_as_suspect = true;
-	exchange->waited_turn = false;
+	exchange->has_claimed = false;
 	suspect_run_begins(edge->suspects, &run);
 	tell_others(exchange);
 }
--- a/tests/core/suspect_fleet.h
+++ b/tests/core/suspect_fleet.h
@@ -146,7 +146,7 @@
 		int sends;
 		bool shared;
 		bool noted;
-		bool waited;
+		bool claimed;
 		uint64_t broke_us; /* first; 0: never */
 	};
 	struct Crash {
@@ -248,11 +248,6 @@
 				       (size_t)below(case_.nodes), 0, 0, 0,
 				       false, false, false, 0 });
 	}
-	/* An order of nodes that all agree on. */
-	uint32_t rank(const Run &run) const
-	{
-		return (uint32_t)((run.node + run.print) % nodes_.size());
-	}
 	/* As the choice of a server weighs suspects. */
 	Server *pick(const Node &node, const struct suspect_ruling &ruling)
 	{
@@ -278,20 +273,25 @@
 
 		if (node.ready_us > now_us)
 			return;
-		suspect_rule(node.table, run.print, backends_.get(), false,
-			     now_us, &ruling);
+		const struct suspect_query query = { run.print,
+						     (uint32_t)run.node, false,
+						     run.claimed };
+		suspect_rule(node.table, &query, backends_.get(), now_us,
+			     &ruling);
+		run.claimed = false;
 		if (ruling.verdict == SUSPECT_AT_WORK)
 			retries_.push_back({ now_us + 20 * US_PER_MS, run });
 		if (ruling.verdict == SUSPECT_AT_WORK ||
 		    ruling.verdict == SUSPECT_QUARANTINED)
 			return;
-		if (ruling.apart && !run.waited) {
-			run.waited = true;
-			retries_.push_back(
-				{ now_us + suspect_turn_us(rank(run)), run });
+		if (ruling.claims) {
+			suspect_claim(node.table, run.print, (uint32_t)run.node,
+				      now_us);
+			hurry(node);
+			run.claimed = true;
+			retries_.push_back({ now_us + SUSPECT_CLAIM_US, run });
 			return;
 		}
-		run.waited = false;
 		Server *server = pick(node, ruling);
 		if (!server)
 			return;
--- a/tests/core/suspect_table_test.cc
+++ b/tests/core/suspect_table_test.cc
@@ -46,12 +46,14 @@
 		}
 	}
 	struct suspect_ruling rule(uint64_t print = PRINT,
-				   bool is_prober = false)
+				   bool is_prober = false,
+				   bool has_claimed = false)
 	{
+		const struct suspect_query query = { print, SELF, is_prober,
+						     has_claimed };
 		struct suspect_ruling ruling;
 
-		suspect_rule(table, print, backends, is_prober, now_us,
-			     &ruling);
+		suspect_rule(table, &query, backends, now_us, &ruling);
 		return ruling;
 	}
 	std::vector<struct suspect_word> words()
@@ -277,6 +279,231 @@
 	EXPECT_EQ(0u, table->count);
 }
 
+/* --- claims ------------------------------------------------------------- */
+
+/* A node that wants to run a request that two servers ended under. */
+struct Claimer {
+	uint32_t node;
+	uint64_t print;
+	uint64_t comes_us;
+	struct suspect_table *table = nullptr;
+	bool has_claimed = false;
+	uint64_t next_us = 0; /* when it looks again */
+	uint64_t began_us = 0; /* its run; 0: none yet */
+	uint32_t life = 0; /* of the server that it chose */
+};
+
+/* Such nodes with words between them, and servers 1 to 9. */
+class ClaimWorld
+{
+      public:
+	ClaimWorld(const std::vector<Claimer> &claimers, uint64_t word_us)
+	    : claimers(claimers), word_us_(word_us)
+	{
+		for (Claimer &claimer : this->claimers) {
+			claimer.table = suspect_table_new();
+			claimer.next_us = START_US + claimer.comes_us;
+			for (const Claimer &other : claimers)
+				crash_twice(claimer.table, other.print);
+		}
+	}
+	~ClaimWorld()
+	{
+		for (Claimer &claimer : claimers)
+			suspect_table_free(claimer.table);
+		backend_table_free(backends_);
+	}
+	void play()
+	{
+		for (; now_us_ < START_US + US_PER_S; now_us_ += US_PER_MS) {
+			deliver();
+			for (Claimer &claimer : claimers)
+				if (claimer.next_us <= now_us_ &&
+				    !claimer.began_us)
+					step(claimer);
+		}
+	}
+	/* Runs that began while another node had one of the same request. */
+	int overlaps() const
+	{
+		int count = 0;
+
+		for (const Claimer &a : claimers)
+			for (const Claimer &b : claimers)
+				count += &a != &b && a.print == b.print &&
+					 a.began_us && b.began_us &&
+					 b.began_us >= a.began_us &&
+					 b.began_us < a.began_us + RUN_US;
+		return count;
+	}
+	std::vector<Claimer> claimers;
+
+      private:
+	struct Posted {
+		uint64_t at_us;
+		uint32_t from;
+		struct suspect_word word;
+	};
+	static const uint64_t START_US = 1000 * US_PER_S;
+	static const uint64_t RUN_US = 300 * US_PER_MS;
+	static const uint64_t LOOK_US = 20 * US_PER_MS;
+
+	void crash_twice(struct suspect_table *table, uint64_t print)
+	{
+		for (uint32_t i = 1; i <= 2; i++) {
+			const struct suspect_crash crash = {
+				(uint32_t)print * 100 + i,
+				START_US - i * US_PER_S, US_PER_MS
+			};
+
+			suspect_crashed(table, print, backends_, &crash, "");
+		}
+	}
+	void step(Claimer &claimer)
+	{
+		const struct suspect_query query = { claimer.print,
+						     claimer.node, false,
+						     claimer.has_claimed };
+		struct suspect_ruling ruling;
+
+		suspect_rule(claimer.table, &query, backends_, now_us_,
+			     &ruling);
+		claimer.has_claimed = false;
+		claimer.next_us = now_us_ + LOOK_US;
+		if (ruling.verdict != SUSPECT_ALONE)
+			return;
+		if (ruling.claims)
+			claim(claimer);
+		else
+			run(claimer);
+		post(claimer);
+	}
+	void claim(Claimer &claimer)
+	{
+		suspect_claim(claimer.table, claimer.print, claimer.node,
+			      now_us_);
+		claimer.has_claimed = true;
+		claimer.next_us = now_us_ + SUSPECT_CLAIM_US;
+	}
+	/* At the first server at which it knows of no suspect. */
+	void run(Claimer &claimer)
+	{
+		claimer.began_us = now_us_;
+		claimer.life = 1;
+		while (suspect_runs_on(claimer.table, claimer.life, false,
+				       now_us_))
+			claimer.life++;
+		const struct suspect_run run = { claimer.print, claimer.node,
+						 claimer.life, now_us_ + RUN_US,
+						 true };
+
+		suspect_run_begins(claimer.table, &run);
+	}
+	void post(const Claimer &claimer)
+	{
+		struct suspect_word words[4];
+		uint32_t count = suspect_urgent_words(
+			claimer.table, claimer.node, now_us_, words, 4);
+
+		for (uint32_t i = 0; i < count; i++)
+			posted_.push_back(
+				{ now_us_ + word_us_, claimer.node, words[i] });
+	}
+	void deliver()
+	{
+		for (const Posted &one : posted_)
+			for (Claimer &claimer : claimers)
+				if (one.at_us == now_us_ &&
+				    claimer.node != one.from)
+					suspect_take(claimer.table, &one.word,
+						     one.from, backends_,
+						     now_us_);
+	}
+
+	uint64_t word_us_;
+	uint64_t now_us_ = START_US;
+	struct backend_table *backends_ = backend_table_new();
+	std::vector<Posted> posted_;
+};
+
+struct claim_case {
+	const char *name;
+	uint64_t second_node_ms; /* later than the first */
+	uint64_t word_ms;
+};
+
+const claim_case claim_cases[] = {
+	{ "Together", 0, 60 },	     { "WithinAWord", 30, 60 },
+	{ "AsItArrives", 60, 60 },   { "AsTheWaitEnds", 139, 60 },
+	{ "AfterTheWait", 141, 60 }, { "Near", 1, 2 },
+	{ "SlowWords", 69, 69 },
+};
+
+class ClaimTest : public ::testing::TestWithParam<claim_case>
+{
+};
+
+/* Guards against nodes that each send a suspect before they hear of another. */
+TEST_P(ClaimTest, NodesRunARequestOneAfterAnother)
+{
+	const claim_case &c = GetParam();
+
+	for (uint32_t first : { 1, 2 }) {
+		ClaimWorld world(
+			{ { first, PRINT, 0 },
+			  { 3 - first, PRINT, c.second_node_ms * US_PER_MS } },
+			c.word_ms * US_PER_MS);
+
+		world.play();
+		EXPECT_EQ(0, world.overlaps());
+		for (const Claimer &claimer : world.claimers)
+			EXPECT_NE(0u, claimer.began_us);
+	}
+}
+
+/* Guards against two suspects that meet at a server again and again. */
+TEST_P(ClaimTest, SuspectsChooseDifferentServers)
+{
+	const claim_case &c = GetParam();
+
+	for (uint64_t first : { 5, 6 }) {
+		ClaimWorld world(
+			{ { 1, first, 0 },
+			  { 2, 11 - first, c.second_node_ms * US_PER_MS } },
+			c.word_ms * US_PER_MS);
+
+		world.play();
+		EXPECT_NE(0u, world.claimers[0].life);
+		EXPECT_NE(0u, world.claimers[1].life);
+		EXPECT_NE(world.claimers[0].life, world.claimers[1].life);
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, ClaimTest, ::testing::ValuesIn(claim_cases),
+			 [](const auto &info) { return info.param.name; });
+
+/* Guards against a node that dies after its claim blocking the request. */
+TEST_F(SuspectTest, AClaimEndsWithItsTime)
+{
+	crash_times(2);
+	suspect_claim(table, PRINT, OTHER, now_us);
+	EXPECT_EQ(SUSPECT_AT_WORK, rule().verdict);
+	now_us += 2 * SUSPECT_CLAIM_US;
+	EXPECT_EQ(SUSPECT_ALONE, rule().verdict);
+}
+
+/* Guards against a node that was suspended running on a claim that is over. */
+TEST_F(SuspectTest, AClaimThatIsOverIsMadeAgain)
+{
+	crash_times(2);
+	EXPECT_TRUE(rule().claims);
+	suspect_claim(table, PRINT, SELF, now_us);
+	now_us += SUSPECT_CLAIM_US;
+	EXPECT_FALSE(rule(PRINT, false, true).claims);
+	now_us += SUSPECT_CLAIM_US;
+	EXPECT_TRUE(rule(PRINT, false, true).claims);
+}
+
 /* --- words between nodes ------------------------------------------------ */
 
 class WordTest : public SuspectTest
@@ -303,10 +530,11 @@
 	}
 	enum suspect_verdict their_verdict(bool is_prober = false)
 	{
+		const struct suspect_query query = { PRINT, OTHER, is_prober,
+						     false };
 		struct suspect_ruling ruling;
 
-		suspect_rule(theirs, PRINT, backends, is_prober, now_us,
-			     &ruling);
+		suspect_rule(theirs, &query, backends, now_us, &ruling);
 		return ruling.verdict;
 	}
 	struct suspect_table *theirs;
