suspect_table: what ran at servers of a domain that ended together isn't suspected

Callers saw a request that crashes nothing refused for five minutes after losses of power.

Cause: that servers of a failure domain ended together was told by each node's own connections alone (crash_watch), so that a node with few of them, and the play, counted each as a crash of what ran there.

The table now goes by what all nodes tell: three servers or more of a domain that end in one moment, and half of all it has, speak against nobody, unless one request was at two of them. Crashes that don't count stay known, so that a request that is heard of last can still turn out to have ended them.

Tests: DomainTest, six cases; with the code before, the first three fail. The play knows its servers' domains.

A word may hold four crashes; eight of them go into a datagram, ten before.

--- a/packages/core/suspect_table.c
+++ b/packages/core/suspect_table.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "core/hash.h"
+
 /*
  * Ends of servers so close to each other may have one cause, as a failure
  * domain's loss of power. A word of another region is under way for about as
@@ -54,8 +56,8 @@
 /* Less is known against the one that goes first. */
 static bool goes_before(const struct suspect *a, const struct suspect *b)
 {
-	if (a->crash_count != b->crash_count)
-		return a->crash_count < b->crash_count;
+	if (a->counted != b->counted)
+		return a->counted < b->counted;
 	return a->touched_us < b->touched_us;
 }
 
@@ -101,10 +103,10 @@
 /* One crash makes suspects of all that was there, most of them innocent. */
 static bool is_strong_suspect(const struct suspect *entry)
 {
-	return entry->rounds || entry->crash_count > 1;
+	return entry->rounds || entry->counted > 1;
 }
 
-static void note_change(struct suspect *entry, uint32_t times, uint64_t now_us)
+static void note_change(struct suspect *entry, uint8_t times, uint64_t now_us)
 {
 	entry->touched_us = now_us;
 	entry->tells = times;
@@ -119,6 +121,11 @@
 
 /* --- crashes ------------------------------------------------------------ */
 
+static uint64_t difference(uint64_t a, uint64_t b)
+{
+	return MAX(a, b) - MIN(a, b);
+}
+
 static bool survived(const struct backend_table *backends,
 		     const struct suspect_crash *crash)
 {
@@ -129,33 +136,206 @@
 	       backend->unreachable_us <= crash->at_us;
 }
 
-/* Crashes before a time, or of servers that live after all, are dropped. */
-static void drop_crashes(struct suspect *entry,
-			 const struct backend_table *backends,
-			 uint64_t before_us)
+/* Hash of the server's failure domain; 0: not known. */
+static uint32_t domain_of(const struct backend_table *backends, uint32_t life)
 {
-	uint32_t kept = 0;
+	const struct backend *backend = backend_table_find_life(backends, life);
+
+	return backend ? hash_text(backend->domain) : 0;
+}
+
+/* The remembered moment that it belongs to, or NULL. */
+static struct suspect_domain_end *
+find_domain_end(struct suspect_table *table,
+		const struct backend_table *backends,
+		const struct suspect_crash *crash)
+{
+	uint32_t domain = domain_of(backends, crash->life);
 	uint32_t i;
 
-	for (i = 0; i < entry->crash_count; i++) {
-		const struct suspect_crash *crash = &entry->crashes[i];
+	for (i = 0; domain && i < SUSPECT_DOMAIN_ENDS_MOST; i++) {
+		struct suspect_domain_end *end = &table->domain_ends[i];
 
-		if (crash->at_us > before_us &&
-		    !(backends && survived(backends, crash)))
-			entry->crashes[kept++] = *crash;
+		if (end->domain == domain &&
+		    difference(end->at_us, crash->at_us) < TOGETHER_US)
+			return end;
 	}
+	return NULL;
+}
+
+static void drop_crashes_before(struct suspect *entry, uint64_t before_us)
+{
+	uint32_t kept = 0;
+	uint32_t i;
+
+	for (i = 0; i < entry->crash_count; i++)
+		if (entry->crashes[i].at_us > before_us)
+			entry->crashes[kept++] = entry->crashes[i];
+	entry->crash_count = kept;
+	entry->counted = MIN(entry->counted, kept);
+}
+
+static void drop_crashes_of_living(struct suspect *entry,
+				   const struct backend_table *backends)
+{
+	uint32_t kept = 0;
+	uint32_t i;
+
+	for (i = 0; i < entry->crash_count; i++)
+		if (!survived(backends, &entry->crashes[i]))
+			entry->crashes[kept++] = entry->crashes[i];
 	entry->crash_count = kept;
 }
 
+/*
+ * Whether another server ended under it in the same moment. Each of the two may
+ * have come with a word that was under way.
+ */
+static bool has_companion(const struct suspect *entry,
+			  const struct suspect_crash *crash)
+{
+	uint32_t i;
+
+	for (i = 0; i < entry->crash_count; i++)
+		if (entry->crashes[i].life != crash->life &&
+		    difference(entry->crashes[i].at_us, crash->at_us) <
+			    2 * TOGETHER_US)
+			return true;
+	return false;
+}
+
+/* One that was at several of a domain's servers may be what ended them. */
+static bool speaks_against(struct suspect_table *table,
+			   const struct suspect *entry,
+			   const struct backend_table *backends,
+			   const struct suspect_crash *crash)
+{
+	return !find_domain_end(table, backends, crash) ||
+	       has_companion(entry, crash);
+}
+
 /* A first quarantine stands on its crashes, later ones on a try that failed. */
-static void review(struct suspect *entry, const struct backend_table *backends)
+static void review(struct suspect_table *table, struct suspect *entry,
+		   const struct backend_table *backends)
 {
-	drop_crashes(entry, backends, entry->cleared_us);
+	uint32_t i;
+
+	drop_crashes_of_living(entry, backends);
+	entry->counted = 0;
+	for (i = 0; i < entry->crash_count; i++)
+		entry->counted += speaks_against(table, entry, backends,
+						 &entry->crashes[i]);
 	if (entry->rounds == 1 && !entry->by_hand &&
-	    entry->crash_count < SUSPECT_CRASHES)
+	    entry->counted < SUSPECT_CRASHES)
 		entry->rounds = 0;
 }
 
+static void review_all(struct suspect_table *table,
+		       const struct backend_table *backends)
+{
+	uint32_t i;
+
+	for (i = 0; i < SUSPECTS_MOST; i++)
+		if (table->keys[i])
+			review(table, &table->entries[i], backends);
+}
+
+/* Servers of one moment: few, so that a set of their lives is an array. */
+static bool has_life(const GArray *lives, uint32_t life)
+{
+	guint i;
+
+	for (i = 0; i < lives->len; i++)
+		if (g_array_index(lives, uint32_t, i) == life)
+			return true;
+	return false;
+}
+
+static void add_life(GArray *lives, uint32_t life)
+{
+	if (!has_life(lives, life))
+		g_array_append_val(lives, life);
+}
+
+/*
+ * The lives of the crash's domain that are known to have ended with it: all,
+ * and those at which one request was that was at several.
+ */
+static void collect_lives(const struct suspect_table *table,
+			  const struct backend_table *backends,
+			  const struct suspect_crash *crash, GArray *lives,
+			  GArray *shared)
+{
+	uint32_t domain = domain_of(backends, crash->life);
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < SUSPECTS_MOST; i++) {
+		const struct suspect *entry = &table->entries[i];
+
+		for (j = 0; j < entry->crash_count; j++) {
+			const struct suspect_crash *other = &entry->crashes[j];
+
+			if (difference(other->at_us, crash->at_us) >=
+				    TOGETHER_US ||
+			    domain_of(backends, other->life) != domain)
+				continue;
+			add_life(lives, other->life);
+			if (has_companion(entry, other))
+				add_life(shared, other->life);
+		}
+	}
+}
+
+static uint32_t count_servers(const struct backend_table *backends,
+			      uint32_t domain)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, backends->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct backend *backend = value;
+
+		count += hash_text(backend->domain) == domain;
+	}
+	return count;
+}
+
+/*
+ * Several servers of a domain may have ended in the same moment. A request that
+ * was at two of them may be what ended these, and is often heard of last.
+ */
+static void note_domain_end(struct suspect_table *table,
+			    const struct backend_table *backends,
+			    const struct suspect_crash *crash)
+{
+	uint32_t domain = domain_of(backends, crash->life);
+	struct suspect_domain_end *end =
+		find_domain_end(table, backends, crash);
+	GArray *lives = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	GArray *shared = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	uint32_t ended;
+
+	if (domain)
+		collect_lives(table, backends, crash, lives, shared);
+	ended = lives->len - shared->len;
+	if (!end && ended >= SUSPECT_DOMAIN_ENDS &&
+	    2 * ended >= count_servers(backends, domain)) {
+		end = &table->domain_ends[table->domain_end_next++ %
+					  SUSPECT_DOMAIN_ENDS_MOST];
+		end->domain = domain;
+		end->at_us = crash->at_us;
+		review_all(table, backends);
+	} else if (end && shared->len && ended < SUSPECT_DOMAIN_ENDS) {
+		memset(end, 0, sizeof(*end));
+		review_all(table, backends);
+	}
+	g_array_unref(lives);
+	g_array_unref(shared);
+}
+
 /*
  * Whether both may have one cause that isn't the request: at the same time, and
  * neither run began when the other server had ended.
@@ -177,8 +357,7 @@
 	uint32_t together = 0;
 	uint32_t i;
 
-	if (crash->at_us <= entry->cleared_us ||
-	    entry->crash_count == SUSPECT_CRASHES)
+	if (crash->at_us <= entry->cleared_us)
 		return false;
 	for (i = 0; i < entry->crash_count; i++) {
 		if (entry->crashes[i].life == crash->life)
@@ -199,13 +378,35 @@
 	entry->until_us = now_us + quarantine_us(entry->rounds);
 }
 
+/* In the place of one that doesn't count where there are many. */
+static bool keep_crash(struct suspect_table *table, struct suspect *entry,
+		       const struct backend_table *backends,
+		       const struct suspect_crash *crash)
+{
+	uint32_t at = entry->crash_count;
+	uint32_t i;
+
+	for (i = 0; at == SUSPECT_CRASHES_KEPT && i < at; i++)
+		if (!speaks_against(table, entry, backends, &entry->crashes[i]))
+			at = i;
+	if (at == SUSPECT_CRASHES_KEPT)
+		return false;
+	entry->crashes[at] = *crash;
+	entry->crash_count = MAX(entry->crash_count, at + 1);
+	return true;
+}
+
 /* Whether it was one that wasn't known. */
-static bool add_crash(struct suspect *entry, const struct suspect_crash *crash)
+static bool add_crash(struct suspect_table *table, struct suspect *entry,
+		      const struct backend_table *backends,
+		      const struct suspect_crash *crash)
 {
-	if (entry->rounds || !is_new_crash(entry, crash))
+	if (entry->rounds || !is_new_crash(entry, crash) ||
+	    !keep_crash(table, entry, backends, crash))
 		return false;
-	entry->crashes[entry->crash_count++] = *crash;
-	if (entry->crash_count == SUSPECT_CRASHES)
+	note_domain_end(table, backends, crash);
+	review(table, entry, backends);
+	if (entry->counted >= SUSPECT_CRASHES)
 		begin_quarantine(entry, crash->at_us);
 	return true;
 }
@@ -220,10 +421,10 @@
 		return false;
 	if (!*entry->text)
 		g_strlcpy(entry->text, text, sizeof(entry->text));
-	review(entry, backends);
+	review(table, entry, backends);
 	if (entry->rounds && entry->until_us <= crash->at_us)
 		begin_quarantine(entry, crash->at_us);
-	else if (!add_crash(entry, crash))
+	else if (!add_crash(table, entry, backends, crash))
 		return false;
 	entry->seen_here = true;
 	note_change(entry, is_strong_suspect(entry) ? TELL_OWN : 0,
@@ -239,7 +440,7 @@
 	entry->cleared_us = at_us;
 	entry->rounds = 0;
 	entry->by_hand = false;
-	drop_crashes(entry, NULL, at_us);
+	drop_crashes_before(entry, at_us);
 	return true;
 }
 
@@ -397,14 +598,14 @@
 	memset(ruling, 0, sizeof(*ruling));
 	if (!entry)
 		return;
-	review(entry, backends);
+	review(table, entry, backends);
 	if (entry->rounds && (entry->until_us > now_us || !query->is_prober)) {
 		ruling->verdict = SUSPECT_QUARANTINED;
 		ruling->left_us =
 			entry->until_us > now_us ? entry->until_us - now_us : 0;
 		return;
 	}
-	if (!entry->rounds && !entry->crash_count)
+	if (!entry->rounds && !entry->counted)
 		return;
 	ruling->apart = is_strong_suspect(entry);
 	ruling->claims = ruling->apart && !has_claimed;
@@ -461,7 +662,7 @@
 {
 	uint32_t i;
 
-	if (!word->fingerprint || word->crash_count > SUSPECT_CRASHES ||
+	if (!word->fingerprint || word->crash_count > SUSPECT_CRASHES_KEPT ||
 	    word->rounds > SUSPECT_ROUNDS_MOST ||
 	    word->run_left_us > SUSPECT_RUN_MOST_US)
 		return false;
@@ -479,8 +680,9 @@
 	return now_us > age_us ? now_us - age_us : 0;
 }
 
-static bool take_crashes(struct suspect *entry, const struct suspect_word *word,
-			 uint64_t now_us)
+static bool take_crashes(struct suspect_table *table, struct suspect *entry,
+			 const struct suspect_word *word,
+			 const struct backend_table *backends, uint64_t now_us)
 {
 	bool news = false;
 	uint32_t i;
@@ -492,7 +694,7 @@
 			.ran_us = word->crashes[i].ran_us,
 		};
 
-		news |= add_crash(entry, &crash);
+		news |= add_crash(table, entry, backends, &crash);
 	}
 	return news;
 }
@@ -503,7 +705,7 @@
 {
 	if (word->rounds <= entry->rounds)
 		return false;
-	if (!word->by_hand && entry->crash_count < SUSPECT_CRASHES)
+	if (!word->by_hand && entry->counted < SUSPECT_CRASHES)
 		return false;
 	entry->rounds = word->rounds;
 	entry->until_us = now_us + word->left_us;
@@ -547,8 +749,8 @@
 		return true;
 	news = word->cleared &&
 	       clear(entry, before(now_us, word->cleared_age_us));
-	news |= take_crashes(entry, word, now_us);
-	review(entry, backends);
+	news |= take_crashes(table, entry, word, backends, now_us);
+	review(table, entry, backends);
 	news |= take_quarantine(entry, word, now_us);
 	if (news)
 		note_change(entry, is_strong_suspect(entry) ? TELL_TAKEN : 0,
@@ -655,7 +857,7 @@
 	drop_ended_runs(table, now_us);
 	for (i = 0; table->count && i < SUSPECTS_MOST; i++) {
 		const struct suspect *entry = &table->entries[i];
-		bool cleared = !entry->crash_count && !entry->rounds;
+		bool cleared = !entry->counted && !entry->rounds;
 		uint64_t keep_us = cleared ? CLEARED_KEEP_US : SUSPECT_KEEP_US;
 		uint64_t from_us = MAX(entry->touched_us, entry->until_us);
 
--- a/packages/core/suspect_table.h
+++ b/packages/core/suspect_table.h
@@ -12,7 +12,8 @@
  *
  * Crashes count by the server's life, once each, whoever tells of them, so
  * words of other nodes may come twice, late or in any order. A server that
- * answered what was sent to it after it was said to have ended did not. The
+ * answered what was sent to it after it was said to have ended did not; what
+ * ran at servers of a failure domain that ended together isn't suspected. The
  * table is of fixed size; a quarantined request is never pushed out. Not
  * thread-safe. Times are those of the clock port.
  */
@@ -33,8 +34,22 @@
 #define SUSPECTS_MOST 512
 #define SUSPECT_RUNS_MOST 64
 
-/* Servers that end under a request before it is quarantined. */
+/*
+ * Servers that end under a request before it is quarantined, and those that are
+ * remembered of it: one may turn out not to count.
+ */
 #define SUSPECT_CRASHES 3
+#define SUSPECT_CRASHES_KEPT 4
+
+/*
+ * So many servers of a failure domain that end together, and half of them all,
+ * have a cause in common, and it isn't what ran there. A few at a time end
+ * where several requests crash servers at once.
+ */
+#define SUSPECT_DOMAIN_ENDS 3
+
+/* Such moments that are remembered. */
+#define SUSPECT_DOMAIN_ENDS_MOST 16
 
 /* The first quarantine, and how often it may double. */
 #define SUSPECT_QUARANTINE_US (300 * US_PER_S)
@@ -66,16 +81,17 @@
 
 struct suspect {
 	uint64_t fingerprint;
-	struct suspect_crash crashes[SUSPECT_CRASHES];
+	struct suspect_crash crashes[SUSPECT_CRASHES_KEPT];
 	uint32_t crash_count;
+	uint32_t counted; /* of these, the ones that speak against it */
 	uint32_t rounds; /* quarantines in a row; 0: none */
-	uint64_t until_us; /* end of the latest one */
 	bool by_hand; /* an operator's, without crashes */
 	bool seen_here; /* this node saw a server end under it */
+	uint8_t urgent; /* times it is still told to all at once */
+	uint8_t tells; /* times it is still told with a beat */
+	uint64_t until_us; /* end of the latest quarantine */
 	uint64_t cleared_us; /* crashes before don't count */
 	uint64_t touched_us; /* something was learned of it */
-	uint32_t urgent; /* times it is still told to all at once */
-	uint32_t tells; /* times it is still told with a beat */
 	char text[SUSPECT_TEXT_SIZE]; /* method and path; "": not known here */
 };
 
@@ -88,6 +104,12 @@
 	bool apart; /* others should keep away from it */
 };
 
+/* A moment in which several servers of a failure domain ended. */
+struct suspect_domain_end {
+	uint32_t domain; /* hash of its name */
+	uint64_t at_us;
+};
+
 struct suspect_table {
 	uint64_t keys[SUSPECTS_MOST]; /* fingerprints of entries; 0: free */
 	struct suspect entries[SUSPECTS_MOST];
@@ -95,6 +117,8 @@
 	struct suspect_run runs[SUSPECT_RUNS_MOST];
 	uint32_t run_count;
 	uint32_t told; /* where the round over what is told goes on */
+	struct suspect_domain_end domain_ends[SUSPECT_DOMAIN_ENDS_MOST];
+	uint32_t domain_end_next; /* to be overwritten */
 };
 
 enum suspect_verdict {
@@ -125,7 +149,7 @@
 		uint32_t life;
 		uint64_t age_us;
 		uint64_t ran_us;
-	} crashes[SUSPECT_CRASHES];
+	} crashes[SUSPECT_CRASHES_KEPT];
 	uint32_t crash_count;
 	uint32_t rounds;
 	uint64_t left_us; /* of the quarantine */
--- a/packages/edge/beat.c
+++ b/packages/edge/beat.c
@@ -239,11 +239,11 @@
 	guint32 age_ms;
 	guint32 ran_ms;
 
-	while (word->crash_count <= SUSPECT_CRASHES &&
+	while (word->crash_count <= SUSPECT_CRASHES_KEPT &&
 	       g_variant_iter_next(iter, "(uuu)", &life, &age_ms, &ran_ms)) {
 		uint32_t at = word->crash_count++;
 
-		if (at == SUSPECT_CRASHES)
+		if (at == SUSPECT_CRASHES_KEPT)
 			continue;
 		word->crashes[at].life = life;
 		word->crashes[at].age_us = age_ms * US_PER_MS;
--- a/packages/edge/beat.h
+++ b/packages/edge/beat.h
@@ -34,7 +34,7 @@
 #define BEAT_MAX_LOADS 40
 #define BEAT_MAX_VOUCHES 3
 #define BEAT_MAX_ROWS 8
-#define BEAT_MAX_SUSPECTS 10
+#define BEAT_MAX_SUSPECTS 8
 #define BEAT_MAX_RATES 20
 #define BEAT_MAX_TOKENS 8
 
--- a/packages/edge/quarantine_store.c
+++ b/packages/edge/quarantine_store.c
@@ -73,7 +73,7 @@
 		record->left_ms = (suspect->until_us - now_us) / US_PER_MS;
 	record->written_ms = real_ms();
 	record->by_hand = suspect->by_hand;
-	for (i = 0; i < suspect->crash_count; i++)
+	for (i = 0; i < MIN(suspect->crash_count, QUARANTINE_LIVES); i++)
 		record->lives[record->life_count++] = suspect->crashes[i].life;
 	record->request = (char *)suspect->text;
 }
--- a/tests/core/suspect_fleet.h
+++ b/tests/core/suspect_fleet.h
@@ -25,6 +25,7 @@
 inline const uint64_t DEADLY = 1; /* to DEADLY + the number of deadly requests
 				   */
 inline const int REGIONS = 3;
+inline const int DOMAINS = 3;
 inline const int NEAR_DRAWN = 12;
 inline const int FAR_DRAWN = 3;
 inline const uint64_t NEAR_US = US_PER_MS;
@@ -56,15 +57,18 @@
 	{
 		for (int i = 0; i < c.nodes; i++)
 			add_node();
-		servers_.resize((size_t)c.servers);
-		for (Server &server : servers_)
-			server.life = next_life_++;
+		for (int i = 0; i < c.servers; i++) {
+			servers_.push_back({});
+			servers_.back().number = i;
+			start(servers_.back());
+		}
 		stats.resize((size_t)c.deadly);
 	}
 	void play(uint64_t until_us)
 	{
 		while (now_us < until_us + DRAIN_US) {
 			now_us += STEP_US;
+			restart();
 			ending_ = now_us >= until_us;
 			if (case_.kill_all && now_us == START_US + 5 * US_PER_S)
 				kill_all();
@@ -186,6 +190,8 @@
 		Run run;
 	};
 	struct Server {
+		int number;
+		std::string id;
 		uint32_t life;
 		uint64_t back_us = 0; /* it is down until then */
 		std::vector<Run> runs;
@@ -198,6 +204,29 @@
 		nodes_.back()->beat_us =
 			now_us + (uint64_t)below(400) * US_PER_MS;
 	}
+	/* A server's next life; power goes by failure domain. */
+	void start(Server &server)
+	{
+		std::string domain =
+			"d" + std::to_string(server.number % DOMAINS);
+		struct backend_facts facts = {};
+
+		server.id = "i-" + std::to_string(next_life_++);
+		facts.id = server.id.c_str();
+		facts.service = "s";
+		facts.domain = domain.c_str();
+		facts.region = "r";
+		facts.slots = 1;
+		server.life =
+			backend_table_put(backends_.get(), &facts, now_us)->life;
+	}
+	void restart()
+	{
+		backend_table_expire(backends_.get(), now_us);
+		for (Server &server : servers_)
+			if (!server.life && server.back_us <= now_us)
+				start(server);
+	}
 	int below(int most)
 	{
 		return std::uniform_int_distribution<int>(0, most - 1)(random_);
@@ -372,7 +401,9 @@
 		}
 		for (Run &run : runs)
 			break_off(server, run);
-		server.life = next_life_++;
+		backend_table_remove(backends_.get(), server.id.c_str(), 0,
+				     server.back_us, now_us);
+		server.life = 0;
 	}
 	void break_off(const Server &server, Run run)
 	{
@@ -410,7 +441,7 @@
 	{
 		if (!case_.power || (now_us - START_US) % (3 * US_PER_S))
 			return;
-		for (size_t i = 0; i < servers_.size(); i += 3)
+		for (size_t i = 0; i < servers_.size(); i += DOMAINS)
 			if (servers_[i].back_us <= now_us)
 				crash(servers_[i], nullptr);
 	}
--- a/tests/core/suspect_fleet_test.cc
+++ b/tests/core/suspect_fleet_test.cc
@@ -27,6 +27,11 @@
 	{ "RegionCut", 9, 24, 1, 5, false, 6, 0, false, false, true, 7, 3 },
 	{ "Others", 8, 24, 1, 5, false, 6, 0.2, true, false, false, 4, 0 },
 	{ "OnlyOthers", 8, 24, 0, 0, false, 6, 0.2, true, false, false, 0, 0 },
+	{ "ThreeBunched", 8, 36, 3, 5, true, 6, 0, false, false, false, 6, 0 },
+	{ "TwoBesideOthers", 8, 36, 2, 5, true, 6, 0.2, true, false, false, 6,
+	  0 },
+	{ "ThreeOnSixty", 60, 118, 3, 5, false, 3, 0.2, true, false, false, 5,
+	  0 },
 };
 
 unsigned number_of(const char *variable, unsigned usual)
--- a/tests/core/suspect_table_test.cc
+++ b/tests/core/suspect_table_test.cc
@@ -133,6 +133,68 @@
 	EXPECT_EQ(SUSPECT_ALONE, rule().verdict);
 }
 
+struct domain_case {
+	const char *name;
+	int servers; /* of the failure domain */
+	int ended; /* of these, at one moment, each under a request of its own
+		    */
+	bool has_culprit; /* one request was at all of them, too */
+	uint32_t counted; /* crashes of one that was at the last of them */
+};
+
+const domain_case domain_cases[] = {
+	{ "LossOfPower", 6, 4, false, 0 },
+	{ "LossOfPowerOfASmallOne", 3, 3, false, 0 },
+	{ "HalfOfIt", 6, 3, false, 0 },
+	{ "AFewOfALargeOne", 12, 3, false, 1 },
+	{ "TwoOfASmallOne", 4, 2, false, 1 },
+	{ "OneRequestAtAll", 6, 4, true, 1 },
+};
+
+class DomainTest : public SuspectTest,
+		   public ::testing::WithParamInterface<domain_case>
+{
+      protected:
+	void end(uint32_t life, uint64_t print)
+	{
+		const struct suspect_crash crash = { life, now_us,
+						     5 * US_PER_MS };
+
+		suspect_crashed(table, print, backends, &crash, "GET /r/x");
+	}
+};
+
+/* Guards against a domain's loss of power that no node sees whole by itself. */
+TEST_P(DomainTest, ServersThatEndTogetherSpeakAgainstNobody)
+{
+	const domain_case &c = GetParam();
+	const uint64_t culprit = 77;
+	std::vector<uint32_t> lives;
+
+	for (int i = 0; i < c.servers; i++)
+		lives.push_back(
+			add_backend(("i-" + std::to_string(i)).c_str())->life);
+	for (int i = 0; i < c.ended; i++) {
+		now_us += 10 * US_PER_MS;
+		end(lives[(size_t)i], 100 + (uint64_t)i);
+		if (c.has_culprit)
+			end(lives[(size_t)i], culprit);
+	}
+	const struct suspect *last =
+		suspect_table_find(table, 100 + (uint64_t)c.ended - 1);
+
+	EXPECT_EQ(1u, last->crash_count);
+	EXPECT_EQ(c.counted, last->counted);
+	EXPECT_EQ(c.has_culprit, rule(culprit).verdict == SUSPECT_QUARANTINED);
+	now_us += US_PER_S;
+	for (int i = 0; i < 2; i++)
+		crash(next_life++, last->fingerprint);
+	EXPECT_EQ(c.counted + 2, last->counted);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, DomainTest, ::testing::ValuesIn(domain_cases),
+			 [](const auto &info) { return info.param.name; });
+
 /* Guards against a request that crashes at once passing for one cause. */
 TEST_F(SuspectTest, ARunThatBeganAfterAnEndIsAnother)
 {
