suspect_table: the crashes that a suspect has for itself tell the culprit

Callers saw a request that crashes nothing refused for five minutes because it had stood beside others that crash servers, three times.

Cause: a crash counted against all that was there, also where another request there had more against it. Of two that shared all three crashes nothing tells one from the other but a further run.

A request is quarantined now by crashes at which no other with as many was: by two of these, or by one where no rival has any, or by one of four in all. What other nodes tell later counts too: a quarantine is lifted where another request explains it, and its row leaves the store (quarantine-lifted).

Tests: JudgeTest, KeepTest.ARowGoesWithItsQuarantine; models/suspect knows both requests (COUNT_ALL is caught).

--- a/models/prove.sh
+++ b/models/prove.sh
@@ -114,6 +114,7 @@
 	suspect COUNT_BESIDE caught
 	suspect NO_LIMIT caught
 	suspect NO_ROW caught
+	suspect COUNT_ALL caught
 	history SOUND clean
 	history NO_VERSION caught
 	history NO_REMOVED caught
--- a/packages/core/suspect_table.c
+++ b/packages/core/suspect_table.c
@@ -214,7 +214,6 @@
 	       has_companion(entry, crash);
 }
 
-/* A first quarantine stands on its crashes, later ones on a try that failed. */
 static void review(struct suspect_table *table, struct suspect *entry,
 		   const struct backend_table *backends)
 {
@@ -225,9 +224,6 @@
 	for (i = 0; i < entry->crash_count; i++)
 		entry->counted += speaks_against(table, entry, backends,
 						 &entry->crashes[i]);
-	if (entry->rounds == 1 && !entry->by_hand &&
-	    entry->counted < SUSPECT_CRASHES)
-		entry->rounds = 0;
 }
 
 static void review_all(struct suspect_table *table,
@@ -367,6 +363,8 @@
 	return together < SUSPECT_CRASHES - 1;
 }
 
+/* --- judgement ----------------------------------------------------------- */
+
 static uint64_t quarantine_us(uint32_t rounds)
 {
 	return SUSPECT_QUARANTINE_US << (rounds - 1);
@@ -378,21 +376,162 @@
 	entry->until_us = now_us + quarantine_us(entry->rounds);
 }
 
-/* In the place of one that doesn't count where there are many. */
+static bool has_enough_crashes(const struct suspect *entry)
+{
+	return entry->counted >= SUSPECT_CRASHES;
+}
+
+static bool was_at(const struct suspect *entry, uint32_t life)
+{
+	uint32_t i;
+
+	for (i = 0; i < entry->crash_count; i++)
+		if (entry->crashes[i].life == life)
+			return true;
+	return false;
+}
+
+/* Crashes that no other request with as many can have caused. */
+static uint32_t count_own(const struct suspect_table *table,
+			  const struct suspect *entry)
+{
+	bool is_others[SUSPECT_CRASHES_KEPT] = { false };
+	uint32_t own = 0;
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < SUSPECTS_MOST; i++) {
+		const struct suspect *other = &table->entries[i];
+
+		if (other == entry || !has_enough_crashes(other))
+			continue;
+		for (j = 0; j < entry->crash_count; j++)
+			is_others[j] |= was_at(other, entry->crashes[j].life);
+	}
+	for (j = 0; j < entry->crash_count; j++)
+		own += !is_others[j];
+	return MIN(own, entry->counted);
+}
+
+/* The most that one has which was at a server with it. */
+static uint32_t count_rivals_own(const struct suspect_table *table,
+				 const struct suspect *entry)
+{
+	uint32_t most = 0;
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < SUSPECTS_MOST; i++) {
+		const struct suspect *other = &table->entries[i];
+
+		if (other == entry || !has_enough_crashes(other))
+			continue;
+		for (j = 0; j < entry->crash_count; j++)
+			if (was_at(other, entry->crashes[j].life))
+				break;
+		if (j < entry->crash_count)
+			most = MAX(most, count_own(table, other));
+	}
+	return most;
+}
+
+enum judgement {
+	JUDGEMENT_FREE,
+	JUDGEMENT_OPEN, /* as much speaks against another */
+	JUDGEMENT_GUILTY,
+};
+
+/*
+ * What stood beside a request that crashes servers may have been there each
+ * time. Then the crashes that one of them has for itself decide, and where none
+ * has any, the next run: suspects run one by one.
+ */
+static enum judgement judge(const struct suspect_table *table,
+			    const struct suspect *entry)
+{
+	uint32_t rivals_own;
+	uint32_t own;
+
+	if (!has_enough_crashes(entry))
+		return JUDGEMENT_FREE;
+	own = count_own(table, entry);
+	if (!own)
+		return JUDGEMENT_FREE;
+	if (own > 1 || entry->counted > SUSPECT_CRASHES)
+		return JUDGEMENT_GUILTY;
+	rivals_own = count_rivals_own(table, entry);
+	if (rivals_own == 1)
+		return JUDGEMENT_OPEN;
+	return rivals_own ? JUDGEMENT_FREE : JUDGEMENT_GUILTY;
+}
+
+static uint64_t latest_crash_us(const struct suspect *entry)
+{
+	uint64_t latest_us = 0;
+	uint32_t i;
+
+	for (i = 0; i < entry->crash_count; i++)
+		latest_us = MAX(latest_us, entry->crashes[i].at_us);
+	return latest_us;
+}
+
+/* A first quarantine stands on its crashes, later ones on a try that failed. */
+static void judge_all(struct suspect_table *table)
+{
+	uint32_t i;
+
+	for (i = 0; i < SUSPECTS_MOST; i++) {
+		struct suspect *entry = &table->entries[i];
+		enum judgement judgement;
+
+		if (entry->by_hand || entry->rounds > 1 ||
+		    (!entry->rounds && !has_enough_crashes(entry)))
+			continue;
+		judgement = judge(table, entry);
+		if (judgement == JUDGEMENT_FREE)
+			entry->rounds = 0;
+		else if (judgement == JUDGEMENT_GUILTY && !entry->rounds)
+			begin_quarantine(entry, latest_crash_us(entry));
+	}
+}
+
+/* --- evidence ------------------------------------------------------------ */
+
+/*
+ * Place of the one to be forgotten: one that doesn't count, or the oldest. Were
+ * the latest ones not remembered, those at which others had been would never be
+ * followed by one that was its own.
+ */
+static uint32_t least_crash(struct suspect_table *table,
+			    const struct suspect *entry,
+			    const struct backend_table *backends)
+{
+	uint32_t least = 0;
+	uint32_t i;
+
+	for (i = 0; i < entry->crash_count; i++) {
+		if (!speaks_against(table, entry, backends, &entry->crashes[i]))
+			return i;
+		if (entry->crashes[i].at_us < entry->crashes[least].at_us)
+			least = i;
+	}
+	return least;
+}
+
 static bool keep_crash(struct suspect_table *table, struct suspect *entry,
 		       const struct backend_table *backends,
 		       const struct suspect_crash *crash)
 {
-	uint32_t at = entry->crash_count;
-	uint32_t i;
+	uint32_t at;
 
-	for (i = 0; at == SUSPECT_CRASHES_KEPT && i < at; i++)
-		if (!speaks_against(table, entry, backends, &entry->crashes[i]))
-			at = i;
-	if (at == SUSPECT_CRASHES_KEPT)
+	if (entry->crash_count < SUSPECT_CRASHES_KEPT) {
+		entry->crashes[entry->crash_count++] = *crash;
+		return true;
+	}
+	at = least_crash(table, entry, backends);
+	if (entry->crashes[at].at_us >= crash->at_us)
 		return false;
 	entry->crashes[at] = *crash;
-	entry->crash_count = MAX(entry->crash_count, at + 1);
 	return true;
 }
 
@@ -401,13 +540,12 @@
 		      const struct backend_table *backends,
 		      const struct suspect_crash *crash)
 {
-	if (entry->rounds || !is_new_crash(entry, crash) ||
+	if (entry->rounds > 1 || !is_new_crash(entry, crash) ||
 	    !keep_crash(table, entry, backends, crash))
 		return false;
 	note_domain_end(table, backends, crash);
 	review(table, entry, backends);
-	if (entry->counted >= SUSPECT_CRASHES)
-		begin_quarantine(entry, crash->at_us);
+	judge_all(table);
 	return true;
 }
 
@@ -454,6 +592,7 @@
 		return;
 	was_strong = is_strong_suspect(entry);
 	clear(entry, now_us);
+	judge_all(table);
 	note_change(entry, was_strong ? TELL_OWN : 0, now_us);
 }
 
@@ -599,6 +738,7 @@
 	if (!entry)
 		return;
 	review(table, entry, backends);
+	judge_all(table);
 	if (entry->rounds && (entry->until_us > now_us || !query->is_prober)) {
 		ruling->verdict = SUSPECT_QUARANTINED;
 		ruling->left_us =
@@ -705,7 +845,7 @@
 {
 	if (word->rounds <= entry->rounds)
 		return false;
-	if (!word->by_hand && entry->counted < SUSPECT_CRASHES)
+	if (!word->by_hand && !entry->rounds)
 		return false;
 	entry->rounds = word->rounds;
 	entry->until_us = now_us + word->left_us;
@@ -751,6 +891,8 @@
 	       clear(entry, before(now_us, word->cleared_age_us));
 	news |= take_crashes(table, entry, word, backends, now_us);
 	review(table, entry, backends);
+	if (news)
+		judge_all(table);
 	news |= take_quarantine(entry, word, now_us);
 	if (news)
 		note_change(entry, is_strong_suspect(entry) ? TELL_TAKEN : 0,
--- a/packages/edge/gossip_words.c
+++ b/packages/edge/gossip_words.c
@@ -69,6 +69,8 @@
 	uint64_t now_us = edge_now_us(edge);
 
 	suspect_table_expire(edge->suspects, now_us);
+	if (edge->quarantines)
+		quarantine_store_review(edge->quarantines);
 	gossip_sign(gossip, &beat);
 	beat.suspect_count = suspect_words(edge->suspects,
 					   edge->members->self->hash, now_us,
--- a/packages/edge/quarantine_store.c
+++ b/packages/edge/quarantine_store.c
@@ -29,6 +29,9 @@
 	uint32_t waiting_count;
 	uint64_t writing; /* of these, the one whose call is out */
 	bool changed; /* it changed since that call was made */
+	uint64_t kept[WAITING_MOST]; /* fingerprints whose rows this node wrote
+				      */
+	uint32_t kept_count;
 	uint32_t failures; /* of calls, in a row */
 };
 
@@ -78,6 +81,26 @@
 	record->request = (char *)suspect->text;
 }
 
+static bool is_quarantined(const struct quarantine_store *store,
+			   uint64_t fingerprint)
+{
+	const struct suspect *suspect =
+		suspect_table_find(store->edge->suspects, fingerprint);
+
+	return suspect && suspect->rounds;
+}
+
+static void note_kept(struct quarantine_store *store, uint64_t fingerprint)
+{
+	uint32_t i;
+
+	for (i = 0; i < store->kept_count; i++)
+		if (store->kept[i] == fingerprint)
+			return;
+	if (store->kept_count < WAITING_MOST)
+		store->kept[store->kept_count++] = fingerprint;
+}
+
 static void forget_written(struct quarantine_store *store)
 {
 	uint32_t i;
@@ -117,8 +140,10 @@
 	store->changed = false;
 	suspect = suspect_table_find(edge->suspects, store->writing);
 	g_snprintf(key, sizeof(key), "%016" PRIx64, store->writing);
-	if (suspect && suspect->rounds)
+	if (suspect && suspect->rounds) {
 		fill_record(suspect, edge_now_us(edge), &record);
+		note_kept(store, store->writing);
+	}
 	registry->vtable->put_quarantine(
 		registry, key, suspect && suspect->rounds ? &record : NULL,
 		&call);
@@ -143,6 +168,22 @@
 	step(store);
 }
 
+void quarantine_store_review(struct quarantine_store *store)
+{
+	uint32_t i;
+
+	for (i = store->kept_count; i > 0; i--) {
+		uint64_t fingerprint = store->kept[i - 1];
+
+		if (is_quarantined(store, fingerprint))
+			continue;
+		store->kept[i - 1] = store->kept[--store->kept_count];
+		log_event(LOG_WARNING, "quarantine-lifted",
+			  "fingerprint=%016" PRIx64, fingerprint);
+		quarantine_store_keep(store, fingerprint);
+	}
+}
+
 /* --- reading ------------------------------------------------------------ */
 
 /* Clocks of two nodes differ by little against a quarantine. */
--- a/packages/edge/quarantine_store.h
+++ b/packages/edge/quarantine_store.h
@@ -25,6 +25,12 @@
 void quarantine_store_keep(struct quarantine_store *store,
 			   uint64_t fingerprint);
 
+/*
+ * Remove rows that this node wrote for requests that aren't quarantined any
+ * more: what other nodes told since may speak for them.
+ */
+void quarantine_store_review(struct quarantine_store *store);
+
 /* The nodes of the region are known, and so who reads. */
 void quarantine_store_members_known(struct quarantine_store *store);
 
--- a/tests/core/suspect_fleet.h
+++ b/tests/core/suspect_fleet.h
@@ -507,6 +507,7 @@
 					       now_us, words, 4);
 
 		node.beat_us = now_us + 400 * US_PER_MS;
+		drop_rows(node);
 		if (node.ready_us > now_us)
 			tell_starting(from);
 		for (int i = 0; count && i < NEAR_DRAWN + 2 * FAR_DRAWN; i++) {
@@ -540,6 +541,19 @@
 		if (suspect && suspect->rounds && suspect->seen_here)
 			kept_.insert(print);
 	}
+	/* A request that is no longer quarantined loses its row. */
+	void drop_rows(const Node &node)
+	{
+		for (auto at = kept_.begin(); at != kept_.end();) {
+			const struct suspect *suspect =
+				suspect_table_find(node.table, *at);
+
+			if (suspect && !suspect->rounds && suspect->seen_here)
+				at = kept_.erase(at);
+			else
+				at++;
+		}
+	}
 	bool is_reader(size_t node) const
 	{
 		return node < 2 * REGIONS;
--- a/tests/core/suspect_table_test.cc
+++ b/tests/core/suspect_table_test.cc
@@ -341,6 +341,95 @@
 	EXPECT_EQ(0u, table->count);
 }
 
+struct judge_case {
+	const char *name;
+	/* Lives that ended under each, in order; 0: none. */
+	uint32_t beside[5];
+	uint32_t deadly[5];
+	uint32_t other[5];
+	bool beside_is_quarantined;
+	bool deadly_is_quarantined;
+	bool other_is_quarantined;
+};
+
+const judge_case judge_cases[] = {
+	{ "Alone", {}, { 1, 2, 3 }, {}, false, true, false },
+	{ "BesideTwice", { 1, 2 }, { 1, 2, 3 }, {}, false, true, false },
+	{ "BesideEachTime", { 1, 2, 3 }, { 1, 2, 3 }, {}, false, false, false },
+	{ "BesideAllButTheLast",
+	  { 1, 2, 3 },
+	  { 1, 2, 3, 4 },
+	  {},
+	  false,
+	  true,
+	  false },
+	{ "OnceByChance", { 1, 2, 9 }, { 1, 2, 3, 4 }, {}, false, true, false },
+	{ "BesideTwoInTurn",
+	  { 1, 2, 3 },
+	  { 1, 4, 5 },
+	  { 2, 3, 6 },
+	  false,
+	  true,
+	  true },
+	{ "TwoDeadlyMeetOnce", {}, { 1, 2, 3 }, { 3, 4, 5 }, false, true, true },
+	{ "DeadlyMeetsOthersEachTime",
+	  { 1, 2, 8, 9 },
+	  { 1, 2, 3, 4, 5 },
+	  { 3, 4, 6, 7 },
+	  true,
+	  true,
+	  true },
+};
+
+class JudgeTest : public SuspectTest,
+		  public ::testing::WithParamInterface<judge_case>
+{
+      protected:
+	bool is_quarantined(uint64_t print)
+	{
+		return rule(print).verdict == SUSPECT_QUARANTINED;
+	}
+};
+
+/* Guards against one that stood beside the culprit being taken for it. */
+TEST_P(JudgeTest, CrashesOfItsOwnTellTheCulprit)
+{
+	const judge_case &c = GetParam();
+
+	for (uint32_t life = 1; life < 10; life++) {
+		now_us += US_PER_S;
+		for (int i = 0; i < 5; i++) {
+			if (c.beside[i] == life)
+				crash(life, PRINT);
+			if (c.deadly[i] == life)
+				crash(life, PRINT + 1);
+			if (c.other[i] == life)
+				crash(life, PRINT + 2);
+		}
+	}
+	EXPECT_EQ(c.beside_is_quarantined, is_quarantined(PRINT));
+	EXPECT_EQ(c.deadly_is_quarantined, is_quarantined(PRINT + 1));
+	EXPECT_EQ(c.other_is_quarantined, is_quarantined(PRINT + 2));
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, JudgeTest, ::testing::ValuesIn(judge_cases),
+			 [](const auto &info) { return info.param.name; });
+
+/* Guards against an innocent one that hides the culprit after its answer. */
+TEST_F(SuspectTest, AnAnswerTellsWhoseTheCrashesWere)
+{
+	for (uint32_t life = 1; life <= 3; life++) {
+		now_us += US_PER_S;
+		crash(life, PRINT);
+		crash(life, PRINT + 1);
+	}
+	EXPECT_EQ(SUSPECT_ALONE, rule(PRINT).verdict);
+	EXPECT_EQ(SUSPECT_ALONE, rule(PRINT + 1).verdict);
+	suspect_cleared(table, PRINT, now_us);
+	EXPECT_EQ(SUSPECT_NONE, rule(PRINT).verdict);
+	EXPECT_EQ(SUSPECT_QUARANTINED, rule(PRINT + 1).verdict);
+}
+
 /* --- claims ------------------------------------------------------------- */
 
 /* A node that wants to run a request that two servers ended under. */
--- a/tests/edge/crash_test.cc
+++ b/tests/edge/crash_test.cc
@@ -218,6 +218,27 @@
 	EXPECT_NE(nullptr, strstr(row("/r/deadly"), "GET /r/deadly"));
 }
 
+/* Guards against the row of one that another explains outliving all nodes. */
+TEST_F(KeepTest, ARowGoesWithItsQuarantine)
+{
+	add_apps(6);
+	start_keeping();
+	for (int i = 0; i < 3; i++)
+		answer_to(get("again-" + std::to_string(i), "/r/deadly"));
+	wait_for([this] { return row("/r/deadly"); });
+	const struct suspect known = *suspect_table_find(
+		edge->suspects,
+		g_ascii_strtoull(key("/r/deadly").c_str(), nullptr, 16));
+
+	quarantine_store_review(quarantines);
+	EXPECT_NE(nullptr, row("/r/deadly"));
+	for (uint32_t i = 0; i < known.crash_count; i++)
+		suspect_crashed(edge->suspects, 7, edge->backends,
+				&known.crashes[i], "GET /r/other");
+	quarantine_store_review(quarantines);
+	wait_for([this] { return !row("/r/deadly"); });
+}
+
 struct row_case {
 	const char *name;
 	const char *value;
