--- /dev/null
+++ b/packages/core/suspect_parts.h
@@ -0,0 +1,28 @@
+/*
+ * suspect_parts - what the files of suspect_table share; not for other modules
+ */
+#ifndef CORE_SUSPECT_PARTS_H
+#define CORE_SUSPECT_PARTS_H
+
+#include "core/suspect_table.h"
+
+/*
+ * suspect_evidence.c: which crashes count, and against whom. A crash is added
+ * to those of the request; whether it is one that wasn't known.
+ */
+bool suspect_add_crash(struct suspect_table *table, struct suspect *entry,
+		       const struct backend_table *backends,
+		       const struct suspect_crash *crash);
+void suspect_drop_crashes_before(struct suspect *entry, uint64_t before_us);
+
+/* Count anew those of the request that speak against it. */
+void suspect_review(struct suspect_table *table, struct suspect *entry,
+		    const struct backend_table *backends);
+
+/* Begin and lift first quarantines; later ones stand on a try that failed. */
+void suspect_judge_all(struct suspect_table *table);
+
+void suspect_begin_quarantine(struct suspect *entry, uint64_t now_us);
+uint64_t suspect_quarantine_us(uint32_t rounds);
+
+#endif
--- a/packages/core/suspect_table.c
+++ b/packages/core/suspect_table.c
@@ -1,16 +1,7 @@
-#include "core/suspect_table.h"
+#include "core/suspect_parts.h"
 
 #include <string.h>
 
-#include "core/hash.h"
-
-/*
- * Ends of servers so close to each other may have one cause, as a failure
- * domain's loss of power. A word of another region is under way for about as
- * long.
- */
-#define TOGETHER_US (60 * US_PER_MS)
-
 /* By how much a claim outlives its wait, for timers that are late. */
 #define CLAIM_EXTRA_US (60 * US_PER_MS)
 
@@ -121,434 +112,6 @@
 
 /* --- crashes ------------------------------------------------------------ */
 
-static uint64_t difference(uint64_t a, uint64_t b)
-{
-	return MAX(a, b) - MIN(a, b);
-}
-
-static bool survived(const struct backend_table *backends,
-		     const struct suspect_crash *crash)
-{
-	const struct backend *backend =
-		backend_table_find_life(backends, crash->life);
-
-	return backend && backend->alive_us > crash->at_us &&
-	       backend->unreachable_us <= crash->at_us;
-}
-
-/* Hash of the server's failure domain; 0: not known. */
-static uint32_t domain_of(const struct backend_table *backends, uint32_t life)
-{
-	const struct backend *backend = backend_table_find_life(backends, life);
-
-	return backend ? hash_text(backend->domain) : 0;
-}
-
-/* The remembered moment that it belongs to, or NULL. */
-static struct suspect_domain_end *
-find_domain_end(struct suspect_table *table,
-		const struct backend_table *backends,
-		const struct suspect_crash *crash)
-{
-	uint32_t domain = domain_of(backends, crash->life);
-	uint32_t i;
-
-	for (i = 0; domain && i < SUSPECT_DOMAIN_ENDS_MOST; i++) {
-		struct suspect_domain_end *end = &table->domain_ends[i];
-
-		if (end->domain == domain &&
-		    difference(end->at_us, crash->at_us) < TOGETHER_US)
-			return end;
-	}
-	return NULL;
-}
-
-static void drop_crashes_before(struct suspect *entry, uint64_t before_us)
-{
-	uint32_t kept = 0;
-	uint32_t i;
-
-	for (i = 0; i < entry->crash_count; i++)
-		if (entry->crashes[i].at_us > before_us)
-			entry->crashes[kept++] = entry->crashes[i];
-	entry->crash_count = kept;
-	entry->counted = MIN(entry->counted, kept);
-}
-
-static void drop_crashes_of_living(struct suspect *entry,
-				   const struct backend_table *backends)
-{
-	uint32_t kept = 0;
-	uint32_t i;
-
-	for (i = 0; i < entry->crash_count; i++)
-		if (!survived(backends, &entry->crashes[i]))
-			entry->crashes[kept++] = entry->crashes[i];
-	entry->crash_count = kept;
-}
-
-/*
- * Whether another server ended under it in the same moment. Each of the two may
- * have come with a word that was under way.
- */
-static bool has_companion(const struct suspect *entry,
-			  const struct suspect_crash *crash)
-{
-	uint32_t i;
-
-	for (i = 0; i < entry->crash_count; i++)
-		if (entry->crashes[i].life != crash->life &&
-		    difference(entry->crashes[i].at_us, crash->at_us) <
-			    2 * TOGETHER_US)
-			return true;
-	return false;
-}
-
-/* One that was at several of a domain's servers may be what ended them. */
-static bool speaks_against(struct suspect_table *table,
-			   const struct suspect *entry,
-			   const struct backend_table *backends,
-			   const struct suspect_crash *crash)
-{
-	return !find_domain_end(table, backends, crash) ||
-	       has_companion(entry, crash);
-}
-
-static void review(struct suspect_table *table, struct suspect *entry,
-		   const struct backend_table *backends)
-{
-	uint32_t i;
-
-	drop_crashes_of_living(entry, backends);
-	entry->counted = 0;
-	for (i = 0; i < entry->crash_count; i++)
-		entry->counted += speaks_against(table, entry, backends,
-						 &entry->crashes[i]);
-}
-
-static void review_all(struct suspect_table *table,
-		       const struct backend_table *backends)
-{
-	uint32_t i;
-
-	for (i = 0; i < SUSPECTS_MOST; i++)
-		if (table->keys[i])
-			review(table, &table->entries[i], backends);
-}
-
-/* Servers of one moment: few, so that a set of their lives is an array. */
-static bool has_life(const GArray *lives, uint32_t life)
-{
-	guint i;
-
-	for (i = 0; i < lives->len; i++)
-		if (g_array_index(lives, uint32_t, i) == life)
-			return true;
-	return false;
-}
-
-static void add_life(GArray *lives, uint32_t life)
-{
-	if (!has_life(lives, life))
-		g_array_append_val(lives, life);
-}
-
-/*
- * The lives of the crash's domain that are known to have ended with it: all,
- * and those at which one request was that was at several.
- */
-static void collect_lives(const struct suspect_table *table,
-			  const struct backend_table *backends,
-			  const struct suspect_crash *crash, GArray *lives,
-			  GArray *shared)
-{
-	uint32_t domain = domain_of(backends, crash->life);
-	uint32_t i;
-	uint32_t j;
-
-	for (i = 0; i < SUSPECTS_MOST; i++) {
-		const struct suspect *entry = &table->entries[i];
-
-		for (j = 0; j < entry->crash_count; j++) {
-			const struct suspect_crash *other = &entry->crashes[j];
-
-			if (difference(other->at_us, crash->at_us) >=
-				    TOGETHER_US ||
-			    domain_of(backends, other->life) != domain)
-				continue;
-			add_life(lives, other->life);
-			if (has_companion(entry, other))
-				add_life(shared, other->life);
-		}
-	}
-}
-
-static uint32_t count_servers(const struct backend_table *backends,
-			      uint32_t domain)
-{
-	GHashTableIter iter;
-	gpointer value;
-	uint32_t count = 0;
-
-	g_hash_table_iter_init(&iter, backends->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct backend *backend = value;
-
-		count += hash_text(backend->domain) == domain;
-	}
-	return count;
-}
-
-/*
- * Several servers of a domain may have ended in the same moment. A request that
- * was at two of them may be what ended these, and is often heard of last.
- */
-static void note_domain_end(struct suspect_table *table,
-			    const struct backend_table *backends,
-			    const struct suspect_crash *crash)
-{
-	uint32_t domain = domain_of(backends, crash->life);
-	struct suspect_domain_end *end =
-		find_domain_end(table, backends, crash);
-	GArray *lives = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-	GArray *shared = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-	uint32_t ended;
-
-	if (domain)
-		collect_lives(table, backends, crash, lives, shared);
-	ended = lives->len - shared->len;
-	if (!end && ended >= SUSPECT_DOMAIN_ENDS &&
-	    2 * ended >= count_servers(backends, domain)) {
-		end = &table->domain_ends[table->domain_end_next++ %
-					  SUSPECT_DOMAIN_ENDS_MOST];
-		end->domain = domain;
-		end->at_us = crash->at_us;
-		review_all(table, backends);
-	} else if (end && shared->len && ended < SUSPECT_DOMAIN_ENDS) {
-		memset(end, 0, sizeof(*end));
-		review_all(table, backends);
-	}
-	g_array_unref(lives);
-	g_array_unref(shared);
-}
-
-/*
- * Whether both may have one cause that isn't the request: at the same time, and
- * neither run began when the other server had ended.
- */
-static bool may_share_cause(const struct suspect_crash *a,
-			    const struct suspect_crash *b)
-{
-	const struct suspect_crash *first = a->at_us < b->at_us ? a : b;
-	const struct suspect_crash *last = first == a ? b : a;
-
-	return last->at_us - first->at_us < TOGETHER_US &&
-	       last->at_us < first->at_us + last->ran_us;
-}
-
-/* Three that may have one cause don't make a quarantine; two more would. */
-static bool is_new_crash(const struct suspect *entry,
-			 const struct suspect_crash *crash)
-{
-	uint32_t together = 0;
-	uint32_t i;
-
-	if (crash->at_us <= entry->cleared_us)
-		return false;
-	for (i = 0; i < entry->crash_count; i++) {
-		if (entry->crashes[i].life == crash->life)
-			return false;
-		together += may_share_cause(&entry->crashes[i], crash);
-	}
-	return together < SUSPECT_CRASHES - 1;
-}
-
-/* --- judgement ----------------------------------------------------------- */
-
-static uint64_t quarantine_us(uint32_t rounds)
-{
-	return SUSPECT_QUARANTINE_US << (rounds - 1);
-}
-
-static void begin_quarantine(struct suspect *entry, uint64_t now_us)
-{
-	entry->rounds = MIN(entry->rounds + 1, SUSPECT_ROUNDS_MOST);
-	entry->until_us = now_us + quarantine_us(entry->rounds);
-}
-
-static bool has_enough_crashes(const struct suspect *entry)
-{
-	return entry->counted >= SUSPECT_CRASHES;
-}
-
-static bool was_at(const struct suspect *entry, uint32_t life)
-{
-	uint32_t i;
-
-	for (i = 0; i < entry->crash_count; i++)
-		if (entry->crashes[i].life == life)
-			return true;
-	return false;
-}
-
-/* Crashes that no other request with as many can have caused. */
-static uint32_t count_own(const struct suspect_table *table,
-			  const struct suspect *entry)
-{
-	bool is_others[SUSPECT_CRASHES_KEPT] = { false };
-	uint32_t own = 0;
-	uint32_t i;
-	uint32_t j;
-
-	for (i = 0; i < SUSPECTS_MOST; i++) {
-		const struct suspect *other = &table->entries[i];
-
-		if (other == entry || !has_enough_crashes(other))
-			continue;
-		for (j = 0; j < entry->crash_count; j++)
-			is_others[j] |= was_at(other, entry->crashes[j].life);
-	}
-	for (j = 0; j < entry->crash_count; j++)
-		own += !is_others[j];
-	return MIN(own, entry->counted);
-}
-
-/* The most that one has which was at a server with it. */
-static uint32_t count_rivals_own(const struct suspect_table *table,
-				 const struct suspect *entry)
-{
-	uint32_t most = 0;
-	uint32_t i;
-	uint32_t j;
-
-	for (i = 0; i < SUSPECTS_MOST; i++) {
-		const struct suspect *other = &table->entries[i];
-
-		if (other == entry || !has_enough_crashes(other))
-			continue;
-		for (j = 0; j < entry->crash_count; j++)
-			if (was_at(other, entry->crashes[j].life))
-				break;
-		if (j < entry->crash_count)
-			most = MAX(most, count_own(table, other));
-	}
-	return most;
-}
-
-enum judgement {
-	JUDGEMENT_FREE,
-	JUDGEMENT_OPEN, /* as much speaks against another */
-	JUDGEMENT_GUILTY,
-};
-
-/*
- * What stood beside a request that crashes servers may have been there each
- * time. Then the crashes that one of them has for itself decide, and where none
- * has any, the next run: suspects run one by one.
- */
-static enum judgement judge(const struct suspect_table *table,
-			    const struct suspect *entry)
-{
-	uint32_t rivals_own;
-	uint32_t own;
-
-	if (!has_enough_crashes(entry))
-		return JUDGEMENT_FREE;
-	own = count_own(table, entry);
-	if (!own)
-		return JUDGEMENT_FREE;
-	if (own > 1 || entry->counted > SUSPECT_CRASHES)
-		return JUDGEMENT_GUILTY;
-	rivals_own = count_rivals_own(table, entry);
-	if (rivals_own == 1)
-		return JUDGEMENT_OPEN;
-	return rivals_own ? JUDGEMENT_FREE : JUDGEMENT_GUILTY;
-}
-
-static uint64_t latest_crash_us(const struct suspect *entry)
-{
-	uint64_t latest_us = 0;
-	uint32_t i;
-
-	for (i = 0; i < entry->crash_count; i++)
-		latest_us = MAX(latest_us, entry->crashes[i].at_us);
-	return latest_us;
-}
-
-/* A first quarantine stands on its crashes, later ones on a try that failed. */
-static void judge_all(struct suspect_table *table)
-{
-	uint32_t i;
-
-	for (i = 0; i < SUSPECTS_MOST; i++) {
-		struct suspect *entry = &table->entries[i];
-		enum judgement judgement;
-
-		if (entry->by_hand || entry->rounds > 1 ||
-		    (!entry->rounds && !has_enough_crashes(entry)))
-			continue;
-		judgement = judge(table, entry);
-		if (judgement == JUDGEMENT_FREE)
-			entry->rounds = 0;
-		else if (judgement == JUDGEMENT_GUILTY && !entry->rounds)
-			begin_quarantine(entry, latest_crash_us(entry));
-	}
-}
-
-/* --- evidence ------------------------------------------------------------ */
-
-/*
- * Place of the one to be forgotten: one that doesn't count, or the oldest. Were
- * the latest ones not remembered, those at which others had been would never be
- * followed by one that was its own.
- */
-static uint32_t least_crash(struct suspect_table *table,
-			    const struct suspect *entry,
-			    const struct backend_table *backends)
-{
-	uint32_t least = 0;
-	uint32_t i;
-
-	for (i = 0; i < entry->crash_count; i++) {
-		if (!speaks_against(table, entry, backends, &entry->crashes[i]))
-			return i;
-		if (entry->crashes[i].at_us < entry->crashes[least].at_us)
-			least = i;
-	}
-	return least;
-}
-
-static bool keep_crash(struct suspect_table *table, struct suspect *entry,
-		       const struct backend_table *backends,
-		       const struct suspect_crash *crash)
-{
-	uint32_t at;
-
-	if (entry->crash_count < SUSPECT_CRASHES_KEPT) {
-		entry->crashes[entry->crash_count++] = *crash;
-		return true;
-	}
-	at = least_crash(table, entry, backends);
-	if (entry->crashes[at].at_us >= crash->at_us)
-		return false;
-	entry->crashes[at] = *crash;
-	return true;
-}
-
-/* Whether it was one that wasn't known. */
-static bool add_crash(struct suspect_table *table, struct suspect *entry,
-		      const struct backend_table *backends,
-		      const struct suspect_crash *crash)
-{
-	if (entry->rounds > 1 || !is_new_crash(entry, crash) ||
-	    !keep_crash(table, entry, backends, crash))
-		return false;
-	note_domain_end(table, backends, crash);
-	review(table, entry, backends);
-	judge_all(table);
-	return true;
-}
-
 bool suspect_crashed(struct suspect_table *table, uint64_t fingerprint,
 		     const struct backend_table *backends,
 		     const struct suspect_crash *crash, const char *text)
@@ -559,10 +122,10 @@
 		return false;
 	if (!*entry->text)
 		g_strlcpy(entry->text, text, sizeof(entry->text));
-	review(table, entry, backends);
+	suspect_review(table, entry, backends);
 	if (entry->rounds && entry->until_us <= crash->at_us)
-		begin_quarantine(entry, crash->at_us);
-	else if (!add_crash(table, entry, backends, crash))
+		suspect_begin_quarantine(entry, crash->at_us);
+	else if (!suspect_add_crash(table, entry, backends, crash))
 		return false;
 	entry->seen_here = true;
 	note_change(entry, is_strong_suspect(entry) ? TELL_OWN : 0,
@@ -578,7 +141,7 @@
 	entry->cleared_us = at_us;
 	entry->rounds = 0;
 	entry->by_hand = false;
-	drop_crashes_before(entry, at_us);
+	suspect_drop_crashes_before(entry, at_us);
 	return true;
 }
 
@@ -592,7 +155,7 @@
 		return;
 	was_strong = is_strong_suspect(entry);
 	clear(entry, now_us);
-	judge_all(table);
+	suspect_judge_all(table);
 	note_change(entry, was_strong ? TELL_OWN : 0, now_us);
 }
 
@@ -737,8 +300,8 @@
 	memset(ruling, 0, sizeof(*ruling));
 	if (!entry)
 		return;
-	review(table, entry, backends);
-	judge_all(table);
+	suspect_review(table, entry, backends);
+	suspect_judge_all(table);
 	if (entry->rounds && (entry->until_us > now_us || !query->is_prober)) {
 		ruling->verdict = SUSPECT_QUARANTINED;
 		ruling->left_us =
@@ -777,7 +340,7 @@
 		return false;
 	entry->by_hand = true;
 	if (!entry->rounds)
-		begin_quarantine(entry, now_us);
+		suspect_begin_quarantine(entry, now_us);
 	note_change(entry, TELL_OWN, now_us);
 	make_urgent(entry);
 	return true;
@@ -806,7 +369,8 @@
 	    word->rounds > SUSPECT_ROUNDS_MOST ||
 	    word->run_left_us > SUSPECT_RUN_MOST_US)
 		return false;
-	if (word->left_us > (word->rounds ? quarantine_us(word->rounds) : 0))
+	if (word->left_us >
+	    (word->rounds ? suspect_quarantine_us(word->rounds) : 0))
 		return false;
 	for (i = 0; i < word->crash_count; i++)
 		if (word->crashes[i].age_us > SUSPECT_KEEP_US ||
@@ -834,7 +398,7 @@
 			.ran_us = word->crashes[i].ran_us,
 		};
 
-		news |= add_crash(table, entry, backends, &crash);
+		news |= suspect_add_crash(table, entry, backends, &crash);
 	}
 	return news;
 }
@@ -890,9 +454,9 @@
 	news = word->cleared &&
 	       clear(entry, before(now_us, word->cleared_age_us));
 	news |= take_crashes(table, entry, word, backends, now_us);
-	review(table, entry, backends);
+	suspect_review(table, entry, backends);
 	if (news)
-		judge_all(table);
+		suspect_judge_all(table);
 	news |= take_quarantine(entry, word, now_us);
 	if (news)
 		note_change(entry, is_strong_suspect(entry) ? TELL_TAKEN : 0,
