exchange: a suspect without time for its claim is refused at once

Where its deadline came first it was held until then, and told so late that it hadn't run. It is refused at once now, with when to come back, as one whose other run is under way was already.

Test: ASuspectWithoutTimeForItsClaimIsRefusedAtOnce; without the change the refusal comes after 130 ms.

--- a/packages/edge/exchange_suspect.c
+++ b/packages/edge/exchange_suspect.c
@@ -55,6 +55,18 @@
 	return member_table_rank(edge->members, (uint32_t)print);
 }
 
+/* Hold it for so long, or refuse it at once where its answer would be late. */
+static enum exchange_leave wait_or_refuse(struct exchange *exchange,
+					  uint64_t hold_us, const char **cause)
+{
+	exchange->choice.hold_us = hold_us;
+	exchange->choice.retry_after_us = RETRY_AT_WORK_US;
+	*cause = suspect_verdict_name(SUSPECT_AT_WORK);
+	if (exchange_left_us(exchange) > exchange->retry.usual_us + hold_us)
+		return EXCHANGE_WAIT;
+	return EXCHANGE_REFUSE;
+}
+
 /*
  * Another run of the same request is under way. Callers that shared a server
  * that ended ask for the same object; all but one wait for that one's answer.
@@ -63,26 +75,23 @@
 					const char **cause)
 {
 	exchange->has_claimed = false;
-	exchange->choice.hold_us = LOOK_AGAIN_US;
-	exchange->choice.retry_after_us = RETRY_AT_WORK_US;
-	*cause = suspect_verdict_name(SUSPECT_AT_WORK);
-	if (exchange_left_us(exchange) >
-	    exchange->retry.usual_us + LOOK_AGAIN_US)
-		return EXCHANGE_WAIT;
-	return EXCHANGE_REFUSE;
+	return wait_or_refuse(exchange, LOOK_AGAIN_US, cause);
 }
 
 /* Other nodes may be about to run it, too, or another suspect. */
-static enum exchange_leave claim(struct exchange *exchange)
+static enum exchange_leave claim(struct exchange *exchange, const char **cause)
 {
 	struct edge *edge = exchange->edge;
+	enum exchange_leave leave =
+		wait_or_refuse(exchange, SUSPECT_CLAIM_US, cause);
 
+	if (leave == EXCHANGE_REFUSE)
+		return leave;
 	suspect_claim(edge->suspects, exchange->fingerprint,
 		      edge->members->self->hash, exchange_now_us(exchange));
 	tell_others(exchange);
 	exchange->has_claimed = true;
-	exchange->choice.hold_us = SUSPECT_CLAIM_US;
-	return EXCHANGE_WAIT;
+	return leave;
 }
 
 static enum exchange_leave refuse_quarantined(struct exchange *exchange,
@@ -143,7 +152,7 @@
 		return refuse_quarantined(exchange, ruling.left_us, cause);
 	case SUSPECT_ALONE:
 		if (ruling.claims)
-			return claim(exchange);
+			return claim(exchange, cause);
 		exchange->is_suspect = true;
 		exchange->query.apart = ruling.apart ? CHOOSE_APART_ONLY :
 						       CHOOSE_APART;
--- a/tests/edge/crash_test.cc
+++ b/tests/edge/crash_test.cc
@@ -88,6 +88,24 @@
 INSTANTIATE_TEST_SUITE_P(Cases, AgainTest, ::testing::ValuesIn(again_cases),
 			 [](const auto &info) { return info.param.name; });
 
+/* Guards against a suspect being held until its deadline by its claim. */
+TEST_F(CrashTest, ASuspectWithoutTimeForItsClaimIsRefusedAtOnce)
+{
+	add_apps(6);
+	start_node();
+	answer_to(get("first", "/r/deadly"));
+	ASSERT_EQ(2, ended());
+	uint64_t began_us = edge_now_us(edge);
+	std::string answer =
+		answer_to("GET /r/deadly HTTP/1.1\r\nHost: h.example\r\n"
+			  "Lilacfield-Attempt-Id: late\r\n"
+			  "Lilacfield-Deadline-Ms: 130\r\n\r\n");
+
+	EXPECT_EQ(503, status_of(answer)) << answer;
+	EXPECT_GT(100 * US_PER_MS, edge_now_us(edge) - began_us);
+	EXPECT_EQ(2, ended());
+}
+
 /* Guards against those that shared a server with it losing their answers. */
 TEST_F(CrashTest, RequestsBesideItAreServed)
 {
