--- a/packages/core/suspect_evidence.c
+++ b/packages/core/suspect_evidence.c
@@ -28,27 +28,27 @@
 	       backend->unreachable_us <= crash->at_us;
 }
 
-/* Hash of the server's failure domain; 0: not known. */
-static uint32_t domain_of(const struct backend_table *backends, uint32_t life)
+/* The platform's list forgets a server soon after its end. */
+static void note_domain(const struct backend_table *backends,
+			struct suspect_crash *crash)
 {
-	const struct backend *backend = backend_table_find_life(backends, life);
+	const struct backend *backend =
+		backend_table_find_life(backends, crash->life);
 
-	return backend ? hash_text(backend->domain) : 0;
+	if (backend)
+		crash->domain = hash_text(backend->domain);
 }
 
 /* The remembered moment that it belongs to, or NULL. */
 static struct suspect_domain_end *
-find_domain_end(struct suspect_table *table,
-		const struct backend_table *backends,
-		const struct suspect_crash *crash)
+find_domain_end(struct suspect_table *table, const struct suspect_crash *crash)
 {
-	uint32_t domain = domain_of(backends, crash->life);
 	uint32_t i;
 
-	for (i = 0; domain && i < SUSPECT_DOMAIN_ENDS_MOST; i++) {
+	for (i = 0; crash->domain && i < SUSPECT_DOMAIN_ENDS_MOST; i++) {
 		struct suspect_domain_end *end = &table->domain_ends[i];
 
-		if (end->domain == domain &&
+		if (end->domain == crash->domain &&
 		    difference(end->at_us, crash->at_us) < TOGETHER_US)
 			return end;
 	}
@@ -99,11 +99,9 @@
 /* One that was at several of a domain's servers may be what ended them. */
 static bool speaks_against(struct suspect_table *table,
 			   const struct suspect *entry,
-			   const struct backend_table *backends,
 			   const struct suspect_crash *crash)
 {
-	return !find_domain_end(table, backends, crash) ||
-	       has_companion(entry, crash);
+	return !find_domain_end(table, crash) || has_companion(entry, crash);
 }
 
 void suspect_review(struct suspect_table *table, struct suspect *entry,
@@ -113,9 +111,11 @@
 
 	drop_crashes_of_living(entry, backends);
 	entry->counted = 0;
-	for (i = 0; i < entry->crash_count; i++)
-		entry->counted += speaks_against(table, entry, backends,
-						 &entry->crashes[i]);
+	for (i = 0; i < entry->crash_count; i++) {
+		note_domain(backends, &entry->crashes[i]);
+		entry->counted +=
+			speaks_against(table, entry, &entry->crashes[i]);
+	}
 }
 
 static void review_all(struct suspect_table *table,
@@ -150,11 +150,9 @@
  * and those at which one request was that was at several.
  */
 static void collect_lives(const struct suspect_table *table,
-			  const struct backend_table *backends,
 			  const struct suspect_crash *crash, GArray *lives,
 			  GArray *shared)
 {
-	uint32_t domain = domain_of(backends, crash->life);
 	uint32_t i;
 	uint32_t j;
 
@@ -166,7 +164,7 @@
 
 			if (difference(other->at_us, crash->at_us) >=
 				    TOGETHER_US ||
-			    domain_of(backends, other->life) != domain)
+			    other->domain != crash->domain)
 				continue;
 			add_life(lives, other->life);
 			if (has_companion(entry, other))
@@ -199,21 +197,19 @@
 			    const struct backend_table *backends,
 			    const struct suspect_crash *crash)
 {
-	uint32_t domain = domain_of(backends, crash->life);
-	struct suspect_domain_end *end =
-		find_domain_end(table, backends, crash);
+	struct suspect_domain_end *end = find_domain_end(table, crash);
 	GArray *lives = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	GArray *shared = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	uint32_t ended;
 
-	if (domain)
-		collect_lives(table, backends, crash, lives, shared);
+	if (crash->domain)
+		collect_lives(table, crash, lives, shared);
 	ended = lives->len - shared->len;
 	if (!end && ended >= SUSPECT_DOMAIN_ENDS &&
-	    2 * ended >= count_servers(backends, domain)) {
+	    2 * ended >= count_servers(backends, crash->domain)) {
 		end = &table->domain_ends[table->domain_end_next++ %
 					  SUSPECT_DOMAIN_ENDS_MOST];
-		end->domain = domain;
+		end->domain = crash->domain;
 		end->at_us = crash->at_us;
 		review_all(table, backends);
 	} else if (end && shared->len && ended < SUSPECT_DOMAIN_ENDS) {
@@ -395,14 +391,13 @@
  * followed by one that was its own.
  */
 static uint32_t least_crash(struct suspect_table *table,
-			    const struct suspect *entry,
-			    const struct backend_table *backends)
+			    const struct suspect *entry)
 {
 	uint32_t least = 0;
 	uint32_t i;
 
 	for (i = 0; i < entry->crash_count; i++) {
-		if (!speaks_against(table, entry, backends, &entry->crashes[i]))
+		if (!speaks_against(table, entry, &entry->crashes[i]))
 			return i;
 		if (entry->crashes[i].at_us < entry->crashes[least].at_us)
 			least = i;
@@ -411,7 +406,6 @@
 }
 
 static bool keep_crash(struct suspect_table *table, struct suspect *entry,
-		       const struct backend_table *backends,
 		       const struct suspect_crash *crash)
 {
 	uint32_t at;
@@ -420,7 +414,7 @@
 		entry->crashes[entry->crash_count++] = *crash;
 		return true;
 	}
-	at = least_crash(table, entry, backends);
+	at = least_crash(table, entry);
 	if (entry->crashes[at].at_us >= crash->at_us)
 		return false;
 	entry->crashes[at] = *crash;
@@ -432,10 +426,13 @@
 		       const struct backend_table *backends,
 		       const struct suspect_crash *crash)
 {
-	if (entry->rounds > 1 || !is_new_crash(entry, crash) ||
-	    !keep_crash(table, entry, backends, crash))
+	struct suspect_crash known = *crash;
+
+	note_domain(backends, &known);
+	if (entry->rounds > 1 || !is_new_crash(entry, &known) ||
+	    !keep_crash(table, entry, &known))
 		return false;
-	note_domain_end(table, backends, crash);
+	note_domain_end(table, backends, &known);
 	suspect_review(table, entry, backends);
 	suspect_judge_all(table);
 	return true;
--- a/packages/core/suspect_table.h
+++ b/packages/core/suspect_table.h
@@ -75,6 +75,7 @@
 
 struct suspect_crash {
 	uint32_t life; /* of the backend server */
+	uint32_t domain; /* hash of its failure domain; 0: not known */
 	uint64_t at_us;
 	uint64_t ran_us; /* how long the request had been there */
 };
--- a/tests/core/suspect_fleet.h
+++ b/tests/core/suspect_fleet.h
@@ -408,7 +408,7 @@
 	void break_off(const Server &server, Run run)
 	{
 		Node &node = *nodes_[run.node];
-		const struct suspect_crash crash = { server.life, now_us,
+		const struct suspect_crash crash = { server.life, 0, now_us,
 						     now_us - run.began_us };
 
 		if (suspect_crashed(node.table, run.print, backends_.get(),
--- a/tests/core/suspect_table_test.cc
+++ b/tests/core/suspect_table_test.cc
@@ -31,7 +31,7 @@
 	 */
 	bool crash(uint32_t life, uint64_t print = PRINT)
 	{
-		const struct suspect_crash crash = { life, now_us,
+		const struct suspect_crash crash = { life, 0, now_us,
 						     100 * US_PER_MS };
 
 		return suspect_crashed(table, print, backends, &crash,
@@ -157,7 +157,7 @@
       protected:
 	void end(uint32_t life, uint64_t print)
 	{
-		const struct suspect_crash crash = { life, now_us,
+		const struct suspect_crash crash = { life, 0, now_us,
 						     5 * US_PER_MS };
 
 		suspect_crashed(table, print, backends, &crash, "GET /r/x");
@@ -195,11 +195,24 @@
 INSTANTIATE_TEST_SUITE_P(Cases, DomainTest, ::testing::ValuesIn(domain_cases),
 			 [](const auto &info) { return info.param.name; });
 
+/* Guards against such ends counting once the list forgets the servers. */
+TEST_F(SuspectTest, ServersThatLeftTheListEndedTogetherAllTheSame)
+{
+	std::vector<std::string> ids = { "i-1", "i-2", "i-3" };
+
+	for (const std::string &id : ids)
+		crash(add_backend(id.c_str())->life, (uint64_t)id.back());
+	for (const std::string &id : ids)
+		backend_table_remove(backends, id.c_str(), 0, 0, now_us);
+	now_us += US_PER_S;
+	EXPECT_EQ(SUSPECT_NONE, rule((uint64_t)'1').verdict);
+}
+
 /* Guards against a request that crashes at once passing for one cause. */
 TEST_F(SuspectTest, ARunThatBeganAfterAnEndIsAnother)
 {
 	for (uint32_t life = 1; life <= 3; life++) {
-		const struct suspect_crash crash = { life, now_us,
+		const struct suspect_crash crash = { life, 0, now_us,
 						     2 * US_PER_MS };
 
 		suspect_crashed(table, PRINT, backends, &crash, "GET /r/x");
@@ -222,7 +235,7 @@
 TEST_F(SuspectTest, ACrashFromBeforeAnAnswerIsNone)
 {
 	crash_times(1);
-	const struct suspect_crash late = { next_life++, now_us - US_PER_S,
+	const struct suspect_crash late = { next_life++, 0, now_us - US_PER_S,
 					    100 * US_PER_MS };
 
 	suspect_cleared(table, PRINT, now_us);
@@ -503,7 +516,7 @@
 	{
 		for (uint32_t i = 1; i <= 2; i++) {
 			const struct suspect_crash crash = {
-				(uint32_t)print * 100 + i,
+				(uint32_t)print * 100 + i, 0,
 				START_US - i * US_PER_S, US_PER_MS
 			};
 
@@ -695,7 +708,7 @@
 TEST_F(WordTest, CrashesOfTwoNodesAddUp)
 {
 	crash_times(2);
-	const struct suspect_crash crash = { 7, now_us - 5 * US_PER_S,
+	const struct suspect_crash crash = { 7, 0, now_us - 5 * US_PER_S,
 					     US_PER_MS };
 
 	suspect_crashed(theirs, PRINT, backends, &crash, "GET /r/x");
@@ -747,7 +760,7 @@
 	older.cleared_age_us = US_PER_S;
 	EXPECT_TRUE(take(older));
 	EXPECT_EQ(newer_us, suspect_table_find(theirs, PRINT)->cleared_us);
-	const struct suspect_crash between = { next_life++,
+	const struct suspect_crash between = { next_life++, 0,
 					       newer_us - US_PER_S / 2,
 					       100 * US_PER_MS };
 
