--- a/packages/core/suspect_evidence.c
+++ b/packages/core/suspect_evidence.c
@@ -104,9 +104,10 @@
 	return !find_domain_end(table, crash) || has_companion(entry, crash);
 }
 
-void suspect_review(struct suspect_table *table, struct suspect *entry,
+bool suspect_review(struct suspect_table *table, struct suspect *entry,
 		    const struct backend_table *backends)
 {
+	uint32_t before = entry->counted;
 	uint32_t i;
 
 	drop_crashes_of_living(entry, backends);
@@ -116,16 +117,172 @@
 		entry->counted +=
 			speaks_against(table, entry, &entry->crashes[i]);
 	}
+	return entry->counted != before;
 }
 
+/* --- judgement ----------------------------------------------------------- */
+
+uint64_t suspect_quarantine_us(uint32_t rounds)
+{
+	return SUSPECT_QUARANTINE_US << (rounds - 1);
+}
+
+void suspect_begin_quarantine(struct suspect *entry, uint64_t now_us)
+{
+	entry->rounds = MIN(entry->rounds + 1, SUSPECT_ROUNDS_MOST);
+	entry->until_us = now_us + suspect_quarantine_us(entry->rounds);
+}
+
+static bool has_enough_crashes(const struct suspect *entry)
+{
+	return entry->counted >= SUSPECT_CRASHES;
+}
+
+static bool was_at(const struct suspect *entry, uint32_t life)
+{
+	uint32_t i;
+
+	for (i = 0; i < entry->crash_count; i++)
+		if (entry->crashes[i].life == life)
+			return true;
+	return false;
+}
+
+/* Crashes that no other request with as many can have caused. */
+static uint32_t count_own(const struct suspect_table *table,
+			  const struct suspect *entry)
+{
+	bool is_others[SUSPECT_CRASHES_KEPT] = { false };
+	uint32_t own = 0;
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < SUSPECTS_MOST; i++) {
+		const struct suspect *other = &table->entries[i];
+
+		if (other == entry || !has_enough_crashes(other))
+			continue;
+		for (j = 0; j < entry->crash_count; j++)
+			is_others[j] |= was_at(other, entry->crashes[j].life);
+	}
+	for (j = 0; j < entry->crash_count; j++)
+		own += !is_others[j];
+	return MIN(own, entry->counted);
+}
+
+/* The most that one has which was at a server with it. */
+static uint32_t count_rivals_own(const struct suspect_table *table,
+				 const struct suspect *entry)
+{
+	uint32_t most = 0;
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < SUSPECTS_MOST; i++) {
+		const struct suspect *other = &table->entries[i];
+
+		if (other == entry || !has_enough_crashes(other))
+			continue;
+		for (j = 0; j < entry->crash_count; j++)
+			if (was_at(other, entry->crashes[j].life))
+				break;
+		if (j < entry->crash_count)
+			most = MAX(most, count_own(table, other));
+	}
+	return most;
+}
+
+enum judgement {
+	JUDGEMENT_FREE,
+	JUDGEMENT_OPEN, /* as much speaks against another */
+	JUDGEMENT_GUILTY,
+};
+
+/*
+ * What stood beside a request that crashes servers may have been there each
+ * time. Then the crashes that one of them has for itself decide, and where none
+ * has any, the next run: suspects run one by one.
+ */
+static enum judgement judge(const struct suspect_table *table,
+			    const struct suspect *entry)
+{
+	uint32_t rivals_own;
+	uint32_t own;
+
+	if (!has_enough_crashes(entry))
+		return JUDGEMENT_FREE;
+	own = count_own(table, entry);
+	if (!own)
+		return JUDGEMENT_FREE;
+	if (own > 1 || entry->counted > SUSPECT_CRASHES)
+		return JUDGEMENT_GUILTY;
+	rivals_own = count_rivals_own(table, entry);
+	if (rivals_own == 1)
+		return JUDGEMENT_OPEN;
+	return rivals_own ? JUDGEMENT_FREE : JUDGEMENT_GUILTY;
+}
+
+static uint64_t latest_crash_us(const struct suspect *entry)
+{
+	uint64_t latest_us = 0;
+	uint32_t i;
+
+	for (i = 0; i < entry->crash_count; i++)
+		latest_us = MAX(latest_us, entry->crashes[i].at_us);
+	return latest_us;
+}
+
+/* A first quarantine stands on its crashes, later ones on a try that failed. */
+static void judge_one(const struct suspect_table *table, struct suspect *entry)
+{
+	enum judgement judgement;
+
+	if (entry->by_hand || entry->rounds > 1 ||
+	    (!entry->rounds && !has_enough_crashes(entry)))
+		return;
+	judgement = judge(table, entry);
+	if (judgement == JUDGEMENT_FREE)
+		entry->rounds = 0;
+	else if (judgement == JUDGEMENT_GUILTY && !entry->rounds)
+		suspect_begin_quarantine(entry, latest_crash_us(entry));
+}
+
+static bool shares_server(const struct suspect *a, const struct suspect *b)
+{
+	uint32_t i;
+
+	for (i = 0; i < a->crash_count; i++)
+		if (was_at(b, a->crashes[i].life))
+			return true;
+	return false;
+}
+
+void suspect_judge_around(struct suspect_table *table,
+			  const struct suspect *around)
+{
+	uint32_t i;
+
+	for (i = 0; i < SUSPECTS_MOST; i++) {
+		struct suspect *entry = &table->entries[i];
+
+		if ((entry->rounds || has_enough_crashes(entry)) &&
+		    (entry->fingerprint == around->fingerprint ||
+		     shares_server(around, entry)))
+			judge_one(table, entry);
+	}
+}
+
+/* --- ends of failure domains --------------------------------------------- */
+
 static void review_all(struct suspect_table *table,
 		       const struct backend_table *backends)
 {
 	uint32_t i;
 
 	for (i = 0; i < SUSPECTS_MOST; i++)
-		if (table->keys[i])
-			suspect_review(table, &table->entries[i], backends);
+		if (table->keys[i] &&
+		    suspect_review(table, &table->entries[i], backends))
+			judge_one(table, &table->entries[i]);
 }
 
 /* Servers of one moment: few, so that a set of their lives is an array. */
@@ -220,6 +377,8 @@
 	g_array_unref(shared);
 }
 
+/* --- new crashes --------------------------------------------------------- */
+
 /*
  * Whether both may have one cause that isn't the request: at the same time, and
  * neither run began when the other server had ended.
@@ -251,140 +410,6 @@
 	return together < SUSPECT_CRASHES - 1;
 }
 
-/* --- judgement ----------------------------------------------------------- */
-
-uint64_t suspect_quarantine_us(uint32_t rounds)
-{
-	return SUSPECT_QUARANTINE_US << (rounds - 1);
-}
-
-void suspect_begin_quarantine(struct suspect *entry, uint64_t now_us)
-{
-	entry->rounds = MIN(entry->rounds + 1, SUSPECT_ROUNDS_MOST);
-	entry->until_us = now_us + suspect_quarantine_us(entry->rounds);
-}
-
-static bool has_enough_crashes(const struct suspect *entry)
-{
-	return entry->counted >= SUSPECT_CRASHES;
-}
-
-static bool was_at(const struct suspect *entry, uint32_t life)
-{
-	uint32_t i;
-
-	for (i = 0; i < entry->crash_count; i++)
-		if (entry->crashes[i].life == life)
-			return true;
-	return false;
-}
-
-/* Crashes that no other request with as many can have caused. */
-static uint32_t count_own(const struct suspect_table *table,
-			  const struct suspect *entry)
-{
-	bool is_others[SUSPECT_CRASHES_KEPT] = { false };
-	uint32_t own = 0;
-	uint32_t i;
-	uint32_t j;
-
-	for (i = 0; i < SUSPECTS_MOST; i++) {
-		const struct suspect *other = &table->entries[i];
-
-		if (other == entry || !has_enough_crashes(other))
-			continue;
-		for (j = 0; j < entry->crash_count; j++)
-			is_others[j] |= was_at(other, entry->crashes[j].life);
-	}
-	for (j = 0; j < entry->crash_count; j++)
-		own += !is_others[j];
-	return MIN(own, entry->counted);
-}
-
-/* The most that one has which was at a server with it. */
-static uint32_t count_rivals_own(const struct suspect_table *table,
-				 const struct suspect *entry)
-{
-	uint32_t most = 0;
-	uint32_t i;
-	uint32_t j;
-
-	for (i = 0; i < SUSPECTS_MOST; i++) {
-		const struct suspect *other = &table->entries[i];
-
-		if (other == entry || !has_enough_crashes(other))
-			continue;
-		for (j = 0; j < entry->crash_count; j++)
-			if (was_at(other, entry->crashes[j].life))
-				break;
-		if (j < entry->crash_count)
-			most = MAX(most, count_own(table, other));
-	}
-	return most;
-}
-
-enum judgement {
-	JUDGEMENT_FREE,
-	JUDGEMENT_OPEN, /* as much speaks against another */
-	JUDGEMENT_GUILTY,
-};
-
-/*
- * What stood beside a request that crashes servers may have been there each
- * time. Then the crashes that one of them has for itself decide, and where none
- * has any, the next run: suspects run one by one.
- */
-static enum judgement judge(const struct suspect_table *table,
-			    const struct suspect *entry)
-{
-	uint32_t rivals_own;
-	uint32_t own;
-
-	if (!has_enough_crashes(entry))
-		return JUDGEMENT_FREE;
-	own = count_own(table, entry);
-	if (!own)
-		return JUDGEMENT_FREE;
-	if (own > 1 || entry->counted > SUSPECT_CRASHES)
-		return JUDGEMENT_GUILTY;
-	rivals_own = count_rivals_own(table, entry);
-	if (rivals_own == 1)
-		return JUDGEMENT_OPEN;
-	return rivals_own ? JUDGEMENT_FREE : JUDGEMENT_GUILTY;
-}
-
-static uint64_t latest_crash_us(const struct suspect *entry)
-{
-	uint64_t latest_us = 0;
-	uint32_t i;
-
-	for (i = 0; i < entry->crash_count; i++)
-		latest_us = MAX(latest_us, entry->crashes[i].at_us);
-	return latest_us;
-}
-
-/* A first quarantine stands on its crashes, later ones on a try that failed. */
-void suspect_judge_all(struct suspect_table *table)
-{
-	uint32_t i;
-
-	for (i = 0; i < SUSPECTS_MOST; i++) {
-		struct suspect *entry = &table->entries[i];
-		enum judgement judgement;
-
-		if (entry->by_hand || entry->rounds > 1 ||
-		    (!entry->rounds && !has_enough_crashes(entry)))
-			continue;
-		judgement = judge(table, entry);
-		if (judgement == JUDGEMENT_FREE)
-			entry->rounds = 0;
-		else if (judgement == JUDGEMENT_GUILTY && !entry->rounds)
-			suspect_begin_quarantine(entry, latest_crash_us(entry));
-	}
-}
-
-/* --- evidence ------------------------------------------------------------ */
-
 /*
  * Place of the one to be forgotten: one that doesn't count, or the oldest. Were
  * the latest ones not remembered, those at which others had been would never be
@@ -434,6 +459,6 @@
 		return false;
 	note_domain_end(table, backends, &known);
 	suspect_review(table, entry, backends);
-	suspect_judge_all(table);
+	suspect_judge_around(table, entry);
 	return true;
 }
--- a/packages/core/suspect_parts.h
+++ b/packages/core/suspect_parts.h
@@ -15,12 +15,16 @@
 		       const struct suspect_crash *crash);
 void suspect_drop_crashes_before(struct suspect *entry, uint64_t before_us);
 
-/* Count anew those of the request that speak against it. */
-void suspect_review(struct suspect_table *table, struct suspect *entry,
+/* Count anew those of the request that speak against it; whether it changed. */
+bool suspect_review(struct suspect_table *table, struct suspect *entry,
 		    const struct backend_table *backends);
 
-/* Begin and lift first quarantines; later ones stand on a try that failed. */
-void suspect_judge_all(struct suspect_table *table);
+/*
+ * Begin and lift first quarantines of the request, and of those that were at a
+ * server with it; later ones stand on a try that failed.
+ */
+void suspect_judge_around(struct suspect_table *table,
+			  const struct suspect *around);
 
 void suspect_begin_quarantine(struct suspect *entry, uint64_t now_us);
 uint64_t suspect_quarantine_us(uint32_t rounds);
--- a/packages/core/suspect_table.c
+++ b/packages/core/suspect_table.c
@@ -149,13 +149,15 @@
 		     uint64_t now_us)
 {
 	struct suspect *entry = suspect_table_find(table, fingerprint);
+	struct suspect before;
 	bool was_strong;
 
 	if (!entry || (!entry->crash_count && !entry->rounds))
 		return;
 	was_strong = is_strong_suspect(entry);
+	before = *entry;
 	clear(entry, now_us);
-	suspect_judge_all(table);
+	suspect_judge_around(table, &before);
 	note_change(entry, was_strong ? TELL_OWN : 0, now_us);
 }
 
@@ -300,8 +302,8 @@
 	memset(ruling, 0, sizeof(*ruling));
 	if (!entry)
 		return;
-	suspect_review(table, entry, backends);
-	suspect_judge_all(table);
+	if (suspect_review(table, entry, backends))
+		suspect_judge_around(table, entry);
 	if (entry->rounds && (entry->until_us > now_us || !query->is_prober)) {
 		ruling->verdict = SUSPECT_QUARANTINED;
 		ruling->left_us =
@@ -440,6 +442,7 @@
 		  uint64_t now_us)
 {
 	struct suspect *entry;
+	struct suspect known;
 	bool news;
 
 	if (!is_sound(word))
@@ -451,12 +454,14 @@
 		entry = suspect_table_find(table, word->fingerprint);
 	if (!entry)
 		return true;
+	known = *entry;
 	news = word->cleared &&
 	       clear(entry, before(now_us, word->cleared_age_us));
-	news |= take_crashes(table, entry, word, backends, now_us);
-	suspect_review(table, entry, backends);
 	if (news)
-		suspect_judge_all(table);
+		suspect_judge_around(table, &known);
+	news |= take_crashes(table, entry, word, backends, now_us);
+	if (suspect_review(table, entry, backends))
+		suspect_judge_around(table, entry);
 	news |= take_quarantine(entry, word, now_us);
 	if (news)
 		note_change(entry, is_strong_suspect(entry) ? TELL_TAKEN : 0,
