--- a/packages/core/suspect_table.h
+++ b/packages/core/suspect_table.h
@@ -6,9 +6,9 @@
  * once at a time in all that can be reached, away from other suspects if that
  * can be had; after a second crash only so, where little is at work, and once
  * its node's claim to run it has been heard by all. An answer of a server
- * clears it. One that SUSPECT_CRASHES servers ended under is quarantined: no
- * node sends it, until one node tries it once after a long time, which doubles
- * with each crash.
+ * clears it. One that SUSPECT_CRASHES servers ended under is quarantined,
+ * unless another that was there explains these crashes: no node sends it, until
+ * one node tries it once after a long time, which doubles with each crash.
  *
  * Crashes count by the server's life, once each, whoever tells of them, so
  * words of other nodes may come twice, late or in any order. A server that
@@ -129,11 +129,12 @@
 	SUSPECT_QUARANTINED,
 };
 
+/* Who asks what may be done with which request. */
 struct suspect_query {
 	uint64_t fingerprint;
 	uint32_t node; /* hash of the name of the one that asks */
 	bool is_prober; /* it tries the request after a quarantine has ended */
-	bool has_claimed; /* for this try, and waited since */
+	bool has_claimed; /* the request, and waited since */
 };
 
 struct suspect_ruling {
