--- a/packages/core/suspect_evidence.c
+++ b/packages/core/suspect_evidence.c
@@ -148,47 +148,58 @@
 	return false;
 }
 
-/* Crashes that no other request with as many can have caused. */
+static bool shares_server(const struct suspect *a, const struct suspect *b)
+{
+	uint32_t i;
+
+	for (i = 0; i < a->crash_count; i++)
+		if (was_at(b, a->crashes[i].life))
+			return true;
+	return false;
+}
+
+/* Another request that may have caused some of its crashes. */
+static bool is_rival(const struct suspect *entry, const struct suspect *other)
+{
+	return other != entry && has_enough_crashes(other) &&
+	       shares_server(entry, other);
+}
+
+static void mark_shared(const struct suspect *entry,
+			const struct suspect *rival, bool *is_shared)
+{
+	uint32_t i;
+
+	for (i = 0; i < entry->crash_count; i++)
+		is_shared[i] |= was_at(rival, entry->crashes[i].life);
+}
+
+/* Crashes that no rival can have caused. */
 static uint32_t count_own(const struct suspect_table *table,
 			  const struct suspect *entry)
 {
-	bool is_others[SUSPECT_CRASHES_KEPT] = { false };
+	bool is_shared[SUSPECT_CRASHES_KEPT] = { false };
 	uint32_t own = 0;
 	uint32_t i;
-	uint32_t j;
 
-	for (i = 0; i < SUSPECTS_MOST; i++) {
-		const struct suspect *other = &table->entries[i];
-
-		if (other == entry || !has_enough_crashes(other))
-			continue;
-		for (j = 0; j < entry->crash_count; j++)
-			is_others[j] |= was_at(other, entry->crashes[j].life);
-	}
-	for (j = 0; j < entry->crash_count; j++)
-		own += !is_others[j];
+	for (i = 0; i < SUSPECTS_MOST; i++)
+		if (is_rival(entry, &table->entries[i]))
+			mark_shared(entry, &table->entries[i], is_shared);
+	for (i = 0; i < entry->crash_count; i++)
+		own += !is_shared[i];
 	return MIN(own, entry->counted);
 }
 
-/* The most that one has which was at a server with it. */
+/* The most crashes that a rival has for itself. */
 static uint32_t count_rivals_own(const struct suspect_table *table,
 				 const struct suspect *entry)
 {
 	uint32_t most = 0;
 	uint32_t i;
-	uint32_t j;
 
-	for (i = 0; i < SUSPECTS_MOST; i++) {
-		const struct suspect *other = &table->entries[i];
-
-		if (other == entry || !has_enough_crashes(other))
-			continue;
-		for (j = 0; j < entry->crash_count; j++)
-			if (was_at(other, entry->crashes[j].life))
-				break;
-		if (j < entry->crash_count)
-			most = MAX(most, count_own(table, other));
-	}
+	for (i = 0; i < SUSPECTS_MOST; i++)
+		if (is_rival(entry, &table->entries[i]))
+			most = MAX(most, count_own(table, &table->entries[i]));
 	return most;
 }
 
@@ -247,16 +258,6 @@
 		suspect_begin_quarantine(entry, latest_crash_us(entry));
 }
 
-static bool shares_server(const struct suspect *a, const struct suspect *b)
-{
-	uint32_t i;
-
-	for (i = 0; i < a->crash_count; i++)
-		if (was_at(b, a->crashes[i].life))
-			return true;
-	return false;
-}
-
 void suspect_judge_around(struct suspect_table *table,
 			  const struct suspect *around)
 {
