--- a/tests/core/suspect_fleet_test.cc
+++ b/tests/core/suspect_fleet_test.cc
@@ -112,6 +112,7 @@
 	{ "OnlyOthers", 56 }, { "Others", 1765 },
 	{ "Others", 2221 },   { "TwoBesideOthers", 2879 },
 	{ "Bunched", 1766 },  { "ThreeBunched", 1356 },
+	{ "Three", 11532 },
 };
 
 class FoundTest : public ::testing::TestWithParam<found_case>
