--- a/packages/core/suspect_table.c
+++ b/packages/core/suspect_table.c
@@ -37,6 +37,13 @@
 	return NULL;
 }
 
+bool suspect_is_quarantined(struct suspect_table *table, uint64_t fingerprint)
+{
+	const struct suspect *entry = suspect_table_find(table, fingerprint);
+
+	return entry && entry->rounds;
+}
+
 static void remove_at(struct suspect_table *table, uint32_t at)
 {
 	table->keys[at] = 0;
--- a/packages/core/suspect_table.h
+++ b/packages/core/suspect_table.h
@@ -169,6 +169,9 @@
 struct suspect *suspect_table_find(struct suspect_table *table,
 				   uint64_t fingerprint);
 
+/* Whether it is quarantined, or waits for its try after that. */
+bool suspect_is_quarantined(struct suspect_table *table, uint64_t fingerprint);
+
 /* What may be done with a request. */
 void suspect_rule(struct suspect_table *table,
 		  const struct suspect_query *query,
--- a/packages/edge/gossip_words.c
+++ b/packages/edge/gossip_words.c
@@ -158,14 +158,6 @@
 		quarantine_store_keep(edge->quarantines, word->fingerprint);
 }
 
-static bool is_quarantined(struct edge *edge, uint64_t fingerprint)
-{
-	const struct suspect *suspect =
-		suspect_table_find(edge->suspects, fingerprint);
-
-	return suspect && suspect->rounds;
-}
-
 void gossip_take_words(struct gossip *gossip, const struct beat *beat)
 {
 	struct edge *edge = gossip->edge;
@@ -179,12 +171,14 @@
 			metric_add(edge->stats.words_rejected, 1);
 	for (i = 0; i < beat->suspect_count; i++) {
 		const struct suspect_word *word = &beat->suspects[i];
-		bool was = is_quarantined(edge, word->fingerprint);
+		bool was = suspect_is_quarantined(edge->suspects,
+						  word->fingerprint);
 
 		if (!suspect_take(edge->suspects, word, beat->lives[0].member,
 				  edge->backends, now_us))
 			metric_add(edge->stats.words_rejected, 1);
-		else if (!was && is_quarantined(edge, word->fingerprint))
+		else if (!was && suspect_is_quarantined(edge->suspects,
+							word->fingerprint))
 			note_quarantine(edge, word);
 	}
 }
--- a/packages/edge/quarantine_store.c
+++ b/packages/edge/quarantine_store.c
@@ -81,15 +81,6 @@
 	record->request = (char *)suspect->text;
 }
 
-static bool is_quarantined(const struct quarantine_store *store,
-			   uint64_t fingerprint)
-{
-	const struct suspect *suspect =
-		suspect_table_find(store->edge->suspects, fingerprint);
-
-	return suspect && suspect->rounds;
-}
-
 static void note_kept(struct quarantine_store *store, uint64_t fingerprint)
 {
 	uint32_t i;
@@ -175,7 +166,7 @@
 	for (i = store->kept_count; i > 0; i--) {
 		uint64_t fingerprint = store->kept[i - 1];
 
-		if (is_quarantined(store, fingerprint))
+		if (suspect_is_quarantined(store->edge->suspects, fingerprint))
 			continue;
 		store->kept[i - 1] = store->kept[--store->kept_count];
 		log_event(LOG_WARNING, "quarantine-lifted",
