suspect_table: a first retry waits for other nodes' crashes

What callers saw: a request that crashes servers ended 7 of them where 6 are allowed, and each crash broke off others' requests.

A node that saw a first crash retried the request 4 ms later, before it could hear of the crashes that other nodes saw in the same moment (an update takes up to 60 ms between regions). So each run that was under way added a retry: up to twice the runs that no node could hold back.

Change: after one crash, the node that saw it asks again once an update would have arrived (70 ms); other nodes wait until that node's retry would be known (140 ms after the crash). A caller without that much time left isn't held. What is left is what no node can know: runs under way, runs that begin before an update arrives, and one retry.

--- a/packages/core/suspect_evidence.c
+++ b/packages/core/suspect_evidence.c
@@ -244,7 +244,7 @@
 	return others_exclusive ? ATTRIBUTION_OTHER : ATTRIBUTION_CAUSE;
 }
 
-static uint64_t latest_crash_us(const struct suspect *entry)
+uint64_t suspect_latest_crash_us(const struct suspect *entry)
 {
 	uint64_t latest_us = 0;
 	uint32_t i;
@@ -266,7 +266,7 @@
 	if (attribution == ATTRIBUTION_OTHER)
 		entry->rounds = 0;
 	else if (attribution == ATTRIBUTION_CAUSE && !entry->rounds)
-		suspect_begin_quarantine(entry, latest_crash_us(entry));
+		suspect_begin_quarantine(entry, suspect_latest_crash_us(entry));
 }
 
 void suspect_reevaluate_related(struct suspect_table *table,
--- a/packages/core/suspect_internal.h
+++ b/packages/core/suspect_internal.h
@@ -30,6 +30,7 @@
 void suspect_reevaluate_related(struct suspect_table *table,
 				const struct suspect *related);
 
+uint64_t suspect_latest_crash_us(const struct suspect *entry);
 void suspect_begin_quarantine(struct suspect *entry, uint64_t now_us);
 uint64_t suspect_quarantine_us(uint32_t rounds);
 
--- a/packages/core/suspect_table.c
+++ b/packages/core/suspect_table.c
@@ -305,6 +305,20 @@
 	       run->until_us > now_us;
 }
 
+/*
+ * The node that saw the first crash retries the request once it knows of other
+ * nodes' crashes under it; the others wait until they know of that retry.
+ */
+static uint64_t first_retry_wait_us(const struct suspect *entry,
+				    uint64_t now_us)
+{
+	uint64_t delay_us = entry->seen_locally ? SUSPECT_UPDATE_DELAY_US :
+						  2 * SUSPECT_UPDATE_DELAY_US;
+	uint64_t due_us = suspect_latest_crash_us(entry) + delay_us;
+
+	return due_us > now_us ? due_us - now_us : 0;
+}
+
 void suspect_decide(struct suspect_table *table,
 		    const struct suspect_query *query,
 		    const struct backend_table *backends, uint64_t now_us,
@@ -328,6 +342,8 @@
 		return;
 	decision->isolated = is_strong_suspect(entry);
 	decision->needs_claim = decision->isolated && !has_claimed;
+	decision->wait_us =
+		decision->isolated ? 0 : first_retry_wait_us(entry, now_us);
 	decision->verdict = SUSPECT_MAY_RUN;
 	if (is_blocked(table, query, has_claimed, now_us) ||
 	    (decision->needs_claim && table->run_count == SUSPECT_MAX_RUNS))
--- a/packages/core/suspect_table.h
+++ b/packages/core/suspect_table.h
@@ -4,7 +4,8 @@
  * A request that was running at a backend server when the server crashed is a
  * suspect, identified by its fingerprint; so is each other request that was
  * running there. A suspect runs at most once at a time over all nodes that can
- * be reached, and away from other suspects if possible. After a second crash it
+ * be reached, and away from other suspects if possible; its first retry waits
+ * for updates of other nodes that were running it. After a second crash it
  * runs only away from other suspects, at a server with few requests, and only
  * once its node's claim to run it has reached all nodes. An answer of a server
  * clears it. A request with SUSPECT_QUARANTINE_CRASHES crashes is quarantined,
@@ -150,6 +151,8 @@
 	bool isolated; /* run only at servers without other suspects */
 	bool needs_claim; /* claim it and don't run it yet; see suspect_claim()
 			   */
+	uint64_t wait_us; /* ask again after this time, if the caller's deadline
+			     allows it */
 	uint64_t left_us; /* of the quarantine */
 };
 
--- a/packages/edge/exchange_suspect.c
+++ b/packages/edge/exchange_suspect.c
@@ -61,6 +61,11 @@
 	return member_table_rank(edge->members, (uint32_t)request_hash);
 }
 
+static bool is_in_time_after(const struct exchange *exchange, uint64_t hold_us)
+{
+	return exchange_left_us(exchange) > exchange->retry.usual_us + hold_us;
+}
+
 /* Waits for hold_us, or refuses at once if the answer would then be late. */
 static enum exchange_admission
 wait_or_refuse(struct exchange *exchange, uint64_t hold_us, const char **cause)
@@ -68,9 +73,8 @@
 	exchange->choice.hold_us = hold_us;
 	exchange->choice.retry_after_us = RETRY_RUNNING_US;
 	*cause = suspect_verdict_name(SUSPECT_RUNNING);
-	if (exchange_left_us(exchange) > exchange->retry.usual_us + hold_us)
-		return EXCHANGE_WAIT;
-	return EXCHANGE_REFUSE;
+	return is_in_time_after(exchange, hold_us) ? EXCHANGE_WAIT :
+						     EXCHANGE_REFUSE;
 }
 
 /*
@@ -163,6 +167,11 @@
 	case SUSPECT_MAY_RUN:
 		if (decision.needs_claim)
 			return claim(exchange, cause);
+		if (decision.wait_us &&
+		    is_in_time_after(exchange, decision.wait_us)) {
+			exchange->choice.hold_us = decision.wait_us;
+			return EXCHANGE_WAIT;
+		}
 		exchange->is_suspect = true;
 		exchange->query.isolation = decision.isolated ?
 						    CHOOSE_ISOLATE_REQUIRED :
--- a/tests/core/suspect_fleet.h
+++ b/tests/core/suspect_fleet.h
@@ -319,6 +319,10 @@
 		if (decision.verdict == SUSPECT_RUNNING ||
 		    decision.verdict == SUSPECT_QUARANTINED)
 			return;
+		if (decision.wait_us) {
+			retries_.push_back({ now_us + decision.wait_us, run });
+			return;
+		}
 		if (decision.needs_claim) {
 			suspect_claim(node.table, run.fingerprint,
 				      (uint32_t)run.node, now_us);
--- a/tests/core/suspect_table_test.cc
+++ b/tests/core/suspect_table_test.cc
@@ -699,6 +699,302 @@
 	EXPECT_TRUE(decide(FINGERPRINT, false, true).needs_claim);
 }
 
+/* --- retries before updates arrive ---------------------------------------- */
+
+/*
+ * Nodes that run one request, each arrival and each retry at another server,
+ * which crashes after RUN_US. Crashed runs are retried as by the product.
+ */
+class RetrySimulation
+{
+      public:
+	struct Arrival {
+		uint32_t node; /* from 1 on; 0: none */
+		uint64_t at_ms;
+	};
+	/* Only the first crashing_runs runs crash their server. */
+	RetrySimulation(uint32_t nodes, uint64_t update_us, int crashing_runs)
+	    : update_us_(update_us), crashing_runs_(crashing_runs)
+	{
+		for (uint32_t i = 0; i < nodes; i++)
+			tables_.push_back(suspect_table_new());
+	}
+	~RetrySimulation()
+	{
+		for (struct suspect_table *table : tables_)
+			suspect_table_free(table);
+		backend_table_free(backends_);
+	}
+	void add(const Arrival &arrival)
+	{
+		if (arrival.node)
+			attempts_.push_back(
+				{ START_US + arrival.at_ms * US_PER_MS,
+				  arrival.node, 0, false });
+	}
+	void play()
+	{
+		for (; now_us_ < START_US + 2 * US_PER_S;
+		     now_us_ += US_PER_MS) {
+			deliver();
+			end_runs();
+			attempt_due();
+			for (uint32_t node = 1; node <= tables_.size(); node++)
+				post(node);
+		}
+	}
+	int runs = 0;
+	int crashes = 0;
+	int answers = 0;
+	std::string history; /* starts and crashes, for a failed test */
+	uint64_t answered_us = 0; /* time from the first crash */
+
+      private:
+	struct Attempt {
+		uint64_t at_us;
+		uint32_t node;
+		int sends;
+		bool has_claimed;
+	};
+	struct Run {
+		Attempt attempt;
+		uint32_t incarnation;
+		uint64_t end_us;
+		bool is_suspect;
+		bool crashes;
+	};
+	struct Posted {
+		uint64_t at_us;
+		uint32_t from;
+		struct suspect_update update;
+	};
+	static const uint64_t START_US = 1000 * US_PER_S;
+	static const uint64_t RUN_US = 100 * US_PER_MS;
+	static const uint64_t POLL_US = 20 * US_PER_MS;
+	static const uint64_t RETRY_US = 4 * US_PER_MS;
+	static const int MAX_SENDS = 3;
+
+	struct suspect_table *table(uint32_t node) const
+	{
+		return tables_[node - 1];
+	}
+	void log(const char *what, uint32_t node)
+	{
+		const struct suspect *entry =
+			suspect_table_find(table(node), FINGERPRINT);
+
+		history += std::to_string((now_us_ - START_US) / US_PER_MS) +
+			   " ms: node " + std::to_string(node) + " " + what +
+			   ", knows of " +
+			   std::to_string(entry ? entry->crash_count : 0) +
+			   " crashes\n";
+	}
+	void attempt_due()
+	{
+		std::vector<Attempt> due;
+
+		std::swap(due, attempts_);
+		for (const Attempt &one : due)
+			if (one.at_us <= now_us_)
+				attempt(one);
+			else
+				attempts_.push_back(one);
+	}
+	void attempt(Attempt one)
+	{
+		const struct suspect_query query = { FINGERPRINT, one.node,
+						     false, one.has_claimed };
+		struct suspect_decision decision;
+
+		suspect_decide(table(one.node), &query, backends_, now_us_,
+			       &decision);
+		one.has_claimed = false;
+		if (decision.verdict == SUSPECT_QUARANTINED)
+			return;
+		if (decision.verdict == SUSPECT_RUNNING) {
+			one.at_us = now_us_ + POLL_US;
+			attempts_.push_back(one);
+		} else if (decision.wait_us) {
+			one.at_us = now_us_ + decision.wait_us;
+			attempts_.push_back(one);
+		} else if (decision.needs_claim) {
+			suspect_claim(table(one.node), FINGERPRINT, one.node,
+				      now_us_);
+			one.has_claimed = true;
+			one.at_us = now_us_ + SUSPECT_CLAIM_WAIT_US;
+			attempts_.push_back(one);
+		} else {
+			begin(one, decision);
+		}
+	}
+	void begin(Attempt one, const struct suspect_decision &decision)
+	{
+		bool is_suspect = decision.verdict == SUSPECT_MAY_RUN;
+		const struct suspect_run run = { FINGERPRINT, one.node,
+						 next_incarnation_,
+						 now_us_ + RUN_US + US_PER_S,
+						 decision.isolated };
+
+		one.sends++;
+		log("runs it", one.node);
+		running_.push_back({ one, next_incarnation_++, now_us_ + RUN_US,
+				     is_suspect, runs++ < crashing_runs_ });
+		if (is_suspect)
+			suspect_begin_run(table(one.node), &run);
+	}
+	void end_runs()
+	{
+		std::vector<Run> runs;
+
+		std::swap(runs, running_);
+		for (const Run &run : runs)
+			if (run.end_us > now_us_)
+				running_.push_back(run);
+			else
+				end(run);
+	}
+	void end(const Run &run)
+	{
+		const struct suspect_crash crash = { run.incarnation, 0,
+						     now_us_, RUN_US };
+		uint32_t node = run.attempt.node;
+		Attempt next = run.attempt;
+
+		if (run.crashes) {
+			first_crash_us_ = crashes++ ? first_crash_us_ : now_us_;
+			suspect_add_own_crash(table(node), FINGERPRINT,
+					      backends_, &crash, "");
+			log("sees a crash", node);
+			next.at_us = now_us_ + RETRY_US;
+			if (next.sends < MAX_SENDS)
+				attempts_.push_back(next);
+		} else {
+			answers++;
+			answered_us = now_us_ - first_crash_us_;
+			suspect_clear(table(node), FINGERPRINT, now_us_);
+		}
+		if (run.is_suspect)
+			suspect_end_run(table(node), FINGERPRINT, node);
+	}
+	void post(uint32_t node)
+	{
+		struct suspect_update update;
+
+		if (suspect_collect_broadcast(table(node), node, now_us_,
+					      &update, 1))
+			posted_.push_back(
+				{ now_us_ + update_us_, node, update });
+	}
+	void deliver()
+	{
+		for (const Posted &one : posted_)
+			for (uint32_t node = 1; node <= tables_.size(); node++)
+				if (one.at_us == now_us_ && node != one.from)
+					suspect_apply_update(
+						table(node), &one.update,
+						one.from, backends_, now_us_);
+	}
+
+	uint64_t update_us_;
+	int crashing_runs_;
+	uint64_t now_us_ = START_US;
+	uint64_t first_crash_us_ = 0;
+	uint32_t next_incarnation_ = 1;
+	std::vector<struct suspect_table *> tables_;
+	struct backend_table *backends_ = backend_table_new();
+	std::vector<Attempt> attempts_;
+	std::vector<Run> running_;
+	std::vector<Posted> posted_;
+};
+
+struct retry_case {
+	const char *name;
+	uint32_t nodes;
+	uint64_t update_ms;
+	/* The first server crashes at 100 ms. */
+	RetrySimulation::Arrival arrivals[4];
+	/*
+	 * Runs that begin before an update of the first crash can arrive, but
+	 * at least SUSPECT_QUARANTINE_CRASHES; one more where all servers
+	 * crash at one moment, which doesn't quarantine.
+	 */
+	int max_crashes;
+};
+
+const retry_case retry_cases[] = {
+	{ "One", 1, 60, { { 1, 0 } }, 3 },
+	/* Retries before either node hears of the other's crash. */
+	{ "TwoTogether", 2, 60, { { 1, 0 }, { 2, 0 } }, 3 },
+	{ "TwoAfter10Ms", 2, 60, { { 1, 0 }, { 2, 10 } }, 3 },
+	{ "TwoAfter30Ms", 2, 60, { { 1, 0 }, { 2, 30 } }, 3 },
+	{ "TwoAfter55Ms", 2, 60, { { 1, 0 }, { 2, 55 } }, 3 },
+	{ "TwoAfter59Ms", 2, 60, { { 1, 0 }, { 2, 59 } }, 3 },
+	{ "TwoAfter61Ms", 2, 60, { { 1, 0 }, { 2, 61 } }, 3 },
+	{ "TwoNear", 2, 2, { { 1, 0 }, { 2, 0 } }, 3 },
+	{ "ThreeTogether", 3, 60, { { 1, 0 }, { 2, 0 }, { 3, 0 } }, 4 },
+	/* A retry while the node's earlier runs are in progress. */
+	{ "ThreeOfOneNode", 1, 60, { { 1, 0 }, { 1, 70 }, { 1, 80 } }, 3 },
+	/* Arrivals at nodes that know of no crash, or of one. */
+	{ "ArrivalBeforeTheUpdate", 2, 60, { { 1, 0 }, { 2, 130 } }, 3 },
+	{ "ArrivalAfterTheUpdate", 2, 60, { { 1, 0 }, { 2, 162 } }, 3 },
+	{ "ArrivalBesideTwoRetries",
+	  3,
+	  60,
+	  { { 1, 0 }, { 2, 30 }, { 3, 162 } },
+	  3 },
+	{ "TwoArrivalsAfterTheUpdate",
+	  3,
+	  60,
+	  { { 1, 0 }, { 2, 162 }, { 3, 163 } },
+	  3 },
+	/* Each of several nodes adds a retry to what was under way. */
+	{ "ThreeAndAnArrival",
+	  4,
+	  60,
+	  { { 1, 0 }, { 2, 5 }, { 3, 36 }, { 4, 105 } },
+	  4 },
+};
+
+class RetryTest : public ::testing::TestWithParam<retry_case>
+{
+};
+
+/*
+ * Guards against nodes that each retry a request before they hear of the
+ * others' crashes.
+ */
+TEST_P(RetryTest, RetriesAddNoCrashBeyondTheThird)
+{
+	const retry_case &c = GetParam();
+	RetrySimulation simulation(c.nodes, c.update_ms * US_PER_MS, 100);
+
+	for (const RetrySimulation::Arrival &arrival : c.arrivals)
+		simulation.add(arrival);
+	simulation.play();
+	EXPECT_LE(1, simulation.crashes);
+	EXPECT_GE(c.max_crashes, simulation.crashes) << simulation.history;
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, RetryTest, ::testing::ValuesIn(retry_cases),
+			 [](const auto &info) { return info.param.name; });
+
+/* Guards against waits that refuse a harmless request after chance crashes. */
+TEST(RetrySimulationTest, HarmlessRequestIsServedWithinASecond)
+{
+	for (int crashes : { 1, 2 }) {
+		RetrySimulation simulation(3, 60 * US_PER_MS, crashes);
+
+		simulation.add({ 1, 0 });
+		simulation.add({ 2, 170 });
+		simulation.add({ 3, 400 });
+		simulation.play();
+		EXPECT_EQ(crashes, simulation.crashes);
+		EXPECT_EQ(3, simulation.answers) << simulation.history;
+		EXPECT_GE(US_PER_S, simulation.answered_us)
+			<< simulation.history;
+	}
+}
+
 /* --- updates between nodes ---------------------------------------------- */
 
 class SuspectUpdateTest : public SuspectTest
