suspect_evidence: a request's older and overlapping crashes still explain others

Cause: a node kept four crashes of each request, and refused a third one that overlapped with two others. It forgot both kinds, so a harmless request that had run at those servers seemed to have crashes of its own. A refused crash wasn't told to others either.

Change: a crash that doesn't count is remembered in a ring of 48 for all requests. It explains crashes of others, is told, and is known when it is reported again. A request with more crashes than one update holds is told in several; the format stays.

DeadlyHasMoreThanAreKept, DeadlyExceedsTheKeptLater and RequestBesideADeadlyOneStaysFreeAtAPeer fail before.

--- a/packages/core/suspect_evidence.c
+++ b/packages/core/suspect_evidence.c
@@ -1,5 +1,6 @@
 #include "core/suspect_internal.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "core/hash.h"
@@ -58,6 +59,48 @@
 	return NULL;
 }
 
+static bool is_uncounted_of(const struct suspect_uncounted_crash *uncounted,
+			    const struct suspect *entry)
+{
+	return uncounted->fingerprint == entry->fingerprint &&
+	       uncounted->crash.at_us > entry->cleared_us;
+}
+
+static void add_uncounted_crash(struct suspect_table *table,
+				const struct suspect *entry,
+				const struct suspect_crash *crash)
+{
+	struct suspect_uncounted_crash *uncounted =
+		&table->uncounted_crashes[table->uncounted_crash_next++ %
+					  SUSPECT_MAX_UNCOUNTED_CRASHES];
+
+	uncounted->fingerprint = entry->fingerprint;
+	uncounted->crash = *crash;
+}
+
+static int compare_latest_first(const void *a, const void *b)
+{
+	uint64_t a_us = ((const struct suspect_crash *)a)->at_us;
+	uint64_t b_us = ((const struct suspect_crash *)b)->at_us;
+
+	return (a_us < b_us) - (a_us > b_us);
+}
+
+uint32_t suspect_list_crashes(const struct suspect_table *table,
+			      const struct suspect *entry,
+			      struct suspect_crash *crashes)
+{
+	uint32_t count = entry->crash_count;
+	uint32_t i;
+
+	memcpy(crashes, entry->crashes, count * sizeof(*crashes));
+	for (i = 0; i < SUSPECT_MAX_UNCOUNTED_CRASHES; i++)
+		if (is_uncounted_of(&table->uncounted_crashes[i], entry))
+			crashes[count++] = table->uncounted_crashes[i].crash;
+	qsort(crashes, count, sizeof(*crashes), compare_latest_first);
+	return count;
+}
+
 void suspect_drop_crashes_before(struct suspect *entry, uint64_t before_us)
 {
 	uint32_t kept = 0;
@@ -145,7 +188,8 @@
 	return entry->evidence_crashes >= SUSPECT_QUARANTINE_CRASHES;
 }
 
-static bool has_crash_of(const struct suspect *entry, uint32_t incarnation)
+static bool has_counted_crash_of(const struct suspect *entry,
+				 uint32_t incarnation)
 {
 	uint32_t i;
 
@@ -155,32 +199,55 @@
 	return false;
 }
 
-static bool shares_server(const struct suspect *a, const struct suspect *b)
+static bool has_crash_of(const struct suspect_table *table,
+			 const struct suspect *entry, uint32_t incarnation)
+{
+	uint32_t i;
+
+	if (has_counted_crash_of(entry, incarnation))
+		return true;
+	for (i = 0; i < SUSPECT_MAX_UNCOUNTED_CRASHES; i++) {
+		const struct suspect_uncounted_crash *uncounted =
+			&table->uncounted_crashes[i];
+
+		if (uncounted->crash.incarnation == incarnation &&
+		    is_uncounted_of(uncounted, entry))
+			return true;
+	}
+	return false;
+}
+
+/* Whether other was running at a server whose crash counts against entry. */
+static bool shares_crash(const struct suspect_table *table,
+			 const struct suspect *entry,
+			 const struct suspect *other)
 {
 	uint32_t i;
 
-	for (i = 0; i < a->crash_count; i++)
-		if (has_crash_of(b, a->crashes[i].incarnation))
+	for (i = 0; i < entry->crash_count; i++)
+		if (has_crash_of(table, other, entry->crashes[i].incarnation))
 			return true;
 	return false;
 }
 
 /* Another request that may have caused some of its crashes. */
-static bool may_explain_crashes(const struct suspect *entry,
+static bool may_explain_crashes(const struct suspect_table *table,
+				const struct suspect *entry,
 				const struct suspect *other)
 {
 	return other != entry && has_quarantine_crashes(other) &&
-	       shares_server(entry, other);
+	       shares_crash(table, entry, other);
 }
 
-static void mark_shared(const struct suspect *entry,
+static void mark_shared(const struct suspect_table *table,
+			const struct suspect *entry,
 			const struct suspect *other, bool *is_shared)
 {
 	uint32_t i;
 
 	for (i = 0; i < entry->crash_count; i++)
-		is_shared[i] |=
-			has_crash_of(other, entry->crashes[i].incarnation);
+		is_shared[i] |= has_crash_of(table, other,
+					     entry->crashes[i].incarnation);
 }
 
 /* Crashes that no other request can have caused. */
@@ -192,8 +259,9 @@
 	uint32_t i;
 
 	for (i = 0; i < SUSPECT_MAX_ENTRIES; i++)
-		if (may_explain_crashes(entry, &table->entries[i]))
-			mark_shared(entry, &table->entries[i], is_shared);
+		if (may_explain_crashes(table, entry, &table->entries[i]))
+			mark_shared(table, entry, &table->entries[i],
+				    is_shared);
 	for (i = 0; i < entry->crash_count; i++)
 		exclusive += !is_shared[i];
 	return MIN(exclusive, entry->evidence_crashes);
@@ -207,7 +275,7 @@
 	uint32_t i;
 
 	for (i = 0; i < SUSPECT_MAX_ENTRIES; i++)
-		if (may_explain_crashes(entry, &table->entries[i]))
+		if (may_explain_crashes(table, entry, &table->entries[i]))
 			max = MAX(max,
 				  count_exclusive(table, &table->entries[i]));
 	return max;
@@ -279,7 +347,8 @@
 
 		if ((entry->rounds || has_quarantine_crashes(entry)) &&
 		    (entry->fingerprint == related->fingerprint ||
-		     shares_server(related, entry)))
+		     shares_crash(table, related, entry) ||
+		     shares_crash(table, entry, related)))
 			reevaluate(table, entry);
 	}
 }
@@ -409,24 +478,27 @@
 	       last->at_us < first->at_us + last->ran_us;
 }
 
+static bool is_new_crash(const struct suspect_table *table,
+			 const struct suspect *entry,
+			 const struct suspect_crash *crash)
+{
+	return crash->at_us > entry->cleared_us &&
+	       !has_crash_of(table, entry, crash->incarnation);
+}
+
 /*
- * At most two crashes that may share a cause are accepted: a third would
- * quarantine the request for what may be a single failure.
+ * At most two crashes that may share a cause count: a third would quarantine
+ * the request for what may be a single failure.
  */
-static bool is_new_crash(const struct suspect *entry,
-			 const struct suspect_crash *crash)
+static bool may_be_single_failure(const struct suspect *entry,
+				  const struct suspect_crash *crash)
 {
 	uint32_t together = 0;
 	uint32_t i;
 
-	if (crash->at_us <= entry->cleared_us)
-		return false;
-	for (i = 0; i < entry->crash_count; i++) {
-		if (entry->crashes[i].incarnation == crash->incarnation)
-			return false;
+	for (i = 0; i < entry->crash_count; i++)
 		together += may_share_cause(&entry->crashes[i], crash);
-	}
-	return together < SUSPECT_QUARANTINE_CRASHES - 1;
+	return together >= SUSPECT_QUARANTINE_CRASHES - 1;
 }
 
 /*
@@ -449,20 +521,26 @@
 	return evictable;
 }
 
-static bool store_crash(struct suspect_table *table, struct suspect *entry,
+static void store_crash(struct suspect_table *table, struct suspect *entry,
 			const struct suspect_crash *crash)
 {
 	uint32_t at;
 
+	if (may_be_single_failure(entry, crash)) {
+		add_uncounted_crash(table, entry, crash);
+		return;
+	}
 	if (entry->crash_count < SUSPECT_MAX_CRASHES) {
 		entry->crashes[entry->crash_count++] = *crash;
-		return true;
+		return;
 	}
 	at = find_evictable_crash(table, entry);
-	if (entry->crashes[at].at_us >= crash->at_us)
-		return false;
+	if (entry->crashes[at].at_us >= crash->at_us) {
+		add_uncounted_crash(table, entry, crash);
+		return;
+	}
+	add_uncounted_crash(table, entry, &entry->crashes[at]);
 	entry->crashes[at] = *crash;
-	return true;
 }
 
 bool suspect_add_crash(struct suspect_table *table, struct suspect *entry,
@@ -471,10 +549,10 @@
 {
 	struct suspect_crash known = *crash;
 
-	set_domain(backends, &known);
-	if (entry->rounds > 1 || !is_new_crash(entry, &known) ||
-	    !store_crash(table, entry, &known))
+	if (entry->rounds > 1 || !is_new_crash(table, entry, crash))
 		return false;
+	set_domain(backends, &known);
+	store_crash(table, entry, &known);
 	update_domain_outage(table, backends, &known);
 	suspect_recount_crashes(table, entry, backends);
 	suspect_reevaluate_related(table, entry);
--- a/packages/core/suspect_internal.h
+++ b/packages/core/suspect_internal.h
@@ -14,6 +14,16 @@
 bool suspect_add_crash(struct suspect_table *table, struct suspect *entry,
 		       const struct backend_table *backends,
 		       const struct suspect_crash *crash);
+
+/*
+ * Lists all known crashes of a request, the latest first; returns their number,
+ * at most SUSPECT_MAX_LISTED_CRASHES.
+ */
+#define SUSPECT_MAX_LISTED_CRASHES \
+	(SUSPECT_MAX_CRASHES + SUSPECT_MAX_UNCOUNTED_CRASHES)
+uint32_t suspect_list_crashes(const struct suspect_table *table,
+			      const struct suspect *entry,
+			      struct suspect_crash *crashes);
 void suspect_drop_crashes_before(struct suspect *entry, uint64_t before_us);
 
 /*
--- a/packages/core/suspect_table.c
+++ b/packages/core/suspect_table.c
@@ -524,17 +524,8 @@
 			const struct suspect *entry, uint32_t node,
 			uint64_t now_us, struct suspect_update *update)
 {
-	uint32_t i;
-
 	memset(update, 0, sizeof(*update));
 	update->fingerprint = entry->fingerprint;
-	update->crash_count = entry->crash_count;
-	for (i = 0; i < entry->crash_count; i++) {
-		update->crashes[i].incarnation = entry->crashes[i].incarnation;
-		update->crashes[i].age_us =
-			MIN(now_us - entry->crashes[i].at_us, SUSPECT_TTL_US);
-		update->crashes[i].ran_us = entry->crashes[i].ran_us;
-	}
 	update->rounds = entry->rounds;
 	if (entry->rounds && entry->until_us > now_us)
 		update->left_us = entry->until_us - now_us;
@@ -545,6 +536,43 @@
 	fill_run(table, entry, node, now_us, update);
 }
 
+static void fill_crashes(const struct suspect_crash *crashes, uint32_t count,
+			 uint64_t now_us, struct suspect_update *update)
+{
+	uint32_t i;
+
+	update->crash_count = MIN(count, SUSPECT_MAX_CRASHES);
+	for (i = 0; i < update->crash_count; i++) {
+		update->crashes[i].incarnation = crashes[i].incarnation;
+		update->crashes[i].age_us =
+			MIN(now_us - crashes[i].at_us, SUSPECT_TTL_US);
+		update->crashes[i].ran_us = crashes[i].ran_us;
+	}
+}
+
+/*
+ * Fills in at most max_count updates on a request, several if it has more
+ * crashes than one update holds, and returns their number.
+ */
+static uint32_t fill_updates(const struct suspect_table *table,
+			     const struct suspect *entry, uint32_t node,
+			     uint64_t now_us, struct suspect_update *updates,
+			     uint32_t max_count)
+{
+	struct suspect_crash crashes[SUSPECT_MAX_LISTED_CRASHES];
+	uint32_t crash_count = suspect_list_crashes(table, entry, crashes);
+	uint32_t first = 0;
+	uint32_t count = 0;
+
+	do {
+		fill_update(table, entry, node, now_us, &updates[count]);
+		fill_crashes(&crashes[first], crash_count - first, now_us,
+			     &updates[count++]);
+		first += SUSPECT_MAX_CRASHES;
+	} while (first < crash_count && count < max_count);
+	return count;
+}
+
 uint32_t suspect_collect_broadcast(struct suspect_table *table, uint32_t node,
 				   uint64_t now_us,
 				   struct suspect_update *updates,
@@ -561,7 +589,8 @@
 		if (!table->keys[i] || !entry->broadcasts_left)
 			continue;
 		entry->broadcasts_left--;
-		fill_update(table, entry, node, now_us, &updates[count++]);
+		count += fill_updates(table, entry, node, now_us,
+				      &updates[count], max_count - count);
 	}
 	return count;
 }
@@ -596,7 +625,8 @@
 			continue;
 		if (entry->heartbeats_left)
 			entry->heartbeats_left--;
-		fill_update(table, entry, node, now_us, &updates[count++]);
+		count += fill_updates(table, entry, node, now_us,
+				      &updates[count], max_count - count);
 		table->next_update = at + 1;
 	}
 	return count;
--- a/packages/core/suspect_table.h
+++ b/packages/core/suspect_table.h
@@ -44,6 +44,9 @@
 #define SUSPECT_QUARANTINE_CRASHES 3
 #define SUSPECT_MAX_CRASHES 4
 
+/* Crashes that are remembered besides those, of all requests together. */
+#define SUSPECT_MAX_UNCOUNTED_CRASHES 48
+
 /*
  * Servers of a failure domain that have to crash together, and be at least half
  * of the domain, to be taken for an outage of the domain that no request
@@ -104,6 +107,15 @@
 					 node */
 };
 
+/*
+ * A crash that doesn't count against its request, but still explains crashes of
+ * others: it may share a cause with two counted ones, or is an older one.
+ */
+struct suspect_uncounted_crash {
+	uint64_t fingerprint;
+	struct suspect_crash crash;
+};
+
 /* A suspect that is running at a server, or that a node claims to run next. */
 struct suspect_run {
 	uint64_t fingerprint;
@@ -129,6 +141,9 @@
 	uint32_t next_update; /* index at which the next heartbeat goes on */
 	struct suspect_domain_outage domain_outages[SUSPECT_MAX_DOMAIN_OUTAGES];
 	uint32_t domain_outage_next; /* next index to be overwritten */
+	struct suspect_uncounted_crash
+		uncounted_crashes[SUSPECT_MAX_UNCOUNTED_CRASHES];
+	uint32_t uncounted_crash_next; /* next index to be overwritten */
 };
 
 enum suspect_verdict {
--- a/tests/core/suspect_table_test.cc
+++ b/tests/core/suspect_table_test.cc
@@ -408,6 +408,22 @@
 	  true,
 	  true,
 	  true },
+	/* A shared crash that the deadly request no longer keeps. */
+	{ "DeadlyHasMoreThanAreKept",
+	  { 1, 2, 7 },
+	  { 1, 2, 3, 4, 5 },
+	  {},
+	  false,
+	  true,
+	  false },
+	/* The same, forgotten after both were judged rightly. */
+	{ "DeadlyExceedsTheKeptLater",
+	  { 1, 2, 5 },
+	  { 1, 2, 3, 4, 6 },
+	  {},
+	  false,
+	  true,
+	  false },
 };
 
 class AttributionTest : public SuspectTest,
@@ -1047,6 +1063,29 @@
 	EXPECT_EQ(SUSPECT_QUARANTINED, peer_verdict());
 }
 
+/*
+ * Guards against a peer that learns only the kept crashes of a deadly request
+ * and quarantines the one that ran beside it.
+ */
+TEST_F(SuspectUpdateTest, RequestBesideADeadlyOneStaysFreeAtAPeer)
+{
+	const uint64_t beside = FINGERPRINT + 1;
+	const uint32_t shared = next_life;
+
+	crash_times(SUSPECT_MAX_CRASHES + 1);
+	for (uint32_t incarnation : { shared, shared + 1, next_life }) {
+		const struct suspect_crash crash = {
+			incarnation, 0,
+			now_us - (next_life - incarnation) * US_PER_S, US_PER_MS
+		};
+
+		suspect_add_own_crash(peer_table, beside, backends, &crash, "");
+	}
+	send_updates();
+	EXPECT_TRUE(suspect_is_quarantined(peer_table, FINGERPRINT));
+	EXPECT_FALSE(suspect_is_quarantined(peer_table, beside));
+}
+
 TEST_F(SuspectUpdateTest, ExtendedQuarantinePropagates)
 {
 	crash_times(3);
