suspect_table: nodes agree on a quarantine that one of them could tell

What callers saw: a fifth server crashed where four runs were under way before anything could be known (RetryTest ThreeAndAnArrival).

Cause: an update tells the age of a crash without the time it took to arrive, so crashes seen elsewhere seem up to 60 ms younger. A node whose own run had begun after the first crash took three crashes for one moment, counted two, and claimed and ran the request again, though other nodes had quarantined it: their quarantine counted only if its own count agreed, and nodes that reached it by others' updates didn't tell it.

Change: where a peer has quarantined a request, crashes that seemed to share a cause count here too; who else ran at those servers still decides. A node that saw one of the crashes tells the quarantine when it reaches it by an update: at most the nodes whose own runs crashed, once each.

Ruled out: crashes of different failure domains counted apart. A region that fails whole would have popular requests quarantined.

ThreeAndAnArrival fails before (5 crashes, 4 allowed).

--- a/packages/core/suspect_evidence.c
+++ b/packages/core/suspect_evidence.c
@@ -78,6 +78,24 @@
 	uncounted->crash = *crash;
 }
 
+void suspect_count_all_crashes(struct suspect_table *table,
+			       struct suspect *entry)
+{
+	uint32_t i;
+
+	for (i = 0; i < SUSPECT_MAX_UNCOUNTED_CRASHES &&
+		    entry->crash_count < SUSPECT_MAX_CRASHES;
+	     i++) {
+		struct suspect_uncounted_crash *uncounted =
+			&table->uncounted_crashes[i];
+
+		if (!is_uncounted_of(uncounted, entry))
+			continue;
+		entry->crashes[entry->crash_count++] = uncounted->crash;
+		memset(uncounted, 0, sizeof(*uncounted));
+	}
+}
+
 static int compare_latest_first(const void *a, const void *b)
 {
 	uint64_t a_us = ((const struct suspect_crash *)a)->at_us;
--- a/packages/core/suspect_internal.h
+++ b/packages/core/suspect_internal.h
@@ -15,6 +15,10 @@
 		       const struct backend_table *backends,
 		       const struct suspect_crash *crash);
 
+/* Counts the crashes of a request that seemed to share one cause, too. */
+void suspect_count_all_crashes(struct suspect_table *table,
+			       struct suspect *entry);
+
 /*
  * Lists all known crashes of a request, the latest first; returns their number,
  * at most SUSPECT_MAX_LISTED_CRASHES.
--- a/packages/core/suspect_table.c
+++ b/packages/core/suspect_table.c
@@ -492,9 +492,14 @@
 	if (changed)
 		suspect_reevaluate_related(table, &previous);
 	changed |= apply_crashes(table, entry, update, backends, now_us);
+	/* Nearer to the servers, the sender could tell their crashes apart. */
+	if (update->rounds && !update->by_hand && !entry->rounds)
+		suspect_count_all_crashes(table, entry);
 	if (suspect_recount_crashes(table, entry, backends))
 		suspect_reevaluate_related(table, entry);
 	changed |= apply_quarantine(entry, update, now_us);
+	if (entry->rounds && !previous.rounds && entry->seen_locally)
+		schedule_broadcast(entry);
 	if (changed)
 		mark_changed(entry,
 			     is_strong_suspect(entry) ? HEARTBEATS_RECEIVED : 0,
