suspect_evidence: a retry in another domain doesn't make an outage count

Cause: an outage's crash counts all the same where the request ran at several of the domain's servers, as it may have caused the outage. The code asked for any other crash within 120 ms, in whatever domain.

CrashInAnotherDomainDoesNotMakeAnOutageCount fails before (2 crashes count, not 1).

--- a/packages/core/suspect_evidence.c
+++ b/packages/core/suspect_evidence.c
@@ -144,8 +144,9 @@
 }
 
 /*
- * Whether another server crashed at the same moment while running the request.
- * Either crash may come from an update, delayed by up to SIMULTANEOUS_US.
+ * Whether another server of the failure domain crashed at the same moment while
+ * running the request. Either crash may come from an update, delayed by up to
+ * SIMULTANEOUS_US.
  */
 static bool has_simultaneous_crash(const struct suspect *entry,
 				   const struct suspect_crash *crash)
@@ -154,6 +155,7 @@
 
 	for (i = 0; i < entry->crash_count; i++)
 		if (entry->crashes[i].incarnation != crash->incarnation &&
+		    entry->crashes[i].domain == crash->domain &&
 		    difference(entry->crashes[i].at_us, crash->at_us) <
 			    2 * SIMULTANEOUS_US)
 			return true;
--- a/tests/core/suspect_table_test.cc
+++ b/tests/core/suspect_table_test.cc
@@ -68,13 +68,13 @@
 			table, SELF, now_us, all.data(), SUSPECT_MAX_ENTRIES));
 		return all;
 	}
-	struct backend *add_backend(const char *id)
+	struct backend *add_backend(const char *id, const char *domain = "d1")
 	{
 		struct backend_info facts = {};
 
 		facts.id = id;
 		facts.service = "s";
-		facts.domain = "d1";
+		facts.domain = domain;
 		facts.region = "r1";
 		facts.slots = 4;
 		return backend_table_put(backends, &facts, now_us);
@@ -204,6 +204,22 @@
 INSTANTIATE_TEST_SUITE_P(Cases, DomainTest, ::testing::ValuesIn(domain_cases),
 			 [](const auto &info) { return info.param.name; });
 
+/*
+ * Guards against counting a domain's power failure for a request that loses
+ * another domain's server in its retry.
+ */
+TEST_F(SuspectTest, CrashInAnotherDomainDoesNotMakeAnOutageCount)
+{
+	for (int i = 1; i <= 3; i++)
+		crash(add_backend(("i-" + std::to_string(i)).c_str())
+			      ->incarnation,
+		      FINGERPRINT + (uint64_t)i);
+	now_us += 50 * US_PER_MS;
+	crash(add_backend("i-4", "d2")->incarnation, FINGERPRINT + 1);
+	EXPECT_EQ(1u,
+		  suspect_table_find(table, FINGERPRINT + 1)->evidence_crashes);
+}
+
 /* Guards against counting an outage once the list has dropped its servers. */
 TEST_F(SuspectTest, DomainOutageIsKnownAfterServersLeftTheList)
 {
