suspect_evidence: where servers crash by themselves, a fourth crash decides

What callers saw: a request that lost three servers by chance within a second or two was refused for five minutes.

Cause: three crashes convict, however often servers crash anyway. The tracers found that what a node can know in time is whether a server crashed by itself: all requests that were running there were answered elsewhere.

Change: for 60 s after such a crash, or a power failure of a domain, one crash more is needed. Nodes hear of these crashes at other times, so a quarantine of a peer is confirmed from three crashes of the request that the node itself knows, and no two nodes disagree for long.

ThreeAmidUnrelatedCrashes and SharedOneAmidUnrelatedCrashes fail before; FourAmidUnrelatedCrashes, SharedTwoAmidUnrelatedCrashes, OneEach and TwoEach hold before and after.

--- a/packages/core/suspect_evidence.c
+++ b/packages/core/suspect_evidence.c
@@ -78,8 +78,8 @@
 	uncounted->crash = *crash;
 }
 
-void suspect_count_all_crashes(struct suspect_table *table,
-			       struct suspect *entry)
+static void count_uncounted_crashes(struct suspect_table *table,
+				    struct suspect *entry)
 {
 	uint32_t i;
 
@@ -301,6 +301,25 @@
 	return max;
 }
 
+uint64_t suspect_latest_crash_us(const struct suspect *entry)
+{
+	uint64_t latest_us = 0;
+	uint32_t i;
+
+	for (i = 0; i < entry->crash_count; i++)
+		latest_us = MAX(latest_us, entry->crashes[i].at_us);
+	return latest_us;
+}
+
+/* Servers crash by themselves, so some of its crashes may be by chance. */
+static bool is_amid_unrelated_crashes(const struct suspect_table *table,
+				      const struct suspect *entry)
+{
+	return table->unrelated_crash_us &&
+	       suspect_latest_crash_us(entry) <
+		       table->unrelated_crash_us + SUSPECT_UNRELATED_CRASH_US;
+}
+
 enum attribution {
 	ATTRIBUTION_OTHER, /* too few crashes, or explained by others */
 	ATTRIBUTION_UNDECIDED, /* another request has as much evidence */
@@ -332,14 +351,13 @@
 	return others_exclusive ? ATTRIBUTION_OTHER : ATTRIBUTION_CAUSE;
 }
 
-uint64_t suspect_latest_crash_us(const struct suspect *entry)
+static bool has_enough_crashes(const struct suspect_table *table,
+			       const struct suspect *entry)
 {
-	uint64_t latest_us = 0;
-	uint32_t i;
+	uint32_t needed = SUSPECT_QUARANTINE_CRASHES;
 
-	for (i = 0; i < entry->crash_count; i++)
-		latest_us = MAX(latest_us, entry->crashes[i].at_us);
-	return latest_us;
+	needed += is_amid_unrelated_crashes(table, entry);
+	return entry->evidence_crashes >= needed;
 }
 
 /* Re-evaluates the first quarantine; later ones rest on a failed retry. */
@@ -353,10 +371,22 @@
 	attribution = attribute_crashes(table, entry);
 	if (attribution == ATTRIBUTION_OTHER)
 		entry->rounds = 0;
-	else if (attribution == ATTRIBUTION_CAUSE && !entry->rounds)
+	else if (attribution == ATTRIBUTION_CAUSE && !entry->rounds &&
+		 has_enough_crashes(table, entry))
 		suspect_begin_quarantine(entry, suspect_latest_crash_us(entry));
 }
 
+void suspect_confirm_quarantine(struct suspect_table *table,
+				struct suspect *entry,
+				const struct backend_table *backends)
+{
+	count_uncounted_crashes(table, entry);
+	suspect_recount_crashes(table, entry, backends);
+	if (attribute_crashes(table, entry) == ATTRIBUTION_CAUSE)
+		suspect_begin_quarantine(entry, suspect_latest_crash_us(entry));
+	suspect_reevaluate_related(table, entry);
+}
+
 void suspect_reevaluate_related(struct suspect_table *table,
 				const struct suspect *related)
 {
@@ -373,6 +403,40 @@
 	}
 }
 
+static bool has_crashed_under_others(const struct suspect_table *table,
+				     const struct suspect *entry,
+				     uint32_t incarnation)
+{
+	uint32_t i;
+
+	for (i = 0; i < SUSPECT_MAX_ENTRIES; i++)
+		if (&table->entries[i] != entry &&
+		    has_counted_crash_of(&table->entries[i], incarnation))
+			return true;
+	for (i = 0; i < SUSPECT_MAX_UNCOUNTED_CRASHES; i++)
+		if (table->uncounted_crashes[i].crash.incarnation ==
+			    incarnation &&
+		    !is_uncounted_of(&table->uncounted_crashes[i], entry))
+			return true;
+	return false;
+}
+
+void suspect_note_unrelated_crashes(struct suspect_table *table,
+				    const struct suspect *entry,
+				    uint64_t answered_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < entry->crash_count; i++) {
+		const struct suspect_crash *crash = &entry->crashes[i];
+
+		if (crash->at_us <= answered_us &&
+		    !has_crashed_under_others(table, entry, crash->incarnation))
+			table->unrelated_crash_us =
+				MAX(table->unrelated_crash_us, answered_us);
+	}
+}
+
 /* --- domain outages ------------------------------------------------------ */
 
 static void recount_all(struct suspect_table *table,
@@ -471,6 +535,8 @@
 						SUSPECT_MAX_DOMAIN_OUTAGES];
 		outage->domain = crash->domain;
 		outage->at_us = crash->at_us;
+		table->unrelated_crash_us =
+			MAX(table->unrelated_crash_us, crash->at_us);
 		recount_all(table, backends);
 	} else if (outage && shared->len &&
 		   ended < SUSPECT_DOMAIN_OUTAGE_SERVERS) {
--- a/packages/core/suspect_internal.h
+++ b/packages/core/suspect_internal.h
@@ -15,10 +15,6 @@
 		       const struct backend_table *backends,
 		       const struct suspect_crash *crash);
 
-/* Counts the crashes of a request that seemed to share one cause, too. */
-void suspect_count_all_crashes(struct suspect_table *table,
-			       struct suspect *entry);
-
 /*
  * Lists all known crashes of a request, the latest first; returns their number,
  * at most SUSPECT_MAX_LISTED_CRASHES.
@@ -45,6 +41,24 @@
 				const struct suspect *related);
 
 uint64_t suspect_latest_crash_us(const struct suspect *entry);
+
+/*
+ * Notes servers that crashed without a request as cause: the request was
+ * answered, like all others that were running there.
+ */
+void suspect_note_unrelated_crashes(struct suspect_table *table,
+				    const struct suspect *entry,
+				    uint64_t answered_us);
+
+/*
+ * A peer has quarantined the request. It may know better which crashes had one
+ * cause, and that no server crashed by itself, but not which other requests ran
+ * at the same servers: these may still explain the crashes here.
+ */
+void suspect_confirm_quarantine(struct suspect_table *table,
+				struct suspect *entry,
+				const struct backend_table *backends);
+
 void suspect_begin_quarantine(struct suspect *entry, uint64_t now_us);
 uint64_t suspect_quarantine_us(uint32_t rounds);
 
--- a/packages/core/suspect_table.c
+++ b/packages/core/suspect_table.c
@@ -170,6 +170,7 @@
 		return;
 	was_strong = is_strong_suspect(entry);
 	before = *entry;
+	suspect_note_unrelated_crashes(table, entry, now_us);
 	clear_entry(entry, now_us);
 	suspect_reevaluate_related(table, &before);
 	mark_changed(entry, was_strong ? HEARTBEATS_LOCAL : 0, now_us);
@@ -435,13 +436,28 @@
 	return changed;
 }
 
+static bool apply_answer(struct suspect_table *table, struct suspect *entry,
+			 uint64_t answered_us)
+{
+	const struct suspect before = *entry;
+
+	suspect_note_unrelated_crashes(table, entry, answered_us);
+	if (!clear_entry(entry, answered_us))
+		return false;
+	suspect_reevaluate_related(table, &before);
+	return true;
+}
+
 /* A peer's update quarantines nothing by itself: its crashes have to count. */
-static bool apply_quarantine(struct suspect *entry,
+static bool apply_quarantine(struct suspect_table *table, struct suspect *entry,
 			     const struct suspect_update *update,
+			     const struct backend_table *backends,
 			     uint64_t now_us)
 {
 	if (update->rounds <= entry->rounds)
 		return false;
+	if (!update->by_hand && !entry->rounds)
+		suspect_confirm_quarantine(table, entry, backends);
 	if (!update->by_hand && !entry->rounds)
 		return false;
 	entry->rounds = update->rounds;
@@ -473,7 +489,7 @@
 			  const struct backend_table *backends, uint64_t now_us)
 {
 	struct suspect *entry;
-	struct suspect previous;
+	bool was_quarantined;
 	bool changed;
 
 	if (!is_valid(update))
@@ -485,20 +501,15 @@
 		entry = suspect_table_find(table, update->fingerprint);
 	if (!entry)
 		return true;
-	previous = *entry;
-	changed =
-		update->cleared &&
-		clear_entry(entry, time_before(now_us, update->cleared_age_us));
-	if (changed)
-		suspect_reevaluate_related(table, &previous);
+	was_quarantined = entry->rounds;
+	changed = update->cleared &&
+		  apply_answer(table, entry,
+			       time_before(now_us, update->cleared_age_us));
 	changed |= apply_crashes(table, entry, update, backends, now_us);
-	/* Nearer to the servers, the sender could tell their crashes apart. */
-	if (update->rounds && !update->by_hand && !entry->rounds)
-		suspect_count_all_crashes(table, entry);
 	if (suspect_recount_crashes(table, entry, backends))
 		suspect_reevaluate_related(table, entry);
-	changed |= apply_quarantine(entry, update, now_us);
-	if (entry->rounds && !previous.rounds && entry->seen_locally)
+	changed |= apply_quarantine(table, entry, update, backends, now_us);
+	if (entry->rounds && !was_quarantined && entry->seen_locally)
 		schedule_broadcast(entry);
 	if (changed)
 		mark_changed(entry,
--- a/packages/core/suspect_table.h
+++ b/packages/core/suspect_table.h
@@ -47,6 +47,12 @@
 /* Crashes that are remembered besides those, of all requests together. */
 #define SUSPECT_MAX_UNCOUNTED_CRASHES 48
 
+/*
+ * How long one crash more is needed for a quarantine after a server crashed by
+ * itself: all requests that were running there were answered elsewhere.
+ */
+#define SUSPECT_UNRELATED_CRASH_US (60 * US_PER_S)
+
 /*
  * Servers of a failure domain that have to crash together, and be at least half
  * of the domain, to be taken for an outage of the domain that no request
@@ -144,6 +150,8 @@
 	struct suspect_uncounted_crash
 		uncounted_crashes[SUSPECT_MAX_UNCOUNTED_CRASHES];
 	uint32_t uncounted_crash_next; /* next index to be overwritten */
+	uint64_t unrelated_crash_us; /* when a server was last known to have
+					crashed without a request as cause */
 };
 
 enum suspect_verdict {
--- a/tests/core/suspect_table_test.cc
+++ b/tests/core/suspect_table_test.cc
@@ -395,6 +395,11 @@
 	bool beside_is_quarantined;
 	bool deadly_is_quarantined;
 	bool other_is_quarantined;
+	/*
+	 * Servers that crash meanwhile, each with a request that another server
+	 * answers afterwards.
+	 */
+	uint32_t unrelated_crashes = 0;
 };
 
 const attribution_case attribution_cases[] = {
@@ -440,6 +445,45 @@
 	  false,
 	  true,
 	  false },
+	/* Chance crashes taken for the request's, as servers crash anyway. */
+	{ "ThreeAmidUnrelatedCrashes",
+	  { 1, 2, 3 },
+	  {},
+	  {},
+	  false,
+	  false,
+	  false,
+	  3 },
+	/* The same after a crash beside a deadly request. */
+	{ "SharedOneAmidUnrelatedCrashes",
+	  { 1, 6, 7 },
+	  { 1, 2, 3, 4 },
+	  {},
+	  false,
+	  true,
+	  false,
+	  3 },
+	/* A harmless request quarantined for one chance crash. */
+	{ "SharedTwoAmidUnrelatedCrashes",
+	  { 1, 2, 3 },
+	  { 1, 4, 5, 8 },
+	  { 3, 6, 7, 9 },
+	  false,
+	  true,
+	  true,
+	  3 },
+	/* A deadly request excused by chance crashes. */
+	{ "FourAmidUnrelatedCrashes",
+	  { 1 },
+	  { 2, 3, 4, 5 },
+	  {},
+	  false,
+	  true,
+	  false,
+	  3 },
+	/* Requests quarantined for each other's crashes. */
+	{ "OneEach", { 1 }, { 2 }, { 3 }, false, false, false },
+	{ "TwoEach", { 1, 4 }, { 2, 5 }, { 3, 6 }, false, false, false },
 };
 
 class AttributionTest : public SuspectTest,
@@ -450,6 +494,14 @@
 	{
 		return decide(fingerprint).verdict == SUSPECT_QUARANTINED;
 	}
+	void crash_unrelated(uint32_t number)
+	{
+		const uint64_t fingerprint = FINGERPRINT + 100 + number;
+
+		crash(next_life++, fingerprint);
+		now_us += 500 * US_PER_MS;
+		suspect_clear(table, fingerprint, now_us);
+	}
 };
 
 /* Guards against quarantining a request that ran beside the deadly one. */
@@ -467,6 +519,8 @@
 			if (c.other[i] == incarnation)
 				crash(incarnation, FINGERPRINT + 2);
 		}
+		if (incarnation <= c.unrelated_crashes)
+			crash_unrelated(incarnation);
 	}
 	EXPECT_EQ(c.beside_is_quarantined, is_quarantined(FINGERPRINT));
 	EXPECT_EQ(c.deadly_is_quarantined, is_quarantined(FINGERPRINT + 1));
