suspect_evidence: a quarantine isn't lifted because two others explain its crashes

Cause: the request had shared one server each with two other deadly ones, and had one crash for itself. As soon as another had two for itself, the quarantine was lifted at all nodes. Each node knew everything; it was the rule. It is right where one other request explains all that is shared, as in OnceByChance, or servers crash by themselves.

Change: where only two or more others together explain them, and no server crashed by itself, the quarantine stays.

DeadlySharesWithTwoDeadly fails before.

--- a/packages/core/suspect_evidence.c
+++ b/packages/core/suspect_evidence.c
@@ -320,6 +320,30 @@
 		       table->unrelated_crash_us + SUSPECT_UNRELATED_CRASH_US;
 }
 
+/* Whether one other request ran at all servers that others explain. */
+static bool has_single_explanation(const struct suspect_table *table,
+				   const struct suspect *entry,
+				   uint32_t exclusive)
+{
+	uint32_t i;
+
+	for (i = 0; i < SUSPECT_MAX_ENTRIES; i++) {
+		const struct suspect *other = &table->entries[i];
+		bool is_shared[SUSPECT_MAX_CRASHES] = { false };
+		uint32_t shared = 0;
+		uint32_t j;
+
+		if (!may_explain_crashes(table, entry, other))
+			continue;
+		mark_shared(table, entry, other, is_shared);
+		for (j = 0; j < entry->crash_count; j++)
+			shared += is_shared[j];
+		if (shared + exclusive >= entry->crash_count)
+			return true;
+	}
+	return false;
+}
+
 enum attribution {
 	ATTRIBUTION_OTHER, /* too few crashes, or explained by others */
 	ATTRIBUTION_UNDECIDED, /* another request has as much evidence */
@@ -346,9 +370,14 @@
 	    entry->evidence_crashes > SUSPECT_QUARANTINE_CRASHES)
 		return ATTRIBUTION_CAUSE;
 	others_exclusive = max_others_exclusive(table, entry);
+	if (!others_exclusive)
+		return ATTRIBUTION_CAUSE;
 	if (others_exclusive == 1)
 		return ATTRIBUTION_UNDECIDED;
-	return others_exclusive ? ATTRIBUTION_OTHER : ATTRIBUTION_CAUSE;
+	return is_amid_unrelated_crashes(table, entry) ||
+			       has_single_explanation(table, entry, exclusive) ?
+		       ATTRIBUTION_OTHER :
+		       ATTRIBUTION_UNDECIDED;
 }
 
 static bool has_enough_crashes(const struct suspect_table *table,
--- a/tests/core/suspect_table_test.cc
+++ b/tests/core/suspect_table_test.cc
@@ -445,6 +445,14 @@
 	  false,
 	  true,
 	  false },
+	/* A deadly request released as two others explain its crashes. */
+	{ "DeadlySharesWithTwoDeadly",
+	  { 1, 2, 3 },
+	  { 1, 4, 5 },
+	  { 3, 6, 7 },
+	  true,
+	  true,
+	  true },
 	/* Chance crashes taken for the request's, as servers crash anyway. */
 	{ "ThreeAmidUnrelatedCrashes",
 	  { 1, 2, 3 },
