suspect_fleet_test: cases drawn from the seed, with all that goes wrong at once

Partitions, kills, losses of power, crashes by chance and up to three deadly requests at random times came in classes of their own only. The bounds are those of the class of the worst that happens.

--- a/tests/core/suspect_fleet_test.cc
+++ b/tests/core/suspect_fleet_test.cc
@@ -98,6 +98,49 @@
 INSTANTIATE_TEST_SUITE_P(Cases, FleetTest, ::testing::ValuesIn(cases),
 			 [](const auto &info) { return info.param.name; });
 
+/*
+ * A case drawn from the seed. Its bounds are those of the class of the worst
+ * that happens in it: a partition, random times, or neither.
+ */
+fleet_case mixed_case(unsigned seed)
+{
+	std::mt19937 random(seed);
+	auto draw = [&](unsigned limit) { return random() % limit; };
+	fleet_case c = { "Mixed", 9,	 36,	1,     5, false, 6,
+			 0,	  false, false, false, 4, 0 };
+
+	c.deadly = (int)draw(4);
+	c.bunched = draw(2);
+	c.crashes_per_s = 0.1 * draw(3);
+	c.power = draw(2);
+	c.kill_all = !draw(4);
+	c.partition = !draw(4);
+	if (c.bunched)
+		c.max_crashes = 6;
+	if (c.partition) {
+		c.max_crashes = 7;
+		c.max_late_runs = 3;
+	}
+	return c;
+}
+
+/* Guards against failures that only show when several things go wrong. */
+TEST(MixedFleetTest, CrashesAreBoundedAndNobodyElsePays)
+{
+	unsigned first = number_of("LILACFIELD_FIRST_SEED", 1);
+	unsigned seeds = number_of("LILACFIELD_SEEDS", SEEDS);
+
+	for (unsigned seed = first; seed < first + seeds; seed++) {
+		const fleet_case c = mixed_case(seed);
+		Fleet fleet(c, seed);
+
+		fleet.run_until(Fleet::START_US + PLAY_US);
+		SCOPED_TRACE("seed " + std::to_string(seed) + "\n" +
+			     fleet.wrong_history());
+		expect_bounds(fleet, c);
+	}
+}
+
 /* Seeds that once exceeded the bounds of their case. */
 struct found_case {
 	const char *fleet;
