edge: a call's time-out counts from the call, not from the loop's turn

The loop's time stands still while a callback runs. A lane's next call is often made in the callback that decoded a document, and its time-out of 1 s began before that: after 0.8 s of decoding, 0.2 s were left. The node aborted the call, counted a failure, waited and called again.

The loop's time is now brought up to date when a call begins.

TimeoutCountsFromTheCallNotFromTheLoopsTurn fails before (timeout after 0.2 s) and passes after.

--- a/packages/edge/lane.c
+++ b/packages/edge/lane.c
@@ -224,6 +224,8 @@
 	lane->got_bytes = 0;
 	lane->transfer_deadline_ms = 0;
 	lane->reading_once_more = false;
+	/* The callback that makes the call may have decoded for long. */
+	uv_update_time(lane->loop);
 	uv_timer_start(&lane->timer, on_timeout, timeout_us / US_PER_MS, 0);
 	if (lane->conn) {
 		lane->conn->link.reader.limits = limits;
--- a/tests/edge/lane_test.cc
+++ b/tests/edge/lane_test.cc
@@ -29,6 +29,28 @@
 	std::string cause;
 };
 
+/*
+ * The loop's time stands still during a callback. A call begun after 0.8 s of
+ * decoding in one was aborted 0.2 s later, before the store could answer.
+ */
+TEST_F(LaneTest, TimeoutCountsFromTheCallNotFromTheLoopsTurn)
+{
+	struct store_faults faults = {};
+	struct lane lane;
+
+	faults.slow_us = 400000;
+	store_stand_set_faults(store, &faults);
+	lane_init(&lane, &loop, store_stand_at(store), 4000000);
+	run_for(20);
+	usleep(800000);
+	lane_call(&lane, "GET", "/api/rows-get?table=op&part=&limit=500",
+		  nullptr, 1000000, on_done, this);
+	wait_for([this] { return done; });
+	EXPECT_TRUE(complete) << cause;
+	lane_close(&lane);
+	run_for(20);
+}
+
 struct transfer_case {
 	const char *name;
 	uint64_t max_transfer_ms; /* maximum transfer time */
