--- a/packages/core/suspect_evidence.c
+++ b/packages/core/suspect_evidence.c
@@ -59,6 +59,11 @@
 	return NULL;
 }
 
+static uint32_t uncounted_crashes(const struct suspect_table *table)
+{
+	return MIN(table->uncounted_crash_next, SUSPECT_MAX_UNCOUNTED_CRASHES);
+}
+
 static bool is_uncounted_of(const struct suspect_uncounted_crash *uncounted,
 			    const struct suspect *entry)
 {
@@ -83,7 +88,7 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < SUSPECT_MAX_UNCOUNTED_CRASHES &&
+	for (i = 0; i < uncounted_crashes(table) &&
 		    entry->crash_count < SUSPECT_MAX_CRASHES;
 	     i++) {
 		struct suspect_uncounted_crash *uncounted =
@@ -112,7 +117,7 @@
 	uint32_t i;
 
 	memcpy(crashes, entry->crashes, count * sizeof(*crashes));
-	for (i = 0; i < SUSPECT_MAX_UNCOUNTED_CRASHES; i++)
+	for (i = 0; i < uncounted_crashes(table); i++)
 		if (is_uncounted_of(&table->uncounted_crashes[i], entry))
 			crashes[count++] = table->uncounted_crashes[i].crash;
 	qsort(crashes, count, sizeof(*crashes), compare_latest_first);
@@ -226,7 +231,7 @@
 
 	if (has_counted_crash_of(entry, incarnation))
 		return true;
-	for (i = 0; i < SUSPECT_MAX_UNCOUNTED_CRASHES; i++) {
+	for (i = 0; i < uncounted_crashes(table); i++) {
 		const struct suspect_uncounted_crash *uncounted =
 			&table->uncounted_crashes[i];
 
@@ -442,7 +447,7 @@
 		if (&table->entries[i] != entry &&
 		    has_counted_crash_of(&table->entries[i], incarnation))
 			return true;
-	for (i = 0; i < SUSPECT_MAX_UNCOUNTED_CRASHES; i++)
+	for (i = 0; i < uncounted_crashes(table); i++)
 		if (table->uncounted_crashes[i].crash.incarnation ==
 			    incarnation &&
 		    !is_uncounted_of(&table->uncounted_crashes[i], entry))
