suspect_evidence: a server that crashes by itself lifts quarantines that others explain

Cause: it was quarantined before the others had three crashes, and what others only explain together doesn't lift a quarantine unless servers are known to crash by themselves. That became known later, and nothing looked again.

UnrelatedCrashLiftsAQuarantineThatOthersExplain fails before.

--- a/packages/core/suspect_evidence.c
+++ b/packages/core/suspect_evidence.c
@@ -437,6 +437,20 @@
 	}
 }
 
+/* What others only explain together may be by chance from now on. */
+static void note_unrelated_crash(struct suspect_table *table, uint64_t at_us)
+{
+	bool is_first =
+		!table->unrelated_crash_us ||
+		table->unrelated_crash_us + SUSPECT_UNRELATED_CRASH_US <= at_us;
+	uint32_t i;
+
+	table->unrelated_crash_us = MAX(table->unrelated_crash_us, at_us);
+	for (i = 0; is_first && i < SUSPECT_MAX_ENTRIES; i++)
+		if (table->entries[i].rounds)
+			reevaluate(table, &table->entries[i]);
+}
+
 static bool has_crashed_under_others(const struct suspect_table *table,
 				     const struct suspect *entry,
 				     uint32_t incarnation)
@@ -466,8 +480,7 @@
 
 		if (crash->at_us <= answered_us &&
 		    !has_crashed_under_others(table, entry, crash->incarnation))
-			table->unrelated_crash_us =
-				MAX(table->unrelated_crash_us, answered_us);
+			note_unrelated_crash(table, answered_us);
 	}
 }
 
@@ -569,8 +582,7 @@
 						SUSPECT_MAX_DOMAIN_OUTAGES];
 		outage->domain = crash->domain;
 		outage->at_us = crash->at_us;
-		table->unrelated_crash_us =
-			MAX(table->unrelated_crash_us, crash->at_us);
+		note_unrelated_crash(table, crash->at_us);
 		recount_all(table, backends);
 	} else if (outage && shared->len &&
 		   ended < SUSPECT_DOMAIN_OUTAGE_SERVERS) {
--- a/tests/core/suspect_table_test.cc
+++ b/tests/core/suspect_table_test.cc
@@ -539,6 +539,28 @@
 			 ::testing::ValuesIn(attribution_cases),
 			 [](const auto &info) { return info.param.name; });
 
+/* Guards against keeping a quarantine that chance and two others explain. */
+TEST_F(SuspectTest, UnrelatedCrashLiftsAQuarantineThatOthersExplain)
+{
+	const std::vector<std::vector<uint64_t>> crashes = {
+		{ 1, 2 }, { 1 }, { 1, 3 }, { 2 }, { 2 }, { 3 }, { 3 }
+	};
+
+	for (const std::vector<uint64_t> &requests : crashes) {
+		now_us += US_PER_S;
+		for (uint64_t request : requests)
+			crash(next_life, FINGERPRINT + request);
+		next_life++;
+	}
+	EXPECT_EQ(SUSPECT_QUARANTINED, decide(FINGERPRINT + 1).verdict);
+	crash(next_life++, FINGERPRINT + 4);
+	now_us += US_PER_S;
+	suspect_clear(table, FINGERPRINT + 4, now_us);
+	EXPECT_EQ(SUSPECT_MAY_RUN, decide(FINGERPRINT + 1).verdict);
+	EXPECT_EQ(SUSPECT_QUARANTINED, decide(FINGERPRINT + 2).verdict);
+	EXPECT_EQ(SUSPECT_QUARANTINED, decide(FINGERPRINT + 3).verdict);
+}
+
 /*
  * Guards against a harmless request that shields the deadly one it ran beside.
  */
