--- a/tests/standins/app_stand.c
+++ b/tests/standins/app_stand.c
@@ -27,6 +27,10 @@
 struct app_stand {
 	uv_loop_t *loop;
 	struct http_stand *http; /* NULL: the server has ended */
+	struct http_stand *ending; /* what is left of it; NULL: nothing */
+	uv_timer_t *ending_timer; /* freed by its close */
+	enum app_end end;
+	uint64_t end_ms;
 	struct app_settings settings;
 	char *id;
 	char *deadly_path; /* NULL: none */
@@ -225,6 +229,53 @@
 	http_stand_close(http, true);
 }
 
+static void on_ending_timer_closed(uv_handle_t *handle)
+{
+	g_free(handle);
+}
+
+static void finish_ending(struct app_stand *app)
+{
+	struct http_stand *http = app->ending;
+
+	app->ending = NULL;
+	http_stand_close(http, true);
+	uv_close((uv_handle_t *)app->ending_timer, on_ending_timer_closed);
+}
+
+static void on_ending_timer(uv_timer_t *timer)
+{
+	finish_ending(timer->data);
+}
+
+static void stop_run(gpointer run, gpointer context)
+{
+	(void)context;
+	uv_timer_stop(&((struct run *)run)->timer);
+}
+
+static void end_by_request(struct app_stand *app, struct run *run)
+{
+	if (app->end == APP_END_AT_ONCE) {
+		end_server(app);
+		return;
+	}
+	app->ending = app->http;
+	app->http = NULL;
+	http_stand_silence(app->ending, true);
+	if (app->end == APP_END_LISTENER_LAST) {
+		http_stand_reset_connections(app->ending);
+	} else {
+		http_call_close(run->call, true);
+		run_end(run);
+		g_queue_foreach(&app->active, stop_run, NULL);
+	}
+	app->ending_timer = g_new0(uv_timer_t, 1);
+	uv_timer_init(app->loop, app->ending_timer);
+	app->ending_timer->data = app;
+	uv_timer_start(app->ending_timer, on_ending_timer, app->end_ms, 0);
+}
+
 static void on_done(uv_timer_t *timer)
 {
 	struct run *run = timer->data;
@@ -232,7 +283,7 @@
 	char *body;
 
 	if (run->deadly) {
-		end_server(app);
+		end_by_request(app, run);
 		return;
 	}
 	body = body_for(app, run);
@@ -369,6 +420,8 @@
 {
 	if (app->http)
 		end_server(app);
+	if (app->ending)
+		finish_ending(app);
 	g_hash_table_destroy(app->runs);
 	g_queue_clear_full(&app->cache, g_free);
 	g_free(app->deadly_path);
@@ -393,6 +446,12 @@
 	app->deadly_path = g_strdup(path);
 }
 
+void app_stand_set_end(struct app_stand *app, enum app_end end, uint64_t ms)
+{
+	app->end = end;
+	app->end_ms = ms;
+}
+
 bool app_stand_has_ended(const struct app_stand *app)
 {
 	return !app->http;
--- a/tests/standins/app_stand.h
+++ b/tests/standins/app_stand.h
@@ -43,6 +43,13 @@
 	APP_SILENT, /* runs it and never answers */
 };
 
+/* How the end of a server by its deadly path reaches its clients. */
+enum app_end {
+	APP_END_AT_ONCE,
+	APP_END_LISTENER_LAST, /* connections are reset at once */
+	APP_END_OTHERS_LAST, /* only the deadly request's is reset at once */
+};
+
 struct app_stand *app_stand_open(uv_loop_t *loop, const struct endpoint *at,
 				 const struct app_settings *settings);
 /* As a crash: connections are reset, nothing listens. */
@@ -56,6 +63,8 @@
  * ends, as app_stand_close() does, but its history stays.
  */
 void app_stand_set_deadly(struct app_stand *app, const char *path);
+/* What doesn't end at once is neither read nor answered, and ends after ms. */
+void app_stand_set_end(struct app_stand *app, enum app_end end, uint64_t ms);
 bool app_stand_has_ended(const struct app_stand *app);
 /* Lines that each answer has besides; NULL: none. */
 void app_stand_set_headers(struct app_stand *app, const char *lines);
--- a/tests/standins/http_stand.c
+++ b/tests/standins/http_stand.c
@@ -157,6 +157,12 @@
 	g_free(stand);
 }
 
+void http_stand_reset_connections(struct http_stand *stand)
+{
+	while (stand->conns->len)
+		conn_close(stand->conns->pdata[0], true);
+}
+
 void http_stand_close(struct http_stand *stand, bool reset)
 {
 	while (stand->conns->len)
--- a/tests/standins/http_stand.h
+++ b/tests/standins/http_stand.h
@@ -38,6 +38,9 @@
 				   void *context);
 const struct endpoint *http_stand_at(const struct http_stand *stand);
 
+/* Reset all connections; new ones are accepted. */
+void http_stand_reset_connections(struct http_stand *stand);
+
 /* No new connections; those that are open are reset if asked. */
 void http_stand_close(struct http_stand *stand, bool reset);
 
