edge tests: the node stalls while it holds the repeated request

The order seen in failing runs of RepeatedRequestTest's requests: the hold's timer and the crash check's are due in one turn of the loop, and the request is sent before the second crash counts.

--- a/tests/edge/crash_order_test.cc
+++ b/tests/edge/crash_order_test.cc
@@ -7,6 +7,7 @@
 enum disturbance {
 	NODE_STALLS, /* once it has seen the connection's end */
 	NODE_STALLS_BEFORE_READ, /* the next request; timers ran before */
+	NODE_STALLS_WHILE_HELD, /* the next request, for the crash check */
 	LISTENER_LAST,
 	OTHERS_LAST,
 	PORT_TAKEN, /* another server listens there before the probe */
@@ -34,6 +35,9 @@
 	{ "LongStallBeforeReadAfterSecond", NODE_STALLS_BEFORE_READ, 2, 80,
 	  false },
 	{ "StallBeforeReadAfterThird", NODE_STALLS_BEFORE_READ, 3, 6, false },
+	{ "StallWhileHeldAfterSecond", NODE_STALLS_WHILE_HELD, 2, 6, false },
+	{ "StallWhileHeldAfterSecondInTwoDomains", NODE_STALLS_WHILE_HELD, 2, 6,
+	  true },
 	{ "ListenerLastAtFirst", LISTENER_LAST, 1, 10, false },
 	{ "ListenerLastAtSecond", LISTENER_LAST, 2, 10, false },
 	{ "ListenerLastAtThird", LISTENER_LAST, 3, 10, false },
@@ -150,7 +154,7 @@
 	/* The caller's next request arrives while the node stands still. */
 	void stall()
 	{
-		if (sent < CALLERS && sent * 2 == GetParam().crash)
+		if (sent * 2 == GetParam().crash)
 			send_next();
 		uv_sleep((unsigned)GetParam().ms);
 	}
@@ -159,16 +163,26 @@
 		return !disturbed && count_crashed() == GetParam().crash &&
 		       crash_watch_is_busy(edge->crashes);
 	}
+	/* Sends it first. */
+	bool is_next_held()
+	{
+		if (sent == 1)
+			send_next();
+		return edge->exchanges > 0;
+	}
 	static void on_prepare(uv_prepare_t *prepare)
 	{
 		auto *test = (CrashOrderTest *)prepare->data;
 
 		if (!test->is_due())
 			return;
+		if (GetParam().disturbance == NODE_STALLS_WHILE_HELD &&
+		    !test->is_next_held())
+			return;
 		test->disturbed = true;
 		test->stall();
 	}
-	void stall_before_reads()
+	void stall_in_loop()
 	{
 		uv_prepare_init(&loop, &prepare);
 		prepare.data = this;
@@ -185,7 +199,7 @@
 				c.disturbance == LISTENER_LAST ?
 							 APP_END_LISTENER_LAST :
 							 APP_END_OTHERS_LAST);
-		if (c.disturbance != NODE_STALLS_BEFORE_READ && is_due()) {
+		if (!prepare.data && is_due()) {
 			disturbed = true;
 			if (c.disturbance == PORT_TAKEN)
 				take_port();
@@ -216,8 +230,9 @@
 	if (GetParam().disturbance == OTHERS_LAST)
 		open_idle_connections();
 	connect_callers();
-	if (GetParam().disturbance == NODE_STALLS_BEFORE_READ)
-		stall_before_reads();
+	if (GetParam().disturbance == NODE_STALLS_BEFORE_READ ||
+	    GetParam().disturbance == NODE_STALLS_WHILE_HELD)
+		stall_in_loop();
 	for (int i = 0; i < CALLERS; i++) {
 		if (sent == i)
 			send_next();
