crash_watch: a request's own servers are no outage of their domain

Cause: is_domain_outage() counted each server of the domain without connections that had closed one within 60 ms: also those that the request itself had crashed before, those that closed an idle connection, and three of however many. The request's third crash, soon after the first two, was thus dropped for good.

DomainOutageTest (new) has 8 cases; ThreeOfSeven, IdleConnectionsClosed, OneUnderTheRequest and TwoUnderTheRequest fail on the code before.

The rule is now that of suspect_evidence.c, through functions of suspect_table.h: servers at which this request crashed don't count, at least half of the domain's servers must be gone, and a server counts only if it is seen to have crashed as the check of a request sees it. A crash whose rating depends on servers still being checked waits for these checks, for 60 ms at most.

Ruled out: dropping the rule here and leaving it to the suspect table, as requests that ran in an outage would then be suspects until the third crash. Not covered: a server that ran no request of this node, and had only one connection to it, doesn't count for an outage any more: nothing checks it.

--- a/packages/core/suspect_evidence.c
+++ b/packages/core/suspect_evidence.c
@@ -82,12 +82,9 @@
 	entry->crash_count = kept;
 }
 
-/*
- * Whether another server crashed at the same moment while running the request.
- * Either crash may come from an update, delayed by up to SIMULTANEOUS_US.
- */
-static bool has_simultaneous_crash(const struct suspect *entry,
-				   const struct suspect_crash *crash)
+/* Either crash may come from an update, delayed by up to SIMULTANEOUS_US. */
+bool suspect_has_simultaneous_crash(const struct suspect *entry,
+				    const struct suspect_crash *crash)
 {
 	uint32_t i;
 
@@ -108,7 +105,7 @@
 			const struct suspect_crash *crash)
 {
 	return !find_domain_outage(table, crash) ||
-	       has_simultaneous_crash(entry, crash);
+	       suspect_has_simultaneous_crash(entry, crash);
 }
 
 bool suspect_recount_crashes(struct suspect_table *table, struct suspect *entry,
@@ -145,7 +142,7 @@
 	return entry->evidence_crashes >= SUSPECT_QUARANTINE_CRASHES;
 }
 
-static bool has_crash_of(const struct suspect *entry, uint32_t incarnation)
+bool suspect_has_crash_of(const struct suspect *entry, uint32_t incarnation)
 {
 	uint32_t i;
 
@@ -160,7 +157,7 @@
 	uint32_t i;
 
 	for (i = 0; i < a->crash_count; i++)
-		if (has_crash_of(b, a->crashes[i].incarnation))
+		if (suspect_has_crash_of(b, a->crashes[i].incarnation))
 			return true;
 	return false;
 }
@@ -179,8 +176,8 @@
 	uint32_t i;
 
 	for (i = 0; i < entry->crash_count; i++)
-		is_shared[i] |=
-			has_crash_of(other, entry->crashes[i].incarnation);
+		is_shared[i] |= suspect_has_crash_of(
+			other, entry->crashes[i].incarnation);
 }
 
 /* Crashes that no other request can have caused. */
@@ -337,7 +334,7 @@
 			    other->domain != crash->domain)
 				continue;
 			add_incarnation(incarnations, other->incarnation);
-			if (has_simultaneous_crash(entry, other))
+			if (suspect_has_simultaneous_crash(entry, other))
 				add_incarnation(shared, other->incarnation);
 		}
 	}
@@ -359,6 +356,13 @@
 	return count;
 }
 
+bool suspect_is_domain_outage(const struct backend_table *backends,
+			      uint32_t domain, uint32_t crashed)
+{
+	return crashed >= SUSPECT_DOMAIN_OUTAGE_SERVERS &&
+	       2 * crashed >= count_servers(backends, domain);
+}
+
 /*
  * Records a domain outage once enough servers crashed at one moment, or removes
  * it. Servers that shared a request don't count for it: the request may have
@@ -376,8 +380,8 @@
 	if (crash->domain)
 		collect_incarnations(table, crash, incarnations, shared);
 	ended = incarnations->len - shared->len;
-	if (!outage && ended >= SUSPECT_DOMAIN_OUTAGE_SERVERS &&
-	    2 * ended >= count_servers(backends, crash->domain)) {
+	if (!outage &&
+	    suspect_is_domain_outage(backends, crash->domain, ended)) {
 		outage = &table->domain_outages[table->domain_outage_next++ %
 						SUSPECT_MAX_DOMAIN_OUTAGES];
 		outage->domain = crash->domain;
--- a/packages/core/suspect_table.h
+++ b/packages/core/suspect_table.h
@@ -207,6 +207,23 @@
 			   const struct backend_table *backends,
 			   const struct suspect_crash *crash, const char *text);
 
+/* Whether the server crashed while running the request. */
+bool suspect_has_crash_of(const struct suspect *entry, uint32_t incarnation);
+
+/*
+ * Whether another server crashed at the same moment while running the request,
+ * which may thus have caused both crashes.
+ */
+bool suspect_has_simultaneous_crash(const struct suspect *entry,
+				    const struct suspect_crash *crash);
+
+/*
+ * Whether this number of servers of a failure domain that crashed together is
+ * an outage of the domain. domain is the hash of its name.
+ */
+bool suspect_is_domain_outage(const struct backend_table *backends,
+			      uint32_t domain, uint32_t crashed);
+
 /*
  * A server ran the request and answered: earlier crashes don't count any more.
  */
--- a/packages/edge/crash_watch.c
+++ b/packages/edge/crash_watch.c
@@ -5,6 +5,7 @@
 
 #include "adapters/log.h"
 #include "core/duration.h"
+#include "core/hash.h"
 #include "edge/gossip.h"
 #include "edge/quarantine_store.h"
 
@@ -20,10 +21,9 @@
 #define CHECK_TIMEOUT_US (1 * US_PER_S)
 
 /*
- * If this many servers of a failure domain crash within this time, it is an
- * outage of the domain, which no request caused.
+ * Servers of a failure domain that crash within this time may have crashed in
+ * an outage of the domain, which no request caused.
  */
-#define DOMAIN_OUTAGE_SERVERS 3
 #define DOMAIN_OUTAGE_US (60 * US_PER_MS)
 
 struct broken_request {
@@ -129,45 +129,138 @@
 
 /* --- deciding ----------------------------------------------------------- */
 
-static enum verdict decide(const struct broken_request *request,
-			   uint64_t now_us)
+/* Judges a server by what happened since it closed a connection. */
+static enum verdict judge(const struct backend *backend, uint64_t closed_us)
 {
-	const struct backend *backend = request->backend;
-
-	if (backend->unreachable_us > request->at_us)
+	if (backend->unreachable_us > closed_us)
 		return VERDICT_CRASHED;
-	if (backend->alive_us > request->at_us)
+	if (backend->alive_us > closed_us)
 		return VERDICT_ALIVE;
 	if (!backend->connections && backend->disconnect_burst > 1)
 		return VERDICT_CRASHED;
-	return now_us - request->at_us > CHECK_TIMEOUT_US ? VERDICT_ALIVE :
-							    VERDICT_UNDECIDED;
+	return VERDICT_UNDECIDED;
 }
 
-static bool crashed_with(const struct backend *backend,
-			 const struct broken_request *request)
+static enum verdict decide(const struct broken_request *request,
+			   uint64_t now_us)
+{
+	enum verdict verdict = judge(request->backend, request->at_us);
+
+	if (verdict == VERDICT_UNDECIDED &&
+	    now_us - request->at_us > CHECK_TIMEOUT_US)
+		return VERDICT_ALIVE;
+	return verdict;
+}
+
+static struct suspect_crash crash_of(const struct broken_request *request)
+{
+	return (struct suspect_crash){
+		.incarnation = request->backend->incarnation,
+		.at_us = request->at_us,
+		.ran_us = request->at_us - request->sent_us,
+	};
+}
+
+/* --- domain outages ----------------------------------------------------- */
+
+/* Servers of a failure domain that closed their connections together. */
+struct domain_loss {
+	uint32_t crashed;
+	uint32_t undecided; /* their checks aren't decided yet */
+};
+
+/* fingerprint: 0 for any request. */
+static bool is_checked_at(const struct crash_watch *watch,
+			  const struct backend *backend, uint64_t fingerprint)
+{
+	uint32_t i;
+
+	for (i = 0; i < watch->count; i++)
+		if (watch->requests[i].backend == backend &&
+		    (!fingerprint ||
+		     watch->requests[i].fingerprint == fingerprint))
+			return true;
+	return false;
+}
+
+static bool was_lost_with(const struct backend *backend,
+			  const struct broken_request *request)
 {
 	uint64_t at_us = backend->disconnect_us;
 
-	return !backend->connections &&
+	return backend != request->backend && !backend->connections &&
 	       !strcmp(backend->domain, request->backend->domain) &&
 	       MAX(at_us, request->at_us) - MIN(at_us, request->at_us) <
 		       DOMAIN_OUTAGE_US;
 }
 
-static bool is_domain_outage(const struct edge *edge,
-			     const struct broken_request *request)
+/* A server that the request itself may have crashed tells nothing. */
+static bool ran_there(const struct crash_watch *watch,
+		      const struct backend *backend,
+		      const struct broken_request *request,
+		      const struct suspect *suspect)
 {
+	return is_checked_at(watch, backend, request->fingerprint) ||
+	       (suspect && suspect_has_crash_of(suspect, backend->incarnation));
+}
+
+static struct domain_loss
+count_domain_loss(const struct crash_watch *watch,
+		  const struct broken_request *request)
+{
+	struct edge *edge = watch->edge;
+	const struct suspect *suspect =
+		suspect_table_find(edge->suspects, request->fingerprint);
+	const struct suspect_crash crash = crash_of(request);
+	struct domain_loss loss = { 0 };
 	GHashTableIter iter;
 	gpointer value;
-	uint32_t count = 0;
 
+	loss.crashed = !suspect ||
+		       !suspect_has_simultaneous_crash(suspect, &crash);
 	g_hash_table_iter_init(&iter, edge->backends->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		count += crashed_with(value, request);
-	return count >= DOMAIN_OUTAGE_SERVERS;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct backend *backend = value;
+		enum verdict verdict = judge(backend, backend->disconnect_us);
+
+		if (!was_lost_with(backend, request) ||
+		    ran_there(watch, backend, request, suspect))
+			continue;
+		loss.crashed += verdict == VERDICT_CRASHED;
+		loss.undecided += verdict == VERDICT_UNDECIDED &&
+				  is_checked_at(watch, backend, 0);
+	}
+	return loss;
 }
 
+static bool is_outage(const struct crash_watch *watch,
+		      const struct broken_request *request, uint32_t crashed)
+{
+	return suspect_is_domain_outage(watch->edge->backends,
+					hash_text(request->backend->domain),
+					crashed);
+}
+
+static bool is_domain_outage(const struct crash_watch *watch,
+			     const struct broken_request *request)
+{
+	return is_outage(watch, request,
+			 count_domain_loss(watch, request).crashed);
+}
+
+/* Whether the checks at other servers decide if it is a domain outage. */
+static bool depends_on_others(const struct crash_watch *watch,
+			      const struct broken_request *request)
+{
+	struct domain_loss loss = count_domain_loss(watch, request);
+
+	return edge_now_us(watch->edge) - request->at_us < DOMAIN_OUTAGE_US &&
+	       !is_outage(watch, request, loss.crashed) &&
+	       is_outage(watch, request, loss.crashed + loss.undecided);
+}
+
+/* --- reporting ---------------------------------------------------------- */
+
 static void log_crash(const struct suspect *suspect,
 		      const struct broken_request *request)
 {
@@ -178,21 +271,19 @@
 		  suspect->crash_count, suspect->rounds, request->text);
 }
 
-static void report_crash(struct edge *edge,
+static void report_crash(struct crash_watch *watch,
 			 const struct broken_request *request)
 {
-	const struct suspect_crash crash = {
-		.incarnation = request->backend->incarnation,
-		.at_us = request->at_us,
-		.ran_us = request->at_us - request->sent_us,
-	};
+	struct edge *edge = watch->edge;
+	const struct suspect_crash crash = crash_of(request);
 	const struct suspect *suspect;
 
-	if (is_domain_outage(edge, request)) {
-		log_event(LOG_DEBUG, "crash-with-domain",
-			  "fingerprint=%016" PRIx64 " backend=%s domain=%s",
+	if (is_domain_outage(watch, request)) {
+		log_event(LOG_WARNING, "crash-with-domain",
+			  "fingerprint=%016" PRIx64
+			  " backend=%s domain=%s request=%s",
 			  request->fingerprint, request->backend->id,
-			  request->backend->domain);
+			  request->backend->domain, request->text);
 		return;
 	}
 	if (!suspect_add_own_crash(edge->suspects, request->fingerprint,
@@ -242,8 +333,11 @@
 			probe_once(watch, request);
 			continue;
 		}
+		if (verdict == VERDICT_CRASHED &&
+		    depends_on_others(watch, request))
+			continue;
 		if (verdict == VERDICT_CRASHED)
-			report_crash(edge, request);
+			report_crash(watch, request);
 		remove_request(watch, i - 1);
 	}
 }
--- a/tests/edge/crash_test.cc
+++ b/tests/edge/crash_test.cc
@@ -174,6 +174,88 @@
 	EXPECT_EQ(0u, edge->suspects->count);
 }
 
+struct outage_case {
+	const char *name;
+	int servers; /* of the domain */
+	int others; /* that closed their connections at the same moment */
+	int closed; /* connections, by each of the others */
+	int own; /* how many of the others crashed under the request */
+	bool outage;
+};
+
+const outage_case outage_cases[] = {
+	{ "ThreeOfFour", 4, 2, 2, 0, true },
+	{ "ThreeOfSix", 6, 2, 2, 0, true },
+	{ "ThreeOfSeven", 7, 2, 2, 0, false },
+	{ "FourOfSeven", 7, 3, 2, 0, true },
+	{ "IdleConnectionsClosed", 4, 3, 1, 0, false },
+	{ "OneUnderTheRequest", 4, 2, 2, 1, false },
+	{ "OneOfFiveUnderTheRequest", 8, 5, 2, 1, true },
+	{ "TwoUnderTheRequest", 4, 2, 2, 2, false },
+};
+
+class DomainOutageTest : public CrashTest,
+			 public ::testing::WithParamInterface<outage_case>
+{
+      protected:
+	struct backend *backend(int i)
+	{
+		return backend_table_find(edge->backends,
+					  ("i-" + std::to_string(i)).c_str());
+	}
+	void close_connections(int i, int count)
+	{
+		for (int n = 0; n < count; n++)
+			backend_closed_connection(backend(i),
+						  edge_now_us(edge));
+	}
+	void add_crash(int i)
+	{
+		struct suspect_crash crash = {};
+
+		crash.incarnation = backend(i)->incarnation;
+		crash.at_us = edge_now_us(edge);
+		ASSERT_TRUE(suspect_add_own_crash(edge->suspects, FINGERPRINT,
+						  edge->backends, &crash,
+						  "GET /r/x"));
+	}
+	uint32_t count_crashes()
+	{
+		const struct suspect *suspect =
+			suspect_table_find(edge->suspects, FINGERPRINT);
+
+		return suspect ? suspect->crash_count : 0;
+	}
+	static constexpr uint64_t FINGERPRINT = 7;
+};
+
+/*
+ * Guards against a request's crash being taken for an outage of the domain,
+ * since the request's own servers, or live ones that closed an idle connection,
+ * are counted.
+ */
+TEST_P(DomainOutageTest, CountsServersThatCrashedUnderOtherRequests)
+{
+	const outage_case &c = GetParam();
+
+	for (int i = 1; i <= c.servers; i++)
+		add_app("i-" + std::to_string(i));
+	start_node();
+	for (int i = 2; i < 2 + c.others; i++)
+		close_connections(i, c.closed);
+	for (int i = 2; i < 2 + c.own; i++)
+		add_crash(i);
+	close_connections(1, 2);
+	crash_watch_record_broken(edge->crashes, backend(1), FINGERPRINT,
+				  edge_now_us(edge), "GET /r/x");
+	wait_for([this] { return !crash_watch_is_busy(edge->crashes); });
+	EXPECT_EQ(c.own + (c.outage ? 0u : 1u), count_crashes());
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, DomainOutageTest,
+			 ::testing::ValuesIn(outage_cases),
+			 [](const auto &info) { return info.param.name; });
+
 /* Guards against quarantines from broken connections of live servers. */
 TEST_F(CrashTest, BrokenConnectionsOfLiveServersQuarantineNothing)
 {
