exchange: a repeated request waits until its crash check is decided

What callers saw: nothing by itself; the third send of a request that crashes servers went out without the claim that bounds it, which with the domain's outage made four crashes of three.

Cause: a send waited for a check only for CRASH_WATCH_CHECK_US (4 ms) after the connection broke. A node that stands still for some ms has neither checked nor read the probe's result by then, and the request's timer may run before the check's.

A send now waits while the check hasn't run, while a probe of the server is under way (PROBE_WAIT_US, 150 ms), and while a crash isn't reported yet. The check is judged anew at each question, so a server known to live ends the wait at once. Servers with other connections aren't probed; there the 4 ms stay.

What it costs innocent callers, whose connection was merely reset: nothing where the server is near, as its probe is accepted within the 4 ms that a retry waits in any case. Up to one round trip where it was the only connection to a server in another region, and up to 150 ms where the server neither accepts nor refuses connections. A caller without time for that beside a run of its service's usual length isn't refused: its request is sent as before, since most broken connections were reset. Only a request under which a server crashed already is refused instead.

Evidence: CrashCheckTest (new).

Ruled out: refusing every request without time by wait_or_refuse(), which would fail innocent callers that another server can answer.

--- a/packages/edge/crash_watch.c
+++ b/packages/edge/crash_watch.c
@@ -20,6 +20,12 @@
 #define CHECK_INTERVAL_US (20 * US_PER_MS)
 #define CHECK_TIMEOUT_US (1 * US_PER_S)
 
+/*
+ * Sends of the same request wait this long for a probe: a connection's round
+ * trip to another region.
+ */
+#define PROBE_WAIT_US (150 * US_PER_MS)
+
 /*
  * Servers of a failure domain that crash within this time may have crashed in
  * an outage of the domain, which no request caused.
@@ -31,6 +37,7 @@
 	uint64_t fingerprint;
 	uint64_t sent_us;
 	uint64_t at_us; /* when its connection ended */
+	bool checked; /* at least once */
 	bool probed; /* a connection was tried since */
 	char text[SUSPECT_TEXT_SIZE];
 };
@@ -329,6 +336,7 @@
 		struct broken_request *request = &watch->requests[i - 1];
 		enum verdict verdict = decide(request, edge_now_us(edge));
 
+		request->checked = true;
 		if (verdict == VERDICT_UNDECIDED) {
 			probe_once(watch, request);
 			continue;
@@ -372,6 +380,7 @@
 	request->fingerprint = fingerprint;
 	request->sent_us = sent_us;
 	request->at_us = edge_now_us(watch->edge);
+	request->checked = false;
 	request->probed = false;
 	g_strlcpy(request->text, text, sizeof(request->text));
 	uv_timer_start(&watch->timer, on_timer, FIRST_CHECK_US / US_PER_MS, 0);
@@ -382,6 +391,42 @@
 	return watch->count > 0;
 }
 
+static bool is_awaiting_probe(const struct crash_watch *watch,
+			      const struct backend *backend, uint64_t now_us)
+{
+	const GList *item;
+
+	for (item = watch->probes.head; item; item = item->next) {
+		const struct probe *probe = item->data;
+
+		if (probe->conn->backend == backend &&
+		    now_us - probe->began_us < PROBE_WAIT_US)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * After a pause of the VM, a timer that sends the request may run before that
+ * of the check, so time alone doesn't end the wait.
+ */
+static bool is_check_pending(const struct crash_watch *watch,
+			     const struct broken_request *request,
+			     uint64_t now_us)
+{
+	switch (decide(request, now_us)) {
+	case VERDICT_ALIVE:
+		return false;
+	case VERDICT_CRASHED: /* not reported yet */
+		return true;
+	case VERDICT_UNDECIDED:
+		break;
+	}
+	return !request->checked ||
+	       now_us - request->at_us < CRASH_WATCH_CHECK_US ||
+	       is_awaiting_probe(watch, request->backend, now_us);
+}
+
 bool crash_watch_is_checking(const struct crash_watch *watch,
 			     uint64_t fingerprint)
 {
@@ -390,7 +435,7 @@
 
 	for (i = 0; i < watch->count; i++)
 		if (watch->requests[i].fingerprint == fingerprint &&
-		    now_us - watch->requests[i].at_us < CRASH_WATCH_CHECK_US)
+		    is_check_pending(watch, &watch->requests[i], now_us))
 			return true;
 	return false;
 }
--- a/packages/edge/crash_watch.h
+++ b/packages/edge/crash_watch.h
@@ -43,8 +43,9 @@
 bool crash_watch_is_busy(const struct crash_watch *watch);
 
 /*
- * Whether a check of this request is undecided and began less than
- * CRASH_WATCH_CHECK_US ago.
+ * Whether a send of this request should wait for a check of it: until the
+ * server is probed and the result is known, for 150 ms at most, or for
+ * CRASH_WATCH_CHECK_US if other connections to the server are open.
  */
 bool crash_watch_is_checking(const struct crash_watch *watch,
 			     uint64_t fingerprint);
--- a/packages/edge/exchange_suspect.c
+++ b/packages/edge/exchange_suspect.c
@@ -124,10 +124,35 @@
 	       crash_watch_is_checking(watch, fingerprint(exchange));
 }
 
-static enum exchange_admission wait_for_crash_check(struct exchange *exchange)
+static bool has_crashes(struct exchange *exchange)
 {
-	exchange->choice.hold_us = CRASH_WATCH_CHECK_US;
-	return EXCHANGE_WAIT;
+	const struct suspect *suspect = suspect_table_find(
+		exchange->edge->suspects, fingerprint(exchange));
+
+	return suspect && suspect->evidence_crashes;
+}
+
+static bool has_time_to_wait(struct exchange *exchange, uint64_t wait_us)
+{
+	const struct choose_query *query = &exchange->query;
+	const struct service_times *times = backend_table_times(
+		exchange->edge->backends, query->service->name,
+		query->route->target_us);
+	uint64_t run_us =
+		MAX(exchange->retry.usual_us, (uint64_t)times->cold_us);
+
+	return exchange_left_us(exchange) > run_us + wait_us;
+}
+
+/*
+ * Most broken connections were merely reset. So a request without crashes is
+ * sent rather than refused if its caller can't wait for the check.
+ */
+static bool waits_for_crash_check(struct exchange *exchange)
+{
+	return is_crash_check_pending(exchange) &&
+	       (has_crashes(exchange) ||
+		has_time_to_wait(exchange, CRASH_WATCH_CHECK_US));
 }
 
 /*
@@ -147,8 +172,8 @@
 
 	exchange->query.isolation = CHOOSE_ISOLATE_NONE;
 	exchange->is_suspect = false;
-	if (is_crash_check_pending(exchange))
-		return wait_for_crash_check(exchange);
+	if (waits_for_crash_check(exchange))
+		return wait_or_refuse(exchange, CRASH_WATCH_CHECK_US, cause);
 	if (has_no_suspects(exchange))
 		return EXCHANGE_RUN;
 	query.fingerprint = fingerprint(exchange);
--- a/tests/edge/crash_test.cc
+++ b/tests/edge/crash_test.cc
@@ -2,6 +2,10 @@
 #include <cinttypes>
 #include <cstring>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "core/fingerprint.h"
 #include "edge/edge_world.h"
 #include "edge/quarantine_store.h"
@@ -20,6 +24,14 @@
 			app_stand_set_deadly(app.stand, "/r/deadly");
 		}
 	}
+	static uint64_t fingerprint(const char *path)
+	{
+		const struct fingerprint_input parts = { "GET",	  "h.example",
+							 path,	  nullptr,
+							 nullptr, 0 };
+
+		return fingerprint_of(&parts);
+	}
 	int count_crashed() const
 	{
 		int count = 0;
@@ -274,6 +286,157 @@
 	EXPECT_EQ(200, status_of(answer_to(get("last", "/r/x"))));
 }
 
+/* A listener that neither accepts a connection nor refuses it. */
+class SilentListener
+{
+      public:
+	SilentListener()
+	{
+		socklen_t length = sizeof(address_);
+
+		address_.sin_family = AF_INET;
+		address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		listener_ = socket(AF_INET, SOCK_STREAM, 0);
+		bind(listener_, (struct sockaddr *)&address_, length);
+		listen(listener_, 0);
+		getsockname(listener_, (struct sockaddr *)&address_, &length);
+		for (int &filler : fillers_) {
+			filler =
+				socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+			connect(filler, (struct sockaddr *)&address_, length);
+		}
+	}
+	~SilentListener()
+	{
+		close(listener_);
+		for (int filler : fillers_)
+			close(filler);
+	}
+	uint16_t port() const
+	{
+		return ntohs(address_.sin_port);
+	}
+
+      private:
+	struct sockaddr_in address_ = {};
+	int listener_;
+	int fillers_[4];
+};
+
+class CrashCheckTest : public CrashTest
+{
+      protected:
+	/* A server i-silent and a good one. */
+	void start()
+	{
+		add_app("i-good");
+		store_stand_put(store, "servers", "i-silent",
+				("{\"service\":\"s\",\"addr\":\"127.0.0.1:" +
+				 std::to_string(silent.port()) +
+				 "\",\"zone\":\"d1\",\"version\":\"v1\","
+				 "\"slots\":4,\"state\":\"draining\","
+				 "\"cold_left\":\"0ms\",\"seq\":1}")
+					.c_str());
+		start_node();
+		wait_for([this] { return find("i-silent"); });
+	}
+	struct backend *find(const char *id)
+	{
+		return backend_table_find(edge->backends, id);
+	}
+	void break_connection(const char *id)
+	{
+		broken_us = edge_now_us(edge);
+		crash_watch_record_broken(edge->crashes, find(id),
+					  fingerprint("/r/x"), broken_us,
+					  "GET /r/x");
+	}
+	bool is_checking()
+	{
+		return crash_watch_is_checking(edge->crashes,
+					       fingerprint("/r/x"));
+	}
+	/* How long a send of the request has to wait from now on. */
+	uint64_t wait_us()
+	{
+		wait_for([this] { return !is_checking(); });
+		return edge_now_us(edge) - broken_us;
+	}
+	std::string answer_within(uint64_t ms)
+	{
+		return answer_to("GET /r/x HTTP/1.1\r\nHost: h.example\r\n"
+				 "Lilacfield-Attempt-Id: a1\r\n"
+				 "Lilacfield-Deadline-Ms: " +
+				 std::to_string(ms) + "\r\n\r\n");
+	}
+	SilentListener silent;
+	uint64_t broken_us = 0;
+};
+
+/* Guards against the request being sent again before its probe has a result. */
+TEST_F(CrashCheckTest, WaitLastsForTheProbe)
+{
+	start();
+	break_connection("i-silent");
+	EXPECT_LE(150 * US_PER_MS, wait_us());
+	EXPECT_TRUE(crash_watch_is_busy(edge->crashes));
+}
+
+/* Guards against it being sent before a late check, as after a pause. */
+TEST_F(CrashCheckTest, WaitLastsForALateCheck)
+{
+	start();
+	break_connection("i-silent");
+	uv_sleep(20);
+	EXPECT_TRUE(is_checking());
+}
+
+/* Guards against retries waiting where other connections are alive. */
+TEST_F(CrashCheckTest, WaitIsShortBesideOtherConnections)
+{
+	start();
+	find("i-silent")->connections++;
+	break_connection("i-silent");
+	wait_us();
+	EXPECT_TRUE(crash_watch_is_busy(edge->crashes));
+	EXPECT_EQ(0u, edge->pool.opened_total);
+	find("i-silent")->connections--;
+}
+
+/* Guards against retries waiting where the server accepts a connection. */
+TEST_F(CrashCheckTest, WaitEndsOnceTheServerIsKnownToLive)
+{
+	start();
+	break_connection("i-good");
+	wait_us();
+	EXPECT_GT(find("i-good")->alive_us, broken_us);
+	EXPECT_EQ(0u, edge->suspects->count);
+}
+
+/* Guards against the check of a broken connection costing a caller's answer. */
+TEST_F(CrashCheckTest, CallerWithoutTimeIsServedBeforeTheResult)
+{
+	start();
+	break_connection("i-silent");
+	EXPECT_EQ(200, status_of(answer_within(100)));
+	EXPECT_TRUE(crash_watch_is_busy(edge->crashes));
+}
+
+/* Guards against a suspect being sent before the result for lack of time. */
+TEST_F(CrashCheckTest, SuspectWithoutTimeIsRefused)
+{
+	struct suspect_crash crash = {};
+
+	start();
+	crash.incarnation = 1;
+	crash.at_us = edge_now_us(edge);
+	ASSERT_TRUE(suspect_add_own_crash(edge->suspects, fingerprint("/r/x"),
+					  edge->backends, &crash, "GET /r/x"));
+	break_connection("i-silent");
+	EXPECT_EQ(503, status_of(answer_within(60)));
+	EXPECT_EQ(0u, app_stand_total_runs(apps[0].stand));
+}
+
 /* Guards against quarantines being lost when all nodes restart. */
 class CrashStoreTest : public CrashTest
 {
@@ -293,13 +456,9 @@
 	}
 	std::string key(const char *path)
 	{
-		const struct fingerprint_input parts = { "GET",	  "h.example",
-							 path,	  nullptr,
-							 nullptr, 0 };
 		char text[17];
 
-		snprintf(text, sizeof(text), "%016" PRIx64,
-			 fingerprint_of(&parts));
+		snprintf(text, sizeof(text), "%016" PRIx64, fingerprint(path));
 		return text;
 	}
 	const char *row(const char *path)
