crash_watch: a later broken connection doesn't postpone a check

Cause: crash_watch_record_broken() started the shared timer anew at each call.

The timer is now only ever moved to an earlier time.

Evidence: CrashCheckTest.IsNotPostponedByLaterBreaks (new) records a break in each millisecond.

Ruled out: a timer for each request, as one check of all serves them as well.

--- a/packages/edge/crash_watch.c
+++ b/packages/edge/crash_watch.c
@@ -350,6 +350,19 @@
 	}
 }
 
+static void on_timer(uv_timer_t *timer);
+
+/* A check that is due earlier stays due then. */
+static void schedule_check(struct crash_watch *watch, uint64_t delay_us)
+{
+	const uv_timer_t *timer = &watch->timer;
+	uint64_t delay_ms = delay_us / US_PER_MS;
+
+	if (!uv_is_active((const uv_handle_t *)timer) ||
+	    uv_timer_get_due_in(timer) > delay_ms)
+		uv_timer_start(&watch->timer, on_timer, delay_ms, 0);
+}
+
 static void on_timer(uv_timer_t *timer)
 {
 	struct crash_watch *watch = timer->data;
@@ -357,14 +370,13 @@
 	check_requests(watch);
 	drop_stalled_probes(watch, edge_now_us(watch->edge));
 	if (watch->count || watch->probes.length)
-		uv_timer_start(timer, on_timer, CHECK_INTERVAL_US / US_PER_MS,
-			       0);
+		schedule_check(watch, CHECK_INTERVAL_US);
 }
 
 static void check_now(struct crash_watch *watch)
 {
 	if (watch->count)
-		uv_timer_start(&watch->timer, on_timer, 0, 0);
+		schedule_check(watch, 0);
 }
 
 void crash_watch_record_broken(struct crash_watch *watch,
@@ -383,7 +395,7 @@
 	request->checked = false;
 	request->probed = false;
 	g_strlcpy(request->text, text, sizeof(request->text));
-	uv_timer_start(&watch->timer, on_timer, FIRST_CHECK_US / US_PER_MS, 0);
+	schedule_check(watch, FIRST_CHECK_US);
 }
 
 bool crash_watch_is_busy(const struct crash_watch *watch)
--- a/tests/edge/crash_test.cc
+++ b/tests/edge/crash_test.cc
@@ -391,6 +391,26 @@
 	EXPECT_TRUE(is_checking());
 }
 
+/* Guards against a check being postponed by each connection that breaks. */
+TEST_F(CrashCheckTest, IsNotPostponedByLaterBreaks)
+{
+	const uint64_t max_breaks = 100;
+	uint64_t breaks = 0;
+	uint64_t last_ms = 0;
+
+	start();
+	break_connection("i-good");
+	while (is_checking() && breaks < max_breaks) {
+		if (uv_now(&loop) != last_ms)
+			crash_watch_record_broken(edge->crashes,
+						  find("i-silent"), ++breaks,
+						  broken_us, "GET /r/y");
+		last_ms = uv_now(&loop);
+		uv_run(&loop, UV_RUN_NOWAIT);
+	}
+	EXPECT_GT(max_breaks, breaks);
+}
+
 /* Guards against retries waiting where other connections are alive. */
 TEST_F(CrashCheckTest, WaitIsShortBesideOtherConnections)
 {
