--- a/packages/core/suspect_evidence.c
+++ b/packages/core/suspect_evidence.c
@@ -148,13 +148,9 @@
 	entry->crash_count = kept;
 }
 
-/*
- * Whether another server of the failure domain crashed at the same moment while
- * running the request. Either crash may come from an update, delayed by up to
- * SIMULTANEOUS_US.
- */
-static bool has_simultaneous_crash(const struct suspect *entry,
-				   const struct suspect_crash *crash)
+/* Either crash may come from an update, delayed by up to SIMULTANEOUS_US. */
+bool suspect_has_simultaneous_crash(const struct suspect *entry,
+				    const struct suspect_crash *crash)
 {
 	uint32_t i;
 
@@ -176,7 +172,7 @@
 			const struct suspect_crash *crash)
 {
 	return !find_domain_outage(table, crash) ||
-	       has_simultaneous_crash(entry, crash);
+	       suspect_has_simultaneous_crash(entry, crash);
 }
 
 bool suspect_recount_crashes(struct suspect_table *table, struct suspect *entry,
@@ -224,8 +220,8 @@
 	return false;
 }
 
-static bool has_crash_of(const struct suspect_table *table,
-			 const struct suspect *entry, uint32_t incarnation)
+bool suspect_has_crash_of(const struct suspect_table *table,
+			  const struct suspect *entry, uint32_t incarnation)
 {
 	uint32_t i;
 
@@ -250,7 +246,8 @@
 	uint32_t i;
 
 	for (i = 0; i < entry->crash_count; i++)
-		if (has_crash_of(table, other, entry->crashes[i].incarnation))
+		if (suspect_has_crash_of(table, other,
+					 entry->crashes[i].incarnation))
 			return true;
 	return false;
 }
@@ -271,8 +268,8 @@
 	uint32_t i;
 
 	for (i = 0; i < entry->crash_count; i++)
-		is_shared[i] |= has_crash_of(table, other,
-					     entry->crashes[i].incarnation);
+		is_shared[i] |= suspect_has_crash_of(
+			table, other, entry->crashes[i].incarnation);
 }
 
 /* Crashes that no other request can have caused. */
@@ -537,7 +534,7 @@
 			    other->domain != crash->domain)
 				continue;
 			add_incarnation(incarnations, other->incarnation);
-			if (has_simultaneous_crash(entry, other))
+			if (suspect_has_simultaneous_crash(entry, other))
 				add_incarnation(shared, other->incarnation);
 		}
 	}
@@ -559,6 +556,13 @@
 	return count;
 }
 
+bool suspect_is_domain_outage(const struct backend_table *backends,
+			      uint32_t domain, uint32_t crashed)
+{
+	return crashed >= SUSPECT_DOMAIN_OUTAGE_SERVERS &&
+	       2 * crashed >= count_servers(backends, domain);
+}
+
 /*
  * Records a domain outage once enough servers crashed at one moment, or removes
  * it. Servers that shared a request don't count for it: the request may have
@@ -576,8 +580,8 @@
 	if (crash->domain)
 		collect_incarnations(table, crash, incarnations, shared);
 	ended = incarnations->len - shared->len;
-	if (!outage && ended >= SUSPECT_DOMAIN_OUTAGE_SERVERS &&
-	    2 * ended >= count_servers(backends, crash->domain)) {
+	if (!outage &&
+	    suspect_is_domain_outage(backends, crash->domain, ended)) {
 		outage = &table->domain_outages[table->domain_outage_next++ %
 						SUSPECT_MAX_DOMAIN_OUTAGES];
 		outage->domain = crash->domain;
@@ -615,7 +619,7 @@
 			 const struct suspect_crash *crash)
 {
 	return crash->at_us > entry->cleared_us &&
-	       !has_crash_of(table, entry, crash->incarnation);
+	       !suspect_has_crash_of(table, entry, crash->incarnation);
 }
 
 /*
--- a/packages/edge/exchange_suspect.c
+++ b/packages/edge/exchange_suspect.c
@@ -61,11 +61,6 @@
 	return member_table_rank(edge->members, (uint32_t)request_hash);
 }
 
-static bool is_in_time_after(const struct exchange *exchange, uint64_t hold_us)
-{
-	return exchange_left_us(exchange) > exchange->retry.usual_us + hold_us;
-}
-
 /* Waits for hold_us, or refuses at once if the answer would then be late. */
 static enum exchange_admission
 wait_or_refuse(struct exchange *exchange, uint64_t hold_us, const char **cause)
@@ -73,8 +68,9 @@
 	exchange->choice.hold_us = hold_us;
 	exchange->choice.retry_after_us = RETRY_RUNNING_US;
 	*cause = suspect_verdict_name(SUSPECT_RUNNING);
-	return is_in_time_after(exchange, hold_us) ? EXCHANGE_WAIT :
-						     EXCHANGE_REFUSE;
+	if (exchange_left_us(exchange) > exchange->retry.usual_us + hold_us)
+		return EXCHANGE_WAIT;
+	return EXCHANGE_REFUSE;
 }
 
 /*
@@ -128,10 +124,35 @@
 	       crash_watch_is_checking(watch, fingerprint(exchange));
 }
 
-static enum exchange_admission wait_for_crash_check(struct exchange *exchange)
+static bool has_crashes(struct exchange *exchange)
+{
+	const struct suspect *suspect = suspect_table_find(
+		exchange->edge->suspects, fingerprint(exchange));
+
+	return suspect && suspect->evidence_crashes;
+}
+
+static bool has_time_to_wait(struct exchange *exchange, uint64_t wait_us)
+{
+	const struct choose_query *query = &exchange->query;
+	const struct service_times *times = backend_table_times(
+		exchange->edge->backends, query->service->name,
+		query->route->target_us);
+	uint64_t run_us =
+		MAX(exchange->retry.usual_us, (uint64_t)times->cold_us);
+
+	return exchange_left_us(exchange) > run_us + wait_us;
+}
+
+/*
+ * Most broken connections were merely reset. So a request without crashes is
+ * sent rather than refused if its caller can't wait for the check.
+ */
+static bool waits_for_crash_check(struct exchange *exchange)
 {
-	exchange->choice.hold_us = CRASH_WATCH_CHECK_US;
-	return EXCHANGE_WAIT;
+	return is_crash_check_pending(exchange) &&
+	       (has_crashes(exchange) ||
+		has_time_to_wait(exchange, CRASH_WATCH_CHECK_US));
 }
 
 /*
@@ -151,8 +172,8 @@
 
 	exchange->query.isolation = CHOOSE_ISOLATE_NONE;
 	exchange->is_suspect = false;
-	if (is_crash_check_pending(exchange))
-		return wait_for_crash_check(exchange);
+	if (waits_for_crash_check(exchange))
+		return wait_or_refuse(exchange, CRASH_WATCH_CHECK_US, cause);
 	if (has_no_suspects(exchange))
 		return EXCHANGE_RUN;
 	query.fingerprint = fingerprint(exchange);
@@ -168,7 +189,7 @@
 		if (decision.needs_claim)
 			return claim(exchange, cause);
 		if (decision.wait_us &&
-		    is_in_time_after(exchange, decision.wait_us)) {
+		    has_time_to_wait(exchange, decision.wait_us)) {
 			exchange->choice.hold_us = decision.wait_us;
 			return EXCHANGE_WAIT;
 		}
