--- a/packages/core/suspect_evidence.c
+++ b/packages/core/suspect_evidence.c
@@ -64,40 +64,59 @@
 	return MIN(table->uncounted_crash_next, SUSPECT_MAX_UNCOUNTED_CRASHES);
 }
 
-static bool is_uncounted_of(const struct suspect_uncounted_crash *uncounted,
-			    const struct suspect *entry)
+/* Index of the request's oldest one if it has its share, else of the next. */
+static uint32_t uncounted_slot(const struct suspect_table *table,
+			       uint64_t fingerprint)
 {
-	return uncounted->fingerprint == entry->fingerprint &&
-	       uncounted->crash.at_us > entry->cleared_us;
+	uint32_t oldest = SUSPECT_MAX_UNCOUNTED_CRASHES;
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < uncounted_crashes(table); i++) {
+		const struct suspect_uncounted_crash *uncounted =
+			&table->uncounted_crashes[i];
+
+		if (uncounted->fingerprint != fingerprint)
+			continue;
+		count++;
+		if (oldest == SUSPECT_MAX_UNCOUNTED_CRASHES ||
+		    uncounted->crash.at_us <
+			    table->uncounted_crashes[oldest].crash.at_us)
+			oldest = i;
+	}
+	return count < SUSPECT_MAX_UNCOUNTED_PER_REQUEST ?
+		       table->uncounted_crash_next %
+			       SUSPECT_MAX_UNCOUNTED_CRASHES :
+		       oldest;
 }
 
 static void add_uncounted_crash(struct suspect_table *table,
 				const struct suspect *entry,
-				const struct suspect_crash *crash)
+				const struct suspect_crash *crash, bool is_told)
 {
+	uint32_t slot = uncounted_slot(table, entry->fingerprint);
 	struct suspect_uncounted_crash *uncounted =
-		&table->uncounted_crashes[table->uncounted_crash_next++ %
-					  SUSPECT_MAX_UNCOUNTED_CRASHES];
+		&table->uncounted_crashes[slot];
 
+	if (slot == table->uncounted_crash_next % SUSPECT_MAX_UNCOUNTED_CRASHES)
+		table->uncounted_crash_next++;
 	uncounted->fingerprint = entry->fingerprint;
 	uncounted->crash = *crash;
+	uncounted->is_told = is_told;
 }
 
-static void count_uncounted_crashes(struct suspect_table *table,
-				    struct suspect *entry)
+void suspect_drop_uncounted_crashes(struct suspect_table *table,
+				    uint64_t fingerprint, uint64_t before_us)
 {
 	uint32_t i;
 
-	for (i = 0; i < uncounted_crashes(table) &&
-		    entry->crash_count < SUSPECT_MAX_CRASHES;
-	     i++) {
+	for (i = 0; i < uncounted_crashes(table); i++) {
 		struct suspect_uncounted_crash *uncounted =
 			&table->uncounted_crashes[i];
 
-		if (!is_uncounted_of(uncounted, entry))
-			continue;
-		entry->crashes[entry->crash_count++] = uncounted->crash;
-		memset(uncounted, 0, sizeof(*uncounted));
+		if ((!fingerprint || uncounted->fingerprint == fingerprint) &&
+		    uncounted->crash.at_us <= before_us)
+			memset(uncounted, 0, sizeof(*uncounted));
 	}
 }
 
@@ -118,12 +137,21 @@
 
 	memcpy(crashes, entry->crashes, count * sizeof(*crashes));
 	for (i = 0; i < uncounted_crashes(table); i++)
-		if (is_uncounted_of(&table->uncounted_crashes[i], entry))
+		if (table->uncounted_crashes[i].fingerprint ==
+			    entry->fingerprint &&
+		    table->uncounted_crashes[i].is_told)
 			crashes[count++] = table->uncounted_crashes[i].crash;
 	qsort(crashes, count, sizeof(*crashes), compare_latest_first);
 	return count;
 }
 
+void suspect_add_retry_crash(struct suspect_table *table,
+			     const struct suspect *entry,
+			     const struct suspect_crash *crash)
+{
+	add_uncounted_crash(table, entry, crash, false);
+}
+
 void suspect_drop_crashes_before(struct suspect *entry, uint64_t before_us)
 {
 	uint32_t kept = 0;
@@ -232,7 +260,7 @@
 			&table->uncounted_crashes[i];
 
 		if (uncounted->crash.incarnation == incarnation &&
-		    is_uncounted_of(uncounted, entry))
+		    uncounted->fingerprint == entry->fingerprint)
 			return true;
 	}
 	return false;
@@ -318,8 +346,9 @@
 				      const struct suspect *entry)
 {
 	return table->unrelated_crash_us &&
-	       suspect_latest_crash_us(entry) <
-		       table->unrelated_crash_us + SUSPECT_UNRELATED_CRASH_US;
+	       difference(table->unrelated_crash_us,
+			  suspect_latest_crash_us(entry)) <
+		       SUSPECT_UNRELATED_CRASH_US;
 }
 
 /* Whether one other request ran at all servers that others explain. */
@@ -385,9 +414,9 @@
 static bool has_enough_crashes(const struct suspect_table *table,
 			       const struct suspect *entry)
 {
-	uint32_t needed = SUSPECT_QUARANTINE_CRASHES;
+	uint32_t needed = SUSPECT_QUARANTINE_CRASHES +
+			  is_amid_unrelated_crashes(table, entry);
 
-	needed += is_amid_unrelated_crashes(table, entry);
 	return entry->evidence_crashes >= needed;
 }
 
@@ -408,14 +437,12 @@
 }
 
 void suspect_confirm_quarantine(struct suspect_table *table,
-				struct suspect *entry,
-				const struct backend_table *backends)
+				struct suspect *entry)
 {
-	count_uncounted_crashes(table, entry);
-	suspect_recount_crashes(table, entry, backends);
-	if (attribute_crashes(table, entry) == ATTRIBUTION_CAUSE)
+	if (has_quarantine_crashes(entry) &&
+	    is_amid_unrelated_crashes(table, entry) &&
+	    attribute_crashes(table, entry) == ATTRIBUTION_CAUSE)
 		suspect_begin_quarantine(entry, suspect_latest_crash_us(entry));
-	suspect_reevaluate_related(table, entry);
 }
 
 void suspect_reevaluate_related(struct suspect_table *table,
@@ -461,7 +488,8 @@
 	for (i = 0; i < uncounted_crashes(table); i++)
 		if (table->uncounted_crashes[i].crash.incarnation ==
 			    incarnation &&
-		    !is_uncounted_of(&table->uncounted_crashes[i], entry))
+		    table->uncounted_crashes[i].fingerprint !=
+			    entry->fingerprint)
 			return true;
 	return false;
 }
@@ -657,26 +685,28 @@
 	return evictable;
 }
 
-static void store_crash(struct suspect_table *table, struct suspect *entry,
+/* Returns whether peers are told of it. */
+static bool store_crash(struct suspect_table *table, struct suspect *entry,
 			const struct suspect_crash *crash)
 {
 	uint32_t at;
 
 	if (may_be_single_failure(entry, crash)) {
-		add_uncounted_crash(table, entry, crash);
-		return;
+		add_uncounted_crash(table, entry, crash, false);
+		return false;
 	}
 	if (entry->crash_count < SUSPECT_MAX_CRASHES) {
 		entry->crashes[entry->crash_count++] = *crash;
-		return;
+		return true;
 	}
 	at = find_evictable_crash(table, entry);
 	if (entry->crashes[at].at_us >= crash->at_us) {
-		add_uncounted_crash(table, entry, crash);
-		return;
+		add_uncounted_crash(table, entry, crash, true);
+		return true;
 	}
-	add_uncounted_crash(table, entry, &entry->crashes[at]);
+	add_uncounted_crash(table, entry, &entry->crashes[at], true);
 	entry->crashes[at] = *crash;
+	return true;
 }
 
 bool suspect_add_crash(struct suspect_table *table, struct suspect *entry,
@@ -684,13 +714,14 @@
 		       const struct suspect_crash *crash)
 {
 	struct suspect_crash known = *crash;
+	bool is_told;
 
 	if (entry->rounds > 1 || !is_new_crash(table, entry, crash))
 		return false;
 	set_domain(backends, &known);
-	store_crash(table, entry, &known);
+	is_told = store_crash(table, entry, &known);
 	update_domain_outage(table, backends, &known);
 	suspect_recount_crashes(table, entry, backends);
 	suspect_reevaluate_related(table, entry);
-	return true;
+	return is_told;
 }
--- a/packages/core/suspect_table.c
+++ b/packages/core/suspect_table.c
@@ -47,6 +47,7 @@
 
 static void remove_at(struct suspect_table *table, uint32_t at)
 {
+	suspect_drop_uncounted_crashes(table, table->keys[at], UINT64_MAX);
 	table->keys[at] = 0;
 	memset(&table->entries[at], 0, sizeof(table->entries[at]));
 	table->count--;
@@ -137,9 +138,10 @@
 	if (!*entry->text)
 		g_strlcpy(entry->text, text, sizeof(entry->text));
 	suspect_recount_crashes(table, entry, backends);
-	if (entry->rounds && entry->until_us <= crash->at_us)
+	if (entry->rounds && entry->until_us <= crash->at_us) {
 		suspect_begin_quarantine(entry, crash->at_us);
-	else if (!suspect_add_crash(table, entry, backends, crash))
+		suspect_add_retry_crash(table, entry, crash);
+	} else if (!suspect_add_crash(table, entry, backends, crash))
 		return false;
 	entry->seen_locally = true;
 	mark_changed(entry, is_strong_suspect(entry) ? HEARTBEATS_LOCAL : 0,
@@ -148,7 +150,8 @@
 	return true;
 }
 
-static bool clear_entry(struct suspect *entry, uint64_t at_us)
+static bool clear_entry(struct suspect_table *table, struct suspect *entry,
+			uint64_t at_us)
 {
 	if (at_us <= entry->cleared_us)
 		return false;
@@ -156,6 +159,7 @@
 	entry->rounds = 0;
 	entry->by_hand = false;
 	suspect_drop_crashes_before(entry, at_us);
+	suspect_drop_uncounted_crashes(table, entry->fingerprint, at_us);
 	return true;
 }
 
@@ -171,7 +175,7 @@
 	was_strong = is_strong_suspect(entry);
 	before = *entry;
 	suspect_note_unrelated_crashes(table, entry, now_us);
-	clear_entry(entry, now_us);
+	clear_entry(table, entry, now_us);
 	suspect_reevaluate_related(table, &before);
 	mark_changed(entry, was_strong ? HEARTBEATS_LOCAL : 0, now_us);
 }
@@ -386,7 +390,7 @@
 
 	if (!entry)
 		return false;
-	clear_entry(entry, now_us);
+	clear_entry(table, entry, now_us);
 	mark_changed(entry, HEARTBEATS_LOCAL, now_us);
 	schedule_broadcast(entry);
 	return true;
@@ -442,7 +446,7 @@
 	const struct suspect before = *entry;
 
 	suspect_note_unrelated_crashes(table, entry, answered_us);
-	if (!clear_entry(entry, answered_us))
+	if (!clear_entry(table, entry, answered_us))
 		return false;
 	suspect_reevaluate_related(table, &before);
 	return true;
@@ -451,13 +455,12 @@
 /* A peer's update quarantines nothing by itself: its crashes have to count. */
 static bool apply_quarantine(struct suspect_table *table, struct suspect *entry,
 			     const struct suspect_update *update,
-			     const struct backend_table *backends,
 			     uint64_t now_us)
 {
 	if (update->rounds <= entry->rounds)
 		return false;
 	if (!update->by_hand && !entry->rounds)
-		suspect_confirm_quarantine(table, entry, backends);
+		suspect_confirm_quarantine(table, entry);
 	if (!update->by_hand && !entry->rounds)
 		return false;
 	entry->rounds = update->rounds;
@@ -489,7 +492,6 @@
 			  const struct backend_table *backends, uint64_t now_us)
 {
 	struct suspect *entry;
-	bool was_quarantined;
 	bool changed;
 
 	if (!is_valid(update))
@@ -501,16 +503,13 @@
 		entry = suspect_table_find(table, update->fingerprint);
 	if (!entry)
 		return true;
-	was_quarantined = entry->rounds;
 	changed = update->cleared &&
 		  apply_answer(table, entry,
 			       time_before(now_us, update->cleared_age_us));
 	changed |= apply_crashes(table, entry, update, backends, now_us);
 	if (suspect_recount_crashes(table, entry, backends))
 		suspect_reevaluate_related(table, entry);
-	changed |= apply_quarantine(table, entry, update, backends, now_us);
-	if (entry->rounds && !was_quarantined && entry->seen_locally)
-		schedule_broadcast(entry);
+	changed |= apply_quarantine(table, entry, update, now_us);
 	if (changed)
 		mark_changed(entry,
 			     is_strong_suspect(entry) ? HEARTBEATS_RECEIVED : 0,
@@ -577,15 +576,19 @@
 {
 	struct suspect_crash crashes[SUSPECT_MAX_LISTED_CRASHES];
 	uint32_t crash_count = suspect_list_crashes(table, entry, crashes);
-	uint32_t first = 0;
-	uint32_t count = 0;
+	uint32_t parts = MAX(1, (crash_count + SUSPECT_MAX_CRASHES - 1) /
+					SUSPECT_MAX_CRASHES);
+	uint32_t count = MIN(parts, max_count);
+	uint32_t i;
 
-	do {
-		fill_update(table, entry, node, now_us, &updates[count]);
+	/* The latest crashes last: peers keep the state of the last update. */
+	for (i = 0; i < count; i++) {
+		uint32_t first = (count - 1 - i) * SUSPECT_MAX_CRASHES;
+
+		fill_update(table, entry, node, now_us, &updates[i]);
 		fill_crashes(&crashes[first], crash_count - first, now_us,
-			     &updates[count++]);
-		first += SUSPECT_MAX_CRASHES;
-	} while (first < crash_count && count < max_count);
+			     &updates[i]);
+	}
 	return count;
 }
 
@@ -653,6 +656,8 @@
 	uint32_t i;
 
 	drop_ended_runs(table, now_us);
+	suspect_drop_uncounted_crashes(table, 0,
+				       time_before(now_us, SUSPECT_TTL_US));
 	for (i = 0; table->count && i < SUSPECT_MAX_ENTRIES; i++) {
 		const struct suspect *entry = &table->entries[i];
 		bool cleared = !entry->evidence_crashes && !entry->rounds;
--- a/packages/core/suspect_table.h
+++ b/packages/core/suspect_table.h
@@ -44,8 +44,9 @@
 #define SUSPECT_QUARANTINE_CRASHES 3
 #define SUSPECT_MAX_CRASHES 4
 
-/* Crashes that are remembered besides those, of all requests together. */
-#define SUSPECT_MAX_UNCOUNTED_CRASHES 48
+/* Crashes that are remembered besides those, of all requests and of each. */
+#define SUSPECT_MAX_UNCOUNTED_CRASHES 40
+#define SUSPECT_MAX_UNCOUNTED_PER_REQUEST 8
 
 /*
  * How long one crash more is needed for a quarantine after a server crashed by
@@ -118,8 +119,9 @@
  * others: it may share a cause with two counted ones, or is an older one.
  */
 struct suspect_uncounted_crash {
-	uint64_t fingerprint;
+	uint64_t fingerprint; /* 0: free */
 	struct suspect_crash crash;
+	bool is_told; /* to peers, which may count it */
 };
 
 /* A suspect that is running at a server, or that a node claims to run next. */
--- a/packages/edge/gossip_updates.c
+++ b/packages/edge/gossip_updates.c
@@ -153,13 +153,12 @@
 
 /*
  * Crashes that several nodes saw may add up to a quarantine first at this node.
- * Only nodes that saw one of the crashes broadcast it and store the row, not
- * each node that receives the update.
+ * Only nodes that saw one of the crashes store the row, not each node that
+ * receives the update.
  */
-static void handle_new_quarantine(struct gossip *gossip,
+static void handle_new_quarantine(struct edge *edge,
 				  const struct suspect_update *update)
 {
-	struct edge *edge = gossip->edge;
 	const struct suspect *suspect =
 		suspect_table_find(edge->suspects, update->fingerprint);
 
@@ -168,10 +167,7 @@
 		  "by_hand=%s left_us=%" PRIu64,
 		  update->fingerprint, update->crash_count, update->rounds,
 		  update->by_hand ? "yes" : "no", update->left_us);
-	if (!suspect->seen_locally)
-		return;
-	gossip_schedule_broadcast(gossip);
-	if (edge->quarantines)
+	if (suspect->seen_locally && edge->quarantines)
 		quarantine_store_write(edge->quarantines, update->fingerprint);
 }
 
@@ -199,6 +195,6 @@
 		else if (!was_quarantined &&
 			 suspect_is_quarantined(edge->suspects,
 						update->fingerprint))
-			handle_new_quarantine(gossip, update);
+			handle_new_quarantine(edge, update);
 	}
 }
--- a/tests/core/suspect_table_test.cc
+++ b/tests/core/suspect_table_test.cc
@@ -1355,4 +1355,269 @@
 		EXPECT_EQ(1u, updates().size());
 }
 
+/* --- uncounted crashes ---------------------------------------------------- */
+
+class UncountedCrashTest : public SuspectUpdateTest
+{
+      protected:
+	/* So many servers crash at one moment while running the request. */
+	void crash_together(uint32_t count, uint64_t fingerprint = FINGERPRINT)
+	{
+		now_us += US_PER_S;
+		for (uint32_t i = 0; i < count; i++)
+			crash(next_life++, fingerprint);
+	}
+	void broadcast()
+	{
+		struct suspect_update all[8];
+		uint32_t count =
+			suspect_collect_broadcast(table, SELF, now_us, all, 8);
+
+		for (uint32_t i = 0; i < count; i++)
+			EXPECT_TRUE(apply(all[i]));
+	}
+	/* Heartbeats of both nodes to each other; returns updates sent. */
+	uint32_t exchange_heartbeats()
+	{
+		struct suspect_update all[4];
+		uint32_t sent =
+			suspect_collect_updates(table, SELF, now_us, all, 4);
+		uint32_t count = sent;
+
+		for (uint32_t i = 0; i < count; i++)
+			apply(all[i]);
+		count = suspect_collect_updates(peer_table, OTHER, now_us, all,
+						4);
+		for (uint32_t i = 0; i < count; i++)
+			suspect_apply_update(table, &all[i], OTHER, backends,
+					     now_us);
+		return sent + count;
+	}
+};
+
+/*
+ * Guards against crashes before an answer that quarantine a harmless request
+ * once its entry expired and a peer restarted.
+ */
+TEST_F(UncountedCrashTest, AnsweredCrashesDontReturnAfterTheEntryExpired)
+{
+	crash_together(5);
+	now_us += US_PER_S;
+	suspect_clear(table, FINGERPRINT, now_us);
+	now_us += 3600 * US_PER_S;
+	suspect_table_expire(table, now_us);
+	ASSERT_EQ(nullptr, suspect_table_find(table, FINGERPRINT));
+	crash_times(1);
+	broadcast();
+	EXPECT_EQ(1u, suspect_table_find(peer_table, FINGERPRINT)->crash_count);
+	EXPECT_EQ(SUSPECT_MAY_RUN, peer_verdict());
+	exchange_heartbeats();
+	EXPECT_EQ(SUSPECT_MAY_RUN, decide().verdict);
+}
+
+/* Guards against crashes before an operator's release that return later. */
+TEST_F(UncountedCrashTest, ReleasedCrashesDontReturnAfterTheEntryExpired)
+{
+	crash_together(5);
+	crash_times(1);
+	ASSERT_EQ(SUSPECT_QUARANTINED, decide().verdict);
+	suspect_release(table, FINGERPRINT, now_us);
+	now_us += 340 * US_PER_S;
+	suspect_table_expire(table, now_us);
+	ASSERT_EQ(nullptr, suspect_table_find(table, FINGERPRINT));
+	crash_times(1);
+	broadcast();
+	EXPECT_EQ(SUSPECT_MAY_RUN, decide().verdict);
+	EXPECT_EQ(SUSPECT_MAY_RUN, peer_verdict());
+}
+
+/* Guards against a second update that ends the isolation of a run at peers. */
+TEST_F(UncountedCrashTest, RunStaysIsolatedWithMoreCrashesThanOneUpdateHolds)
+{
+	const struct suspect_run run = { FINGERPRINT, SELF, 999,
+					 now_us + 60 * US_PER_S, true };
+
+	for (int i = 0; i < 5; i++) {
+		now_us += US_PER_S;
+		crash(next_life, FINGERPRINT + 1);
+		crash(next_life++);
+	}
+	ASSERT_EQ(SUSPECT_MAY_RUN, decide().verdict);
+	suspect_begin_run(table, &run);
+	broadcast();
+	broadcast();
+	EXPECT_TRUE(suspect_runs_on(peer_table, 999, true, now_us));
+}
+
+/* Guards against one request's many crashes that displace a deadly one's. */
+TEST_F(UncountedCrashTest, PopularRequestDoesNotDisplaceADeadlyOnesCrashes)
+{
+	const uint32_t shared = next_life;
+
+	for (uint32_t i = 0; i < 5; i++) {
+		now_us += US_PER_S;
+		if (i < 2)
+			crash(next_life, FINGERPRINT + 1);
+		crash(next_life++);
+	}
+	ASSERT_EQ(105u, shared + 5);
+	crash_together(60, FINGERPRINT + 2);
+	crash_times(1, FINGERPRINT + 1);
+	EXPECT_EQ(SUSPECT_QUARANTINED, decide(FINGERPRINT).verdict);
+	EXPECT_EQ(SUSPECT_MAY_RUN, decide(FINGERPRINT + 1).verdict);
+}
+
+/* Guards against a full ring that nodes tell each other for ever. */
+TEST_F(UncountedCrashTest, MoreCrashesThanAreKeptAreNotToldForEver)
+{
+	crash_together(80);
+	uint32_t late = 0;
+	for (int i = 0; i < 200; i++) {
+		now_us += 400 * US_PER_MS;
+		const uint32_t sent = exchange_heartbeats();
+
+		late += i >= 100 ? sent : 0;
+	}
+	EXPECT_EQ(0u, late);
+}
+
+/*
+ * Guards against one node's misjudged power failure that quarantines a popular
+ * request at all.
+ */
+TEST_F(UncountedCrashTest, LateUpdatesOfAPowerFailureDontSpreadAQuarantine)
+{
+	struct suspect_update all[8];
+	const uint64_t ran_us = 20 * US_PER_MS;
+	const struct suspect_crash own = { 1, 0, now_us, ran_us };
+
+	/* The far node's three servers and one of this node's, at once. */
+	for (uint32_t incarnation = 2; incarnation <= 4; incarnation++) {
+		const struct suspect_crash one = { incarnation, 0, now_us,
+						   ran_us };
+
+		suspect_add_own_crash(peer_table, FINGERPRINT, backends, &one,
+				      "");
+	}
+	uint32_t count =
+		suspect_collect_broadcast(peer_table, OTHER, now_us, all, 8);
+	now_us += 55 * US_PER_MS;
+	suspect_add_own_crash(table, FINGERPRINT, backends, &own, "");
+	for (uint32_t i = 0; i < count; i++)
+		suspect_apply_update(table, &all[i], OTHER, backends, now_us);
+	EXPECT_EQ(SUSPECT_MAY_RUN, decide().verdict);
+	send_updates();
+	EXPECT_EQ(SUSPECT_MAY_RUN, peer_verdict());
+}
+
+/* Guards against a known cause's crash that passes for a chance crash. */
+TEST_F(UncountedCrashTest, CrashOfAFailedRetryIsNotUnrelated)
+{
+	crash_times(3);
+	now_us += SUSPECT_QUARANTINE_US + US_PER_S;
+	crash(next_life, FINGERPRINT);
+	now_us += 2 * SUSPECT_QUARANTINE_US + US_PER_S;
+	crash(++next_life, FINGERPRINT);
+	crash(next_life, FINGERPRINT + 1);
+	ASSERT_EQ(3u, suspect_table_find(table, FINGERPRINT)->rounds);
+	now_us += US_PER_S;
+	suspect_clear(table, FINGERPRINT + 1, now_us);
+	EXPECT_EQ(0u, table->unrelated_crash_us);
+}
+
+/* Guards against a chance crash that lifts an earlier quarantine. */
+TEST_F(UncountedCrashTest, ChanceCrashDoesNotLiftAnEarlierQuarantine)
+{
+	const uint32_t deadly[] = { 1, 2, 3 };
+	const uint32_t first[] = { 1, 4, 5 };
+	const uint32_t second[] = { 2, 6, 7 };
+
+	for (uint32_t incarnation = 1; incarnation <= 7; incarnation++) {
+		now_us += US_PER_S;
+		for (int i = 0; i < 3; i++) {
+			if (deadly[i] == incarnation)
+				crash(incarnation, FINGERPRINT);
+			if (first[i] == incarnation)
+				crash(incarnation, FINGERPRINT + 1);
+			if (second[i] == incarnation)
+				crash(incarnation, FINGERPRINT + 2);
+		}
+	}
+	ASSERT_EQ(SUSPECT_QUARANTINED, decide().verdict);
+	now_us += 100 * US_PER_S;
+	crash(50, FINGERPRINT + 9);
+	now_us += US_PER_S;
+	suspect_clear(table, FINGERPRINT + 9, now_us);
+	/* A run of the second that began before its quarantine. */
+	crash(51, FINGERPRINT + 2);
+	EXPECT_EQ(SUSPECT_QUARANTINED, decide().verdict);
+}
+
+/* Guards against a node that refuses a quarantine which its peers know. */
+TEST_F(UncountedCrashTest, ChanceCrashDoesNotHideAPeersQuarantine)
+{
+	const struct suspect_crash chance = { 50, 0, now_us + 8 * US_PER_S,
+					      US_PER_MS };
+	const uint32_t deadly[] = { 1, 2, 3 };
+	const uint32_t first[] = { 1, 4, 5 };
+	const uint32_t second[] = { 2, 6, 7 };
+
+	for (uint32_t incarnation = 1; incarnation <= 7; incarnation++) {
+		now_us += US_PER_S;
+		for (int i = 0; i < 3; i++) {
+			if (deadly[i] == incarnation)
+				crash(incarnation, FINGERPRINT);
+			if (first[i] == incarnation)
+				crash(incarnation, FINGERPRINT + 1);
+			if (second[i] == incarnation)
+				crash(incarnation, FINGERPRINT + 2);
+		}
+	}
+	ASSERT_EQ(SUSPECT_QUARANTINED, decide().verdict);
+	now_us += 2 * US_PER_S;
+	suspect_add_own_crash(peer_table, FINGERPRINT + 9, backends, &chance,
+			      "");
+	suspect_clear(peer_table, FINGERPRINT + 9, now_us);
+	for (int i = 0; i < 30; i++) {
+		now_us += 400 * US_PER_MS;
+		send_updates();
+	}
+	EXPECT_EQ(SUSPECT_QUARANTINED, peer_verdict());
+}
+
+/* Guards against a peer's bare claim that makes one power failure count. */
+TEST_F(UncountedCrashTest, PeersClaimDoesNotQuarantineForOnePowerFailure)
+{
+	struct suspect_update claim = {};
+
+	crash_together(4);
+	ASSERT_EQ(SUSPECT_MAY_RUN, decide().verdict);
+	claim.fingerprint = FINGERPRINT;
+	claim.rounds = 1;
+	claim.left_us = US_PER_S;
+	suspect_apply_update(table, &claim, OTHER, backends, now_us);
+	EXPECT_EQ(SUSPECT_MAY_RUN, decide().verdict);
+}
+
+/* Guards against a refused quarantine that changes which crashes count. */
+TEST_F(UncountedCrashTest, RefusedQuarantineLeavesTheEvidenceAsItWas)
+{
+	struct suspect_update claim = {};
+
+	now_us += US_PER_S;
+	for (uint32_t i = 0; i < 4; i++) {
+		crash(next_life, FINGERPRINT + 1);
+		crash(next_life++);
+	}
+	crash_times(2, FINGERPRINT + 1);
+	claim.fingerprint = FINGERPRINT;
+	claim.rounds = 1;
+	claim.left_us = US_PER_S;
+	suspect_apply_update(table, &claim, OTHER, backends, now_us);
+	ASSERT_EQ(SUSPECT_MAY_RUN, decide().verdict);
+	EXPECT_EQ(2u, suspect_table_find(table, FINGERPRINT)->evidence_crashes);
+	crash_times(1);
+	EXPECT_EQ(SUSPECT_MAY_RUN, decide().verdict);
+}
+
 } /* namespace */
