suspect_evidence: crashes in several domains at one moment are no single failure

Cause: of crashes that overlap two count, as one power failure may be their cause. Nodes that saw them as one moment went on to run the request; formerly a retry at once showed them a further crash.

Change: crashes in different failure domains count each. What is left is three in one domain. A region that fails whole may now have a request quarantined that ran at several of its domains and isn't answered elsewhere; such failures are in none of the rates that the design is held against (a domain every other month is).

SimultaneousCrashesInSeveralDomainsQuarantine fails before.

--- a/packages/core/suspect_evidence.c
+++ b/packages/core/suspect_evidence.c
@@ -628,9 +628,9 @@
 /* --- new crashes --------------------------------------------------------- */
 
 /*
- * Whether both may have one cause other than the request: they are
- * simultaneous, and the run at the later one had begun before the earlier
- * crash.
+ * Whether both may have one cause other than the request, such as a power
+ * failure: they are simultaneous and in one failure domain, and the run at the
+ * later one had begun before the earlier crash.
  */
 static bool may_share_cause(const struct suspect_crash *a,
 			    const struct suspect_crash *b)
@@ -638,6 +638,8 @@
 	const struct suspect_crash *first = a->at_us < b->at_us ? a : b;
 	const struct suspect_crash *last = first == a ? b : a;
 
+	if (a->domain && b->domain && a->domain != b->domain)
+		return false;
 	return last->at_us - first->at_us < SIMULTANEOUS_US &&
 	       last->at_us < first->at_us + last->ran_us;
 }
--- a/tests/core/suspect_table_test.cc
+++ b/tests/core/suspect_table_test.cc
@@ -138,6 +138,17 @@
 	EXPECT_EQ(SUSPECT_MAY_RUN, decide().verdict);
 }
 
+/* Guards against a deadly request at several domains that passes for one
+ * failure. */
+TEST_F(SuspectTest, SimultaneousCrashesInSeveralDomainsQuarantine)
+{
+	for (const char *domain : { "d1", "d2", "d3" }) {
+		now_us += 20 * US_PER_MS;
+		crash(add_backend(domain, domain)->incarnation);
+	}
+	EXPECT_EQ(SUSPECT_QUARANTINED, decide().verdict);
+}
+
 struct domain_case {
 	const char *name;
 	int servers; /* in the failure domain */
