--- a/tests/core/suspect_fleet_test.cc
+++ b/tests/core/suspect_fleet_test.cc
@@ -148,14 +148,24 @@
 };
 
 const found_case found_cases[] = {
-	{ "Eight", 48 },      { "Three", 18 },
-	{ "Three", 51 },      { "Others", 31 },
-	{ "Others", 84 },     { "Bunched", 25 },
-	{ "Three", 82 },      { "Three", 100 },
-	{ "OnlyOthers", 56 }, { "Others", 1765 },
-	{ "Others", 2221 },   { "TwoBesideOthers", 2879 },
-	{ "Bunched", 1766 },  { "ThreeBunched", 1356 },
+	{ "Eight", 48 },
+	{ "Three", 18 },
+	{ "Three", 51 },
+	{ "Others", 31 },
+	{ "Others", 84 },
+	{ "Bunched", 25 },
+	{ "Three", 82 },
+	{ "Three", 100 },
+	{ "OnlyOthers", 56 },
+	{ "Others", 1765 },
+	{ "Others", 2221 },
+	{ "TwoBesideOthers", 2879 },
+	{ "Bunched", 1766 },
+	{ "ThreeBunched", 1356 },
 	{ "Three", 11532 },
+	{ "Others", 900035 },
+	{ "ThreeBunched", 901259 },
+	{ "TwoBesideOthers", 900451 },
 };
 
 class FoundTest : public ::testing::TestWithParam<found_case>
