--- a/packages/core/suspect_table.h
+++ b/packages/core/suspect_table.h
@@ -9,9 +9,9 @@
  * runs only away from other suspects, at a server with few requests, and only
  * once its node's claim to run it has reached all nodes. An answer of a server
  * clears it. A request with SUSPECT_QUARANTINE_CRASHES crashes is quarantined,
- * unless another request that ran at the same servers explains them: no node
- * sends it until one node retries it after a long time, which doubles with each
- * further crash.
+ * unless another request that ran at the same servers explains them; where
+ * servers crash by themselves, it takes one crash more. No node sends it until
+ * one node retries it after a long time, which doubles with each further crash.
  *
  * A crash is identified by the server's incarnation and counts once, whichever
  * node reports it, so updates of other nodes may come twice, late or in any
