--- a/tests/core/suspect_fleet.h
+++ b/tests/core/suspect_fleet.h
@@ -543,8 +543,6 @@
 				update.from, backends_.get(), now_us));
 			store_quarantine(*nodes_[update.to],
 					 update.update.fingerprint);
-			if (suspect_has_broadcast(nodes_[update.to]->table))
-				schedule_broadcast(*nodes_[update.to]);
 		}
 	}
 
