emulator: nodes that lose all servers while callers stay; red

What callers saw: nodes cut off from all backend servers answered nearly each request with 503. Callers keep a connection to each node.

Ruled out: a relay that accepts and stays silent for connects that hang (the connect succeeds, another fault); refusing a node's connects at the server's side (the kernel has no way by source address).

--- a/Makefile
+++ b/Makefile
@@ -89,6 +89,10 @@
 	@seq $(SEED) $$(($(SEED) + $(ROUNDS) - 1)) | \
 		xargs -P 3 -I N tests/emulator/limited.sh $(BUILD) N
 
+# Nodes that lose the way to all servers, each manner and size.
+play-isolated: build
+	@JOBS=3 tests/emulator/isolated.sh $(BUILD) $(SEED)
+
 # Both users with ROUNDS seeds from SEED on, four at a time.
 play-soak: build
 	@seq $(SEED) $$(($(SEED) + $(ROUNDS) - 1)) | \
@@ -129,4 +133,4 @@
 .PHONY: all setup build format format-check lint test sanitize \
 	sanitize-thread check demo \
 	experiment capacity prove faults soak play play-deadly play-limited \
-	play-soak play-seeds clean
+	play-isolated play-soak play-seeds clean
--- a/tests/emulator/emulator.c
+++ b/tests/emulator/emulator.c
@@ -25,6 +25,8 @@
  * With --limited COUNT:RATE so many servers of the first service name a rate;
  * see limit_watch.h.
  *
+ * With --isolate nodes lose the way to all servers; see isolation.h.
+ *
  * With --deadly a caller brings one request so often a second to any node,
  * under which each server ends that runs it; another starts in its place.
  */
@@ -43,6 +45,7 @@
 #include "core/duration.h"
 #include "edge/link.h"
 #include "emulator/commands.h"
+#include "emulator/isolation.h"
 #include "emulator/limit_watch.h"
 #include "emulator/route_watch.h"
 #include "standins/app_stand.h"
@@ -125,7 +128,9 @@
 	uint32_t deadly_refused;
 	GArray *ends_us; /* of servers, in order */
 	struct limit_watch *limits; /* NULL: no server names a rate */
+	struct isolation *isolation; /* NULL: no node loses its servers */
 	uint32_t rate;
+	uint32_t closes_one_in; /* answers of servers; 0: none */
 	bool ending;
 };
 
@@ -304,6 +309,7 @@
 		.work_us = service->work_ms * US_PER_MS,
 		.warm_part = 0.4,
 		.objects = OBJECTS,
+		.closes_one_in = world->closes_one_in,
 	};
 
 	app->id = g_strdup_printf("i-%s-%s-%u", service->name, domain, number);
@@ -591,8 +597,11 @@
 {
 	struct world *world = timer->data;
 
-	if (!world->nodes->len)
+	if (!world->nodes->len) {
 		find_nodes(world);
+		if (world->isolation && world->nodes->len)
+			isolation_begin(world->isolation);
+	}
 	if (world->ending || !world->nodes->len)
 		return;
 	world->owed += world->rate / 100.0;
@@ -848,6 +857,7 @@
 	uint32_t answered = 0;
 	bool deadly = report_deadly(world);
 	bool over = world->limits && limit_watch_report(world->limits);
+	bool isolated = world->isolation && isolation_report(world->isolation);
 	guint i;
 
 	printf("| service | sent | answered | not run | unknown | p50 ms | p99 "
@@ -870,8 +880,8 @@
 	       "%u, false statuses %u\n",
 	       world->nodes->len, store_stand_calls(world->store), doubled,
 	       untrue, world->wrong, other);
-	return route_watch_report(world->watch) || deadly || over || doubled ||
-	       untrue || world->wrong || other || !answered;
+	return route_watch_report(world->watch) || deadly || over || isolated ||
+	       doubled || untrue || world->wrong || other || !answered;
 }
 
 static void on_end(uv_timer_t *timer)
@@ -881,6 +891,8 @@
 	if (!world->ending) {
 		world->ending = true;
 		route_watch_end(world->watch);
+		if (world->isolation)
+			isolation_end(world->isolation);
 		uv_timer_start(timer, on_end,
 			       CALL_DEADLINE_MS + 2 * KEPT_ANSWERS_MS, 0);
 		return;
@@ -948,6 +960,30 @@
 	return true;
 }
 
+static bool plan_isolation(struct world *world, const struct endpoint *store,
+			   const char *plan, const char *cuts)
+{
+	guint i;
+	guint j;
+
+	world->isolation =
+		isolation_new(&world->loop, world->store, store, plan, cuts);
+	if (!world->isolation)
+		return false;
+	for (i = 0; i < world->services->len; i++) {
+		const struct service *service = world->services->pdata[i];
+
+		isolation_add_service(world->isolation, service->name,
+				      service->once);
+		for (j = 0; j < service->apps->len; j++) {
+			const struct app *app = service->apps->pdata[j];
+
+			isolation_add_server(world->isolation, app->relay);
+		}
+	}
+	return true;
+}
+
 static int fail(const char *what)
 {
 	fprintf(stderr, "emulator: %s\n", what);
@@ -962,11 +998,14 @@
 	char **services = NULL;
 	char *fault = NULL;
 	char *limited = NULL;
+	char *isolate = NULL;
+	char *cuts = NULL;
 	int rate = 50;
 	int seconds = 20;
 	int seed = 1;
 	int commands = 0;
 	int deadly = 0;
+	int closes = 0;
 	const struct poptOption table[] = {
 		{ "store", 0, POPT_ARG_STRING, &store_text, 0,
 		  "address of the store", "ADDRESS:PORT" },
@@ -986,6 +1025,14 @@
 		{ "limited", 0, POPT_ARG_STRING, &limited, 0,
 		  "servers of the first service that name a rate",
 		  "COUNT:RATE" },
+		{ "closes", 0, POPT_ARG_INT, &closes, 0,
+		  "answers of servers, one in so many, end their connection",
+		  "N" },
+		{ "isolate", 0, POPT_ARG_STRING, &isolate, 0,
+		  "nodes that lose all servers: hang, reset or refuse",
+		  "MANNER:NODE,...@AT_S:FOR_S" },
+		{ "cuts", 0, POPT_ARG_STRING, &cuts, 0,
+		  "where node_with_cuts finds its cut", "FOLDER" },
 		{ "commands", 0, POPT_ARG_NONE, &commands, 0,
 		  "read commands from the standard input", NULL },
 		POPT_AUTOHELP POPT_TABLEEND
@@ -1004,6 +1051,7 @@
 	g_random_set_seed((guint32)seed);
 	uv_loop_init(&world.loop);
 	world.rate = (uint32_t)rate;
+	world.closes_one_in = (uint32_t)closes;
 	world.domains = g_strsplit(domains, ",", -1);
 	world.services = g_ptr_array_new();
 	world.refused = g_ptr_array_new();
@@ -1032,6 +1080,8 @@
 		begin_deadly(&world, (uint32_t)deadly);
 	if (limited && !begin_limited(&world, limited))
 		return fail(limited);
+	if (isolate && !plan_isolation(&world, &at, isolate, cuts))
+		return fail(isolate);
 	if (fault && !plan_fault(&world, fault))
 		return fail(fault);
 	put_config(&world);
--- /dev/null
+++ b/tests/emulator/isolated.sh
@@ -0,0 +1,65 @@
+#!/usr/bin/env bash
+# Plays nodes that lose the way to all backend servers for seconds, with callers
+# that stay on their connections; servers end one in six. Ends with 1 where these callers are served far
+# worse than the others', or other promises break.
+#
+#     isolated.sh BUILD_DIR SEED [CASE...]
+#
+# Without cases all are played, JOBS at a time. It ends only processes that it
+# started.
+set -Eeuo pipefail
+
+# Each case is a manner and the nodes; node 2k - 1 and 2k are the k-th domain's.
+declare -A sizes=(
+	[one]=n1
+	[two-domains]=n1,n5
+	[domain]=n1,n2
+	[all-but-one]=n1,n2,n3,n4,n5,n6,n7
+)
+manners="hang reset refuse"
+
+play_all() {
+	local manner size
+	for manner in $manners; do
+		for size in "${!sizes[@]}"; do echo "$manner-$size"; done
+	done | sort | xargs -P "${JOBS:-2}" -I CASE "$0" "$1" "$2" CASE
+}
+
+[ $# -gt 2 ] || { play_all "$@"; exit; }
+if [ $# -gt 3 ]; then
+	printf '%s\n' "${@:3}" | xargs -P "${JOBS:-2}" -I CASE "$0" "$1" "$2" CASE
+	exit
+fi
+
+build=$(cd "$1" && pwd)
+seed=$2
+case=$3
+nodes=${sizes[${case#*-}]:-}
+if [[ " $manners " != *" ${case%%-*} "* ]] || [ -z "$nodes" ]; then
+	echo "isolated.sh: unknown case $case" >&2
+	exit 2
+fi
+per_domain=2
+domains=central-1:central,central-2:central,sur-1:sur,altiplano-1:altiplano
+. "$(dirname "$0")/nodes.sh"
+
+start_node() { # NODE_NUMBER
+	LILACFIELD_SOURCE=$net.$1.1 LILACFIELD_CUT=$work/n$1.cut \
+		"$build/tests/emulator/node_with_cuts" \
+		--settings "$work/n$1.toml" >>"$work/n$1.log" 2>&1 &
+	pids[$1]=$!
+}
+
+# No server crashes, so none may be suspected to have crashed under a request.
+check() {
+	local count
+	count=$(cat "$work"/n*.log | grep -c event=crash-suspected) || true
+	echo "requests suspected of crashes: $count" >>"$work/report"
+	[ "$count" = 0 ]
+}
+
+start_emulator --service svc-historia:many:7:80:2 \
+	--service svc-certif:once:3:120:2 --rate 20 --seconds 16 --closes 6 \
+	--isolate "${case%%-*}:$nodes@3:8" --cuts "$work"
+start_nodes
+await_verdict ", $case"
--- a/tests/emulator/nodes.sh
+++ b/tests/emulator/nodes.sh
@@ -56,11 +56,13 @@
 	} 2>/dev/null
 }
 
-# The emulator's verdict, and what of the play to print above its report.
+# The emulator's verdict, or that of a function named check, and what of the play
+# to print above its report.
 await_verdict() { # TEXT
 	local verdict=0
 	wait $emulator_pid || verdict=$?
 	emulator_pid=
+	if declare -F check >/dev/null; then check || verdict=1; fi
 	echo "== seed $seed, $number nodes$1"
 	cat "$work/report"
 	exit $verdict
--- a/tests/standins/app_stand.c
+++ b/tests/standins/app_stand.c
@@ -71,6 +71,14 @@
 
 /* --- answers ------------------------------------------------------------ */
 
+static bool closes_now(const struct app_stand *app)
+{
+	guint32 one_in = app->settings.closes_one_in;
+
+	return app->draining ||
+	       (one_in && !g_random_int_range(0, (gint32)one_in));
+}
+
 static char *headers_for(const struct app_stand *app, const char *id,
 			 const char *more)
 {
@@ -80,7 +88,7 @@
 			       id, g_queue_get_length((GQueue *)&app->active),
 			       g_queue_get_length((GQueue *)&app->queue),
 			       app->settings.slots,
-			       app->draining ? "Connection: close\r\n" : "",
+			       closes_now(app) ? "Connection: close\r\n" : "",
 			       app->headers ? app->headers : "", more);
 }
 
--- a/tests/standins/app_stand.h
+++ b/tests/standins/app_stand.h
@@ -27,6 +27,7 @@
 	double warm_part; /* of it, where the object is */
 	uint32_t objects; /* that the cache holds */
 	uint32_t answer_bytes; /* shorter bodies are padded to this size */
+	uint32_t closes_one_in; /* answers end their connection; 0: none */
 };
 
 enum app_fault {
--- a/tests/standins/relay.c
+++ b/tests/standins/relay.c
@@ -1,7 +1,9 @@
 #include "standins/relay.h"
 
 #include <glib.h>
+#include <linux/filter.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "edge/wire.h"
 
@@ -34,6 +36,7 @@
 	uint32_t parcels; /* on their way */
 	bool closing;
 	bool stale; /* nothing passes any more */
+	bool silent; /* nothing passes for now */
 };
 
 struct relay {
@@ -422,6 +425,71 @@
 	relay_set(relay, RELAY_NARROW);
 }
 
+static bool comes_from(const struct pair *pair, const char *address)
+{
+	struct sockaddr_in from;
+	int length = sizeof(from);
+	char text[INET_ADDRSTRLEN];
+
+	return !uv_tcp_getpeername(&pair->caller.tcp, (struct sockaddr *)&from,
+				   &length) &&
+	       !uv_ip4_name(&from, text, sizeof(text)) &&
+	       !strcmp(text, address);
+}
+
+void relay_reset_caller(struct relay *relay, const char *address)
+{
+	GList *next;
+	GList *at;
+
+	for (at = relay->pairs.head; at; at = next) {
+		next = at->next;
+		if (comes_from(at->data, address))
+			close_pair(at->data, true);
+	}
+}
+
+/* The kernel drops what comes, acknowledgements too. */
+static void drop_packets(const struct pair *pair, bool drop)
+{
+	struct sock_filter none = BPF_STMT(BPF_RET | BPF_K, 0);
+	const struct sock_fprog program = { 1, &none };
+	uv_os_fd_t fd;
+
+	if (uv_fileno((const uv_handle_t *)&pair->caller.tcp, &fd))
+		return;
+	if (setsockopt(fd, SOL_SOCKET,
+		       drop ? SO_ATTACH_FILTER : SO_DETACH_FILTER, &program,
+		       sizeof(program)))
+		g_error("relay: packets can't be dropped");
+}
+
+static void silence_pair(struct pair *pair, bool silent)
+{
+	uv_stream_t *streams[] = { (uv_stream_t *)&pair->caller.tcp,
+				   (uv_stream_t *)&pair->target.tcp };
+	size_t i;
+
+	if (pair->closing || pair->silent == silent)
+		return;
+	pair->silent = silent;
+	drop_packets(pair, silent);
+	for (i = 0; i < G_N_ELEMENTS(streams); i++)
+		if (silent)
+			uv_read_stop(streams[i]);
+		else
+			uv_read_start(streams[i], wire_buffer, on_read);
+}
+
+void relay_silence_caller(struct relay *relay, const char *address, bool silent)
+{
+	GList *at;
+
+	for (at = relay->pairs.head; at; at = at->next)
+		if (comes_from(at->data, address))
+			silence_pair(at->data, silent);
+}
+
 uint32_t relay_connections(const struct relay *relay)
 {
 	return relay->pairs.length;
--- a/tests/standins/relay.h
+++ b/tests/standins/relay.h
@@ -49,6 +49,14 @@
  */
 void relay_narrow(struct relay *relay, uint64_t bytes_per_s);
 
+/*
+ * Open connections from this address are reset; or fall silent as on a link
+ * that loses all packets, until silent is false, and then go on.
+ */
+void relay_reset_caller(struct relay *relay, const char *address);
+void relay_silence_caller(struct relay *relay, const char *address,
+			  bool silent);
+
 /* Connections open through it. */
 uint32_t relay_connections(const struct relay *relay);
 
