--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -374,6 +374,7 @@
 	chooser_failed(&exchange->edge->chooser, &exchange->query,
 		       &exchange->choice);
 	if (outcome == SEND_UNREACHABLE) {
+		metric_add(exchange->edge->stats.unreachable, 1);
 		exchange->retry.unreachable++;
 		record_tried(exchange);
 		backend_unreachable(exchange->edge->backends,
@@ -384,11 +385,11 @@
 		exchange->unsettled--;
 	again = may_retry(exchange, outcome);
 	log_event(LOG_INFO, "send-failed",
-		  "request=%s backend=%s outcome=%s cause=%s sends=%u "
+		  "request=%s backend=%s outcome=%s cause=%s sends=%u kept=%u "
 		  "left_us=%" PRIu64 " again=%s",
 		  exchange->request_id, id, outcome_name(outcome), cause,
-		  exchange->retry.sends, exchange->retry.left_us,
-		  again ? "yes" : "no");
+		  exchange->retry.sends, exchange_conn_uses(exchange),
+		  exchange->retry.left_us, again ? "yes" : "no");
 	exchange_drop_conn(exchange);
 	exchange_release_choice(exchange);
 	exchange->connect_deadline_us = 0;
--- a/packages/edge/exchange_end.c
+++ b/packages/edge/exchange_end.c
@@ -115,9 +115,9 @@
 	g_byte_array_append(body, (const guint8 *)"\n", 1);
 	edge_record_refusal(edge, cause, status, exchange->request_id);
 	log_event(LOG_INFO, "own-answer",
-		  "request=%s status=%u cause=%s unsettled=%u %s",
+		  "request=%s status=%u cause=%s unsettled=%u kept=%u %s",
 		  exchange->request_id, status, cause, exchange->unsettled,
-		  routes_state);
+		  exchange_conn_uses(exchange), routes_state);
 	g_free(routes_state);
 	finish(exchange, &answer);
 	g_string_free(headers, TRUE);
--- a/packages/edge/exchange_internal.h
+++ b/packages/edge/exchange_internal.h
@@ -54,6 +54,12 @@
 	return now_us < exchange->due_us ? exchange->due_us - now_us : 0;
 }
 
+/* Requests answered on its connection before; 0 without one. */
+static inline uint32_t exchange_conn_uses(const struct exchange *exchange)
+{
+	return exchange->conn ? exchange->conn->uses : 0;
+}
+
 /*
  * exchange_release_choice() releases the chosen server, its token and the
  * record of a suspect's run. exchange_detach_conn() does so and forgets the
--- a/packages/edge/stats.h
+++ b/packages/edge/stats.h
@@ -24,6 +24,7 @@
 	struct metric *sent; /* requests sent to backend servers */
 	struct metric *extra; /* of these, beyond the first per request */
 	struct metric *connects; /* connections opened to backend servers */
+	struct metric *unreachable; /* of these, failed or timed out */
 	struct metric *not_executed; /* answers that say "not run" */
 	struct metric *strays; /* answers of other requests, dropped */
 	struct metric *updates_rejected; /* invalid ones received from peers */
