--- a/packages/core/backend_table.c
+++ b/packages/core/backend_table.c
@@ -526,12 +526,33 @@
 void backend_unreachable(struct backend_table *table, struct backend *backend,
 			 uint64_t now_us)
 {
-	table->last_loss_us = now_us;
+	table->last_unreachable_us = now_us;
 	backend->unreachable_us = now_us;
 	backend_failed(backend, now_us);
 	shun(backend, now_us);
 }
 
+void backend_table_forget_unreachable(struct backend_table *table,
+				      uint64_t since_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (table->last_unreachable_us >= since_us)
+		table->last_unreachable_us = 0;
+	g_hash_table_iter_init(&iter, table->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct backend *backend = value;
+
+		if (!backend->unreachable_us ||
+		    backend->unreachable_us < since_us)
+			continue;
+		backend->unreachable_us = 0;
+		backend->shun_until_us = 0;
+		backend->shun_step_us = 0;
+	}
+}
+
 uint32_t backend_cold_sends(const struct backend *backend, uint64_t now_us)
 {
 	uint32_t sends = 0;
--- a/packages/core/backend_table.h
+++ b/packages/core/backend_table.h
@@ -110,8 +110,9 @@
 	GHashTable *removed; /* id -> struct removed_row */
 	bool loaded; /* the list was read completely at least once */
 	GPtrArray *changes; /* see backend_table_take_changes() */
-	/* Last removal, drain, failed connection or evacuation change. */
+	/* Last removal, drain or evacuation change. */
 	uint64_t last_loss_us;
+	uint64_t last_unreachable_us; /* last failed connection */
 };
 
 /* Kept of a backend server after its removal. */
@@ -248,6 +249,13 @@
 void backend_unreachable(struct backend_table *table, struct backend *backend,
 			 uint64_t now_us);
 
+/*
+ * Drops what failed connections since then have taught, since it was this node
+ * that lost its way: servers aren't backed off from.
+ */
+void backend_table_forget_unreachable(struct backend_table *table,
+				      uint64_t since_us);
+
 /*
  * Number of requests that this node sent to it in the last second while it was
  * cold; at most COLD_LOG_SIZE.
--- a/packages/core/candidate.c
+++ b/packages/core/candidate.c
@@ -58,16 +58,6 @@
 /* Cost of each request at a server for a suspect that needs isolation. */
 #define COLOCATION_COST 1.0
 
-static bool region_allowed(const struct route *route, const char *region)
-{
-	guint i;
-
-	for (i = 0; i < route->regions->len; i++)
-		if (!strcmp(route->regions->pdata[i], region))
-			return true;
-	return !route->regions->len;
-}
-
 static bool was_tried(const struct choose_query *query,
 		      const struct backend *backend)
 {
@@ -121,7 +111,7 @@
 		return CHOOSE_SHUNNED;
 	if (was_tried(query, backend))
 		return CHOOSE_TRIED;
-	if (!region_allowed(query->route, backend->region))
+	if (!route_allows_region(query->route, backend->region))
 		return CHOOSE_FORBIDDEN;
 	if (!cold_allows(chooser, query->service, backend, now_us))
 		return CHOOSE_COLD;
--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -181,7 +181,9 @@
 
 static bool lost_server_lately(const struct chooser *chooser, uint64_t now_us)
 {
-	uint64_t lost_us = chooser->backends->last_loss_us;
+	const struct backend_table *backends = chooser->backends;
+	uint64_t lost_us =
+		MAX(backends->last_loss_us, backends->last_unreachable_us);
 
 	return lost_us && now_us - lost_us < FREE_AFTER_LOSS_US;
 }
--- a/packages/core/member_table.c
+++ b/packages/core/member_table.c
@@ -114,8 +114,8 @@
 }
 
 static uint32_t collect(const struct member_table *table, const char *region,
-			uint64_t now_us, const struct member **entries,
-			uint32_t max)
+			bool isolated, uint64_t now_us,
+			const struct member **entries, uint32_t max)
 {
 	GHashTableIter iter;
 	uint32_t count = 0;
@@ -125,7 +125,7 @@
 	while (count < max && g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct member *member = value;
 
-		if (!member->front.port ||
+		if (!member->front.port || member->isolated != isolated ||
 		    !member_serves(table, member, now_us))
 			continue;
 		if (!region || !strcmp(member->region, region))
@@ -138,9 +138,20 @@
 			      const char *region, uint64_t now_us,
 			      const struct member **entries, uint32_t max)
 {
-	uint32_t count = collect(table, region, now_us, entries, max);
+	const struct {
+		const char *region;
+		bool isolated;
+	} choices[] = { { region, false },
+			{ NULL, false },
+			{ region, true },
+			{ NULL, true } };
+	uint32_t count = 0;
+	size_t i;
 
-	return count ? count : collect(table, NULL, now_us, entries, max);
+	for (i = 0; i < G_N_ELEMENTS(choices) && !count; i++)
+		count = collect(table, choices[i].region, choices[i].isolated,
+				now_us, entries, max);
+	return count;
 }
 
 static bool is_near(const struct member_table *table,
--- a/packages/core/route_table.c
+++ b/packages/core/route_table.c
@@ -252,3 +252,13 @@
 	best->credit -= total;
 	return best->service;
 }
+
+bool route_allows_region(const struct route *route, const char *region)
+{
+	guint i;
+
+	for (i = 0; i < route->regions->len; i++)
+		if (!strcmp(route->regions->pdata[i], region))
+			return true;
+	return !route->regions->len;
+}
--- a/packages/core/route_table.h
+++ b/packages/core/route_table.h
@@ -93,6 +93,9 @@
 struct route *route_table_find(const struct route_table *table,
 			       const char *host, const char *path);
 
+/* Whether the route's requests may be sent to the region. */
+bool route_allows_region(const struct route *route, const char *region);
+
 /* Find a service by name; NULL if there is none. */
 const struct service *route_table_service(const struct route_table *table,
 					  const char *name);
--- a/tests/core/edge_core_test.cc
+++ b/tests/core/edge_core_test.cc
@@ -387,6 +387,24 @@
 	EXPECT_EQ(1u, entries("r1")) << "b is leaving";
 }
 
+/* Look-ups named nodes without a way to any server. */
+TEST_F(MemberTableTest, IsolatedNodesAreNamedOnlyIfThereIsNoOther)
+{
+	struct member *b = member_table_find(table, "b");
+	struct member *c = member_table_find(table, "c");
+
+	for (struct member *member : { b, c })
+		member_note_heartbeat(member, 1, false, now_us);
+	ASSERT_EQ(2u, entries("r1"));
+	b->isolated = true;
+	EXPECT_EQ(1u, entries("r1"));
+	table->self->isolated = true;
+	EXPECT_EQ(1u, entries("r1")) << "another region's";
+	c->isolated = true;
+	EXPECT_EQ(2u, entries("r1")) << "all are isolated: the region's";
+	EXPECT_EQ(3u, entries("r9"));
+}
+
 TEST_F(MemberTableTest, CallersOfARegionWithoutNodesGetAllNodes)
 {
 	EXPECT_EQ(1u, entries("r9"));
