hops: a node that reaches no server hands its callers' requests to peers

Cause: a node was the only way from its callers to the servers.

reach_watch feeds core/reach by requests and probes; while the node is isolated an exchange goes to a peer over HTTP at its peer address, on connections of the pool. The peer runs it like a caller's request, by its own tables, limits and claims, and never hands it on. Hop-Sends takes the attempts along, the deadline what is left; each answer says the peer's room, and whether the request has run. Broken hops: non-idempotent 504 and no second try, idempotent one more within max_attempts and the budget. Kept connections to servers are used on while answers come on them (refuse). Heartbeats (version 8) carry isolation.

Ruled out: not ready while isolated (readiness is asked by others, for other ends); a second hop; claims and slots decided by the node that lost its way; a port of its own for hops (rows and settings of all nodes would change).

--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -8,6 +8,7 @@
 #include "core/duration.h"
 #include "core/result.h"
 #include "edge/exchange.h"
+#include "edge/hops.h"
 #include "edge/local.h"
 #include "edge/sync.h"
 #include "edge/wire.h"
@@ -313,6 +314,22 @@
 	return !count || (count < 0 && errno == ECONNRESET);
 }
 
+static bool is_node(const struct caller *caller)
+{
+	char address[INET_ADDRSTRLEN];
+
+	caller->sink.vtable->address((struct exchange_sink *)&caller->sink,
+				     address, sizeof(address));
+	return hops_is_node(caller->edge, address);
+}
+
+/* Whether it is a request of another node's caller. */
+static bool is_hop(const struct caller *caller, const struct message *request)
+{
+	return caller->kind == LISTENER_PEERS &&
+	       message_header(request, HOP_SENDS);
+}
+
 static void log_caller_left(struct caller *caller,
 			    const struct message *request)
 {
@@ -332,11 +349,16 @@
 	message_reader_next(&caller->reader, false);
 	caller->is_head = request->method == HTTP_HEAD;
 	caller->keep_alive = request->keep_alive;
-	if (caller->kind != LISTENER_FRONT) {
+	if (caller->kind != LISTENER_FRONT && !is_hop(caller, request)) {
 		answer_locally(caller, request);
 		message_free(request);
 		return;
 	}
+	if (caller->kind != LISTENER_FRONT && !is_node(caller)) {
+		message_free(request);
+		reject(caller, 403, "only nodes may hand requests over");
+		return;
+	}
 	if (message_count_headers(request, "Host") != 1) {
 		message_free(request);
 		reject(caller, 400, "one Host header is needed");
@@ -348,7 +370,8 @@
 		caller_close(caller);
 		return;
 	}
-	caller->exchange = exchange_start(caller->edge, &caller->sink, request);
+	caller->exchange = exchange_start(caller->edge, &caller->sink, request,
+					  caller->kind == LISTENER_PEERS);
 }
 
 static void offer_continue(struct caller *caller)
@@ -362,6 +385,21 @@
 		   g_string_new("HTTP/1.1 100 Continue\r\n\r\n"), NULL, NULL);
 }
 
+/* A peer has held a request that it hands over to its own limits. */
+static void set_limits(struct caller *caller)
+{
+	const struct route_limits *current = limits(caller->edge);
+	bool is_peer = caller->kind == LISTENER_PEERS;
+
+	caller->reader.limits.head_bytes =
+		is_peer ?
+			REQUEST_HEAD_MAX_BYTES :
+			MIN(current->max_header_bytes, REQUEST_HEAD_MAX_BYTES);
+	caller->reader.limits.body_bytes =
+		is_peer ? REQUEST_BODY_MAX_BYTES :
+			  MIN(current->max_body_bytes, REQUEST_BODY_MAX_BYTES);
+}
+
 static void feed_reader(struct caller *caller, const char *bytes, size_t length)
 {
 	size_t used = 0;
@@ -375,12 +413,7 @@
 		}
 		if (!caller->head_since_us)
 			caller->head_since_us = edge_now_us(caller->edge);
-		caller->reader.limits.head_bytes =
-			MIN(limits(caller->edge)->max_header_bytes,
-			    REQUEST_HEAD_MAX_BYTES);
-		caller->reader.limits.body_bytes =
-			MIN(limits(caller->edge)->max_body_bytes,
-			    REQUEST_BODY_MAX_BYTES);
+		set_limits(caller);
 		switch (message_reader_feed(&caller->reader, bytes, length,
 					    &used)) {
 		case MESSAGE_COMPLETE:
@@ -564,6 +597,12 @@
 	}
 }
 
+/* Peers hand requests over on the connections on which they ask for tables. */
+static bool takes_requests(const struct caller *caller)
+{
+	return caller->kind == LISTENER_FRONT || caller->kind == LISTENER_PEERS;
+}
+
 void callers_close_idle(struct edge *edge)
 {
 	GList *next;
@@ -573,7 +612,7 @@
 		struct caller *caller = at->data;
 
 		next = at->next;
-		if (caller->kind == LISTENER_FRONT && !caller->exchange &&
+		if (takes_requests(caller) && !caller->exchange &&
 		    !caller->head_since_us && !caller->closing &&
 		    !caller->lingering)
 			caller_linger(caller);
@@ -593,7 +632,7 @@
 		const struct caller *caller = at->data;
 		const uv_stream_t *stream = (const uv_stream_t *)&caller->tcp;
 
-		if (caller->kind == LISTENER_FRONT && !caller->closing &&
+		if (takes_requests(caller) && !caller->closing &&
 		    uv_stream_get_write_queue_size(stream))
 			return true;
 	}
--- a/packages/edge/caller.h
+++ b/packages/edge/caller.h
@@ -2,10 +2,10 @@
  * caller - an incoming HTTP/1.1 connection
  *
  * Requests are read completely, one after another. On the front listener each
- * starts an exchange; requests on the other listeners are answered by the node
- * (edge/local). A caller that disconnects cancels its exchange at once. After
- * the last answer the connection lingers before it is closed: bytes still
- * arriving would otherwise reset it and lose the answer.
+ * starts an exchange, as do requests that peers hand over (edge/hops); others
+ * are answered by the node (edge/local). A caller that disconnects cancels its
+ * exchange at once. After the last answer the connection lingers before it is
+ * closed: bytes still arriving would otherwise reset it and lose the answer.
  */
 #ifndef EDGE_CALLER_H
 #define EDGE_CALLER_H
@@ -43,7 +43,7 @@
  */
 void callers_sweep(struct edge *edge);
 
-/* Closes the front listener's idle connections, with lingering. */
+/* Closes idle connections of callers and peers, with lingering. */
 void callers_close_idle(struct edge *edge);
 
 /*
--- a/packages/edge/edge.c
+++ b/packages/edge/edge.c
@@ -1,5 +1,7 @@
 #include "edge/edge.h"
 
+#include "edge/hops.h"
+
 #include <http_parser.h>
 #include <string.h>
 
@@ -54,11 +56,13 @@
 					       refusal_free);
 	pool_init(&edge->pool, loop, clock, &answers, MAX_IDLE);
 	g_queue_init(&edge->callers);
+	edge->hops = hops_new(edge);
 }
 
 void edge_release(struct edge *edge)
 {
 	pool_release(&edge->pool);
+	hops_free(edge->hops);
 	chooser_release(&edge->chooser);
 	warmth_release(&edge->warmth);
 	suspect_table_free(edge->suspects);
--- a/packages/edge/edge.h
+++ b/packages/edge/edge.h
@@ -33,7 +33,9 @@
 
 struct crash_watch;
 struct gossip;
+struct hops;
 struct quarantine_store;
+struct reach_watch;
 struct sync;
 
 /*
@@ -73,6 +75,8 @@
 	struct gossip *gossip; /* exchanges heartbeats; NULL: off */
 	struct crash_watch *crashes; /* NULL: crashes aren't detected */
 	struct quarantine_store *quarantines; /* NULL: not stored */
+	struct reach_watch *reach; /* NULL: never counts as isolated */
+	struct hops *hops; /* requests handed to peers */
 	struct stats stats;
 
 	uint64_t began_us; /* when the process started */
@@ -81,6 +85,7 @@
 	bool stopping;
 	uint64_t stopping_us; /* when the stop began */
 	uint32_t exchanges; /* requests in flight */
+	uint32_t hops_taken; /* of these, handed over by other nodes */
 	GQueue callers; /* of struct caller, connections that are open */
 	uint64_t last_sweep_us; /* last check of their timeouts */
 	uint64_t stale_until_us; /* data read until then may be stale */
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -9,6 +9,7 @@
 #include "core/hash.h"
 #include "edge/crash_watch.h"
 #include "edge/quarantine_store.h"
+#include "edge/reach_watch.h"
 #include "edge/server_limits.h"
 #include "edge/sync.h"
 
@@ -37,12 +38,6 @@
 /* Answers to other requests that are skipped on one connection. */
 #define MAX_STRAYS 3
 
-/*
- * Retry-After of refusals: by then a starting node may be ready, or another
- * backend server may answer.
- */
-#define RETRY_AFTER_US (500 * US_PER_MS)
-
 /*
  * How often a request is held for a token of a server's rate, and for how long
  * each time, beyond the round trip.
@@ -50,13 +45,11 @@
 #define MAX_TOKEN_HOLDS 3
 #define TOKEN_HOLD_US (4 * US_PER_MS)
 
-static void dispatch(struct exchange *exchange);
-
 /* --- time --------------------------------------------------------------- */
 
 static void on_timer(uv_timer_t *timer);
 
-static void arm_timer(struct exchange *exchange)
+void exchange_arm_timer(struct exchange *exchange)
 {
 	uint64_t now = exchange_now_us(exchange);
 	uint64_t at = exchange->due_us;
@@ -73,36 +66,47 @@
 
 /* --- sending ------------------------------------------------------------ */
 
-static const char *const *replaced_headers(const struct dialect *dialect)
+static const char *const *replaced_headers(const struct exchange *exchange)
 {
-	static const char *names[3];
+	static const char *names[4];
 
-	names[0] = dialect->deadline_ms;
-	names[1] = dialect->expect_instance;
+	names[0] = exchange->edge->dialect->deadline_ms;
+	names[1] = exchange->edge->dialect->expect_instance;
+	names[2] = exchange->is_hop ? HOP_SENDS : NULL;
 	return names;
 }
 
-static GString *format_request(const struct exchange *exchange)
+void exchange_format(const struct exchange *exchange,
+		     const char *const *replaced, const char *more,
+		     GString *text)
 {
 	const struct message *request = exchange->request;
-	const struct dialect *dialect = exchange->edge->dialect;
-	GString *text = g_string_sized_new(512 + request->body->len);
 
 	g_string_append_printf(text, "%s %s HTTP/1.1\r\n",
 			       http_method_str(request->method),
 			       request->target->str);
-	message_copy_headers(request, replaced_headers(dialect), text);
+	message_copy_headers(request, replaced, text);
 	g_string_append_printf(
-		text, "%s: %" PRIu64 "\r\n", dialect->deadline_ms,
-		(uint64_t)(exchange_left_us(exchange) / US_PER_MS));
-	g_string_append_printf(text, "%s: %s\r\n", dialect->expect_instance,
-			       exchange->choice.backend->id);
+		text, "%s: %" PRIu64 "\r\n%s",
+		exchange->edge->dialect->deadline_ms,
+		(uint64_t)(exchange_left_us(exchange) / US_PER_MS), more);
 	if (request->body->len || request->has_length)
 		g_string_append_printf(text, "Content-Length: %u\r\n",
 				       request->body->len);
 	g_string_append(text, "\r\n");
 	g_string_append_len(text, (const char *)request->body->data,
 			    request->body->len);
+}
+
+static GString *format_request(const struct exchange *exchange)
+{
+	const struct dialect *dialect = exchange->edge->dialect;
+	GString *text = g_string_sized_new(512 + exchange->request->body->len);
+	char *expected = g_strdup_printf("%s: %s\r\n", dialect->expect_instance,
+					 exchange->choice.backend->id);
+
+	exchange_format(exchange, replaced_headers(exchange), expected, text);
+	g_free(expected);
 	return text;
 }
 
@@ -141,7 +145,7 @@
 		  backend_load(exchange->choice.backend, exchange->sent_us),
 		  exchange->choice.backend->slots, conn->uses,
 		  exchange_left_us(exchange));
-	arm_timer(exchange);
+	exchange_arm_timer(exchange);
 	link_send(&conn->link, format_request(exchange),
 		  exchange->request->method == HTTP_HEAD);
 }
@@ -149,19 +153,40 @@
 static void after_failure(struct exchange *exchange, enum send_outcome outcome,
 			  const char *cause);
 
+uint64_t exchange_connect_timeout_us(const struct exchange *exchange,
+				     const char *region)
+{
+	return CONNECT_EXTRA_US +
+	       CONNECT_ROUND_TRIPS *
+		       chooser_link_us(&exchange->edge->chooser, region);
+}
+
+uint64_t exchange_max_idle_us(const struct exchange *exchange)
+{
+	return exchange->retry.idempotent ? IDLE_IDEMPOTENT_US :
+					    IDLE_NON_IDEMPOTENT_US;
+}
+
+static const struct conn_user_vtable conn_events;
+
 static void send_or_connect(struct exchange *exchange)
 {
-	uint64_t idle_us = exchange->retry.idempotent ? IDLE_IDEMPOTENT_US :
-							IDLE_NON_IDEMPOTENT_US;
 	struct edge *edge = exchange->edge;
 	struct backend *backend = exchange->choice.backend;
 
-	exchange->conn =
-		pool_take(&edge->pool, backend, idle_us, &exchange->user);
+	exchange->user.vtable = &conn_events;
+	exchange->conn = pool_take(&edge->pool, backend,
+				   exchange_max_idle_us(exchange),
+				   &exchange->user);
 	if (exchange->conn) {
 		send_request(exchange);
 		return;
 	}
+	if (exchange_must_hop(exchange)) {
+		exchange_release_choice(exchange);
+		exchange_hop(exchange);
+		return;
+	}
 	metric_add(edge->stats.connects, 1);
 	exchange->conn = pool_connect(&edge->pool, backend, &exchange->user);
 	if (!exchange->conn) {
@@ -170,10 +195,9 @@
 	}
 	exchange->connect_rechecked = false;
 	exchange->connect_deadline_us =
-		exchange_now_us(exchange) + CONNECT_EXTRA_US +
-		CONNECT_ROUND_TRIPS *
-			chooser_link_us(&edge->chooser, backend->region);
-	arm_timer(exchange);
+		exchange_now_us(exchange) +
+		exchange_connect_timeout_us(exchange, backend->region);
+	exchange_arm_timer(exchange);
 }
 
 /*
@@ -201,25 +225,31 @@
 	message_free(failed_answer);
 }
 
-/* No server can take the request: an earlier failed answer, or a refusal. */
-static void finish_unserved(struct exchange *exchange, const char *cause)
+void exchange_finish_unserved(struct exchange *exchange,
+			      uint64_t retry_after_us, const char *cause)
 {
 	struct message *failed_answer = exchange->failed_answer;
 
 	if (!failed_answer) {
-		exchange_finish_refused(exchange,
-					exchange->choice.retry_after_us, cause);
+		exchange_finish_refused(exchange, retry_after_us, cause);
 		return;
 	}
 	exchange->failed_answer = NULL;
 	deliver_failure(exchange, failed_answer);
 }
 
+/* No server can take the request. */
+static void finish_unserved(struct exchange *exchange, const char *cause)
+{
+	exchange_finish_unserved(exchange, exchange->choice.retry_after_us,
+				 cause);
+}
+
 /* Chooses a server again after hold_us. */
 static void hold_for(struct exchange *exchange, uint64_t hold_us)
 {
 	exchange->held_until_us = exchange_now_us(exchange) + hold_us;
-	arm_timer(exchange);
+	exchange_arm_timer(exchange);
 }
 
 /* Round trip to the nodes that hold quotas of the server's rate. */
@@ -279,11 +309,15 @@
 	hold_for(exchange, exchange->choice.hold_us);
 }
 
-static void dispatch(struct exchange *exchange)
+void exchange_dispatch(struct exchange *exchange)
 {
 	struct edge *edge = exchange->edge;
 	const char *cause;
 
+	if (exchange_must_hop(exchange) && !reach_watch_may_use_kept(edge)) {
+		exchange_hop(exchange);
+		return;
+	}
 	switch (exchange_may_run(exchange, &cause)) {
 	case EXCHANGE_WAIT:
 		hold_for(exchange, exchange->choice.hold_us);
@@ -306,7 +340,12 @@
 		return;
 	}
 	if (!exchange->choice.backend) {
-		finish_unserved(exchange,
+		if (exchange->choice.reason == CHOOSE_NONE_USABLE &&
+		    exchange_must_hop(exchange))
+			exchange_hop(exchange);
+		else
+			finish_unserved(
+				exchange,
 				choose_reason_name(exchange->choice.reason));
 		return;
 	}
@@ -342,6 +381,8 @@
 static bool may_retry(struct exchange *exchange, enum send_outcome outcome)
 {
 	exchange->retry.left_us = exchange_left_us(exchange);
+	if (outcome == SEND_UNREACHABLE && exchange_must_hop(exchange))
+		return exchange->retry.left_us > 0;
 	switch (retry_decide(&exchange->retry, outcome)) {
 	case RETRY_FREE:
 		return true;
@@ -362,7 +403,8 @@
 	else if (outcome == SEND_BROKEN)
 		exchange_finish_failed(exchange, 502, cause);
 	else
-		exchange_finish_refused(exchange, RETRY_AFTER_US, cause);
+		exchange_finish_refused(exchange, EXCHANGE_RETRY_AFTER_US,
+					cause);
 }
 
 static void after_failure(struct exchange *exchange, enum send_outcome outcome,
@@ -380,6 +422,7 @@
 		backend_unreachable(exchange->edge->backends,
 				    exchange->choice.backend,
 				    exchange_now_us(exchange));
+		reach_watch_failed(exchange->edge, exchange->choice.backend);
 	}
 	if (outcome == SEND_NOT_EXECUTED)
 		exchange->unsettled--;
@@ -398,7 +441,7 @@
 	else if (outcome == SEND_BROKEN)
 		hold_for(exchange, CRASH_WATCH_CHECK_US);
 	else
-		dispatch(exchange);
+		exchange_dispatch(exchange);
 }
 
 /*
@@ -412,6 +455,7 @@
 	if (!exchange->sent_us)
 		return;
 	backend_failed(backend, exchange_now_us(exchange));
+	reach_watch_timed_out(exchange->edge, exchange->sent_us);
 	if (exchange->conn->uses)
 		pool_drop_idle_of(&exchange->edge->pool, backend);
 }
@@ -424,13 +468,17 @@
 static void on_connect_timeout(struct exchange *exchange)
 {
 	if (exchange->connect_rechecked) {
-		after_failure(exchange, SEND_UNREACHABLE, "connect timeout");
+		if (exchange->peer)
+			exchange_hop_unreachable(exchange, "connect timeout");
+		else
+			after_failure(exchange, SEND_UNREACHABLE,
+				      "connect timeout");
 		return;
 	}
 	exchange->connect_rechecked = true;
 	exchange->connect_deadline_us =
 		exchange_now_us(exchange) + CONNECT_RECHECK_US;
-	arm_timer(exchange);
+	exchange_arm_timer(exchange);
 }
 
 /*
@@ -441,7 +489,7 @@
 static void begin_grace(struct exchange *exchange)
 {
 	exchange->grace_until_us = exchange_now_us(exchange) + ANSWER_GRACE_US;
-	arm_timer(exchange);
+	exchange_arm_timer(exchange);
 }
 
 static void on_timer(uv_timer_t *timer)
@@ -454,16 +502,19 @@
 	} else if (exchange_left_us(exchange) && exchange->held_until_us &&
 		   exchange_now_us(exchange) >= exchange->held_until_us) {
 		exchange->held_until_us = 0;
-		dispatch(exchange);
+		exchange_dispatch(exchange);
 	} else if (exchange_left_us(exchange)) {
-		arm_timer(exchange);
+		exchange_arm_timer(exchange);
 	} else if (exchange->sent_us && !exchange->grace_until_us) {
 		begin_grace(exchange);
+	} else if (exchange->peer) {
+		exchange_hop_timed_out(exchange);
 	} else if (exchange->unsettled) {
 		record_timeout(exchange);
 		exchange_finish_failed(exchange, 504, "timeout");
 	} else {
-		exchange_finish_refused(exchange, RETRY_AFTER_US, "timeout");
+		exchange_finish_refused(exchange, EXCHANGE_RETRY_AFTER_US,
+					"timeout");
 	}
 }
 
@@ -540,7 +591,7 @@
 	if (again) {
 		message_free(exchange->failed_answer);
 		exchange->failed_answer = answer;
-		dispatch(exchange);
+		exchange_dispatch(exchange);
 		return;
 	}
 	deliver_failure(exchange, answer);
@@ -557,6 +608,7 @@
 			       struct message *answer)
 {
 	record_load(exchange, answer);
+	reach_watch_answered(exchange->edge);
 	log_event(LOG_DEBUG, "backend-answer",
 		  "request=%s backend=%s status=%u body_bytes=%u framed=%s "
 		  "took_us=%" PRIu64,
@@ -652,6 +704,7 @@
 	 * A connect time that includes a pause of the VM isn't the link's
 	 * latency: the region would be too far for most deadlines.
 	 */
+	reach_watch_accepted(edge, conn->backend);
 	if (!exchange->connect_rechecked)
 		chooser_link_measured(&edge->chooser, conn->backend->region,
 				      exchange_now_us(exchange) -
@@ -662,7 +715,7 @@
 		exchange_drop_conn(exchange);
 		exchange_release_choice(exchange);
 		exchange->connect_deadline_us = 0;
-		dispatch(exchange);
+		exchange_dispatch(exchange);
 		return;
 	}
 	send_request(exchange);
@@ -705,6 +758,7 @@
 	if (!route)
 		return false;
 	exchange->query.route = route;
+	exchange->hops.route = route;
 	exchange->query.service = route_table_service(
 		exchange->routes, route_next_service(route));
 	exchange->retry.idempotent = route->idempotent;
@@ -743,10 +797,33 @@
 	if (sync_may_deny(exchange->edge->sync))
 		exchange_finish_denied(exchange, 404, "no route");
 	else
-		exchange_finish_refused(exchange, RETRY_AFTER_US,
+		exchange_finish_refused(exchange, EXCHANGE_RETRY_AFTER_US,
 					"routes unconfirmed");
 }
 
+/* The first node has counted the request for the budget. */
+static void begin_hop(struct exchange *exchange)
+{
+	const char *sends = message_header(exchange->request, HOP_SENDS);
+
+	exchange->retry.sends = (uint32_t)g_ascii_strtoull(sends, NULL, 10);
+	if (reach_watch_is_isolated(exchange->edge)) {
+		exchange->not_run = HOP_NOT_RUN_PEER;
+		exchange_finish_refused(exchange, EXCHANGE_RETRY_AFTER_US,
+					"isolated");
+	} else if (exchange->edge->hops_taken > HOPS_MAX_TAKEN) {
+		exchange->not_run = HOP_NOT_RUN_PEER;
+		exchange_finish_refused(exchange, EXCHANGE_RETRY_AFTER_US,
+					"too many hops");
+	} else if (exchange->retry.sends >= exchange->retry.max_attempts) {
+		exchange_finish_refused(exchange, EXCHANGE_RETRY_AFTER_US,
+					"no attempt left");
+	} else {
+		metric_add(exchange->edge->stats.hops_taken, 1);
+		exchange_dispatch(exchange);
+	}
+}
+
 static void begin(struct exchange *exchange)
 {
 	struct edge *edge = exchange->edge;
@@ -754,29 +831,33 @@
 	if (!edge->routes || !edge->backends->loaded ||
 	    (edge->quarantines &&
 	     quarantine_store_is_reading(edge->quarantines))) {
-		exchange_finish_refused(exchange, RETRY_AFTER_US, "starting");
+		exchange->not_run = HOP_NOT_RUN_PEER;
+		exchange_finish_refused(exchange, EXCHANGE_RETRY_AFTER_US,
+					"starting");
 	} else if (!message_header(exchange->request,
 				   edge->dialect->attempt_id)) {
 		exchange_finish_denied(exchange, 400, "the request has no id");
 	} else if (!find_route(exchange)) {
 		finish_without_route(exchange);
+	} else if (exchange->is_hop) {
+		read_headers(exchange);
+		begin_hop(exchange);
 	} else {
 		read_headers(exchange);
 		extra_budget_record_first(
 			edge_budget(edge, exchange->query.service->name),
 			&edge->settings.extra_requests,
 			exchange_now_us(exchange));
-		dispatch(exchange);
+		exchange_dispatch(exchange);
 	}
 }
 
 struct exchange *exchange_start(struct edge *edge, struct exchange_sink *sink,
-				struct message *request)
+				struct message *request, bool is_hop)
 {
 	struct exchange *exchange = g_new0(struct exchange, 1);
 	const char *id = message_header(request, edge->dialect->attempt_id);
 
-	exchange->user.vtable = &conn_events;
 	exchange->edge = edge;
 	exchange->sink = sink;
 	exchange->request = request;
@@ -785,6 +866,8 @@
 	uv_timer_init(edge->loop, &exchange->timer);
 	exchange->timer.data = exchange;
 	edge->exchanges++;
+	exchange->is_hop = is_hop;
+	edge->hops_taken += is_hop;
 	metric_add(edge->stats.requests, 1);
 	begin(exchange);
 	return exchange->ended ? NULL : exchange;
--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -49,10 +49,11 @@
 
 /*
  * Starts an exchange, which takes ownership of the request. Returns NULL if the
- * sink got the answer during the call.
+ * sink got the answer during the call. is_hop: the request was handed over by
+ * another node; it is never handed on, and answers get the headers of a hop.
  */
 struct exchange *exchange_start(struct edge *edge, struct exchange_sink *sink,
-				struct message *request);
+				struct message *request, bool is_hop);
 
 /*
  * Frees the exchange of a caller that left: closes the connection to the
--- a/packages/edge/exchange_end.c
+++ b/packages/edge/exchange_end.c
@@ -34,6 +34,7 @@
 {
 	exchange->sent_us = 0;
 	exchange->conn = NULL;
+	exchange->peer = NULL;
 	exchange_release_choice(exchange);
 }
 
@@ -59,6 +60,7 @@
 	message_free(exchange->failed_answer);
 	route_table_unref(exchange->routes);
 	exchange->edge->exchanges--;
+	exchange->edge->hops_taken -= exchange->is_hop;
 	uv_close((uv_handle_t *)&exchange->timer, on_timer_closed);
 }
 
@@ -97,6 +99,19 @@
 			       edge->routes->version, age_us);
 }
 
+/* Headers between nodes, for the node that handed the request over. */
+static void append_hop_headers(const struct exchange *exchange,
+			       GString *headers)
+{
+	if (!exchange->is_hop)
+		return;
+	g_string_append_printf(headers, HOP_ROOM ": %u\r\n",
+			       hops_room(exchange->edge));
+	if (exchange->not_run)
+		g_string_append_printf(headers, HOP_NOT_RUN ": %s\r\n",
+				       exchange->not_run);
+}
+
 static void finish_generated(struct exchange *exchange, uint16_t status,
 			     uint64_t retry_after_us, const char *cause)
 {
@@ -110,6 +125,7 @@
 		g_string_append_printf(headers, "Retry-After: %.3f\r\n",
 				       (double)retry_after_us /
 					       (double)US_PER_S);
+	append_hop_headers(exchange, headers);
 	g_string_append(headers, "Content-Type: text/plain\r\n");
 	g_byte_array_append(body, (const guint8 *)cause, strlen(cause));
 	g_byte_array_append(body, (const guint8 *)"\n", 1);
@@ -124,6 +140,15 @@
 	g_byte_array_unref(body);
 }
 
+static void set_not_run(struct exchange *exchange)
+{
+	if (!exchange->is_hop)
+		return;
+	metric_add(exchange->edge->stats.hops_refused, 1);
+	if (!exchange->not_run)
+		exchange->not_run = HOP_NOT_RUN_SERVERS;
+}
+
 /*
  * A 503 promises that the request has not run and never will, so a request that
  * may have run gets 502 instead.
@@ -139,6 +164,7 @@
 		return;
 	}
 	metric_add(stats->refused, 1);
+	set_not_run(exchange);
 	finish_generated(exchange, 503, retry_after_us, cause);
 }
 
@@ -153,6 +179,7 @@
 			    const char *cause)
 {
 	metric_add(exchange->edge->stats.denied, 1);
+	set_not_run(exchange);
 	finish_generated(exchange, status, 0, cause);
 }
 
@@ -160,6 +187,7 @@
 {
 	GString *headers = g_string_new(NULL);
 	const char *length = message_header(answer, "Content-Length");
+	const char *const *between_nodes = NULL;
 	const struct exchange_answer outgoing = {
 		.status = answer->status,
 		.headers = headers,
@@ -167,7 +195,10 @@
 		.until_close = answer->until_close,
 	};
 
-	message_copy_headers(answer, NULL, headers);
+	if (exchange->is_hop || exchange->answered_by_peer)
+		between_nodes = hops_headers();
+	message_copy_headers(answer, between_nodes, headers);
+	append_hop_headers(exchange, headers);
 	if (exchange->request->method == HTTP_HEAD && length)
 		g_string_append_printf(headers, "Content-Length: %s\r\n",
 				       length);
--- a/packages/edge/exchange_internal.h
+++ b/packages/edge/exchange_internal.h
@@ -6,6 +6,7 @@
 
 #include "core/retry.h"
 #include "edge/exchange.h"
+#include "edge/hops.h"
 
 struct exchange {
 	struct conn_user user; /* first member */
@@ -18,9 +19,14 @@
 	uint64_t fingerprint; /* 0: not computed yet */
 	uint64_t arrived_us;
 	uint64_t due_us; /* when the caller must have its answer */
+	bool is_hop; /* handed over by another node */
+	const char *not_run; /* of a hop: value of HOP_NOT_RUN, or NULL */
 
 	struct conn *conn; /* in use, or NULL */
 	struct choice choice; /* the server of conn; holds a reference */
+	struct hop_peer *peer; /* of conn, if it leads to a peer, or NULL */
+	struct hop_query hops; /* peers tried */
+	bool answered_by_peer;
 	uint64_t connect_deadline_us; /* 0 once it is open */
 	bool has_claimed; /* its next run, as a suspect's */
 	bool is_suspect; /* servers may have crashed while running it */
@@ -83,6 +89,45 @@
 void exchange_finish_denied(struct exchange *exchange, uint16_t status,
 			    const char *cause);
 
+/*
+ * Chooses a server, or a peer, and sends the request, waits for either, or
+ * answers the caller.
+ */
+void exchange_dispatch(struct exchange *exchange);
+
+/* Starts the timer for whatever is due next. */
+void exchange_arm_timer(struct exchange *exchange);
+
+/* Answers with an earlier failed answer, or refuses the request. */
+void exchange_finish_unserved(struct exchange *exchange,
+			      uint64_t retry_after_us, const char *cause);
+
+/* Appends headers and body as they go to a server or a peer. */
+void exchange_format(const struct exchange *exchange,
+		     const char *const *replaced, const char *more,
+		     GString *text);
+
+/* Retry-After of requests that may find another way soon. */
+#define EXCHANGE_RETRY_AFTER_US (500 * US_PER_MS)
+
+/* Connect timeout to a region. */
+uint64_t exchange_connect_timeout_us(const struct exchange *exchange,
+				     const char *region);
+
+/* Maximum idle time of a kept connection that the request may use. */
+uint64_t exchange_max_idle_us(const struct exchange *exchange);
+
+/*
+ * exchange_hop.c: requests that are handed to a peer while this node can't
+ * reach servers. exchange_must_hop() is false for requests handed over by a
+ * peer. exchange_hop() sends or refuses the request. The others handle
+ * timeouts of the connection to the peer and of its answer.
+ */
+bool exchange_must_hop(const struct exchange *exchange);
+void exchange_hop(struct exchange *exchange);
+void exchange_hop_unreachable(struct exchange *exchange, const char *cause);
+void exchange_hop_timed_out(struct exchange *exchange);
+
 /* Whether the request may be sent now. */
 enum exchange_admission {
 	EXCHANGE_RUN,
--- a/packages/edge/gossip.c
+++ b/packages/edge/gossip.c
@@ -33,31 +33,42 @@
 {
 	if (strcmp(member->region, edge->settings.region) != 0)
 		return;
-	log_event(LOG_INFO, "member-state", "member=%s serves=%s", member->name,
-		  member->leaving ? "no" : "yes");
+	log_event(LOG_INFO, "member-state", "member=%s serves=%s isolated=%s",
+		  member->name, member->leaving ? "no" : "yes",
+		  member->isolated ? "yes" : "no");
+}
+
+/* Whether the entry changed what this node believes of the member. */
+static bool apply_member(struct edge *edge, struct member *member,
+			 const struct heartbeat_member *entry)
+{
+	uint64_t now_us = edge_now_us(edge);
+	bool served = member_serves(edge->members, member, now_us);
+	bool was_isolated = member->isolated;
+
+	if (!member_note_heartbeat(member, entry->number, entry->leaving,
+				   now_us))
+		return false;
+	member->isolated = entry->isolated;
+	return served == entry->leaving || was_isolated != entry->isolated;
 }
 
 static void apply_members(struct gossip *gossip,
 			  const struct heartbeat *heartbeat)
 {
 	struct edge *edge = gossip->edge;
-	uint64_t now_us = edge_now_us(edge);
 	uint32_t i;
 
 	for (i = 0; i < heartbeat->member_count; i++) {
 		const struct heartbeat_member *entry = &heartbeat->members[i];
 		struct member *member =
 			member_table_find_hash(edge->members, entry->member);
-		bool served;
 
 		if (!member)
 			gossip->unknown_member = true;
 		if (!member || member == edge->members->self)
 			continue;
-		served = member_serves(edge->members, member, now_us);
-		if (member_note_heartbeat(member, entry->number, entry->leaving,
-					  now_us) &&
-		    served == entry->leaving)
+		if (apply_member(edge, member, entry))
 			log_member_state(edge, member);
 	}
 }
--- a/packages/edge/gossip_send.c
+++ b/packages/edge/gossip_send.c
@@ -43,6 +43,7 @@
 	entry->member = member->hash;
 	entry->number = member->heartbeat;
 	entry->leaving = member->leaving;
+	entry->isolated = member->isolated;
 }
 
 static void add_members(struct gossip *gossip, struct heartbeat *heartbeat,
--- a/packages/edge/heartbeat.c
+++ b/packages/edge/heartbeat.c
@@ -5,7 +5,7 @@
 #include "core/duration.h"
 
 /* Format version; nodes ignore datagrams of another one. */
-#define HEARTBEAT_VERSION 7
+#define HEARTBEAT_VERSION 8
 
 /*
  * A suspect: fingerprint, crashes (incarnation, age, run time), number of
@@ -21,8 +21,8 @@
 /* Tokens: incarnation, number requested, number lent, wait in ms. */
 #define TOKENS_TYPE "a(uuuu)"
 
-#define HEARTBEAT_TYPE                                   \
-	"(ua(utb)a(uuq)a(uu)a(uttu)a" HEARTBEAT_ROW_TYPE \
+#define HEARTBEAT_TYPE                                    \
+	"(ua(utbb)a(uuq)a(uu)a(uttu)a" HEARTBEAT_ROW_TYPE \
 	"a" SUSPECT_TYPE RATES_TYPE TOKENS_TYPE ")"
 
 void heartbeat_row_add(GVariantBuilder *rows, const struct heartbeat_row *row)
@@ -95,12 +95,13 @@
 	GBytes *bytes;
 	uint32_t i;
 
-	g_variant_builder_init(&members, G_VARIANT_TYPE("a(utb)"));
+	g_variant_builder_init(&members, G_VARIANT_TYPE("a(utbb)"));
 	for (i = 0; i < heartbeat->member_count; i++)
-		g_variant_builder_add(&members, "(utb)",
+		g_variant_builder_add(&members, "(utbb)",
 				      heartbeat->members[i].member,
 				      (guint64)heartbeat->members[i].number,
-				      (gboolean)heartbeat->members[i].leaving);
+				      (gboolean)heartbeat->members[i].leaving,
+				      (gboolean)heartbeat->members[i].isolated);
 	g_variant_builder_init(&pairs, G_VARIANT_TYPE("a(uuq)"));
 	for (i = 0; i < heartbeat->pair_count; i++)
 		g_variant_builder_add(&pairs, "(uuq)",
@@ -140,15 +141,18 @@
 	guint32 member;
 	guint64 number;
 	gboolean leaving;
+	gboolean isolated;
 
 	while (heartbeat->member_count < HEARTBEAT_MAX_MEMBERS &&
-	       g_variant_iter_next(iter, "(utb)", &member, &number, &leaving)) {
+	       g_variant_iter_next(iter, "(utbb)", &member, &number, &leaving,
+				   &isolated)) {
 		struct heartbeat_member *entry =
 			&heartbeat->members[heartbeat->member_count++];
 
 		entry->member = member;
 		entry->number = number;
 		entry->leaving = leaving;
+		entry->isolated = isolated;
 	}
 }
 
--- /dev/null
+++ b/packages/edge/reach_watch.c
@@ -0,0 +1,346 @@
+#include "edge/reach_watch.h"
+
+#include <inttypes.h>
+
+#include "adapters/log.h"
+#include "core/duration.h"
+#include "core/reach.h"
+#include "edge/gossip.h"
+
+/* How often probes are checked, and begun if there are too few. */
+#define TICK_US (50 * US_PER_MS)
+
+/* Interval of probes while the node is isolated. */
+#define PROBE_INTERVAL_US (250 * US_PER_MS)
+
+/* After a doubt was unfounded, the next one waits for so long. */
+#define DOUBT_PAUSE_US (1 * US_PER_S)
+
+/* Time for a probe's connection to open, beyond three round trips. */
+#define PROBE_ROUND_TRIPS 3
+#define PROBE_EXTRA_US (200 * US_PER_MS)
+
+struct reach_watch {
+	struct edge *edge;
+	struct reach reach;
+	uv_timer_t timer;
+	GQueue probes; /* of struct probe */
+	uint32_t turn; /* probes begun */
+	uint64_t next_probe_us; /* while isolated */
+	uint64_t settled_us; /* when it was last found to be connected */
+};
+
+/* A connection opened to see whether the server accepts it. */
+struct probe {
+	struct conn_user user; /* first member */
+	struct reach_watch *watch;
+	struct conn *conn;
+	uint64_t deadline_us;
+};
+
+static void on_timer(uv_timer_t *timer);
+static void continue_probes(struct reach_watch *watch);
+
+static uint32_t known_servers(const struct reach_watch *watch)
+{
+	return g_hash_table_size(watch->edge->backends->by_id);
+}
+
+/* --- changes of the state ----------------------------------------------- */
+
+static void log_state(const struct reach_watch *watch)
+{
+	const struct reach *reach = &watch->reach;
+
+	log_event(reach->state == REACH_IN_DOUBT ? LOG_INFO : LOG_WARNING,
+		  "reach",
+		  "state=%s failed=%u servers=%u failing_us=%" PRIu64
+		  " kept_answers=%s",
+		  reach_state_name(reach->state), reach->failed_count,
+		  known_servers(watch),
+		  reach->failed_count ?
+			  edge_now_us(watch->edge) - reach->failing_since_us :
+			  0,
+		  reach_kept_connections_work(reach) ? "yes" : "no");
+}
+
+static void tell_peers(struct reach_watch *watch, bool isolated)
+{
+	struct edge *edge = watch->edge;
+
+	edge->members->self->isolated = isolated;
+	metric_set(edge->stats.isolated, isolated);
+	if (edge->gossip)
+		gossip_send_heartbeat_now(edge->gossip);
+}
+
+static void become_isolated(struct reach_watch *watch)
+{
+	backend_table_forget_unreachable(watch->edge->backends,
+					 watch->reach.failing_since_us);
+	watch->next_probe_us = edge_now_us(watch->edge);
+	tell_peers(watch, true);
+}
+
+/* Connections that carried no answers may be dead on the servers' side. */
+static void become_connected(struct reach_watch *watch, bool kept_worked)
+{
+	struct edge *edge = watch->edge;
+
+	watch->settled_us = edge_now_us(edge);
+	if (!edge->members->self->isolated)
+		return;
+	if (!kept_worked)
+		pool_drop_idle(&edge->pool);
+	backend_table_forget_unreachable(edge->backends,
+					 watch->reach.isolated_us);
+	tell_peers(watch, false);
+}
+
+static void handle_change(struct reach_watch *watch, bool kept_worked)
+{
+	log_state(watch);
+	switch (watch->reach.state) {
+	case REACH_CONNECTED:
+		become_connected(watch, kept_worked);
+		break;
+	case REACH_IN_DOUBT:
+		break;
+	case REACH_ISOLATED:
+		become_isolated(watch);
+		break;
+	}
+	continue_probes(watch);
+}
+
+static void record_accepted(struct reach_watch *watch,
+			    const struct backend *backend)
+{
+	bool kept_worked = reach_kept_connections_work(&watch->reach);
+
+	if (reach_accepted(&watch->reach, backend->incarnation,
+			   known_servers(watch), edge_now_us(watch->edge)))
+		handle_change(watch, kept_worked);
+	else if (watch->reach.state == REACH_ISOLATED)
+		watch->next_probe_us = edge_now_us(watch->edge);
+}
+
+static void record_failed(struct reach_watch *watch,
+			  const struct backend *backend)
+{
+	if (reach_failed(&watch->reach, backend->incarnation,
+			 known_servers(watch), edge_now_us(watch->edge)))
+		handle_change(watch, true);
+}
+
+/* --- probes ------------------------------------------------------------- */
+
+static void probe_end(struct probe *probe)
+{
+	g_queue_remove(&probe->watch->probes, probe);
+	pool_drop(probe->conn);
+	g_free(probe);
+}
+
+static void on_probe_opened(struct conn_user *user, struct conn *conn)
+{
+	struct probe *probe = (struct probe *)user;
+	struct reach_watch *watch = probe->watch;
+	struct backend *backend = backend_ref(conn->backend);
+
+	probe_end(probe);
+	record_accepted(watch, backend);
+	backend_unref(backend);
+	continue_probes(watch);
+}
+
+static void on_probe_answered(struct conn_user *user, struct conn *conn,
+			      struct message *answer)
+{
+	(void)user;
+	(void)conn;
+	message_free(answer);
+}
+
+static void fail_probe(struct probe *probe)
+{
+	struct reach_watch *watch = probe->watch;
+	struct backend *backend = backend_ref(probe->conn->backend);
+
+	probe_end(probe);
+	record_failed(watch, backend);
+	backend_unref(backend);
+}
+
+static void on_probe_ended(struct conn_user *user, struct conn *conn,
+			   const char *cause)
+{
+	struct probe *probe = (struct probe *)user;
+	struct reach_watch *watch = probe->watch;
+
+	(void)conn;
+	(void)cause;
+	fail_probe(probe);
+	continue_probes(watch);
+}
+
+static const struct conn_user_vtable probe_events = {
+	.opened = on_probe_opened,
+	.answered = on_probe_answered,
+	.ended = on_probe_ended,
+};
+
+static void probe_begin(struct reach_watch *watch, struct backend *backend)
+{
+	struct edge *edge = watch->edge;
+	struct probe *probe = g_new0(struct probe, 1);
+
+	probe->user.vtable = &probe_events;
+	probe->watch = watch;
+	probe->deadline_us =
+		edge_now_us(edge) + PROBE_EXTRA_US +
+		PROBE_ROUND_TRIPS *
+			chooser_link_us(&edge->chooser, backend->region);
+	metric_add(edge->stats.reach_probes, 1);
+	probe->conn = pool_connect(&edge->pool, backend, &probe->user);
+	if (probe->conn) {
+		g_queue_push_tail(&watch->probes, probe);
+		return;
+	}
+	g_free(probe);
+	record_failed(watch, backend);
+}
+
+static void begin_probes(struct reach_watch *watch, uint32_t count)
+{
+	struct edge *edge = watch->edge;
+	struct backend *picked[REACH_MAX_PROBES];
+	uint32_t i;
+
+	count = reach_pick_probes(&watch->reach, edge->backends,
+				  edge->settings.domain, edge->settings.region,
+				  watch->turn++, picked, count);
+	for (i = 0; i < count; i++)
+		backend_ref(picked[i]);
+	for (i = 0; i < count; i++) {
+		probe_begin(watch, picked[i]);
+		backend_unref(picked[i]);
+	}
+}
+
+/* The loop reads sockets once more before a probe that timed out fails. */
+static void end_late_probes(struct reach_watch *watch)
+{
+	uint64_t now_us = edge_now_us(watch->edge);
+	GList *next;
+	GList *at;
+
+	for (at = watch->probes.head; at; at = next) {
+		struct probe *probe = at->data;
+
+		next = at->next;
+		if (now_us >= probe->deadline_us + TICK_US) {
+			fail_probe(probe);
+			next = watch->probes.head;
+		}
+	}
+}
+
+static void continue_probes(struct reach_watch *watch)
+{
+	uint64_t now_us = edge_now_us(watch->edge);
+
+	if (watch->reach.state == REACH_IN_DOUBT && !watch->probes.length) {
+		begin_probes(watch, REACH_MAX_PROBES);
+	} else if (watch->reach.state == REACH_ISOLATED &&
+		   !watch->probes.length && now_us >= watch->next_probe_us) {
+		watch->next_probe_us = now_us + PROBE_INTERVAL_US;
+		begin_probes(watch, 1);
+	}
+	if (watch->reach.state == REACH_CONNECTED && !watch->probes.length)
+		uv_timer_stop(&watch->timer);
+	else if (!uv_is_active((uv_handle_t *)&watch->timer))
+		uv_timer_start(&watch->timer, on_timer, TICK_US / US_PER_MS,
+			       TICK_US / US_PER_MS);
+}
+
+static void on_timer(uv_timer_t *timer)
+{
+	struct reach_watch *watch = timer->data;
+
+	end_late_probes(watch);
+	continue_probes(watch);
+}
+
+/* --- evidence ----------------------------------------------------------- */
+
+void reach_watch_accepted(struct edge *edge, const struct backend *backend)
+{
+	if (edge->reach)
+		record_accepted(edge->reach, backend);
+}
+
+void reach_watch_failed(struct edge *edge, const struct backend *backend)
+{
+	if (edge->reach)
+		record_failed(edge->reach, backend);
+}
+
+void reach_watch_answered(struct edge *edge)
+{
+	if (edge->reach)
+		reach_answered(&edge->reach->reach, edge_now_us(edge));
+}
+
+static void doubt(struct reach_watch *watch)
+{
+	uint64_t now_us = edge_now_us(watch->edge);
+
+	if (watch->settled_us && now_us - watch->settled_us < DOUBT_PAUSE_US)
+		return;
+	if (reach_doubt(&watch->reach, now_us))
+		handle_change(watch, true);
+}
+
+void reach_watch_timed_out(struct edge *edge, uint64_t sent_us)
+{
+	if (edge->reach && edge->reach->reach.answered_us < sent_us)
+		doubt(edge->reach);
+}
+
+bool reach_watch_is_isolated(const struct edge *edge)
+{
+	return edge->reach && edge->reach->reach.state == REACH_ISOLATED;
+}
+
+bool reach_watch_may_use_kept(const struct edge *edge)
+{
+	return !edge->reach || reach_kept_connections_work(&edge->reach->reach);
+}
+
+const struct reach *reach_watch_state(const struct edge *edge)
+{
+	return edge->reach ? &edge->reach->reach : NULL;
+}
+
+/* --- open and close ----------------------------------------------------- */
+
+struct reach_watch *reach_watch_open(struct edge *edge)
+{
+	struct reach_watch *watch = g_new0(struct reach_watch, 1);
+
+	watch->edge = edge;
+	g_queue_init(&watch->probes);
+	uv_timer_init(edge->loop, &watch->timer);
+	watch->timer.data = watch;
+	edge->reach = watch;
+	return watch;
+}
+
+void reach_watch_close(struct reach_watch *watch)
+{
+	while (watch->probes.length)
+		probe_end(g_queue_peek_head(&watch->probes));
+	watch->edge->reach = NULL;
+	uv_close((uv_handle_t *)&watch->timer, NULL);
+}
--- a/packages/edge/run.c
+++ b/packages/edge/run.c
@@ -11,6 +11,7 @@
 #include "edge/crash_watch.h"
 #include "edge/gossip.h"
 #include "edge/quarantine_store.h"
+#include "edge/reach_watch.h"
 #include "edge/server_limits.h"
 #include "edge/sync.h"
 
@@ -301,6 +302,7 @@
 	run->sync = sync_open(edge);
 	gossip_set_sync(run->gossip, run->sync);
 	crash_watch_open(edge);
+	reach_watch_open(edge);
 	quarantine_store_open(edge);
 	start_tick(run);
 	log_event(LOG_INFO, "start", "domain=%s region=%s front=%s:%u",
--- a/packages/edge/stats.c
+++ b/packages/edge/stats.c
@@ -34,6 +34,17 @@
 	  AT(unreachable) },
 	{ "lilacfield_shed_total", "requests that a backend server did not run",
 	  AT(not_executed) },
+	{ "lilacfield_hops_sent_total", "requests handed to peers",
+	  AT(hops_sent) },
+	{ "lilacfield_hops_failed_total", "of these, without a valid answer",
+	  AT(hops_failed) },
+	{ "lilacfield_hops_taken_total", "requests of other nodes accepted",
+	  AT(hops_taken) },
+	{ "lilacfield_hops_refused_total", "requests of other nodes refused",
+	  AT(hops_refused) },
+	{ "lilacfield_reach_probes_total",
+	  "connections opened to see whether servers are reachable",
+	  AT(reach_probes) },
 	{ "lilacfield_strays_total", "answers of other requests, dropped",
 	  AT(strays) },
 	{ "lilacfield_quarantined_total",
@@ -83,6 +94,9 @@
 		*at = metric_counter(counters[i].name, counters[i].help, NULL);
 	}
 	init_reads(stats);
+	stats->isolated = metric_gauge("lilacfield_isolated",
+				       "1 if no backend server is reachable",
+				       NULL);
 	stats->latency_us =
 		metric_histogram("lilacfield_latency_us",
 				 "arrival of a request to its answer", NULL);
--- a/packages/edge/stats.h
+++ b/packages/edge/stats.h
@@ -26,6 +26,13 @@
 	struct metric *connects; /* connections opened to backend servers */
 	struct metric *unreachable; /* of these, failed or timed out */
 	struct metric *not_executed; /* answers that say "not run" */
+	struct metric *hops_sent; /* requests handed to peers */
+	struct metric *hops_failed; /* of these, without a valid answer */
+	struct metric *hops_taken; /* requests of other nodes that were run */
+	struct metric *hops_refused; /* requests of other nodes, not run */
+	struct metric *reach_probes; /* connections opened to find out whether
+					servers are reachable */
+	struct metric *isolated; /* 1: this node reaches no server */
 	struct metric *strays; /* answers of other requests, dropped */
 	struct metric *updates_rejected; /* invalid ones received from peers */
 	struct metric *quarantined; /* requests refused as quarantined */
--- a/tests/edge/gossip_test.cc
+++ b/tests/edge/gossip_test.cc
@@ -95,7 +95,8 @@
 
 		peer_member->hash = 0;
 		peer_member->link_mbps = edge->members->self->link_mbps;
-		heartbeat.members[heartbeat.member_count++] = { 0, 1, false };
+		heartbeat.members[heartbeat.member_count++] = { 0, 1, false,
+								false };
 		heartbeat.digest_count =
 			sync_fill_digests(sync, heartbeat.digests);
 		for (uint32_t i = 0; i < heartbeat.digest_count; i++)
@@ -229,7 +230,7 @@
 	far->hash = 77;
 	g_free(far->region);
 	far->region = g_strdup("r2");
-	heartbeat.members[heartbeat.member_count++] = { 77, 1, false };
+	heartbeat.members[heartbeat.member_count++] = { 77, 1, false, false };
 	heartbeat.pairs[heartbeat.pair_count++] = { { 11, 22 }, 0 };
 	send_datagram(heartbeat);
 	heartbeat.members[0].member = UINT32_MAX;
@@ -295,7 +296,8 @@
 	for (const struct heartbeat &one : heartbeats)
 		for (uint32_t i = 0; i < one.pair_count; i++)
 			EXPECT_NE(7u, one.pairs[i].pair.object);
-	heartbeat.members[heartbeat.member_count++] = { UINT32_MAX, 1, false };
+	heartbeat.members[heartbeat.member_count++] = { UINT32_MAX, 1, false,
+							false };
 	heartbeat.pairs[heartbeat.pair_count++] = { { 11, 22 }, 4000 };
 	send_datagram(heartbeat);
 	wait_for([&] {
@@ -382,8 +384,10 @@
 	store_stand_put(store, "members", "n9",
 			"{\"domain\":\"d1\",\"region\":\"r1\","
 			"\"front\":\"127.0.0.9:1\",\"peer\":\"127.0.0.9:2\"}");
-	heartbeat.members[heartbeat.member_count++] = { UINT32_MAX, 1, false };
-	heartbeat.members[heartbeat.member_count++] = { 12345, 1, false };
+	heartbeat.members[heartbeat.member_count++] = { UINT32_MAX, 1, false,
+							false };
+	heartbeat.members[heartbeat.member_count++] = { 12345, 1, false,
+							false };
 	wait_for([&] {
 		send_datagram(heartbeat);
 		return member_table_find(edge->members, "n9") != nullptr;
@@ -424,7 +428,8 @@
 		update.crashes[i] = { 100 + i, (i + 1) * US_PER_S, US_PER_MS };
 	update.rounds = 1;
 	update.left_us = 100 * US_PER_S;
-	heartbeat.members[heartbeat.member_count++] = { UINT32_MAX, 1, false };
+	heartbeat.members[heartbeat.member_count++] = { UINT32_MAX, 1, false,
+							false };
 	heartbeat.suspects[heartbeat.suspect_count++] = update;
 	send_datagram(heartbeat);
 	wait_for([this] { return edge->suspects->count > 0; });
@@ -456,7 +461,8 @@
 	update.crash_count = 2;
 	for (uint32_t i = 0; i < 2; i++)
 		update.crashes[i] = { 100 + i, (i + 1) * US_PER_S, US_PER_MS };
-	heartbeat.members[heartbeat.member_count++] = { UINT32_MAX, 1, false };
+	heartbeat.members[heartbeat.member_count++] = { UINT32_MAX, 1, false,
+							false };
 	heartbeat.suspects[heartbeat.suspect_count++] = update;
 	send_datagram(heartbeat);
 	char key[17];
@@ -475,7 +481,8 @@
 	add_app("i-1");
 	start_with_peer();
 	ASSERT_TRUE(suspect_quarantine(edge->suspects, 7, edge_now_us(edge)));
-	heartbeat.members[heartbeat.member_count++] = { UINT32_MAX, 1, true };
+	heartbeat.members[heartbeat.member_count++] = { UINT32_MAX, 1, true,
+							false };
 	heartbeats.clear();
 	send_datagram(heartbeat);
 	wait_for([this] {
@@ -542,7 +549,7 @@
 			member_table_find(edge->members, "neighbour");
 
 		heartbeat.members[heartbeat.member_count++] = {
-			peer_member->hash, ++number, false
+			peer_member->hash, ++number, false, false
 		};
 		heartbeat.tokens[heartbeat.token_count++] = {
 			backend->incarnation, 0, lent, 100
--- a/tests/edge/heartbeat_test.cc
+++ b/tests/edge/heartbeat_test.cc
@@ -18,7 +18,8 @@
 
 	for (uint32_t i = 0; i < 3; i++)
 		heartbeat.members[heartbeat.member_count++] = { i + 1, 100 + i,
-								i == 2 };
+								i == 2,
+								i == 1 };
 	for (uint32_t i = 0; i < 20; i++)
 		heartbeat.pairs[heartbeat.pair_count++] = { { i, i * 7 },
 							    (uint16_t)i };
@@ -69,6 +70,8 @@
 	EXPECT_EQ(3u, got.member_count);
 	EXPECT_EQ(102u, got.members[2].number);
 	EXPECT_TRUE(got.members[2].leaving);
+	EXPECT_FALSE(got.members[2].isolated);
+	EXPECT_TRUE(got.members[1].isolated);
 	EXPECT_EQ(20u, got.pair_count);
 	EXPECT_EQ(133u, got.pairs[19].pair.object);
 	EXPECT_EQ(19u, got.pairs[19].ready_ms);
