crash_watch: a node that has lost all servers records no crashes

Cause: connections that all end and connects that fail at every server look like servers that crash, one by one. The evidence for a crash never asked for one server that lives.

A crash counts only if the node has reached any server since: by an answer, a connection that opened, or else probes, which decide within a round trip. An isolated node drops the check (crash-unknown in the log).

Ruled out: counting servers lost at the same moment in other domains (a node with connections to one domain only sees none).

--- a/Makefile
+++ b/Makefile
@@ -77,6 +77,7 @@
 		'tests/emulator/play.sh $(BUILD) $$0 $$1'
 	@tests/emulator/deadly.sh $(BUILD) $(SEED)
 	@tests/emulator/limited.sh $(BUILD) $(SEED)
+	@JOBS=3 tests/emulator/isolated.sh $(BUILD) $(SEED)
 
 # Beside one request that ends servers, ROUNDS seeds from SEED on.
 play-deadly: build
--- a/packages/edge/crash_watch.c
+++ b/packages/edge/crash_watch.c
@@ -8,6 +8,7 @@
 #include "core/hash.h"
 #include "edge/gossip.h"
 #include "edge/quarantine_store.h"
+#include "edge/reach_watch.h"
 
 /* Requests that are checked at a time. */
 #define MAX_BROKEN_REQUESTS 128
@@ -62,8 +63,6 @@
 	uint64_t began_us;
 };
 
-static void check_now(struct crash_watch *watch);
-
 static void probe_end(struct probe *probe)
 {
 	struct crash_watch *watch = probe->watch;
@@ -71,7 +70,7 @@
 	g_queue_remove(&watch->probes, probe);
 	pool_drop(probe->conn);
 	g_free(probe);
-	check_now(watch);
+	crash_watch_check(watch);
 }
 
 static void on_probe_opened(struct conn_user *user, struct conn *conn)
@@ -329,6 +328,27 @@
 			watch->requests[i].probed = true;
 }
 
+/* All servers seem to have crashed to a node that has lost its way to them. */
+static void decide_crash(struct crash_watch *watch, uint32_t at)
+{
+	const struct broken_request *request = &watch->requests[at];
+
+	switch (reach_watch_since(watch->edge, request->at_us)) {
+	case REACH_UNKNOWN:
+		return;
+	case REACH_NO:
+		log_event(LOG_INFO, "crash-unknown",
+			  "fingerprint=%016" PRIx64 " backend=%s request=%s",
+			  request->fingerprint, request->backend->id,
+			  request->text);
+		break;
+	case REACH_YES:
+		report_crash(watch, request);
+		break;
+	}
+	remove_request(watch, at);
+}
+
 static void check_requests(struct crash_watch *watch)
 {
 	struct edge *edge = watch->edge;
@@ -347,8 +367,9 @@
 		    depends_on_others(watch, request))
 			continue;
 		if (verdict == VERDICT_CRASHED)
-			report_crash(watch, request);
-		remove_request(watch, i - 1);
+			decide_crash(watch, i - 1);
+		else
+			remove_request(watch, i - 1);
 	}
 }
 
@@ -375,7 +396,7 @@
 		schedule_check(watch, CHECK_INTERVAL_US);
 }
 
-static void check_now(struct crash_watch *watch)
+void crash_watch_check(struct crash_watch *watch)
 {
 	if (watch->count)
 		schedule_check(watch, 0);
--- a/packages/edge/crash_watch.h
+++ b/packages/edge/crash_watch.h
@@ -3,7 +3,8 @@
  *
  * A connection that ends without an answer was reset, or the network failed, or
  * the server crashed. Only after a crash do all connections to the server end
- * and are new ones refused, which is checked a moment later. A crash is
+ * and are new ones refused, which is checked a moment later. A node that has
+ * lost all servers sees the same, so it records no crashes. A crash is
  * recorded in the suspect table, sent to the other nodes and, if a quarantine
  * begins, written to the platform's store. Not thread-safe.
  */
@@ -39,6 +40,9 @@
 			       struct backend *backend, uint64_t fingerprint,
 			       uint64_t sent_us, const char *text);
 
+/* Decide the checks that can be decided now. */
+void crash_watch_check(struct crash_watch *watch);
+
 /* Whether any check isn't decided yet. */
 bool crash_watch_is_busy(const struct crash_watch *watch);
 
--- a/packages/edge/reach_watch.c
+++ b/packages/edge/reach_watch.c
@@ -5,6 +5,7 @@
 #include "adapters/log.h"
 #include "core/duration.h"
 #include "core/reach.h"
+#include "edge/crash_watch.h"
 #include "edge/gossip.h"
 
 /* How often probes are checked, and begun if there are too few. */
@@ -111,6 +112,8 @@
 		break;
 	}
 	continue_probes(watch);
+	if (watch->edge->crashes)
+		crash_watch_check(watch->edge->crashes);
 }
 
 static void record_accepted(struct reach_watch *watch,
@@ -308,6 +311,23 @@
 		doubt(edge->reach);
 }
 
+enum reach_verdict reach_watch_since(struct edge *edge, uint64_t since_us)
+{
+	const struct reach *reach;
+
+	if (!edge->reach)
+		return REACH_YES;
+	reach = &edge->reach->reach;
+	if (reach->state == REACH_ISOLATED)
+		return REACH_NO;
+	if (MAX(reach->accepted_us, reach->answered_us) > since_us)
+		return REACH_YES;
+	doubt(edge->reach);
+	if (reach->state == REACH_CONNECTED)
+		return REACH_YES;
+	return reach->state == REACH_ISOLATED ? REACH_NO : REACH_UNKNOWN;
+}
+
 bool reach_watch_is_isolated(const struct edge *edge)
 {
 	return edge->reach && edge->reach->reach.state == REACH_ISOLATED;
--- a/packages/edge/reach_watch.h
+++ b/packages/edge/reach_watch.h
@@ -39,6 +39,14 @@
 /* A request sent at sent_us got no answer in time. */
 void reach_watch_timed_out(struct edge *edge, uint64_t sent_us);
 
+/* Whether a node reached any server since a moment. */
+enum reach_verdict {
+	REACH_YES,
+	REACH_NO, /* it is isolated */
+	REACH_UNKNOWN, /* probes will tell; crash_watch_check() is called */
+};
+enum reach_verdict reach_watch_since(struct edge *edge, uint64_t since_us);
+
 /* Whether this node can't open connections to any server. */
 bool reach_watch_is_isolated(const struct edge *edge);
 
