--- a/packages/edge/reach_watch.c
+++ b/packages/edge/reach_watch.c
@@ -52,9 +52,10 @@
 static void log_state(const struct reach_watch *watch)
 {
 	const struct reach *reach = &watch->reach;
+	bool matters = reach->state == REACH_ISOLATED ||
+		       watch->edge->members->self->isolated;
 
-	log_event(reach->state == REACH_IN_DOUBT ? LOG_INFO : LOG_WARNING,
-		  "reach",
+	log_event(matters ? LOG_WARNING : LOG_INFO, "reach",
 		  "state=%s failed=%u servers=%u failing_us=%" PRIu64
 		  " kept_answers=%s",
 		  reach_state_name(reach->state), reach->failed_count,
