--- a/tests/emulator/isolated.sh
+++ b/tests/emulator/isolated.sh
@@ -18,11 +18,23 @@
 )
 manners="hang reset refuse"
 
+# Besides, while the nodes are cut off: faults of the emulator.
+declare -A faults=(
+	[store-away]=silent@4:5
+	[server-hangs]=hang@4:3
+	[server-leaves]=leave@4:4
+)
+beside="hang-two-domains+store-away reset-domain+server-leaves
+	refuse-all-but-one+store-away reset-one+server-hangs"
+
 play_all() {
 	local manner size
-	for manner in $manners; do
-		for size in "${!sizes[@]}"; do echo "$manner-$size"; done
-	done | sort | xargs -P "${JOBS:-2}" -I CASE "$0" "$1" "$2" CASE
+	{
+		for manner in $manners; do
+			for size in "${!sizes[@]}"; do echo "$manner-$size"; done
+		done
+		printf '%s\n' $beside
+	} | sort | xargs -P "${JOBS:-2}" -I CASE "$0" "$1" "$2" CASE
 }
 
 [ $# -gt 2 ] || { play_all "$@"; exit; }
@@ -34,7 +46,10 @@
 build=$(cd "$1" && pwd)
 seed=$2
 case=$3
-nodes=${sizes[${case#*-}]:-}
+size=${case#*-}
+nodes=${sizes[${size%+*}]:-}
+fault=()
+if [[ $case == *+* ]]; then fault=(--fault "${faults[${case#*+}]:-none}"); fi
 if [[ " $manners " != *" ${case%%-*} "* ]] || [ -z "$nodes" ]; then
 	echo "isolated.sh: unknown case $case" >&2
 	exit 2
@@ -60,6 +75,6 @@
 
 start_emulator --service svc-historia:many:7:80:2 \
 	--service svc-certif:once:3:120:2 --rate 20 --seconds 16 --closes 6 \
-	--isolate "${case%%-*}:$nodes@3:8" --cuts "$work"
+	--isolate "${case%%-*}:$nodes@3:8" --cuts "$work" "${fault[@]}"
 start_nodes
 await_verdict ", $case"
