--- a/Makefile
+++ b/Makefile
@@ -77,7 +77,7 @@
 		'tests/emulator/play.sh $(BUILD) $$0 $$1'
 	@tests/emulator/deadly.sh $(BUILD) $(SEED)
 	@tests/emulator/limited.sh $(BUILD) $(SEED)
-	@JOBS=3 tests/emulator/isolated.sh $(BUILD) $(SEED)
+	@JOBS=3 tests/emulator/partitioned.sh $(BUILD) $(SEED)
 
 # Beside one request that ends servers, ROUNDS seeds from SEED on.
 play-deadly: build
@@ -91,8 +91,8 @@
 		xargs -P 3 -I N tests/emulator/limited.sh $(BUILD) N
 
 # Nodes that lose the way to all servers, each manner and size.
-play-isolated: build
-	@JOBS=3 tests/emulator/isolated.sh $(BUILD) $(SEED)
+play-partitioned: build
+	@JOBS=3 tests/emulator/partitioned.sh $(BUILD) $(SEED)
 
 # Both users with ROUNDS seeds from SEED on, four at a time.
 play-soak: build
@@ -134,4 +134,4 @@
 .PHONY: all setup build format format-check lint test sanitize \
 	sanitize-thread check demo \
 	experiment capacity prove faults soak play play-deadly play-limited \
-	play-isolated play-soak play-seeds clean
+	play-partitioned play-soak play-seeds clean
--- a/packages/core/member_table.c
+++ b/packages/core/member_table.c
@@ -114,7 +114,7 @@
 }
 
 static uint32_t collect(const struct member_table *table, const char *region,
-			bool isolated, uint64_t now_us,
+			bool partitioned, uint64_t now_us,
 			const struct member **entries, uint32_t max)
 {
 	GHashTableIter iter;
@@ -125,7 +125,7 @@
 	while (count < max && g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct member *member = value;
 
-		if (!member->front.port || member->isolated != isolated ||
+		if (!member->front.port || member->partitioned != partitioned ||
 		    !member_serves(table, member, now_us))
 			continue;
 		if (!region || !strcmp(member->region, region))
@@ -140,7 +140,7 @@
 {
 	const struct {
 		const char *region;
-		bool isolated;
+		bool partitioned;
 	} choices[] = { { region, false },
 			{ NULL, false },
 			{ region, true },
@@ -149,8 +149,8 @@
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(choices) && !count; i++)
-		count = collect(table, choices[i].region, choices[i].isolated,
-				now_us, entries, max);
+		count = collect(table, choices[i].region,
+				choices[i].partitioned, now_us, entries, max);
 	return count;
 }
 
--- a/packages/core/member_table.h
+++ b/packages/core/member_table.h
@@ -38,7 +38,7 @@
 	uint64_t heartbeat_us; /* when that number was received; 0: never */
 	uint64_t listed_us; /* when its row was first read; 0: unknown */
 	bool leaving; /* takes no requests: is stopping or still starting */
-	bool isolated; /* reaches no backend server by itself */
+	bool partitioned; /* reaches no backend server by itself */
 };
 
 struct member_table {
@@ -75,7 +75,7 @@
 /*
  * The members that callers of a region should use: serving ones of the region
  * that reach servers by themselves; if there are none, such ones of all
- * regions, then isolated ones of the region, then of all. Stores at most max
+ * regions, then partitioned ones of the region, then of all. Stores at most max
  * entries, borrowed from the table, and returns their number.
  */
 uint32_t member_table_entries(const struct member_table *table,
--- a/packages/core/reach.c
+++ b/packages/core/reach.c
@@ -34,7 +34,7 @@
 		    uint64_t now_us)
 {
 	reach->accepted_us = now_us;
-	if (reach->state == REACH_ISOLATED) {
+	if (reach->state == REACH_PARTITIONED) {
 		add(reach->accepted, &reach->accepted_count, REACH_BACK_SERVERS,
 		    incarnation);
 		if (reach->accepted_count <
@@ -51,18 +51,18 @@
 		  uint64_t now_us)
 {
 	reach->accepted_count = 0;
-	if (!known || reach->state == REACH_ISOLATED)
+	if (!known || reach->state == REACH_PARTITIONED)
 		return false;
 	if (reach->state == REACH_CONNECTED &&
 	    now_us - reach->failing_since_us > REACH_WINDOW_US)
 		reach->failed_count = 0;
 	if (!reach->failed_count)
 		reach->failing_since_us = now_us;
-	add(reach->failed, &reach->failed_count, REACH_ISOLATED_SERVERS,
+	add(reach->failed, &reach->failed_count, REACH_PARTITIONED_SERVERS,
 	    incarnation);
-	if (reach->failed_count >= MIN(REACH_ISOLATED_SERVERS, known)) {
-		reach->isolated_us = now_us;
-		return set_state(reach, REACH_ISOLATED);
+	if (reach->failed_count >= MIN(REACH_PARTITIONED_SERVERS, known)) {
+		reach->partitioned_us = now_us;
+		return set_state(reach, REACH_PARTITIONED);
 	}
 	if (reach->failed_count >= MIN(REACH_DOUBT_SERVERS, known))
 		return set_state(reach, REACH_IN_DOUBT);
@@ -85,16 +85,16 @@
 
 bool reach_kept_connections_work(const struct reach *reach)
 {
-	return reach->state != REACH_ISOLATED ||
-	       reach->answered_us > reach->isolated_us;
+	return reach->state != REACH_PARTITIONED ||
+	       reach->answered_us > reach->partitioned_us;
 }
 
 /* --- probes ------------------------------------------------------------- */
 
 /* Servers that a probe should differ from: those asked already and picked. */
 struct asked {
-	const struct backend *list[REACH_ISOLATED_SERVERS + REACH_BACK_SERVERS +
-				   REACH_MAX_PROBES];
+	const struct backend *list[REACH_PARTITIONED_SERVERS +
+				   REACH_BACK_SERVERS + REACH_MAX_PROBES];
 	uint32_t count;
 };
 
@@ -200,8 +200,8 @@
 		return "connected";
 	case REACH_IN_DOUBT:
 		return "in-doubt";
-	case REACH_ISOLATED:
-		return "isolated";
+	case REACH_PARTITIONED:
+		return "partitioned";
 	}
 	return "unknown";
 }
--- a/packages/core/reach.h
+++ b/packages/core/reach.h
@@ -5,7 +5,7 @@
  * node's requests and by probes. One server that fails, or one service, says
  * nothing about the node: a few failures start probes of servers in other
  * failure domains, and only if none of those accepts a connection the node
- * counts as isolated. It is back once several servers in a row have accepted
+ * counts as partitioned. It is back once several servers in a row have accepted
  * one. Not thread-safe. Times are those of the clock port.
  */
 #ifndef CORE_REACH_H
@@ -23,7 +23,7 @@
 
 /* Different servers that failed since one last accepted a connection. */
 #define REACH_DOUBT_SERVERS 2
-#define REACH_ISOLATED_SERVERS 5
+#define REACH_PARTITIONED_SERVERS 5
 
 /* Different servers in a row that must accept a connection again. */
 #define REACH_BACK_SERVERS 2
@@ -37,19 +37,20 @@
 enum reach_state {
 	REACH_CONNECTED,
 	REACH_IN_DOUBT, /* probes are needed */
-	REACH_ISOLATED,
+	REACH_PARTITIONED,
 };
 
 struct reach {
 	enum reach_state state;
 	/* Incarnations of servers that failed, none having accepted since. */
-	uint32_t failed[REACH_ISOLATED_SERVERS];
+	uint32_t failed[REACH_PARTITIONED_SERVERS];
 	uint32_t failed_count;
 	uint64_t failing_since_us; /* first of these failures */
-	/* While isolated: servers that accepted, none having failed since. */
+	/* While partitioned: servers that accepted, none having failed since.
+	 */
 	uint32_t accepted[REACH_BACK_SERVERS];
 	uint32_t accepted_count;
-	uint64_t isolated_us; /* start of the latest isolation */
+	uint64_t partitioned_us; /* start of the latest partition */
 	uint64_t accepted_us; /* latest connection that opened */
 	uint64_t answered_us; /* latest answer on any connection */
 };
@@ -74,7 +75,7 @@
 void reach_answered(struct reach *reach, uint64_t now_us);
 
 /*
- * Whether connections that were open when the isolation began still carry
+ * Whether connections that were open when the partition began still carry
  * answers. Not known to until one has come since.
  */
 bool reach_kept_connections_work(const struct reach *reach);
--- a/packages/edge/admin_show.c
+++ b/packages/edge/admin_show.c
@@ -119,7 +119,7 @@
 {
 	static const char *const columns[] = { "node",	 "place",
 					       "region", "address",
-					       "serves", "isolated",
+					       "serves", "partitioned",
 					       "reader", "heard_age_us" };
 	struct admin_table table = ADMIN_TABLE_NEW(columns);
 	uint64_t now_us = edge_now_us(edge);
@@ -140,7 +140,7 @@
 			admin_json_text(address),
 			json_boolean(
 				member_serves(edge->members, member, now_us)),
-			json_boolean(member->isolated),
+			json_boolean(member->partitioned),
 			json_boolean(member == reader),
 			is_self ? admin_json_number(0) :
 				  age(member->heartbeat_us, now_us),
--- a/packages/edge/edge.h
+++ b/packages/edge/edge.h
@@ -75,7 +75,7 @@
 	struct gossip *gossip; /* exchanges heartbeats; NULL: off */
 	struct crash_watch *crashes; /* NULL: crashes aren't detected */
 	struct quarantine_store *quarantines; /* NULL: not stored */
-	struct reach_watch *reach; /* NULL: never counts as isolated */
+	struct reach_watch *reach; /* NULL: never counts as partitioned */
 	struct hops *hops; /* requests handed to peers */
 	struct stats stats;
 
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -807,10 +807,10 @@
 	const char *sends = message_header(exchange->request, HOP_SENDS);
 
 	exchange->retry.sends = (uint32_t)g_ascii_strtoull(sends, NULL, 10);
-	if (reach_watch_is_isolated(exchange->edge)) {
+	if (reach_watch_is_partitioned(exchange->edge)) {
 		exchange->not_run = HOP_NOT_RUN_PEER;
 		exchange_finish_refused(exchange, EXCHANGE_RETRY_AFTER_US,
-					"isolated");
+					"partitioned");
 	} else if (exchange->edge->hops_taken > HOPS_MAX_TAKEN) {
 		exchange->not_run = HOP_NOT_RUN_PEER;
 		exchange_finish_refused(exchange, EXCHANGE_RETRY_AFTER_US,
--- a/packages/edge/exchange_hop.c
+++ b/packages/edge/exchange_hop.c
@@ -19,7 +19,7 @@
 
 bool exchange_must_hop(const struct exchange *exchange)
 {
-	return !exchange->is_hop && reach_watch_is_isolated(exchange->edge);
+	return !exchange->is_hop && reach_watch_is_partitioned(exchange->edge);
 }
 
 /* --- the end of a hop --------------------------------------------------- */
@@ -259,7 +259,7 @@
 
 	if (!peer) {
 		exchange_finish_unserved(exchange, EXCHANGE_RETRY_AFTER_US,
-					 "isolated");
+					 "partitioned");
 		return;
 	}
 	exchange->hops.tried[exchange->hops.tried_count++] = peer;
--- a/packages/edge/gossip.c
+++ b/packages/edge/gossip.c
@@ -33,9 +33,10 @@
 {
 	if (strcmp(member->region, edge->settings.region) != 0)
 		return;
-	log_event(LOG_INFO, "member-state", "member=%s serves=%s isolated=%s",
-		  member->name, member->leaving ? "no" : "yes",
-		  member->isolated ? "yes" : "no");
+	log_event(LOG_INFO, "member-state",
+		  "member=%s serves=%s partitioned=%s", member->name,
+		  member->leaving ? "no" : "yes",
+		  member->partitioned ? "yes" : "no");
 }
 
 /* Whether the entry changed what this node believes of the member. */
@@ -44,13 +45,14 @@
 {
 	uint64_t now_us = edge_now_us(edge);
 	bool served = member_serves(edge->members, member, now_us);
-	bool was_isolated = member->isolated;
+	bool was_partitioned = member->partitioned;
 
 	if (!member_note_heartbeat(member, entry->number, entry->leaving,
 				   now_us))
 		return false;
-	member->isolated = entry->isolated;
-	return served == entry->leaving || was_isolated != entry->isolated;
+	member->partitioned = entry->partitioned;
+	return served == entry->leaving ||
+	       was_partitioned != entry->partitioned;
 }
 
 static void apply_members(struct gossip *gossip,
--- a/packages/edge/gossip_send.c
+++ b/packages/edge/gossip_send.c
@@ -43,7 +43,7 @@
 	entry->member = member->hash;
 	entry->number = member->heartbeat;
 	entry->leaving = member->leaving;
-	entry->isolated = member->isolated;
+	entry->partitioned = member->partitioned;
 }
 
 static void add_members(struct gossip *gossip, struct heartbeat *heartbeat,
--- a/packages/edge/heartbeat.c
+++ b/packages/edge/heartbeat.c
@@ -97,11 +97,11 @@
 
 	g_variant_builder_init(&members, G_VARIANT_TYPE("a(utbb)"));
 	for (i = 0; i < heartbeat->member_count; i++)
-		g_variant_builder_add(&members, "(utbb)",
-				      heartbeat->members[i].member,
-				      (guint64)heartbeat->members[i].number,
-				      (gboolean)heartbeat->members[i].leaving,
-				      (gboolean)heartbeat->members[i].isolated);
+		g_variant_builder_add(
+			&members, "(utbb)", heartbeat->members[i].member,
+			(guint64)heartbeat->members[i].number,
+			(gboolean)heartbeat->members[i].leaving,
+			(gboolean)heartbeat->members[i].partitioned);
 	g_variant_builder_init(&pairs, G_VARIANT_TYPE("a(uuq)"));
 	for (i = 0; i < heartbeat->pair_count; i++)
 		g_variant_builder_add(&pairs, "(uuq)",
@@ -141,18 +141,18 @@
 	guint32 member;
 	guint64 number;
 	gboolean leaving;
-	gboolean isolated;
+	gboolean partitioned;
 
 	while (heartbeat->member_count < HEARTBEAT_MAX_MEMBERS &&
 	       g_variant_iter_next(iter, "(utbb)", &member, &number, &leaving,
-				   &isolated)) {
+				   &partitioned)) {
 		struct heartbeat_member *entry =
 			&heartbeat->members[heartbeat->member_count++];
 
 		entry->member = member;
 		entry->number = number;
 		entry->leaving = leaving;
-		entry->isolated = isolated;
+		entry->partitioned = partitioned;
 	}
 }
 
--- a/packages/edge/heartbeat.h
+++ b/packages/edge/heartbeat.h
@@ -49,7 +49,7 @@
 	uint32_t member; /* hash of its name */
 	uint64_t number; /* rises with each heartbeat of the member */
 	bool leaving;
-	bool isolated; /* reaches no backend server by itself */
+	bool partitioned; /* reaches no backend server by itself */
 };
 
 /*
--- a/packages/edge/hops.c
+++ b/packages/edge/hops.c
@@ -89,8 +89,8 @@
 	const struct member_table *members = hops->edge->members;
 	const struct hop_peer *peer;
 
-	if (member == members->self || !member->peer.port || member->isolated ||
-	    !member_serves(members, member, now_us) ||
+	if (member == members->self || !member->peer.port ||
+	    member->partitioned || !member_serves(members, member, now_us) ||
 	    !route_allows_region(query->route, member->region))
 		return false;
 	peer = peer_of(hops, member);
--- a/packages/edge/reach_watch.c
+++ b/packages/edge/reach_watch.c
@@ -11,7 +11,7 @@
 /* How often probes are checked, and begun if there are too few. */
 #define TICK_US (50 * US_PER_MS)
 
-/* Interval of probes while the node is isolated. */
+/* Interval of probes while the node is partitioned. */
 #define PROBE_INTERVAL_US (250 * US_PER_MS)
 
 /* After a doubt was unfounded, the next one waits for so long. */
@@ -27,7 +27,7 @@
 	uv_timer_t timer;
 	GQueue probes; /* of struct probe */
 	uint32_t turn; /* probes begun */
-	uint64_t next_probe_us; /* while isolated */
+	uint64_t next_probe_us; /* while partitioned */
 	uint64_t settled_us; /* when it was last found to be connected */
 };
 
@@ -52,8 +52,8 @@
 static void log_state(const struct reach_watch *watch)
 {
 	const struct reach *reach = &watch->reach;
-	bool matters = reach->state == REACH_ISOLATED ||
-		       watch->edge->members->self->isolated;
+	bool matters = reach->state == REACH_PARTITIONED ||
+		       watch->edge->members->self->partitioned;
 
 	log_event(matters ? LOG_WARNING : LOG_INFO, "reach",
 		  "state=%s failed=%u servers=%u failing_us=%" PRIu64
@@ -66,17 +66,17 @@
 		  reach_kept_connections_work(reach) ? "yes" : "no");
 }
 
-static void tell_peers(struct reach_watch *watch, bool isolated)
+static void tell_peers(struct reach_watch *watch, bool partitioned)
 {
 	struct edge *edge = watch->edge;
 
-	edge->members->self->isolated = isolated;
-	metric_set(edge->stats.isolated, isolated);
+	edge->members->self->partitioned = partitioned;
+	metric_set(edge->stats.partitioned, partitioned);
 	if (edge->gossip)
 		gossip_send_heartbeat_now(edge->gossip);
 }
 
-static void become_isolated(struct reach_watch *watch)
+static void become_partitioned(struct reach_watch *watch)
 {
 	backend_table_forget_unreachable(watch->edge->backends,
 					 watch->reach.failing_since_us);
@@ -90,12 +90,12 @@
 	struct edge *edge = watch->edge;
 
 	watch->settled_us = edge_now_us(edge);
-	if (!edge->members->self->isolated)
+	if (!edge->members->self->partitioned)
 		return;
 	if (!kept_worked)
 		pool_drop_idle(&edge->pool);
 	backend_table_forget_unreachable(edge->backends,
-					 watch->reach.isolated_us);
+					 watch->reach.partitioned_us);
 	tell_peers(watch, false);
 }
 
@@ -108,8 +108,8 @@
 		break;
 	case REACH_IN_DOUBT:
 		break;
-	case REACH_ISOLATED:
-		become_isolated(watch);
+	case REACH_PARTITIONED:
+		become_partitioned(watch);
 		break;
 	}
 	continue_probes(watch);
@@ -125,7 +125,7 @@
 	if (reach_accepted(&watch->reach, backend->incarnation,
 			   known_servers(watch), edge_now_us(watch->edge)))
 		handle_change(watch, kept_worked);
-	else if (watch->reach.state == REACH_ISOLATED)
+	else if (watch->reach.state == REACH_PARTITIONED)
 		watch->next_probe_us = edge_now_us(watch->edge);
 }
 
@@ -256,7 +256,7 @@
 
 	if (watch->reach.state == REACH_IN_DOUBT && !watch->probes.length) {
 		begin_probes(watch, REACH_MAX_PROBES);
-	} else if (watch->reach.state == REACH_ISOLATED &&
+	} else if (watch->reach.state == REACH_PARTITIONED &&
 		   !watch->probes.length && now_us >= watch->next_probe_us) {
 		watch->next_probe_us = now_us + PROBE_INTERVAL_US;
 		begin_probes(watch, 1);
@@ -319,19 +319,19 @@
 	if (!edge->reach)
 		return REACH_YES;
 	reach = &edge->reach->reach;
-	if (reach->state == REACH_ISOLATED)
+	if (reach->state == REACH_PARTITIONED)
 		return REACH_NO;
 	if (MAX(reach->accepted_us, reach->answered_us) > since_us)
 		return REACH_YES;
 	doubt(edge->reach);
 	if (reach->state == REACH_CONNECTED)
 		return REACH_YES;
-	return reach->state == REACH_ISOLATED ? REACH_NO : REACH_UNKNOWN;
+	return reach->state == REACH_PARTITIONED ? REACH_NO : REACH_UNKNOWN;
 }
 
-bool reach_watch_is_isolated(const struct edge *edge)
+bool reach_watch_is_partitioned(const struct edge *edge)
 {
-	return edge->reach && edge->reach->reach.state == REACH_ISOLATED;
+	return edge->reach && edge->reach->reach.state == REACH_PARTITIONED;
 }
 
 bool reach_watch_may_use_kept(const struct edge *edge)
--- a/packages/edge/reach_watch.h
+++ b/packages/edge/reach_watch.h
@@ -2,12 +2,12 @@
  * reach_watch - finds out whether this node reaches backend servers at all
  *
  * Requests report which connections opened and failed. Where they leave a doubt
- * it opens connections to servers to find out, and while the node is isolated,
- * to see when it is back. Peers and look-ups then learn the change. See
- * core/reach.h. Not thread-safe.
+ * it opens connections to servers to find out, and while the node is
+ * partitioned, to see when it is back. Peers and look-ups then learn the
+ * change. See core/reach.h. Not thread-safe.
  *
  * All functions may be called without a watch (edge->reach is NULL); the node
- * then never counts as isolated.
+ * then never counts as partitioned.
  */
 #ifndef EDGE_REACH_WATCH_H
 #define EDGE_REACH_WATCH_H
@@ -42,15 +42,15 @@
 /* Whether a node reached any server since a moment. */
 enum reach_verdict {
 	REACH_YES,
-	REACH_NO, /* it is isolated */
+	REACH_NO, /* it is partitioned */
 	REACH_UNKNOWN, /* probes will tell; crash_watch_check() is called */
 };
 enum reach_verdict reach_watch_since(struct edge *edge, uint64_t since_us);
 
 /* Whether this node can't open connections to any server. */
-bool reach_watch_is_isolated(const struct edge *edge);
+bool reach_watch_is_partitioned(const struct edge *edge);
 
-/* Whether connections that are open may be used; true unless isolated. */
+/* Whether connections that are open may be used; true unless partitioned. */
 bool reach_watch_may_use_kept(const struct edge *edge);
 
 /* State, probes and times, for operators; NULL without a watch. */
--- a/packages/edge/stats.c
+++ b/packages/edge/stats.c
@@ -94,9 +94,9 @@
 		*at = metric_counter(counters[i].name, counters[i].help, NULL);
 	}
 	init_reads(stats);
-	stats->isolated = metric_gauge("lilacfield_isolated",
-				       "1 if no backend server is reachable",
-				       NULL);
+	stats->partitioned = metric_gauge("lilacfield_partitioned",
+					  "1 if no backend server is reachable",
+					  NULL);
 	stats->latency_us =
 		metric_histogram("lilacfield_latency_us",
 				 "arrival of a request to its answer", NULL);
--- a/packages/edge/stats.h
+++ b/packages/edge/stats.h
@@ -32,7 +32,7 @@
 	struct metric *hops_refused; /* requests of other nodes, not run */
 	struct metric *reach_probes; /* connections opened to find out whether
 					servers are reachable */
-	struct metric *isolated; /* 1: this node reaches no server */
+	struct metric *partitioned; /* 1: this node reaches no server */
 	struct metric *strays; /* answers of other requests, dropped */
 	struct metric *updates_rejected; /* invalid ones received from peers */
 	struct metric *quarantined; /* requests refused as quarantined */
--- a/tests/core/edge_core_test.cc
+++ b/tests/core/edge_core_test.cc
@@ -388,7 +388,7 @@
 }
 
 /* Look-ups named nodes without a way to any server. */
-TEST_F(MemberTableTest, IsolatedNodesAreNamedOnlyIfThereIsNoOther)
+TEST_F(MemberTableTest, PartitionedNodesAreNamedOnlyIfThereIsNoOther)
 {
 	struct member *b = member_table_find(table, "b");
 	struct member *c = member_table_find(table, "c");
@@ -396,12 +396,12 @@
 	for (struct member *member : { b, c })
 		member_note_heartbeat(member, 1, false, now_us);
 	ASSERT_EQ(2u, entries("r1"));
-	b->isolated = true;
+	b->partitioned = true;
 	EXPECT_EQ(1u, entries("r1"));
-	table->self->isolated = true;
+	table->self->partitioned = true;
 	EXPECT_EQ(1u, entries("r1")) << "another region's";
-	c->isolated = true;
-	EXPECT_EQ(2u, entries("r1")) << "all are isolated: the region's";
+	c->partitioned = true;
+	EXPECT_EQ(2u, entries("r1")) << "all are partitioned: the region's";
 	EXPECT_EQ(3u, entries("r9"));
 }
 
--- a/tests/core/reach_test.cc
+++ b/tests/core/reach_test.cc
@@ -1,4 +1,4 @@
-/* When a node counts as isolated from all backend servers, and as back. */
+/* When a node counts as partitioned from all backend servers, and as back. */
 #include <string>
 #include <vector>
 
@@ -57,13 +57,13 @@
 	    { FAILS, 3, 10, REACH_IN_DOUBT },
 	    { FAILS, 3, 10, REACH_IN_DOUBT },
 	    { FAILS, 4, 10, REACH_IN_DOUBT },
-	    { FAILS, 5, 10, REACH_ISOLATED } } },
+	    { FAILS, 5, 10, REACH_PARTITIONED } } },
 	{ "AllOfFewServersFail",
 	  3,
 	  { { FAILS, 1, 0, REACH_CONNECTED },
 	    { FAILS, 2, 10, REACH_IN_DOUBT },
-	    { FAILS, 3, 10, REACH_ISOLATED } } },
-	{ "TheOnlyServerFails", 1, { { FAILS, 1, 0, REACH_ISOLATED } } },
+	    { FAILS, 3, 10, REACH_PARTITIONED } } },
+	{ "TheOnlyServerFails", 1, { { FAILS, 1, 0, REACH_PARTITIONED } } },
 	{ "NoServerIsKnown", 0, { { FAILS, 1, 0, REACH_CONNECTED } } },
 	{ "TwoServersAcceptAgain",
 	  5,
@@ -71,9 +71,9 @@
 	    { FAILS, 2, 0, REACH_IN_DOUBT },
 	    { FAILS, 3, 0, REACH_IN_DOUBT },
 	    { FAILS, 4, 0, REACH_IN_DOUBT },
-	    { FAILS, 5, 0, REACH_ISOLATED },
-	    { ACCEPTS, 1, 900, REACH_ISOLATED },
-	    { ACCEPTS, 1, 1, REACH_ISOLATED },
+	    { FAILS, 5, 0, REACH_PARTITIONED },
+	    { ACCEPTS, 1, 900, REACH_PARTITIONED },
+	    { ACCEPTS, 1, 1, REACH_PARTITIONED },
 	    { ACCEPTS, 2, 1, REACH_CONNECTED } } },
 	{ "OneServerOfManyIsNoWayBack",
 	  5,
@@ -81,13 +81,13 @@
 	    { FAILS, 2, 0, REACH_IN_DOUBT },
 	    { FAILS, 3, 0, REACH_IN_DOUBT },
 	    { FAILS, 4, 0, REACH_IN_DOUBT },
-	    { FAILS, 5, 0, REACH_ISOLATED },
-	    { ACCEPTS, 1, 250, REACH_ISOLATED },
-	    { FAILS, 2, 250, REACH_ISOLATED },
-	    { ACCEPTS, 1, 250, REACH_ISOLATED } } },
+	    { FAILS, 5, 0, REACH_PARTITIONED },
+	    { ACCEPTS, 1, 250, REACH_PARTITIONED },
+	    { FAILS, 2, 250, REACH_PARTITIONED },
+	    { ACCEPTS, 1, 250, REACH_PARTITIONED } } },
 	{ "TheOnlyServerAcceptsAgain",
 	  1,
-	  { { FAILS, 1, 0, REACH_ISOLATED },
+	  { { FAILS, 1, 0, REACH_PARTITIONED },
 	    { ACCEPTS, 1, 250, REACH_CONNECTED } } },
 };
 
@@ -126,7 +126,7 @@
 	EXPECT_TRUE(reach_kept_connections_work(&reach));
 	reach_answered(&reach, 99);
 	reach_failed(&reach, 1, 1, 100);
-	ASSERT_EQ(REACH_ISOLATED, reach.state);
+	ASSERT_EQ(REACH_PARTITIONED, reach.state);
 	EXPECT_FALSE(reach_kept_connections_work(&reach));
 	reach_answered(&reach, 101);
 	EXPECT_TRUE(reach_kept_connections_work(&reach));
@@ -180,7 +180,7 @@
 	uint32_t turn = 0;
 };
 
-/* A dead service must not make a node believe that it is isolated. */
+/* A dead service must not make a node believe that it is partitioned. */
 TEST_F(ReachProbeTest, AskAnotherServiceThanTheOneThatFails)
 {
 	fail("s-d1");
@@ -193,7 +193,7 @@
 	}
 }
 
-/* A dead failure domain must not make a node believe that it is isolated. */
+/* A dead failure domain must not make a node believe that it is partitioned. */
 TEST_F(ReachProbeTest, AskAnotherDomainThanTheOneThatFails)
 {
 	fail("s-d1");
--- a/tests/edge/heartbeat_test.cc
+++ b/tests/edge/heartbeat_test.cc
@@ -70,8 +70,8 @@
 	EXPECT_EQ(3u, got.member_count);
 	EXPECT_EQ(102u, got.members[2].number);
 	EXPECT_TRUE(got.members[2].leaving);
-	EXPECT_FALSE(got.members[2].isolated);
-	EXPECT_TRUE(got.members[1].isolated);
+	EXPECT_FALSE(got.members[2].partitioned);
+	EXPECT_TRUE(got.members[1].partitioned);
 	EXPECT_EQ(20u, got.pair_count);
 	EXPECT_EQ(133u, got.pairs[19].pair.object);
 	EXPECT_EQ(19u, got.pairs[19].ready_ms);
--- a/tests/edge/hop_test.cc
+++ b/tests/edge/hop_test.cc
@@ -1,4 +1,4 @@
-/* Requests that an isolated node hands to peers, seen from either side. */
+/* Requests that a partitioned node hands to peers, seen from either side. */
 #include <set>
 
 #include "edge/edge_world.h"
@@ -135,7 +135,7 @@
 		reach_ = reach_watch_open(edge);
 	}
 	/* Its only server refuses connections. */
-	void start_isolated()
+	void start_partitioned()
 	{
 		App &app = add_app("i-1");
 
@@ -143,7 +143,7 @@
 		app_stand_close(app.stand);
 		app.stand = nullptr;
 		EXPECT_EQ(503, status_of(answer_to(get("first", "/r/"))));
-		ASSERT_TRUE(reach_watch_is_isolated(edge));
+		ASSERT_TRUE(reach_watch_is_partitioned(edge));
 	}
 	struct member *add_member(const char *name, const struct endpoint &at,
 				  const char *region = "r1")
@@ -256,7 +256,7 @@
 	const hop_case &c = GetParam();
 	uint32_t asked = 0;
 
-	start_isolated();
+	start_partitioned();
 	for (enum peer_answer peer : c.peers)
 		add_peer(peer);
 	std::string answer = answer_to(get("a1", c.path));
@@ -281,7 +281,7 @@
 
 TEST_F(HopSenderTest, TheTimeLeftAndTheSendsGoAlong)
 {
-	start_isolated();
+	start_partitioned();
 	FakePeer &peer = add_peer(PEER_SERVES);
 
 	EXPECT_EQ(200, status_of(answer_to(get("a1", "/r/",
@@ -295,7 +295,7 @@
 
 TEST_F(HopSenderTest, ConnectionsToPeersAreKept)
 {
-	start_isolated();
+	start_partitioned();
 	FakePeer &peer = add_peer(PEER_SERVES);
 
 	for (const char *id : { "a1", "a2", "a3" })
@@ -311,7 +311,7 @@
 		       "\"target_latency\":\"600ms\",\"priority\":2,"
 		       "\"service\":\"s\",\"max_attempts\":2,\"sticky\":true,"
 		       "\"allowed_regions\":[\"r1\"]}";
-	start_isolated();
+	start_partitioned();
 	FakePeer &far = add_peer(PEER_SERVES, "r2");
 
 	EXPECT_EQ(503, status_of(answer_to(get("a1", "/h/"))));
@@ -323,22 +323,22 @@
 	EXPECT_EQ(1u, near.asked);
 }
 
-TEST_F(HopSenderTest, IsolatedAndLeavingPeersAreNotAsked)
+TEST_F(HopSenderTest, PartitionedAndLeavingPeersAreNotAsked)
 {
-	start_isolated();
-	FakePeer &isolated = add_peer(PEER_SERVES);
+	start_partitioned();
+	FakePeer &partitioned = add_peer(PEER_SERVES);
 	FakePeer &leaving = add_peer(PEER_SERVES);
 
-	member_table_find(edge->members, "peer0")->isolated = true;
+	member_table_find(edge->members, "peer0")->partitioned = true;
 	member_table_find(edge->members, "peer1")->leaving = true;
 	EXPECT_EQ(503, status_of(answer_to(get("a1", "/r/"))));
-	EXPECT_EQ(0u, isolated.asked + leaving.asked);
+	EXPECT_EQ(0u, partitioned.asked + leaving.asked);
 }
 
 /* The server would go on with the request for nobody. */
 TEST_F(HopSenderTest, ACallerThatLeavesEndsTheHop)
 {
-	start_isolated();
+	start_partitioned();
 	FakePeer &peer = add_peer(PEER_SILENT);
 	auto caller = call(get("a1", "/r/"));
 
@@ -350,7 +350,7 @@
 
 TEST_F(HopSenderTest, APeerThatFailedIsLeftAloneForAWhile)
 {
-	start_isolated();
+	start_partitioned();
 	FakePeer &broken = add_peer(PEER_RESETS);
 
 	EXPECT_EQ(504, status_of(answer_to(get("a1", "/o/"))));
@@ -361,13 +361,13 @@
 /* Servers come back: the node uses its own way without a peer's word. */
 TEST_F(HopSenderTest, TheOwnWayIsUsedAgainOnceServersAccept)
 {
-	start_isolated();
+	start_partitioned();
 	FakePeer &peer = add_peer(PEER_SERVES);
 
 	EXPECT_EQ(200, status_of(answer_to(get("a1", "/r/"))));
 	add_app("i-2");
 	add_app("i-3");
-	wait_for([this] { return !reach_watch_is_isolated(edge); });
+	wait_for([this] { return !reach_watch_is_partitioned(edge); });
 	EXPECT_EQ(200, status_of(answer_to(get("a2", "/r/"))));
 	EXPECT_EQ(1u, peer.asked);
 	EXPECT_EQ(1u, runs_of("a2"));
@@ -475,7 +475,7 @@
  */
 TEST_F(HopReceiverTest, AHopIsNeverHandedOn)
 {
-	start_isolated();
+	start_partitioned();
 	FakePeer &peer = add_peer(PEER_SERVES);
 	std::string answer = hop_to(get("a1", "/r/", "Hop-Sends: 0\r\n"));
 
--- a/tests/edge/reach_watch_test.cc
+++ b/tests/edge/reach_watch_test.cc
@@ -9,7 +9,7 @@
 	const char *name;
 	int lost; /* servers that reset all connections and refuse new ones */
 	int busy; /* of these, with a request at work */
-	bool isolated;
+	bool partitioned;
 	bool suspects; /* requests may be suspected of crashes */
 };
 
@@ -86,11 +86,11 @@
 	start();
 	occupy(c.busy);
 	lose(c.lost);
-	if (c.isolated)
-		wait_for([this] { return reach_watch_is_isolated(edge); });
+	if (c.partitioned)
+		wait_for([this] { return reach_watch_is_partitioned(edge); });
 	run_for(300);
-	EXPECT_EQ(c.isolated, reach_watch_is_isolated(edge));
-	EXPECT_EQ(c.isolated, edge->members->self->isolated);
+	EXPECT_EQ(c.partitioned, reach_watch_is_partitioned(edge));
+	EXPECT_EQ(c.partitioned, edge->members->self->partitioned);
 	EXPECT_EQ(c.suspects, edge->suspects->count > 0);
 	callers.clear();
 }
--- a/tests/emulator/cuts.c
+++ b/tests/emulator/cuts.c
@@ -3,7 +3,7 @@
  * to backend servers go nowhere while a file says so.
  *
  *     LILACFIELD_SOURCE   the node's address
- *     LILACFIELD_CUT      the file: "INSTEAD STORE", or empty; see isolation.h
+ *     LILACFIELD_CUT      the file: "INSTEAD STORE", or empty; see partition.h
  *
  * Linked with --wrap=uv_tcp_connect.
  */
--- a/tests/emulator/emulator.c
+++ b/tests/emulator/emulator.c
@@ -25,7 +25,7 @@
  * With --limited COUNT:RATE so many servers of the first service name a rate;
  * see limit_watch.h.
  *
- * With --isolate nodes lose the way to all servers; see isolation.h.
+ * With --partition nodes lose the way to all servers; see partition.h.
  *
  * With --deadly a caller brings one request so often a second to any node,
  * under which each server ends that runs it; another starts in its place.
@@ -45,7 +45,7 @@
 #include "core/duration.h"
 #include "edge/link.h"
 #include "emulator/commands.h"
-#include "emulator/isolation.h"
+#include "emulator/partition.h"
 #include "emulator/limit_watch.h"
 #include "emulator/route_watch.h"
 #include "standins/app_stand.h"
@@ -128,7 +128,7 @@
 	uint32_t deadly_refused;
 	GArray *ends_us; /* of servers, in order */
 	struct limit_watch *limits; /* NULL: no server names a rate */
-	struct isolation *isolation; /* NULL: no node loses its servers */
+	struct partition *partition; /* NULL: no node loses its servers */
 	uint32_t rate;
 	uint32_t closes_one_in; /* answers of servers; 0: none */
 	bool ending;
@@ -599,8 +599,8 @@
 
 	if (!world->nodes->len) {
 		find_nodes(world);
-		if (world->isolation && world->nodes->len)
-			isolation_begin(world->isolation);
+		if (world->partition && world->nodes->len)
+			partition_begin(world->partition);
 	}
 	if (world->ending || !world->nodes->len)
 		return;
@@ -857,7 +857,8 @@
 	uint32_t answered = 0;
 	bool deadly = report_deadly(world);
 	bool over = world->limits && limit_watch_report(world->limits);
-	bool isolated = world->isolation && isolation_report(world->isolation);
+	bool partitioned = world->partition &&
+			   partition_report(world->partition);
 	guint i;
 
 	printf("| service | sent | answered | not run | unknown | p50 ms | p99 "
@@ -880,8 +881,9 @@
 	       "%u, false statuses %u\n",
 	       world->nodes->len, store_stand_calls(world->store), doubled,
 	       untrue, world->wrong, other);
-	return route_watch_report(world->watch) || deadly || over || isolated ||
-	       doubled || untrue || world->wrong || other || !answered;
+	return route_watch_report(world->watch) || deadly || over ||
+	       partitioned || doubled || untrue || world->wrong || other ||
+	       !answered;
 }
 
 static void on_end(uv_timer_t *timer)
@@ -891,8 +893,8 @@
 	if (!world->ending) {
 		world->ending = true;
 		route_watch_end(world->watch);
-		if (world->isolation)
-			isolation_end(world->isolation);
+		if (world->partition)
+			partition_end(world->partition);
 		uv_timer_start(timer, on_end,
 			       CALL_DEADLINE_MS + 2 * KEPT_ANSWERS_MS, 0);
 		return;
@@ -960,25 +962,25 @@
 	return true;
 }
 
-static bool plan_isolation(struct world *world, const struct endpoint *store,
+static bool plan_partition(struct world *world, const struct endpoint *store,
 			   const char *plan, const char *cuts)
 {
 	guint i;
 	guint j;
 
-	world->isolation =
-		isolation_new(&world->loop, world->store, store, plan, cuts);
-	if (!world->isolation)
+	world->partition =
+		partition_new(&world->loop, world->store, store, plan, cuts);
+	if (!world->partition)
 		return false;
 	for (i = 0; i < world->services->len; i++) {
 		const struct service *service = world->services->pdata[i];
 
-		isolation_add_service(world->isolation, service->name,
+		partition_add_service(world->partition, service->name,
 				      service->once);
 		for (j = 0; j < service->apps->len; j++) {
 			const struct app *app = service->apps->pdata[j];
 
-			isolation_add_server(world->isolation, app->relay);
+			partition_add_server(world->partition, app->relay);
 		}
 	}
 	return true;
@@ -998,7 +1000,7 @@
 	char **services = NULL;
 	char *fault = NULL;
 	char *limited = NULL;
-	char *isolate = NULL;
+	char *partition = NULL;
 	char *cuts = NULL;
 	int rate = 50;
 	int seconds = 20;
@@ -1028,7 +1030,7 @@
 		{ "closes", 0, POPT_ARG_INT, &closes, 0,
 		  "answers of servers, one in so many, end their connection",
 		  "N" },
-		{ "isolate", 0, POPT_ARG_STRING, &isolate, 0,
+		{ "partition", 0, POPT_ARG_STRING, &partition, 0,
 		  "nodes that lose all servers: hang, reset or refuse",
 		  "MANNER:NODE,...@AT_S:FOR_S" },
 		{ "cuts", 0, POPT_ARG_STRING, &cuts, 0,
@@ -1080,8 +1082,8 @@
 		begin_deadly(&world, (uint32_t)deadly);
 	if (limited && !begin_limited(&world, limited))
 		return fail(limited);
-	if (isolate && !plan_isolation(&world, &at, isolate, cuts))
-		return fail(isolate);
+	if (partition && !plan_partition(&world, &at, partition, cuts))
+		return fail(partition);
 	if (fault && !plan_fault(&world, fault))
 		return fail(fault);
 	put_config(&world);
--- a/tests/emulator/isolation.c
+++ b/tests/emulator/partition.c
@@ -1,4 +1,4 @@
-#include "emulator/isolation.h"
+#include "emulator/partition.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -22,8 +22,8 @@
 #define JUDGED_BACK_TO_MS 4000
 
 /*
- * Broken where isolated nodes serve less than this part of what the others do,
- * and more requests fail there than these and one in so many of all.
+ * Broken where partitioned nodes serve less than this part of what the others
+ * do, and more requests fail there than these and one in so many of all.
  */
 #define SERVED_PART (2.0 / 3.0)
 #define FAILED_FEW 10
@@ -45,7 +45,7 @@
 struct place {
 	char *name;
 	struct endpoint front;
-	bool isolated;
+	bool partitioned;
 };
 
 struct tally {
@@ -53,7 +53,7 @@
 	uint32_t served;
 };
 
-struct isolation {
+struct partition {
 	uv_loop_t *loop;
 	struct store_stand *rows;
 	struct endpoint store;
@@ -64,7 +64,7 @@
 	uv_connect_t hole_connect;
 	char *cuts;
 	enum manner manner;
-	char **names; /* of the isolated nodes */
+	char **names; /* of the partitioned nodes */
 	uint64_t at_ms;
 	uint64_t for_ms;
 	GPtrArray *relays;
@@ -75,7 +75,7 @@
 	uint64_t began_ms; /* 0: not yet */
 	uint64_t ended_ms;
 	bool ending;
-	struct tally isolated[SPANS];
+	struct tally partitioned[SPANS];
 	struct tally others[SPANS];
 	uint64_t requests;
 };
@@ -88,7 +88,7 @@
 };
 
 struct caller {
-	struct isolation *isolation;
+	struct partition *partition;
 	const struct place *place;
 	const struct service *service;
 	struct caller_link *conn;
@@ -96,36 +96,36 @@
 	uint64_t sent_ms; /* 0: no request is under way */
 };
 
-static uint64_t now_ms(const struct isolation *isolation)
+static uint64_t now_ms(const struct partition *partition)
 {
-	return uv_now(isolation->loop);
+	return uv_now(partition->loop);
 }
 
-static int span_at(const struct isolation *isolation, uint64_t at_ms)
+static int span_at(const struct partition *partition, uint64_t at_ms)
 {
-	uint64_t began_ms = isolation->began_ms;
-	uint64_t ended_ms = isolation->ended_ms;
+	uint64_t began_ms = partition->began_ms;
+	uint64_t ended_ms = partition->ended_ms;
 
 	if (ended_ms && at_ms >= ended_ms + JUDGED_BACK_FROM_MS &&
 	    at_ms < ended_ms + JUDGED_BACK_TO_MS)
 		return SPAN_BACK;
 	if (began_ms && at_ms >= began_ms + JUDGED_AFTER_MS &&
-	    at_ms < began_ms + isolation->for_ms)
+	    at_ms < began_ms + partition->for_ms)
 		return SPAN_CUT;
 	return -1;
 }
 
 static void count_result(struct caller *caller, bool served)
 {
-	struct isolation *isolation = caller->isolation;
-	int span = span_at(isolation, caller->sent_ms);
+	struct partition *partition = caller->partition;
+	int span = span_at(partition, caller->sent_ms);
 	struct tally *tally;
 
 	caller->sent_ms = 0;
 	if (span < 0)
 		return;
-	tally = caller->place->isolated ? &isolation->isolated[span] :
-					  &isolation->others[span];
+	tally = caller->place->partitioned ? &partition->partitioned[span] :
+					     &partition->others[span];
 	tally->sent++;
 	tally->served += served;
 }
@@ -150,7 +150,7 @@
 
 static void send_request(struct caller *caller)
 {
-	struct isolation *isolation = caller->isolation;
+	struct partition *partition = caller->partition;
 	GString *request = g_string_new(NULL);
 
 	g_string_append_printf(request,
@@ -159,7 +159,7 @@
 			       "Lilacfield-Affinity-Key: %d\r\n"
 			       "Lilacfield-Deadline-Ms: %d\r\n\r\n",
 			       caller->service->once ? "POST" : "GET",
-			       caller->service->name, ++isolation->requests,
+			       caller->service->name, ++partition->requests,
 			       g_random_int_range(0, 20), DEADLINE_MS);
 	link_send(&caller->conn->link, request, false);
 }
@@ -223,11 +223,11 @@
 static void next_request(struct caller *caller)
 {
 	static const struct message_limits limits = { 65536, 1048576 };
-	struct isolation *isolation = caller->isolation;
+	struct partition *partition = caller->partition;
 
-	if (isolation->ending)
+	if (partition->ending)
 		return;
-	caller->sent_ms = now_ms(isolation);
+	caller->sent_ms = now_ms(partition);
 	uv_timer_start(&caller->timer, on_timer, GIVE_UP_MS, 0);
 	if (caller->conn) {
 		send_request(caller);
@@ -235,7 +235,7 @@
 	}
 	caller->conn = g_new0(struct caller_link, 1);
 	caller->conn->caller = caller;
-	if (link_open(&caller->conn->link, &link_events, isolation->loop,
+	if (link_open(&caller->conn->link, &link_events, partition->loop,
 		      &caller->place->front, &limits))
 		fail_request(caller);
 }
@@ -250,26 +250,26 @@
 		next_request(caller);
 }
 
-static void start_caller(struct isolation *isolation, const struct place *place,
+static void start_caller(struct partition *partition, const struct place *place,
 			 const struct service *service)
 {
 	struct caller *caller = g_new0(struct caller, 1);
 
-	caller->isolation = isolation;
+	caller->partition = partition;
 	caller->place = place;
 	caller->service = service;
-	uv_timer_init(isolation->loop, &caller->timer);
+	uv_timer_init(partition->loop, &caller->timer);
 	caller->timer.data = caller;
 	pause_caller(caller);
 }
 
 /* --- the cut ------------------------------------------------------------ */
 
-static void write_cut(const struct isolation *isolation, const char *node,
+static void write_cut(const struct partition *partition, const char *node,
 		      const struct endpoint *instead)
 {
-	const struct endpoint *store = &isolation->store;
-	char *path = g_strdup_printf("%s/%s.cut", isolation->cuts, node);
+	const struct endpoint *store = &partition->store;
+	char *path = g_strdup_printf("%s/%s.cut", partition->cuts, node);
 	char *text = instead ? g_strdup_printf("%s:%u %s:%u", instead->address,
 					       instead->port, store->address,
 					       store->port) :
@@ -281,56 +281,56 @@
 	g_free(path);
 }
 
-static void set_open_connections(const struct isolation *isolation,
+static void set_open_connections(const struct partition *partition,
 				 const struct place *place, bool cut)
 {
 	const char *address = place->front.address;
 	guint i;
 
-	for (i = 0; i < isolation->relays->len; i++) {
-		struct relay *relay = isolation->relays->pdata[i];
+	for (i = 0; i < partition->relays->len; i++) {
+		struct relay *relay = partition->relays->pdata[i];
 
-		if (isolation->manner == MANNER_HANG)
+		if (partition->manner == MANNER_HANG)
 			relay_silence_caller(relay, address, cut);
-		else if (isolation->manner == MANNER_RESET && cut)
+		else if (partition->manner == MANNER_RESET && cut)
 			relay_reset_caller(relay, address);
 	}
 }
 
-static void set_cut(struct isolation *isolation, bool cut)
+static void set_cut(struct partition *partition, bool cut)
 {
-	const struct endpoint *instead = isolation->manner == MANNER_REFUSE ?
-						 &isolation->closed :
-						 &isolation->hole;
+	const struct endpoint *instead = partition->manner == MANNER_REFUSE ?
+						 &partition->closed :
+						 &partition->hole;
 	guint i;
 
-	printf("isolation, %s: %s\n", manner_names[isolation->manner],
+	printf("partition, %s: %s\n", manner_names[partition->manner],
 	       cut ? "begins" : "ends");
 	fflush(stdout);
-	for (i = 0; i < isolation->places->len; i++) {
-		const struct place *place = isolation->places->pdata[i];
+	for (i = 0; i < partition->places->len; i++) {
+		const struct place *place = partition->places->pdata[i];
 
-		if (!place->isolated)
+		if (!place->partitioned)
 			continue;
-		write_cut(isolation, place->name, cut ? instead : NULL);
-		set_open_connections(isolation, place, cut);
+		write_cut(partition, place->name, cut ? instead : NULL);
+		set_open_connections(partition, place, cut);
 	}
 }
 
 static void on_begin(uv_timer_t *timer)
 {
-	struct isolation *isolation = timer->data;
+	struct partition *partition = timer->data;
 
-	isolation->began_ms = now_ms(isolation);
-	set_cut(isolation, true);
+	partition->began_ms = now_ms(partition);
+	set_cut(partition, true);
 }
 
 static void on_end(uv_timer_t *timer)
 {
-	struct isolation *isolation = timer->data;
+	struct partition *partition = timer->data;
 
-	isolation->ended_ms = now_ms(isolation);
-	set_cut(isolation, false);
+	partition->ended_ms = now_ms(partition);
+	set_cut(partition, false);
 }
 
 static void on_filled(uv_connect_t *request, int status)
@@ -345,20 +345,20 @@
  * A listener whose only place is taken: the kernel drops what asks for another
  * one, as a partition does. It never accepts.
  */
-static bool open_hole(struct isolation *isolation)
+static bool open_hole(struct partition *partition)
 {
 	struct sockaddr_in address;
 	uv_os_fd_t fd;
 
-	uv_ip4_addr(isolation->hole.address, isolation->hole.port, &address);
-	uv_tcp_init(isolation->loop, &isolation->hole_tcp);
-	uv_tcp_init(isolation->loop, &isolation->hole_filler);
-	if (uv_tcp_bind(&isolation->hole_tcp, (struct sockaddr *)&address, 0) ||
-	    uv_fileno((uv_handle_t *)&isolation->hole_tcp, &fd) ||
+	uv_ip4_addr(partition->hole.address, partition->hole.port, &address);
+	uv_tcp_init(partition->loop, &partition->hole_tcp);
+	uv_tcp_init(partition->loop, &partition->hole_filler);
+	if (uv_tcp_bind(&partition->hole_tcp, (struct sockaddr *)&address, 0) ||
+	    uv_fileno((uv_handle_t *)&partition->hole_tcp, &fd) ||
 	    listen(fd, 0))
 		return false;
-	return !uv_tcp_connect(&isolation->hole_connect,
-			       &isolation->hole_filler,
+	return !uv_tcp_connect(&partition->hole_connect,
+			       &partition->hole_filler,
 			       (struct sockaddr *)&address, on_filled);
 }
 
@@ -369,37 +369,38 @@
 	return tally->sent ? (double)tally->served / tally->sent : 1.0;
 }
 
-static bool is_broken(const struct tally *isolated, const struct tally *others)
+static bool is_broken(const struct tally *partitioned,
+		      const struct tally *others)
 {
-	uint32_t sent = isolated->sent + others->sent;
-	uint32_t failed = isolated->sent - isolated->served;
+	uint32_t sent = partitioned->sent + others->sent;
+	uint32_t failed = partitioned->sent - partitioned->served;
 
-	return served_part(isolated) < SERVED_PART * served_part(others) &&
+	return served_part(partitioned) < SERVED_PART * served_part(others) &&
 	       failed > FAILED_FEW + sent / FAILED_ONE_IN;
 }
 
-bool isolation_report(const struct isolation *isolation)
+bool partition_report(const struct partition *partition)
 {
-	bool broken = !isolation->ended_ms ||
-		      !isolation->isolated[SPAN_CUT].sent;
+	bool broken = !partition->ended_ms ||
+		      !partition->partitioned[SPAN_CUT].sent;
 	int span;
 
 	for (span = 0; span < SPANS; span++) {
-		const struct tally *isolated = &isolation->isolated[span];
-		const struct tally *others = &isolation->others[span];
+		const struct tally *partitioned = &partition->partitioned[span];
+		const struct tally *others = &partition->others[span];
 
-		printf("%s: isolated nodes served %u of %u requests, the "
+		printf("%s: partitioned nodes served %u of %u requests, the "
 		       "others %u of %u\n",
-		       span_names[span], isolated->served, isolated->sent,
+		       span_names[span], partitioned->served, partitioned->sent,
 		       others->served, others->sent);
-		broken |= is_broken(isolated, others);
+		broken |= is_broken(partitioned, others);
 	}
 	return broken;
 }
 
 /* --- the start ---------------------------------------------------------- */
 
-static bool read_plan(struct isolation *isolation, const char *plan)
+static bool read_plan(struct partition *partition, const char *plan)
 {
 	char manner[8];
 	char names[256];
@@ -410,74 +411,74 @@
 	if (sscanf(plan, "%7[a-z]:%255[^@]@%u:%u", manner, names, &at_s,
 		   &for_s) != 4)
 		return false;
-	isolation->names = g_strsplit(names, ",", -1);
-	isolation->at_ms = at_s * 1000ull;
-	isolation->for_ms = for_s * 1000ull;
+	partition->names = g_strsplit(names, ",", -1);
+	partition->at_ms = at_s * 1000ull;
+	partition->for_ms = for_s * 1000ull;
 	for (i = 0; i < G_N_ELEMENTS(manner_names); i++)
 		if (!strcmp(manner, manner_names[i])) {
-			isolation->manner = (enum manner)i;
+			partition->manner = (enum manner)i;
 			return true;
 		}
 	return false;
 }
 
-struct isolation *isolation_new(uv_loop_t *loop, struct store_stand *rows,
+struct partition *partition_new(uv_loop_t *loop, struct store_stand *rows,
 				const struct endpoint *store, const char *plan,
 				const char *cuts)
 {
-	struct isolation *isolation = g_new0(struct isolation, 1);
-
-	isolation->loop = loop;
-	isolation->rows = rows;
-	isolation->store = *store;
-	isolation->hole = *store;
-	isolation->hole.port--;
-	isolation->closed = *store;
-	isolation->closed.port -= 2;
-	isolation->cuts = g_strdup(cuts);
-	isolation->relays = g_ptr_array_new();
-	isolation->services = g_ptr_array_new();
-	isolation->places = g_ptr_array_new();
-	if (cuts && read_plan(isolation, plan) && open_hole(isolation))
-		return isolation;
-	g_free(isolation);
+	struct partition *partition = g_new0(struct partition, 1);
+
+	partition->loop = loop;
+	partition->rows = rows;
+	partition->store = *store;
+	partition->hole = *store;
+	partition->hole.port--;
+	partition->closed = *store;
+	partition->closed.port -= 2;
+	partition->cuts = g_strdup(cuts);
+	partition->relays = g_ptr_array_new();
+	partition->services = g_ptr_array_new();
+	partition->places = g_ptr_array_new();
+	if (cuts && read_plan(partition, plan) && open_hole(partition))
+		return partition;
+	g_free(partition);
 	return NULL;
 }
 
-void isolation_add_server(struct isolation *isolation, struct relay *relay)
+void partition_add_server(struct partition *partition, struct relay *relay)
 {
-	g_ptr_array_add(isolation->relays, relay);
+	g_ptr_array_add(partition->relays, relay);
 }
 
-void isolation_add_service(struct isolation *isolation, const char *name,
+void partition_add_service(struct partition *partition, const char *name,
 			   bool once)
 {
 	struct service *service = g_new0(struct service, 1);
 
 	service->name = g_strdup(name);
 	service->once = once;
-	g_ptr_array_add(isolation->services, service);
+	g_ptr_array_add(partition->services, service);
 }
 
-static void find_place(struct isolation *isolation, const char *name)
+static void find_place(struct partition *partition, const char *name)
 {
-	const char *value = store_stand_get(isolation->rows, "members", name);
+	const char *value = store_stand_get(partition->rows, "members", name);
 	json_t *row = value ? json_loads(value, 0, NULL) : NULL;
 	const char *front = json_string_value(json_object_get(row, "front"));
 	struct place *place = g_new0(struct place, 1);
 
 	if (front && endpoint_parse(front, &place->front)) {
 		place->name = g_strdup(name);
-		place->isolated = g_strv_contains(
-			(const char *const *)isolation->names, name);
-		g_ptr_array_add(isolation->places, place);
+		place->partitioned = g_strv_contains(
+			(const char *const *)partition->names, name);
+		g_ptr_array_add(partition->places, place);
 	} else {
 		g_free(place);
 	}
 	json_decref(row);
 }
 
-void isolation_begin(struct isolation *isolation)
+void partition_begin(struct partition *partition)
 {
 	guint i;
 	guint j;
@@ -486,25 +487,25 @@
 	for (i = 1; i <= 64; i++) {
 		char *name = g_strdup_printf("n%u", i);
 
-		find_place(isolation, name);
+		find_place(partition, name);
 		g_free(name);
 	}
-	for (i = 0; i < isolation->places->len; i++)
-		for (j = 0; j < isolation->services->len; j++)
+	for (i = 0; i < partition->places->len; i++)
+		for (j = 0; j < partition->services->len; j++)
 			for (k = 0; k < CALLERS; k++)
-				start_caller(isolation,
-					     isolation->places->pdata[i],
-					     isolation->services->pdata[j]);
-	uv_timer_init(isolation->loop, &isolation->begins);
-	uv_timer_init(isolation->loop, &isolation->ends);
-	isolation->begins.data = isolation;
-	isolation->ends.data = isolation;
-	uv_timer_start(&isolation->begins, on_begin, isolation->at_ms, 0);
-	uv_timer_start(&isolation->ends, on_end,
-		       isolation->at_ms + isolation->for_ms, 0);
+				start_caller(partition,
+					     partition->places->pdata[i],
+					     partition->services->pdata[j]);
+	uv_timer_init(partition->loop, &partition->begins);
+	uv_timer_init(partition->loop, &partition->ends);
+	partition->begins.data = partition;
+	partition->ends.data = partition;
+	uv_timer_start(&partition->begins, on_begin, partition->at_ms, 0);
+	uv_timer_start(&partition->ends, on_end,
+		       partition->at_ms + partition->for_ms, 0);
 }
 
-void isolation_end(struct isolation *isolation)
+void partition_end(struct partition *partition)
 {
-	isolation->ending = true;
+	partition->ending = true;
 }
--- a/tests/emulator/isolation.h
+++ b/tests/emulator/partition.h
@@ -1,5 +1,5 @@
 /*
- * isolation - nodes that lose the way to all backend servers for a while, and
+ * partition - nodes that lose the way to all backend servers for a while, and
  * callers that stay on each node's connections meanwhile
  *
  * A plan is MANNER:NODE,NODE...@AT_S:FOR_S. At the nodes named, new connections
@@ -16,8 +16,8 @@
  * others, from JUDGED_AFTER_MS after the cut begins until it ends, and again
  * after it.
  */
-#ifndef EMULATOR_ISOLATION_H
-#define EMULATOR_ISOLATION_H
+#ifndef EMULATOR_PARTITION_H
+#define EMULATOR_PARTITION_H
 
 #include <glib.h>
 #include <stdbool.h>
@@ -27,27 +27,27 @@
 #include "standins/relay.h"
 #include "standins/store_stand.h"
 
-struct isolation;
+struct partition;
 
 /* NULL for a bad plan, or if the port before the store's is taken. */
-struct isolation *isolation_new(uv_loop_t *loop, struct store_stand *rows,
+struct partition *partition_new(uv_loop_t *loop, struct store_stand *rows,
 				const struct endpoint *store, const char *plan,
 				const char *cuts);
 
 /* A server is reached through the relay. */
-void isolation_add_server(struct isolation *isolation, struct relay *relay);
+void partition_add_server(struct partition *partition, struct relay *relay);
 
 /* Callers' path for a service: they send METHOD /PATH/x. */
-void isolation_add_service(struct isolation *isolation, const char *name,
+void partition_add_service(struct partition *partition, const char *name,
 			   bool once);
 
 /* The nodes have written their rows: callers come, the cut is due. */
-void isolation_begin(struct isolation *isolation);
+void partition_begin(struct partition *partition);
 
 /* Callers send nothing more. */
-void isolation_end(struct isolation *isolation);
+void partition_end(struct partition *partition);
 
 /* Print what callers saw; true if nodes were served too badly. */
-bool isolation_report(const struct isolation *isolation);
+bool partition_report(const struct partition *partition);
 
 #endif
--- a/tests/emulator/isolated.sh
+++ b/tests/emulator/partitioned.sh
@@ -3,7 +3,7 @@
 # that stay on their connections; servers end one in six. Ends with 1 where these callers are served far
 # worse than the others', or other promises break.
 #
-#     isolated.sh BUILD_DIR SEED [CASE...]
+#     partitioned.sh BUILD_DIR SEED [CASE...]
 #
 # Without cases all are played, JOBS at a time. It ends only processes that it
 # started.
@@ -51,7 +51,7 @@
 fault=()
 if [[ $case == *+* ]]; then fault=(--fault "${faults[${case#*+}]:-none}"); fi
 if [[ " $manners " != *" ${case%%-*} "* ]] || [ -z "$nodes" ]; then
-	echo "isolated.sh: unknown case $case" >&2
+	echo "partitioned.sh: unknown case $case" >&2
 	exit 2
 fi
 per_domain=2
@@ -75,6 +75,6 @@
 
 start_emulator --service svc-historia:many:7:80:2 \
 	--service svc-certif:once:3:120:2 --rate 20 --seconds 16 --closes 6 \
-	--isolate "${case%%-*}:$nodes@3:8" --cuts "$work" "${fault[@]}"
+	--partition "${case%%-*}:$nodes@3:8" --cuts "$work" "${fault[@]}"
 start_nodes
 await_verdict ", $case"
