hops: a hop that broke isn't tried again

What callers could have seen: an idempotent request that runs on more servers than its route's max_attempts. A peer may use all attempts that it was told are left; after a hop that broke, the first node counted one and asked another peer.

Such a request gets 504, of either kind: its caller repeats what may be repeated. Ruled out: telling the peer one attempt only, as its own second one after a server's failure is needed far more often than hops break.

--- a/models/prove.sh
+++ b/models/prove.sh
@@ -81,6 +81,13 @@
 	answers SOUND clean
 	answers REUSE_OUTSTANDING caught
 	answers NO_CLOSED_CHECK caught
+	hop SOUND clean
+	hop RETRY_BROKEN caught
+	hop RETRY_ONCE caught
+	hop REFUSE_BROKEN caught
+	hop TRUST_STATUS caught
+	hop NO_SENDS caught
+	hop HOP_ON caught
 	send SOUND clean
 	send RESEND_BROKEN caught
 	send REFUSE_OPEN caught
--- a/packages/edge/exchange_hop.c
+++ b/packages/edge/exchange_hop.c
@@ -77,22 +77,15 @@
 	after_refusal(exchange, true, EXCHANGE_RETRY_AFTER_US, cause);
 }
 
-/* The request left this node: a server may have run it. */
+/*
+ * The request left this node: servers may have run it, as often as it had
+ * attempts left.
+ */
 static void after_broken(struct exchange *exchange, const char *cause)
 {
-	bool again;
-
 	hops_failed(exchange->edge->hops, exchange->peer);
-	exchange->retry.left_us = exchange_left_us(exchange);
-	again = may_ask_another(exchange) &&
-		retry_decide(&exchange->retry, SEND_BROKEN) == RETRY_BUDGETED &&
-		edge_take_extra(exchange->edge, exchange->query.service->name);
-	log_failed(exchange, cause, again);
-	exchange_drop_conn(exchange);
-	if (again)
-		exchange_dispatch(exchange);
-	else
-		exchange_finish_failed(exchange, 504, cause);
+	log_failed(exchange, cause, false);
+	exchange_finish_failed(exchange, 504, cause);
 }
 
 void exchange_hop_timed_out(struct exchange *exchange)
