--- a/packages/edge/reach_watch.c
+++ b/packages/edge/reach_watch.c
@@ -233,21 +233,26 @@
 }
 
 /* The loop reads sockets once more before a probe that timed out fails. */
-static void end_late_probes(struct reach_watch *watch)
+static struct probe *find_late_probe(const struct reach_watch *watch)
 {
 	uint64_t now_us = edge_now_us(watch->edge);
-	GList *next;
-	GList *at;
+	const GList *at;
 
-	for (at = watch->probes.head; at; at = next) {
+	for (at = watch->probes.head; at; at = at->next) {
 		struct probe *probe = at->data;
 
-		next = at->next;
-		if (now_us >= probe->deadline_us + TICK_US) {
-			fail_probe(probe);
-			next = watch->probes.head;
-		}
+		if (now_us >= probe->deadline_us + TICK_US)
+			return probe;
 	}
+	return NULL;
+}
+
+static void end_late_probes(struct reach_watch *watch)
+{
+	struct probe *probe;
+
+	while ((probe = find_late_probe(watch)))
+		fail_probe(probe);
 }
 
 static void continue_probes(struct reach_watch *watch)
--- a/tests/emulator/cuts.c
+++ b/tests/emulator/cuts.c
@@ -15,10 +15,11 @@
 
 #include "core/endpoint.h"
 
-int __real_uv_tcp_connect(uv_connect_t *request, uv_tcp_t *tcp,
-			  const struct sockaddr *to, uv_connect_cb done);
-int __wrap_uv_tcp_connect(uv_connect_t *request, uv_tcp_t *tcp,
-			  const struct sockaddr *to, uv_connect_cb done);
+int real_connect(uv_connect_t *request, uv_tcp_t *tcp,
+		 const struct sockaddr *to,
+		 uv_connect_cb done) __asm__("__real_uv_tcp_connect");
+int cut_connect(uv_connect_t *request, uv_tcp_t *tcp, const struct sockaddr *to,
+		uv_connect_cb done) __asm__("__wrap_uv_tcp_connect");
 
 static bool read_cut(struct endpoint *instead, struct endpoint *store)
 {
@@ -51,8 +52,8 @@
 		uv_ip4_addr(instead.address, instead.port, to);
 }
 
-int __wrap_uv_tcp_connect(uv_connect_t *request, uv_tcp_t *tcp,
-			  const struct sockaddr *to, uv_connect_cb done)
+int cut_connect(uv_connect_t *request, uv_tcp_t *tcp, const struct sockaddr *to,
+		uv_connect_cb done)
 {
 	const char *source = getenv("LILACFIELD_SOURCE");
 	struct sockaddr_in address = *(const struct sockaddr_in *)to;
@@ -61,6 +62,5 @@
 	divert(&address);
 	if (source && !uv_ip4_addr(source, 0, &from))
 		uv_tcp_bind(tcp, (struct sockaddr *)&from, 0);
-	return __real_uv_tcp_connect(request, tcp, (struct sockaddr *)&address,
-				     done);
+	return real_connect(request, tcp, (struct sockaddr *)&address, done);
 }
