reach_watch: probes have fixed places

The analyzer couldn't see that a probe leaves the queue before it is freed; there are three at most, so none is allocated.

--- a/packages/edge/reach_watch.c
+++ b/packages/edge/reach_watch.c
@@ -21,24 +21,24 @@
 #define PROBE_ROUND_TRIPS 3
 #define PROBE_EXTRA_US (200 * US_PER_MS)
 
+/* A connection opened to see whether the server accepts it. */
+struct probe {
+	struct conn_user user; /* first member */
+	struct reach_watch *watch;
+	struct conn *conn; /* NULL: none */
+	uint64_t deadline_us;
+};
+
 struct reach_watch {
 	struct edge *edge;
 	struct reach reach;
 	uv_timer_t timer;
-	GQueue probes; /* of struct probe */
+	struct probe probes[REACH_MAX_PROBES];
 	uint32_t turn; /* probes begun */
 	uint64_t next_probe_us; /* while partitioned */
 	uint64_t settled_us; /* when it was last found to be connected */
 };
 
-/* A connection opened to see whether the server accepts it. */
-struct probe {
-	struct conn_user user; /* first member */
-	struct reach_watch *watch;
-	struct conn *conn;
-	uint64_t deadline_us;
-};
-
 static void on_timer(uv_timer_t *timer);
 static void continue_probes(struct reach_watch *watch);
 
@@ -141,9 +141,18 @@
 
 static void probe_end(struct probe *probe)
 {
-	g_queue_remove(&probe->watch->probes, probe);
 	pool_drop(probe->conn);
-	g_free(probe);
+	probe->conn = NULL;
+}
+
+static bool is_probing(const struct reach_watch *watch)
+{
+	uint32_t i;
+
+	for (i = 0; i < REACH_MAX_PROBES; i++)
+		if (watch->probes[i].conn)
+			return true;
+	return false;
 }
 
 static void on_probe_opened(struct conn_user *user, struct conn *conn)
@@ -194,27 +203,22 @@
 	.ended = on_probe_ended,
 };
 
-static void probe_begin(struct reach_watch *watch, struct backend *backend)
+static void probe_begin(struct probe *probe, struct backend *backend)
 {
+	struct reach_watch *watch = probe->watch;
 	struct edge *edge = watch->edge;
-	struct probe *probe = g_new0(struct probe, 1);
 
-	probe->user.vtable = &probe_events;
-	probe->watch = watch;
 	probe->deadline_us =
 		edge_now_us(edge) + PROBE_EXTRA_US +
 		PROBE_ROUND_TRIPS *
 			chooser_link_us(&edge->chooser, backend->region);
 	metric_add(edge->stats.reach_probes, 1);
 	probe->conn = pool_connect(&edge->pool, backend, &probe->user);
-	if (probe->conn) {
-		g_queue_push_tail(&watch->probes, probe);
-		return;
-	}
-	g_free(probe);
-	record_failed(watch, backend);
+	if (!probe->conn)
+		record_failed(watch, backend);
 }
 
+/* Only while none is open. */
 static void begin_probes(struct reach_watch *watch, uint32_t count)
 {
 	struct edge *edge = watch->edge;
@@ -227,46 +231,35 @@
 	for (i = 0; i < count; i++)
 		backend_ref(picked[i]);
 	for (i = 0; i < count; i++) {
-		probe_begin(watch, picked[i]);
+		probe_begin(&watch->probes[i], picked[i]);
 		backend_unref(picked[i]);
 	}
 }
 
 /* The loop reads sockets once more before a probe that timed out fails. */
-static struct probe *find_late_probe(const struct reach_watch *watch)
-{
-	uint64_t now_us = edge_now_us(watch->edge);
-	const GList *at;
-
-	for (at = watch->probes.head; at; at = at->next) {
-		struct probe *probe = at->data;
-
-		if (now_us >= probe->deadline_us + TICK_US)
-			return probe;
-	}
-	return NULL;
-}
-
 static void end_late_probes(struct reach_watch *watch)
 {
-	struct probe *probe;
+	uint64_t now_us = edge_now_us(watch->edge);
+	uint32_t i;
 
-	while ((probe = find_late_probe(watch)))
-		fail_probe(probe);
+	for (i = 0; i < REACH_MAX_PROBES; i++)
+		if (watch->probes[i].conn &&
+		    now_us >= watch->probes[i].deadline_us + TICK_US)
+			fail_probe(&watch->probes[i]);
 }
 
 static void continue_probes(struct reach_watch *watch)
 {
 	uint64_t now_us = edge_now_us(watch->edge);
 
-	if (watch->reach.state == REACH_IN_DOUBT && !watch->probes.length) {
+	if (watch->reach.state == REACH_IN_DOUBT && !is_probing(watch)) {
 		begin_probes(watch, REACH_MAX_PROBES);
 	} else if (watch->reach.state == REACH_PARTITIONED &&
-		   !watch->probes.length && now_us >= watch->next_probe_us) {
+		   !is_probing(watch) && now_us >= watch->next_probe_us) {
 		watch->next_probe_us = now_us + PROBE_INTERVAL_US;
 		begin_probes(watch, 1);
 	}
-	if (watch->reach.state == REACH_CONNECTED && !watch->probes.length)
+	if (watch->reach.state == REACH_CONNECTED && !is_probing(watch))
 		uv_timer_stop(&watch->timer);
 	else if (!uv_is_active((uv_handle_t *)&watch->timer))
 		uv_timer_start(&watch->timer, on_timer, TICK_US / US_PER_MS,
@@ -354,9 +347,13 @@
 struct reach_watch *reach_watch_open(struct edge *edge)
 {
 	struct reach_watch *watch = g_new0(struct reach_watch, 1);
+	uint32_t i;
 
 	watch->edge = edge;
-	g_queue_init(&watch->probes);
+	for (i = 0; i < REACH_MAX_PROBES; i++) {
+		watch->probes[i].user.vtable = &probe_events;
+		watch->probes[i].watch = watch;
+	}
 	uv_timer_init(edge->loop, &watch->timer);
 	watch->timer.data = watch;
 	edge->reach = watch;
@@ -365,8 +362,11 @@
 
 void reach_watch_close(struct reach_watch *watch)
 {
-	while (watch->probes.length)
-		probe_end(g_queue_peek_head(&watch->probes));
+	uint32_t i;
+
+	for (i = 0; i < REACH_MAX_PROBES; i++)
+		if (watch->probes[i].conn)
+			probe_end(&watch->probes[i]);
 	watch->edge->reach = NULL;
 	uv_close((uv_handle_t *)&watch->timer, NULL);
 }
