reach: failures beside connections that open are no evidence

Failures within 250 ms of a connection that opened now tell nothing, so that there are four doubts a second at most.

ReachStateTest/FailuresBesideAcceptsTellNothing fails without it.

--- a/packages/core/reach.c
+++ b/packages/core/reach.c
@@ -53,6 +53,8 @@
 	reach->accepted_count = 0;
 	if (!known || reach->state == REACH_PARTITIONED)
 		return false;
+	if (reach->accepted_us && now_us - reach->accepted_us < REACH_FRESH_US)
+		return false;
 	if (reach->state == REACH_CONNECTED &&
 	    now_us - reach->failing_since_us > REACH_WINDOW_US)
 		reach->failed_count = 0;
--- a/packages/core/reach.h
+++ b/packages/core/reach.h
@@ -31,6 +31,9 @@
 /* Probes at a time, at most. */
 #define REACH_MAX_PROBES 3
 
+/* A node that just opened a connection isn't cut off: failures tell nothing. */
+#define REACH_FRESH_US 250000ull
+
 /* Failures further apart than this aren't one loss. */
 #define REACH_WINDOW_US 3000000ull
 
