hops: what the read-through found

A request that goes to a peer after a server was chosen no longer leaves the word that the server will soon be warm for its object; a peer that doesn't know the route (yet) says that another one might; no third peer is ever asked. HopRefusedTest/NoRoute follows (it said that no server can, which a peer with older routes can't know). HopTest, LossTest, ExchangeTest pass.

--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -183,6 +183,8 @@
 		return;
 	}
 	if (exchange_must_hop(exchange)) {
+		chooser_failed(&edge->chooser, &exchange->query,
+			       &exchange->choice);
 		exchange_release_choice(exchange);
 		exchange_hop(exchange);
 		return;
@@ -700,11 +702,11 @@
 	struct exchange *exchange = (struct exchange *)user;
 	struct edge *edge = exchange->edge;
 
+	reach_watch_accepted(edge, conn->backend);
 	/*
 	 * A connect time that includes a pause of the VM isn't the link's
 	 * latency: the region would be too far for most deadlines.
 	 */
-	reach_watch_accepted(edge, conn->backend);
 	if (!exchange->connect_rechecked)
 		chooser_link_measured(&edge->chooser, conn->backend->region,
 				      exchange_now_us(exchange) -
@@ -794,6 +796,7 @@
  */
 static void finish_without_route(struct exchange *exchange)
 {
+	exchange->not_run = HOP_NOT_RUN_PEER;
 	if (sync_may_deny(exchange->edge->sync))
 		exchange_finish_denied(exchange, 404, "no route");
 	else
--- a/packages/edge/exchange_hop.c
+++ b/packages/edge/exchange_hop.c
@@ -248,8 +248,10 @@
 void exchange_hop(struct exchange *exchange)
 {
 	struct edge *edge = exchange->edge;
-	struct hop_peer *peer = hops_pick(edge->hops, &exchange->hops);
+	struct hop_peer *peer = NULL;
 
+	if (exchange->hops.tried_count < HOPS_MAX_TRIED)
+		peer = hops_pick(edge->hops, &exchange->hops);
 	if (!peer) {
 		exchange_finish_unserved(exchange, EXCHANGE_RETRY_AFTER_US,
 					 "partitioned");
