caller: the peers' port takes no larger bodies than the front

Limits of hops were the program's own, 64 MB a body, for whoever reaches the port. Now they are the operator's, and 128 bytes for the header of a hop. HopReceiverTest.TheLargestHeadFitsWithAHopsHeader.

--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -37,6 +37,9 @@
  */
 #define WRITE_STALL_US (15 * US_PER_S)
 
+/* What a node that hands a request over may add to its head. */
+#define HOP_HEAD_BYTES 128
+
 /* Retry-After of a node whose limits aren't confirmed, in seconds. */
 #define LIMITS_RETRY_S "0.5"
 
@@ -385,19 +388,17 @@
 		   g_string_new("HTTP/1.1 100 Continue\r\n\r\n"), NULL, NULL);
 }
 
-/* A peer has held a request that it hands over to its own limits. */
 static void set_limits(struct caller *caller)
 {
 	const struct route_limits *current = limits(caller->edge);
-	bool is_peer = caller->kind == LISTENER_PEERS;
+	uint64_t head_bytes = current->max_header_bytes;
 
+	if (caller->kind == LISTENER_PEERS)
+		head_bytes += HOP_HEAD_BYTES;
 	caller->reader.limits.head_bytes =
-		is_peer ?
-			REQUEST_HEAD_MAX_BYTES :
-			MIN(current->max_header_bytes, REQUEST_HEAD_MAX_BYTES);
+		MIN(head_bytes, REQUEST_HEAD_MAX_BYTES);
 	caller->reader.limits.body_bytes =
-		is_peer ? REQUEST_BODY_MAX_BYTES :
-			  MIN(current->max_body_bytes, REQUEST_BODY_MAX_BYTES);
+		MIN(current->max_body_bytes, REQUEST_BODY_MAX_BYTES);
 }
 
 static void feed_reader(struct caller *caller, const char *bytes, size_t length)
--- a/tests/edge/hop_test.cc
+++ b/tests/edge/hop_test.cc
@@ -478,6 +478,27 @@
 	EXPECT_EQ(0u, peer.asked);
 }
 
+/* The header of a hop must not make a request too large that the front took. */
+TEST_F(HopReceiverTest, TheLargestHeadFitsWithAHopsHeader)
+{
+	add_app("i-1");
+	max_header_bytes = "1000";
+	start_with_sender();
+	std::string head = get("a1", "/r/");
+	std::string padding(990 - head.size() - 7, 'x');
+
+	EXPECT_EQ(200, status_of(answer_to(
+			       get("a1", "/r/", "Pad: " + padding + "\r\n"))));
+	EXPECT_EQ(200, status_of(hop_to(get("a2", "/r/",
+					    "Pad: " + padding +
+						    "\r\n"
+						    "Hop-Sends: 0\r\n"))));
+	EXPECT_EQ(431, status_of(hop_to(get("a3", "/r/",
+					    "Pad: " + padding + padding +
+						    "\r\n"
+						    "Hop-Sends: 0\r\n"))));
+}
+
 /* It may have run: nothing says otherwise. */
 TEST_F(HopReceiverTest, ABrokenRunIsNoRefusal)
 {
