--- a/packages/edge/hops.c
+++ b/packages/edge/hops.c
@@ -63,7 +63,6 @@
 	if (!peer) {
 		peer = g_new0(struct hop_peer, 1);
 		peer->address = address_of(member);
-		peer->member = member->hash;
 		peer->room = HOPS_MAX_TAKEN;
 		g_hash_table_insert(hops->peers, g_strdup(member->name), peer);
 	}
--- a/packages/edge/hops.h
+++ b/packages/edge/hops.h
@@ -39,7 +39,6 @@
 struct hop_peer {
 	/* Not in the table: the address for the pool. */
 	struct backend *address;
-	uint32_t member; /* hash of its name */
 	uint32_t room; /* by its latest answer, less what was sent since */
 	uint64_t avoid_until_us; /* it failed, or had no room */
 };
--- a/packages/edge/reach_watch.c
+++ b/packages/edge/reach_watch.c
@@ -337,11 +337,6 @@
 	return !edge->reach || reach_kept_connections_work(&edge->reach->reach);
 }
 
-const struct reach *reach_watch_state(const struct edge *edge)
-{
-	return edge->reach ? &edge->reach->reach : NULL;
-}
-
 /* --- open and close ----------------------------------------------------- */
 
 struct reach_watch *reach_watch_open(struct edge *edge)
--- a/packages/edge/reach_watch.h
+++ b/packages/edge/reach_watch.h
@@ -53,9 +53,6 @@
 /* Whether connections that are open may be used; true unless partitioned. */
 bool reach_watch_may_use_kept(const struct edge *edge);
 
-/* State, probes and times, for operators; NULL without a watch. */
-const struct reach *reach_watch_state(const struct edge *edge);
-
 #ifdef __cplusplus
 }
 #endif
