accounts: keys, names for servers, regions and quotas

The configuration names client accounts.

Servers get the account's name, peers too in place of the key. core/account_quota splits a rate into fixed parts that two nodes of each region hold; other nodes borrow tokens as for servers' rates, one for each run, first in the region, then in others.

Ruled out: equal parts for all nodes. 68 of them make 1.9 requests of a usual account in 5 s at each node, so that 4 in 100 requests would be refused below the limit by chance alone (worked out, not run).

--- a/packages/core/candidate.c
+++ b/packages/core/candidate.c
@@ -111,7 +111,7 @@
 		return CHOOSE_SHUNNED;
 	if (was_tried(query, backend))
 		return CHOOSE_TRIED;
-	if (!route_allows_region(query->route, backend->region))
+	if (!choose_query_allows(query, backend->region))
 		return CHOOSE_FORBIDDEN;
 	if (!cold_allows(chooser, query->service, backend, now_us))
 		return CHOOSE_COLD;
--- a/packages/core/choose.h
+++ b/packages/core/choose.h
@@ -69,6 +69,7 @@
 struct choose_query {
 	const struct route *route;
 	const struct service *service;
+	const struct account *account; /* NULL: none */
 	bool has_object;
 	uint32_t object; /* hash of the affinity key */
 	uint64_t left_us; /* until the deadline */
@@ -79,6 +80,14 @@
 	enum choose_isolation isolation; /* if it may crash its server */
 };
 
+/* Whether route and account allow the request to be sent to the region. */
+static inline bool choose_query_allows(const struct choose_query *query,
+				       const char *region)
+{
+	return route_allows_region(query->route, region) &&
+	       account_allows_region(query->account, region);
+}
+
 /* Why a server was chosen, or why none was. */
 enum choose_reason {
 	CHOOSE_WARM, /* has the object in its cache */
--- a/packages/core/rate_limit.c
+++ b/packages/core/rate_limit.c
@@ -193,6 +193,8 @@
 	double share = per_s > 0 ? limit->quota_per_s / per_s : 0;
 	double burst_s = (double)BURST_US / (double)US_PER_S;
 
+	if (limit->burst > 0)
+		return limit->burst;
 	return 1.0 + fmax(TOTAL_BURST * share, limit->quota_per_s * burst_s);
 }
 
@@ -217,6 +219,20 @@
 	limit->quota_per_s = quota_per_s;
 }
 
+void rate_limit_configure(struct rate_limit *limit, double per_s,
+			  double quota_per_s, double burst, uint64_t now_us)
+{
+	if (!limit->per_s) {
+		limit->tokens = 0;
+		limit->filled_us = now_us;
+	}
+	limit->per_s = per_s;
+	limit->burst = burst;
+	rate_limit_set_quota(limit, quota_per_s, now_us);
+	/* The bucket may hold less than before. */
+	refill(limit, now_us);
+}
+
 static bool has_loan(const struct rate_limit *limit, uint64_t now_us)
 {
 	return limit->borrowed && now_us < limit->borrowed_until_us;
--- a/packages/core/rate_limit.h
+++ b/packages/core/rate_limit.h
@@ -34,6 +34,7 @@
 	double previous_per_s; /* rate before the limit was lifted; 0: none */
 	uint64_t learned_us; /* when the rate was last reported; 0: never */
 	double quota_per_s; /* this node's; 0: not a holder */
+	double burst; /* tokens that the bucket holds; 0: a few, by the rate */
 	double tokens;
 	uint64_t filled_us;
 	uint32_t borrowed; /* tokens */
@@ -139,6 +140,13 @@
 void rate_limit_set_quota(struct rate_limit *limit, double quota_per_s,
 			  uint64_t now_us);
 
+/*
+ * Sets a rate that the operator named, with this node's quota of it and the
+ * size of its bucket. The bucket starts empty.
+ */
+void rate_limit_configure(struct rate_limit *limit, double per_s,
+			  double quota_per_s, double burst, uint64_t now_us);
+
 /* Tokens in the bucket. */
 double rate_limit_tokens(const struct rate_limit *limit, uint64_t now_us);
 
--- a/packages/core/route_table.c
+++ b/packages/core/route_table.c
@@ -202,6 +202,7 @@
 	g_hash_table_destroy(table->prefixes);
 	g_hash_table_destroy(table->hosts);
 	g_hash_table_destroy(table->services);
+	account_table_free(table->accounts);
 	g_free(table);
 }
 
--- a/packages/core/route_table.h
+++ b/packages/core/route_table.h
@@ -12,6 +12,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "core/account.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -31,6 +33,7 @@
 	uint64_t timeout_us; /* maximum time until the caller gets an answer */
 	uint64_t target_us; /* latency objective */
 	uint32_t priority; /* 0 is the highest */
+	bool keyless; /* takes requests that name no account */
 	uint32_t max_attempts; /* backend servers tried per request */
 	GPtrArray *services; /* of struct route_service, at least one */
 	GPtrArray *regions; /* of char *: allowed regions; empty: all */
@@ -59,6 +62,7 @@
 	GHashTable *prefixes; /* host, newline, prefix -> struct route */
 	size_t longest_prefix; /* in bytes, over all routes */
 	GHashTable *services; /* name -> struct service */
+	struct account_table *accounts; /* NULL: requests need no account */
 	uint32_t route_count;
 };
 
--- /dev/null
+++ b/packages/edge/accounts.c
@@ -0,0 +1,428 @@
+#include "edge/accounts.h"
+
+#include <string.h>
+
+#include "adapters/log.h"
+#include "core/duration.h"
+#include "core/hash.h"
+#include "edge/gossip.h"
+#include "edge/sync.h"
+
+/* How long an answer of a peer may take, besides the round trip. */
+#define ANSWER_TIMEOUT_US (100 * US_PER_MS)
+
+/* A request asks nodes of its region, then of others, then once more. */
+#define MAX_ASKS 3
+
+struct accounts {
+	struct edge *edge;
+	GHashTable *by_name; /* name -> struct account_state, owned */
+	GHashTable *by_hash; /* hash of the name -> struct account_state */
+	GPtrArray *regions; /* names, sorted, borrowed from the settings */
+	uint64_t routes_version; /* that the parts were computed for */
+	uint64_t members_digest;
+	bool may_hold;
+	bool any_limited;
+};
+
+static void state_free(gpointer data)
+{
+	struct account_state *state = data;
+
+	g_free(state->name);
+	g_free(state);
+}
+
+static gint compare_names(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* All regions that the settings name, each once. */
+static GPtrArray *collect_regions(const struct edge_settings *settings)
+{
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+	GPtrArray *regions = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer region;
+
+	if (settings->regions) {
+		g_hash_table_iter_init(&iter, settings->regions);
+		while (g_hash_table_iter_next(&iter, NULL, &region))
+			if (g_hash_table_add(seen, region))
+				g_ptr_array_add(regions, region);
+	}
+	g_hash_table_destroy(seen);
+	g_ptr_array_sort(regions, compare_names);
+	return regions;
+}
+
+struct accounts *accounts_new(struct edge *edge)
+{
+	struct accounts *accounts = g_new0(struct accounts, 1);
+
+	accounts->edge = edge;
+	accounts->by_name = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						  state_free);
+	accounts->by_hash = g_hash_table_new(NULL, NULL);
+	accounts->regions = collect_regions(&edge->settings);
+	return accounts;
+}
+
+void accounts_free(struct accounts *accounts)
+{
+	g_hash_table_destroy(accounts->by_hash);
+	g_hash_table_destroy(accounts->by_name);
+	g_ptr_array_unref(accounts->regions);
+	g_free(accounts);
+}
+
+GHashTable *accounts_by_name(const struct accounts *accounts)
+{
+	return accounts->by_name;
+}
+
+/* --- parts of the rate -------------------------------------------------- */
+
+static bool may_hold(const struct edge *edge)
+{
+	uint64_t now_us = edge_now_us(edge);
+	struct account_quota_standing standing = {
+		.was_listed = edge->was_listed,
+		.up_us = now_us - edge->began_us,
+		.contact_age_us = UINT64_MAX,
+	};
+	struct sync_table_state tables[SYNC_TABLES];
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!edge->sync)
+		return false;
+	sync_table_states(edge->sync, tables);
+	standing.members_loaded = tables[REGISTRY_MEMBERS].loaded;
+	if (tables[REGISTRY_MEMBERS].confirmed_us)
+		standing.contact_age_us =
+			now_us - tables[REGISTRY_MEMBERS].confirmed_us;
+	g_hash_table_iter_init(&iter, edge->members->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct member *member = value;
+
+		if (member != edge->members->self && member->heartbeat_us &&
+		    !strcmp(member->region, edge->settings.region))
+			standing.contact_age_us =
+				MIN(standing.contact_age_us,
+				    now_us - member->heartbeat_us);
+	}
+	return account_quota_may_hold(&standing);
+}
+
+static uint32_t holders_in(const struct accounts *accounts,
+			   const struct account *account, uint32_t parts,
+			   const char *region)
+{
+	return account_quota_holders(account, parts, accounts->regions, region);
+}
+
+static void update_state(struct accounts *accounts, struct account_state *state,
+			 const struct account *account)
+{
+	struct edge *edge = accounts->edge;
+	const char *region = edge->settings.region;
+	struct account_quota_total total =
+		account_quota_total(account, &edge->settings.account_quota,
+				    MAX(accounts->regions->len, 1));
+	uint32_t holders = holders_in(accounts, account, total.parts, region);
+	bool holds = accounts->may_hold &&
+		     member_table_region_rank(edge->members, region,
+					      account->hash) < holders;
+	double part_per_s = holds ? total.per_s / total.parts : 0;
+
+	state->parts = total.parts;
+	rate_limit_configure(&state->limit, total.per_s, part_per_s,
+			     holds ? total.burst / total.parts : 1,
+			     edge_now_us(edge));
+}
+
+static struct account_state *add_state(struct accounts *accounts,
+				       const struct account *account)
+{
+	struct account_state *state = g_new0(struct account_state, 1);
+
+	state->name = g_strdup(account->name);
+	state->hash = account->hash;
+	g_queue_init(&state->waiting);
+	g_hash_table_insert(accounts->by_name, state->name, state);
+	g_hash_table_insert(accounts->by_hash, GUINT_TO_POINTER(state->hash),
+			    state);
+	return state;
+}
+
+struct account_state *accounts_state(struct accounts *accounts,
+				     const struct account *account)
+{
+	struct account_state *state =
+		g_hash_table_lookup(accounts->by_name, account->name);
+
+	if (state)
+		return state;
+	state = add_state(accounts, account);
+	if (account->per_s > 0)
+		update_state(accounts, state, account);
+	return state;
+}
+
+/* Forgets accounts that the configuration no longer has. */
+static void prune(struct accounts *accounts, const struct route_table *routes)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, accounts->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct account_state *state = value;
+
+		if (state->users ||
+		    (routes && routes->accounts &&
+		     account_table_find(routes->accounts, state->name)))
+			continue;
+		g_hash_table_remove(accounts->by_hash,
+				    GUINT_TO_POINTER(state->hash));
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+static void update_all(struct accounts *accounts)
+{
+	const struct route_table *routes = accounts->edge->routes;
+	GHashTableIter iter;
+	gpointer value;
+
+	accounts->any_limited = false;
+	prune(accounts, routes);
+	if (!routes || !routes->accounts)
+		return;
+	g_hash_table_iter_init(&iter, routes->accounts->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct account *account = value;
+		struct account_state *state = accounts_state(accounts, account);
+
+		if (account->per_s > 0) {
+			accounts->any_limited = true;
+			update_state(accounts, state, account);
+		} else {
+			state->limit.per_s = 0;
+		}
+	}
+}
+
+void accounts_update_quotas(struct accounts *accounts)
+{
+	const struct edge *edge = accounts->edge;
+	uint64_t version = edge->routes ? edge->routes->version : 0;
+	uint64_t digest;
+	bool holds;
+
+	if (version == accounts->routes_version && !accounts->any_limited)
+		return;
+	digest = member_table_digest(edge->members);
+	holds = may_hold(edge);
+	if (version == accounts->routes_version &&
+	    digest == accounts->members_digest && holds == accounts->may_hold)
+		return;
+	if (holds != accounts->may_hold)
+		log_event(LOG_INFO, "account-parts", "held=%s",
+			  holds ? "yes" : "no");
+	accounts->routes_version = version;
+	accounts->members_digest = digest;
+	accounts->may_hold = holds;
+	update_all(accounts);
+}
+
+/* --- tokens ------------------------------------------------------------- */
+
+/* Picks a node of the region that holds a part, other than the excluded one. */
+static const struct member *pick_holder(const struct accounts *accounts,
+					const struct account_state *state,
+					const char *region, uint32_t excluded)
+{
+	const struct edge *edge = accounts->edge;
+	const struct account account = { .hash = state->hash };
+	uint32_t holders = holders_in(accounts, &account, state->parts, region);
+
+	if (!holders)
+		return NULL;
+	return member_table_region_pick(edge->members, region, state->hash,
+					holders, excluded, g_random_double(),
+					edge_now_us(edge));
+}
+
+static void ask_one(const struct accounts *accounts,
+		    struct account_state *state, const struct member *holder,
+		    uint32_t tokens)
+{
+	if (holder && rate_limit_mark_asked(&state->limit, holder->hash))
+		gossip_request_account_tokens(accounts->edge->gossip, holder,
+					      state->hash, tokens);
+}
+
+/* Longest round trip to a region other than this node's. */
+static uint64_t far_round_trip_us(const struct accounts *accounts)
+{
+	const struct edge *edge = accounts->edge;
+	uint64_t longest_us = 0;
+	guint i;
+
+	for (i = 0; i < accounts->regions->len; i++) {
+		const char *region = accounts->regions->pdata[i];
+
+		if (strcmp(region, edge->settings.region) != 0)
+			longest_us =
+				MAX(longest_us,
+				    chooser_link_us(&edge->chooser, region));
+	}
+	return longest_us;
+}
+
+/* Asks a holder of each other region, as many as may be asked at one time. */
+static void ask_far(const struct accounts *accounts,
+		    struct account_state *state, uint32_t tokens)
+{
+	const struct edge *edge = accounts->edge;
+	uint32_t count = accounts->regions->len;
+	uint32_t first = count ? g_random_int_range(0, (gint32)count) : 0;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		const char *region =
+			accounts->regions->pdata[(first + i) % count];
+
+		if (strcmp(region, edge->settings.region) != 0)
+			ask_one(accounts, state,
+				pick_holder(accounts, state, region, 0),
+				tokens);
+	}
+}
+
+/*
+ * Asks for tokens: a holder of this region, and those of others too once that
+ * one had none. False if there is nobody to ask.
+ */
+static bool ask(struct accounts *accounts, struct account_state *state)
+{
+	struct rate_limit *limit = &state->limit;
+	const struct edge *edge = accounts->edge;
+	uint32_t silent = limit->asked_count ? limit->asked[0] : 0;
+	const struct member *near;
+	uint32_t tokens;
+	bool goes_far;
+
+	if (!edge->gossip)
+		return false;
+	if (silent)
+		limit->refused_by = silent;
+	near = pick_holder(accounts, state, edge->settings.region,
+			   limit->refused_by);
+	goes_far = limit->refused_by || !near;
+	tokens = rate_limit_begin_borrowing(
+		limit, goes_far ? far_round_trip_us(accounts) : 0,
+		edge_now_us(edge));
+	tokens = MAX(tokens, g_queue_get_length(&state->waiting));
+	ask_one(accounts, state, near, tokens);
+	if (goes_far)
+		ask_far(accounts, state, tokens);
+	return limit->asked_count > 0;
+}
+
+enum account_verdict accounts_admit(struct accounts *accounts,
+				    struct account_state *state,
+				    struct account_waiter *waiter,
+				    uint32_t *asks, uint64_t *wait_us)
+{
+	struct rate_limit *limit = &state->limit;
+	uint64_t now_us = edge_now_us(accounts->edge);
+	uint64_t due_us;
+
+	if (rate_limit_allows(limit, now_us))
+		return ACCOUNT_RUN;
+	if (now_us < limit->ask_again_us || *asks >= MAX_ASKS)
+		return ACCOUNT_OVER_QUOTA;
+	++*asks;
+	if (!rate_limit_may_borrow(limit, now_us))
+		rate_limit_count_miss(limit);
+	else if (!ask(accounts, state))
+		return ACCOUNT_OVER_QUOTA;
+	due_us = limit->asked_us + limit->round_trip_us + ANSWER_TIMEOUT_US;
+	*wait_us = due_us - MIN(now_us, due_us);
+	g_queue_push_tail_link(&state->waiting, &waiter->link);
+	waiter->link.data = waiter;
+	waiter->is_waiting = true;
+	return ACCOUNT_WAIT;
+}
+
+void accounts_leave(struct account_state *state, struct account_waiter *waiter)
+{
+	if (!waiter->is_waiting)
+		return;
+	waiter->is_waiting = false;
+	g_queue_unlink(&state->waiting, &waiter->link);
+}
+
+/* Wakes the requests that can be decided now, the oldest first. */
+static void wake_waiters(struct accounts *accounts, struct account_state *state)
+{
+	const struct rate_limit *limit = &state->limit;
+	uint32_t count = g_queue_get_length(&state->waiting);
+
+	while (count-- && !g_queue_is_empty(&state->waiting)) {
+		struct account_waiter *waiter =
+			g_queue_peek_head(&state->waiting);
+		uint64_t now_us = edge_now_us(accounts->edge);
+
+		/* Answers of other holders are still due. */
+		if (!rate_limit_allows(limit, now_us) && limit->asked_count)
+			return;
+		accounts_leave(state, waiter);
+		waiter->vtable->wake(waiter);
+	}
+}
+
+bool accounts_handle_token(struct accounts *accounts, const struct member *from,
+			   const struct heartbeat_token *token,
+			   struct heartbeat_token *answer)
+{
+	struct account_state *state = g_hash_table_lookup(
+		accounts->by_hash, GUINT_TO_POINTER(token->incarnation));
+	uint64_t now_us = edge_now_us(accounts->edge);
+	uint64_t wait_us;
+
+	if (!state)
+		return false;
+	if (!token->requested) {
+		rate_limit_apply_loan(&state->limit, from->hash, token->lent,
+				      token->wait_ms * US_PER_MS, now_us);
+		wake_waiters(accounts, state);
+		return false;
+	}
+	answer->incarnation = token->incarnation;
+	answer->is_account = true;
+	answer->requested = 0;
+	answer->lent = rate_limit_lend(&state->limit, token->requested, now_us,
+				       &wait_us);
+	answer->wait_ms = (uint32_t)(wait_us / US_PER_MS) + 1;
+	return true;
+}
+
+uint64_t accounts_retry_after_us(struct accounts *accounts,
+				 struct account_state *state,
+				 uint64_t patience_us)
+{
+	struct edge *edge = accounts->edge;
+	uint32_t nodes = MAX(member_table_count(edge->members),
+			     edge->settings.min_nodes_assumed);
+
+	/* Each node brings back its share of the account's callers. */
+	return admission_schedule_retry_us(&state->returns,
+					   state->limit.per_s / nodes,
+					   patience_us, g_random_double(),
+					   edge_now_us(edge));
+}
--- a/packages/edge/edge.c
+++ b/packages/edge/edge.c
@@ -1,5 +1,6 @@
 #include "edge/edge.h"
 
+#include "edge/accounts.h"
 #include "edge/hops.h"
 
 #include <http_parser.h>
@@ -57,12 +58,14 @@
 	pool_init(&edge->pool, loop, clock, &answers, MAX_IDLE);
 	g_queue_init(&edge->callers);
 	edge->hops = hops_new(edge);
+	edge->accounts = accounts_new(edge);
 }
 
 void edge_release(struct edge *edge)
 {
 	pool_release(&edge->pool);
 	hops_free(edge->hops);
+	accounts_free(edge->accounts);
 	chooser_release(&edge->chooser);
 	warmth_release(&edge->warmth);
 	suspect_table_free(edge->suspects);
--- a/packages/edge/edge.h
+++ b/packages/edge/edge.h
@@ -31,6 +31,7 @@
 extern "C" {
 #endif
 
+struct accounts;
 struct crash_watch;
 struct gossip;
 struct hops;
@@ -77,9 +78,11 @@
 	struct quarantine_store *quarantines; /* NULL: not stored */
 	struct reach_watch *reach; /* NULL: never counts as partitioned */
 	struct hops *hops; /* requests handed to peers */
+	struct accounts *accounts; /* quotas and counts of client accounts */
 	struct stats stats;
 
 	uint64_t began_us; /* when the process started */
+	bool was_listed; /* the platform listed it before it started */
 	bool any_rate_limited; /* some backend server may have set a rate */
 	uint32_t rates_sent; /* rates sent in this round of heartbeats */
 	bool stopping;
--- a/packages/edge/edge_settings.h
+++ b/packages/edge/edge_settings.h
@@ -10,6 +10,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "core/account_quota.h"
 #include "core/build_options.h"
 #include "core/endpoint.h"
 #include "core/extra_budget.h"
@@ -46,6 +47,7 @@
 	uint64_t config_within_us; /* a change is in force by then */
 	struct extra_budget_rule extra_requests; /* limit of requests sent
 						    beyond the first attempt */
+	struct account_quota_rule account_quota;
 	/* Extra requests are shared out among at least this many nodes. */
 	uint32_t min_nodes_assumed;
 	/* A node without a heartbeat for this long is removed. */
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -68,11 +68,15 @@
 
 static const char *const *replaced_headers(const struct exchange *exchange)
 {
-	static const char *names[4];
-
-	names[0] = exchange->edge->dialect->deadline_ms;
-	names[1] = exchange->edge->dialect->expect_instance;
-	names[2] = exchange->is_hop ? HOP_SENDS : NULL;
+	const struct dialect *dialect = exchange->edge->dialect;
+	static const char *names[7];
+
+	names[0] = dialect->deadline_ms;
+	names[1] = dialect->expect_instance;
+	names[2] = dialect->account_key;
+	names[3] = dialect->account_name;
+	names[4] = HOP_ACCOUNT;
+	names[5] = exchange->is_hop ? HOP_SENDS : NULL;
 	return names;
 }
 
@@ -101,12 +105,17 @@
 static GString *format_request(const struct exchange *exchange)
 {
 	const struct dialect *dialect = exchange->edge->dialect;
+	const struct account *account = exchange->query.account;
 	GString *text = g_string_sized_new(512 + exchange->request->body->len);
-	char *expected = g_strdup_printf("%s: %s\r\n", dialect->expect_instance,
-					 exchange->choice.backend->id);
-
-	exchange_format(exchange, replaced_headers(exchange), expected, text);
-	g_free(expected);
+	GString *own = g_string_new(NULL);
+
+	g_string_append_printf(own, "%s: %s\r\n", dialect->expect_instance,
+			       exchange->choice.backend->id);
+	if (account)
+		g_string_append_printf(own, "%s: %s\r\n", dialect->account_name,
+				       account->name);
+	exchange_format(exchange, replaced_headers(exchange), own->str, text);
+	g_string_free(own, TRUE);
 	return text;
 }
 
@@ -126,6 +135,7 @@
 
 	exchange->connect_deadline_us = 0;
 	exchange->took_token = false;
+	exchange_spend_account_token(exchange);
 	exchange->sent_us = exchange_now_us(exchange);
 	exchange->strays = 0;
 	exchange->retry.sends++;
@@ -248,7 +258,7 @@
 }
 
 /* Chooses a server again after hold_us. */
-static void hold_for(struct exchange *exchange, uint64_t hold_us)
+void exchange_hold_for(struct exchange *exchange, uint64_t hold_us)
 {
 	exchange->held_until_us = exchange_now_us(exchange) + hold_us;
 	exchange_arm_timer(exchange);
@@ -295,7 +305,8 @@
 		return false;
 	}
 	exchange->token_holds++;
-	hold_for(exchange, (is_first ? round_trip_us : 0) + TOKEN_HOLD_US);
+	exchange_hold_for(exchange,
+			  (is_first ? round_trip_us : 0) + TOKEN_HOLD_US);
 	return true;
 }
 
@@ -308,7 +319,7 @@
 			  exchange->request_id, exchange->query.object,
 			  exchange->query.left_us);
 	exchange->was_held = true;
-	hold_for(exchange, exchange->choice.hold_us);
+	exchange_hold_for(exchange, exchange->choice.hold_us);
 }
 
 void exchange_dispatch(struct exchange *exchange)
@@ -316,13 +327,16 @@
 	struct edge *edge = exchange->edge;
 	const char *cause;
 
+	exchange_stop_waiting(exchange);
 	if (exchange_must_hop(exchange) && !reach_watch_may_use_kept(edge)) {
 		exchange_hop(exchange);
 		return;
 	}
+	if (!exchange_admit_account(exchange))
+		return;
 	switch (exchange_may_run(exchange, &cause)) {
 	case EXCHANGE_WAIT:
-		hold_for(exchange, exchange->choice.hold_us);
+		exchange_hold_for(exchange, exchange->choice.hold_us);
 		return;
 	case EXCHANGE_REFUSE:
 		finish_unserved(exchange, cause);
@@ -358,6 +372,7 @@
 		      exchange_now_us(exchange));
 	exchange->took_token = rate_limit_take(&exchange->choice.backend->limit,
 					       exchange_now_us(exchange));
+	exchange_take_account_token(exchange);
 	exchange->retry.usual_us = (uint64_t)exchange->choice.expected_us;
 	exchange_record_run_start(exchange);
 	send_or_connect(exchange);
@@ -426,8 +441,10 @@
 				    exchange_now_us(exchange));
 		reach_watch_failed(exchange->edge, exchange->choice.backend);
 	}
-	if (outcome == SEND_NOT_EXECUTED)
+	if (outcome == SEND_NOT_EXECUTED) {
 		exchange->unsettled--;
+		exchange_return_account_token(exchange);
+	}
 	again = may_retry(exchange, outcome);
 	log_event(LOG_INFO, "send-failed",
 		  "request=%s backend=%s outcome=%s cause=%s sends=%u kept=%u "
@@ -441,7 +458,7 @@
 	if (!again)
 		finish_after_failure(exchange, outcome, cause);
 	else if (outcome == SEND_BROKEN)
-		hold_for(exchange, CRASH_WATCH_CHECK_US);
+		exchange_hold_for(exchange, CRASH_WATCH_CHECK_US);
 	else
 		exchange_dispatch(exchange);
 }
@@ -842,6 +859,8 @@
 		exchange_finish_denied(exchange, 400, "the request has no id");
 	} else if (!find_route(exchange)) {
 		finish_without_route(exchange);
+	} else if (!exchange_identify(exchange)) {
+		return;
 	} else if (exchange->is_hop) {
 		read_headers(exchange);
 		begin_hop(exchange);
--- a/packages/edge/exchange_end.c
+++ b/packages/edge/exchange_end.c
@@ -25,6 +25,8 @@
 		rate_limit_give_back(&backend->limit,
 				     exchange_now_us(exchange));
 	exchange->took_token = false;
+	if (exchange->has_account_token)
+		exchange_return_account_token(exchange);
 	backend_end(backend, exchange->choice.work_us);
 	backend_unref(backend);
 	exchange->choice.backend = NULL;
@@ -54,6 +56,7 @@
 
 	exchange->ended = true;
 	exchange_drop_conn(exchange);
+	exchange_release_account(exchange);
 	for (i = 0; i < exchange->query.tried_count; i++)
 		backend_unref((struct backend *)exchange->query.tried[i]);
 	message_free(exchange->request);
@@ -164,10 +167,25 @@
 		return;
 	}
 	metric_add(stats->refused, 1);
+	if (exchange->account)
+		exchange->account->refused++;
 	set_not_run(exchange);
 	finish_generated(exchange, 503, retry_after_us, cause);
 }
 
+void exchange_finish_over_quota(struct exchange *exchange,
+				uint64_t retry_after_us)
+{
+	if (exchange->unsettled || exchange->failed_answer) {
+		exchange_finish_unserved(exchange, retry_after_us,
+					 "over quota");
+		return;
+	}
+	metric_add(exchange->edge->stats.over_quota, 1);
+	set_not_run(exchange);
+	finish_generated(exchange, 429, retry_after_us, "over quota");
+}
+
 void exchange_finish_failed(struct exchange *exchange, uint16_t status,
 			    const char *cause)
 {
@@ -203,6 +221,8 @@
 		g_string_append_printf(headers, "Content-Length: %s\r\n",
 				       length);
 	metric_add(exchange->edge->stats.delivered, 1);
+	if (exchange->account && answer->status < 300)
+		exchange->account->served++;
 	finish(exchange, &outgoing);
 	g_string_free(headers, TRUE);
 }
--- a/packages/edge/exchange_hop.c
+++ b/packages/edge/exchange_hop.c
@@ -106,14 +106,21 @@
 
 static GString *format_hop(const struct exchange *exchange)
 {
-	const char *names[] = { exchange->edge->dialect->deadline_ms, HOP_SENDS,
-				NULL };
+	const struct dialect *dialect = exchange->edge->dialect;
+	const struct account *account = exchange->query.account;
+	const char *names[] = { dialect->deadline_ms,  dialect->account_key,
+				dialect->account_name, HOP_SENDS,
+				HOP_ACCOUNT,	       NULL };
 	GString *text = g_string_sized_new(512 + exchange->request->body->len);
-	char *sends =
-		g_strdup_printf(HOP_SENDS ": %u\r\n", exchange->retry.sends);
-
-	exchange_format(exchange, names, sends, text);
-	g_free(sends);
+	GString *own = g_string_new(NULL);
+
+	g_string_append_printf(own, HOP_SENDS ": %u\r\n",
+			       exchange->retry.sends);
+	if (account)
+		g_string_append_printf(own, HOP_ACCOUNT ": %s\r\n",
+				       account->name);
+	exchange_format(exchange, names, own->str, text);
+	g_string_free(own, TRUE);
 	return text;
 }
 
--- a/packages/edge/exchange_internal.h
+++ b/packages/edge/exchange_internal.h
@@ -5,6 +5,7 @@
 #define EDGE_EXCHANGE_INTERNAL_H
 
 #include "core/retry.h"
+#include "edge/accounts.h"
 #include "edge/exchange.h"
 #include "edge/hops.h"
 
@@ -27,6 +28,11 @@
 	struct hop_peer *peer; /* of conn, if it leads to a peer, or NULL */
 	struct hop_query hops; /* peers tried */
 	bool answered_by_peer;
+	struct account_state *account; /* of query.account, or NULL */
+	struct account_waiter account_waiter; /* queued while it waits */
+	uint32_t account_asks; /* times it asked for tokens */
+	bool has_account_token; /* has an unused one */
+	bool spent_account_token; /* for its latest send */
 	uint64_t connect_deadline_us; /* 0 once it is open */
 	bool has_claimed; /* its next run, as a suspect's */
 	bool is_suspect; /* servers may have crashed while running it */
@@ -89,6 +95,10 @@
 void exchange_finish_denied(struct exchange *exchange, uint16_t status,
 			    const char *cause);
 
+/* Refuses a request beyond its account's quota with 429, like the above. */
+void exchange_finish_over_quota(struct exchange *exchange,
+				uint64_t retry_after_us);
+
 /*
  * Chooses a server, or a peer, and sends the request, waits for either, or
  * answers the caller.
@@ -98,6 +108,9 @@
 /* Starts the timer for whatever is due next. */
 void exchange_arm_timer(struct exchange *exchange);
 
+/* Waits until then at most before it is dispatched again. */
+void exchange_hold_for(struct exchange *exchange, uint64_t hold_us);
+
 /* Answers with an earlier failed answer, or refuses the request. */
 void exchange_finish_unserved(struct exchange *exchange,
 			      uint64_t retry_after_us, const char *cause);
@@ -135,6 +148,22 @@
 	EXCHANGE_REFUSE, /* with choice.retry_after_us and a cause */
 };
 
+/*
+ * exchange_account.c: the caller's account. exchange_identify() finds it;
+ * exchange_admit_account() checks that the request is within its quota. Where
+ * they return false, the caller was answered, or the request waits, until
+ * exchange_stop_waiting(). A token is taken for a server that was chosen, spent
+ * by sending, and returned if the request wasn't sent or didn't run.
+ * exchange_release_account() ends the use of the account.
+ */
+bool exchange_identify(struct exchange *exchange);
+bool exchange_admit_account(struct exchange *exchange);
+void exchange_stop_waiting(struct exchange *exchange);
+void exchange_take_account_token(struct exchange *exchange);
+void exchange_spend_account_token(struct exchange *exchange);
+void exchange_return_account_token(struct exchange *exchange);
+void exchange_release_account(struct exchange *exchange);
+
 /*
  * exchange_suspect.c: requests suspected of crashing backend servers.
  * exchange_may_run() decides whether this one may be sent. The others record
--- a/packages/edge/exchange_suspect.c
+++ b/packages/edge/exchange_suspect.c
@@ -26,12 +26,14 @@
 static uint64_t fingerprint(struct exchange *exchange)
 {
 	const struct message *request = exchange->request;
+	const char *caller = exchange->edge->dialect->caller;
 	const struct fingerprint_input parts = {
 		.method = http_method_str(request->method),
 		.host = message_header(request, "Host"),
 		.target = request->target->str,
-		.caller = message_header(request,
-					 exchange->edge->dialect->caller),
+		.caller = exchange->query.account ?
+				  exchange->query.account->name :
+				  message_header(request, caller),
 		.body = request->body->data,
 		.body_bytes = request->body->len,
 	};
--- a/packages/edge/gossip.h
+++ b/packages/edge/gossip.h
@@ -47,6 +47,11 @@
 void gossip_request_tokens(struct gossip *gossip, const struct member *member,
 			   uint32_t incarnation, uint32_t count);
 
+/* The same for the rate of the account with this hash. */
+void gossip_request_account_tokens(struct gossip *gossip,
+				   const struct member *member,
+				   uint32_t account, uint32_t count);
+
 /*
  * Sends a heartbeat at once, to other regions too, after a change that peers
  * need immediately.
--- a/packages/edge/gossip_updates.c
+++ b/packages/edge/gossip_updates.c
@@ -4,6 +4,7 @@
 
 #include "adapters/log.h"
 #include "core/duration.h"
+#include "edge/accounts.h"
 #include "edge/quarantine_store.h"
 #include "edge/server_limits.h"
 
@@ -116,17 +117,50 @@
 		gossip_send_to_one(gossip, member, &updates);
 }
 
-void gossip_request_tokens(struct gossip *gossip, const struct member *member,
-			   uint32_t incarnation, uint32_t count)
+static void request_tokens(struct gossip *gossip, const struct member *member,
+			   const struct heartbeat_token *token)
 {
 	struct heartbeat heartbeat = { .member_count = 0 };
 
 	gossip_add_sender(gossip, &heartbeat);
-	heartbeat.tokens[heartbeat.token_count].incarnation = incarnation;
-	heartbeat.tokens[heartbeat.token_count++].requested = count;
+	heartbeat.tokens[heartbeat.token_count++] = *token;
 	gossip_send_to_one(gossip, member, &heartbeat);
 }
 
+void gossip_request_tokens(struct gossip *gossip, const struct member *member,
+			   uint32_t incarnation, uint32_t count)
+{
+	const struct heartbeat_token token = {
+		.incarnation = incarnation,
+		.requested = count,
+	};
+
+	request_tokens(gossip, member, &token);
+}
+
+void gossip_request_account_tokens(struct gossip *gossip,
+				   const struct member *member,
+				   uint32_t account, uint32_t count)
+{
+	const struct heartbeat_token token = {
+		.incarnation = account,
+		.is_account = true,
+		.requested = count,
+	};
+
+	request_tokens(gossip, member, &token);
+}
+
+static bool handle_token(struct edge *edge, const struct member *from,
+			 const struct heartbeat_token *token,
+			 struct heartbeat_token *answer)
+{
+	if (token->is_account)
+		return accounts_handle_token(edge->accounts, from, token,
+					     answer);
+	return server_limits_handle_token(edge, from, token, answer);
+}
+
 static void apply_tokens(struct gossip *gossip,
 			 const struct heartbeat *heartbeat)
 {
@@ -143,9 +177,8 @@
 		return;
 	gossip_add_sender(gossip, &answers);
 	for (i = 0; i < heartbeat->token_count; i++)
-		if (server_limits_handle_token(
-			    edge, from, &heartbeat->tokens[i],
-			    &answers.tokens[answers.token_count]))
+		if (handle_token(edge, from, &heartbeat->tokens[i],
+				 &answers.tokens[answers.token_count]))
 			answers.token_count++;
 	if (answers.token_count)
 		gossip_send_to_one(gossip, from, &answers);
--- a/packages/edge/heartbeat.c
+++ b/packages/edge/heartbeat.c
@@ -5,7 +5,7 @@
 #include "core/duration.h"
 
 /* Format version; nodes ignore datagrams of another one. */
-#define HEARTBEAT_VERSION 8
+#define HEARTBEAT_VERSION 9
 
 /*
  * A suspect: fingerprint, crashes (incarnation, age, run time), number of
@@ -18,8 +18,11 @@
 /* Rates of servers: incarnation, rate per second, age in ms. */
 #define RATES_TYPE "a(udu)"
 
-/* Tokens: incarnation, number requested, number lent, wait in ms. */
-#define TOKENS_TYPE "a(uuuu)"
+/*
+ * Tokens: incarnation or account, number requested, number lent, wait in ms,
+ * whether they are an account's.
+ */
+#define TOKENS_TYPE "a(uuuub)"
 
 #define HEARTBEAT_TYPE                                    \
 	"(ua(utbb)a(uuq)a(uu)a(uttu)a" HEARTBEAT_ROW_TYPE \
@@ -74,11 +77,11 @@
 
 	g_variant_builder_init(tokens, G_VARIANT_TYPE(TOKENS_TYPE));
 	for (i = 0; i < heartbeat->token_count; i++)
-		g_variant_builder_add(tokens, "(uuuu)",
-				      heartbeat->tokens[i].incarnation,
-				      heartbeat->tokens[i].requested,
-				      heartbeat->tokens[i].lent,
-				      heartbeat->tokens[i].wait_ms);
+		g_variant_builder_add(
+			tokens, "(uuuub)", heartbeat->tokens[i].incarnation,
+			heartbeat->tokens[i].requested,
+			heartbeat->tokens[i].lent, heartbeat->tokens[i].wait_ms,
+			(gboolean)heartbeat->tokens[i].is_account);
 }
 
 GBytes *heartbeat_encode(const struct heartbeat *heartbeat)
@@ -326,10 +329,11 @@
 	guint32 requested;
 	guint32 lent;
 	guint32 wait_ms;
+	gboolean is_account;
 
 	while (heartbeat->token_count < HEARTBEAT_MAX_TOKENS &&
-	       g_variant_iter_next(iter, "(uuuu)", &incarnation, &requested,
-				   &lent, &wait_ms)) {
+	       g_variant_iter_next(iter, "(uuuub)", &incarnation, &requested,
+				   &lent, &wait_ms, &is_account)) {
 		struct heartbeat_token *token =
 			&heartbeat->tokens[heartbeat->token_count++];
 
@@ -337,6 +341,7 @@
 		token->requested = requested;
 		token->lent = lent;
 		token->wait_ms = wait_ms;
+		token->is_account = is_account;
 	}
 }
 
--- a/packages/edge/heartbeat.h
+++ b/packages/edge/heartbeat.h
@@ -88,13 +88,17 @@
 	uint64_t version; /* of its row in the platform's table */
 };
 
-/* Tokens of a server's rate: a request for some, or the answer to one. */
+/*
+ * Tokens of a server's or an account's rate: a request for some, or the answer
+ * to one.
+ */
 struct heartbeat_token {
-	uint32_t incarnation; /* of the server */
+	uint32_t incarnation; /* of the server, or the hash of the account */
 	uint32_t requested; /* number of tokens; 0: this is an answer */
 	uint32_t lent; /* in an answer: number of tokens */
 	uint32_t wait_ms; /* in an answer without tokens: time until there may
 			     be one */
+	bool is_account; /* an account's, not a server's */
 };
 
 struct heartbeat {
--- a/packages/edge/hops.c
+++ b/packages/edge/hops.c
@@ -90,7 +90,8 @@
 
 	if (member == members->self || !member->peer.port ||
 	    member->partitioned || !member_serves(members, member, now_us) ||
-	    !route_allows_region(query->route, member->region))
+	    !route_allows_region(query->route, member->region) ||
+	    !account_allows_region(query->account, member->region))
 		return false;
 	peer = peer_of(hops, member);
 	return peer->avoid_until_us <= now_us && !was_tried(query, peer);
--- a/packages/edge/hops.h
+++ b/packages/edge/hops.h
@@ -6,8 +6,9 @@
  * caller's own, by its own tables, and never hands it on. Connections to peers
  * are kept in the node's pool. Not thread-safe.
  *
- * A hop is the caller's request with the header HOP_SENDS. Every answer to one
- * has HOP_ROOM, and HOP_NOT_RUN if no server has run the request or will.
+ * A hop is the caller's request with the header HOP_SENDS, and HOP_ACCOUNT in
+ * place of the key of the caller's account. Every answer to one has HOP_ROOM,
+ * and HOP_NOT_RUN if no server has run the request or will.
  */
 #ifndef EDGE_HOPS_H
 #define EDGE_HOPS_H
@@ -22,6 +23,9 @@
 /* How often the request was sent to servers before. */
 #define HOP_SENDS "Hop-Sends"
 
+/* Name of the caller's account, if it has one. */
+#define HOP_ACCOUNT "Hop-Account"
+
 /* Requests that the peer would take now besides. */
 #define HOP_ROOM "Hop-Room"
 
@@ -48,6 +52,7 @@
 
 struct hop_query {
 	const struct route *route;
+	const struct account *account; /* NULL: none */
 	const struct hop_peer *tried[HOPS_MAX_TRIED];
 	uint32_t tried_count;
 };
--- a/packages/edge/run.c
+++ b/packages/edge/run.c
@@ -7,6 +7,7 @@
 #include "adapters/clock_system.h"
 #include "adapters/log.h"
 #include "core/duration.h"
+#include "edge/accounts.h"
 #include "edge/caller.h"
 #include "edge/crash_watch.h"
 #include "edge/gossip.h"
@@ -84,6 +85,7 @@
 	current->config_within_us = fresh->config_within_us;
 	current->lookup_keep_us = fresh->lookup_keep_us;
 	current->max_stop_us = fresh->max_stop_us;
+	current->account_quota = fresh->account_quota;
 	current->registry = fresh->registry;
 	if (moved)
 		set_registry(run);
@@ -222,6 +224,7 @@
 	backend_table_expire(edge->backends, now_us);
 	gossip_send_changes(run->gossip);
 	server_limits_update_quotas(edge);
+	accounts_update_quotas(edge->accounts);
 	callers_sweep(edge);
 	pool_sweep(&edge->pool, edge->backends);
 	update_readiness(run);
--- a/packages/edge/stats.c
+++ b/packages/edge/stats.c
@@ -17,6 +17,8 @@
 	  AT(delivered) },
 	{ "lilacfield_refused_total", "requests refused as not run",
 	  AT(refused) },
+	{ "lilacfield_over_quota_total",
+	  "requests refused for their account's rate", AT(over_quota) },
 	{ "lilacfield_failed_total", "requests that ended 502 or 504",
 	  AT(failed) },
 	{ "lilacfield_denied_total", "requests that ended 4xx of our own",
--- a/packages/ports/dialect.h
+++ b/packages/ports/dialect.h
@@ -24,6 +24,9 @@
 	const char *deadline_ms; /* remaining time until the sender gives up */
 	const char *expect_instance; /* the only instance that may run it */
 	const char *caller; /* identifies the caller to backend servers */
+	/* A caller's key to its account; never sent on. */
+	const char *account_key;
+	const char *account_name; /* what backend servers get instead */
 
 	/* Response headers */
 	const char *not_executed; /* if present, the request did not run */
--- a/tests/core/query_test.cc
+++ b/tests/core/query_test.cc
@@ -68,7 +68,7 @@
 	static const char *const verbs[] = {
 		"where",  "places",	"nodes",   "backends", "services",
 		"shifts", "version",	"routes",  "refusals", "suspects",
-		"limits", "quarantine", "release", "shift",    "cancel",
+		"limits", "accounts", "quarantine", "release", "shift",    "cancel",
 		"drain",  "undrain",	"stop",	   "start",    "load",
 	};
 	static const char *const objects[] = { "", " place", " node",
@@ -115,6 +115,7 @@
 	{ "show refusals", "refusals", false },
 	{ "show suspects", "suspects", false },
 	{ "show limits", "limits", false },
+	{ "show accounts", "accounts", false },
 	{ "quarantine 00000000000000ff", "quarantine fingerprint=255", false },
 	{ "release 00000000000000ff", "release fingerprint=255", false },
 	{ "show nodes", "nodes", false },
@@ -200,7 +201,7 @@
 	  "expected the end at word 7, found '2'" },
 	{ "show place", RESULT_SYNTAX,
 	  "expected 'places', 'nodes', 'backends', 'services', 'shifts', "
-	  "'version', 'routes', 'refusals', 'suspects' or 'limits' at word 2, found 'place'; did you mean 'places'?" },
+	  "'version', 'routes', 'refusals', 'suspects', 'limits' or 'accounts' at word 2, found 'place'; did you mean 'places'?" },
 	{ "show backends at p1", RESULT_SYNTAX,
 	  "expected 'of', 'in' or the end at word 3, found 'at'" },
 	{ "show backends of svc-a of p1", RESULT_SYNTAX,
--- a/tests/edge/edge_world.h
+++ b/tests/edge/edge_world.h
@@ -233,6 +233,7 @@
 	std::string idle_timeout = "15000ms";
 	std::string max_header_bytes = "16384";
 	std::string extra_routes;
+	std::string extra_fields; /* of the document itself */
 	void put_routes(int version)
 	{
 		std::string text =
@@ -260,7 +261,7 @@
 			",\"max_body_bytes\":1048576,"
 			"\"header_timeout\":\"3000ms\","
 			"\"idle_timeout\":\"" +
-			idle_timeout + "\"}}";
+			idle_timeout + "\"}" + extra_fields + "}";
 
 		store_stand_put(store, "op", "config", text.c_str());
 	}
--- a/tests/edge/gossip_test.cc
+++ b/tests/edge/gossip_test.cc
@@ -552,7 +552,7 @@
 			peer_member->hash, ++number, false, false
 		};
 		heartbeat.tokens[heartbeat.token_count++] = {
-			backend->incarnation, 0, lent, 100
+			backend->incarnation, 0, lent, 100, false
 		};
 		send_datagram(heartbeat);
 	}
--- a/tests/edge/heartbeat_test.cc
+++ b/tests/edge/heartbeat_test.cc
@@ -112,7 +112,7 @@
 	heartbeat.rate_count = HEARTBEAT_MAX_RATES;
 	heartbeat.rates[19] = { 7, 1.8, 2000000 };
 	heartbeat.token_count = HEARTBEAT_MAX_TOKENS;
-	heartbeat.tokens[7] = { 9, false, true, 250 };
+	heartbeat.tokens[7] = { 9, 0, 1, 250, true };
 	std::string bytes = encode(heartbeat);
 	ASSERT_LE(bytes.size(), (size_t)HEARTBEAT_MAX_BYTES);
 	ASSERT_TRUE(heartbeat_decode(bytes.data(), bytes.size(), &got));
@@ -122,6 +122,7 @@
 	EXPECT_EQ(9u, got.tokens[7].incarnation);
 	EXPECT_TRUE(got.tokens[7].lent);
 	EXPECT_EQ(250u, got.tokens[7].wait_ms);
+	EXPECT_TRUE(got.tokens[7].is_account);
 }
 
 TEST(HeartbeatTest, InvalidBytesAreRejected)
--- a/tests/standins/app_stand.c
+++ b/tests/standins/app_stand.c
@@ -45,6 +45,7 @@
 	uint32_t cancelled;
 	uint32_t rejected;
 	uint64_t last_deadline_ms;
+	GString *last_headers;
 };
 
 /* --- cache -------------------------------------------------------------- */
@@ -381,6 +382,8 @@
 		reject(app, call, 400, "none");
 		return;
 	}
+	g_string_truncate(app->last_headers, 0);
+	message_copy_headers(call->request, NULL, app->last_headers);
 	app->last_deadline_ms =
 		g_ascii_strtoull(deadline ? deadline : "0", NULL, 10);
 	if (expected && strcmp(expected, app->id) != 0)
@@ -415,6 +418,7 @@
 	app->loop = loop;
 	app->settings = *settings;
 	app->id = g_strdup(settings->id);
+	app->last_headers = g_string_new(NULL);
 	app->runs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_queue_init(&app->cache);
@@ -431,6 +435,7 @@
 	if (app->ending)
 		finish_ending(app);
 	g_hash_table_destroy(app->runs);
+	g_string_free(app->last_headers, TRUE);
 	g_queue_clear_full(&app->cache, g_free);
 	g_free(app->deadly_path);
 	g_free(app->headers);
@@ -515,3 +520,8 @@
 {
 	return app->last_deadline_ms;
 }
+
+const char *app_stand_last_headers(const struct app_stand *app)
+{
+	return app->last_headers->str;
+}
--- a/tests/standins/app_stand.h
+++ b/tests/standins/app_stand.h
@@ -81,6 +81,8 @@
 uint32_t app_stand_running(const struct app_stand *app);
 uint32_t app_stand_connections(const struct app_stand *app);
 /* Milliseconds that the latest request was given. */
+/* Headers of the latest request that was read, a line each. */
+const char *app_stand_last_headers(const struct app_stand *app);
 uint64_t app_stand_last_deadline_ms(const struct app_stand *app);
 
 #ifdef __cplusplus
