choose: requests whose regions exclude this one leave it at once

They were counted as part of the share that leaves a region, which moves in small steps, and refused meanwhile: a route or an account with regions of its own was refused in all others. Not a choice of the node's, and constant over time, so outside of that share. Found by AccountWorld.RequestStaysInTheRegions.

--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -219,6 +219,9 @@
 
 	if (!near && !far)
 		return NULL;
+	/* No choice of the node's, and no part of the share that leaves. */
+	if (!choose_query_allows(query, chooser->region))
+		return far;
 	if (!far)
 		return trial(chooser, candidates, near, now_us);
 	if (region_flow_leave(flow, &request, now_us))
@@ -239,6 +242,8 @@
 
 	if (best)
 		return !best->near;
+	if (!choose_query_allows(query, chooser->region))
+		return true;
 	return region_flow_would_leave(flow_of(chooser, query->service->name),
 				       &request, now_us);
 }
