account_quota: the order in which holders are asked, and a fleet in virtual time

Near holders one after the other, then other regions one at a time unless several tokens are wanted; asking all at once lent three tokens where one was needed, and the others expired unused. The decision moves from edge/accounts to core, so that AccountFleetTest plays it: 8, 68 and 295 nodes, rates of 5 to 400 a second, hot accounts, demand that moves, nodes isolated, killed and joining, messages lost, a lower rate.

--- a/packages/core/account_quota.h
+++ b/packages/core/account_quota.h
@@ -53,6 +53,57 @@
 uint32_t account_quota_holders(const struct account *account, uint32_t parts,
 			       const GPtrArray *regions, const char *region);
 
+/* One account at one node. */
+struct account_quota {
+	uint32_t hash; /* of the account; identifies it between nodes */
+	uint32_t parts; /* of the rate, over all nodes */
+	uint32_t refusals; /* holders asked in a row that had no tokens */
+	uint32_t first_far; /* region of the first of them that is another */
+	struct rate_limit limit; /* this node's bucket; rate 0: unlimited */
+};
+
+/* The node's place among all. */
+struct account_quota_place {
+	const struct member_table *members;
+	const GPtrArray *regions; /* all regions' names, as above */
+	const char *region; /* of this node */
+	bool may_hold; /* see account_quota_may_hold() */
+};
+
+/* Sets rate and part for the account as it is now. */
+void account_quota_update(struct account_quota *quota,
+			  const struct account *account,
+			  const struct account_quota_rule *rule,
+			  const struct account_quota_place *place,
+			  uint64_t now_us);
+
+/* Nodes to be asked for tokens. */
+struct account_quota_asked {
+	const struct member *holders[RATE_LIMIT_MAX_ASKED];
+	uint32_t count;
+	uint32_t tokens; /* to ask each for */
+};
+
+/*
+ * Whom to ask for so many tokens: a holder in this region, another one if that
+ * had none or didn't answer, then holders of other regions in turn, or several
+ * at once that share the tokens asked for. draw: a random number from 0 to 1.
+ * False if there is nobody to ask.
+ */
+bool account_quota_ask(struct account_quota *quota,
+		       const struct account_quota_place *place, uint32_t tokens,
+		       uint64_t far_round_trip_us, double draw, uint64_t now_us,
+		       struct account_quota_asked *asked);
+
+/*
+ * Applies a holder's answer; ignored if it wasn't asked. Once all had none, no
+ * more are asked for wait_us.
+ */
+void account_quota_apply_loan(struct account_quota *quota,
+			      const struct account_quota_place *place,
+			      uint32_t holder, uint32_t lent, uint64_t wait_us,
+			      uint64_t now_us);
+
 /* What a node knows when it decides whether it may use a part. */
 struct account_quota_standing {
 	bool members_loaded; /* the list of nodes was read */
--- a/packages/edge/accounts.c
+++ b/packages/edge/accounts.c
@@ -11,8 +11,8 @@
 /* How long an answer of a peer may take, besides the round trip. */
 #define ANSWER_TIMEOUT_US (100 * US_PER_MS)
 
-/* A request asks nodes of its region, then of others, then once more. */
-#define MAX_ASKS 3
+/* Times that a request asks: as many holders as there are, and once more. */
+#define MAX_ASKS 5
 
 struct accounts {
 	struct edge *edge;
@@ -116,30 +116,26 @@
 	return account_quota_may_hold(&standing);
 }
 
-static uint32_t holders_in(const struct accounts *accounts,
-			   const struct account *account, uint32_t parts,
-			   const char *region)
+static struct account_quota_place place_of(const struct accounts *accounts)
 {
-	return account_quota_holders(account, parts, accounts->regions, region);
+	const struct edge *edge = accounts->edge;
+
+	return (struct account_quota_place){
+		.members = edge->members,
+		.regions = accounts->regions,
+		.region = edge->settings.region,
+		.may_hold = accounts->may_hold,
+	};
 }
 
 static void update_state(struct accounts *accounts, struct account_state *state,
 			 const struct account *account)
 {
-	struct edge *edge = accounts->edge;
-	const char *region = edge->settings.region;
-	struct account_quota_total total =
-		account_quota_total(account, &edge->settings.account_quota,
-				    MAX(accounts->regions->len, 1));
-	uint32_t holders = holders_in(accounts, account, total.parts, region);
-	bool holds = accounts->may_hold &&
-		     member_table_region_rank(edge->members, region,
-					      account->hash) < holders;
-	double part_per_s = holds ? total.per_s / total.parts : 0;
-
-	state->parts = total.parts;
-	rate_limit_configure(&state->limit, total.per_s, part_per_s,
-			     holds ? total.burst / total.parts : 1,
+	const struct edge *edge = accounts->edge;
+	const struct account_quota_place place = place_of(accounts);
+
+	account_quota_update(&state->quota, account,
+			     &edge->settings.account_quota, &place,
 			     edge_now_us(edge));
 }
 
@@ -149,11 +145,11 @@
 	struct account_state *state = g_new0(struct account_state, 1);
 
 	state->name = g_strdup(account->name);
-	state->hash = account->hash;
+	state->quota.hash = account->hash;
 	g_queue_init(&state->waiting);
 	g_hash_table_insert(accounts->by_name, state->name, state);
-	g_hash_table_insert(accounts->by_hash, GUINT_TO_POINTER(state->hash),
-			    state);
+	g_hash_table_insert(accounts->by_hash,
+			    GUINT_TO_POINTER(state->quota.hash), state);
 	return state;
 }
 
@@ -166,8 +162,7 @@
 	if (state)
 		return state;
 	state = add_state(accounts, account);
-	if (account->per_s > 0)
-		update_state(accounts, state, account);
+	update_state(accounts, state, account);
 	return state;
 }
 
@@ -186,7 +181,7 @@
 		     account_table_find(routes->accounts, state->name)))
 			continue;
 		g_hash_table_remove(accounts->by_hash,
-				    GUINT_TO_POINTER(state->hash));
+				    GUINT_TO_POINTER(state->quota.hash));
 		g_hash_table_iter_remove(&iter);
 	}
 }
@@ -204,14 +199,11 @@
 	g_hash_table_iter_init(&iter, routes->accounts->by_name);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct account *account = value;
-		struct account_state *state = accounts_state(accounts, account);
 
-		if (account->per_s > 0) {
+		update_state(accounts, accounts_state(accounts, account),
+			     account);
+		if (account->per_s > 0)
 			accounts->any_limited = true;
-			update_state(accounts, state, account);
-		} else {
-			state->limit.per_s = 0;
-		}
 	}
 }
 
@@ -240,31 +232,6 @@
 
 /* --- tokens ------------------------------------------------------------- */
 
-/* Picks a node of the region that holds a part, other than the excluded one. */
-static const struct member *pick_holder(const struct accounts *accounts,
-					const struct account_state *state,
-					const char *region, uint32_t excluded)
-{
-	const struct edge *edge = accounts->edge;
-	const struct account account = { .hash = state->hash };
-	uint32_t holders = holders_in(accounts, &account, state->parts, region);
-
-	if (!holders)
-		return NULL;
-	return member_table_region_pick(edge->members, region, state->hash,
-					holders, excluded, g_random_double(),
-					edge_now_us(edge));
-}
-
-static void ask_one(const struct accounts *accounts,
-		    struct account_state *state, const struct member *holder,
-		    uint32_t tokens)
-{
-	if (holder && rate_limit_mark_asked(&state->limit, holder->hash))
-		gossip_request_account_tokens(accounts->edge->gossip, holder,
-					      state->hash, tokens);
-}
-
 /* Longest round trip to a region other than this node's. */
 static uint64_t far_round_trip_us(const struct accounts *accounts)
 {
@@ -283,54 +250,23 @@
 	return longest_us;
 }
 
-/* Asks a holder of each other region, as many as may be asked at one time. */
-static void ask_far(const struct accounts *accounts,
-		    struct account_state *state, uint32_t tokens)
-{
-	const struct edge *edge = accounts->edge;
-	uint32_t count = accounts->regions->len;
-	uint32_t first = count ? g_random_int_range(0, (gint32)count) : 0;
-	uint32_t i;
-
-	for (i = 0; i < count; i++) {
-		const char *region =
-			accounts->regions->pdata[(first + i) % count];
-
-		if (strcmp(region, edge->settings.region) != 0)
-			ask_one(accounts, state,
-				pick_holder(accounts, state, region, 0),
-				tokens);
-	}
-}
-
-/*
- * Asks for tokens: a holder of this region, and those of others too once that
- * one had none. False if there is nobody to ask.
- */
 static bool ask(struct accounts *accounts, struct account_state *state)
 {
-	struct rate_limit *limit = &state->limit;
 	const struct edge *edge = accounts->edge;
-	uint32_t silent = limit->asked_count ? limit->asked[0] : 0;
-	const struct member *near;
-	uint32_t tokens;
-	bool goes_far;
+	const struct account_quota_place place = place_of(accounts);
+	struct account_quota_asked asked;
+	uint32_t i;
 
-	if (!edge->gossip)
+	if (!edge->gossip ||
+	    !account_quota_ask(&state->quota, &place,
+			       g_queue_get_length(&state->waiting) + 1,
+			       far_round_trip_us(accounts), g_random_double(),
+			       edge_now_us(edge), &asked))
 		return false;
-	if (silent)
-		limit->refused_by = silent;
-	near = pick_holder(accounts, state, edge->settings.region,
-			   limit->refused_by);
-	goes_far = limit->refused_by || !near;
-	tokens = rate_limit_begin_borrowing(
-		limit, goes_far ? far_round_trip_us(accounts) : 0,
-		edge_now_us(edge));
-	tokens = MAX(tokens, g_queue_get_length(&state->waiting));
-	ask_one(accounts, state, near, tokens);
-	if (goes_far)
-		ask_far(accounts, state, tokens);
-	return limit->asked_count > 0;
+	for (i = 0; i < asked.count; i++)
+		gossip_request_account_tokens(edge->gossip, asked.holders[i],
+					      state->quota.hash, asked.tokens);
+	return true;
 }
 
 enum account_verdict accounts_admit(struct accounts *accounts,
@@ -338,7 +274,7 @@
 				    struct account_waiter *waiter,
 				    uint32_t *asks, uint64_t *wait_us)
 {
-	struct rate_limit *limit = &state->limit;
+	struct rate_limit *limit = &state->quota.limit;
 	uint64_t now_us = edge_now_us(accounts->edge);
 	uint64_t due_us;
 
@@ -370,7 +306,7 @@
 /* Wakes the requests that can be decided now, the oldest first. */
 static void wake_waiters(struct accounts *accounts, struct account_state *state)
 {
-	const struct rate_limit *limit = &state->limit;
+	const struct rate_limit *limit = &state->quota.limit;
 	uint32_t count = g_queue_get_length(&state->waiting);
 
 	while (count-- && !g_queue_is_empty(&state->waiting)) {
@@ -392,22 +328,24 @@
 {
 	struct account_state *state = g_hash_table_lookup(
 		accounts->by_hash, GUINT_TO_POINTER(token->incarnation));
+	const struct account_quota_place place = place_of(accounts);
 	uint64_t now_us = edge_now_us(accounts->edge);
 	uint64_t wait_us;
 
 	if (!state)
 		return false;
 	if (!token->requested) {
-		rate_limit_apply_loan(&state->limit, from->hash, token->lent,
-				      token->wait_ms * US_PER_MS, now_us);
+		account_quota_apply_loan(&state->quota, &place, from->hash,
+					 token->lent,
+					 token->wait_ms * US_PER_MS, now_us);
 		wake_waiters(accounts, state);
 		return false;
 	}
 	answer->incarnation = token->incarnation;
 	answer->is_account = true;
 	answer->requested = 0;
-	answer->lent = rate_limit_lend(&state->limit, token->requested, now_us,
-				       &wait_us);
+	answer->lent = rate_limit_lend(&state->quota.limit, token->requested,
+				       now_us, &wait_us);
 	answer->wait_ms = (uint32_t)(wait_us / US_PER_MS) + 1;
 	return true;
 }
@@ -422,7 +360,7 @@
 
 	/* Each node brings back its share of the account's callers. */
 	return admission_schedule_retry_us(&state->returns,
-					   state->limit.per_s / nodes,
+					   state->quota.limit.per_s / nodes,
 					   patience_us, g_random_double(),
 					   edge_now_us(edge));
 }
--- a/packages/edge/accounts.h
+++ b/packages/edge/accounts.h
@@ -37,10 +37,7 @@
 /* One account at this node, for as long as the process runs. */
 struct account_state {
 	char *name;
-	uint32_t hash; /* identifies it between nodes */
-	struct rate_limit limit; /* this node's bucket; its rate is 0 if
-				    unlimited */
-	uint32_t parts; /* of the rate, over all nodes */
+	struct account_quota quota;
 	uint32_t users; /* requests that refer to it */
 	GQueue waiting; /* of struct account_waiter */
 	struct admission_retry_schedule returns;
--- a/packages/edge/admin_accounts.c
+++ b/packages/edge/admin_accounts.c
@@ -16,7 +16,7 @@
 {
 	const struct account_state *state =
 		accounts_state(edge->accounts, account);
-	const struct rate_limit *limit = &state->limit;
+	const struct rate_limit *limit = &state->quota.limit;
 	uint64_t now_us = edge_now_us(edge);
 	json_t *const values[] = {
 		admin_json_text(account->name),
--- a/packages/edge/exchange_account.c
+++ b/packages/edge/exchange_account.c
@@ -136,8 +136,9 @@
 void exchange_take_account_token(struct exchange *exchange)
 {
 	if (exchange->account && !exchange->has_account_token)
-		exchange->has_account_token = rate_limit_take(
-			&exchange->account->limit, exchange_now_us(exchange));
+		exchange->has_account_token =
+			rate_limit_take(&exchange->account->quota.limit,
+					exchange_now_us(exchange));
 }
 
 void exchange_spend_account_token(struct exchange *exchange)
@@ -149,7 +150,7 @@
 void exchange_return_account_token(struct exchange *exchange)
 {
 	if (exchange->has_account_token || exchange->spent_account_token)
-		rate_limit_give_back(&exchange->account->limit,
+		rate_limit_give_back(&exchange->account->quota.limit,
 				     exchange_now_us(exchange));
 	exchange->has_account_token = false;
 	exchange->spent_account_token = false;
