--- a/packages/edge/heartbeat.c
+++ b/packages/edge/heartbeat.c
@@ -22,7 +22,7 @@
  * Tokens: incarnation or account, number requested, number lent, wait in ms,
  * whether they are an account's.
  */
-#define TOKENS_TYPE "a(uuuub)"
+#define TOKENS_TYPE "a(uuuqb)"
 
 #define HEARTBEAT_TYPE                                    \
 	"(ua(utbb)a(uuq)a(uu)a(uttu)a" HEARTBEAT_ROW_TYPE \
@@ -78,9 +78,10 @@
 	g_variant_builder_init(tokens, G_VARIANT_TYPE(TOKENS_TYPE));
 	for (i = 0; i < heartbeat->token_count; i++)
 		g_variant_builder_add(
-			tokens, "(uuuub)", heartbeat->tokens[i].incarnation,
+			tokens, "(uuuqb)", heartbeat->tokens[i].incarnation,
 			heartbeat->tokens[i].requested,
-			heartbeat->tokens[i].lent, heartbeat->tokens[i].wait_ms,
+			heartbeat->tokens[i].lent,
+			(guint16)MIN(heartbeat->tokens[i].wait_ms, UINT16_MAX),
 			(gboolean)heartbeat->tokens[i].is_account);
 }
 
@@ -328,11 +329,11 @@
 	guint32 incarnation;
 	guint32 requested;
 	guint32 lent;
-	guint32 wait_ms;
+	guint16 wait_ms;
 	gboolean is_account;
 
 	while (heartbeat->token_count < HEARTBEAT_MAX_TOKENS &&
-	       g_variant_iter_next(iter, "(uuuub)", &incarnation, &requested,
+	       g_variant_iter_next(iter, "(uuuqb)", &incarnation, &requested,
 				   &lent, &wait_ms, &is_account)) {
 		struct heartbeat_token *token =
 			&heartbeat->tokens[heartbeat->token_count++];
