emulator: accounts with keys and rates, a hot one, a key taken away

Judged: what ran of an account in any 5 s, names that servers got, keys in requests, logs and answers to operators, runs with a removed key, refusals of accounts within their rate.

--- a/Makefile
+++ b/Makefile
@@ -77,6 +77,7 @@
 		'tests/emulator/play.sh $(BUILD) $$0 $$1'
 	@tests/emulator/deadly.sh $(BUILD) $(SEED)
 	@tests/emulator/limited.sh $(BUILD) $(SEED)
+	@tests/emulator/accounts.sh $(BUILD) $(SEED)
 	@JOBS=3 tests/emulator/partitioned.sh $(BUILD) $(SEED)
 
 # Beside one request that ends servers, ROUNDS seeds from SEED on.
@@ -90,6 +91,11 @@
 	@seq $(SEED) $$(($(SEED) + $(ROUNDS) - 1)) | \
 		xargs -P 3 -I N tests/emulator/limited.sh $(BUILD) N
 
+# Beside callers of accounts with rates, ROUNDS seeds from SEED on.
+play-accounts: build
+	@seq $(SEED) $$(($(SEED) + $(ROUNDS) - 1)) | \
+		xargs -P 3 -I N tests/emulator/accounts.sh $(BUILD) N
+
 # Nodes that lose the way to all servers, each manner and size.
 play-partitioned: build
 	@JOBS=3 tests/emulator/partitioned.sh $(BUILD) $(SEED)
@@ -134,4 +140,4 @@
 .PHONY: all setup build format format-check lint test sanitize \
 	sanitize-thread check demo \
 	experiment capacity prove faults soak play play-deadly play-limited \
-	play-partitioned play-soak play-seeds clean
+	play-accounts play-partitioned play-soak play-seeds clean
--- a/tests/emulator/emulator.c
+++ b/tests/emulator/emulator.c
@@ -25,6 +25,8 @@
  * With --limited COUNT:RATE so many servers of the first service name a rate;
  * see limit_watch.h.
  *
+ * With --accounts COUNT:RATE callers belong to accounts; see account_watch.h.
+ *
  * With --partition nodes lose the way to all servers; see partition.h.
  *
  * With --deadly a caller brings one request so often a second to any node,
@@ -44,6 +46,7 @@
 #include "adapters/log.h"
 #include "core/duration.h"
 #include "edge/link.h"
+#include "emulator/account_watch.h"
 #include "emulator/commands.h"
 #include "emulator/partition.h"
 #include "emulator/limit_watch.h"
@@ -128,6 +131,8 @@
 	uint32_t deadly_refused;
 	GArray *ends_us; /* of servers, in order */
 	struct limit_watch *limits; /* NULL: no server names a rate */
+	struct account_watch *accounts; /* NULL: callers have none */
+	uv_timer_t revoke;
 	struct partition *partition; /* NULL: no node loses its servers */
 	uint32_t rate;
 	uint32_t closes_one_in; /* answers of servers; 0: none */
@@ -209,7 +214,10 @@
 	}
 	g_string_append(text, "},\"limits\":{\"max_header_bytes\":16384,"
 			      "\"max_body_bytes\":1048576,\"header_timeout\":"
-			      "\"3000ms\",\"idle_timeout\":\"15000ms\"}}");
+			      "\"3000ms\",\"idle_timeout\":\"15000ms\"}");
+	if (world->accounts)
+		account_watch_append(world->accounts, text);
+	g_string_append(text, "}");
 	store_stand_put(world->store, "op", "config", text->str);
 	length = text->len;
 	g_string_free(text, TRUE);
@@ -463,6 +471,10 @@
 {
 	struct call *call = (struct call *)link;
 
+	if (call->world->accounts &&
+	    account_watch_answered(call->world->accounts, call->id,
+				   answer->status))
+		call->service->other++;
 	if (call->deadly) {
 		call->world->deadly_refused += answer->status == 503;
 	} else if (answer->status == 200) {
@@ -473,7 +485,7 @@
 	} else if (answer->status == 502 || answer->status == 504 ||
 		   answer->status == 500) {
 		call->service->unknown++;
-	} else {
+	} else if (answer->status != 401 || !call->world->accounts) {
 		call->service->other++;
 		fprintf(stderr, "emulator: status %u for %s\n", answer->status,
 			call->id);
@@ -563,11 +575,16 @@
 			       "%s /%s/%s HTTP/1.1\r\nHost: demo.example\r\n"
 			       "Lilacfield-Attempt-Id: %s\r\n"
 			       "Lilacfield-Affinity-Key: %d\r\n"
-			       "Lilacfield-Deadline-Ms: %d\r\n\r\n",
+			       "Lilacfield-Deadline-Ms: %d\r\n",
 			       call->service->once ? "POST" : "GET",
 			       call->service->name, path, call->id,
 			       g_random_int_range(0, OBJECTS),
 			       CALL_DEADLINE_MS);
+	if (world->accounts)
+		g_string_append_printf(call->request, "X-Api-Key: %s\r\n",
+				       account_watch_call(world->accounts,
+							  call->id));
+	g_string_append(call->request, "\r\n");
 	uv_timer_init(&world->loop, &call->timer);
 	call->timer.data = call;
 	uv_timer_start(&call->timer, on_deadline,
@@ -857,6 +874,8 @@
 	uint32_t answered = 0;
 	bool deadly = report_deadly(world);
 	bool over = world->limits && limit_watch_report(world->limits);
+	bool accounts = world->accounts &&
+			account_watch_report(world->accounts);
 	bool partitioned = world->partition &&
 			   partition_report(world->partition);
 	guint i;
@@ -881,7 +900,7 @@
 	       "%u, false statuses %u\n",
 	       world->nodes->len, store_stand_calls(world->store), doubled,
 	       untrue, world->wrong, other);
-	return route_watch_report(world->watch) || deadly || over ||
+	return route_watch_report(world->watch) || deadly || over || accounts ||
 	       partitioned || doubled || untrue || world->wrong || other ||
 	       !answered;
 }
@@ -962,6 +981,35 @@
 	return true;
 }
 
+static void on_revoke(uv_timer_t *timer)
+{
+	struct world *world = timer->data;
+
+	account_watch_revoke(world->accounts);
+	put_config(world);
+}
+
+static bool begin_accounts(struct world *world, const char *text,
+			   uint64_t revoke_ms)
+{
+	guint i;
+	guint j;
+
+	world->accounts = account_watch_new(text);
+	if (!world->accounts)
+		return false;
+	for (i = 0; i < world->services->len; i++) {
+		const struct service *service = world->services->pdata[i];
+
+		for (j = 0; j < service->apps->len; j++)
+			account_watch_add(
+				world->accounts,
+				((struct app *)service->apps->pdata[j])->stand);
+	}
+	start_timer(world, &world->revoke, on_revoke, revoke_ms, 0);
+	return true;
+}
+
 static bool plan_partition(struct world *world, const struct endpoint *store,
 			   const char *plan, const char *cuts)
 {
@@ -1000,6 +1048,7 @@
 	char **services = NULL;
 	char *fault = NULL;
 	char *limited = NULL;
+	char *accounts = NULL;
 	char *partition = NULL;
 	char *cuts = NULL;
 	int rate = 50;
@@ -1027,6 +1076,8 @@
 		{ "limited", 0, POPT_ARG_STRING, &limited, 0,
 		  "servers of the first service that name a rate",
 		  "COUNT:RATE" },
+		{ "accounts", 0, POPT_ARG_STRING, &accounts, 0,
+		  "accounts of the callers, with their rate", "COUNT:RATE" },
 		{ "closes", 0, POPT_ARG_INT, &closes, 0,
 		  "answers of servers, one in so many, end their connection",
 		  "N" },
@@ -1082,6 +1133,9 @@
 		begin_deadly(&world, (uint32_t)deadly);
 	if (limited && !begin_limited(&world, limited))
 		return fail(limited);
+	if (accounts &&
+	    !begin_accounts(&world, accounts, (uint64_t)seconds * 500))
+		return fail(accounts);
 	if (partition && !plan_partition(&world, &at, partition, cuts))
 		return fail(partition);
 	if (fault && !plan_fault(&world, fault))
--- a/tests/emulator/settings.sh
+++ b/tests/emulator/settings.sh
@@ -18,6 +18,7 @@
 [extra]
 ratio = "0.2"
 allowance = "40"
+${account_settings:-}
 [log]
 level = "info"
 [domains]
--- a/tests/standins/app_stand.c
+++ b/tests/standins/app_stand.c
@@ -46,6 +46,8 @@
 	uint32_t rejected;
 	uint64_t last_deadline_ms;
 	GString *last_headers;
+	app_run_cb on_run; /* NULL: nobody watches */
+	void *watcher;
 };
 
 /* --- cache -------------------------------------------------------------- */
@@ -327,6 +329,8 @@
 	g_hash_table_insert(app->runs, g_strdup(run->id),
 			    GUINT_TO_POINTER(count));
 	app->total_runs++;
+	if (app->on_run)
+		app->on_run(app->watcher, run->call->request);
 	uv_timer_start(&run->timer, on_done, work_us(app, run) / US_PER_MS, 0);
 }
 
@@ -525,3 +529,10 @@
 {
 	return app->last_headers->str;
 }
+
+void app_stand_watch_runs(struct app_stand *app, app_run_cb callback,
+			  void *context)
+{
+	app->on_run = callback;
+	app->watcher = context;
+}
--- a/tests/standins/app_stand.h
+++ b/tests/standins/app_stand.h
@@ -73,6 +73,12 @@
 /* Connections stay, nothing is read or answered. */
 void app_stand_silence(struct app_stand *app, bool silent);
 
+/* Called with each request as it begins to run. */
+struct message;
+typedef void (*app_run_cb)(void *context, const struct message *request);
+void app_stand_watch_runs(struct app_stand *app, app_run_cb callback,
+			  void *context);
+
 /* Runs of this request id; of all; of those that were cut off midway. */
 uint32_t app_stand_runs(const struct app_stand *app, const char *id);
 uint32_t app_stand_total_runs(const struct app_stand *app);
