--- a/models/prove.sh
+++ b/models/prove.sh
@@ -126,6 +126,10 @@
 	history NO_VERSION caught
 	history NO_REMOVED caught
 	history PART_CONFIRMS caught
+	account_parts SOUND clean
+	account_parts NO_WAIT caught
+	account_parts NO_STOP caught
+	account_parts FULL_RESTART caught
 	parts SOUND clean
 	parts NO_WAIT caught
 	parts LIVE_ONLY caught
