priority_mix, admission: queue room is left to more urgent requests

Priorities of routes and accounts were read and shown, and decided nothing. A request that would queue now has the room in the queue less the share of recent requests with a higher priority; with one priority all is as before.

--- a/packages/core/admission.c
+++ b/packages/core/admission.c
@@ -15,11 +15,14 @@
 
 enum admission_verdict admission_decide(const struct admission_request *request)
 {
-	double total_us = (double)request->spent_us + request->expected_us;
+	double without_wait_us = (double)request->spent_us +
+				 request->expected_us - request->wait_us;
+	double room_us = ((double)request->target_us - without_wait_us) *
+			 (1 - request->higher_share);
 
 	if (request->expected_us > (double)request->left_us)
 		return ADMISSION_TOO_LATE;
-	if (request->wait_us > 0 && total_us > (double)request->target_us)
+	if (request->wait_us > 0 && request->wait_us > room_us)
 		return ADMISSION_QUEUE_LATE;
 	return ADMISSION_ACCEPT;
 }
--- a/packages/core/admission.h
+++ b/packages/core/admission.h
@@ -6,7 +6,8 @@
  * the servers, and once the queue is as long as the latency objective, every
  * answer is late, even after the burst: the queue never drains while as many
  * requests arrive as are served. A request that would only lengthen the queue
- * is rejected at once, with a retry-after as late as its caller will wait.
+ * is rejected at once, with a retry-after as late as its caller will wait. The
+ * room in the queue that more urgent requests fill is left to them.
  */
 #ifndef CORE_ADMISSION_H
 #define CORE_ADMISSION_H
@@ -25,6 +26,7 @@
 	uint64_t spent_us; /* since the request arrived */
 	uint64_t left_us; /* until its deadline */
 	uint64_t target_us; /* latency objective of its route */
+	double higher_share; /* of recent requests, with higher priority */
 };
 
 enum admission_verdict {
--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -6,6 +6,7 @@
 #include "core/admission.h"
 #include "core/candidate.h"
 #include "core/duration.h"
+#include "core/priority_mix.h"
 
 /*
  * Answers of a service before its average times may be a reason to refuse. One
@@ -259,12 +260,16 @@
 			const struct choose_query *query,
 			const struct candidate *best)
 {
+	const struct priority_mix *mix =
+		g_hash_table_lookup(chooser->mixes, query->service->name);
 	const struct admission_request request = {
 		.expected_us = best->expected_us,
 		.wait_us = best->wait_us,
 		.spent_us = query->spent_us,
 		.left_us = query->left_us,
 		.target_us = query->route->target_us,
+		.higher_share =
+			mix ? priority_mix_higher(mix, query->priority) : 0,
 	};
 	enum admission_verdict verdict = admission_decide(&request);
 
--- a/packages/core/choose.h
+++ b/packages/core/choose.h
@@ -54,6 +54,7 @@
 	GHashTable *links; /* region -> struct link_time */
 	GHashTable *flows; /* service -> struct region_flow */
 	GHashTable *returns; /* service -> struct admission_retry_schedule */
+	GHashTable *mixes; /* service -> struct priority_mix */
 	double trial_credit; /* trials allowed now; see CHOOSE_TRIAL */
 	uint32_t disabled; /* enum choose_mechanism; 0 except in experiments */
 };
@@ -70,6 +71,7 @@
 	const struct route *route;
 	const struct service *service;
 	const struct account *account; /* NULL: none */
+	uint32_t priority; /* the account's, or else the route's */
 	bool has_object;
 	uint32_t object; /* hash of the affinity key */
 	uint64_t left_us; /* until the deadline */
@@ -146,6 +148,10 @@
 		  const char *domain, const char *region);
 void chooser_release(struct chooser *chooser);
 
+/* Notes a request that arrived, before the first choice for it. */
+void chooser_arrived(struct chooser *chooser, const struct choose_query *query,
+		     uint64_t now_us);
+
 /* Fills in choice; choice->reason says why there is no server. */
 void choose_backend(struct chooser *chooser, const struct choose_query *query,
 		    uint64_t now_us, struct choice *choice);
--- a/packages/core/chooser.c
+++ b/packages/core/chooser.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "core/duration.h"
+#include "core/priority_mix.h"
 
 /* Round trip to another region until measured: across a continent. */
 #define LINK_DEFAULT_US (60 * US_PER_MS)
@@ -46,6 +47,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	chooser->returns =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	chooser->mixes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 void chooser_release(struct chooser *chooser)
@@ -53,6 +56,20 @@
 	g_hash_table_destroy(chooser->links);
 	g_hash_table_destroy(chooser->flows);
 	g_hash_table_destroy(chooser->returns);
+	g_hash_table_destroy(chooser->mixes);
+}
+
+void chooser_arrived(struct chooser *chooser, const struct choose_query *query,
+		     uint64_t now_us)
+{
+	const char *service = query->service->name;
+	struct priority_mix *mix = g_hash_table_lookup(chooser->mixes, service);
+
+	if (!mix) {
+		mix = g_new0(struct priority_mix, 1);
+		g_hash_table_insert(chooser->mixes, g_strdup(service), mix);
+	}
+	priority_mix_record(mix, query->priority, now_us);
 }
 
 void chooser_link_measured(struct chooser *chooser, const char *region,
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -778,6 +778,7 @@
 		return false;
 	exchange->query.route = route;
 	exchange->hops.route = route;
+	exchange->query.priority = route->priority;
 	exchange->query.service = route_table_service(
 		exchange->routes, route_next_service(route));
 	exchange->retry.idempotent = route->idempotent;
@@ -866,6 +867,8 @@
 		begin_hop(exchange);
 	} else {
 		read_headers(exchange);
+		chooser_arrived(&edge->chooser, &exchange->query,
+				exchange_now_us(exchange));
 		extra_budget_record_first(
 			edge_budget(edge, exchange->query.service->name),
 			&edge->settings.extra_requests,
--- a/packages/edge/exchange_account.c
+++ b/packages/edge/exchange_account.c
@@ -11,6 +11,8 @@
 {
 	exchange->query.account = account;
 	exchange->hops.account = account;
+	if (account->has_priority)
+		exchange->query.priority = account->priority;
 	exchange->account = accounts_state(exchange->edge->accounts, account);
 	exchange->account->users++;
 	exchange->account->requests++;
--- a/tests/core/admission_test.cc
+++ b/tests/core/admission_test.cc
@@ -16,6 +16,7 @@
 	uint64_t spent_ms;
 	uint64_t left_ms;
 	admission_verdict verdict;
+	double higher_share = 0;
 };
 
 /* The latency objective is 400 ms. */
@@ -25,6 +26,11 @@
 	{ "QueuesAndIsALittleLate", 410, 210, 0, 1000, ADMISSION_QUEUE_LATE },
 	{ "QueuesAndIsLate", 600, 400, 0, 1000, ADMISSION_QUEUE_LATE },
 	{ "IsLateByWhatItSpent", 390, 200, 200, 800, ADMISSION_QUEUE_LATE },
+	/* Of 200 ms of room, half is left to more urgent requests. */
+	{ "QueuesBehindUrgentOnes", 290, 90, 0, 1000, ADMISSION_ACCEPT, 0.5 },
+	{ "QueuesInTheRoomOfUrgentOnes", 310, 110, 0, 1000,
+	  ADMISSION_QUEUE_LATE, 0.5 },
+	{ "FreeSlotBesideUrgentOnes", 300, 0, 0, 1000, ADMISSION_ACCEPT, 0.9 },
 	/*
 	 * A free slot warms the cache for the object, and nobody waits for it.
 	 */
@@ -44,7 +50,7 @@
 	const struct admission_request request = {
 		c.expected_ms * US_PER_MS, c.wait_ms * US_PER_MS,
 		c.spent_ms * US_PER_MS,	   c.left_ms * US_PER_MS,
-		400 * US_PER_MS,
+		400 * US_PER_MS,	   c.higher_share,
 	};
 
 	EXPECT_EQ(c.verdict, admission_decide(&request));
