--- a/packages/edge/accounts.c
+++ b/packages/edge/accounts.c
@@ -14,6 +14,10 @@
 /* Times that a request asks: as many holders as there are, and once more. */
 #define MAX_ASKS 5
 
+/* Accounts with metrics of their own; all others share one set. */
+#define MAX_LABELLED 100
+#define SHARED_LABEL "other"
+
 struct accounts {
 	struct edge *edge;
 	GHashTable *by_name; /* name -> struct account_state, owned */
@@ -23,6 +27,7 @@
 	uint64_t members_digest;
 	bool may_hold;
 	bool any_limited;
+	GHashTable *labelled; /* names of accounts with metrics of their own */
 };
 
 static void state_free(gpointer data)
@@ -65,12 +70,15 @@
 	accounts->by_name = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						  state_free);
 	accounts->by_hash = g_hash_table_new(NULL, NULL);
+	accounts->labelled =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	accounts->regions = collect_regions(&edge->settings);
 	return accounts;
 }
 
 void accounts_free(struct accounts *accounts)
 {
+	g_hash_table_destroy(accounts->labelled);
 	g_hash_table_destroy(accounts->by_hash);
 	g_hash_table_destroy(accounts->by_name);
 	g_ptr_array_unref(accounts->regions);
@@ -139,6 +147,45 @@
 			     edge_now_us(edge));
 }
 
+static const char *label_of(struct accounts *accounts, const char *name)
+{
+	if (g_hash_table_contains(accounts->labelled, name))
+		return name;
+	if (g_hash_table_size(accounts->labelled) >= MAX_LABELLED ||
+	    strpbrk(name, "\"\\\n"))
+		return SHARED_LABEL;
+	g_hash_table_add(accounts->labelled, g_strdup(name));
+	return name;
+}
+
+static void register_metrics(struct accounts *accounts,
+			     struct account_state *state)
+{
+	static const char *const outcomes[] = {
+		[ACCOUNT_SERVED] = "served",
+		[ACCOUNT_REFUSED_QUOTA] = "over_quota",
+		[ACCOUNT_REFUSED] = "refused",
+	};
+	const char *name = label_of(accounts, state->name);
+	uint32_t i;
+
+	for (i = 0; i < ACCOUNT_OUTCOMES; i++) {
+		char *labels = g_strdup_printf("account=\"%s\",outcome=\"%s\"",
+					       name, outcomes[i]);
+
+		state->metrics[i] = metric_counter(
+			"lilacfield_account_requests_total",
+			"requests of an account by how they ended", labels);
+		g_free(labels);
+	}
+}
+
+void accounts_count(struct account_state *state, enum account_outcome outcome)
+{
+	state->ended[outcome]++;
+	metric_add(state->metrics[outcome], 1);
+}
+
 static struct account_state *add_state(struct accounts *accounts,
 				       const struct account *account)
 {
@@ -147,6 +194,7 @@
 	state->name = g_strdup(account->name);
 	state->quota.hash = account->hash;
 	g_queue_init(&state->waiting);
+	register_metrics(accounts, state);
 	g_hash_table_insert(accounts->by_name, state->name, state);
 	g_hash_table_insert(accounts->by_hash,
 			    GUINT_TO_POINTER(state->quota.hash), state);
--- a/packages/edge/accounts.h
+++ b/packages/edge/accounts.h
@@ -34,6 +34,14 @@
 	bool is_waiting;
 };
 
+/* How a request of an account ended. */
+enum account_outcome {
+	ACCOUNT_SERVED, /* a server's success was delivered */
+	ACCOUNT_REFUSED_QUOTA, /* for the account's rate */
+	ACCOUNT_REFUSED, /* for another reason, not run */
+	ACCOUNT_OUTCOMES,
+};
+
 /* One account at this node, for as long as the process runs. */
 struct account_state {
 	char *name;
@@ -42,9 +50,8 @@
 	GQueue waiting; /* of struct account_waiter */
 	struct admission_retry_schedule returns;
 	uint64_t requests; /* of callers */
-	uint64_t served; /* answered by a server */
-	uint64_t over_quota; /* refused for the rate */
-	uint64_t refused; /* refused for another reason */
+	uint64_t ended[ACCOUNT_OUTCOMES];
+	struct metric *metrics[ACCOUNT_OUTCOMES];
 };
 
 enum account_verdict {
@@ -72,6 +79,9 @@
 /* Stop waiting; does nothing if the waiter isn't queued. */
 void accounts_leave(struct account_state *state, struct account_waiter *waiter);
 
+/* Counts how a request ended. */
+void accounts_count(struct account_state *state, enum account_outcome outcome);
+
 /* When a caller that was refused for the rate should come back. */
 uint64_t accounts_retry_after_us(struct accounts *accounts,
 				 struct account_state *state,
--- a/packages/edge/admin_accounts.c
+++ b/packages/edge/admin_accounts.c
@@ -29,9 +29,9 @@
 		json_real(limit->per_s > 0 ? rate_limit_tokens(limit, now_us) :
 					     0),
 		admin_json_number(state->requests),
-		admin_json_number(state->served),
-		admin_json_number(state->over_quota),
-		admin_json_number(state->refused),
+		admin_json_number(state->ended[ACCOUNT_SERVED]),
+		admin_json_number(state->ended[ACCOUNT_REFUSED_QUOTA]),
+		admin_json_number(state->ended[ACCOUNT_REFUSED]),
 		admin_json_number(
 			g_queue_get_length((GQueue *)&state->waiting)),
 	};
--- a/packages/edge/exchange_account.c
+++ b/packages/edge/exchange_account.c
@@ -105,7 +105,7 @@
 {
 	struct account_state *account = exchange->account;
 
-	account->over_quota++;
+	accounts_count(account, ACCOUNT_REFUSED_QUOTA);
 	exchange_finish_over_quota(
 		exchange,
 		accounts_retry_after_us(exchange->edge->accounts, account,
--- a/packages/edge/exchange_end.c
+++ b/packages/edge/exchange_end.c
@@ -134,9 +134,12 @@
 	g_byte_array_append(body, (const guint8 *)"\n", 1);
 	edge_record_refusal(edge, cause, status, exchange->request_id);
 	log_event(LOG_INFO, "own-answer",
-		  "request=%s status=%u cause=%s unsettled=%u kept=%u %s",
-		  exchange->request_id, status, cause, exchange->unsettled,
-		  exchange_conn_uses(exchange), routes_state);
+		  "request=%s status=%u cause=%s account=%s unsettled=%u "
+		  "kept=%u %s",
+		  exchange->request_id, status, cause,
+		  exchange->account ? exchange->account->name : "none",
+		  exchange->unsettled, exchange_conn_uses(exchange),
+		  routes_state);
 	g_free(routes_state);
 	finish(exchange, &answer);
 	g_string_free(headers, TRUE);
@@ -168,7 +171,7 @@
 	}
 	metric_add(stats->refused, 1);
 	if (exchange->account)
-		exchange->account->refused++;
+		accounts_count(exchange->account, ACCOUNT_REFUSED);
 	set_not_run(exchange);
 	finish_generated(exchange, 503, retry_after_us, cause);
 }
@@ -222,7 +225,7 @@
 				       length);
 	metric_add(exchange->edge->stats.delivered, 1);
 	if (exchange->account && answer->status < 300)
-		exchange->account->served++;
+		accounts_count(exchange->account, ACCOUNT_SERVED);
 	finish(exchange, &outgoing);
 	g_string_free(headers, TRUE);
 }
--- a/tests/edge/hop_test.cc
+++ b/tests/edge/hop_test.cc
@@ -41,6 +41,7 @@
 	uint32_t asked = 0;
 	uint32_t left = 0;
 	std::string sends; /* of the latest hop */
+	std::string headers;
 	uint32_t sends_headers = 0;
 	uint64_t deadline_ms = 0;
 
@@ -58,6 +59,11 @@
 	{
 		const char *header = message_header(call->request, HOP_SENDS);
 
+		GString *all = g_string_new(nullptr);
+
+		message_copy_headers(call->request, nullptr, all);
+		headers = all->str;
+		g_string_free(all, TRUE);
 		asked++;
 		sends = header ? header : "none";
 		sends_headers = message_count_headers(call->request, HOP_SENDS);
@@ -142,7 +148,8 @@
 		start();
 		app_stand_close(app.stand);
 		app.stand = nullptr;
-		EXPECT_EQ(503, status_of(answer_to(get("first", "/r/"))));
+		EXPECT_EQ(503, status_of(answer_to(
+				       get("first", "/r/", caller_headers))));
 		ASSERT_TRUE(reach_watch_is_partitioned(edge));
 	}
 	struct member *add_member(const char *name, const struct endpoint &at,
@@ -182,6 +189,7 @@
 				runs += app_stand_runs(app.stand, id);
 		return runs;
 	}
+	std::string caller_headers; /* of the first caller */
 	std::vector<std::unique_ptr<FakePeer>> peers_;
 	struct reach_watch *reach_ = nullptr;
 };
@@ -558,4 +566,79 @@
 	EXPECT_NE(std::string::npos, sender.got.find("Connection: close"));
 }
 
+class HopAccountTest : public HopWorld
+{
+      protected:
+	void SetUp() override
+	{
+		HopWorld::SetUp();
+		extra_fields = ",\"tenants\":{\"acme\":{\"api_keys\":"
+			       "[\"apjsujqurtyiikdrbn4r\"]}}";
+		caller_headers = "X-Api-Key: apjsujqurtyiikdrbn4r\r\n";
+	}
+};
+
+/* Guards against a key that goes to a peer, or an account that doesn't. */
+TEST_F(HopAccountTest, PeerGetsTheNameInPlaceOfTheKey)
+{
+	FakePeer *peer;
+
+	start_partitioned();
+	peer = &add_peer(PEER_SERVES);
+	EXPECT_EQ(200,
+		  status_of(answer_to(get("q1", "/r/",
+					  "X-Api-Key: apjsujqurtyiikdrbn4r\r\n"
+					  "Hop-Account: zeta\r\n"))));
+	EXPECT_NE(std::string::npos,
+		  peer->headers.find("Hop-Account: acme\r\n"));
+	EXPECT_EQ(std::string::npos, peer->headers.find("zeta"));
+	EXPECT_EQ(std::string::npos,
+		  peer->headers.find("apjsujqurtyiikdrbn4r"));
+	EXPECT_EQ(401, status_of(answer_to(get("q2", "/r/"))));
+}
+
+struct hop_account_case {
+	const char *name;
+	const char *headers;
+	int status;
+	const char *account; /* that the server is told; NULL: it doesn't run */
+};
+
+const hop_account_case hop_account_cases[] = {
+	{ "Known", "Hop-Account: acme\r\n", 200, "acme" },
+	{ "Unknown", "Hop-Account: zeta\r\n", 503, nullptr },
+	{ "None", "", 503, nullptr },
+	{ "KeyInstead", "X-Api-Key: apjsujqurtyiikdrbn4r\r\n", 503, nullptr },
+};
+
+class HopAccountCaseTest
+    : public HopAccountTest,
+      public ::testing::WithParamInterface<hop_account_case>
+{
+};
+
+TEST_P(HopAccountCaseTest, PeerRunsItForTheAccountNamed)
+{
+	const hop_account_case &it = GetParam();
+	App &app = add_app("i-1");
+	std::string headers;
+
+	start();
+	add_member("peer", endpoint_at(1));
+	EXPECT_EQ(it.status,
+		  status_of(hop_to(
+			  get("q1", "/r/",
+			      std::string("Hop-Sends: 0\r\n") + it.headers))));
+	headers = app_stand_last_headers(app.stand);
+	EXPECT_EQ(it.account ? 1u : 0u, app_stand_total_runs(app.stand));
+	EXPECT_EQ(it.account != nullptr,
+		  headers.find(std::string("Lilacfield-Tenant: ") +
+			       (it.account ? it.account : "")) !=
+			  std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, HopAccountCaseTest,
+			 ::testing::ValuesIn(hop_account_cases),
+			 [](const auto &info) { return info.param.name; });
+
 } // namespace
