accounts: a node cut off from the holders of rates sends callers elsewhere

Its callers waited for up to five unanswered questions, 0.8 s, and got 429 with a time to come back by the account's rate, though another node could serve them at once. Questions unanswered for 0.25 s now mean 503 after 0.1 s, without a wait, and one question each 0.1 s.

--- a/packages/edge/accounts.c
+++ b/packages/edge/accounts.c
@@ -18,6 +18,15 @@
 #define MAX_LABELLED 100
 #define SHARED_LABEL "other"
 
+/*
+ * A node whose questions all remain unanswered for CUT_OFF_US is cut off from
+ * the holders: requests aren't held any more, and only one question is asked
+ * each PROBE_US. Questions further apart than FORGET_US say nothing together.
+ */
+#define CUT_OFF_US (250 * US_PER_MS)
+#define PROBE_US (100 * US_PER_MS)
+#define FORGET_US (500 * US_PER_MS)
+
 struct accounts {
 	struct edge *edge;
 	GHashTable *by_name; /* name -> struct account_state, owned */
@@ -27,6 +36,8 @@
 	uint64_t members_digest;
 	bool may_hold;
 	bool any_limited;
+	uint64_t unanswered_us; /* first question since an answer; 0: none */
+	uint64_t asked_us; /* latest question */
 	GHashTable *labelled; /* names of accounts with metrics of their own */
 };
 
@@ -298,6 +309,24 @@
 	return longest_us;
 }
 
+static bool is_cut_off(const struct accounts *accounts)
+{
+	uint64_t now_us = edge_now_us(accounts->edge);
+
+	return accounts->unanswered_us &&
+	       now_us - accounts->asked_us < FORGET_US &&
+	       now_us - accounts->unanswered_us > CUT_OFF_US;
+}
+
+static void note_question(struct accounts *accounts)
+{
+	uint64_t now_us = edge_now_us(accounts->edge);
+
+	if (!accounts->unanswered_us || now_us - accounts->asked_us > FORGET_US)
+		accounts->unanswered_us = now_us;
+	accounts->asked_us = now_us;
+}
+
 static bool ask(struct accounts *accounts, struct account_state *state)
 {
 	const struct edge *edge = accounts->edge;
@@ -311,6 +340,7 @@
 			       far_round_trip_us(accounts), g_random_double(),
 			       edge_now_us(edge), &asked))
 		return false;
+	note_question(accounts);
 	for (i = 0; i < asked.count; i++)
 		gossip_request_account_tokens(edge->gossip, asked.holders[i],
 					      state->quota.hash, asked.tokens);
@@ -328,13 +358,21 @@
 
 	if (rate_limit_allows(limit, now_us))
 		return ACCOUNT_RUN;
-	if (now_us < limit->ask_again_us || *asks >= MAX_ASKS)
+	if (now_us < limit->ask_again_us)
 		return ACCOUNT_OVER_QUOTA;
+	if (is_cut_off(accounts)) {
+		if (now_us - accounts->asked_us > PROBE_US)
+			ask(accounts, state);
+		return ACCOUNT_CUT_OFF;
+	}
+	if (*asks >= MAX_ASKS)
+		return ACCOUNT_CUT_OFF;
 	++*asks;
 	if (!rate_limit_may_borrow(limit, now_us))
 		rate_limit_count_miss(limit);
 	else if (!ask(accounts, state))
-		return ACCOUNT_OVER_QUOTA;
+		return limit->quota_per_s > 0 ? ACCOUNT_OVER_QUOTA :
+						ACCOUNT_CUT_OFF;
 	due_us = limit->asked_us + limit->round_trip_us + ANSWER_TIMEOUT_US;
 	*wait_us = due_us - MIN(now_us, due_us);
 	g_queue_push_tail_link(&state->waiting, &waiter->link);
@@ -383,6 +421,7 @@
 	if (!state)
 		return false;
 	if (!token->requested) {
+		accounts->unanswered_us = 0;
 		account_quota_apply_loan(&state->quota, &place, from->hash,
 					 token->lent,
 					 token->wait_ms * US_PER_MS, now_us);
--- a/packages/edge/accounts.h
+++ b/packages/edge/accounts.h
@@ -58,6 +58,7 @@
 	ACCOUNT_RUN, /* it has a token, or needs none */
 	ACCOUNT_WAIT, /* for wait_us at most, or until it is woken */
 	ACCOUNT_OVER_QUOTA,
+	ACCOUNT_CUT_OFF, /* no node that holds a part answers */
 };
 
 struct accounts *accounts_new(struct edge *edge);
--- a/packages/edge/exchange_account.c
+++ b/packages/edge/exchange_account.c
@@ -2,8 +2,12 @@
 
 #include <stddef.h>
 
+#include "core/duration.h"
 #include "edge/sync.h"
 
+/* Another node, which the caller may choose next, can serve it at once. */
+#define RETRY_ELSEWHERE_US (100 * US_PER_MS)
+
 /* --- identity ----------------------------------------------------------- */
 
 static void set_account(struct exchange *exchange,
@@ -131,6 +135,11 @@
 	case ACCOUNT_OVER_QUOTA:
 		refuse(exchange);
 		return false;
+	case ACCOUNT_CUT_OFF:
+		exchange->not_run = exchange->is_hop ? HOP_NOT_RUN_PEER : NULL;
+		exchange_finish_unserved(exchange, RETRY_ELSEWHERE_US,
+					 "quota out of reach");
+		return false;
 	}
 	return true;
 }
--- a/tests/core/query_test.cc
+++ b/tests/core/query_test.cc
@@ -66,10 +66,11 @@
 static std::string render(const struct query &query)
 {
 	static const char *const verbs[] = {
-		"where",  "places",	"nodes",   "backends", "services",
-		"shifts", "version",	"routes",  "refusals", "suspects",
-		"limits", "accounts", "quarantine", "release", "shift",    "cancel",
-		"drain",  "undrain",	"stop",	   "start",    "load",
+		"where",  "places",   "nodes",	    "backends", "services",
+		"shifts", "version",  "routes",	    "refusals", "suspects",
+		"limits", "accounts", "quarantine", "release",	"shift",
+		"cancel", "drain",    "undrain",    "stop",	"start",
+		"load",
 	};
 	static const char *const objects[] = { "", " place", " node",
 					       " backend", " service" };
--- a/tests/edge/account_test.cc
+++ b/tests/edge/account_test.cc
@@ -350,7 +350,38 @@
 		accounts_by_name(edge->accounts), "acme");
 	ASSERT_NE(nullptr, state);
 	EXPECT_EQ(0, state->quota.limit.quota_per_s);
-	EXPECT_EQ(429, status_of(answer_to(get("q1", "/r/", with_key(KEY)))));
+	EXPECT_EQ(503, status_of(answer_to(get("q1", "/r/", with_key(KEY)))));
+}
+
+/* Guards against requests held, or sent away for long, at a node cut off. */
+TEST_F(AccountWorld, NodeCutOffFromHoldersSendsCallersElsewhereAtOnce)
+{
+	GError *error = nullptr;
+	uint64_t began_ns;
+
+	store_stand_put(store, "members", "n1", nullptr);
+	add_app("i-1");
+	start(tenants(",\"rate_per_s\":1,\"burst\":100"));
+	edge->settings.peer = endpoint_at(0);
+	gossip = gossip_open(edge, &error);
+	ASSERT_NE(nullptr, gossip);
+	for (const char *name : { "n2", "n3" }) {
+		struct member *member = member_table_put(edge->members, name);
+
+		g_free(member->region);
+		member->region = g_strdup("r1");
+		member->peer = endpoint_at(9);
+		member_note_heartbeat(member, 1, false, edge_now_us(edge));
+	}
+	accounts_update_quotas(edge->accounts);
+	for (int i = 0; i < 6; i++)
+		answer_to(get("q" + std::to_string(i), "/r/", with_key(KEY)));
+	began_ns = uv_hrtime();
+	std::string answer = answer_to(get("last", "/r/", with_key(KEY)));
+
+	EXPECT_LT(uv_hrtime() - began_ns, 50u * 1000000);
+	EXPECT_EQ(503, status_of(answer));
+	EXPECT_NE(std::string::npos, answer.find("Retry-After: 0.100"));
 }
 
 /* Guards against tokens lost to requests that no server ran. */
@@ -367,7 +398,8 @@
 	state->quota.limit.tokens = 5;
 	before = rate_limit_tokens(&state->quota.limit, edge_now_us(edge));
 	EXPECT_EQ(503, status_of(answer_to(get("q1", "/r/", with_key(KEY)))));
-	EXPECT_GE(rate_limit_tokens(&state->quota.limit, edge_now_us(edge)), before);
+	EXPECT_GE(rate_limit_tokens(&state->quota.limit, edge_now_us(edge)),
+		  before);
 }
 
 } // namespace
--- a/tests/emulator/accounts.sh
+++ b/tests/emulator/accounts.sh
@@ -23,23 +23,8 @@
 	--accounts 6:20
 start_nodes
 
-# A pause, kills in turn, a third of all at once.
 sleep 14
-paused=$((1 + RANDOM % number))
-kill -STOP "${pids[$paused]}"
-sleep 2
-kill -CONT "${pids[$paused]}"
-for _ in 1 2; do
-	killed=$((1 + RANDOM % number))
-	kill_nodes $killed
-	sleep 0.5
-	start_node $killed
-	sleep 1
-done
-third=$(seq 1 3 "$number")
-kill_nodes $third
-sleep 0.5
-for node in $third; do start_node "$node"; done
+pause_and_kill 2
 
 # No key is in what the nodes wrote, nor in what operators read.
 check() {
--- a/tests/emulator/nodes.sh
+++ b/tests/emulator/nodes.sh
@@ -67,3 +67,21 @@
 	cat "$work/report"
 	exit $verdict
 }
+
+# A pause, kills in turn, a third of all at once.
+pause_and_kill() { # KILLS
+	local paused=$((1 + RANDOM % number)) killed node
+	kill -STOP "${pids[$paused]}"
+	sleep 2
+	kill -CONT "${pids[$paused]}"
+	for _ in $(seq "$1"); do
+		killed=$((1 + RANDOM % number))
+		kill_nodes $killed
+		sleep 0.5
+		start_node $killed
+		sleep 1
+	done
+	kill_nodes $(seq 1 3 "$number")
+	sleep 0.5
+	for node in $(seq 1 3 "$number"); do start_node "$node"; done
+}
