--- a/tests/capacity/capacity_main.c
+++ b/tests/capacity/capacity_main.c
@@ -28,6 +28,7 @@
 	  false },
 	{ "view", "What a node knows of the others", part_view, false },
 	{ "ledger", "The ledger", part_ledger, false },
+	{ "accounts", "Client accounts", part_accounts, false },
 	{ "http", "Look-ups through one node's HTTP", part_http, true },
 	{ "threads", "Memory against http_threads", part_threads, true },
 	{ "nodes", "Idle nodes against their number", part_nodes, true },
--- a/tests/capacity/parts.h
+++ b/tests/capacity/parts.h
@@ -19,6 +19,7 @@
 bool part_refresh(int sizes);
 bool part_view(int sizes);
 bool part_ledger(int sizes);
+bool part_accounts(int sizes);
 bool part_http(int sizes);
 bool part_threads(int sizes);
 bool part_nodes(int sizes);
--- a/tests/emulator/account_watch.c
+++ b/tests/emulator/account_watch.c
@@ -34,6 +34,7 @@
 	char *second_key; /* of the last account, to be taken away */
 	GArray *runs_us; /* of uint64_t */
 	uint32_t asked; /* since it settled */
+	uint32_t served;
 	uint32_t over_quota;
 };
 
@@ -54,6 +55,7 @@
 	uint32_t misnamed; /* runs under another account's name */
 	uint32_t unknown_runs;
 	uint32_t late_runs; /* with a key that was taken away */
+	uint64_t last_revoked_us; /* latest run with it, since then */
 	uint32_t denied; /* 401 for a good key */
 };
 
@@ -153,6 +155,9 @@
 		return;
 	}
 	watch->late_runs += is_late(watch, call);
+	if (watch->revoked_us && call->key == call->account->second_key)
+		watch->last_revoked_us =
+			MAX(watch->last_revoked_us, at_us - watch->revoked_us);
 	watch->misnamed += !name || strcmp(name, call->account->name) != 0;
 	g_array_append_val(call->account->runs_us, at_us);
 }
@@ -180,7 +185,10 @@
 		call->key = account->key;
 		if (account->second_key && g_random_int_range(0, 2))
 			call->key = account->second_key;
-		account->asked += call->called_us > watch->first_us + SETTLE_US;
+		account->asked += call->called_us >
+					  watch->first_us + SETTLE_US &&
+				  !(watch->revoked_us &&
+				    call->key == account->second_key);
 	}
 	g_hash_table_insert(watch->calls, g_strdup(id), call);
 	return call->key;
@@ -198,8 +206,10 @@
 		watch->denied++;
 		return true;
 	}
-	if (status == 429 && call->called_us > watch->first_us + SETTLE_US)
-		call->account->over_quota++;
+	if (call->called_us > watch->first_us + SETTLE_US) {
+		call->account->over_quota += status == 429;
+		call->account->served += status == 200;
+	}
 	return false;
 }
 
@@ -250,6 +260,8 @@
 	uint32_t most = 0;
 	uint32_t asked = 0;
 	uint32_t refused = 0;
+	uint32_t served = 0;
+	double worst = 1;
 	uint32_t i;
 
 	for (i = 0; i < watch->count; i++)
@@ -257,15 +269,20 @@
 	for (i = 1; i < watch->count; i++) {
 		asked += watch->accounts[i].asked;
 		refused += watch->accounts[i].over_quota;
+		served += watch->accounts[i].served;
+		worst = MIN(worst, (double)watch->accounts[i].served /
+					   MAX(watch->accounts[i].asked, 1));
 	}
 	printf("%u accounts of %g a second: in 5 s at most %u ran, allowed %g; "
 	       "hot one used %.2f of its rate; of the others' %u calls %u were "
-	       "refused for it\n"
+	       "refused for it, %.3f served, of the worst one's %.3f\n"
 	       "keys seen by servers %u, other names %u, runs without a key "
-	       "%u, with one taken away %u, good keys denied %u\n",
+	       "%u, late with one taken away %u, the last %" PRIu64
+	       " ms after, good keys denied %u\n",
 	       watch->count, watch->per_s, most, allowed, hot, asked, refused,
-	       watch->keys_seen, watch->misnamed, watch->unknown_runs,
-	       watch->late_runs, watch->denied);
+	       (double)served / MAX(asked, 1), worst, watch->keys_seen,
+	       watch->misnamed, watch->unknown_runs, watch->late_runs,
+	       watch->last_revoked_us / US_PER_MS, watch->denied);
 	return most > allowed || hot < USED_LEAST ||
 	       refused > REFUSED_MOST * asked || watch->keys_seen ||
 	       watch->misnamed || watch->unknown_runs || watch->late_runs ||
