--- a/tests/core/suspect_fleet.h
+++ b/tests/core/suspect_fleet.h
@@ -49,6 +49,7 @@
 	int max_crashes; /* by each deadly request */
 	int max_late_runs; /* of a request, more than 1 s after its third crash
 			    */
+	int isolated; /* nodes that hear no other node for the first 8 s */
 };
 
 class Fleet
@@ -268,6 +269,12 @@
 		       now_us < START_US + 6 * US_PER_S;
 	}
 
+	bool is_isolated(size_t node) const
+	{
+		return node < (size_t)case_.isolated &&
+		       now_us < START_US + 8 * US_PER_S;
+	}
+
 	/* --- requests --------------------------------------------------- */
 
 	void arrive()
@@ -481,6 +488,8 @@
 
 		if (std::uniform_real_distribution<>(0, 1)(random_) < LOSS)
 			return;
+		if (is_isolated(from) || is_isolated(to))
+			return;
 		if (far && (is_partitioned(nodes_[from]->region) ||
 			    is_partitioned(nodes_[to]->region)))
 			return;
--- a/tests/core/suspect_fleet_test.cc
+++ b/tests/core/suspect_fleet_test.cc
@@ -15,23 +15,27 @@
  * name; nodes, servers; deadly requests, times per second of each, at random
  * times; harmless requests per second and server; crashes per second without a
  * cause; power failures; all nodes killed; a region partitioned; maximum of
- * crashes and of late runs
+ * crashes and of late runs; nodes isolated
  */
 const fleet_case cases[] = {
-	{ "Eight", 8, 12, 1, 5, false, 6, 0, false, false, false, 4, 0 },
-	{ "Bunched", 8, 12, 1, 5, true, 6, 0, false, false, false, 6, 0 },
-	{ "Sixty", 60, 118, 1, 5, false, 3, 0, false, false, false, 5, 0 },
-	{ "Hundreds", 295, 459, 1, 5, false, 1, 0, false, false, false, 6, 0 },
-	{ "Three", 8, 36, 3, 5, false, 6, 0, false, false, false, 4, 0 },
-	{ "AllKilled", 8, 12, 1, 5, false, 6, 0, false, true, false, 4, 0 },
-	{ "RegionCut", 9, 24, 1, 5, false, 6, 0, false, false, true, 7, 3 },
-	{ "Others", 8, 24, 1, 5, false, 6, 0.2, true, false, false, 4, 0 },
-	{ "OnlyOthers", 8, 24, 0, 0, false, 6, 0.2, true, false, false, 0, 0 },
-	{ "ThreeBunched", 8, 36, 3, 5, true, 6, 0, false, false, false, 6, 0 },
-	{ "TwoBesideOthers", 8, 36, 2, 5, true, 6, 0.2, true, false, false, 6,
+	{ "Eight", 8, 12, 1, 5, false, 6, 0, false, false, false, 4, 0, 0 },
+	{ "Bunched", 8, 12, 1, 5, true, 6, 0, false, false, false, 6, 0, 0 },
+	{ "Sixty", 60, 118, 1, 5, false, 3, 0, false, false, false, 5, 0, 0 },
+	{ "Hundreds", 295, 459, 1, 5, false, 1, 0, false, false, false, 6, 0,
 	  0 },
-	{ "ThreeOnSixty", 60, 118, 3, 5, false, 3, 0.2, true, false, false, 5,
+	{ "Three", 8, 36, 3, 5, false, 6, 0, false, false, false, 4, 0, 0 },
+	{ "AllKilled", 8, 12, 1, 5, false, 6, 0, false, true, false, 4, 0, 0 },
+	{ "RegionCut", 9, 24, 1, 5, false, 6, 0, false, false, true, 7, 3, 0 },
+	{ "Others", 8, 24, 1, 5, false, 6, 0.2, true, false, false, 4, 0, 0 },
+	{ "OnlyOthers", 8, 24, 0, 0, false, 6, 0.2, true, false, false, 0, 0,
+	  0 },
+	{ "ThreeBunched", 8, 36, 3, 5, true, 6, 0, false, false, false, 6, 0,
 	  0 },
+	{ "TwoBesideOthers", 8, 36, 2, 5, true, 6, 0.2, true, false, false, 6,
+	  0, 0 },
+	{ "ThreeOnSixty", 60, 118, 3, 5, false, 3, 0.2, true, false, false, 5,
+	  0, 0 },
+	{ "Isolated", 11, 40, 1, 5, false, 6, 0, false, false, false, 6, 3, 3 },
 };
 
 unsigned number_of(const char *variable, unsigned usual)
@@ -107,7 +111,7 @@
 	std::mt19937 random(seed);
 	auto draw = [&](unsigned limit) { return random() % limit; };
 	fleet_case c = { "Mixed", 9,	 36,	1,     5, false, 6,
-			 0,	  false, false, false, 4, 0 };
+			 0,	  false, false, false, 4, 0,	 0 };
 
 	c.deadly = (int)draw(4);
 	c.bunched = draw(2);
