accounts: names that fit a header, settings taken over, documents tested

Found by reading the diff: an account's name went into headers unchecked, so one with a line end added a header, and a long one could make a hop's head too large for a peer; new settings for the rate were used only after another change. TenantsTest: the three shapes of a table, wrong fields, keys of two accounts.

--- a/packages/core/account.c
+++ b/packages/core/account.c
@@ -36,11 +36,31 @@
 	g_free(table);
 }
 
+static bool name_is_well_formed(const char *name)
+{
+	size_t length = strlen(name);
+	size_t i;
+
+	if (!length || length > ACCOUNT_NAME_MAX_BYTES)
+		return false;
+	for (i = 0; i < length; i++)
+		if ((unsigned char)name[i] <= ' ' || name[i] == 0x7f)
+			return false;
+	return true;
+}
+
 struct account *account_table_add(struct account_table *table, const char *name,
 				  GError **error)
 {
 	struct account *account;
 
+	if (!name_is_well_formed(name)) {
+		g_set_error(error, RESULT_ERROR, RESULT_CONFIG_INVALID,
+			    "an account's name is empty, longer than %d bytes "
+			    "or has spaces or control characters",
+			    ACCOUNT_NAME_MAX_BYTES);
+		return NULL;
+	}
 	if (account_table_find(table, name)) {
 		g_set_error(error, RESULT_ERROR, RESULT_CONFIG_INVALID,
 			    "account %s: the name is used twice", name);
--- a/packages/core/account.h
+++ b/packages/core/account.h
@@ -18,6 +18,9 @@
 /* Longest key in bytes; longer ones belong to no account. */
 #define ACCOUNT_KEY_MAX_BYTES 256
 
+/* Longest name in bytes; it is sent as a header. */
+#define ACCOUNT_NAME_MAX_BYTES 200
+
 /* Prefix of a digest in documents; the SHA-256 follows in hexadecimal. */
 #define ACCOUNT_DIGEST_PREFIX "sha256:"
 
@@ -39,7 +42,10 @@
 struct account_table *account_table_new(void);
 void account_table_free(struct account_table *table);
 
-/* Adds an account. NULL with RESULT_CONFIG_INVALID if the name is taken. */
+/*
+ * Adds an account. NULL with RESULT_CONFIG_INVALID if the name is taken, empty,
+ * too long, or has spaces or control characters.
+ */
 struct account *account_table_add(struct account_table *table, const char *name,
 				  GError **error);
 
--- a/packages/edge/accounts.c
+++ b/packages/edge/accounts.c
@@ -36,6 +36,7 @@
 	uint64_t members_digest;
 	bool may_hold;
 	bool any_limited;
+	bool settings_changed;
 	uint64_t unanswered_us; /* first question since an answer; 0: none */
 	uint64_t asked_us; /* latest question */
 	GHashTable *labelled; /* names of accounts with metrics of their own */
@@ -275,6 +276,9 @@
 
 	if (version == accounts->routes_version && !accounts->any_limited)
 		return;
+	if (accounts->settings_changed)
+		accounts->members_digest = 0;
+	accounts->settings_changed = false;
 	digest = member_table_digest(edge->members);
 	holds = may_hold(edge);
 	if (version == accounts->routes_version &&
@@ -289,6 +293,11 @@
 	update_all(accounts);
 }
 
+void accounts_settings_changed(struct accounts *accounts)
+{
+	accounts->settings_changed = true;
+}
+
 /* --- tokens ------------------------------------------------------------- */
 
 /* Longest round trip to a region other than this node's. */
@@ -327,6 +336,7 @@
 	accounts->asked_us = now_us;
 }
 
+/* Asks for tokens for all that wait; false if there is nobody to ask. */
 static bool ask(struct accounts *accounts, struct account_state *state)
 {
 	const struct edge *edge = accounts->edge;
--- a/packages/edge/accounts.h
+++ b/packages/edge/accounts.h
@@ -96,8 +96,12 @@
 			   const struct heartbeat_token *token,
 			   struct heartbeat_token *answer);
 
-/* Recompute this node's parts; cheap if nothing changed. */
+/*
+ * Recompute this node's parts; cheap if nothing changed. The other function
+ * makes the next call recompute them, after a change of settings.
+ */
 void accounts_update_quotas(struct accounts *accounts);
+void accounts_settings_changed(struct accounts *accounts);
 
 /* States by name, for operators; do not change. */
 GHashTable *accounts_by_name(const struct accounts *accounts);
--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -38,7 +38,7 @@
 #define WRITE_STALL_US (15 * US_PER_S)
 
 /* What a node that hands a request over may add to its head. */
-#define HOP_HEAD_BYTES 128
+#define HOP_HEAD_BYTES (128 + ACCOUNT_NAME_MAX_BYTES)
 
 /* Retry-After of a node whose limits aren't confirmed, in seconds. */
 #define LIMITS_RETRY_S "0.5"
--- a/packages/edge/run.c
+++ b/packages/edge/run.c
@@ -86,6 +86,7 @@
 	current->lookup_keep_us = fresh->lookup_keep_us;
 	current->max_stop_us = fresh->max_stop_us;
 	current->account_quota = fresh->account_quota;
+	accounts_settings_changed(run->edge.accounts);
 	current->registry = fresh->registry;
 	if (moved)
 		set_registry(run);
--- a/tests/core/account_test.cc
+++ b/tests/core/account_test.cc
@@ -79,6 +79,45 @@
 	g_clear_error(&error);
 }
 
+struct name_case {
+	const char *name;
+	std::string account;
+	bool valid;
+};
+
+const name_case name_cases[] = {
+	{ "Plain", "yefi830", true },
+	{ "NotAscii", "caf\xc3\xa9", true },
+	{ "Longest", std::string(ACCOUNT_NAME_MAX_BYTES, 'n'), true },
+	{ "TooLong", std::string(ACCOUNT_NAME_MAX_BYTES + 1, 'n'), false },
+	{ "Empty", "", false },
+	{ "Space", "a b", false },
+	{ "AnotherHeader", "a\r\nX-Api-Key: k", false },
+	{ "Delete", "a\x7f", false },
+};
+
+class AccountNameTest : public ::testing::TestWithParam<name_case>
+{
+};
+
+/* Guards against a name that adds headers to a request. */
+TEST_P(AccountNameTest, OnlyNamesThatFitAHeaderAreAccepted)
+{
+	struct account_table *table = account_table_new();
+	GError *error = nullptr;
+
+	EXPECT_EQ(GetParam().valid,
+		  account_table_add(table, GetParam().account.c_str(),
+				    &error) != nullptr);
+	EXPECT_EQ(GetParam().valid, error == nullptr);
+	g_clear_error(&error);
+	account_table_free(table);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, AccountNameTest,
+			 ::testing::ValuesIn(name_cases),
+			 [](const auto &info) { return info.param.name; });
+
 /* Guards against a digest that was read being accepted as a key. */
 TEST_F(AccountTableTest, DigestIsNoKey)
 {
--- a/tests/edge/documents_test.cc
+++ b/tests/edge/documents_test.cc
@@ -229,4 +229,114 @@
 			 ::testing::ValuesIn(columns_cases),
 			 [](const auto &info) { return info.param.name; });
 
+struct tenants_case {
+	const char *name;
+	std::string tenants;
+	bool valid;
+};
+
+#define ROUTES_AND(tenants)                                                    \
+	"{\"version\":7,\"routes\":{\"r\":{\"host\":\"h\",\"prefix\":\"/\","   \
+	"\"kind\":\"idempotent\",\"timeout\":\"1s\",\"target_latency\":"       \
+	"\"1s\",\"service\":\"s\",\"keyless\":true}},\"services\":{\"s\":{}}," \
+	"\"limits\":{\"max_header_bytes\":1,\"max_body_bytes\":1,"             \
+	"\"header_timeout\":\"1s\",\"idle_timeout\":\"1s\"}" +                 \
+		std::string(tenants) + "}"
+
+const tenants_case tenants_cases[] = {
+	{ "Table",
+	  ",\"tenants\":{\"a\":{\"api_keys\":[\"k\"],\"priority\":0,"
+	  "\"rate_per_s\":5,\"burst\":2.5,\"allowed_regions\":[\"r1\"]}}",
+	  true },
+	{ "Columns",
+	  ",\"tenants\":{\"columns\":[\"name\",\"api_keys\",\"priority\","
+	  "\"rate_per_s\",\"burst\",\"allowed_regions\"],\"rows\":[[\"a\","
+	  "[\"k\"],0,5,2.5,[\"r1\"]]]}",
+	  true },
+	{ "List",
+	  ",\"tenants\":[{\"name\":\"a\",\"api_keys\":[\"k\"],\"priority\":"
+	  "0,\"rate_per_s\":5,\"burst\":2.5,\"allowed_regions\":[\"r1\"]}]",
+	  true },
+	{ "UnknownField",
+	  ",\"tenants\":{\"a\":{\"api_keys\":[\"k\"],\"priority\":0,"
+	  "\"rate_per_s\":5,\"burst\":2.5,\"allowed_regions\":[\"r1\"],"
+	  "\"colour\":\"red\"}}",
+	  true },
+	{ "KeyAsNumber", ",\"tenants\":{\"a\":{\"api_keys\":[1]}}", false },
+	{ "RateAsText",
+	  ",\"tenants\":{\"a\":{\"api_keys\":[],\"rate_per_s\":\"5\"}}",
+	  false },
+	{ "NegativeRate",
+	  ",\"tenants\":{\"a\":{\"api_keys\":[],\"rate_per_s\":-1}}", false },
+	{ "NegativeBurst",
+	  ",\"tenants\":{\"a\":{\"api_keys\":[],\"burst\":-1}}", false },
+	{ "PriorityAsText",
+	  ",\"tenants\":{\"a\":{\"api_keys\":[],\"priority\":\"high\"}}",
+	  false },
+	{ "NameOfAHeader", ",\"tenants\":{\"a\\r\\nb\":{\"api_keys\":[]}}",
+	  false },
+	{ "NoName", ",\"tenants\":[{\"api_keys\":[\"k\"]}]", false },
+	{ "SharedKey",
+	  ",\"tenants\":{\"a\":{\"api_keys\":[\"k\"]},\"b\":{\"api_keys\":"
+	  "[\"k\"]}}",
+	  false },
+};
+
+class TenantsTest : public ::testing::TestWithParam<tenants_case>
+{
+      protected:
+	/* As the rows of the store are decoded: hidden first. */
+	struct route_table *parse(const std::string &text, GError **error)
+	{
+		char *hidden = document_hide_keys(text.c_str());
+		struct route_table *routes =
+			document_parse_routes(hidden, error);
+
+		g_free(hidden);
+		return routes;
+	}
+};
+
+TEST_P(TenantsTest, WrongFieldRefusesTheVersion)
+{
+	GError *error = nullptr;
+	struct route_table *routes =
+		parse(ROUTES_AND(GetParam().tenants), &error);
+	const struct account *account;
+
+	ASSERT_EQ(GetParam().valid, routes != nullptr);
+	EXPECT_EQ(GetParam().valid, error == nullptr);
+	g_clear_error(&error);
+	if (!routes)
+		return;
+	account = account_table_find_key(routes->accounts, "k");
+	ASSERT_NE(nullptr, account);
+	EXPECT_STREQ("a", account->name);
+	EXPECT_TRUE(account->has_priority);
+	EXPECT_EQ(5, account->per_s);
+	EXPECT_EQ(2.5, account->burst);
+	EXPECT_TRUE(account_allows_region(account, "r1"));
+	EXPECT_FALSE(account_allows_region(account, "r2"));
+	EXPECT_TRUE(route_table_find(routes, "h", "/")->keyless);
+	route_table_unref(routes);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, TenantsTest, ::testing::ValuesIn(tenants_cases),
+			 [](const auto &info) { return info.param.name; });
+
+TEST(HideKeysTest, DocumentWithoutKeysStaysAsItIs)
+{
+	EXPECT_EQ(nullptr, document_hide_keys("{\"routes\":{}}"));
+}
+
+/* Guards against the error of a damaged document that quotes a key. */
+TEST(HideKeysTest, DamagedDocumentIsLeftOut)
+{
+	char *hidden = document_hide_keys(
+		"{\"tenants\":{\"a\":{\"api_keys\":[\"secret\"");
+
+	EXPECT_STREQ("", hidden);
+	g_free(hidden);
+}
+
 } // namespace
