--- a/tests/capacity/accounts.c
+++ b/tests/capacity/accounts.c
@@ -78,7 +78,8 @@
 		struct member *member = member_table_put(world->members, name);
 
 		g_free(member->region);
-		member->region = g_strdup(world->regions->pdata[i % regions]);
+		member->region =
+			g_strdup(world->regions->pdata[i % MAX(regions, 1)]);
 		member->peer.port = 1;
 		member_note_heartbeat(member, 1, false, world->now_us);
 		g_free(name);
