--- a/packages/edge/accounts.c
+++ b/packages/edge/accounts.c
@@ -4,7 +4,6 @@
 
 #include "adapters/log.h"
 #include "core/duration.h"
-#include "core/hash.h"
 #include "edge/gossip.h"
 #include "edge/sync.h"
 
--- a/tests/edge/documents_test.cc
+++ b/tests/edge/documents_test.cc
@@ -262,6 +262,7 @@
 	  "\"rate_per_s\":5,\"burst\":2.5,\"allowed_regions\":[\"r1\"],"
 	  "\"colour\":\"red\"}}",
 	  true },
+	{ "KeysAsText", ",\"tenants\":{\"a\":{\"api_keys\":\"k\"}}", false },
 	{ "KeyAsNumber", ",\"tenants\":{\"a\":{\"api_keys\":[1]}}", false },
 	{ "RateAsText",
 	  ",\"tenants\":{\"a\":{\"api_keys\":[],\"rate_per_s\":\"5\"}}",
@@ -329,6 +330,16 @@
 	EXPECT_EQ(nullptr, document_hide_keys("{\"routes\":{}}"));
 }
 
+/* Guards against a key that stays in a row since it isn't in a list. */
+TEST(HideKeysTest, KeyOutsideAListIsLeftOut)
+{
+	char *hidden = document_hide_keys(
+		"{\"tenants\":{\"a\":{\"api_keys\":\"secret\"}}}");
+
+	EXPECT_STREQ("", hidden);
+	g_free(hidden);
+}
+
 /* Guards against the error of a damaged document that quotes a key. */
 TEST(HideKeysTest, DamagedDocumentIsLeftOut)
 {
