server_notices: logs tell which servers say that they leave or ask for rest

Now the first answer that says so is logged, with whether the row says it too, and each rest that begins, with its length; two counters. Nothing goes by it yet: choices are as before.

--- a/packages/core/backend_table.c
+++ b/packages/core/backend_table.c
@@ -494,6 +494,28 @@
 	backend->disconnect_us = now_us;
 }
 
+bool backend_note_leaving(struct backend *backend)
+{
+	bool is_new = !backend->said_leaving;
+
+	backend->said_leaving = true;
+	return is_new;
+}
+
+bool backend_note_rest(struct backend *backend, uint64_t rest_us,
+		       uint64_t now_us)
+{
+	bool is_new = !backend_is_resting(backend, now_us);
+
+	backend->rest_until_us = MAX(backend->rest_until_us, now_us + rest_us);
+	return is_new;
+}
+
+bool backend_is_resting(const struct backend *backend, uint64_t now_us)
+{
+	return now_us < backend->rest_until_us;
+}
+
 void backend_answered(struct backend *backend, uint64_t sent_us)
 {
 	backend->alive_us = MAX(backend->alive_us, sent_us);
--- a/packages/core/backend_table.h
+++ b/packages/core/backend_table.h
@@ -72,6 +72,9 @@
 	bool listed_cold; /* cold by its latest row */
 
 	struct rate_limit limit; /* as named in its answers */
+	bool said_leaving; /* in an answer; its row may not say so yet */
+	uint64_t rest_until_us; /* no requests before, by its answer; 0: none */
+	uint32_t malformed_notices; /* answers with an unreadable Retry-After */
 	uint32_t idle_connections; /* of this node */
 	uint32_t connections; /* of this node, idle or in use */
 	uint64_t disconnect_us; /* when the server last closed a connection */
@@ -235,6 +238,20 @@
 /* The server closed a connection of this node. */
 void backend_closed_connection(struct backend *backend, uint64_t now_us);
 
+/*
+ * Notes that an answer said that the server leaves, which holds for this
+ * incarnation whatever rows say. Returns whether that is new.
+ */
+bool backend_note_leaving(struct backend *backend);
+
+/*
+ * Notes that an answer asked for no requests during rest_us from now. Returns
+ * whether the server wasn't resting before.
+ */
+bool backend_note_rest(struct backend *backend, uint64_t rest_us,
+		       uint64_t now_us);
+bool backend_is_resting(const struct backend *backend, uint64_t now_us);
+
 /* It answered a request sent at sent_us, with success or failure. */
 void backend_answered(struct backend *backend, uint64_t sent_us);
 
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -11,6 +11,7 @@
 #include "edge/quarantine_store.h"
 #include "edge/reach_watch.h"
 #include "edge/server_limits.h"
+#include "edge/server_notices.h"
 #include "edge/sync.h"
 
 /*
@@ -638,6 +639,8 @@
 	/* A 421 comes from another server that has the address now. */
 	if (answer->status != 421) {
 		backend_answered(exchange->choice.backend, exchange->sent_us);
+		server_notices_apply(exchange->edge, exchange->choice.backend,
+				     answer);
 		server_limits_apply_answer(exchange->edge,
 					   exchange->choice.backend, answer,
 					   exchange->sent_us);
--- /dev/null
+++ b/packages/edge/server_notices.h
@@ -0,0 +1,28 @@
+/*
+ * server_notices - what an answer of a backend server says about the server
+ *
+ * That it leaves, and after a 503 how long it wants no requests from this node
+ * (Retry-After). Callers' requests have no part in it.
+ */
+#ifndef EDGE_SERVER_NOTICES_H
+#define EDGE_SERVER_NOTICES_H
+
+#include "edge/edge.h"
+#include "edge/message.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/*
+ * Applies what the answer says. Not for a 421, which another server sends that
+ * has the address now.
+ */
+void server_notices_apply(struct edge *edge, struct backend *backend,
+			  const struct message *answer);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/packages/edge/stats.h
+++ b/packages/edge/stats.h
@@ -27,6 +27,8 @@
 	struct metric *connects; /* connections opened to backend servers */
 	struct metric *unreachable; /* of these, failed or timed out */
 	struct metric *not_executed; /* answers that say "not run" */
+	struct metric *servers_leaving; /* servers whose answers said so */
+	struct metric *rests; /* times that servers asked for no requests */
 	struct metric *hops_sent; /* requests handed to peers */
 	struct metric *hops_failed; /* of these, without a valid answer */
 	struct metric *hops_taken; /* requests of other nodes that were run */
--- a/packages/ports/dialect.h
+++ b/packages/ports/dialect.h
@@ -32,6 +32,7 @@
 	const char *not_executed; /* if present, the request did not run */
 	const char *seal; /* required in each success of a backend server */
 	const char *load; /* "running,waiting,slots" */
+	const char *leaving; /* "1": the server will stop soon */
 	/* Max requests/s that a backend server accepts from all nodes. */
 	const char *rate_limit;
 
