--- a/packages/edge/server_notices.c
+++ b/packages/edge/server_notices.c
@@ -13,8 +13,7 @@
 {
 	const char *value = message_header(answer, edge->dialect->leaving);
 
-	if (!value || strcmp(value, "1") != 0 ||
-	    !backend_note_leaving(backend))
+	if (!value || strcmp(value, "1") != 0 || !backend_note_leaving(backend))
 		return;
 	metric_add(edge->stats.servers_leaving, 1);
 	log_event(LOG_INFO, "backend-says-leaving",
--- a/tests/emulator/emulator.c
+++ b/tests/emulator/emulator.c
@@ -29,6 +29,9 @@
  *
  * With --partition nodes lose the way to all servers; see partition.h.
  *
+ * With --notices servers say that they leave, or ask for rest; see
+ * notice_watch.h.
+ *
  * With --deadly a caller brings one request so often a second to any node,
  * under which each server ends that runs it; another starts in its place.
  */
@@ -50,6 +53,7 @@
 #include "emulator/commands.h"
 #include "emulator/partition.h"
 #include "emulator/limit_watch.h"
+#include "emulator/notice_watch.h"
 #include "emulator/route_watch.h"
 #include "standins/app_stand.h"
 #include "standins/relay.h"
@@ -134,6 +138,7 @@
 	struct account_watch *accounts; /* NULL: callers have none */
 	uv_timer_t revoke;
 	struct partition *partition; /* NULL: no node loses its servers */
+	struct notice_watch *notices; /* NULL: servers say nothing of it */
 	uint32_t rate;
 	uint32_t closes_one_in; /* answers of servers; 0: none */
 	bool ending;
@@ -618,6 +623,8 @@
 		find_nodes(world);
 		if (world->partition && world->nodes->len)
 			partition_begin(world->partition);
+		if (world->notices && world->nodes->len)
+			notice_watch_begin(world->notices);
 	}
 	if (world->ending || !world->nodes->len)
 		return;
@@ -878,6 +885,7 @@
 			account_watch_report(world->accounts);
 	bool partitioned = world->partition &&
 			   partition_report(world->partition);
+	bool noticed = world->notices && notice_watch_report(world->notices);
 	guint i;
 
 	printf("| service | sent | answered | not run | unknown | p50 ms | p99 "
@@ -901,8 +909,8 @@
 	       world->nodes->len, store_stand_calls(world->store), doubled,
 	       untrue, world->wrong, other);
 	return route_watch_report(world->watch) || deadly || over || accounts ||
-	       partitioned || doubled || untrue || world->wrong || other ||
-	       !answered;
+	       partitioned || noticed || doubled || untrue || world->wrong ||
+	       other || !answered;
 }
 
 static void on_end(uv_timer_t *timer)
@@ -914,6 +922,8 @@
 		route_watch_end(world->watch);
 		if (world->partition)
 			partition_end(world->partition);
+		if (world->notices)
+			notice_watch_end(world->notices);
 		uv_timer_start(timer, on_end,
 			       CALL_DEADLINE_MS + 2 * KEPT_ANSWERS_MS, 0);
 		return;
@@ -1034,6 +1044,21 @@
 	return true;
 }
 
+static bool plan_notices(struct world *world, const char *plan)
+{
+	const struct service *service = world->services->pdata[0];
+	guint i;
+
+	world->notices = notice_watch_new(&world->loop, world->store, plan,
+					  service->name, service->once);
+	for (i = 0; world->notices && i < service->apps->len; i++) {
+		const struct app *app = service->apps->pdata[i];
+
+		notice_watch_add(world->notices, app->stand);
+	}
+	return world->notices;
+}
+
 static int fail(const char *what)
 {
 	fprintf(stderr, "emulator: %s\n", what);
@@ -1051,6 +1076,7 @@
 	char *accounts = NULL;
 	char *partition = NULL;
 	char *cuts = NULL;
+	char *notices = NULL;
 	int rate = 50;
 	int seconds = 20;
 	int seed = 1;
@@ -1086,6 +1112,9 @@
 		  "MANNER:NODE,...@AT_S:FOR_S" },
 		{ "cuts", 0, POPT_ARG_STRING, &cuts, 0,
 		  "where node_with_cuts finds its cut", "FOLDER" },
+		{ "notices", 0, POPT_ARG_STRING, &notices, 0,
+		  "servers that say that they leave, or ask for rest",
+		  "KIND:COUNT:VALUE[:MORE]@AT_S:FOR_S" },
 		{ "commands", 0, POPT_ARG_NONE, &commands, 0,
 		  "read commands from the standard input", NULL },
 		POPT_AUTOHELP POPT_TABLEEND
@@ -1138,6 +1167,8 @@
 		return fail(accounts);
 	if (partition && !plan_partition(&world, &at, partition, cuts))
 		return fail(partition);
+	if (notices && !plan_notices(&world, notices))
+		return fail(notices);
 	if (fault && !plan_fault(&world, fault))
 		return fail(fault);
 	put_config(&world);
--- a/tests/emulator/nodes.sh
+++ b/tests/emulator/nodes.sh
@@ -48,6 +48,17 @@
 	done
 }
 
+# Nodes that connect from their own address and can be cut off; see cuts.c.
+start_cuttable_nodes() {
+	start_node() { # NODE_NUMBER
+		LILACFIELD_SOURCE=$net.$1.1 LILACFIELD_CUT=$work/n$1.cut \
+			"$build/tests/emulator/node_with_cuts" \
+			--settings "$work/n$1.toml" >>"$work/n$1.log" 2>&1 &
+		pids[$1]=$!
+	}
+	start_nodes
+}
+
 kill_nodes() { # NODE_NUMBER...
 	local node
 	{ # without the shell's word on each
--- a/tests/emulator/partition.c
+++ b/tests/emulator/partition.c
@@ -1,20 +1,10 @@
 #include "emulator/partition.h"
 
-#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 
-#include <jansson.h>
-
-#include "edge/link.h"
-
-/* Callers of each service at each node, and their pause between requests. */
-#define CALLERS 2
-#define PAUSE_MS 50
-
-#define DEADLINE_MS 3000
-#define GIVE_UP_MS 3500
+#include "emulator/stay.h"
 
 /* The judged times: from so long after the cut begins, and after it ends. */
 #define JUDGED_AFTER_MS 4000
@@ -37,17 +27,6 @@
 
 static const char *const span_names[] = { "cut off", "back" };
 
-struct service {
-	char *name;
-	bool once;
-};
-
-struct place {
-	char *name;
-	struct endpoint front;
-	bool partitioned;
-};
-
 struct tally {
 	uint32_t sent;
 	uint32_t served;
@@ -55,7 +34,6 @@
 
 struct partition {
 	uv_loop_t *loop;
-	struct store_stand *rows;
 	struct endpoint store;
 	struct endpoint hole; /* connections to it hang */
 	struct endpoint closed; /* connections to it are refused */
@@ -68,32 +46,13 @@
 	uint64_t at_ms;
 	uint64_t for_ms;
 	GPtrArray *relays;
-	GPtrArray *services; /* of struct service */
-	GPtrArray *places; /* of struct place */
+	struct stay *callers;
 	uv_timer_t begins;
 	uv_timer_t ends;
 	uint64_t began_ms; /* 0: not yet */
 	uint64_t ended_ms;
-	bool ending;
 	struct tally partitioned[SPANS];
 	struct tally others[SPANS];
-	uint64_t requests;
-};
-
-/* --- callers that stay -------------------------------------------------- */
-
-struct caller_link {
-	struct link link; /* first member */
-	struct caller *caller; /* NULL: left */
-};
-
-struct caller {
-	struct partition *partition;
-	const struct place *place;
-	const struct service *service;
-	struct caller_link *conn;
-	uv_timer_t timer;
-	uint64_t sent_ms; /* 0: no request is under way */
 };
 
 static uint64_t now_ms(const struct partition *partition)
@@ -115,153 +74,30 @@
 	return -1;
 }
 
-static void count_result(struct caller *caller, bool served)
+static bool is_partitioned(const struct partition *partition,
+			   const struct stay_node *node)
 {
-	struct partition *partition = caller->partition;
-	int span = span_at(partition, caller->sent_ms);
-	struct tally *tally;
-
-	caller->sent_ms = 0;
-	if (span < 0)
-		return;
-	tally = caller->place->partitioned ? &partition->partitioned[span] :
-					     &partition->others[span];
-	tally->sent++;
-	tally->served += served;
+	return g_strv_contains((const char *const *)partition->names,
+			       node->name);
 }
 
-static void on_timer(uv_timer_t *timer);
-
-static void pause_caller(struct caller *caller)
+static void on_ended(void *context, const struct stay_request *request,
+		     const struct message *answer)
 {
-	uv_timer_start(&caller->timer, on_timer, PAUSE_MS, 0);
-}
-
-static void leave_conn(struct caller *caller)
-{
-	struct caller_link *conn = caller->conn;
-
-	if (!conn)
-		return;
-	caller->conn = NULL;
-	conn->caller = NULL;
-	link_close(&conn->link);
-}
-
-static void send_request(struct caller *caller)
-{
-	struct partition *partition = caller->partition;
-	GString *request = g_string_new(NULL);
-
-	g_string_append_printf(request,
-			       "%s /%s/x HTTP/1.1\r\nHost: demo.example\r\n"
-			       "Lilacfield-Attempt-Id: stay%" PRIu64 "\r\n"
-			       "Lilacfield-Affinity-Key: %d\r\n"
-			       "Lilacfield-Deadline-Ms: %d\r\n\r\n",
-			       caller->service->once ? "POST" : "GET",
-			       caller->service->name, ++partition->requests,
-			       g_random_int_range(0, 20), DEADLINE_MS);
-	link_send(&caller->conn->link, request, false);
-}
-
-static void on_opened(struct link *link)
-{
-	struct caller *caller = ((struct caller_link *)link)->caller;
-
-	if (caller)
-		send_request(caller);
-}
-
-static void on_answered(struct link *link, struct message *answer)
-{
-	struct caller *caller = ((struct caller_link *)link)->caller;
-	bool served = answer->status == 200;
-	bool keeps = answer->keep_alive;
-
-	message_free(answer);
-	if (!caller)
-		return;
-	count_result(caller, served);
-	if (!keeps)
-		leave_conn(caller);
-	pause_caller(caller);
-}
-
-static void fail_request(struct caller *caller)
-{
-	leave_conn(caller);
-	if (caller->sent_ms)
-		count_result(caller, false);
-	pause_caller(caller);
-}
-
-static void on_ended(struct link *link, const char *cause)
-{
-	struct caller *caller = ((struct caller_link *)link)->caller;
-
-	(void)cause;
-	if (caller && caller->sent_ms)
-		fail_request(caller);
-	else if (caller)
-		leave_conn(caller);
-	else
-		link_close(link);
-}
-
-static void on_released(struct link *link)
-{
-	g_free(link);
-}
-
-static const struct link_vtable link_events = {
-	.opened = on_opened,
-	.answered = on_answered,
-	.ended = on_ended,
-	.released = on_released,
-};
-
-static void next_request(struct caller *caller)
-{
-	static const struct message_limits limits = { 65536, 1048576 };
-	struct partition *partition = caller->partition;
+	struct partition *partition = context;
+	int span = span_at(partition, request->sent_ms);
+	struct tally *tally;
 
-	if (partition->ending)
-		return;
-	caller->sent_ms = now_ms(partition);
-	uv_timer_start(&caller->timer, on_timer, GIVE_UP_MS, 0);
-	if (caller->conn) {
-		send_request(caller);
+	if (span < 0)
 		return;
-	}
-	caller->conn = g_new0(struct caller_link, 1);
-	caller->conn->caller = caller;
-	if (link_open(&caller->conn->link, &link_events, partition->loop,
-		      &caller->place->front, &limits))
-		fail_request(caller);
-}
-
-static void on_timer(uv_timer_t *timer)
-{
-	struct caller *caller = timer->data;
-
-	if (caller->sent_ms)
-		fail_request(caller);
-	else
-		next_request(caller);
+	tally = is_partitioned(partition, request->node) ?
+			&partition->partitioned[span] :
+			&partition->others[span];
+	tally->sent++;
+	tally->served += answer && answer->status == 200;
 }
 
-static void start_caller(struct partition *partition, const struct place *place,
-			 const struct service *service)
-{
-	struct caller *caller = g_new0(struct caller, 1);
-
-	caller->partition = partition;
-	caller->place = place;
-	caller->service = service;
-	uv_timer_init(partition->loop, &caller->timer);
-	caller->timer.data = caller;
-	pause_caller(caller);
-}
+static const struct stay_events caller_events = { .ended = on_ended };
 
 /* --- the cut ------------------------------------------------------------ */
 
@@ -282,9 +118,9 @@
 }
 
 static void set_open_connections(const struct partition *partition,
-				 const struct place *place, bool cut)
+				 const struct stay_node *node, bool cut)
 {
-	const char *address = place->front.address;
+	const char *address = node->front.address;
 	guint i;
 
 	for (i = 0; i < partition->relays->len; i++) {
@@ -302,18 +138,19 @@
 	const struct endpoint *instead = partition->manner == MANNER_REFUSE ?
 						 &partition->closed :
 						 &partition->hole;
+	const GPtrArray *nodes = stay_nodes(partition->callers);
 	guint i;
 
 	printf("partition, %s: %s\n", manner_names[partition->manner],
 	       cut ? "begins" : "ends");
 	fflush(stdout);
-	for (i = 0; i < partition->places->len; i++) {
-		const struct place *place = partition->places->pdata[i];
+	for (i = 0; i < nodes->len; i++) {
+		const struct stay_node *node = nodes->pdata[i];
 
-		if (!place->partitioned)
+		if (!is_partitioned(partition, node))
 			continue;
-		write_cut(partition, place->name, cut ? instead : NULL);
-		set_open_connections(partition, place, cut);
+		write_cut(partition, node->name, cut ? instead : NULL);
+		set_open_connections(partition, node, cut);
 	}
 }
 
@@ -429,7 +266,6 @@
 	struct partition *partition = g_new0(struct partition, 1);
 
 	partition->loop = loop;
-	partition->rows = rows;
 	partition->store = *store;
 	partition->hole = *store;
 	partition->hole.port--;
@@ -437,8 +273,8 @@
 	partition->closed.port -= 2;
 	partition->cuts = g_strdup(cuts);
 	partition->relays = g_ptr_array_new();
-	partition->services = g_ptr_array_new();
-	partition->places = g_ptr_array_new();
+	partition->callers =
+		stay_new(loop, rows, "stay", &caller_events, partition);
 	if (cuts && read_plan(partition, plan) && open_hole(partition))
 		return partition;
 	g_free(partition);
@@ -453,49 +289,12 @@
 void partition_add_service(struct partition *partition, const char *name,
 			   bool once)
 {
-	struct service *service = g_new0(struct service, 1);
-
-	service->name = g_strdup(name);
-	service->once = once;
-	g_ptr_array_add(partition->services, service);
-}
-
-static void find_place(struct partition *partition, const char *name)
-{
-	const char *value = store_stand_get(partition->rows, "members", name);
-	json_t *row = value ? json_loads(value, 0, NULL) : NULL;
-	const char *front = json_string_value(json_object_get(row, "front"));
-	struct place *place = g_new0(struct place, 1);
-
-	if (front && endpoint_parse(front, &place->front)) {
-		place->name = g_strdup(name);
-		place->partitioned = g_strv_contains(
-			(const char *const *)partition->names, name);
-		g_ptr_array_add(partition->places, place);
-	} else {
-		g_free(place);
-	}
-	json_decref(row);
+	stay_add_service(partition->callers, name, once);
 }
 
 void partition_begin(struct partition *partition)
 {
-	guint i;
-	guint j;
-	guint k;
-
-	for (i = 1; i <= 64; i++) {
-		char *name = g_strdup_printf("n%u", i);
-
-		find_place(partition, name);
-		g_free(name);
-	}
-	for (i = 0; i < partition->places->len; i++)
-		for (j = 0; j < partition->services->len; j++)
-			for (k = 0; k < CALLERS; k++)
-				start_caller(partition,
-					     partition->places->pdata[i],
-					     partition->services->pdata[j]);
+	stay_begin(partition->callers);
 	uv_timer_init(partition->loop, &partition->begins);
 	uv_timer_init(partition->loop, &partition->ends);
 	partition->begins.data = partition;
@@ -507,5 +306,5 @@
 
 void partition_end(struct partition *partition)
 {
-	partition->ending = true;
+	stay_end(partition->callers);
 }
--- a/tests/emulator/partitioned.sh
+++ b/tests/emulator/partitioned.sh
@@ -58,13 +58,6 @@
 domains=central-1:central,central-2:central,sur-1:sur,altiplano-1:altiplano
 . "$(dirname "$0")/nodes.sh"
 
-start_node() { # NODE_NUMBER
-	LILACFIELD_SOURCE=$net.$1.1 LILACFIELD_CUT=$work/n$1.cut \
-		"$build/tests/emulator/node_with_cuts" \
-		--settings "$work/n$1.toml" >>"$work/n$1.log" 2>&1 &
-	pids[$1]=$!
-}
-
 # No server crashes, so none may be suspected to have crashed under a request.
 check() {
 	local count
@@ -76,5 +69,5 @@
 start_emulator --service svc-historia:many:7:80:2 \
 	--service svc-certif:once:3:120:2 --rate 20 --seconds 16 --closes 6 \
 	--partition "${case%%-*}:$nodes@3:8" --cuts "$work" "${fault[@]}"
-start_nodes
+start_cuttable_nodes
 await_verdict ", $case"
--- a/tests/standins/app_stand.c
+++ b/tests/standins/app_stand.c
@@ -36,6 +36,9 @@
 	char *deadly_path; /* NULL: none */
 	char *headers; /* of each answer besides; NULL: none */
 	enum app_fault fault;
+	struct app_notices notices;
+	uint32_t answers; /* since the notices were set */
+	uint32_t arrivals; /* since then */
 	bool draining;
 	GHashTable *runs; /* request id -> how often it ran */
 	GQueue cache; /* of char *, latest first */
@@ -48,6 +51,8 @@
 	GString *last_headers;
 	app_run_cb on_run; /* NULL: nobody watches */
 	void *watcher;
+	app_arrival_cb on_arrival; /* NULL: nobody watches */
+	void *arrival_watcher;
 };
 
 /* --- cache -------------------------------------------------------------- */
@@ -82,16 +87,25 @@
 	       (one_in && !g_random_int_range(0, (gint32)one_in));
 }
 
-static char *headers_for(const struct app_stand *app, const char *id,
+/* Whether the nth of a kind says it; n counts from 0. */
+static bool is_one_in(uint32_t n, uint32_t one_in)
+{
+	return one_in && n % one_in == 0;
+}
+
+static char *headers_for(struct app_stand *app, const char *id,
 			 const char *more)
 {
+	bool leaving = is_one_in(app->answers++, app->notices.leaving_one_in);
+
 	return g_strdup_printf(ATTEMPT_ID ": %s\r\n"
 					  "Lilacfield-Server-Load: %u,%u,%u\r\n"
-					  "%s%s%s",
+					  "%s%s%s%s",
 			       id, g_queue_get_length((GQueue *)&app->active),
 			       g_queue_get_length((GQueue *)&app->queue),
 			       app->settings.slots,
 			       closes_now(app) ? "Connection: close\r\n" : "",
+			       leaving ? "Server-Leaving: 1\r\n" : "",
 			       app->headers ? app->headers : "", more);
 }
 
@@ -372,6 +386,32 @@
 	}
 }
 
+static void turn_away(struct app_stand *app, struct http_call *call,
+		      const char *id)
+{
+	const char *value = app->notices.retry_after;
+	char *more = g_strdup_printf("Lilacfield-Not-Executed: 1\r\n%s%s%s",
+				     value ? "Retry-After: " : "",
+				     value ? value : "", value ? "\r\n" : "");
+
+	app->rejected++;
+	answer(app, call, id, 503, more, "");
+	g_free(more);
+}
+
+static void note_arrival(struct app_stand *app, const struct http_call *call,
+			 bool turned_away)
+{
+	char from[INET_ADDRSTRLEN];
+	const struct app_arrival arrival = { app->id, from, call->request,
+					     turned_away };
+
+	if (!app->on_arrival)
+		return;
+	http_call_address(call, from, sizeof(from));
+	app->on_arrival(app->arrival_watcher, &arrival);
+}
+
 static void on_called(void *context, struct http_call *call)
 {
 	struct app_stand *app = context;
@@ -381,6 +421,7 @@
 	uint32_t most = app->settings.slots + app->settings.queue;
 	uint32_t here = g_queue_get_length(&app->active) +
 			g_queue_get_length(&app->queue);
+	bool turned_away;
 
 	if (!id) {
 		reject(app, call, 400, "none");
@@ -390,8 +431,13 @@
 	message_copy_headers(call->request, NULL, app->last_headers);
 	app->last_deadline_ms =
 		g_ascii_strtoull(deadline ? deadline : "0", NULL, 10);
+	turned_away =
+		is_one_in(app->arrivals++, app->notices.turns_away_one_in);
+	note_arrival(app, call, turned_away);
 	if (expected && strcmp(expected, app->id) != 0)
 		reject(app, call, 421, id);
+	else if (turned_away)
+		turn_away(app, call, id);
 	else if (here >= most)
 		reject(app, call, 503, id);
 	else
@@ -485,6 +531,14 @@
 	app->draining = draining;
 }
 
+void app_stand_set_notices(struct app_stand *app,
+			   const struct app_notices *notices)
+{
+	app->notices = *notices;
+	app->answers = 0;
+	app->arrivals = 0;
+}
+
 void app_stand_silence(struct app_stand *app, bool silent)
 {
 	http_stand_silence(app->http, silent);
@@ -536,3 +590,10 @@
 	app->on_run = callback;
 	app->watcher = context;
 }
+
+void app_stand_watch_arrivals(struct app_stand *app, app_arrival_cb callback,
+			      void *context)
+{
+	app->on_arrival = callback;
+	app->arrival_watcher = context;
+}
--- a/tests/standins/app_stand.h
+++ b/tests/standins/app_stand.h
@@ -51,6 +51,13 @@
 	APP_END_OTHERS_LAST, /* only the deadly request's is reset at once */
 };
 
+/* What its answers say of the server itself, each nth one beginning now. */
+struct app_notices {
+	uint32_t leaving_one_in; /* that it leaves; 0: none */
+	uint32_t turns_away_one_in; /* 503, not run; 0: none */
+	const char *retry_after; /* in these 503s; NULL: none */
+};
+
 struct app_stand *app_stand_open(uv_loop_t *loop, const struct endpoint *at,
 				 const struct app_settings *settings);
 /* As a crash: connections are reset, nothing listens. */
@@ -70,6 +77,9 @@
 /* Lines that each answer has besides; NULL: none. */
 void app_stand_set_headers(struct app_stand *app, const char *lines);
 void app_stand_set_draining(struct app_stand *app, bool draining);
+/* From now on; borrows retry_after. */
+void app_stand_set_notices(struct app_stand *app,
+			   const struct app_notices *notices);
 /* Connections stay, nothing is read or answered. */
 void app_stand_silence(struct app_stand *app, bool silent);
 
@@ -79,6 +89,18 @@
 void app_stand_watch_runs(struct app_stand *app, app_run_cb callback,
 			  void *context);
 
+/* A request that arrives, before it is answered or queued; all borrowed. */
+struct app_arrival {
+	const char *app_id;
+	const char *from; /* the client's address, without the port */
+	const struct message *request;
+	bool turned_away; /* by app_notices */
+};
+typedef void (*app_arrival_cb)(void *context,
+			       const struct app_arrival *arrival);
+void app_stand_watch_arrivals(struct app_stand *app, app_arrival_cb callback,
+			      void *context);
+
 /* Runs of this request id; of all; of those that were cut off midway. */
 uint32_t app_stand_runs(const struct app_stand *app, const char *id);
 uint32_t app_stand_total_runs(const struct app_stand *app);
--- a/tests/standins/http_stand.c
+++ b/tests/standins/http_stand.c
@@ -184,6 +184,19 @@
 	return stand->conns->len;
 }
 
+void http_call_address(const struct http_call *call, char *address, size_t size)
+{
+	struct sockaddr_in from;
+	int length = sizeof(from);
+
+	*address = '\0';
+	if (!call->conn ||
+	    uv_tcp_getpeername(&call->conn->tcp, (struct sockaddr *)&from,
+			       &length))
+		return;
+	uv_ip4_name(&from, address, size);
+}
+
 static void call_free(struct http_call *call)
 {
 	message_free(call->request);
--- a/tests/standins/http_stand.h
+++ b/tests/standins/http_stand.h
@@ -48,6 +48,10 @@
 void http_stand_silence(struct http_stand *stand, bool silent);
 uint32_t http_stand_connections(const struct http_stand *stand);
 
+/* The client's address, without the port; empty once it has left. */
+void http_call_address(const struct http_call *call, char *address,
+		       size_t size);
+
 /* Answer; headers are lines with their ends. The call is freed. */
 void http_call_answer(struct http_call *call, unsigned status,
 		      const char *headers, const char *body, size_t length);
--- a/tests/standins/relay.c
+++ b/tests/standins/relay.c
@@ -313,10 +313,24 @@
 	pair->handles++;
 }
 
+/* The target sees the caller's address, as it would without the relay. */
+static void bind_as_caller(struct pair *pair)
+{
+	struct sockaddr_in from;
+	int length = sizeof(from);
+
+	if (uv_tcp_getpeername(&pair->caller.tcp, (struct sockaddr *)&from,
+			       &length))
+		return;
+	from.sin_port = 0;
+	uv_tcp_bind(&pair->target.tcp, (const struct sockaddr *)&from, 0);
+}
+
 static void on_connection(uv_stream_t *stream, int status)
 {
 	struct relay *relay = stream->data;
 	struct sockaddr_in to;
+	int failed;
 	struct pair *pair;
 
 	if (status)
@@ -329,7 +343,10 @@
 	init_end(&pair->caller, pair, false);
 	init_end(&pair->target, pair, true);
 	uv_ip4_addr(relay->to.address, relay->to.port, &to);
-	if (uv_accept(stream, (uv_stream_t *)&pair->caller.tcp) ||
+	failed = uv_accept(stream, (uv_stream_t *)&pair->caller.tcp);
+	if (!failed)
+		bind_as_caller(pair);
+	if (failed ||
 	    uv_tcp_connect(&pair->connect, &pair->target.tcp,
 			   (const struct sockaddr *)&to, on_connected))
 		close_pair(pair, false);
