backend_table: a server is leaving once its own answer says so

Callers saw nothing, but servers that had told a node that they leave got requests from it 2.7 and 2.9 s later (2.5 s allowed), and a server that has stopped by then breaks them off. Cause: only the row in the store counted, and the store was away for 12 s. Nothing read the header: no hypothesis but the first fits (logs name the server nowhere).

Now the first answer that says it closes the server to new requests of this node: a success, an error, a refusal, one that is cut short or belongs to another request on a connection whose server has proved itself; not a 421, nor what a caller's request says. It holds for that incarnation: no row and no silent answer undoes it, and neither does a row that expires and comes back. All ways to a server ask the same question already (choices, connections that have just opened, the pool), so it is answered there. Load moves as for a drain. A peer that ran a hop names the servers, by incarnation, since a partitioned node that is back would go on sending there.

Weighed: telling all peers at once. Each node learns it from its own next answer, at the cost of one request that is served; a broadcast costs 294 datagrams at 295 nodes for each server that leaves. Making the row drain: rows carry the store's version, and peers' digests would differ.

--- a/packages/core/backend_table.c
+++ b/packages/core/backend_table.c
@@ -81,6 +81,17 @@
 				   (uint32_t)(started_ms ^ started_ms >> 32));
 }
 
+/* What its answers said holds although its row was gone for a while. */
+static void restore_notices(const struct backend_table *table,
+			    struct backend *backend)
+{
+	const struct removed_row *row =
+		g_hash_table_lookup(table->removed, backend->id);
+
+	if (row && row->started_ms == backend->started_ms)
+		backend->said_leaving = row->said_leaving;
+}
+
 static struct backend *add(struct backend_table *table,
 			   const struct backend_info *info, uint64_t now_us)
 {
@@ -97,6 +108,7 @@
 	backend->region = g_strdup(info->region);
 	backend->slowness = 1.0;
 	backend->joined_us = table->loaded ? now_us : 0;
+	restore_notices(table, backend);
 	g_hash_table_insert(table->by_id, backend->id, backend);
 	g_hash_table_replace(table->by_incarnation,
 			     GUINT_TO_POINTER(backend->incarnation), backend);
@@ -157,6 +169,31 @@
 	return changes;
 }
 
+static struct removed_row *removed_row(struct backend_table *table,
+				       const char *id)
+{
+	struct removed_row *row = g_hash_table_lookup(table->removed, id);
+
+	if (!row) {
+		row = g_new0(struct removed_row, 1);
+		g_hash_table_insert(table->removed, g_strdup(id), row);
+	}
+	return row;
+}
+
+static void keep_notices(struct backend_table *table,
+			 const struct backend *backend, uint64_t now_us)
+{
+	struct removed_row *row;
+
+	if (!backend->said_leaving)
+		return;
+	row = removed_row(table, backend->id);
+	row->at_us = now_us;
+	row->started_ms = backend->started_ms;
+	row->said_leaving = true;
+}
+
 static void remove_from_table(struct backend_table *table,
 			      struct backend *backend, uint64_t now_us)
 {
@@ -165,6 +202,7 @@
 
 	backend->gone = true;
 	table->last_loss_us = now_us;
+	keep_notices(table, backend, now_us);
 	note_change(table, backend->id);
 	g_ptr_array_remove(list, backend);
 	/* On a hash collision the entry belongs to the later incarnation. */
@@ -247,12 +285,8 @@
 static void note_removed(struct backend_table *table, const char *id,
 			 uint64_t version, uint64_t now_us)
 {
-	struct removed_row *row = g_hash_table_lookup(table->removed, id);
+	struct removed_row *row = removed_row(table, id);
 
-	if (!row) {
-		row = g_new0(struct removed_row, 1);
-		g_hash_table_insert(table->removed, g_strdup(id), row);
-	}
 	row->version = MAX(row->version, version);
 	row->at_us = now_us;
 }
@@ -390,10 +424,15 @@
 	g_free(backend);
 }
 
+bool backend_is_leaving(const struct backend *backend)
+{
+	return backend->gone || backend->draining || backend->said_leaving;
+}
+
 bool backend_is_closed(const struct backend_table *table,
 		       const struct backend *backend)
 {
-	return backend->gone || backend->draining ||
+	return backend_is_leaving(backend) ||
 	       backend_table_evacuated(table, backend->domain);
 }
 
@@ -494,12 +533,15 @@
 	backend->disconnect_us = now_us;
 }
 
-bool backend_note_leaving(struct backend *backend)
+bool backend_note_leaving(struct backend_table *table, struct backend *backend,
+			  uint64_t now_us)
 {
-	bool is_new = !backend->said_leaving;
-
+	if (backend->said_leaving)
+		return false;
+	if (!backend_is_leaving(backend))
+		table->last_loss_us = now_us;
 	backend->said_leaving = true;
-	return is_new;
+	return true;
 }
 
 bool backend_note_rest(struct backend *backend, uint64_t rest_us,
--- a/packages/core/backend_table.h
+++ b/packages/core/backend_table.h
@@ -113,16 +113,19 @@
 	GHashTable *removed; /* id -> struct removed_row */
 	bool loaded; /* the list was read completely at least once */
 	GPtrArray *changes; /* see backend_table_take_changes() */
-	/* Last removal, drain or evacuation change. */
+	/* Last time that a server left, or an evacuation changed. */
 	uint64_t last_loss_us;
 	uint64_t last_unreachable_us; /* last failed connection */
 };
 
-/* Kept of a backend server after its removal. */
+/* Kept of a backend server for some time after its removal. */
 struct removed_row {
 	/* Of the deleted or invalid row, or of the list that lacked it. */
 	uint64_t version;
 	uint64_t at_us;
+	/* As in struct backend, for the same incarnation if its row is back. */
+	uint64_t started_ms;
+	bool said_leaving;
 };
 
 struct backend_table *backend_table_new(void);
@@ -201,7 +204,10 @@
 struct backend *backend_ref(struct backend *backend);
 void backend_unref(struct backend *backend);
 
-/* Whether no new request may be sent there: removed, draining, evacuated. */
+/* Whether it stops soon or has: by its row, or by its own answers. */
+bool backend_is_leaving(const struct backend *backend);
+
+/* Whether no new request may be sent there: leaving, or evacuated. */
 bool backend_is_closed(const struct backend_table *table,
 		       const struct backend *backend);
 
@@ -242,7 +248,8 @@
  * Notes that an answer said that the server leaves, which holds for this
  * incarnation whatever rows say. Returns whether that is new.
  */
-bool backend_note_leaving(struct backend *backend);
+bool backend_note_leaving(struct backend_table *table, struct backend *backend,
+			  uint64_t now_us);
 
 /*
  * Notes that an answer asked for no requests during rest_us from now. Returns
--- a/packages/core/candidate.c
+++ b/packages/core/candidate.c
@@ -103,7 +103,7 @@
 				    const struct backend *backend,
 				    uint64_t now_us)
 {
-	if (backend->gone || backend->draining)
+	if (backend_is_leaving(backend))
 		return CHOOSE_LEAVING;
 	if (backend_table_evacuated(chooser->backends, backend->domain))
 		return CHOOSE_EVACUATED;
--- a/packages/core/choose.h
+++ b/packages/core/choose.h
@@ -2,13 +2,13 @@
  * choose - which backend server a request goes to
  *
  * Filters exclude servers without exception: outside the route's regions, in an
- * evacuated failure domain, draining or removed, backed off from, already
- * tried, out of cold allowance, out of rate limit tokens. Of the rest the
- * cheapest is chosen. Its cost is the expected time (round trip, wait for a
- * slot, service time, which is shorter where the object is in the cache) with
- * surcharges, for example for failures. The rendezvous order of the object's
- * hash adds a small cost, so that all nodes warm the same servers for it. Uses
- * no state but the tables passed in; not thread-safe.
+ * evacuated failure domain, leaving, backed off from, already tried, out of
+ * cold allowance, out of rate limit tokens. Of the rest the cheapest is chosen.
+ * Its cost is the expected time (round trip, wait for a slot, service time,
+ * which is shorter where the object is in the cache) with surcharges, for
+ * example for failures. The rendezvous order of the object's hash adds a small
+ * cost, so that all nodes warm the same servers for it. Uses no state but the
+ * tables passed in; not thread-safe.
  */
 #ifndef CORE_CHOOSE_H
 #define CORE_CHOOSE_H
@@ -105,7 +105,7 @@
 /* The filter that excludes a backend server from a choice. */
 enum choose_block {
 	CHOOSE_OPEN,
-	CHOOSE_LEAVING, /* draining, or removed from the table */
+	CHOOSE_LEAVING, /* by its row or its answers, or has left */
 	CHOOSE_EVACUATED, /* its failure domain is evacuated */
 	CHOOSE_SHUNNED, /* in backoff after failures */
 	CHOOSE_TRIED, /* already, by this request */
--- a/packages/edge/admin_show.c
+++ b/packages/edge/admin_show.c
@@ -168,6 +168,8 @@
 {
 	if (backend->draining)
 		return "draining";
+	if (backend->said_leaving)
+		return "leaving";
 	if (backend->expire_us)
 		return "missing";
 	if (backend_table_evacuated(edge->backends, backend->domain))
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -639,8 +639,6 @@
 	/* A 421 comes from another server that has the address now. */
 	if (answer->status != 421) {
 		backend_answered(exchange->choice.backend, exchange->sent_us);
-		server_notices_apply(exchange->edge, exchange->choice.backend,
-				     answer);
 		server_limits_apply_answer(exchange->edge,
 					   exchange->choice.backend, answer,
 					   exchange->sent_us);
@@ -683,11 +681,24 @@
 	return !conn->uses && is_not_executed(exchange, answer);
 }
 
+/*
+ * An answer to another request counts as well if the server of this connection
+ * has proved by an earlier answer to be the one that was chosen.
+ */
+static void apply_notices(struct exchange *exchange, const struct conn *conn,
+			  const struct message *answer)
+{
+	if (answer->status != 421 &&
+	    (conn->uses || is_matching_answer(exchange, conn, answer)))
+		server_notices_apply(exchange->edge, conn->backend, answer);
+}
+
 static void on_answered(struct conn_user *user, struct conn *conn,
 			struct message *answer)
 {
 	struct exchange *exchange = (struct exchange *)user;
 
+	apply_notices(exchange, conn, answer);
 	if (is_matching_answer(exchange, conn, answer)) {
 		on_matching_answer(exchange, answer);
 		return;
@@ -747,8 +758,11 @@
 		     const char *cause)
 {
 	struct exchange *exchange = (struct exchange *)user;
+	const struct message *cut_answer = link_partial_answer(&conn->link);
 	bool was_sent = exchange->sent_us != 0;
 
+	if (cut_answer)
+		apply_notices(exchange, conn, cut_answer);
 	if (was_sent)
 		exchange_record_broken_run(exchange, cause);
 
--- a/packages/edge/exchange_end.c
+++ b/packages/edge/exchange_end.c
@@ -102,6 +102,23 @@
 			       edge->routes->version, age_us);
 }
 
+static void append_leaving(const struct exchange *exchange, GString *headers)
+{
+	const struct choose_query *query = &exchange->query;
+	const char *before = HOP_LEAVING ": ";
+	uint32_t i;
+
+	for (i = 0; i < query->tried_count; i++) {
+		if (!query->tried[i]->said_leaving)
+			continue;
+		g_string_append_printf(headers, "%s%08x", before,
+				       query->tried[i]->incarnation);
+		before = ",";
+	}
+	if (*before == ',')
+		g_string_append(headers, "\r\n");
+}
+
 /* Headers between nodes, for the node that handed the request over. */
 static void append_hop_headers(const struct exchange *exchange,
 			       GString *headers)
@@ -113,6 +130,7 @@
 	if (exchange->not_run)
 		g_string_append_printf(headers, HOP_NOT_RUN ": %s\r\n",
 				       exchange->not_run);
+	append_leaving(exchange, headers);
 }
 
 static void finish_generated(struct exchange *exchange, uint16_t status,
--- a/packages/edge/exchange_hop.c
+++ b/packages/edge/exchange_hop.c
@@ -9,6 +9,7 @@
 #include "adapters/log.h"
 #include "core/duration.h"
 #include "edge/reach_watch.h"
+#include "edge/server_notices.h"
 
 /*
  * A connection to a peer that acknowledges nothing for so long is given up,
@@ -205,6 +206,7 @@
 
 	(void)conn;
 	hops_answered(exchange->edge->hops, exchange->peer, room);
+	server_notices_apply_hop(exchange->edge, answer);
 	if (!room || message_header(answer, HOP_NOT_RUN)) {
 		on_not_run(exchange, answer);
 		return;
--- a/packages/edge/hops.c
+++ b/packages/edge/hops.c
@@ -186,7 +186,7 @@
 const char *const *hops_headers(void)
 {
 	static const char *const names[] = { HOP_SENDS, HOP_ROOM, HOP_NOT_RUN,
-					     NULL };
+					     HOP_LEAVING, NULL };
 
 	return names;
 }
--- a/packages/edge/hops.h
+++ b/packages/edge/hops.h
@@ -8,7 +8,8 @@
  *
  * A hop is the caller's request with the header HOP_SENDS, and HOP_ACCOUNT in
  * place of the key of the caller's account. Every answer to one has HOP_ROOM,
- * and HOP_NOT_RUN if no server has run the request or will.
+ * HOP_NOT_RUN if no server has run the request or will, and HOP_LEAVING if
+ * servers that got it said that they leave.
  */
 #ifndef EDGE_HOPS_H
 #define EDGE_HOPS_H
@@ -34,6 +35,9 @@
 #define HOP_NOT_RUN_PEER "peer"
 #define HOP_NOT_RUN_SERVERS "servers"
 
+/* Incarnations of servers in hexadecimal digits, separated by commas. */
+#define HOP_LEAVING "Hop-Leaving"
+
 /* Requests of other nodes that a node has in work, at most. */
 #define HOPS_MAX_TAKEN 128
 
--- a/packages/edge/link.c
+++ b/packages/edge/link.c
@@ -131,6 +131,14 @@
 	wire_write((uv_stream_t *)&link->tcp, request, on_written, link);
 }
 
+const struct message *link_partial_answer(const struct link *link)
+{
+	const struct message *answer = link->reader.message;
+
+	/* The status is set once the headers are complete. */
+	return link->awaiting && answer && answer->status ? answer : NULL;
+}
+
 void link_close(struct link *link)
 {
 	if (link->closing)
--- a/packages/edge/link.h
+++ b/packages/edge/link.h
@@ -64,6 +64,12 @@
  */
 void link_send(struct link *link, GString *request, bool is_head);
 
+/*
+ * The awaited answer, of which the headers are complete and the body may not
+ * be; NULL before that. Valid until the link is released.
+ */
+const struct message *link_partial_answer(const struct link *link);
+
 void link_close(struct link *link);
 
 /*
--- a/packages/edge/pool.c
+++ b/packages/edge/pool.c
@@ -199,7 +199,7 @@
 	conn->idle_since_us = clock_now_us(pool->clock);
 	if (!answer->keep_alive || conn->link.extra_bytes ||
 	    conn->link.writing || !conn->link.open || !conn->idle_timeout_us ||
-	    conn->backend->gone || conn->backend->draining ||
+	    backend_is_leaving(conn->backend) ||
 	    conn->backend->idle_connections >= pool->max_idle)
 		pool_drop(conn);
 	else
--- a/packages/edge/server_notices.c
+++ b/packages/edge/server_notices.c
@@ -5,21 +5,29 @@
 
 #include "adapters/log.h"
 #include "core/duration.h"
+#include "edge/hops.h"
 
 #define RETRY_AFTER "Retry-After"
 
+static void note_leaving(struct edge *edge, struct backend *backend,
+			 uint16_t status, const char *by)
+{
+	if (!backend_note_leaving(edge->backends, backend, edge_now_us(edge)))
+		return;
+	metric_add(edge->stats.servers_leaving, 1);
+	log_event(LOG_INFO, "backend-says-leaving",
+		  "backend=%s service=%s status=%u listed_draining=%s by=%s",
+		  backend->id, backend->service, status,
+		  backend->draining ? "yes" : "no", by);
+}
+
 static void apply_leaving(struct edge *edge, struct backend *backend,
 			  const struct message *answer)
 {
 	const char *value = message_header(answer, edge->dialect->leaving);
 
-	if (!value || strcmp(value, "1") != 0 || !backend_note_leaving(backend))
-		return;
-	metric_add(edge->stats.servers_leaving, 1);
-	log_event(LOG_INFO, "backend-says-leaving",
-		  "backend=%s service=%s status=%u listed_draining=%s",
-		  backend->id, backend->service, answer->status,
-		  backend->draining ? "yes" : "no");
+	if (value && !strcmp(value, "1"))
+		note_leaving(edge, backend, answer->status, "answer");
 }
 
 static bool read_rest(struct backend *backend, const struct message *answer,
@@ -60,3 +68,20 @@
 	apply_leaving(edge, backend, answer);
 	apply_rest(edge, backend, answer);
 }
+
+void server_notices_apply_hop(struct edge *edge, const struct message *answer)
+{
+	const char *value = message_header(answer, HOP_LEAVING);
+	char **incarnations = g_strsplit(value ? value : "", ",", -1);
+	char **at;
+
+	for (at = incarnations; *at; at++) {
+		struct backend *backend = backend_table_find_incarnation(
+			edge->backends,
+			(uint32_t)g_ascii_strtoull(*at, NULL, 16));
+
+		if (backend)
+			note_leaving(edge, backend, answer->status, "peer");
+	}
+	g_strfreev(incarnations);
+}
--- a/packages/edge/server_notices.h
+++ b/packages/edge/server_notices.h
@@ -21,6 +21,9 @@
 void server_notices_apply(struct edge *edge, struct backend *backend,
 			  const struct message *answer);
 
+/* Applies what servers said to a peer that ran this node's request. */
+void server_notices_apply_hop(struct edge *edge, const struct message *answer);
+
 #ifdef __cplusplus
 }
 #endif
--- a/tests/standins/app_stand.h
+++ b/tests/standins/app_stand.h
@@ -95,6 +95,7 @@
 	const char *from; /* the client's address, without the port */
 	const struct message *request;
 	bool turned_away; /* by app_notices */
+	bool says_leaving; /* the server does, in some answers at least */
 };
 typedef void (*app_arrival_cb)(void *context,
 			       const struct app_arrival *arrival);
