backend_table, choose: a server that asks for rest gets no requests until then

Callers saw 99 of 873 reads refused in 9 s, and 125 late: four of twelve servers turned requests away with 503 and Retry-After: 3, and went on getting as many as before, or more. Cause: Retry-After of a server wasn't read.

Now a 503 with Retry-After, proved as not run or not, closes the server to this node's requests for that time, those included that wait for a connection to open. The longest rest counts. Once it is over, one request at a time is sent there until one was answered, and no retry, which may be its caller's last attempt: at most one of a node's comes within a rest that follows. A value that isn't one number of seconds means nothing and is logged once. A rest is no failure, crash or lost path, and takes no token; load may leave the region as when a server leaves. Where rests exclude all servers left, callers are refused at once and told to return soon after the first ends; before, 0.5 s.

Weighed: telling peers. Rests would end at all nodes at the same moment, and the server has told this node only. Tries within a rest: two are allowed, but the server knows.

--- a/Makefile
+++ b/Makefile
@@ -79,6 +79,7 @@
 	@tests/emulator/limited.sh $(BUILD) $(SEED)
 	@tests/emulator/accounts.sh $(BUILD) $(SEED)
 	@JOBS=3 tests/emulator/partitioned.sh $(BUILD) $(SEED)
+	@JOBS=4 tests/emulator/notices.sh $(BUILD) $(SEED)
 
 # Beside one request that ends servers, ROUNDS seeds from SEED on.
 play-deadly: build
@@ -100,6 +101,10 @@
 play-partitioned: build
 	@JOBS=3 tests/emulator/partitioned.sh $(BUILD) $(SEED)
 
+# Servers that say that they leave, or ask for rest, each manner.
+play-notices: build
+	@JOBS=4 tests/emulator/notices.sh $(BUILD) $(SEED)
+
 # Both users with ROUNDS seeds from SEED on, four at a time.
 play-soak: build
 	@seq $(SEED) $$(($(SEED) + $(ROUNDS) - 1)) | \
@@ -140,4 +145,4 @@
 .PHONY: all setup build format format-check lint test sanitize \
 	sanitize-thread check demo \
 	experiment capacity prove faults soak play play-deadly play-limited \
-	play-accounts play-partitioned play-soak play-seeds clean
+	play-accounts play-partitioned play-notices play-soak play-seeds clean
--- a/packages/core/backend_table.c
+++ b/packages/core/backend_table.c
@@ -88,8 +88,10 @@
 	const struct removed_row *row =
 		g_hash_table_lookup(table->removed, backend->id);
 
-	if (row && row->started_ms == backend->started_ms)
-		backend->said_leaving = row->said_leaving;
+	if (!row || row->started_ms != backend->started_ms)
+		return;
+	backend->said_leaving = row->said_leaving;
+	backend->rest_until_us = row->rest_until_us;
 }
 
 static struct backend *add(struct backend_table *table,
@@ -186,12 +188,13 @@
 {
 	struct removed_row *row;
 
-	if (!backend->said_leaving)
+	if (!backend->said_leaving && !backend->rest_until_us)
 		return;
 	row = removed_row(table, backend->id);
 	row->at_us = now_us;
 	row->started_ms = backend->started_ms;
-	row->said_leaving = true;
+	row->said_leaving = backend->said_leaving;
+	row->rest_until_us = backend->rest_until_us;
 }
 
 static void remove_from_table(struct backend_table *table,
@@ -544,20 +547,37 @@
 	return true;
 }
 
-bool backend_note_rest(struct backend *backend, uint64_t rest_us,
-		       uint64_t now_us)
+bool backend_note_rest(struct backend_table *table, struct backend *backend,
+		       uint64_t rest_us, uint64_t now_us)
 {
 	bool is_new = !backend_is_resting(backend, now_us);
 
+	if (is_new)
+		table->last_loss_us = now_us;
 	backend->rest_until_us = MAX(backend->rest_until_us, now_us + rest_us);
 	return is_new;
 }
 
+void backend_note_no_rest(struct backend *backend, uint64_t sent_us)
+{
+	if (sent_us >= backend->rest_until_us)
+		backend->rest_until_us = 0;
+}
+
 bool backend_is_resting(const struct backend *backend, uint64_t now_us)
 {
 	return now_us < backend->rest_until_us;
 }
 
+bool backend_rest_excludes(const struct backend *backend, bool is_retry,
+			   uint64_t now_us)
+{
+	if (!backend->rest_until_us)
+		return false;
+	return is_retry || backend->in_flight ||
+	       backend_is_resting(backend, now_us);
+}
+
 void backend_answered(struct backend *backend, uint64_t sent_us)
 {
 	backend->alive_us = MAX(backend->alive_us, sent_us);
--- a/packages/core/backend_table.h
+++ b/packages/core/backend_table.h
@@ -73,7 +73,8 @@
 
 	struct rate_limit limit; /* as named in its answers */
 	bool said_leaving; /* in an answer; its row may not say so yet */
-	uint64_t rest_until_us; /* no requests before, by its answer; 0: none */
+	uint64_t rest_until_us; /* no requests before, by its answer; 0: not
+				   resting, or answered since */
 	uint32_t malformed_notices; /* answers with an unreadable Retry-After */
 	uint32_t idle_connections; /* of this node */
 	uint32_t connections; /* of this node, idle or in use */
@@ -113,7 +114,8 @@
 	GHashTable *removed; /* id -> struct removed_row */
 	bool loaded; /* the list was read completely at least once */
 	GPtrArray *changes; /* see backend_table_take_changes() */
-	/* Last time that a server left, or an evacuation changed. */
+	/* Last time that a server left or began to rest, or an evacuation
+	 * changed. */
 	uint64_t last_loss_us;
 	uint64_t last_unreachable_us; /* last failed connection */
 };
@@ -126,6 +128,7 @@
 	/* As in struct backend, for the same incarnation if its row is back. */
 	uint64_t started_ms;
 	bool said_leaving;
+	uint64_t rest_until_us;
 };
 
 struct backend_table *backend_table_new(void);
@@ -252,13 +255,24 @@
 			  uint64_t now_us);
 
 /*
- * Notes that an answer asked for no requests during rest_us from now. Returns
- * whether the server wasn't resting before.
+ * Notes that an answer asked for no requests during rest_us from now. A shorter
+ * rest doesn't end a longer one. Returns whether the server wasn't resting.
  */
-bool backend_note_rest(struct backend *backend, uint64_t rest_us,
-		       uint64_t now_us);
+bool backend_note_rest(struct backend_table *table, struct backend *backend,
+		       uint64_t rest_us, uint64_t now_us);
+/* Notes an answer, to a request sent at sent_us, that asked for no rest. */
+void backend_note_no_rest(struct backend *backend, uint64_t sent_us);
 bool backend_is_resting(const struct backend *backend, uint64_t now_us);
 
+/*
+ * Whether its rest excludes a request. Once it is over, one request of this
+ * node at a time is sent until one was answered: the server may ask for rest
+ * again, and turn away all that come together. It isn't a retry, which could be
+ * the request's last attempt.
+ */
+bool backend_rest_excludes(const struct backend *backend, bool is_retry,
+			   uint64_t now_us);
+
 /* It answered a request sent at sent_us, with success or failure. */
 void backend_answered(struct backend *backend, uint64_t sent_us);
 
--- a/packages/core/candidate.c
+++ b/packages/core/candidate.c
@@ -109,8 +109,6 @@
 		return CHOOSE_EVACUATED;
 	if (backend->shun_until_us > now_us)
 		return CHOOSE_SHUNNED;
-	if (was_tried(query, backend))
-		return CHOOSE_TRIED;
 	if (!choose_query_allows(query, backend->region))
 		return CHOOSE_FORBIDDEN;
 	if (!cold_allows(chooser, query->service, backend, now_us))
@@ -118,6 +116,10 @@
 	if (query->isolation != CHOOSE_ISOLATE_NONE &&
 	    has_suspect(chooser, backend, false, now_us))
 		return CHOOSE_SUSPECT;
+	if (backend_rest_excludes(backend, query->tried_count > 0, now_us))
+		return CHOOSE_RESTING;
+	if (was_tried(query, backend))
+		return CHOOSE_TRIED;
 	if (!rate_limit_allows(&backend->limit, now_us))
 		return CHOOSE_LIMITED;
 	return CHOOSE_OPEN;
--- a/packages/core/choose.c
+++ b/packages/core/choose.c
@@ -35,6 +35,12 @@
 /* Retry time for a service without any usable server (CHOOSE_NONE_USABLE). */
 #define RETRY_UNKNOWN_US (1 * US_PER_S)
 
+/*
+ * Callers refused since all servers rest return within this time after the
+ * first rest ends, by draw: first one request at a time is sent there.
+ */
+#define REST_RETURN_US (500 * US_PER_MS)
+
 static bool avoids_cold_runs(const struct chooser *chooser,
 			     const GArray *candidates,
 			     const struct service_times *times)
@@ -325,11 +331,42 @@
 		now_us);
 }
 
+uint64_t chooser_rest_retry_us(const struct chooser *chooser,
+			       const struct choose_query *query,
+			       uint64_t now_us)
+{
+	const GPtrArray *backends = backend_table_by_service(
+		chooser->backends, query->service->name);
+	uint64_t first_us = UINT64_MAX;
+	guint i;
+
+	for (i = 0; backends && i < backends->len; i++) {
+		const struct backend *backend = backends->pdata[i];
+
+		switch (candidate_blocked(chooser, query, backend, now_us)) {
+		case CHOOSE_OPEN:
+			return 0;
+		case CHOOSE_RESTING:
+			first_us = MIN(first_us, backend->rest_until_us);
+			break;
+		default:
+			break;
+		}
+	}
+	if (first_us == UINT64_MAX)
+		return 0;
+	return first_us - MIN(first_us, now_us) +
+	       (uint64_t)(g_random_double() * REST_RETURN_US) + 1;
+}
+
 static void refuse(struct chooser *chooser, const struct choose_query *query,
 		   bool has_candidates, uint64_t now_us, struct choice *choice)
 {
 	double per_s =
 		has_candidates ? 0 : blocked_rate_per_s(chooser, query, now_us);
+	uint64_t rest_us =
+		has_candidates ? 0 :
+				 chooser_rest_retry_us(chooser, query, now_us);
 
 	if (has_candidates) {
 		choice->reason = CHOOSE_NONE_FREE;
@@ -339,6 +376,9 @@
 		choice->reason = CHOOSE_NO_RATE;
 		choice->retry_after_us =
 			rate_retry_after_us(chooser, query, per_s, now_us);
+	} else if (rest_us) {
+		choice->reason = CHOOSE_ALL_REST;
+		choice->retry_after_us = rest_us;
 	} else {
 		choice->reason = CHOOSE_NONE_USABLE;
 		choice->retry_after_us = RETRY_UNKNOWN_US;
--- a/packages/core/choose.h
+++ b/packages/core/choose.h
@@ -2,10 +2,10 @@
  * choose - which backend server a request goes to
  *
  * Filters exclude servers without exception: outside the route's regions, in an
- * evacuated failure domain, leaving, backed off from, already tried, out of
- * cold allowance, out of rate limit tokens. Of the rest the cheapest is chosen.
- * Its cost is the expected time (round trip, wait for a slot, service time,
- * which is shorter where the object is in the cache) with surcharges, for
+ * evacuated failure domain, leaving, resting, backed off from, already tried,
+ * out of cold allowance, out of rate limit tokens. Of the rest the cheapest is
+ * chosen. Its cost is the expected time (round trip, wait for a slot, service
+ * time, which is shorter where the object is in the cache) with surcharges, for
  * example for failures. The rendezvous order of the object's hash adds a small
  * cost, so that all nodes warm the same servers for it. Uses no state but the
  * tables passed in; not thread-safe.
@@ -100,6 +100,7 @@
 	CHOOSE_NONE_USABLE,
 	CHOOSE_NONE_FREE, /* all are full, or too slow for the time left */
 	CHOOSE_NO_RATE, /* no token for servers that pass all other filters */
+	CHOOSE_ALL_REST, /* servers that pass all other filters rest */
 };
 
 /* The filter that excludes a backend server from a choice. */
@@ -108,10 +109,12 @@
 	CHOOSE_LEAVING, /* by its row or its answers, or has left */
 	CHOOSE_EVACUATED, /* its failure domain is evacuated */
 	CHOOSE_SHUNNED, /* in backoff after failures */
-	CHOOSE_TRIED, /* already, by this request */
 	CHOOSE_FORBIDDEN, /* its region isn't allowed by the route */
 	CHOOSE_COLD, /* this node's share of its cold allowance is used up */
 	CHOOSE_SUSPECT, /* it runs another request that may crash it */
+	CHOOSE_RESTING, /* it asked for no requests; see backend_rest_excludes()
+			 */
+	CHOOSE_TRIED, /* already, by this request */
 	CHOOSE_LIMITED, /* this node has no token of its rate limit */
 };
 
@@ -164,6 +167,14 @@
 GArray *choose_explain(const struct chooser *chooser,
 		       const struct choose_query *query, uint64_t now_us);
 
+/*
+ * Retry-after if rests exclude all servers that might take the request, tried
+ * ones included: soon after the first of these ends. 0 if they don't.
+ */
+uint64_t chooser_rest_retry_us(const struct chooser *chooser,
+			       const struct choose_query *query,
+			       uint64_t now_us);
+
 /* Share of the service's requests sent to other regions, 0 to 1. */
 double chooser_far_share(const struct chooser *chooser, const char *service);
 
--- a/packages/core/chooser.c
+++ b/packages/core/chooser.c
@@ -167,6 +167,8 @@
 		return "none-free";
 	case CHOOSE_NO_RATE:
 		return "no-rate";
+	case CHOOSE_ALL_REST:
+		return "resting";
 	}
 	return "unknown";
 }
@@ -182,6 +184,8 @@
 		return "evacuated";
 	case CHOOSE_SHUNNED:
 		return "shunned";
+	case CHOOSE_RESTING:
+		return "resting";
 	case CHOOSE_TRIED:
 		return "tried";
 	case CHOOSE_FORBIDDEN:
--- a/packages/edge/admin_show.c
+++ b/packages/edge/admin_show.c
@@ -176,6 +176,8 @@
 		return "evacuated";
 	if (backend->shun_until_us > now_us)
 		return "shunned";
+	if (backend->rest_until_us)
+		return "resting";
 	return backend->cold_until_us > now_us ? "cold" : "open";
 }
 
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -413,6 +413,16 @@
 	return false;
 }
 
+/* Of a request that has no attempt left. */
+static uint64_t retry_after_us(const struct exchange *exchange)
+{
+	uint64_t rest_us = chooser_rest_retry_us(&exchange->edge->chooser,
+						 &exchange->query,
+						 exchange_now_us(exchange));
+
+	return rest_us ? rest_us : EXCHANGE_RETRY_AFTER_US;
+}
+
 static void finish_after_failure(struct exchange *exchange,
 				 enum send_outcome outcome, const char *cause)
 {
@@ -421,7 +431,7 @@
 	else if (outcome == SEND_BROKEN)
 		exchange_finish_failed(exchange, 502, cause);
 	else
-		exchange_finish_refused(exchange, EXCHANGE_RETRY_AFTER_US,
+		exchange_finish_refused(exchange, retry_after_us(exchange),
 					cause);
 }
 
@@ -599,7 +609,9 @@
 {
 	bool again;
 
-	backend_failed(exchange->choice.backend, exchange_now_us(exchange));
+	if (!server_notices_asks_for_rest(answer))
+		backend_failed(exchange->choice.backend,
+			       exchange_now_us(exchange));
 	chooser_failed(&exchange->edge->chooser, &exchange->query,
 		       &exchange->choice);
 	again = may_retry(exchange, SEND_FAILED);
@@ -688,9 +700,11 @@
 static void apply_notices(struct exchange *exchange, const struct conn *conn,
 			  const struct message *answer)
 {
-	if (answer->status != 421 &&
-	    (conn->uses || is_matching_answer(exchange, conn, answer)))
-		server_notices_apply(exchange->edge, conn->backend, answer);
+	bool matches = is_matching_answer(exchange, conn, answer);
+
+	if (answer->status != 421 && (matches || conn->uses))
+		server_notices_apply(exchange->edge, conn->backend, answer,
+				     matches ? exchange->sent_us : 0);
 }
 
 static void on_answered(struct conn_user *user, struct conn *conn,
@@ -742,8 +756,9 @@
 		chooser_link_measured(&edge->chooser, conn->backend->region,
 				      exchange_now_us(exchange) -
 					      conn->opening_us);
-	/* The server may have begun to drain or set a rate while connecting. */
+	/* It may have begun to leave or rest, or set a rate, meanwhile. */
 	if (backend_is_closed(edge->backends, conn->backend) ||
+	    backend_is_resting(conn->backend, exchange_now_us(exchange)) ||
 	    !ensure_token(exchange)) {
 		exchange_drop_conn(exchange);
 		exchange_release_choice(exchange);
--- a/tests/core/choose_test.cc
+++ b/tests/core/choose_test.cc
@@ -567,4 +567,50 @@
 	EXPECT_EQ(nullptr, choose().best_rate_limited);
 }
 
+/* Guards against requests to a resting server while another is there. */
+TEST_F(ChooseTest, RestingServerIsNotChosen)
+{
+	struct backend *resting = add("i-1");
+	struct backend *other = add("i-2", "d3", "r2");
+
+	backend_note_rest(backends, resting, 3 * US_PER_S, now_us);
+	for (uint32_t object = 0; object < 20; object++) {
+		query.object = object;
+		EXPECT_EQ(other, choose().backend);
+	}
+}
+
+/* Guards against a Retry-After that no server gave. */
+TEST_F(ChooseTest, CallersReturnWhenTheFirstServerHasRested)
+{
+	struct choice choice;
+
+	backend_note_rest(backends, add("i-1"), 9 * US_PER_S, now_us);
+	backend_note_rest(backends, add("i-2"), 4 * US_PER_S, now_us);
+	choice = choose();
+	EXPECT_EQ(nullptr, choice.backend);
+	EXPECT_EQ(CHOOSE_ALL_REST, choice.reason);
+	EXPECT_GE(choice.retry_after_us, 4 * US_PER_S);
+	EXPECT_LE(choice.retry_after_us, 5 * US_PER_S);
+}
+
+/* Guards against waiting for the rest of a server that may not be used. */
+TEST_F(ChooseTest, RestOfAForbiddenServerIsNotWaitedFor)
+{
+	struct backend *far = add("i-1", "d3", "r2");
+
+	g_ptr_array_add(route->regions, g_strdup("r1"));
+	backend_note_rest(backends, far, 4 * US_PER_S, now_us);
+	EXPECT_EQ(CHOOSE_NONE_USABLE, choose().reason);
+	EXPECT_EQ(0u, chooser_rest_retry_us(&chooser, &query, now_us));
+}
+
+/* Guards against a refusal as resting while a server is there. */
+TEST_F(ChooseTest, RestIsNoReasonWhileAServerIsOpen)
+{
+	backend_note_rest(backends, add("i-1"), 4 * US_PER_S, now_us);
+	add("i-2");
+	EXPECT_EQ(0u, chooser_rest_retry_us(&chooser, &query, now_us));
+}
+
 } // namespace
--- a/tests/core/edge_core_test.cc
+++ b/tests/core/edge_core_test.cc
@@ -48,6 +48,40 @@
 	EXPECT_FALSE(duration_parse(nullptr, nullptr));
 }
 
+TEST(DurationTest, ParsesSecondsWithoutAUnit)
+{
+	const uint64_t day_us = 86400 * US_PER_S;
+	const span_case cases[] = {
+		{ "0", true, 0 },
+		{ "3", true, 3 * US_PER_S },
+		{ "0.25", true, 250000 },
+		{ "86400", true, day_us },
+		{ "86401", true, day_us },
+		{ "99999999999999999999999", true, day_us },
+		{ "", false, 0 },
+		{ "-1", false, 0 },
+		{ "+1", false, 0 },
+		{ ".5", false, 0 },
+		{ "5.", false, 0 },
+		{ "1.2.3", false, 0 },
+		{ "1s", false, 0 },
+		{ "1e3", false, 0 },
+		{ "0x10", false, 0 },
+		{ "inf", false, 0 },
+		{ "nan", false, 0 },
+		{ "Fri, 31 Dec 2027 23:59:59 GMT", false, 0 },
+	};
+
+	for (const span_case &c : cases) {
+		uint64_t us = 0;
+
+		EXPECT_EQ(c.good, duration_parse_seconds(c.text, &us))
+			<< c.text;
+		EXPECT_EQ(c.us, us) << c.text;
+	}
+	EXPECT_FALSE(duration_parse_seconds(nullptr, nullptr));
+}
+
 class RouteTableTest : public ::testing::Test
 {
       protected:
@@ -589,6 +623,91 @@
 	backend_table_free(b);
 }
 
+class NoticeTableTest : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		info.id = "i-1";
+		info.service = "s";
+		info.domain = "d";
+		info.region = "r";
+		info.slots = 3;
+		backend = backend_table_put(table, &info, now_us);
+	}
+	void TearDown() override
+	{
+		backend_table_free(table);
+	}
+	/* Its row goes, and comes back later. */
+	void lose_row_for(uint64_t us)
+	{
+		backend_table_remove(table, "i-1", 0, 0, now_us);
+		now_us += us;
+		backend_table_expire(table, now_us);
+		backend = backend_table_put(table, &info, now_us);
+	}
+	struct backend_table *table = backend_table_new();
+	struct backend_info info = {};
+	struct backend *backend = nullptr;
+	uint64_t now_us = 100 * US_PER_S;
+};
+
+/* Guards against a shorter rest, or none, ending a longer one. */
+TEST_F(NoticeTableTest, LongestRestCounts)
+{
+	EXPECT_TRUE(backend_note_rest(table, backend, 5 * US_PER_S, now_us));
+	EXPECT_FALSE(backend_note_rest(table, backend, US_PER_S, now_us));
+	backend_note_no_rest(backend, now_us);
+	EXPECT_TRUE(backend_is_resting(backend, now_us + 5 * US_PER_S - 1));
+	EXPECT_FALSE(backend_is_resting(backend, now_us + 5 * US_PER_S));
+}
+
+/* Guards against an answer to an earlier request letting all others in. */
+TEST_F(NoticeTableTest, OneRequestIsSentUntilALaterOneWasAnswered)
+{
+	backend_begin(backend, 1, now_us);
+	backend_note_rest(table, backend, US_PER_S, now_us);
+	EXPECT_TRUE(backend_rest_excludes(backend, false, now_us));
+	now_us += US_PER_S;
+	backend_note_no_rest(backend, now_us - 1);
+	EXPECT_TRUE(backend_rest_excludes(backend, false, now_us)) << "early";
+	backend_end(backend, 1);
+	EXPECT_FALSE(backend_rest_excludes(backend, false, now_us));
+	EXPECT_TRUE(backend_rest_excludes(backend, true, now_us)) << "a retry";
+	backend_begin(backend, 1, now_us);
+	EXPECT_TRUE(backend_rest_excludes(backend, false, now_us)) << "second";
+	backend_note_no_rest(backend, now_us);
+	EXPECT_FALSE(backend_rest_excludes(backend, false, now_us));
+	EXPECT_FALSE(backend_rest_excludes(backend, true, now_us));
+}
+
+/* Guards against a row that expires and comes back undoing what was said. */
+TEST_F(NoticeTableTest, NoticesOutliveTheRow)
+{
+	backend_note_leaving(table, backend, now_us);
+	backend_note_rest(table, backend, 9 * US_PER_S, now_us);
+	lose_row_for(4 * US_PER_S);
+	EXPECT_TRUE(backend_is_leaving(backend));
+	EXPECT_TRUE(backend_is_resting(backend, now_us));
+	lose_row_for(120 * US_PER_S);
+	EXPECT_FALSE(backend_is_leaving(backend)) << "bounded";
+}
+
+/* Guards against a restarted server that is left alone. */
+TEST_F(NoticeTableTest, NewLifetimeHasSaidNothing)
+{
+	backend_note_leaving(table, backend, now_us);
+	backend_note_rest(table, backend, 9 * US_PER_S, now_us);
+	info.started_ms = 5000;
+	backend = backend_table_put(table, &info, now_us);
+	EXPECT_FALSE(backend_is_leaving(backend));
+	EXPECT_FALSE(backend_rest_excludes(backend, true, now_us));
+	info.started_ms = 6000;
+	lose_row_for(US_PER_S);
+	EXPECT_FALSE(backend_is_leaving(backend));
+}
+
 /*
  * A server crashes and restarts under its id before its heartbeats time out. It
  * starts with an empty cache and no requests, so failures, load and warm
--- a/tests/edge/server_notices_test.cc
+++ b/tests/edge/server_notices_test.cc
@@ -376,7 +376,7 @@
 
 	start_node();
 	rest(resting, "4");
-	ask();
+	EXPECT_GE(retry_after_s(ask()), 3);
 	uint64_t began = uv_hrtime();
 	std::string answer = ask("/o/");
 	EXPECT_LT((uv_hrtime() - began) / 1000000, 200u);
