hops: a peer's Retry-After is read like a server's

Found by looking for the same cause elsewhere: it was read by strtod, so "inf" was converted to an integer, which is undefined, and reached the caller. RefusedWithoutATime failed before.

--- a/packages/edge/exchange_hop.c
+++ b/packages/edge/exchange_hop.c
@@ -165,11 +165,13 @@
 
 static uint64_t retry_after_us(const struct message *answer)
 {
-	const char *value = message_header(answer, "Retry-After");
-	double seconds = value ? g_ascii_strtod(value, NULL) : 0;
+	uint64_t after_us;
 
-	return seconds > 0 ? (uint64_t)(seconds * (double)US_PER_S) :
-			     EXCHANGE_RETRY_AFTER_US;
+	if (!duration_parse_seconds(message_header(answer, "Retry-After"),
+				    &after_us) ||
+	    !after_us)
+		return EXCHANGE_RETRY_AFTER_US;
+	return after_us;
 }
 
 static void give_back_conn(struct exchange *exchange,
--- a/tests/edge/hop_test.cc
+++ b/tests/edge/hop_test.cc
@@ -14,6 +14,7 @@
 	PEER_FAILS, /* a server's failed answer */
 	PEER_CANT, /* it can't take the request, another peer might */
 	PEER_REFUSES, /* no server can */
+	PEER_REFUSES_FOREVER, /* with a time that is no number of seconds */
 	PEER_IS_OLD, /* an answer without the headers of a hop */
 	PEER_RESETS, /* once it has read the request */
 	PEER_SILENT,
@@ -103,6 +104,13 @@
 					 "Retry-After: 7.5\r\n",
 					 "", 0);
 			break;
+		case PEER_REFUSES_FOREVER:
+			http_call_answer(call, 503,
+					 "Hop-Room: 5\r\n"
+					 "Hop-Not-Run: servers\r\n"
+					 "Retry-After: inf\r\n",
+					 "", 0);
+			break;
 		case PEER_IS_OLD:
 			http_call_answer(call, 404, "", "", 0);
 			break;
@@ -218,6 +226,12 @@
 	  { 503 },
 	  1,
 	  "Retry-After: 7.500\r\n" },
+	{ "RefusedWithoutATime",
+	  { PEER_REFUSES_FOREVER },
+	  "/r/",
+	  { 503 },
+	  1,
+	  "Retry-After: 0.500\r\n" },
 	{ "NoPeerCan",
 	  { PEER_CANT, PEER_CANT, PEER_CANT },
 	  "/o/",
