tests: plays of a table of cases share their loop; linter

partitioned.sh and notices.sh had the same one, and the same check of suspects; two unit tests wrote the same row.

--- a/tests/edge/edge_world.h
+++ b/tests/edge/edge_world.h
@@ -322,6 +322,16 @@
 		store_stand_put(store, "servers", app.id.c_str(), text.c_str());
 	}
 
+	/* The list has another server at its address. */
+	void list_as(const App &app, const std::string &id)
+	{
+		App listed = app;
+
+		store_stand_put(store, "servers", app.id.c_str(), nullptr);
+		listed.id = id;
+		list_app(listed, "ready");
+	}
+
 	void start_node(bool wait_ready = true)
 	{
 		GError *error = nullptr;
--- a/tests/edge/server_limit_test.cc
+++ b/tests/edge/server_limit_test.cc
@@ -178,13 +178,8 @@
 TEST_F(ServerLimitTest, RateOfAnotherServerIsIgnored)
 {
 	App &app = add_app("i-1");
-	std::string row = "{\"service\":\"s\",\"addr\":\"127.0.0.1:" +
-			  std::to_string(app_stand_at(app.stand)->port) +
-			  "\",\"zone\":\"d1\",\"slots\":4,"
-			  "\"state\":\"ready\"}";
 
-	store_stand_put(store, "servers", "i-1", nullptr);
-	store_stand_put(store, "servers", "i-old", row.c_str());
+	list_as(app, "i-old");
 	start_settled_node();
 	app_stand_set_headers(app.stand, "Server-Limit: 2\r\n");
 	EXPECT_EQ(503, status_of(answer_to(get("a1", "/r/"))));
--- a/tests/edge/server_notices_test.cc
+++ b/tests/edge/server_notices_test.cc
@@ -274,13 +274,8 @@
 TEST_F(LeavingTest, AnotherServerAtItsAddressSaysNothingOfIt)
 {
 	App &app = add_app("i-1");
-	std::string row = "{\"service\":\"s\",\"addr\":\"127.0.0.1:" +
-			  std::to_string(app_stand_at(app.stand)->port) +
-			  "\",\"zone\":\"d1\",\"slots\":4,"
-			  "\"state\":\"ready\"}";
 
-	store_stand_put(store, "servers", "i-1", nullptr);
-	store_stand_put(store, "servers", "i-old", row.c_str());
+	list_as(app, "i-old");
 	start_node();
 	leave(app);
 	EXPECT_EQ(503, status_of(ask()));
--- a/tests/emulator/nodes.sh
+++ b/tests/emulator/nodes.sh
@@ -67,6 +67,14 @@
 	} 2>/dev/null
 }
 
+# Fails if a node suspects a request of a crash.
+check_no_suspects() {
+	local count
+	count=$(cat "$work"/n*.log | grep -c event=crash-suspected) || true
+	echo "requests suspected of crashes: $count" >>"$work/report"
+	[ "$count" = 0 ]
+}
+
 # The emulator's verdict, or that of a function named check, and what of the play
 # to print above its report.
 await_verdict() { # TEXT
--- a/tests/emulator/notice_watch.c
+++ b/tests/emulator/notice_watch.c
@@ -308,7 +308,8 @@
 		    sscanf(parts[1], "%u:%u", &at_s, &for_s) == 2;
 
 	g_strfreev(parts);
-	if (!read || (strcmp(kind, "leaving") != 0 && strcmp(kind, "rest")))
+	if (!read ||
+	    (strcmp(kind, "leaving") != 0 && strcmp(kind, "rest") != 0))
 		return false;
 	watch->kind = *kind == 'l' ? KIND_LEAVING : KIND_REST;
 	watch->at_ms = at_s * 1000ull;
--- a/tests/emulator/notices.sh
+++ b/tests/emulator/notices.sh
@@ -37,16 +37,8 @@
 	leaves+hops-reset rests+hops half-rest+store-away rests+links-late
 	all-rest+server-hangs"
 
-play_all() {
-	printf '%s\n' "${!manners[@]}" $beside | sort |
-		xargs -P "${JOBS:-2}" -I CASE "$0" "$1" "$2" CASE
-}
-
-[ $# -gt 2 ] || { play_all "$@"; exit; }
-if [ $# -gt 3 ]; then
-	printf '%s\n' "${@:3}" | xargs -P "${JOBS:-2}" -I CASE "$0" "$1" "$2" CASE
-	exit
-fi
+. "$(dirname "$0")/cases.sh"
+play_each "${!manners[*]} $beside" "$@"
 
 build=$(cd "$1" && pwd)
 seed=$2
@@ -62,12 +54,8 @@
 domains=central-1:central,central-2:central,sur-1:sur,altiplano-1:altiplano
 . "$(dirname "$0")/nodes.sh"
 
-# What servers say of themselves is no sign of a crash.
 check() {
-	local count
-	count=$(cat "$work"/n*.log | grep -c event=crash-suspected) || true
-	echo "requests suspected of crashes: $count" >>"$work/report"
-	[ "$count" = 0 ]
+	check_no_suspects # what servers say of themselves is no sign of a crash
 }
 
 start_emulator --service svc-historia:many:7:80:3 \
--- a/tests/emulator/partitioned.sh
+++ b/tests/emulator/partitioned.sh
@@ -27,21 +27,12 @@
 beside="hang-two-domains+store-away reset-domain+server-leaves
 	refuse-all-but-one+store-away reset-one+server-hangs"
 
-play_all() {
-	local manner size
-	{
-		for manner in $manners; do
-			for size in "${!sizes[@]}"; do echo "$manner-$size"; done
-		done
-		printf '%s\n' $beside
-	} | sort | xargs -P "${JOBS:-2}" -I CASE "$0" "$1" "$2" CASE
-}
-
-[ $# -gt 2 ] || { play_all "$@"; exit; }
-if [ $# -gt 3 ]; then
-	printf '%s\n' "${@:3}" | xargs -P "${JOBS:-2}" -I CASE "$0" "$1" "$2" CASE
-	exit
-fi
+all=$beside
+for manner in $manners; do
+	for size in "${!sizes[@]}"; do all+=" $manner-$size"; done
+done
+. "$(dirname "$0")/cases.sh"
+play_each "$all" "$@"
 
 build=$(cd "$1" && pwd)
 seed=$2
@@ -58,12 +49,8 @@
 domains=central-1:central,central-2:central,sur-1:sur,altiplano-1:altiplano
 . "$(dirname "$0")/nodes.sh"
 
-# No server crashes, so none may be suspected to have crashed under a request.
 check() {
-	local count
-	count=$(cat "$work"/n*.log | grep -c event=crash-suspected) || true
-	echo "requests suspected of crashes: $count" >>"$work/report"
-	[ "$count" = 0 ]
+	check_no_suspects # as no server crashes
 }
 
 start_emulator --service svc-historia:many:7:80:2 \
