--- a/packages/core/backend_table.c
+++ b/packages/core/backend_table.c
@@ -427,11 +427,6 @@
 	g_free(backend);
 }
 
-bool backend_is_leaving(const struct backend *backend)
-{
-	return backend->gone || backend->draining || backend->said_leaving;
-}
-
 bool backend_is_closed(const struct backend_table *table,
 		       const struct backend *backend)
 {
@@ -564,20 +559,6 @@
 		backend->rest_until_us = 0;
 }
 
-bool backend_is_resting(const struct backend *backend, uint64_t now_us)
-{
-	return now_us < backend->rest_until_us;
-}
-
-bool backend_rest_excludes(const struct backend *backend, bool is_retry,
-			   uint64_t now_us)
-{
-	if (!backend->rest_until_us)
-		return false;
-	return is_retry || backend->in_flight ||
-	       backend_is_resting(backend, now_us);
-}
-
 void backend_answered(struct backend *backend, uint64_t sent_us)
 {
 	backend->alive_us = MAX(backend->alive_us, sent_us);
--- a/packages/core/backend_table.h
+++ b/packages/core/backend_table.h
@@ -208,7 +208,10 @@
 void backend_unref(struct backend *backend);
 
 /* Whether it stops soon or has: by its row, or by its own answers. */
-bool backend_is_leaving(const struct backend *backend);
+static inline bool backend_is_leaving(const struct backend *backend)
+{
+	return backend->gone || backend->draining || backend->said_leaving;
+}
 
 /* Whether no new request may be sent there: leaving, or evacuated. */
 bool backend_is_closed(const struct backend_table *table,
@@ -262,7 +265,11 @@
 		       uint64_t rest_us, uint64_t now_us);
 /* Notes an answer, to a request sent at sent_us, that asked for no rest. */
 void backend_note_no_rest(struct backend *backend, uint64_t sent_us);
-bool backend_is_resting(const struct backend *backend, uint64_t now_us);
+static inline bool backend_is_resting(const struct backend *backend,
+				      uint64_t now_us)
+{
+	return now_us < backend->rest_until_us;
+}
 
 /*
  * Whether its rest excludes a request. Once it is over, one request of this
@@ -270,8 +277,12 @@
  * again, and turn away all that come together. It isn't a retry, which could be
  * the request's last attempt.
  */
-bool backend_rest_excludes(const struct backend *backend, bool is_retry,
-			   uint64_t now_us);
+static inline bool backend_rest_excludes(const struct backend *backend,
+					 bool is_retry, uint64_t now_us)
+{
+	return backend->rest_until_us && (is_retry || backend->in_flight ||
+					  backend_is_resting(backend, now_us));
+}
 
 /* It answered a request sent at sent_us, with success or failure. */
 void backend_answered(struct backend *backend, uint64_t sent_us);
