backend_table: an answer that comes after the row is gone counts for the server

Found by reading the diff: the row of a server may expire while its answers are under way, and be back before they come; what they say went to the old record, and the new one got requests. NoticeOfAServerWithoutARowIsKept and NoticeReachesTheServerThatIsBack fail without the change. Retry-After given twice is logged like other malformed ones.

--- a/packages/core/backend_table.c
+++ b/packages/core/backend_table.c
@@ -531,25 +531,43 @@
 	backend->disconnect_us = now_us;
 }
 
+/* What the table has of this lifetime now, or the backend itself if it's gone.
+ */
+static struct backend *find_lifetime(const struct backend_table *table,
+				     struct backend *backend)
+{
+	struct backend *known = backend_table_find(table, backend->id);
+
+	return known && known->started_ms == backend->started_ms ? known :
+								   backend;
+}
+
 bool backend_note_leaving(struct backend_table *table, struct backend *backend,
 			  uint64_t now_us)
 {
+	backend = find_lifetime(table, backend);
 	if (backend->said_leaving)
 		return false;
 	if (!backend_is_leaving(backend))
 		table->last_loss_us = now_us;
 	backend->said_leaving = true;
+	if (backend->gone)
+		keep_notices(table, backend, now_us);
 	return true;
 }
 
 bool backend_note_rest(struct backend_table *table, struct backend *backend,
 		       uint64_t rest_us, uint64_t now_us)
 {
-	bool is_new = !backend_is_resting(backend, now_us);
+	bool is_new;
 
+	backend = find_lifetime(table, backend);
+	is_new = !backend_is_resting(backend, now_us);
 	if (is_new)
 		table->last_loss_us = now_us;
 	backend->rest_until_us = MAX(backend->rest_until_us, now_us + rest_us);
+	if (backend->gone)
+		keep_notices(table, backend, now_us);
 	return is_new;
 }
 
--- a/packages/core/backend_table.h
+++ b/packages/core/backend_table.h
@@ -114,8 +114,7 @@
 	GHashTable *removed; /* id -> struct removed_row */
 	bool loaded; /* the list was read completely at least once */
 	GPtrArray *changes; /* see backend_table_take_changes() */
-	/* Last time that a server left or began to rest, or an evacuation
-	 * changed. */
+	/* Last time that a server left, one rested or an evacuation changed. */
 	uint64_t last_loss_us;
 	uint64_t last_unreachable_us; /* last failed connection */
 };
@@ -252,7 +251,8 @@
 
 /*
  * Notes that an answer said that the server leaves, which holds for this
- * incarnation whatever rows say. Returns whether that is new.
+ * incarnation whatever rows say. Returns whether that is new. The answer may
+ * come after its row is gone, or is back; so in backend_note_rest().
  */
 bool backend_note_leaving(struct backend_table *table, struct backend *backend,
 			  uint64_t now_us);
@@ -263,8 +263,11 @@
  */
 bool backend_note_rest(struct backend_table *table, struct backend *backend,
 		       uint64_t rest_us, uint64_t now_us);
+
 /* Notes an answer, to a request sent at sent_us, that asked for no rest. */
 void backend_note_no_rest(struct backend *backend, uint64_t sent_us);
+
+/* Whether the time that it asked for isn't over. */
 static inline bool backend_is_resting(const struct backend *backend,
 				      uint64_t now_us)
 {
--- a/packages/edge/message.c
+++ b/packages/edge/message.c
@@ -97,6 +97,13 @@
 	return count_head(reader, length);
 }
 
+static bool ends_blank(const GString *text)
+{
+	char last = text->len ? text->str[text->len - 1] : '\0';
+
+	return last == ' ' || last == '\t';
+}
+
 /* White space behind a value isn't part of it (RFC 9110, 5.5). */
 static void end_value(struct message_reader *reader)
 {
@@ -104,8 +111,7 @@
 
 	if (!reader->in_value)
 		return;
-	while (text->len && strchr(" \t", text->str[text->len - 1]) &&
-	       text->str[text->len - 1])
+	while (ends_blank(text))
 		g_string_truncate(text, text->len - 1);
 	g_string_append_c(text, '\0');
 	reader->in_value = false;
--- a/packages/edge/server_notices.c
+++ b/packages/edge/server_notices.c
@@ -36,20 +36,19 @@
 		note_leaving(edge, backend, answer->status, "answer");
 }
 
-/* False unless it is one number of seconds, 0 not included. */
+/* False unless it is one number of seconds. */
 static bool read_rest(const struct message *answer, uint64_t *rest_us)
 {
-	const char *value = message_header(answer, RETRY_AFTER);
-
 	return message_count_headers(answer, RETRY_AFTER) == 1 &&
-	       duration_parse_seconds(value, rest_us) && *rest_us;
+	       duration_parse_seconds(message_header(answer, RETRY_AFTER),
+				      rest_us);
 }
 
 bool server_notices_asks_for_rest(const struct message *answer)
 {
 	uint64_t rest_us;
 
-	return answer->status == 503 && read_rest(answer, &rest_us);
+	return answer->status == 503 && read_rest(answer, &rest_us) && rest_us;
 }
 
 /*
@@ -79,30 +78,26 @@
 		  backend->in_flight);
 }
 
-static void log_malformed(struct backend *backend, const struct message *answer)
+static void log_malformed(struct backend *backend, const char *value)
 {
-	const char *value = message_header(answer, RETRY_AFTER);
-	uint64_t rest_us;
-
-	if (!value || duration_parse_seconds(value, &rest_us) ||
-	    backend->malformed_notices++)
-		return;
-	log_event(LOG_WARNING, "backend-rest-refused",
-		  "backend=%s retry_after=\"%.32s\"", backend->id, value);
+	if (!backend->malformed_notices++)
+		log_event(LOG_WARNING, "backend-rest-refused",
+			  "backend=%s retry_after=\"%.32s\"", backend->id,
+			  value);
 }
 
 static void apply_rest(struct edge *edge, struct backend *backend,
 		       const struct message *answer, uint64_t sent_us)
 {
-	uint64_t rest_us;
+	const char *value = message_header(answer, RETRY_AFTER);
+	uint64_t rest_us = 0;
 
-	if (answer->status == 503 && read_rest(answer, &rest_us)) {
+	if (answer->status == 503 && value && !read_rest(answer, &rest_us))
+		log_malformed(backend, value);
+	if (rest_us)
 		begin_rest(edge, backend, rest_us);
-		return;
-	}
-	if (answer->status == 503)
-		log_malformed(backend, answer);
-	backend_note_no_rest(backend, sent_us);
+	else
+		backend_note_no_rest(backend, sent_us);
 }
 
 void server_notices_apply(struct edge *edge, struct backend *backend,
--- a/tests/core/edge_core_test.cc
+++ b/tests/core/edge_core_test.cc
@@ -694,6 +694,36 @@
 	EXPECT_FALSE(backend_is_leaving(backend)) << "bounded";
 }
 
+/* Guards against losing what an answer says that comes after the row is gone.
+ */
+TEST_F(NoticeTableTest, NoticeOfAServerWithoutARowIsKept)
+{
+	struct backend *before = backend_ref(backend);
+
+	backend_table_remove(table, "i-1", 0, 0, now_us);
+	EXPECT_TRUE(backend_note_leaving(table, before, now_us));
+	EXPECT_TRUE(backend_note_rest(table, before, US_PER_S, now_us));
+	backend = backend_table_put(table, &info, now_us);
+	EXPECT_TRUE(backend_is_leaving(backend));
+	EXPECT_TRUE(backend_is_resting(backend, now_us));
+	backend_unref(before);
+}
+
+/* Guards against losing what an answer says that comes after the row is back.
+ */
+TEST_F(NoticeTableTest, NoticeReachesTheServerThatIsBack)
+{
+	struct backend *before = backend_ref(backend);
+
+	lose_row_for(US_PER_S);
+	ASSERT_NE(before, backend);
+	EXPECT_TRUE(backend_note_leaving(table, before, now_us));
+	EXPECT_TRUE(backend_note_rest(table, before, US_PER_S, now_us));
+	EXPECT_TRUE(backend_is_leaving(backend));
+	EXPECT_TRUE(backend_is_resting(backend, now_us));
+	backend_unref(before);
+}
+
 /* Guards against a restarted server that is left alone. */
 TEST_F(NoticeTableTest, NewLifetimeHasSaidNothing)
 {
--- a/tests/edge/server_notices_test.cc
+++ b/tests/edge/server_notices_test.cc
@@ -419,6 +419,7 @@
 	const char *retry_after;
 	uint64_t least_us;
 	uint64_t most_us;
+	bool malformed = false;
 };
 
 class RestValueTest : public NoticeWorld,
@@ -439,6 +440,7 @@
 	uint64_t rest_us = until_us > before_us ? until_us - before_us : 0;
 	EXPECT_GE(rest_us, GetParam().least_us);
 	EXPECT_LE(rest_us, GetParam().most_us);
+	EXPECT_EQ(GetParam().malformed, backend(resting)->malformed_notices);
 }
 
 constexpr uint64_t S = 1000000;
@@ -451,14 +453,15 @@
 		RestCase{ "Nothing", "0", 0, 0 },
 		RestCase{ "ADay", "86400", 60 * S, 7200 * S },
 		RestCase{ "Years", "99999999999999999999", 60 * S, 7200 * S },
-		RestCase{ "Negative", "-3", 0, 0 },
-		RestCase{ "ADate", "Fri, 31 Dec 2027 23:59:59 GMT", 0, 0 },
-		RestCase{ "Twice", "3\r\nRetry-After: 5", 0, 0 },
-		RestCase{ "Word", "soon", 0, 0 },
-		RestCase{ "NotANumber", "nan", 0, 0 },
-		RestCase{ "Infinite", "inf", 0, 0 },
-		RestCase{ "Exponent", "1e3", 0, 0 },
-		RestCase{ "Empty", "", 0, 0 },
+		RestCase{ "Negative", "-3", 0, 0, true },
+		RestCase{ "ADate", "Fri, 31 Dec 2027 23:59:59 GMT", 0, 0,
+			  true },
+		RestCase{ "Twice", "3\r\nRetry-After: 5", 0, 0, true },
+		RestCase{ "Word", "soon", 0, 0, true },
+		RestCase{ "NotANumber", "nan", 0, 0, true },
+		RestCase{ "Infinite", "inf", 0, 0, true },
+		RestCase{ "Exponent", "1e3", 0, 0, true },
+		RestCase{ "Empty", "", 0, 0, true },
 		RestCase{ "SpaceBehind", "3 ", 3 * S, 4 * S }),
 	[](const auto &info) { return info.param.name; });
 
