--- a/tests/edge/server_notices_test.cc
+++ b/tests/edge/server_notices_test.cc
@@ -235,6 +235,48 @@
 	EXPECT_EQ(0u, app_stand_connections(leaving.stand));
 }
 
+class HalfOpenTest : public NoticeWorld
+{
+      protected:
+	/* A request whose connection to i-1 isn't open yet. */
+	std::unique_ptr<RawCaller> begin_connecting()
+	{
+		add_app("i-1");
+		start_node();
+		auto caller = call(request());
+		wait_for([this] { return edge->pool.opened_total == 1; });
+		server_ = backend_table_find(edge->backends, "i-1");
+		EXPECT_EQ(0u, server_->connections);
+		return caller;
+	}
+	void expect_refused(const RawCaller &caller, const char *cause)
+	{
+		wait_for([&] { return is_whole(caller); });
+		EXPECT_EQ(503, status_of(caller.got));
+		EXPECT_EQ(cause, body_of(caller.got));
+		EXPECT_EQ(0u, arrivals(apps[0]));
+	}
+	struct backend *server_ = nullptr;
+};
+
+/* Guards against a request sent over a connection that was still opening. */
+TEST_F(HalfOpenTest, RequestIsNotSentOnceTheServerLeaves)
+{
+	auto caller = begin_connecting();
+
+	backend_note_leaving(edge->backends, server_, edge_now_us(edge));
+	expect_refused(*caller, "none-known\n");
+}
+
+/* The same, for a rest. */
+TEST_F(HalfOpenTest, RequestIsNotSentOnceTheServerRests)
+{
+	auto caller = begin_connecting();
+
+	backend_note_rest(edge->backends, server_, 5000000, edge_now_us(edge));
+	expect_refused(*caller, "resting\n");
+}
+
 struct HarmlessCase {
 	const char *name;
 	const char *server_line; /* in each answer */
