sync: logs tell which answers of the store are dropped as older, and their era

The incident's logs show whole reads without table-read for 7 s, hundreds a second, and can't tell an answer that was dropped as older from one that never came, nor a lagging replica from a store that came back from a copy. registry-older has both versions and the header that counts such returns; registry-era logs each change of it. No logic changes.

--- a/packages/edge/stats.h
+++ b/packages/edge/stats.h
@@ -45,6 +45,7 @@
 	struct metric *snapshot_requests; /* sent to peers */
 	struct metric *snapshots_served; /* to peers */
 	struct metric *registry_failures; /* failed calls that read */
+	struct metric *registry_older; /* answers older than what is known */
 	struct metric *registry_bytes; /* of decoded answers */
 	struct metric *registry_lost_bytes; /* of aborted answers */
 	struct metric *latency_us; /* arrival of a request to its answer */
--- a/packages/edge/sync_answer.c
+++ b/packages/edge/sync_answer.c
@@ -189,6 +189,24 @@
 			follower->sync->edge->quarantines);
 }
 
+/*
+ * Logs the first of these answers in a row, the second, the fourth and so on.
+ * The era distinguishes a lagging replica from tables that were restored.
+ */
+static void note_older(struct follower *follower,
+		       const struct registry_rows *rows)
+{
+	metric_add(follower->sync->edge->stats.registry_older, 1);
+	follower->older_answers++;
+	if (follower->older_answers & (follower->older_answers - 1))
+		return;
+	log_event(LOG_WARNING, "registry-older",
+		  "table=%s answers=%u version=%" PRIu64 " known=%" PRIu64
+		  " era=%s",
+		  follower->rule->name, follower->older_answers, rows->version,
+		  follower->version, follower->era);
+}
+
 static void apply_page(struct follower *follower,
 		       const struct registry_rows *rows)
 {
@@ -202,8 +220,11 @@
 	 * A lagging replica sends an older state, which would restore rows
 	 * that were removed: ignored, and read again.
 	 */
-	if (rows->version < follower->version)
+	if (rows->version < follower->version) {
+		note_older(follower, rows);
 		return;
+	}
+	follower->older_answers = 0;
 	apply_rows(follower, rows);
 	if (rows->has_more && rows->rows->len) {
 		last = &g_array_index(rows->rows, struct registry_row,
@@ -353,6 +374,22 @@
 	follower_call(follower);
 }
 
+/* Keeps the era of the answer as it is; logs another one than before. */
+static void note_era(struct follower *follower, const struct message *answer)
+{
+	const struct registry *registry = follower->sync->edge->registry;
+	const char *era = message_header(answer, registry->vtable->era_header);
+
+	if (!era)
+		era = "none";
+	if (!strcmp(era, follower->era))
+		return;
+	log_event(LOG_INFO, "registry-era", "table=%s era=\"%.16s\" before=%s",
+		  follower->rule->name, era,
+		  *follower->era ? follower->era : "unknown");
+	g_strlcpy(follower->era, era, sizeof(follower->era));
+}
+
 void follower_answered(void *context, const struct message *answer,
 		       const char *cause)
 {
@@ -374,6 +411,7 @@
 			abort_held_calls(follower->sync, follower);
 		return;
 	}
+	note_era(follower, answer);
 	result = edge->registry->vtable->decode(
 		edge->registry, answer->status,
 		(const char *)answer->body->data, answer->body->len, &rows);
@@ -393,8 +431,9 @@
 		break;
 	case REGISTRY_HISTORY_LOST:
 		log_event(LOG_WARNING, "history-lost",
-			  "table=%s after=%" PRIu64, follower->rule->name,
-			  follower->version);
+			  "table=%s after=%" PRIu64 " era=%s",
+			  follower->rule->name, follower->version,
+			  follower->era);
 		note_success(follower);
 		begin_full_read(follower);
 		call_next(follower, &rows);
--- a/packages/edge/sync_internal.h
+++ b/packages/edge/sync_internal.h
@@ -69,6 +69,8 @@
 	uint64_t confirmed_us; /* platform's confirmation of the rows */
 	uint64_t mismatched_us; /* as of then the reader's digest differed */
 	uint32_t failures; /* consecutive */
+	uint32_t older_answers; /* consecutive */
+	char era[20]; /* header of the latest answer; empty: no answer yet */
 };
 
 #define FOLLOWERS SYNC_TABLES
--- a/packages/ports/registry.h
+++ b/packages/ports/registry.h
@@ -105,6 +105,11 @@
 };
 
 struct registry_vtable {
+	/*
+	 * Header of all answers, which counts the platform's returns from a
+	 * copy of its tables: versions of two eras don't compare.
+	 */
+	const char *era_header;
 	/* Request the rows of a table after a key ("": from the start). */
 	void (*build_read)(const struct registry *registry,
 			   enum registry_table table, const char *after_key,
