--- a/Makefile
+++ b/Makefile
@@ -80,6 +80,7 @@
 	@tests/emulator/accounts.sh $(BUILD) $(SEED)
 	@JOBS=3 tests/emulator/partitioned.sh $(BUILD) $(SEED)
 	@JOBS=4 tests/emulator/notices.sh $(BUILD) $(SEED)
+	@JOBS=4 tests/emulator/restores.sh $(BUILD) $(SEED)
 
 # Beside one request that ends servers, ROUNDS seeds from SEED on.
 play-deadly: build
@@ -105,6 +106,10 @@
 play-notices: build
 	@JOBS=4 tests/emulator/notices.sh $(BUILD) $(SEED)
 
+# A store that comes back from a copy of its rows, each manner.
+play-restores: build
+	@JOBS=4 tests/emulator/restores.sh $(BUILD) $(SEED)
+
 # Both users with ROUNDS seeds from SEED on, four at a time.
 play-soak: build
 	@seq $(SEED) $$(($(SEED) + $(ROUNDS) - 1)) | \
@@ -145,4 +150,4 @@
 .PHONY: all setup build format format-check lint test sanitize \
 	sanitize-thread check demo \
 	experiment capacity prove faults soak play play-deadly play-limited \
-	play-accounts play-partitioned play-notices play-soak play-seeds clean
+	play-accounts play-partitioned play-notices play-restores play-soak play-seeds clean
--- a/tests/emulator/emulator.c
+++ b/tests/emulator/emulator.c
@@ -32,6 +32,9 @@
  * With --notices servers say that they leave, or ask for rest; see
  * notice_watch.h.
  *
+ * With --restore the store comes back from a copy of its rows; see
+ * restore_watch.h.
+ *
  * With --deadly a caller brings one request so often a second to any node,
  * under which each server ends that runs it; another starts in its place.
  */
@@ -54,6 +57,7 @@
 #include "emulator/partition.h"
 #include "emulator/limit_watch.h"
 #include "emulator/notice_watch.h"
+#include "emulator/restore_watch.h"
 #include "emulator/route_watch.h"
 #include "standins/app_stand.h"
 #include "standins/relay.h"
@@ -139,6 +143,9 @@
 	uv_timer_t revoke;
 	struct partition *partition; /* NULL: no node loses its servers */
 	struct notice_watch *notices; /* NULL: servers say nothing of it */
+	struct restore_watch *restore; /* NULL: the store keeps its rows */
+	char *document; /* the operator's newest */
+	bool store_is_away;
 	uint32_t rate;
 	uint32_t closes_one_in; /* answers of servers; 0: none */
 	bool ending;
@@ -225,7 +232,8 @@
 	g_string_append(text, "}");
 	store_stand_put(world->store, "op", "config", text->str);
 	length = text->len;
-	g_string_free(text, TRUE);
+	g_free(world->document);
+	world->document = g_string_free(text, FALSE);
 	g_string_free(routes, TRUE);
 	return length;
 }
@@ -276,23 +284,33 @@
 		service->name, at->address, at->port, app->domain, app->slots,
 		state, world->seq);
 
-	store_stand_put(world->store, "servers", app->id, text);
+	if (g_strcmp0(store_stand_get(world->store, "servers", app->id),
+		      text) != 0)
+		store_stand_put(world->store, "servers", app->id, text);
 	g_free(text);
 }
 
+/* Whether the store takes no writes since it comes back from a copy. */
+static bool is_away(const struct world *world)
+{
+	return world->restore && world->store_is_away;
+}
+
 static void list_apps(struct world *world)
 {
 	guint i;
 	guint j;
 
-	world->seq++;
+	/* With a constant number a row that is there isn't written. */
+	if (!world->restore)
+		world->seq++;
 	for (i = 0; i < world->services->len; i++) {
 		struct service *service = world->services->pdata[i];
 
 		for (j = 0; j < service->apps->len; j++) {
 			struct app *app = service->apps->pdata[j];
 
-			if (app->listed && !app->ended_us)
+			if (app->listed && !app->ended_us && !is_away(world))
 				list_app(world, service, app, "ready");
 		}
 	}
@@ -625,6 +643,8 @@
 			partition_begin(world->partition);
 		if (world->notices && world->nodes->len)
 			notice_watch_begin(world->notices);
+		if (world->restore && world->nodes->len)
+			restore_watch_begin(world->restore);
 	}
 	if (world->ending || !world->nodes->len)
 		return;
@@ -780,6 +800,8 @@
 		break;
 	case COMMAND_DOWN:
 		route_watch_down(world->watch, command->node);
+		if (world->restore)
+			restore_watch_down(world->restore, command->node);
 		break;
 	case COMMAND_GROW:
 		add_routes(world, command->number);
@@ -886,6 +908,7 @@
 	bool partitioned = world->partition &&
 			   partition_report(world->partition);
 	bool noticed = world->notices && notice_watch_report(world->notices);
+	bool restored = world->restore && restore_watch_report(world->restore);
 	guint i;
 
 	printf("| service | sent | answered | not run | unknown | p50 ms | p99 "
@@ -909,8 +932,8 @@
 	       world->nodes->len, store_stand_calls(world->store), doubled,
 	       untrue, world->wrong, other);
 	return route_watch_report(world->watch) || deadly || over || accounts ||
-	       partitioned || noticed || doubled || untrue || world->wrong ||
-	       other || !answered;
+	       partitioned || noticed || restored || doubled || untrue ||
+	       world->wrong || other || !answered;
 }
 
 static void on_end(uv_timer_t *timer)
@@ -924,6 +947,8 @@
 			partition_end(world->partition);
 		if (world->notices)
 			notice_watch_end(world->notices);
+		if (world->restore)
+			restore_watch_end(world->restore);
 		uv_timer_start(timer, on_end,
 			       CALL_DEADLINE_MS + 2 * KEPT_ANSWERS_MS, 0);
 		return;
@@ -1059,6 +1084,90 @@
 	return world->notices;
 }
 
+/* --- a store that comes back from a copy -------------------------------- */
+
+static void add_one_route(void *context)
+{
+	add_routes(context, 1);
+}
+
+static void let_leave(void *context, unsigned server)
+{
+	struct world *world = context;
+	struct service *service = world->services->pdata[0];
+	struct app *app = service->apps->pdata[server];
+
+	app->listed = false;
+	list_app(world, service, app, "draining");
+}
+
+static void write_again(void *context)
+{
+	struct world *world = context;
+	struct service *service = world->services->pdata[0];
+	guint i;
+
+	store_stand_put(world->store, "op", "config", world->document);
+	for (i = 0; i < service->apps->len; i++) {
+		const struct app *app = service->apps->pdata[i];
+
+		if (!app->listed)
+			list_app(world, service, app, "draining");
+	}
+	list_apps(world);
+}
+
+static void go_away(void *context, bool away)
+{
+	struct world *world = context;
+
+	world->store_is_away = away;
+	set_fault(world, "silent", away);
+}
+
+static void cut_node(void *context, const char *address, bool cut)
+{
+	struct world *world = context;
+
+	relay_silence_caller(world->store_relay, address, cut);
+}
+
+static void node_up(void *context, const char *name,
+		    const struct endpoint *front)
+{
+	struct world *world = context;
+
+	route_watch_up(world->watch, name, front);
+}
+
+static const struct restore_events restore_events = {
+	.add_route = add_one_route,
+	.leave = let_leave,
+	.write_again = write_again,
+	.go_away = go_away,
+	.cut_node = cut_node,
+	.node_up = node_up,
+};
+
+/* Servers of the first service leave; two, of different failure domains. */
+static bool plan_restore(struct world *world, const char *plan)
+{
+	const struct service *service = world->services->pdata[0];
+	guint i;
+
+	world->restore = restore_watch_new(&world->loop, world->store, plan,
+					   &restore_events, world);
+	if (!world->restore || service->apps->len < 2)
+		return false;
+	restore_watch_service(world->restore, service->name, service->once);
+	for (i = 0; i < service->apps->len; i++) {
+		const struct app *app = service->apps->pdata[i];
+
+		restore_watch_add(world->restore, app->stand);
+	}
+	return true;
+}
+
 static int fail(const char *what)
 {
 	fprintf(stderr, "emulator: %s\n", what);
@@ -1077,6 +1186,7 @@
 	char *partition = NULL;
 	char *cuts = NULL;
 	char *notices = NULL;
+	char *restore = NULL;
 	int rate = 50;
 	int seconds = 20;
 	int seed = 1;
@@ -1115,6 +1225,8 @@
 		{ "notices", 0, POPT_ARG_STRING, &notices, 0,
 		  "servers that say that they leave, or ask for rest",
 		  "KIND:COUNT:VALUE[:MORE]@AT_S:FOR_S" },
+		{ "restore", 0, POPT_ARG_STRING, &restore, 0,
+		  "the store comes back from a copy", "KEY=VALUE,..." },
 		{ "commands", 0, POPT_ARG_NONE, &commands, 0,
 		  "read commands from the standard input", NULL },
 		POPT_AUTOHELP POPT_TABLEEND
@@ -1169,6 +1281,8 @@
 		return fail(partition);
 	if (notices && !plan_notices(&world, notices))
 		return fail(notices);
+	if (restore && !plan_restore(&world, restore))
+		return fail(restore);
 	if (fault && !plan_fault(&world, fault))
 		return fail(fault);
 	put_config(&world);
--- a/tests/emulator/nodes.sh
+++ b/tests/emulator/nodes.sh
@@ -26,7 +26,8 @@
 
 start_emulator() { # ARGUMENTS
 	"$build/tests/emulator/emulator" --store "$net.0.1:7000" \
-		--domains "$domains" --seed "$seed" "$@" >"$work/report" 2>&1 &
+		--domains "$domains" --seed "$seed" "$@" \
+		<"${commands_file:-/dev/null}" >"$work/report" 2>&1 &
 	emulator_pid=$!
 }
 
--- a/tests/standins/app_stand.c
+++ b/tests/standins/app_stand.c
@@ -503,6 +503,11 @@
 	return http_stand_at(app->http);
 }
 
+const char *app_stand_id(const struct app_stand *app)
+{
+	return app->id;
+}
+
 void app_stand_set_fault(struct app_stand *app, enum app_fault fault)
 {
 	app->fault = fault;
--- a/tests/standins/app_stand.h
+++ b/tests/standins/app_stand.h
@@ -63,6 +63,7 @@
 /* As a crash: connections are reset, nothing listens. */
 void app_stand_close(struct app_stand *app);
 const struct endpoint *app_stand_at(const struct app_stand *app);
+const char *app_stand_id(const struct app_stand *app);
 
 /* The next requests meet this fault; APP_GOOD ends it. */
 void app_stand_set_fault(struct app_stand *app, enum app_fault fault);
--- a/tests/standins/store_stand.c
+++ b/tests/standins/store_stand.c
@@ -39,6 +39,12 @@
 	size_t sent; /* bytes of the body that went out */
 };
 
+/* The rows as they once were. */
+struct store_copy {
+	GPtrArray *rows; /* of struct row; NULL: no copy */
+	uint64_t version;
+};
+
 struct store_stand {
 	uv_loop_t *loop;
 	struct http_stand *http;
@@ -47,6 +53,9 @@
 	GPtrArray *held; /* of struct waiting */
 	uint64_t version;
 	uint64_t forgotten; /* history up to here is gone */
+	struct store_copy copy;
+	uint32_t era; /* the number of restores and 1 */
+	char *era_text; /* in all answers; NULL: none */
 	struct store_faults faults;
 	uint64_t calls;
 };
@@ -64,6 +73,20 @@
 	g_free(row);
 }
 
+static gpointer row_copy(gconstpointer data, gpointer context)
+{
+	const struct row *row = data;
+	struct row *copy = g_new0(struct row, 1);
+
+	(void)context;
+	copy->table = g_strdup(row->table);
+	copy->key = g_strdup(row->key);
+	copy->value = g_strdup(row->value);
+	copy->json = g_ref_string_acquire(row->json);
+	copy->version = row->version;
+	return copy;
+}
+
 static gint compare_rows(gconstpointer a, gconstpointer b)
 {
 	const struct row *left = *(struct row *const *)a;
@@ -193,13 +216,29 @@
 	uv_close((uv_handle_t *)&waiting->timer, waiting_free);
 }
 
+static char *headers_of(const struct store_stand *store)
+{
+	return g_strdup_printf("Content-Type: application/json\r\n%s%s%s",
+			       store->era_text ? "Store-Era: " : "",
+			       store->era_text ? store->era_text : "",
+			       store->era_text ? "\r\n" : "");
+}
+
+static void answer_now(const struct store_stand *store, struct http_call *call,
+		       unsigned status, const char *body)
+{
+	char *headers = headers_of(store);
+
+	http_call_answer(call, status, headers, body, strlen(body));
+	g_free(headers);
+}
+
 static void on_late(uv_timer_t *timer)
 {
 	struct waiting *waiting = timer->data;
 
-	http_call_answer(waiting->call, waiting->status,
-			 "Content-Type: application/json\r\n", waiting->body,
-			 strlen(waiting->body));
+	answer_now(waiting->store, waiting->call, waiting->status,
+		   waiting->body);
 	waiting_end(waiting);
 }
 
@@ -239,14 +278,15 @@
 			  unsigned status, char *body)
 {
 	struct waiting *waiting = hold(store, call, on_piece, 0);
-	char *head = g_strdup_printf("HTTP/1.1 %u Answer\r\n"
-				     "Content-Type: application/json\r\n"
+	char *headers = headers_of(store);
+	char *head = g_strdup_printf("HTTP/1.1 %u Answer\r\n%s"
 				     "Content-Length: %zu\r\n\r\n",
-				     status, strlen(body));
+				     status, headers, strlen(body));
 
 	waiting->body = body;
 	http_call_write(call, head, strlen(head));
 	g_free(head);
+	g_free(headers);
 	uv_timer_start(&waiting->timer, on_piece, 0, PIECE_US / US_PER_MS);
 }
 
@@ -261,9 +301,7 @@
 		return;
 	}
 	if (!store->faults.slow_us) {
-		http_call_answer(call, status,
-				 "Content-Type: application/json\r\n", body,
-				 strlen(body));
+		answer_now(store, call, status, body);
 		g_free(body);
 		return;
 	}
@@ -376,7 +414,7 @@
 		g_ascii_strtoull(wait_text ? wait_text : "0", NULL, 10);
 	struct waiting *waiting;
 
-	if (after < store->forgotten) {
+	if (after < store->forgotten || after > store->version) {
 		answer(store, call, 410, g_strdup("{}"));
 		return;
 	}
@@ -537,10 +575,12 @@
 	store->history = g_ptr_array_new_with_free_func(row_free);
 	store->held = g_ptr_array_new();
 	store->http = http_stand_open(loop, at, &events, store);
+	store->era = 1;
+	store->era_text = g_strdup("1");
 	return store;
 }
 
-void store_stand_close(struct store_stand *store)
+static void end_held(struct store_stand *store)
 {
 	while (store->held->len) {
 		struct waiting *waiting = store->held->pdata[0];
@@ -548,7 +588,14 @@
 		http_call_close(waiting->call, true);
 		waiting_end(waiting);
 	}
+}
+
+void store_stand_close(struct store_stand *store)
+{
+	end_held(store);
 	http_stand_close(store->http, true);
+	g_clear_pointer(&store->copy.rows, g_ptr_array_unref);
+	g_free(store->era_text);
 	g_ptr_array_unref(store->rows);
 	g_ptr_array_unref(store->history);
 	g_ptr_array_unref(store->held);
@@ -589,6 +636,48 @@
 	store->forgotten = store->version;
 }
 
+void store_stand_copy(struct store_stand *store)
+{
+	g_clear_pointer(&store->copy.rows, g_ptr_array_unref);
+	store->copy.rows = g_ptr_array_copy(store->rows, row_copy, NULL);
+	g_ptr_array_set_free_func(store->copy.rows, row_free);
+	store->copy.version = store->version;
+}
+
+void store_stand_set_era(struct store_stand *store, const char *era)
+{
+	g_free(store->era_text);
+	store->era_text = g_strdup(era);
+}
+
+static void forget_changes_after(struct store_stand *store, uint64_t version)
+{
+	guint i;
+
+	for (i = store->history->len; i > 0; i--) {
+		const struct row *row = store->history->pdata[i - 1];
+
+		if (row->version > version)
+			g_ptr_array_remove_index(store->history, i - 1);
+	}
+}
+
+void store_stand_restore(struct store_stand *store)
+{
+	char *era = g_strdup_printf("%u", ++store->era);
+
+	end_held(store);
+	http_stand_reset_connections(store->http);
+	store_stand_set_era(store, era);
+	g_free(era);
+	g_ptr_array_unref(store->rows);
+	store->rows = g_ptr_array_copy(store->copy.rows, row_copy, NULL);
+	g_ptr_array_set_free_func(store->rows, row_free);
+	store->version = store->copy.version;
+	store->forgotten = MIN(store->forgotten, store->version);
+	forget_changes_after(store, store->version);
+}
+
 uint64_t store_stand_version(const struct store_stand *store)
 {
 	return store->version;
--- a/tests/standins/store_stand.h
+++ b/tests/standins/store_stand.h
@@ -4,8 +4,8 @@
  * Rows in tables with one version counter, atomic transactions, a feed of each
  * change with a bounded history, held calls, answers of 500 rows at most.
  * Faults are set from outside: silent, refusing, slow, behind a narrow link,
- * losing answers, forgetting its history. Writes of operator and backend
- * servers go in by store_stand_put().
+ * losing answers, forgetting its history, coming back from a copy. Writes of
+ * operator and backend servers go in by store_stand_put().
  */
 #ifndef STANDINS_STORE_STAND_H
 #define STANDINS_STORE_STAND_H
@@ -51,6 +51,18 @@
 /* Forget what changed so far: who follows from before gets 410. */
 void store_stand_forget(struct store_stand *store);
 
+/* Keep a copy of the rows and their version, in place of an earlier one. */
+void store_stand_copy(struct store_stand *store);
+
+/*
+ * Come back from the copy, as the next era: what was written since is gone, its
+ * versions are given out again, and connections are reset.
+ */
+void store_stand_restore(struct store_stand *store);
+
+/* Era in all answers from now on, as text; NULL: none. The first is 1. */
+void store_stand_set_era(struct store_stand *store, const char *era);
+
 /* Version of the newest change. */
 uint64_t store_stand_version(const struct store_stand *store);
 
