sync: versions of the store compare by its era first

What callers saw: for up to 20 s after the store had come back from a copy, routes that were added weren't served and requests reached servers that had said that they leave; hundreds of calls a second went to the store.

After a restore the store's versions are lower: a whole read was dropped as that of a lagging replica, and read again at once, until the counter reached the old height.

A version is now a struct row_version, its number and the store's era, with one comparison; the compiler finds each place that orders two of them. An answer to a call that went on from another era's version or page is dropped. A server that was removed and is back in the copy rests for 5 s.

Ruled out: combining era and number in one integer (nothing would show a place that goes on from a version without its era); a digest of the rows in place of a version (a read would still go on from one).

--- a/packages/core/backend_table.c
+++ b/packages/core/backend_table.c
@@ -38,6 +38,13 @@
  */
 #define REMOVED_KEEP_US (60 * US_PER_S)
 
+/*
+ * A server that was removed and is back in a restored list rests for this time:
+ * three of its check-ins and some delay, after which the platform drops the
+ * entry if it has left.
+ */
+#define RESTORED_REST_US (5 * US_PER_S)
+
 struct backend_table *backend_table_new(void)
 {
 	struct backend_table *table = g_new0(struct backend_table, 1);
@@ -94,6 +101,19 @@
 	backend->rest_until_us = row->rest_until_us;
 }
 
+/* A restored list may have the entry of a server that has left. */
+static void rest_if_restored(const struct backend_table *table,
+			     struct backend *backend,
+			     const struct backend_info *info, uint64_t now_us)
+{
+	const struct removed_row *row =
+		g_hash_table_lookup(table->removed, backend->id);
+
+	if (row && row->version.number && row->version.era < info->version.era)
+		backend->rest_until_us =
+			MAX(backend->rest_until_us, now_us + RESTORED_REST_US);
+}
+
 static struct backend *add(struct backend_table *table,
 			   const struct backend_info *info, uint64_t now_us)
 {
@@ -111,6 +131,7 @@
 	backend->slowness = 1.0;
 	backend->joined_us = table->loaded ? now_us : 0;
 	restore_notices(table, backend);
+	rest_if_restored(table, backend, info, now_us);
 	g_hash_table_insert(table->by_id, backend->id, backend);
 	g_hash_table_replace(table->by_incarnation,
 			     GUINT_TO_POINTER(backend->incarnation), backend);
@@ -243,11 +264,13 @@
 	const struct backend *known = backend_table_find(table, info->id);
 
 	if (!known)
-		return info->version &&
-		       info->version <
-			       backend_table_removed_version(table, info->id);
+		return info->version.number &&
+		       row_version_is_older(
+			       info->version,
+			       backend_table_removed_version(table, info->id));
 	return info->started_ms < known->started_ms ||
-	       (info->version && info->version < known->version);
+	       (info->version.number &&
+		row_version_is_older(info->version, known->version));
 }
 
 struct backend *backend_table_put(struct backend_table *table,
@@ -268,7 +291,7 @@
 		table->last_loss_us = now_us;
 	backend->address = info->address;
 	backend->slots = info->slots ? info->slots : 1;
-	backend->version = MAX(backend->version, info->version);
+	backend->version = row_version_max(backend->version, info->version);
 	backend->draining = info->draining;
 	backend->expire_us = 0;
 	backend->listed_cold = info->cold_left_us > 0;
@@ -277,32 +300,34 @@
 	return backend;
 }
 
-uint64_t backend_table_removed_version(const struct backend_table *table,
-				       const char *id)
+struct row_version
+backend_table_removed_version(const struct backend_table *table, const char *id)
 {
 	const struct removed_row *row = g_hash_table_lookup(table->removed, id);
+	const struct row_version unknown = { 0 };
 
-	return row ? row->version : 0;
+	return row ? row->version : unknown;
 }
 
 static void note_removed(struct backend_table *table, const char *id,
-			 uint64_t version, uint64_t now_us)
+			 struct row_version version, uint64_t now_us)
 {
 	struct removed_row *row = removed_row(table, id);
 
-	row->version = MAX(row->version, version);
+	row->version = row_version_max(row->version, version);
 	row->at_us = now_us;
 }
 
 void backend_table_remove(struct backend_table *table, const char *id,
-			  uint64_t version, uint64_t keep_until_us,
+			  struct row_version version, uint64_t keep_until_us,
 			  uint64_t now_us)
 {
 	struct backend *backend = backend_table_find(table, id);
 
-	if (backend && version && version < backend->version)
+	if (backend && version.number &&
+	    row_version_is_older(version, backend->version))
 		return;
-	if (version)
+	if (version.number)
 		note_removed(table, id, version, now_us);
 	if (!backend)
 		return;
@@ -312,6 +337,19 @@
 		backend->expire_us = keep_until_us;
 }
 
+void backend_table_note_restore(struct backend_table *table)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct backend *backend = value;
+
+		backend->said_leaving |= backend->draining;
+	}
+}
+
 static gboolean is_long_removed(gpointer id, gpointer value, gpointer now)
 {
 	const struct removed_row *row = value;
--- a/packages/core/backend_table.h
+++ b/packages/core/backend_table.h
@@ -17,6 +17,7 @@
 
 #include "core/endpoint.h"
 #include "core/rate_limit.h"
+#include "core/row_version.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -42,7 +43,7 @@
 	bool draining;
 	uint64_t cold_left_us;
 	uint64_t started_ms; /* since 1970; 0: unknown */
-	uint64_t version; /* of its row in the list; 0: unknown */
+	struct row_version version; /* of its row in the list */
 };
 
 /* How many requests of a peer node are in flight at a backend server. */
@@ -63,7 +64,7 @@
 	char *domain;
 	char *region;
 	uint32_t slots;
-	uint64_t version; /* of the newest row seen */
+	struct row_version version; /* of the newest row seen */
 	bool draining;
 	bool gone; /* removed from the table */
 	uint64_t joined_us; /* 0: in the first complete list */
@@ -122,7 +123,7 @@
 /* Kept of a backend server for some time after its removal. */
 struct removed_row {
 	/* Of the deleted or invalid row, or of the list that lacked it. */
-	uint64_t version;
+	struct row_version version;
 	uint64_t at_us;
 	/* As in struct backend, for the same incarnation if its row is back. */
 	uint64_t started_ms;
@@ -149,22 +150,29 @@
 			       const struct backend_info *info);
 
 /*
- * Removes a server. The version (0: unknown) is that of its deleted or invalid
- * row, or of the complete list that lacks it; ignored where a newer row is
- * known. After an outage of the list its row may only have expired there; the
- * server is then kept until keep_until_us (0: remove it at once). A draining
- * server is always removed at once.
+ * Removes a server. The version (number 0: unknown) is that of its deleted or
+ * invalid row, or of the complete list that lacks it; ignored where a newer row
+ * is known. After an outage of the list its row may only have expired there;
+ * the server is then kept until keep_until_us (0: remove it at once). A
+ * draining server is always removed at once.
  */
 void backend_table_remove(struct backend_table *table, const char *id,
-			  uint64_t version, uint64_t keep_until_us,
+			  struct row_version version, uint64_t keep_until_us,
 			  uint64_t now_us);
 
 /*
  * Version at which the server was last removed: of its deleted or invalid row,
- * or of the complete list that lacked it; 0: unknown.
+ * or of the complete list that lacked it; number 0: unknown.
  */
-uint64_t backend_table_removed_version(const struct backend_table *table,
-				       const char *id);
+struct row_version
+backend_table_removed_version(const struct backend_table *table,
+			      const char *id);
+
+/*
+ * The list has been restored from a copy, whose rows are older than what is
+ * known. Servers that drain go on leaving, whatever their rows say.
+ */
+void backend_table_note_restore(struct backend_table *table);
 
 /* Removes servers whose rows are still missing when their time is up. */
 void backend_table_expire(struct backend_table *table, uint64_t now_us);
--- a/packages/edge/admin_show.c
+++ b/packages/edge/admin_show.c
@@ -343,8 +343,10 @@
 
 static json_t *show_version(const struct edge *edge)
 {
-	static const char *const columns[] = { "table", "row_version", "whole",
-					       "confirmed_age_us", "failures" };
+	static const char *const columns[] = {
+		"table", "row_version",	     "era",
+		"whole", "confirmed_age_us", "failures"
+	};
 	struct admin_table table = ADMIN_TABLE_NEW(columns);
 	struct sync_table_state views[SYNC_TABLES];
 	uint32_t count = edge->sync ? sync_table_states(edge->sync, views) : 0;
@@ -354,6 +356,7 @@
 		json_t *const values[] = {
 			json_string(views[i].name),
 			admin_json_number(views[i].version),
+			admin_json_number(views[i].era),
 			json_boolean(views[i].loaded),
 			age(views[i].confirmed_us, edge_now_us(edge)),
 			admin_json_number(views[i].failures),
--- a/packages/edge/heartbeat.c
+++ b/packages/edge/heartbeat.c
@@ -5,7 +5,7 @@
 #include "core/duration.h"
 
 /* Format version; nodes ignore datagrams of another one. */
-#define HEARTBEAT_VERSION 9
+#define HEARTBEAT_VERSION 10
 
 /*
  * A suspect: fingerprint, crashes (incarnation, age, run time), number of
@@ -24,8 +24,8 @@
  */
 #define TOKENS_TYPE "a(uuuqb)"
 
-#define HEARTBEAT_TYPE                                    \
-	"(ua(utbb)a(uuq)a(uu)a(uttu)a" HEARTBEAT_ROW_TYPE \
+#define HEARTBEAT_TYPE                                     \
+	"(ua(utbb)a(uuq)a(uu)a(uttuu)a" HEARTBEAT_ROW_TYPE \
 	"a" SUSPECT_TYPE RATES_TYPE TOKENS_TYPE ")"
 
 void heartbeat_row_add(GVariantBuilder *rows, const struct heartbeat_row *row)
@@ -34,7 +34,8 @@
 			      row->domain, row->address.address,
 			      (guint16)row->address.port, row->slots,
 			      (gboolean)row->draining, row->cold_left_ms,
-			      (guint64)row->started_ms, (guint64)row->version);
+			      (guint64)row->started_ms,
+			      (guint64)row->version.number, row->version.era);
 }
 
 static void add_suspect(GVariantBuilder *suspects,
@@ -117,13 +118,14 @@
 		g_variant_builder_add(&loads, "(uu)",
 				      heartbeat->loads[i].incarnation,
 				      heartbeat->loads[i].in_flight);
-	g_variant_builder_init(&digests, G_VARIANT_TYPE("a(uttu)"));
+	g_variant_builder_init(&digests, G_VARIANT_TYPE("a(uttuu)"));
 	for (i = 0; i < heartbeat->digest_count; i++)
-		g_variant_builder_add(&digests, "(uttu)",
-				      heartbeat->digests[i].table,
-				      (guint64)heartbeat->digests[i].digest,
-				      (guint64)heartbeat->digests[i].version,
-				      heartbeat->digests[i].age_ms);
+		g_variant_builder_add(
+			&digests, "(uttuu)", heartbeat->digests[i].table,
+			(guint64)heartbeat->digests[i].digest,
+			(guint64)heartbeat->digests[i].version.number,
+			heartbeat->digests[i].age_ms,
+			heartbeat->digests[i].version.era);
 	g_variant_builder_init(&rows, G_VARIANT_TYPE("a" HEARTBEAT_ROW_TYPE));
 	for (i = 0; i < heartbeat->row_count; i++)
 		heartbeat_row_add(&rows, &heartbeat->rows[i]);
@@ -199,16 +201,18 @@
 	guint64 digest;
 	guint64 version;
 	guint32 age_ms;
+	guint32 era;
 
 	while (heartbeat->digest_count < HEARTBEAT_MAX_DIGESTS &&
-	       g_variant_iter_next(iter, "(uttu)", &table, &digest, &version,
-				   &age_ms)) {
+	       g_variant_iter_next(iter, "(uttuu)", &table, &digest, &version,
+				   &age_ms, &era)) {
 		struct heartbeat_digest *entry =
 			&heartbeat->digests[heartbeat->digest_count++];
 
 		entry->table = table;
 		entry->digest = digest;
-		entry->version = version;
+		entry->version.number = version;
+		entry->version.era = era;
 		entry->age_ms = age_ms;
 	}
 }
@@ -225,10 +229,11 @@
 	guint32 cold_left_ms;
 	guint64 started_ms;
 	guint64 version;
+	guint32 era;
 
-	if (!g_variant_iter_next(iter, "(&s&s&s&squbutt)", &id, &service,
+	if (!g_variant_iter_next(iter, "(&s&s&s&squbuttu)", &id, &service,
 				 &domain, &address, &port, &slots, &draining,
-				 &cold_left_ms, &started_ms, &version))
+				 &cold_left_ms, &started_ms, &version, &era))
 		return false;
 	g_strlcpy(row->id, id, sizeof(row->id));
 	g_strlcpy(row->service, service, sizeof(row->service));
@@ -239,7 +244,8 @@
 	row->draining = draining;
 	row->cold_left_ms = cold_left_ms;
 	row->started_ms = started_ms;
-	row->version = version;
+	row->version.number = version;
+	row->version.era = era;
 	return true;
 }
 
--- a/packages/edge/heartbeat.h
+++ b/packages/edge/heartbeat.h
@@ -19,6 +19,7 @@
 #include "core/build_options.h"
 #include "core/endpoint.h"
 #include "core/rate_limit.h"
+#include "core/row_version.h"
 #include "core/suspect_table.h"
 #include "core/warmth.h"
 
@@ -70,7 +71,7 @@
 struct heartbeat_digest {
 	uint32_t table; /* enum registry_table */
 	uint64_t digest; /* of the reader's copy */
-	uint64_t version; /* of the platform's newest row in it */
+	struct row_version version; /* of the platform's newest row in it */
 	uint32_t age_ms; /* since the platform last confirmed it */
 };
 
@@ -85,7 +86,7 @@
 	uint32_t cold_left_ms;
 	uint64_t started_ms; /* start time, part of the incarnation; 0: unknown
 			      */
-	uint64_t version; /* of its row in the platform's table */
+	struct row_version version; /* of its row in the platform's table */
 };
 
 /*
@@ -122,7 +123,7 @@
 };
 
 /* GVariant format of a row, also used by snapshots. */
-#define HEARTBEAT_ROW_TYPE "(ssssqubutt)"
+#define HEARTBEAT_ROW_TYPE "(ssssqubuttu)"
 void heartbeat_row_add(GVariantBuilder *rows, const struct heartbeat_row *row);
 /* Reads the next row; false at the end. */
 bool heartbeat_row_next(GVariantIter *iter, struct heartbeat_row *row);
--- a/packages/edge/snapshot.c
+++ b/packages/edge/snapshot.c
@@ -1,8 +1,8 @@
 #include "edge/snapshot.h"
 
-#define SNAPSHOT_VERSION 4
+#define SNAPSHOT_VERSION 5
 
-#define TABLES_TYPE "a(utu)"
+#define TABLES_TYPE "a(utuu)"
 #define ROWS_TYPE "a(uss)"
 #define BACKENDS_TYPE "a" HEARTBEAT_ROW_TYPE
 #define EXPIRED_TYPE "as"
@@ -20,8 +20,9 @@
 void snapshot_add_table(struct snapshot_writer *writer,
 			const struct snapshot_table *table)
 {
-	g_variant_builder_add(&writer->tables, "(utu)", table->table,
-			      (guint64)table->version, table->age_ms);
+	g_variant_builder_add(&writer->tables, "(utuu)", table->table,
+			      (guint64)table->version.number, table->age_ms,
+			      table->version.era);
 }
 
 void snapshot_add_row(struct snapshot_writer *writer,
@@ -65,12 +66,14 @@
 	GVariantIter *expired;
 	const char *id;
 	guint64 version;
+	guint32 era;
 
 	g_variant_get(variant, SNAPSHOT_TYPE, NULL, &tables, &rows, &backends,
 		      &expired);
-	while (g_variant_iter_next(tables, "(utu)", &table.table, &version,
-				   &table.age_ms)) {
-		table.version = version;
+	while (g_variant_iter_next(tables, "(utuu)", &table.table, &version,
+				   &table.age_ms, &era)) {
+		table.version.number = version;
+		table.version.era = era;
 		visitor->table(context, &table);
 	}
 	while (g_variant_iter_next(rows, "(u&s&s)", &row.table, &row.key,
--- a/packages/edge/snapshot.h
+++ b/packages/edge/snapshot.h
@@ -34,7 +34,7 @@
 
 struct snapshot_table {
 	uint32_t table; /* enum registry_table */
-	uint64_t version; /* of the platform's newest row in it */
+	struct row_version version; /* of the platform's newest row in it */
 	uint32_t age_ms; /* upper bound of the time since the platform confirmed
 			    it */
 };
--- a/packages/edge/stats.h
+++ b/packages/edge/stats.h
@@ -45,6 +45,9 @@
 	struct metric *snapshot_requests; /* sent to peers */
 	struct metric *snapshots_served; /* to peers */
 	struct metric *registry_failures; /* failed calls that read */
+	struct metric *registry_restores; /* eras that began */
+	struct metric *registry_misplaced; /* answers of an earlier era, or
+					      without a readable one */
 	struct metric *registry_older; /* answers older than what is known */
 	struct metric *registry_bytes; /* of decoded answers */
 	struct metric *registry_lost_bytes; /* of aborted answers */
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -115,7 +115,8 @@
 		const struct follower *follower = &sync->followers[i];
 
 		states[i].name = follower->rule->name;
-		states[i].version = follower->version;
+		states[i].version = follower->version.number;
+		states[i].era = follower->version.era;
 		states[i].loaded = follower->loaded;
 		states[i].confirmed_us = follower->confirmed_us;
 		states[i].failures = follower->failures;
--- a/packages/edge/sync.h
+++ b/packages/edge/sync.h
@@ -29,6 +29,7 @@
 struct sync_table_state {
 	const char *name;
 	uint64_t version; /* of the newest row applied */
+	uint32_t era; /* of that version */
 	bool loaded; /* read in full */
 	uint64_t confirmed_us; /* last confirmation by the platform */
 	uint32_t failures; /* consecutive failed calls */
--- a/packages/edge/sync_answer.c
+++ b/packages/edge/sync_answer.c
@@ -41,7 +41,7 @@
 			    spacing > since_us ? spacing - since_us : 0);
 }
 
-static void begin_full_read(struct follower *follower)
+void follower_begin_full_read(struct follower *follower)
 {
 	follower->loaded = false;
 	g_clear_pointer(&follower->page_key, g_free);
@@ -105,6 +105,16 @@
 	return !g_hash_table_contains(seen, key);
 }
 
+/* Of an answer that was placed in the latest era. */
+static struct row_version version_of(const struct follower *follower,
+				     const struct registry_rows *rows)
+{
+	const struct row_version version = { rows->version,
+					     follower->sync->era };
+
+	return version;
+}
+
 static void apply_rows(struct follower *follower,
 		       const struct registry_rows *rows)
 {
@@ -168,16 +178,17 @@
 			follower_step_later(&sync->followers[i], 0);
 }
 
-void follower_end_pass(struct follower *follower, uint64_t version,
+void follower_end_pass(struct follower *follower, struct row_version version,
 		       uint64_t as_of_us)
 {
 	follower->version = version;
 	follower->rule->prune(follower->sync, follower->seen);
 	g_hash_table_foreach_remove(follower->rows, is_unseen, follower->seen);
-	log_event(LOG_INFO, "table-read", "table=%s rows=%u version=%" PRIu64,
+	log_event(LOG_INFO, "table-read",
+		  "table=%s rows=%u version=%" PRIu64 " era=%u",
 		  follower->rule->name, g_hash_table_size(follower->seen),
-		  version);
-	begin_full_read(follower);
+		  version.number, version.era);
+	follower_begin_full_read(follower);
 	follower->loaded = true;
 	follower->peer_attempts = 0;
 	confirm(follower, as_of_us);
@@ -191,10 +202,8 @@
 
 /*
  * Logs the first of these answers in a row, the second, the fourth and so on.
- * The era distinguishes a lagging replica from tables that were restored.
  */
-static void note_older(struct follower *follower,
-		       const struct registry_rows *rows)
+static void note_older(struct follower *follower, struct row_version version)
 {
 	metric_add(follower->sync->edge->stats.registry_older, 1);
 	follower->older_answers++;
@@ -202,26 +211,27 @@
 		return;
 	log_event(LOG_WARNING, "registry-older",
 		  "table=%s answers=%u version=%" PRIu64 " known=%" PRIu64
-		  " era=%s",
-		  follower->rule->name, follower->older_answers, rows->version,
-		  follower->version, follower->era);
+		  " era=%u",
+		  follower->rule->name, follower->older_answers, version.number,
+		  follower->version.number, version.era);
 }
 
 static void apply_page(struct follower *follower,
 		       const struct registry_rows *rows)
 {
+	const struct row_version version = version_of(follower, rows);
 	const struct registry_row *last;
 
 	if (!follower->page_key) {
-		follower->page_version = rows->version;
+		follower->page_version = version;
 		follower->page_as_of_us = answer_as_of_us(follower);
 	}
 	/*
 	 * A lagging replica sends an older state, which would restore rows
 	 * that were removed: ignored, and read again.
 	 */
-	if (rows->version < follower->version) {
-		note_older(follower, rows);
+	if (row_version_is_older(version, follower->version)) {
+		note_older(follower, version);
 		return;
 	}
 	follower->older_answers = 0;
@@ -343,7 +353,7 @@
 		  "table=%s cause=%s rows=%u after=%" PRIu64 " last=%" PRIu64
 		  " version=%" PRIu64 " confirmed_age_us=%" PRIu64,
 		  follower->rule->name, read_cause_name(follower->cause),
-		  rows->rows->len, follower->version, last->version,
+		  rows->rows->len, follower->version.number, last->version,
 		  rows->version,
 		  edge_now_us(follower->sync->edge) - follower->confirmed_us);
 }
@@ -357,7 +367,8 @@
 {
 	log_followed(follower, rows);
 	apply_rows(follower, rows);
-	follower->version = MAX(follower->version, rows->version);
+	follower->version =
+		row_version_max(follower->version, version_of(follower, rows));
 	if (!rows->has_more)
 		confirm(follower, answer_as_of_us(follower));
 }
@@ -370,31 +381,27 @@
 {
 	metric_add(follower->sync->edge->stats.registry_lost_bytes,
 		   follower->lane.got_bytes);
-	begin_full_read(follower);
+	follower_begin_full_read(follower);
 	follower_call(follower);
 }
 
-/* Keeps the era of the answer as it is; logs another one than before. */
-static void note_era(struct follower *follower, const struct message *answer)
+/*
+ * Whether the call asked what follows a version or a page of another era. Its
+ * answer may lack any change since: a restored platform gives out versions
+ * again, from below the one that the call named.
+ */
+static bool asked_another_era(const struct follower *follower)
 {
-	const struct registry *registry = follower->sync->edge->registry;
-	const char *era = message_header(answer, registry->vtable->era_header);
-
-	if (!era)
-		era = "none";
-	if (!strcmp(era, follower->era))
-		return;
-	log_event(LOG_INFO, "registry-era", "table=%s era=\"%.16s\" before=%s",
-		  follower->rule->name, era,
-		  *follower->era ? follower->era : "unknown");
-	g_strlcpy(follower->era, era, sizeof(follower->era));
+	return follower->call_continues &&
+	       follower->call_era != follower->sync->era;
 }
 
 void follower_answered(void *context, const struct message *answer,
 		       const char *cause)
 {
 	struct follower *follower = context;
-	struct edge *edge = follower->sync->edge;
+	struct sync *sync = follower->sync;
+	struct edge *edge = sync->edge;
 	struct registry_rows rows = { 0 };
 	enum registry_result result;
 
@@ -408,10 +415,21 @@
 
 		note_failure(follower, cause);
 		if (first_timeout && follower->rule->table == REGISTRY_BACKENDS)
-			abort_held_calls(follower->sync, follower);
+			abort_held_calls(sync, follower);
+		return;
+	}
+	if (!sync_place_answer(sync, answer, follower->rule->name)) {
+		note_failure(follower, "era");
+		return;
+	}
+	if (asked_another_era(follower)) {
+		metric_add(edge->stats.registry_lost_bytes,
+			   follower->lane.got_bytes);
+		note_success(follower);
+		follower_begin_full_read(follower);
+		follower_step(follower);
 		return;
 	}
-	note_era(follower, answer);
 	result = edge->registry->vtable->decode(
 		edge->registry, answer->status,
 		(const char *)answer->body->data, answer->body->len, &rows);
@@ -431,11 +449,10 @@
 		break;
 	case REGISTRY_HISTORY_LOST:
 		log_event(LOG_WARNING, "history-lost",
-			  "table=%s after=%" PRIu64 " era=%s",
-			  follower->rule->name, follower->version,
-			  follower->era);
+			  "table=%s after=%" PRIu64, follower->rule->name,
+			  follower->version.number);
 		note_success(follower);
-		begin_full_read(follower);
+		follower_begin_full_read(follower);
 		call_next(follower, &rows);
 		break;
 	default:
--- a/packages/edge/sync_internal.h
+++ b/packages/edge/sync_internal.h
@@ -52,15 +52,17 @@
 	const struct follow_rule *rule;
 	struct lane lane;
 	uv_timer_t timer;
-	uint64_t version; /* changes are read from here on */
+	struct row_version version; /* changes are read from here on */
 	bool loaded; /* read in full */
 	char *page_key; /* last key read so far; NULL: none */
-	uint64_t page_version; /* version of the first page */
+	struct row_version page_version; /* version of the first page */
 	uint64_t page_as_of_us; /* when the platform sent it */
 	GHashTable *seen; /* keys read so far in this full read */
 	/* Key -> value as the platform sent them; empty for backend servers. */
 	GHashTable *rows;
 	uint64_t called_us;
+	bool call_continues; /* the call goes on from a version or a page */
+	uint32_t call_era; /* of that version or page */
 	bool superseded; /* a peer's table was applied during the call */
 	uint64_t peer_asked_us; /* last request to a peer */
 	uint32_t peer_attempts; /* consecutive requests without the table */
@@ -70,7 +72,6 @@
 	uint64_t mismatched_us; /* as of then the reader's digest differed */
 	uint32_t failures; /* consecutive */
 	uint32_t older_answers; /* consecutive */
-	char era[20]; /* header of the latest answer; empty: no answer yet */
 };
 
 #define FOLLOWERS SYNC_TABLES
@@ -95,6 +96,9 @@
 	bool platform_was_away; /* and no backend rows since */
 	bool routes_unreadable; /* newest version can't be decoded */
 	uint64_t expiry_grace_until_us; /* missing servers are kept till */
+	bool era_known; /* some answer or peer told an era */
+	uint32_t era; /* the latest one told */
+	uint32_t misplaced; /* consecutive answers of an unplaced era */
 };
 
 /* sync_plan.c: rules by table. */
@@ -131,14 +135,28 @@
 void follower_answered(void *context, const struct message *answer,
 		       const char *cause);
 
+/* sync_answer.c: read the table from its first page on. */
+void follower_begin_full_read(struct follower *follower);
+
 /* sync_answer.c: end a full read; remove rows that it didn't contain. */
-void follower_end_pass(struct follower *follower, uint64_t version,
+void follower_end_pass(struct follower *follower, struct row_version version,
 		       uint64_t as_of_us);
 
 /* sync_answer.c: store the row as the platform sent it. */
 void follower_keep_row(struct follower *follower,
 		       const struct registry_row *row);
 
+/*
+ * sync_era.c: whether the platform's answer may be believed: it tells the
+ * latest era that is known, or a later one, which begins: tables of an earlier
+ * era are read again. call names it in logs.
+ */
+bool sync_place_answer(struct sync *sync, const struct message *answer,
+		       const char *call);
+
+/* sync_era.c: a later era begins; source says who told it. */
+void sync_begin_era(struct sync *sync, uint32_t era, const char *source);
+
 /* sync_peers.c: request from a peer the tables that are missing or differ. */
 void sync_ask_peer(struct sync *sync);
 
--- a/packages/edge/sync_peers.c
+++ b/packages/edge/sync_peers.c
@@ -136,14 +136,19 @@
 static void import_table(void *context, const struct snapshot_table *table)
 {
 	struct snapshot_import *import = context;
+	struct sync *sync = import->sync;
 	struct follower *follower;
 
 	if (table->table >= FOLLOWERS ||
-	    !(import->sync->requested_tables & SNAPSHOT_TABLE(table->table)))
+	    !(sync->requested_tables & SNAPSHOT_TABLE(table->table)))
 		return;
-	follower = &import->sync->followers[table->table];
-	if (follower->loaded && table->version < follower->version)
+	follower = &sync->followers[table->table];
+	if (table->version.era < sync->era ||
+	    (follower->loaded &&
+	     row_version_is_older(table->version, follower->version)))
 		return;
+	if (table->version.era > sync->era)
+		sync_begin_era(sync, table->version.era, "peer");
 	import->accepts[table->table] = true;
 	import->tables[table->table] = *table;
 	g_hash_table_remove_all(follower->seen);
@@ -174,7 +179,7 @@
 	const struct backend *known =
 		backend_table_find(edge->backends, backend->id);
 
-	if (known && known->version <= backend->version &&
+	if (known && !row_version_is_older(backend->version, known->version) &&
 	    known->draining != backend->draining)
 		log_event(LOG_INFO, "backend-given", "backend=%s draining=%s",
 			  backend->id, backend->draining ? "yes" : "no");
@@ -449,12 +454,18 @@
 	if (received->table >= FOLLOWERS)
 		return;
 	follower = &sync->followers[received->table];
+	/* The reader hasn't heard of the latest restore. */
+	if (received->version.era < follower->version.era)
+		return;
 	at_us = now_us - MIN(now_us, received->age_ms * US_PER_MS);
 	if (!follower->loaded || at_us <= follower->confirmed_us)
 		return;
 	if (received->digest == digest_of(follower)) {
+		if (received->version.era > sync->era)
+			sync_begin_era(sync, received->version.era, "reader");
 		follower->confirmed_us = at_us;
-		follower->version = MAX(follower->version, received->version);
+		follower->version =
+			row_version_max(follower->version, received->version);
 		follower->answered_us = MAX(follower->answered_us, at_us);
 		follower->peer_attempts = 0;
 		return;
--- a/packages/edge/sync_plan.c
+++ b/packages/edge/sync_plan.c
@@ -131,7 +131,7 @@
 
 uint32_t sync_own_rank(const struct sync *sync)
 {
-	if (!sync->followers[REGISTRY_MEMBERS].loaded)
+	if (!sync->followers[REGISTRY_MEMBERS].confirmed_us)
 		return READ_RANK_UNKNOWN;
 	return member_table_reader_rank(sync->edge->members);
 }
@@ -139,7 +139,8 @@
 /* A node must read the members from the platform before it knows any peer. */
 static uint32_t read_rank(const struct follower *follower)
 {
-	if (follower->rule->table == REGISTRY_MEMBERS)
+	if (follower->rule->table == REGISTRY_MEMBERS &&
+	    !follower->confirmed_us)
 		return 0;
 	return sync_own_rank(follower->sync);
 }
@@ -274,7 +275,7 @@
 	lane_limit_body(&follower->lane, max_changes_bytes(follower));
 	if (follower->loaded) {
 		registry->vtable->build_follow(registry, rule->table,
-					       follower->version,
+					       follower->version.number,
 					       wait_us(follower), &call);
 		timeout_us += wait_us(follower);
 	} else {
@@ -283,6 +284,9 @@
 			follower->page_key ? follower->page_key : "", &call);
 	}
 	follower->called_us = edge_now_us(edge);
+	follower->call_continues = follower->loaded || follower->page_key;
+	follower->call_era = follower->loaded ? follower->version.era :
+						follower->page_version.era;
 	follower->superseded = false;
 	log_event(LOG_DEBUG, "registry-call", "table=%s whole=%s cause=%s",
 		  rule->name, follower->loaded ? "yes" : "no",
--- a/packages/edge/sync_tables.c
+++ b/packages/edge/sync_tables.c
@@ -117,13 +117,24 @@
 
 /* --- backend servers ---------------------------------------------------- */
 
-static void remove_backend(struct sync *sync, const char *id, uint64_t version)
+/* Of a row in an answer that was placed in the latest era. */
+static struct row_version row_version_of(const struct sync *sync,
+					 const struct registry_row *row)
+{
+	const struct row_version version = { row->version, sync->era };
+
+	return version;
+}
+
+static void remove_backend(struct sync *sync, const char *id,
+			   struct row_version version)
 {
 	struct edge *edge = sync->edge;
 	uint64_t now_us = edge_now_us(edge);
 	const struct backend *backend = backend_table_find(edge->backends, id);
 
-	if (backend && !backend->expire_us && backend->version <= version)
+	if (backend && !backend->expire_us &&
+	    !row_version_is_older(version, backend->version))
 		log_event(LOG_INFO, "backend-missing",
 			  "backend=%s service=%s kept_us=%" PRIu64, id,
 			  backend->service, sync_expiry_grace_left_us(sync));
@@ -163,7 +174,7 @@
 		.draining = record->draining,
 		.cold_left_us = record->cold_left_us,
 		.started_ms = record->started_ms,
-		.version = row->version,
+		.version = row_version_of(sync, row),
 	};
 
 	if (backend_table_knows_newer(edge->backends, &facts))
@@ -185,7 +196,8 @@
  * usable server, and whether the server known by this id still exists is
  * unknown. Requests that run there go on; its next valid entry restores it.
  */
-static void drop_backend(struct sync *sync, const char *id, uint64_t version)
+static void drop_backend(struct sync *sync, const char *id,
+			 struct row_version version)
 {
 	struct edge *edge = sync->edge;
 
@@ -199,7 +211,7 @@
 	GError *error = NULL;
 
 	if (row->deleted) {
-		remove_backend(sync, row->key, row->version);
+		remove_backend(sync, row->key, row_version_of(sync, row));
 		return;
 	}
 	if (!registry->vtable->decode_backend(registry, row->value, &record,
@@ -207,7 +219,7 @@
 		log_event(LOG_WARNING, "backend-invalid", "backend=%s cause=%s",
 			  row->key, error->message);
 		g_error_free(error);
-		drop_backend(sync, row->key, row->version);
+		drop_backend(sync, row->key, row_version_of(sync, row));
 		return;
 	}
 	put_backend(sync, row, &record);
@@ -217,7 +229,7 @@
 void prune_backends(struct sync *sync, GHashTable *seen)
 {
 	struct edge *edge = sync->edge;
-	uint64_t version = sync->followers[REGISTRY_BACKENDS].version;
+	struct row_version version = sync->followers[REGISTRY_BACKENDS].version;
 	GList *ids = g_hash_table_get_keys(edge->backends->by_id);
 	GList *at;
 
--- a/tests/core/choose_test.cc
+++ b/tests/core/choose_test.cc
@@ -528,7 +528,7 @@
 		now_us += 10 * US_PER_MS;
 	}
 	EXPECT_LE(left, 30);
-	backend_table_remove(backends, "i-1", 0, 0, now_us);
+	backend_table_remove(backends, "i-1", {}, 0, now_us);
 	(void)home;
 	left = 0;
 	for (int i = 0; i < 10; i++) {
--- a/tests/core/edge_core_test.cc
+++ b/tests/core/edge_core_test.cc
@@ -617,7 +617,7 @@
 	EXPECT_NE(backend_table_digest(a), backend_table_digest(b));
 	backend_table_put(a, &info, 3);
 	EXPECT_EQ(backend_table_digest(a), backend_table_digest(b));
-	backend_table_remove(a, "i-1", 0, 0, 4);
+	backend_table_remove(a, "i-1", {}, 0, 4);
 	EXPECT_NE(backend_table_digest(a), backend_table_digest(b));
 	backend_table_free(a);
 	backend_table_free(b);
@@ -642,7 +642,7 @@
 	/* Its row goes, and comes back later. */
 	void lose_row_for(uint64_t us)
 	{
-		backend_table_remove(table, "i-1", 0, 0, now_us);
+		backend_table_remove(table, "i-1", {}, 0, now_us);
 		now_us += us;
 		backend_table_expire(table, now_us);
 		backend = backend_table_put(table, &info, now_us);
@@ -700,7 +700,7 @@
 {
 	struct backend *before = backend_ref(backend);
 
-	backend_table_remove(table, "i-1", 0, 0, now_us);
+	backend_table_remove(table, "i-1", {}, 0, now_us);
 	EXPECT_TRUE(backend_note_leaving(table, before, now_us));
 	EXPECT_TRUE(backend_note_rest(table, before, US_PER_S, now_us));
 	backend = backend_table_put(table, &info, now_us);
@@ -818,7 +818,7 @@
 
 /* A row of the server as received, and the state that the table then has. */
 struct row_step {
-	uint64_t version;
+	struct row_version version;
 	char state; /* 'r'eady, 'd'raining, 'g'one */
 	char expected; /* state in the table */
 };
@@ -829,20 +829,40 @@
 };
 
 const row_case row_cases[] = {
-	{ "InOrder", { { 3, 'r', 'r' }, { 5, 'd', 'd' }, { 9, 'g', 'g' } } },
-	{ "OlderRowReady", { { 5, 'd', 'd' }, { 3, 'r', 'd' } } },
+	{ "InOrder",
+	  { { { 3, 0 }, 'r', 'r' },
+	    { { 5, 0 }, 'd', 'd' },
+	    { { 9, 0 }, 'g', 'g' } } },
+	{ "OlderRowReady", { { { 5, 0 }, 'd', 'd' }, { { 3, 0 }, 'r', 'd' } } },
 	{ "OlderRowOfARemovedServer",
-	  { { 3, 'r', 'r' }, { 9, 'g', 'g' }, { 5, 'd', 'g' } } },
-	{ "OlderRowOfAnUnknownServer", { { 9, 'g', 'g' }, { 5, 'r', 'g' } } },
-	{ "OlderRemoval", { { 9, 'r', 'r' }, { 5, 'g', 'r' } } },
+	  { { { 3, 0 }, 'r', 'r' },
+	    { { 9, 0 }, 'g', 'g' },
+	    { { 5, 0 }, 'd', 'g' } } },
+	{ "OlderRowOfAnUnknownServer",
+	  { { { 9, 0 }, 'g', 'g' }, { { 5, 0 }, 'r', 'g' } } },
+	{ "OlderRemoval", { { { 9, 0 }, 'r', 'r' }, { { 5, 0 }, 'g', 'r' } } },
 	{ "ListedAgainAfterRemoval",
-	  { { 3, 'r', 'r' }, { 5, 'g', 'g' }, { 6, 'r', 'r' } } },
-	{ "SameRowAgain", { { 5, 'd', 'd' }, { 5, 'd', 'd' } } },
+	  { { { 3, 0 }, 'r', 'r' },
+	    { { 5, 0 }, 'g', 'g' },
+	    { { 6, 0 }, 'r', 'r' } } },
+	{ "SameRowAgain", { { { 5, 0 }, 'd', 'd' }, { { 5, 0 }, 'd', 'd' } } },
+	{ "LaterEraAndLowerNumber",
+	  { { { 9, 1 }, 'r', 'r' },
+	    { { 5, 2 }, 'd', 'd' },
+	    { { 4, 3 }, 'g', 'g' } } },
+	{ "EarlierEraAndHigherNumber",
+	  { { { 5, 2 }, 'd', 'd' },
+	    { { 9, 1 }, 'r', 'd' },
+	    { { 9, 1 }, 'g', 'd' } } },
+	{ "RemovedInAnEarlierEra",
+	  { { { 9, 1 }, 'g', 'g' },
+	    { { 5, 2 }, 'r', 'r' },
+	    { { 10, 1 }, 'g', 'r' } } },
 	{ "WithoutVersions",
-	  { { 0, 'd', 'd' },
-	    { 0, 'r', 'r' },
-	    { 0, 'g', 'g' },
-	    { 0, 'r', 'r' } } },
+	  { { { 0, 0 }, 'd', 'd' },
+	    { { 0, 0 }, 'r', 'r' },
+	    { { 0, 0 }, 'g', 'g' },
+	    { { 0, 0 }, 'r', 'r' } } },
 };
 
 class RowTest : public ::testing::TestWithParam<row_case>
@@ -869,7 +889,7 @@
 			backend_table_put(table, &info, now_us);
 		const struct backend *known = backend_table_find(table, "i-1");
 		char state = !known ? 'g' : known->draining ? 'd' : 'r';
-		EXPECT_EQ(step.expected, state) << step.version;
+		EXPECT_EQ(step.expected, state) << step.version.number;
 		now_us++;
 	}
 	backend_table_free(table);
--- a/tests/core/suspect_fleet.h
+++ b/tests/core/suspect_fleet.h
@@ -421,7 +421,7 @@
 		}
 		for (Run &run : runs)
 			break_off(server, run);
-		backend_table_remove(backends_.get(), server.id.c_str(), 0,
+		backend_table_remove(backends_.get(), server.id.c_str(), {},
 				     server.back_us, now_us);
 		server.life = 0;
 	}
--- a/tests/core/suspect_table_test.cc
+++ b/tests/core/suspect_table_test.cc
@@ -240,7 +240,7 @@
 		crash(add_backend(id.c_str())->incarnation,
 		      (uint64_t)id.back());
 	for (const std::string &id : ids)
-		backend_table_remove(backends, id.c_str(), 0, 0, now_us);
+		backend_table_remove(backends, id.c_str(), {}, 0, now_us);
 	now_us += US_PER_S;
 	EXPECT_EQ(SUSPECT_NONE, decide((uint64_t)'1').verdict);
 }
--- a/tests/edge/heartbeat_test.cc
+++ b/tests/edge/heartbeat_test.cc
@@ -25,9 +25,9 @@
 							    (uint16_t)i };
 	for (uint32_t i = 0; i < 10; i++)
 		heartbeat.loads[heartbeat.load_count++] = { i, i + 1 };
-	heartbeat.digests[heartbeat.digest_count++] = { 1,
-							0x1234567890abcdefull,
-							3148, 250 };
+	heartbeat.digests[heartbeat.digest_count++] = {
+		1, 0x1234567890abcdefull, { 3148, 3 }, 250
+	};
 	for (uint32_t i = 0; i < 2; i++) {
 		struct heartbeat_row *row =
 			&heartbeat.rows[heartbeat.row_count++];
@@ -42,7 +42,7 @@
 		row->draining = !i;
 		row->cold_left_ms = 1200;
 		row->started_ms = 1777081648000ull + i;
-		row->version = 5166 + i;
+		row->version = { 5166 + i, 2 };
 	}
 	return heartbeat;
 }
@@ -77,9 +77,11 @@
 	EXPECT_EQ(19u, got.pairs[19].ready_ms);
 	EXPECT_EQ(10u, got.loads[9].in_flight);
 	EXPECT_EQ(sent.digests[0].digest, got.digests[0].digest);
-	EXPECT_EQ(3148u, got.digests[0].version);
+	EXPECT_EQ(3148u, got.digests[0].version.number);
+	EXPECT_EQ(3u, got.digests[0].version.era);
 	EXPECT_EQ(250u, got.digests[0].age_ms);
-	EXPECT_EQ(5167u, got.rows[1].version);
+	EXPECT_EQ(5167u, got.rows[1].version.number);
+	EXPECT_EQ(2u, got.rows[1].version.era);
 	EXPECT_STREQ("i-left", got.rows[1].id);
 	EXPECT_STREQ("", got.rows[1].service);
 	EXPECT_TRUE(got.rows[0].draining);
--- a/tests/edge/server_notices_test.cc
+++ b/tests/edge/server_notices_test.cc
@@ -178,9 +178,9 @@
 TEST_F(LeavingTest, RowDoesNotUndoIt)
 {
 	start_with_leaving_server();
-	uint64_t version = backend(apps[0])->version;
+	uint64_t version = backend(apps[0])->version.number;
 	list_app(apps[0], "ready", "0ms", 2);
-	wait_for([&] { return backend(apps[0])->version > version; });
+	wait_for([&] { return backend(apps[0])->version.number > version; });
 	expect_none_sent();
 }
 
--- a/tests/edge/store_restore_test.cc
+++ b/tests/edge/store_restore_test.cc
@@ -86,9 +86,12 @@
 		uint64_t end_us = edge_now_us(edge) + ms * 1000;
 
 		while (edge_now_us(edge) < end_us) {
-			std::string id = "r" + std::to_string(++requests);
+			std::string number = std::to_string(++requests);
+			std::string text = get("r" + number, "/r/");
 
-			answer_to(get(id, "/r/"));
+			/* Different objects, of which each server has some. */
+			text.replace(text.find("Key: 7"), 6, "Key: " + number);
+			answer_to(text);
 			run_for(20);
 		}
 		return app_stand_total_runs(app.stand) - before;
@@ -330,8 +333,10 @@
 	start_node();
 	wait_for([this] { return store_stand_get(store, "members", "n1"); });
 	store_stand_copy(store);
+	run_for(2500); /* the table isn't read again sooner */
 	for (const char *name : { "n2", "n3" })
 		store_stand_put(store, "members", name, row);
+	sync_read_members(sync);
 	wait_for([this] { return member_table_count(edge->members) == 3; });
 	restore(1000);
 	run_for(2500);
--- a/tests/edge/sync_peers_test.cc
+++ b/tests/edge/sync_peers_test.cc
@@ -87,7 +87,7 @@
 		backend_row_fill(backend_table_find(second.backends, id),
 				 edge_now_us(&second), &row);
 		row.draining = true;
-		row.version = store_stand_version(store);
+		row.version = { store_stand_version(store), 1 };
 		backend_row_receive(&second, &row);
 	}
 	void second_receives_left(const char *id)
@@ -95,7 +95,7 @@
 		struct heartbeat_row row = {};
 
 		g_strlcpy(row.id, id, sizeof(row.id));
-		row.version = store_stand_version(store);
+		row.version = { store_stand_version(store), 1 };
 		backend_row_receive(&second, &row);
 	}
 	/*
@@ -374,7 +374,7 @@
 	facts.region = "r1";
 	facts.slots = 4;
 	backend_table_put(edge->backends, &facts, edge_now_us(edge));
-	backend_table_remove(edge->backends, "i-3", 0,
+	backend_table_remove(edge->backends, "i-3", {},
 			     edge_now_us(edge) + 2000000, edge_now_us(edge));
 	for (int i = 0; i < 12; i++) {
 		send_digests_to_second();
@@ -391,7 +391,7 @@
 		add_app("i-" + std::to_string(i));
 	start_both();
 	run_for(1000);
-	backend_table_remove(edge->backends, "i-3", 0,
+	backend_table_remove(edge->backends, "i-3", {},
 			     edge_now_us(edge) + 2000000, edge_now_us(edge));
 	list_app(apps[5], "draining");
 	wait_for([this] {
--- a/tests/edge/sync_test.cc
+++ b/tests/edge/sync_test.cc
@@ -462,7 +462,7 @@
 TEST(SnapshotTest, TruncatedSnapshotsAreRejected)
 {
 	struct snapshot_writer writer;
-	const struct snapshot_table table = { 1, 7, 300 };
+	const struct snapshot_table table = { 1, { 7, 2 }, 300 };
 	const struct snapshot_row row = { 1, "key", "value" };
 	const struct heartbeat_row backend = {};
 	int seen = 0;
