sync, backend_table: what was known holds until a restored store says otherwise

Callers would see it once eras are compared: the copy is some seconds old, so a server that had said that it leaves is ready in it, an evacuation, live nodes and new servers are missing, and a table was taken as it stands.

- A server that drains goes on leaving in a later era, by the row itself, so that a row which a peer hands on before the era is known does no harm; one that was removed and is back rests for 5 s, or leaves where it had drained.
- Rows of operator and nodes that the first read of an era lacks are kept, and the table is read once more 5 s later if there were any: who still writes them has written them by then.
Missing servers are kept for the 2.2 s in which expired ones come back.
- The operator's document goes by its own version, and the newest one is what peers get; the store's older one isn't kept.
- A full read abandons calls that were made before it; an answer to a held call could have been taken for a page of it.

--- a/packages/core/backend_table.c
+++ b/packages/core/backend_table.c
@@ -101,17 +101,20 @@
 	backend->rest_until_us = row->rest_until_us;
 }
 
-/* A restored list may have the entry of a server that has left. */
-static void rest_if_restored(const struct backend_table *table,
-			     struct backend *backend,
-			     const struct backend_info *info, uint64_t now_us)
+/* Its entry was removed, and may be back only since the list was restored. */
+static void take_back_restored(const struct backend_table *table,
+			       struct backend *backend,
+			       const struct backend_info *info, uint64_t now_us)
 {
 	const struct removed_row *row =
 		g_hash_table_lookup(table->removed, backend->id);
 
-	if (row && row->version.number && row->version.era < info->version.era)
-		backend->rest_until_us =
-			MAX(backend->rest_until_us, now_us + RESTORED_REST_US);
+	if (!row || !row->version.number ||
+	    row->version.era >= info->version.era)
+		return;
+	backend->said_leaving |= row->drained;
+	backend->rest_until_us =
+		MAX(backend->rest_until_us, now_us + RESTORED_REST_US);
 }
 
 static struct backend *add(struct backend_table *table,
@@ -131,7 +134,7 @@
 	backend->slowness = 1.0;
 	backend->joined_us = table->loaded ? now_us : 0;
 	restore_notices(table, backend);
-	rest_if_restored(table, backend, info, now_us);
+	take_back_restored(table, backend, info, now_us);
 	g_hash_table_insert(table->by_id, backend->id, backend);
 	g_hash_table_replace(table->by_incarnation,
 			     GUINT_TO_POINTER(backend->incarnation), backend);
@@ -287,6 +290,9 @@
 		backend = restart(table, backend, info, now_us);
 	if (info_differs(backend, info))
 		note_change(table, info->id);
+	/* A server that drains never stops to; the restored row is older. */
+	if (backend->draining && backend->version.era < info->version.era)
+		backend->said_leaving = true;
 	if (info->draining && !backend->draining)
 		table->last_loss_us = now_us;
 	backend->address = info->address;
@@ -310,12 +316,14 @@
 }
 
 static void note_removed(struct backend_table *table, const char *id,
+			 const struct backend *backend,
 			 struct row_version version, uint64_t now_us)
 {
 	struct removed_row *row = removed_row(table, id);
 
 	row->version = row_version_max(row->version, version);
 	row->at_us = now_us;
+	row->drained = backend && backend->draining;
 }
 
 void backend_table_remove(struct backend_table *table, const char *id,
@@ -328,7 +336,7 @@
 	    row_version_is_older(version, backend->version))
 		return;
 	if (version.number)
-		note_removed(table, id, version, now_us);
+		note_removed(table, id, backend, version, now_us);
 	if (!backend)
 		return;
 	if (backend->draining || keep_until_us <= now_us)
@@ -337,19 +345,6 @@
 		backend->expire_us = keep_until_us;
 }
 
-void backend_table_note_restore(struct backend_table *table)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, table->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct backend *backend = value;
-
-		backend->said_leaving |= backend->draining;
-	}
-}
-
 static gboolean is_long_removed(gpointer id, gpointer value, gpointer now)
 {
 	const struct removed_row *row = value;
--- a/packages/core/backend_table.h
+++ b/packages/core/backend_table.h
@@ -129,6 +129,7 @@
 	uint64_t started_ms;
 	bool said_leaving;
 	uint64_t rest_until_us;
+	bool drained; /* when it was removed */
 };
 
 struct backend_table *backend_table_new(void);
@@ -139,7 +140,9 @@
  * that restarted under its id is replaced by a new one, since its cache is
  * empty and its load and failures are unknown. Rows of an earlier incarnation,
  * or older than the newest one seen, are ignored: peers report changes before
- * the list does. Returns NULL where a newer version removed the server.
+ * the list does. A restored list may have older rows, of servers that drain or
+ * have left: the former go on leaving, the latter rest at first. Returns NULL
+ * where a newer version removed the server.
  */
 struct backend *backend_table_put(struct backend_table *table,
 				  const struct backend_info *info,
@@ -168,12 +171,6 @@
 backend_table_removed_version(const struct backend_table *table,
 			      const char *id);
 
-/*
- * The list has been restored from a copy, whose rows are older than what is
- * known. Servers that drain go on leaving, whatever their rows say.
- */
-void backend_table_note_restore(struct backend_table *table);
-
 /* Removes servers whose rows are still missing when their time is up. */
 void backend_table_expire(struct backend_table *table, uint64_t now_us);
 
--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -33,6 +33,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	follower->rows =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	follower->unconfirmed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	lane_init(&follower->lane, edge->loop, &edge->settings.registry,
 		  rule->max_transfer_us);
 	uv_timer_init(edge->loop, &follower->timer);
@@ -74,6 +76,8 @@
 		  SYNC_MAX_TRANSFER_US);
 	uv_timer_init(edge->loop, &sync->own_timer);
 	sync->own_timer.data = sync;
+	uv_timer_init(edge->loop, &sync->settle_timer);
+	sync->settle_timer.data = sync;
 	for (i = 0; i < FOLLOWERS; i++)
 		follower_open(&sync->followers[i], sync, &follow_rules[i]);
 	schedule_first_steps(sync);
@@ -89,12 +93,14 @@
 		uv_close((uv_handle_t *)&sync->followers[i].timer, NULL);
 		g_hash_table_destroy(sync->followers[i].seen);
 		g_hash_table_destroy(sync->followers[i].rows);
+		g_hash_table_destroy(sync->followers[i].unconfirmed);
 		g_free(sync->followers[i].page_key);
 	}
 	lane_close(&sync->own_lane);
 	lane_close(&sync->peer_lane);
 	g_clear_pointer(&sync->snapshot, g_bytes_unref);
 	uv_close((uv_handle_t *)&sync->own_timer, NULL);
+	uv_close((uv_handle_t *)&sync->settle_timer, NULL);
 }
 
 void sync_became_ready(struct sync *sync)
--- a/packages/edge/sync_answer.c
+++ b/packages/edge/sync_answer.c
@@ -7,15 +7,6 @@
 #include "core/duration.h"
 #include "edge/quarantine_store.h"
 
-/*
- * When the platform is back after an outage, expired entries of backend servers
- * are written again within about 2 s. A missing entry is kept for this time
- * multiplied by the fraction of entries that are missing: where most are there
- * the platform wasn't down, or has long been back, and a missing server has
- * left.
- */
-#define EXPIRY_GRACE_US (2200 * US_PER_MS)
-
 /* Longest time from sending to receiving the first byte of an answer. */
 #define MAX_FIRST_BYTE_DELAY_US (100 * US_PER_MS)
 
@@ -41,13 +32,29 @@
 			    spacing > since_us ? spacing - since_us : 0);
 }
 
-void follower_begin_full_read(struct follower *follower)
+static void forget_pages(struct follower *follower)
 {
-	follower->loaded = false;
 	g_clear_pointer(&follower->page_key, g_free);
 	g_hash_table_remove_all(follower->seen);
 }
 
+void follower_begin_full_read(struct follower *follower)
+{
+	follower->loaded = false;
+	follower->full_reads++;
+	forget_pages(follower);
+}
+
+void follower_restart(struct follower *follower)
+{
+	follower_begin_full_read(follower);
+	if (lane_is_busy(&follower->lane) &&
+	    !lane_is_receiving(&follower->lane))
+		lane_abort(&follower->lane, "restarted");
+	else
+		follower_step_later(follower, 0);
+}
+
 /* Entries missing in the first rows after the platform was unreachable. */
 static uint32_t count_missing(const struct follower *follower,
 			      const struct registry_rows *rows)
@@ -65,6 +72,11 @@
 	return known - MIN(rows->rows->len - deleted, known);
 }
 
+/*
+ * Missing entries are kept for the grace multiplied by the fraction of entries
+ * that are missing: where most are there the platform wasn't down, or has long
+ * been back, and a missing server has left.
+ */
 static void set_expiry_grace(struct follower *follower,
 			     const struct registry_rows *rows)
 {
@@ -75,15 +87,15 @@
 	sync->platform_was_away = false;
 	if (!known)
 		return;
-	sync->expiry_grace_until_us =
+	sync->expiry_grace_until_us = MAX(
+		sync->expiry_grace_until_us,
 		edge_now_us(sync->edge) +
-		(uint64_t)((double)missing / known * EXPIRY_GRACE_US);
+			(uint64_t)((double)missing / known * EXPIRY_GRACE_US));
 	log_event(LOG_INFO, "lapse-weighed", "known=%u missing=%u", known,
 		  missing);
 }
 
-void follower_keep_row(struct follower *follower,
-		       const struct registry_row *row)
+static void keep_row(struct follower *follower, const struct registry_row *row)
 {
 	/*
 	 * Snapshots hold backend servers as in the backend table, not as raw
@@ -99,6 +111,14 @@
 				     g_strdup(row->value));
 }
 
+void follower_apply_row(struct follower *follower,
+			const struct registry_row *row)
+{
+	follower_confirm_row(follower, row->key);
+	if (follower->rule->apply(follower->sync, row))
+		keep_row(follower, row);
+}
+
 static gboolean is_unseen(gpointer key, gpointer value, gpointer seen)
 {
 	(void)value;
@@ -132,8 +152,7 @@
 			continue;
 		if (!follower->loaded)
 			g_hash_table_add(follower->seen, g_strdup(row->key));
-		follower_keep_row(follower, row);
-		follower->rule->apply(follower->sync, row);
+		follower_apply_row(follower, row);
 	}
 }
 
@@ -181,6 +200,7 @@
 void follower_end_pass(struct follower *follower, struct row_version version,
 		       uint64_t as_of_us)
 {
+	follower_keep_unconfirmed(follower, version);
 	follower->version = version;
 	follower->rule->prune(follower->sync, follower->seen);
 	g_hash_table_foreach_remove(follower->rows, is_unseen, follower->seen);
@@ -188,7 +208,7 @@
 		  "table=%s rows=%u version=%" PRIu64 " era=%u",
 		  follower->rule->name, g_hash_table_size(follower->seen),
 		  version.number, version.era);
-	follower_begin_full_read(follower);
+	forget_pages(follower);
 	follower->loaded = true;
 	follower->peer_attempts = 0;
 	confirm(follower, as_of_us);
@@ -385,6 +405,13 @@
 	follower_call(follower);
 }
 
+/* Whether the call's answer can't be used: a full read has begun since. */
+static bool is_abandoned(const struct follower *follower)
+{
+	return !follower->superseded &&
+	       follower->call_full_reads != follower->full_reads;
+}
+
 /*
  * Whether the call asked what follows a version or a page of another era. Its
  * answer may lack any change since: a restored platform gives out versions
@@ -405,6 +432,10 @@
 	struct registry_rows rows = { 0 };
 	enum registry_result result;
 
+	if (!answer && is_abandoned(follower)) {
+		follower_step_later(follower, 0);
+		return;
+	}
 	if (!answer && follower->loaded && !strcmp(cause, LINK_TOO_LARGE)) {
 		reread_table(follower);
 		return;
@@ -422,7 +453,7 @@
 		note_failure(follower, "era");
 		return;
 	}
-	if (asked_another_era(follower)) {
+	if (is_abandoned(follower) || asked_another_era(follower)) {
 		metric_add(edge->stats.registry_lost_bytes,
 			   follower->lane.got_bytes);
 		note_success(follower);
--- a/packages/edge/sync_era.c
+++ b/packages/edge/sync_era.c
@@ -5,6 +5,12 @@
 #include "adapters/log.h"
 #include "core/duration.h"
 
+/*
+ * Operators and nodes write their rows again within seconds of a restore. What
+ * the restored tables lack holds until then, and no longer.
+ */
+#define UNCONFIRMED_KEEP_US (5 * US_PER_S)
+
 /* Logs the first refused answer in a row, the second, the fourth and so on. */
 static bool refuse(struct sync *sync, const char *call, const char *text)
 {
@@ -36,13 +42,9 @@
 	for (i = 0; i < FOLLOWERS; i++) {
 		struct follower *follower = &sync->followers[i];
 
-		if (follower->version.era == sync->era)
-			continue;
-		follower_begin_full_read(follower);
-		if (lane_is_busy(&follower->lane) &&
-		    !lane_is_receiving(&follower->lane))
-			lane_abort(&follower->lane, "restored");
-		follower_step_later(follower, 0);
+		if (follower->version.era != sync->era &&
+		    (follower->loaded || follower->page_key))
+			follower_restart(follower);
 	}
 }
 
@@ -88,6 +90,56 @@
 	if (era == before || !has_loaded_any(sync))
 		return;
 	metric_add(edge->stats.registry_restores, 1);
+	sync->expiry_grace_until_us = edge_now_us(edge) + EXPIRY_GRACE_US;
 	/* Peers are asked first, as at a start of all nodes. */
 	sync->started_us = edge_now_us(edge);
 }
+
+/* Whoever still writes the rows has written them by now. */
+static void on_settle_time(uv_timer_t *timer)
+{
+	struct sync *sync = timer->data;
+	uint32_t i;
+
+	sync->started_us = edge_now_us(sync->edge);
+	for (i = 0; i < FOLLOWERS; i++) {
+		struct follower *follower = &sync->followers[i];
+
+		if (!g_hash_table_size(follower->unconfirmed))
+			continue;
+		g_hash_table_remove_all(follower->unconfirmed);
+		follower_restart(follower);
+	}
+}
+
+void follower_keep_unconfirmed(struct follower *follower,
+			       struct row_version version)
+{
+	bool is_first = follower->confirmed_us &&
+			version.era != follower->version.era;
+	GHashTableIter iter;
+	gpointer key;
+
+	if (!is_first && !g_hash_table_size(follower->unconfirmed))
+		return;
+	g_hash_table_iter_init(&iter, follower->rows);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		if (g_hash_table_contains(follower->seen, key) ||
+		    (!is_first &&
+		     !g_hash_table_contains(follower->unconfirmed, key)))
+			continue;
+		g_hash_table_add(follower->seen, g_strdup(key));
+		g_hash_table_add(follower->unconfirmed, g_strdup(key));
+	}
+	log_event(LOG_INFO, "rows-unconfirmed", "table=%s rows=%u",
+		  follower->rule->name,
+		  g_hash_table_size(follower->unconfirmed));
+	if (is_first)
+		uv_timer_start(&follower->sync->settle_timer, on_settle_time,
+			       UNCONFIRMED_KEEP_US / US_PER_MS, 0);
+}
+
+void follower_confirm_row(struct follower *follower, const char *key)
+{
+	g_hash_table_remove(follower->unconfirmed, key);
+}
--- a/packages/edge/sync_internal.h
+++ b/packages/edge/sync_internal.h
@@ -8,6 +8,12 @@
 #include "edge/lane.h"
 #include "edge/sync.h"
 
+/*
+ * When the platform is back after an outage, expired entries of backend servers
+ * are written again within about 2 s.
+ */
+#define EXPIRY_GRACE_US (2200 * US_PER_MS)
+
 /*
  * Time-out until an answer of the platform begins, beyond the hold: two round
  * trips across a continent, and an answer fifty times slower than usual.
@@ -39,7 +45,8 @@
 	uint64_t mismatch_interval_us; /* min. between mismatch reads */
 	uint32_t max_peer_attempts; /* for one mismatch */
 	bool rereads_when_behind; /* by a full read, not by all changes since */
-	void (*apply)(struct sync *sync, const struct registry_row *row);
+	/* False where what is known is newer: the row isn't kept. */
+	bool (*apply)(struct sync *sync, const struct registry_row *row);
 	/*
 	 * Remove what isn't in seen, the keys of a full read as of the
 	 * follower's version.
@@ -60,7 +67,11 @@
 	GHashTable *seen; /* keys read so far in this full read */
 	/* Key -> value as the platform sent them; empty for backend servers. */
 	GHashTable *rows;
+	/* Keys of these that the restored table lacks; see sync_era.c. */
+	GHashTable *unconfirmed;
 	uint64_t called_us;
+	uint32_t full_reads; /* begun so far */
+	uint32_t call_full_reads; /* the same at the time of the call */
 	bool call_continues; /* the call goes on from a version or a page */
 	uint32_t call_era; /* of that version or page */
 	bool superseded; /* a peer's table was applied during the call */
@@ -99,6 +110,8 @@
 	bool era_known; /* some answer or peer told an era */
 	uint32_t era; /* the latest one told */
 	uint32_t misplaced; /* consecutive answers of an unplaced era */
+	uv_timer_t settle_timer; /* tables with unconfirmed rows are read again
+				  */
 };
 
 /* sync_plan.c: rules by table. */
@@ -138,13 +151,16 @@
 /* sync_answer.c: read the table from its first page on. */
 void follower_begin_full_read(struct follower *follower);
 
+/* The same, in place of a call that is held by the platform. */
+void follower_restart(struct follower *follower);
+
 /* sync_answer.c: end a full read; remove rows that it didn't contain. */
 void follower_end_pass(struct follower *follower, struct row_version version,
 		       uint64_t as_of_us);
 
-/* sync_answer.c: store the row as the platform sent it. */
-void follower_keep_row(struct follower *follower,
-		       const struct registry_row *row);
+/* sync_answer.c: apply a row, and keep it as the platform sent it. */
+void follower_apply_row(struct follower *follower,
+			const struct registry_row *row);
 
 /*
  * sync_era.c: whether the platform's answer may be believed: it tells the
@@ -157,6 +173,16 @@
 /* sync_era.c: a later era begins; source says who told it. */
 void sync_begin_era(struct sync *sync, uint32_t era, const char *source);
 
+/*
+ * sync_era.c: a full read ends: keep rows that it lacks, where it is the first
+ * in an era, until their writers had time to write them again.
+ */
+void follower_keep_unconfirmed(struct follower *follower,
+			       struct row_version version);
+
+/* sync_era.c: the row was received. */
+void follower_confirm_row(struct follower *follower, const char *key);
+
 /* sync_peers.c: request from a peer the tables that are missing or differ. */
 void sync_ask_peer(struct sync *sync);
 
@@ -171,11 +197,11 @@
 void sync_write_own_row_later(struct sync *sync, uint64_t delay_us);
 
 /* sync_tables.c: apply a row; remove what a full read didn't contain. */
-void apply_config_row(struct sync *sync, const struct registry_row *row);
+bool apply_config_row(struct sync *sync, const struct registry_row *row);
 void prune_config(struct sync *sync, GHashTable *seen);
-void apply_backend_row(struct sync *sync, const struct registry_row *row);
+bool apply_backend_row(struct sync *sync, const struct registry_row *row);
 void prune_backends(struct sync *sync, GHashTable *seen);
-void apply_member_row(struct sync *sync, const struct registry_row *row);
+bool apply_member_row(struct sync *sync, const struct registry_row *row);
 void prune_members(struct sync *sync, GHashTable *seen);
 
 #endif
--- a/packages/edge/sync_peers.c
+++ b/packages/edge/sync_peers.c
@@ -169,8 +169,7 @@
 		return;
 	follower = &import->sync->followers[row->table];
 	g_hash_table_add(follower->seen, g_strdup(row->key));
-	follower_keep_row(follower, &known);
-	follower->rule->apply(import->sync, &known);
+	follower_apply_row(follower, &known);
 }
 
 static void log_if_leaving(const struct edge *edge,
--- a/packages/edge/sync_plan.c
+++ b/packages/edge/sync_plan.c
@@ -284,6 +284,7 @@
 			follower->page_key ? follower->page_key : "", &call);
 	}
 	follower->called_us = edge_now_us(edge);
+	follower->call_full_reads = follower->full_reads;
 	follower->call_continues = follower->loaded || follower->page_key;
 	follower->call_era = follower->loaded ? follower->version.era :
 						follower->page_version.era;
--- a/packages/edge/sync_tables.c
+++ b/packages/edge/sync_tables.c
@@ -8,7 +8,7 @@
 
 /* --- the operator's rows ------------------------------------------------ */
 
-static void apply_routes(struct sync *sync, const struct registry_row *row)
+static bool apply_routes(struct sync *sync, const struct registry_row *row)
 {
 	struct edge *edge = sync->edge;
 	const struct registry *registry = edge->registry;
@@ -16,7 +16,7 @@
 	GError *error = NULL;
 
 	if (row->deleted)
-		return;
+		return false;
 	table = registry->vtable->decode_routes(registry, row->value, &error);
 	sync->routes_unreadable = !table;
 	if (!table) {
@@ -24,12 +24,17 @@
 			  "row_version=%" PRIu64 " cause=%s", row->version,
 			  error->message);
 		g_error_free(error);
-		return;
+		return true;
 	}
-	/* Answers may arrive out of order; an older version is ignored. */
+	/*
+	 * Answers may arrive out of order, and a restored platform has an
+	 * older document until the operator writes the newest one again.
+	 */
 	if (edge->routes && table->version <= edge->routes->version) {
+		bool same = table->version == edge->routes->version;
+
 		route_table_unref(table);
-		return;
+		return same;
 	}
 	log_event(LOG_INFO, "routes-in-force",
 		  "version=%" PRIu64 " routes=%u services=%u bytes=%zu",
@@ -37,6 +42,7 @@
 		  g_hash_table_size(table->services), strlen(row->value));
 	route_table_unref(edge->routes);
 	edge->routes = table;
+	return true;
 }
 
 /* Longest warm-up of any service's backend servers. */
@@ -67,15 +73,16 @@
 			       longest_warmup_us(edge), edge_now_us(edge));
 }
 
-void apply_config_row(struct sync *sync, const struct registry_row *row)
+bool apply_config_row(struct sync *sync, const struct registry_row *row)
 {
 	const struct registry *registry = sync->edge->registry;
 	char *domain = NULL;
+	bool believed = true;
 
 	switch (registry->vtable->classify_config_row(registry, row->key,
 						      &domain)) {
 	case CONFIG_ROW_ROUTES:
-		apply_routes(sync, row);
+		believed = apply_routes(sync, row);
 		break;
 	case CONFIG_ROW_EVACUATION:
 		set_evacuation(sync, domain, !row->deleted);
@@ -84,6 +91,7 @@
 		break;
 	}
 	g_free(domain);
+	return believed;
 }
 
 void prune_config(struct sync *sync, GHashTable *seen)
@@ -204,7 +212,7 @@
 	backend_table_remove(edge->backends, id, version, 0, edge_now_us(edge));
 }
 
-void apply_backend_row(struct sync *sync, const struct registry_row *row)
+bool apply_backend_row(struct sync *sync, const struct registry_row *row)
 {
 	const struct registry *registry = sync->edge->registry;
 	struct backend_record record;
@@ -212,7 +220,7 @@
 
 	if (row->deleted) {
 		remove_backend(sync, row->key, row_version_of(sync, row));
-		return;
+		return true;
 	}
 	if (!registry->vtable->decode_backend(registry, row->value, &record,
 					      &error)) {
@@ -220,10 +228,11 @@
 			  row->key, error->message);
 		g_error_free(error);
 		drop_backend(sync, row->key, row_version_of(sync, row));
-		return;
+		return true;
 	}
 	put_backend(sync, row, &record);
 	backend_record_release(&record);
+	return true;
 }
 
 void prune_backends(struct sync *sync, GHashTable *seen)
@@ -306,7 +315,7 @@
 		sync_write_own_row(sync);
 }
 
-void apply_member_row(struct sync *sync, const struct registry_row *row)
+bool apply_member_row(struct sync *sync, const struct registry_row *row)
 {
 	struct edge *edge = sync->edge;
 	const struct registry *registry = edge->registry;
@@ -315,21 +324,22 @@
 
 	if (!strcmp(row->key, edge->settings.name)) {
 		apply_own_row(sync, row);
-		return;
+		return true;
 	}
 	if (row->deleted) {
 		member_table_remove(edge->members, row->key);
-		return;
+		return true;
 	}
 	if (!registry->vtable->decode_member(registry, row->value, &record,
 					     &error)) {
 		log_event(LOG_WARNING, "member-invalid", "member=%s cause=%s",
 			  row->key, error->message);
 		g_error_free(error);
-		return;
+		return true;
 	}
 	put_member(edge, row->key, &record);
 	member_record_release(&record);
+	return true;
 }
 
 void prune_members(struct sync *sync, GHashTable *seen)
--- a/tests/core/edge_core_test.cc
+++ b/tests/core/edge_core_test.cc
@@ -895,6 +895,34 @@
 	backend_table_free(table);
 }
 
+/* Guards against requests to servers that are ready in a restored list. */
+TEST(RestoredRowTest, ServerThatDrainedOrLeftGetsNoRequests)
+{
+	for (bool drains : { false, true })
+		for (bool removed : { false, true }) {
+			struct backend_table *table = backend_table_new();
+			struct backend_info info = {};
+			struct backend *backend;
+
+			info.id = "i-1";
+			info.service = "s";
+			info.domain = "d1";
+			info.region = "r1";
+			info.version = { 9, 1 };
+			info.draining = drains;
+			backend_table_put(table, &info, 1);
+			if (removed)
+				backend_table_remove(table, "i-1", { 10, 1 }, 0,
+						     2);
+			info.version = { 5, 2 };
+			info.draining = false;
+			backend = backend_table_put(table, &info, 3);
+			EXPECT_EQ(drains, backend_is_leaving(backend));
+			EXPECT_EQ(removed, backend_is_resting(backend, 4));
+			backend_table_free(table);
+		}
+}
+
 INSTANTIATE_TEST_SUITE_P(Cases, RowTest, ::testing::ValuesIn(row_cases),
 			 [](const auto &info) { return info.param.name; });
 
