sync, quarantine_store: what nodes wrote is written again after a restore

Nobody saw it yet: rows of nodes and of quarantined requests that were written since the copy was made are gone, and were written again only when a node happened to read that it is missing, quarantines never. Nodes that start later don't find their peers, and a restart of all nodes lets a request run again that crashes servers.

When an era begins each node writes its row within 0.5 s and 10 ms a member, unless it has read from the store itself that it is there; what a peer says of it doesn't count, since peers keep rows for a while. A node writes the rows of its quarantines again, and the region's reader those of all that it knows, also the removal of released ones, whose writers may be dead. Answers to writes tell the era as well.

Failed before: OwnRowIsWrittenAgain, QuarantineIsWrittenAgain.

--- a/packages/edge/quarantine_store.c
+++ b/packages/edge/quarantine_store.c
@@ -7,6 +7,7 @@
 #include "core/duration.h"
 #include "core/read_plan.h"
 #include "edge/lane.h"
+#include "edge/sync.h"
 
 /* Time-out until an answer of the platform begins. */
 #define CALL_TIMEOUT_US (1000 * US_PER_MS)
@@ -67,6 +68,14 @@
 					      g_random_double()));
 }
 
+static bool is_placed(const struct quarantine_store *store,
+		      const struct message *answer)
+{
+	struct sync *sync = store->edge->sync;
+
+	return !sync || sync_place_answer(sync, answer, "quarantines");
+}
+
 /* --- writing ------------------------------------------------------------ */
 
 static void fill_record(const struct suspect *suspect, uint64_t now_us,
@@ -114,7 +123,7 @@
 {
 	struct quarantine_store *store = context;
 
-	if (!answer || answer->status != 200) {
+	if (!answer || !is_placed(store, answer) || answer->status != 200) {
 		step_after_failure(store, answer ? "status" : cause);
 		return;
 	}
@@ -150,8 +159,7 @@
 	registry_call_release(&call);
 }
 
-void quarantine_store_write(struct quarantine_store *store,
-			    uint64_t fingerprint)
+static void add_pending(struct quarantine_store *store, uint64_t fingerprint)
 {
 	uint32_t i;
 
@@ -160,12 +168,35 @@
 	for (i = 0; i < store->pending_count; i++)
 		if (store->pending[i] == fingerprint)
 			return;
-	if (store->pending_count == MAX_PENDING_ROWS)
-		return;
-	store->pending[store->pending_count++] = fingerprint;
+	if (store->pending_count < MAX_PENDING_ROWS)
+		store->pending[store->pending_count++] = fingerprint;
+}
+
+void quarantine_store_write(struct quarantine_store *store,
+			    uint64_t fingerprint)
+{
+	add_pending(store, fingerprint);
 	step(store);
 }
 
+void quarantine_store_rewrite(struct quarantine_store *store)
+{
+	const struct edge *edge = store->edge;
+	const struct suspect_table *suspects = edge->suspects;
+	uint32_t i;
+
+	for (i = 0; i < store->own_row_count; i++)
+		add_pending(store, store->own_rows[i]);
+	for (i = 0; i < SUSPECT_MAX_ENTRIES &&
+		    member_table_is_reader(edge->members, edge_now_us(edge));
+	     i++)
+		if (suspects->keys[i] && (suspects->entries[i].rounds ||
+					  suspects->entries[i].cleared_us))
+			add_pending(store, suspects->keys[i]);
+	/* Called while an answer is handled, which may be the store's own. */
+	step_later(store, 0);
+}
+
 void quarantine_store_remove_lifted(struct quarantine_store *store)
 {
 	uint32_t i;
@@ -302,8 +333,8 @@
 	enum registry_result result;
 	guint i;
 
-	if (!answer) {
-		step_after_failure(store, cause);
+	if (!answer || !is_placed(store, answer)) {
+		step_after_failure(store, answer ? "era" : cause);
 		return;
 	}
 	result = registry->vtable->decode(registry, answer->status,
--- a/packages/edge/quarantine_store.h
+++ b/packages/edge/quarantine_store.h
@@ -33,6 +33,13 @@
  */
 void quarantine_store_remove_lifted(struct quarantine_store *store);
 
+/*
+ * The platform's tables were restored from a copy: write rows of this node
+ * again, and remove those of requests released lately. The region's reader does
+ * so for all nodes, which may have failed since.
+ */
+void quarantine_store_rewrite(struct quarantine_store *store);
+
 /* The region's nodes are known, and so which of them read the rows. */
 void quarantine_store_members_known(struct quarantine_store *store);
 
--- a/packages/edge/sync.h
+++ b/packages/edge/sync.h
@@ -11,6 +11,7 @@
 
 #include "edge/heartbeat.h"
 #include "edge/edge.h"
+#include "edge/message.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -102,6 +103,14 @@
  */
 void sync_remove_lost_member(struct sync *sync);
 
+/*
+ * Whether the platform's answer may be believed: it tells the
+ * latest era that is known, or a later one, which begins: tables of an earlier
+ * era are read again. call names it in logs.
+ */
+bool sync_place_answer(struct sync *sync, const struct message *answer,
+		       const char *call);
+
 /* Set another address of the platform. */
 void sync_redirect(struct sync *sync, const struct endpoint *to);
 
--- a/packages/edge/sync_answer.c
+++ b/packages/edge/sync_answer.c
@@ -187,8 +187,10 @@
 {
 	uint32_t i;
 
-	uv_timer_stop(&sync->own_timer);
-	sync_write_own_row(sync);
+	if (!sync->own_row_lost) {
+		uv_timer_stop(&sync->own_timer);
+		sync_write_own_row(sync);
+	}
 	if (edge_is_ready(sync->edge))
 		return;
 	sync->started_us = edge_now_us(sync->edge);
--- a/packages/edge/sync_era.c
+++ b/packages/edge/sync_era.c
@@ -4,6 +4,7 @@
 
 #include "adapters/log.h"
 #include "core/duration.h"
+#include "edge/quarantine_store.h"
 
 /*
  * Operators and nodes write their rows again within seconds of a restore. What
@@ -11,6 +12,10 @@
  */
 #define UNCONFIRMED_KEEP_US (5 * US_PER_S)
 
+/* All nodes write their rows again, and a table takes some 200 writes a second.
+ */
+#define OWN_ROW_JITTER_US(members) (500 * US_PER_MS + (members)*10 * US_PER_MS)
+
 /* Logs the first refused answer in a row, the second, the fourth and so on. */
 static bool refuse(struct sync *sync, const char *call, const char *text)
 {
@@ -91,6 +96,14 @@
 		return;
 	metric_add(edge->stats.registry_restores, 1);
 	sync->expiry_grace_until_us = edge_now_us(edge) + EXPIRY_GRACE_US;
+	sync->own_row_current = false;
+	sync->own_row_lost = true;
+	sync_write_own_row_later(
+		sync, (uint64_t)(g_random_double() *
+				 (double)OWN_ROW_JITTER_US(
+					 member_table_count(edge->members))));
+	if (edge->quarantines)
+		quarantine_store_rewrite(edge->quarantines);
 	/* Peers are asked first, as at a start of all nodes. */
 	sync->started_us = edge_now_us(edge);
 }
--- a/packages/edge/sync_internal.h
+++ b/packages/edge/sync_internal.h
@@ -96,6 +96,8 @@
 	uint32_t own_failures; /* consecutive failed writes */
 	bool own_row_current; /* the members' table has this node's row as it is
 				 now */
+	bool own_row_lost; /* it may be, by a restore; peers may still have it
+			    */
 	struct lane peer_lane; /* for snapshots of peers */
 	uint32_t requested_tables; /* sum of SNAPSHOT_TABLE(); 0: no request */
 	uint32_t last_requested_tables; /* of the last request */
@@ -162,14 +164,6 @@
 void follower_apply_row(struct follower *follower,
 			const struct registry_row *row);
 
-/*
- * sync_era.c: whether the platform's answer may be believed: it tells the
- * latest era that is known, or a later one, which begins: tables of an earlier
- * era are read again. call names it in logs.
- */
-bool sync_place_answer(struct sync *sync, const struct message *answer,
-		       const char *call);
-
 /* sync_era.c: a later era begins; source says who told it. */
 void sync_begin_era(struct sync *sync, uint32_t era, const char *source);
 
--- a/packages/edge/sync_own_row.c
+++ b/packages/edge/sync_own_row.c
@@ -20,8 +20,10 @@
 	struct sync *sync = context;
 	uint64_t retry_us;
 
-	if (answer && answer->status == 200) {
+	if (answer && sync_place_answer(sync, answer, "own-row") &&
+	    answer->status == 200) {
 		sync->own_row_current = true;
+		sync->own_row_lost = false;
 		sync->own_failures = 0;
 		return;
 	}
@@ -57,7 +59,8 @@
 static void on_member_removed(void *context, const struct message *answer,
 			      const char *cause)
 {
-	(void)context;
+	if (answer)
+		sync_place_answer(context, answer, "member-struck");
 	log_event(LOG_INFO, "member-struck", "done=%s cause=%s",
 		  answer && answer->status == 200 ? "yes" : "no",
 		  cause ? cause : "");
--- a/packages/edge/sync_tables.c
+++ b/packages/edge/sync_tables.c
@@ -309,6 +309,7 @@
 
 	sync->own_row_current = !row->deleted &&
 				is_own_row(sync->edge, row->value);
+	sync->own_row_lost = false;
 	if (!known && !row->deleted)
 		sync->edge->was_listed = true;
 	if (known && !sync->edge->stopping)
