sync: denies nothing while a restored store may lack newer routes

Callers would get a final 404 for a route that the operator had added, that the store had acknowledged and lost, until it is written again: the store's older document confirmed the routes in force.

Failed before: DeniesNothingWhileRoutesMayBeMissing. It passes, with the tests of sync and of confirmations.

--- a/packages/edge/sync.c
+++ b/packages/edge/sync.c
@@ -147,7 +147,8 @@
 		return false;
 	follower = &sync->followers[REGISTRY_CONFIG];
 	return sync->edge->routes && follower->loaded &&
-	       !sync->routes_unreadable &&
+	       !sync->routes_unreadable && !sync->routes_reverted &&
+	       edge_now_us(sync->edge) >= sync->restored_until_us &&
 	       follower->mismatched_us <= follower->confirmed_us &&
 	       !lane_is_receiving(&follower->lane) &&
 	       sync_routes_age_us(sync) + HEARTBEAT_DELAY_US <=
--- a/packages/edge/sync.h
+++ b/packages/edge/sync.h
@@ -51,8 +51,8 @@
  * denied with a 4xx. Callers don't retry after a 4xx, so it must not be sent
  * where another version may already be in force elsewhere: the routes were
  * confirmed too long ago or never, the region's reader reported other routes
- * since, new routes are arriving, or the newest routes can't be decoded. false
- * for NULL.
+ * since, new routes are arriving, the newest routes can't be decoded, or the
+ * platform was restored and may have lost newer ones. false for NULL.
  */
 bool sync_may_deny(const struct sync *sync);
 
--- a/packages/edge/sync_era.c
+++ b/packages/edge/sync_era.c
@@ -96,6 +96,7 @@
 		return;
 	metric_add(edge->stats.registry_restores, 1);
 	sync->expiry_grace_until_us = edge_now_us(edge) + EXPIRY_GRACE_US;
+	sync->restored_until_us = edge_now_us(edge) + UNCONFIRMED_KEEP_US;
 	sync->own_row_current = false;
 	sync->own_row_lost = true;
 	sync_write_own_row_later(
--- a/packages/edge/sync_internal.h
+++ b/packages/edge/sync_internal.h
@@ -108,9 +108,12 @@
 	uint64_t link_busy_until_us; /* for read_may_serve_peer() */
 	bool platform_was_away; /* and no backend rows since */
 	bool routes_unreadable; /* newest version can't be decoded */
+	bool routes_reverted; /* the platform's are older than those in force */
 	uint64_t expiry_grace_until_us; /* missing servers are kept till */
 	bool era_known; /* some answer or peer told an era */
 	uint32_t era; /* the latest one told */
+	uint64_t restored_until_us; /* lost rows may be written again till then
+				     */
 	uint32_t misplaced; /* consecutive answers of an unplaced era */
 	uv_timer_t settle_timer; /* tables with unconfirmed rows are read again
 				  */
--- a/packages/edge/sync_tables.c
+++ b/packages/edge/sync_tables.c
@@ -30,11 +30,11 @@
 	 * Answers may arrive out of order, and a restored platform has an
 	 * older document until the operator writes the newest one again.
 	 */
+	sync->routes_reverted = edge->routes &&
+				table->version < edge->routes->version;
 	if (edge->routes && table->version <= edge->routes->version) {
-		bool same = table->version == edge->routes->version;
-
 		route_table_unref(table);
-		return same;
+		return !sync->routes_reverted;
 	}
 	log_event(LOG_INFO, "routes-in-force",
 		  "version=%" PRIu64 " routes=%u services=%u bytes=%zu",
