--- a/models/prove.sh
+++ b/models/prove.sh
@@ -126,6 +126,12 @@
 	history NO_VERSION caught
 	history NO_REMOVED caught
 	history PART_CONFIRMS caught
+	restore SOUND clean
+	restore NUMBER_ONLY caught
+	restore FOLLOWS_ON caught
+	restore LATE_ANSWER caught
+	restore PEER_BY_NUMBER caught
+	restore KEEPS_COUNTER caught
 	account_parts SOUND clean
 	account_parts NO_WAIT caught
 	account_parts NO_STOP caught
