sync: tests of a reader of another era; the span for writing own rows has a name

ReaderEraTest: a reader that goes by the lost tables confirms nothing, one of a later era is believed with a lower number. Both fail where the numbers alone compare. No change of behaviour otherwise: a function and two constants in place of a macro, a flag in place of a call in a loop's condition.

--- a/packages/edge/quarantine_store.c
+++ b/packages/edge/quarantine_store.c
@@ -183,13 +183,13 @@
 {
 	const struct edge *edge = store->edge;
 	const struct suspect_table *suspects = edge->suspects;
+	bool is_reader =
+		member_table_is_reader(edge->members, edge_now_us(edge));
 	uint32_t i;
 
 	for (i = 0; i < store->own_row_count; i++)
 		add_pending(store, store->own_rows[i]);
-	for (i = 0; i < SUSPECT_MAX_ENTRIES &&
-		    member_table_is_reader(edge->members, edge_now_us(edge));
-	     i++)
+	for (i = 0; is_reader && i < SUSPECT_MAX_ENTRIES; i++)
 		if (suspects->keys[i] && (suspects->entries[i].rounds ||
 					  suspects->entries[i].cleared_us))
 			add_pending(store, suspects->keys[i]);
--- a/packages/edge/sync_era.c
+++ b/packages/edge/sync_era.c
@@ -12,9 +12,12 @@
  */
 #define UNCONFIRMED_KEEP_US (5 * US_PER_S)
 
-/* All nodes write their rows again, and a table takes some 200 writes a second.
+/*
+ * All nodes write their rows again, at a random time within a span that grows
+ * with their number: a table accepts some 200 writes per second.
  */
-#define OWN_ROW_JITTER_US(members) (500 * US_PER_MS + (members)*10 * US_PER_MS)
+#define OWN_ROW_JITTER_US (500 * US_PER_MS)
+#define OWN_ROW_JITTER_PER_MEMBER_US (10 * US_PER_MS)
 
 /* Logs the first refused answer in a row, the second, the fourth and so on. */
 static bool refuse(struct sync *sync, const char *call, const char *text)
@@ -83,6 +86,18 @@
 	return false;
 }
 
+static void rewrite_own_row(struct sync *sync)
+{
+	uint64_t jitter_us = OWN_ROW_JITTER_US +
+			     OWN_ROW_JITTER_PER_MEMBER_US *
+				     member_table_count(sync->edge->members);
+
+	sync->own_row_current = false;
+	sync->own_row_lost = true;
+	sync_write_own_row_later(
+		sync, (uint64_t)(g_random_double() * (double)jitter_us));
+}
+
 void sync_begin_era(struct sync *sync, uint32_t era, const char *source)
 {
 	struct edge *edge = sync->edge;
@@ -97,12 +112,7 @@
 	metric_add(edge->stats.registry_restores, 1);
 	sync->expiry_grace_until_us = edge_now_us(edge) + EXPIRY_GRACE_US;
 	sync->restored_until_us = edge_now_us(edge) + UNCONFIRMED_KEEP_US;
-	sync->own_row_current = false;
-	sync->own_row_lost = true;
-	sync_write_own_row_later(
-		sync, (uint64_t)(g_random_double() *
-				 (double)OWN_ROW_JITTER_US(
-					 member_table_count(edge->members))));
+	rewrite_own_row(sync);
 	if (edge->quarantines)
 		quarantine_store_rewrite(edge->quarantines);
 	/* Peers are asked first, as at a start of all nodes. */
--- a/packages/edge/sync_peers.c
+++ b/packages/edge/sync_peers.c
@@ -169,7 +169,7 @@
 		return;
 	follower = &import->sync->followers[row->table];
 	g_hash_table_add(follower->seen, g_strdup(row->key));
-	/* A peer keeps rows for a while that a restored table lacks. */
+	/* A peer may have only kept it: the restored table may lack it. */
 	if (row->table == REGISTRY_MEMBERS && import->sync->own_row_lost &&
 	    !strcmp(row->key, import->sync->edge->settings.name))
 		return;
--- a/tests/edge/store_restore_test.cc
+++ b/tests/edge/store_restore_test.cc
@@ -410,6 +410,70 @@
 INSTANTIATE_TEST_SUITE_P(Cases, EraTest, ::testing::ValuesIn(era_cases),
 			 [](const auto &info) { return info.param.name; });
 
+/* With a peer that is the region's reader. */
+class ReaderEraTest : public StoreRestoreTest
+{
+      protected:
+	struct sync_table_state routes()
+	{
+		struct sync_table_state states[SYNC_TABLES];
+
+		sync_table_states(sync, states);
+		return states[REGISTRY_CONFIG];
+	}
+	void receive_digest(uint32_t era, uint64_t number, uint64_t differs)
+	{
+		struct heartbeat_digest digests[HEARTBEAT_MAX_DIGESTS];
+
+		sync_fill_digests(sync, digests);
+		member_note_heartbeat(member_table_find(edge->members,
+							"reader"),
+				      ++heartbeats, false, edge_now_us(edge));
+		digests[0].age_ms = 0;
+		digests[0].version = { number, era };
+		digests[0].digest += differs;
+		sync_receive_digest(sync, &digests[0]);
+	}
+	uint64_t heartbeats = 0;
+};
+
+/* Guards against confirmations by a reader that goes by the lost tables. */
+TEST_F(ReaderEraTest, ReaderOfAnEarlierEraConfirmsNothing)
+{
+	uint64_t confirmed_us;
+
+	store_stand_set_era(store, "4");
+	add_app("i-1");
+	start_node();
+	add_reader();
+	run_for(100);
+	confirmed_us = routes().confirmed_us;
+	receive_digest(3, 1000, 0);
+	EXPECT_EQ(confirmed_us, routes().confirmed_us);
+	EXPECT_EQ(4u, routes().era);
+	receive_digest(4, routes().version, 0);
+	EXPECT_LT(confirmed_us, routes().confirmed_us);
+}
+
+/* Guards against a node that only its peers tell of a restore. */
+TEST_F(ReaderEraTest, ReaderOfALaterEraIsBelievedWithALowerNumber)
+{
+	uint64_t restores;
+
+	store_stand_set_era(store, "4");
+	add_app("i-1");
+	start_node();
+	add_reader();
+	run_for(100);
+	restores = metric_value(edge->stats.registry_restores);
+	receive_digest(5, 1, 0);
+	EXPECT_EQ(5u, routes().era);
+	EXPECT_EQ(1u, routes().version);
+	EXPECT_EQ(restores + 1, metric_value(edge->stats.registry_restores));
+	EXPECT_FALSE(sync_may_deny(sync));
+	EXPECT_EQ(200, status_of(answer_to(get("u1", "/r/"))));
+}
+
 /* Guards against needing the header of a store that has none. */
 TEST_F(StoreRestoreTest, StoreWithoutErasIsFollowed)
 {
