sync: rows that a restored store lacks are kept until all nodes have written theirs

Found on paper: 1,100 nodes write their rows over 11.5 s, and their peers read the table again after 5 s and dropped those that hadn't written yet, though live; with them the parts of limits and accounts. The wait is now 5 s and that span, 5.6 s at eight nodes.

--- a/packages/edge/sync_era.c
+++ b/packages/edge/sync_era.c
@@ -7,8 +7,9 @@
 #include "edge/quarantine_store.h"
 
 /*
- * Operators and nodes write their rows again within seconds of a restore. What
- * the restored tables lack holds until then, and no longer.
+ * Operators write their rows again within seconds of a restore, and so do
+ * nodes, once their turn comes. What the restored tables lack holds until then,
+ * and no longer.
  */
 #define UNCONFIRMED_KEEP_US (5 * US_PER_S)
 
@@ -86,16 +87,21 @@
 	return false;
 }
 
+/* The span in which all nodes write their rows again. */
+static uint64_t own_rows_span_us(const struct sync *sync)
+{
+	return OWN_ROW_JITTER_US +
+	       OWN_ROW_JITTER_PER_MEMBER_US *
+		       member_table_count(sync->edge->members);
+}
+
 static void rewrite_own_row(struct sync *sync)
 {
-	uint64_t jitter_us = OWN_ROW_JITTER_US +
-			     OWN_ROW_JITTER_PER_MEMBER_US *
-				     member_table_count(sync->edge->members);
+	double span_us = (double)own_rows_span_us(sync);
 
 	sync->own_row_current = false;
 	sync->own_row_lost = true;
-	sync_write_own_row_later(
-		sync, (uint64_t)(g_random_double() * (double)jitter_us));
+	sync_write_own_row_later(sync, (uint64_t)(g_random_double() * span_us));
 }
 
 void sync_begin_era(struct sync *sync, uint32_t era, const char *source)
@@ -141,6 +147,8 @@
 {
 	bool is_first = follower->confirmed_us &&
 			version.era != follower->version.era;
+	uint64_t keep_us =
+		UNCONFIRMED_KEEP_US + own_rows_span_us(follower->sync);
 	GHashTableIter iter;
 	gpointer key;
 
@@ -160,7 +168,7 @@
 		  g_hash_table_size(follower->unconfirmed));
 	if (is_first)
 		uv_timer_start(&follower->sync->settle_timer, on_settle_time,
-			       UNCONFIRMED_KEEP_US / US_PER_MS, 0);
+			       keep_us / US_PER_MS, 0);
 }
 
 void follower_confirm_row(struct follower *follower, const char *key)
