--- a/packages/edge/quarantine_store.c
+++ b/packages/edge/quarantine_store.c
@@ -68,12 +68,12 @@
 					      g_random_double()));
 }
 
-static bool is_placed(const struct quarantine_store *store,
-		      const struct message *answer)
+static bool has_current_era(const struct quarantine_store *store,
+			    const struct message *answer)
 {
 	struct sync *sync = store->edge->sync;
 
-	return !sync || sync_place_answer(sync, answer, "quarantines");
+	return !sync || sync_check_era(sync, answer, "quarantines");
 }
 
 /* --- writing ------------------------------------------------------------ */
@@ -123,7 +123,8 @@
 {
 	struct quarantine_store *store = context;
 
-	if (!answer || !is_placed(store, answer) || answer->status != 200) {
+	if (!answer || !has_current_era(store, answer) ||
+	    answer->status != 200) {
 		step_after_failure(store, answer ? "status" : cause);
 		return;
 	}
@@ -333,7 +334,7 @@
 	enum registry_result result;
 	guint i;
 
-	if (!answer || !is_placed(store, answer)) {
+	if (!answer || !has_current_era(store, answer)) {
 		step_after_failure(store, answer ? "era" : cause);
 		return;
 	}
--- a/packages/edge/stats.h
+++ b/packages/edge/stats.h
@@ -46,7 +46,7 @@
 	struct metric *snapshots_served; /* to peers */
 	struct metric *registry_failures; /* failed calls that read */
 	struct metric *registry_restores; /* eras that began */
-	struct metric *registry_misplaced; /* answers of an earlier era, or
+	struct metric *registry_era_refused; /* answers of an earlier era, or
 					      without a readable one */
 	struct metric *registry_older; /* answers older than what is known */
 	struct metric *registry_bytes; /* of decoded answers */
--- a/packages/edge/sync.h
+++ b/packages/edge/sync.h
@@ -104,12 +104,12 @@
 void sync_remove_lost_member(struct sync *sync);
 
 /*
- * Whether the platform's answer may be believed: it tells the
- * latest era that is known, or a later one, which begins: tables of an earlier
- * era are read again. call names it in logs.
+ * Whether the platform's answer tells the latest era that is known, or a later
+ * one, which then begins: tables of an earlier era are read again. An answer of
+ * another era, or of none, must not be used. call names it in logs.
  */
-bool sync_place_answer(struct sync *sync, const struct message *answer,
-		       const char *call);
+bool sync_check_era(struct sync *sync, const struct message *answer,
+		    const char *call);
 
 /* Set another address of the platform. */
 void sync_redirect(struct sync *sync, const struct endpoint *to);
--- a/packages/edge/sync_answer.c
+++ b/packages/edge/sync_answer.c
@@ -125,7 +125,7 @@
 	return !g_hash_table_contains(seen, key);
 }
 
-/* Of an answer that was placed in the latest era. */
+/* Of an answer of the latest era. */
 static struct row_version version_of(const struct follower *follower,
 				     const struct registry_rows *rows)
 {
@@ -451,7 +451,7 @@
 			abort_held_calls(sync, follower);
 		return;
 	}
-	if (!sync_place_answer(sync, answer, follower->rule->name)) {
+	if (!sync_check_era(sync, answer, follower->rule->name)) {
 		note_failure(follower, "era");
 		return;
 	}
--- a/packages/edge/sync_era.c
+++ b/packages/edge/sync_era.c
@@ -23,12 +23,12 @@
 /* Logs the first refused answer in a row, the second, the fourth and so on. */
 static bool refuse(struct sync *sync, const char *call, const char *text)
 {
-	metric_add(sync->edge->stats.registry_misplaced, 1);
-	sync->misplaced++;
-	if (!(sync->misplaced & (sync->misplaced - 1)))
+	metric_add(sync->edge->stats.registry_era_refused, 1);
+	sync->refused_eras++;
+	if (!(sync->refused_eras & (sync->refused_eras - 1)))
 		log_event(LOG_WARNING, "registry-era-refused",
 			  "call=%s era=\"%.16s\" known=%u answers=%u", call,
-			  text ? text : "", sync->era, sync->misplaced);
+			  text ? text : "", sync->era, sync->refused_eras);
 	return false;
 }
 
@@ -57,8 +57,8 @@
 	}
 }
 
-bool sync_place_answer(struct sync *sync, const struct message *answer,
-		       const char *call)
+bool sync_check_era(struct sync *sync, const struct message *answer,
+		    const char *call)
 {
 	const char *header = sync->edge->registry->vtable->era_header;
 	const char *text = message_header(answer, header);
@@ -69,7 +69,7 @@
 		return true;
 	if (!parse_era(text, &era) || era < sync->era)
 		return refuse(sync, call, text);
-	sync->misplaced = 0;
+	sync->refused_eras = 0;
 	if (!sync->era_known || era > sync->era) {
 		sync_begin_era(sync, era, call);
 		reread_tables(sync);
--- a/packages/edge/sync_internal.h
+++ b/packages/edge/sync_internal.h
@@ -114,7 +114,7 @@
 	uint32_t era; /* the latest one told */
 	uint64_t restored_until_us; /* lost rows may be written again till then
 				     */
-	uint32_t misplaced; /* consecutive answers of an unplaced era */
+	uint32_t refused_eras; /* consecutive answers */
 	uv_timer_t settle_timer; /* tables with unconfirmed rows are read again
 				  */
 };
--- a/packages/edge/sync_own_row.c
+++ b/packages/edge/sync_own_row.c
@@ -20,7 +20,7 @@
 	struct sync *sync = context;
 	uint64_t retry_us;
 
-	if (answer && sync_place_answer(sync, answer, "own-row") &&
+	if (answer && sync_check_era(sync, answer, "own-row") &&
 	    answer->status == 200) {
 		sync->own_row_current = true;
 		sync->own_row_lost = false;
@@ -60,7 +60,7 @@
 			      const char *cause)
 {
 	if (answer)
-		sync_place_answer(context, answer, "member-struck");
+		sync_check_era(context, answer, "member-struck");
 	log_event(LOG_INFO, "member-struck", "done=%s cause=%s",
 		  answer && answer->status == 200 ? "yes" : "no",
 		  cause ? cause : "");
--- a/packages/edge/sync_tables.c
+++ b/packages/edge/sync_tables.c
@@ -125,7 +125,7 @@
 
 /* --- backend servers ---------------------------------------------------- */
 
-/* Of a row in an answer that was placed in the latest era. */
+/* Of a row in an answer of the latest era. */
 static struct row_version row_version_of(const struct sync *sync,
 					 const struct registry_row *row)
 {
--- a/tests/edge/store_restore_test.cc
+++ b/tests/edge/store_restore_test.cc
@@ -388,7 +388,7 @@
 {
 };
 
-TEST_P(EraTest, AnswersOfAnUnplacedEraChangeNothing)
+TEST_P(EraTest, AnswersOfAnUnknownEraChangeNothing)
 {
 	const era_case &c = GetParam();
 
