--- a/review/common/stand.h
+++ b/review/common/stand.h
@@ -67,7 +67,7 @@
 	const char *folder; /* for settings files and logs */
 	const char *zones; /* lines of the table [domains] */
 	const char *bounds; /* "leave config ratio slack grace" as texts */
-	char store[32];
+	char store[64];
 	const char *leave_within;
 	const char *config_within;
 	const char *allowance;
