--- a/review/common/upstream.c
+++ b/review/common/upstream.c
@@ -163,35 +163,6 @@
 	return sent && !unframed;
 }
 
-/* In one chunk; the seal is the last of the headers. */
-static bool answer_chunked(struct upstream *upstream, int fd, const char *id)
-{
-	char *body = g_malloc(upstream->answer_bytes + 1);
-	bool sent;
-	size_t i;
-
-	for (i = 0; i < upstream->answer_bytes; i++)
-		body[i] = body_byte(id, i);
-	note("upstream %s: request %s ran, answers 200 in chunks%s, seal "
-	     "%s.%zu",
-	     upstream->id, id, upstream->trailer ? " with a trailer field" : "",
-	     id, upstream->answer_bytes);
-	sent = send_text(fd,
-			 "HTTP/1.1 200 OK\r\nLilacfield-Attempt-Id: %s\r\n"
-			 "Lilacfield-Server-Load: %d,%d,%d\r\n"
-			 "Transfer-Encoding: chunked\r\n%s"
-			 "Lilacfield-Response-Seal: %s.%zu\r\n\r\n%zx\r\n",
-			 id, upstream->running, upstream->waiting,
-			 upstream->slots,
-			 upstream->trailer ? "Trailer: X-Checksum\r\n" : "",
-			 id, upstream->answer_bytes, upstream->answer_bytes) &&
-	       send_all(fd, body, upstream->answer_bytes) &&
-	       send_text(fd, "\r\n0\r\n%s\r\n",
-			 upstream->trailer ? "X-Checksum: 5a0c93d1\r\n" : "");
-	g_free(body);
-	return sent;
-}
-
 static bool run_request(struct upstream *upstream, int fd,
 			const struct http *http)
 {
@@ -214,10 +185,6 @@
 		return answer_rejected(upstream, fd, id,
 				       "503 Service Unavailable", "");
 	sleep_ms(work_ms);
-	if (upstream->chunked) {
-		free_slot(upstream);
-		return answer_chunked(upstream, fd, id);
-	}
 	return answer_success(upstream, fd, id, free_slot(upstream));
 }
 
--- a/review/common/upstream.h
+++ b/review/common/upstream.h
@@ -24,8 +24,6 @@
 	/* Answers whose number is a multiple of it have no length; 0: none. */
 	int unframed_each;
 	size_t answer_bytes;
-	bool chunked; /* answers are sent in chunks */
-	bool trailer; /* with a trailer field after the last chunk */
 
 	pthread_mutex_t lock;
 	pthread_cond_t freed;
