edge: log what is left of a request that is given up

A request that ran seconds after its caller's 504 left one line at the usual level, own-answer with cause=timeout: not even its server. Nothing told a connection that stayed open, bytes queued in the process and bytes that the kernel goes on sending apart.

send-abandoned names the server or the peer, the time since the send, and how many bytes are still queued or unacknowledged (SIOCOUTQ); two counters give the sums. A connection with too many stray answers counts as unanswered.

--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -756,10 +756,9 @@
 		  exchange->request_id, exchange->choice.backend->id,
 		  answer->status, exchange->strays + 1);
 	message_free(answer);
+	conn->link.awaiting = true;
 	if (++exchange->strays > MAX_STRAYS)
 		after_failure(exchange, SEND_BROKEN, "stray answers");
-	else
-		conn->link.awaiting = true;
 }
 
 static bool ensure_token(struct exchange *exchange)
--- a/packages/edge/exchange_end.c
+++ b/packages/edge/exchange_end.c
@@ -40,12 +40,34 @@
 	exchange_release_choice(exchange);
 }
 
+/* Records that a request is given up before it is answered. */
+static void record_abandoned(const struct exchange *exchange)
+{
+	struct stats *stats = &exchange->edge->stats;
+	const struct conn *conn = exchange->conn;
+	struct link_backlog backlog;
+
+	if (!exchange->sent_us || !conn->link.awaiting)
+		return;
+	link_get_backlog(&conn->link, &backlog);
+	metric_add(stats->abandoned, 1);
+	if (backlog.unacked_bytes)
+		metric_add(stats->abandoned_unacked, 1);
+	log_event(LOG_INFO, "send-abandoned",
+		  "request=%s backend=%s after_us=%" PRIu64
+		  " queued_bytes=%" PRIu64 " unacked_bytes=%" PRIu64 " kept=%u",
+		  exchange->request_id, conn->backend->id,
+		  exchange_now_us(exchange) - exchange->sent_us,
+		  backlog.queued_bytes, backlog.unacked_bytes, conn->uses);
+}
+
 void exchange_drop_conn(struct exchange *exchange)
 {
 	struct conn *conn = exchange->conn;
 
 	if (!conn)
 		return;
+	record_abandoned(exchange);
 	exchange_detach_conn(exchange);
 	pool_drop(conn);
 }
--- a/packages/edge/link.c
+++ b/packages/edge/link.c
@@ -1,7 +1,9 @@
 #include "edge/link.h"
 
+#include <linux/sockios.h>
 #include <stddef.h>
 #include <string.h>
+#include <sys/ioctl.h>
 
 #include "edge/wire.h"
 
@@ -225,6 +227,19 @@
 	return link->awaiting && answer && answer->status ? answer : NULL;
 }
 
+void link_get_backlog(const struct link *link, struct link_backlog *backlog)
+{
+	uv_os_fd_t fd;
+	int unacked_bytes = 0;
+
+	backlog->queued_bytes =
+		uv_stream_get_write_queue_size((const uv_stream_t *)&link->tcp);
+	if (uv_fileno((const uv_handle_t *)&link->tcp, &fd) ||
+	    ioctl(fd, SIOCOUTQ, &unacked_bytes))
+		unacked_bytes = 0;
+	backlog->unacked_bytes = (uint64_t)unacked_bytes;
+}
+
 void link_close(struct link *link)
 {
 	if (link->closing)
--- a/packages/edge/link.h
+++ b/packages/edge/link.h
@@ -84,6 +84,15 @@
  */
 const struct message *link_partial_answer(const struct link *link);
 
+/* What the other side hasn't got of a request, in bytes. */
+struct link_backlog {
+	uint64_t queued_bytes; /* not written to the socket */
+	uint64_t unacked_bytes; /* written, and not acknowledged */
+};
+
+/* Fields are 0 once the connection has failed. */
+void link_get_backlog(const struct link *link, struct link_backlog *backlog);
+
 void link_close(struct link *link);
 
 /*
