edge: a request that is given up is dropped from the kernel, too

Callers got 504 at their route's timeout while a failure domain was cut off; 8 s later a server of that domain, evacuated meanwhile, ran their request.

Cause: link_close() closes the socket in order, also while a request on it has no answer. The kernel keeps what isn't acknowledged and retransmits it, with growing pauses, until the server has it: with a cut of 5.0 s at the fifth retransmission, 9.67 s after the send, whatever the request's timeout was.

Ruled out by the logs: a second send, a hop, a write still queued, a connection left open or used again, a node that doesn't know of the evacuation.

Change: link_close() resets the connection while an answer is awaited, which makes the kernel drop what it holds. It is the one way by which requests to servers, hops to peers and calls to the store are given up, so all are covered; connections that are idle or answered are closed in order as before.

--- a/packages/edge/link.c
+++ b/packages/edge/link.c
@@ -242,21 +242,13 @@
 
 void link_close(struct link *link)
 {
-	if (link->closing)
-		return;
-	link->closing = true;
-	link->open = false;
-	byte_account_close(&link->account);
-	uv_close((uv_handle_t *)&link->tcp, on_released);
-}
+	uv_handle_t *handle = (uv_handle_t *)&link->tcp;
 
-void link_reset(struct link *link)
-{
 	if (link->closing)
 		return;
 	link->closing = true;
 	link->open = false;
 	byte_account_close(&link->account);
-	if (uv_tcp_close_reset(&link->tcp, on_released))
-		uv_close((uv_handle_t *)&link->tcp, on_released);
+	if (!link->awaiting || uv_tcp_close_reset(&link->tcp, on_released))
+		uv_close(handle, on_released);
 }
--- a/packages/edge/link.h
+++ b/packages/edge/link.h
@@ -2,8 +2,8 @@
  * link - an outgoing HTTP/1.1 connection on the event loop
  *
  * One request at a time. The owner embeds the link, gets its events by the
- * vtable and sets timeouts itself. After link_close() or link_reset() the only
- * event is released, where the owner frees the memory.
+ * vtable and sets timeouts itself. After link_close() the only event is
+ * released, where the owner frees the memory.
  */
 #ifndef EDGE_LINK_H
 #define EDGE_LINK_H
@@ -93,13 +93,12 @@
 /* Fields are 0 once the connection has failed. */
 void link_get_backlog(const struct link *link, struct link_backlog *backlog);
 
-void link_close(struct link *link);
-
 /*
- * Closes the connection with a TCP reset, so that the other side sees it at
- * once.
+ * Closes the connection: with a TCP reset while an answer is awaited. After a
+ * close in order the kernel would retransmit the request for minutes, and the
+ * other side would run it long after it was given up.
  */
-void link_reset(struct link *link);
+void link_close(struct link *link);
 
 #ifdef __cplusplus
 }
--- a/tests/edge/edge_world.h
+++ b/tests/edge/edge_world.h
@@ -330,6 +330,18 @@
 		store_stand_put(store, "servers", app.id.c_str(), text.c_str());
 	}
 
+	/* Write the row of a server of service "s" in domain "d1". */
+	void list_at(const std::string &id, const struct endpoint &at)
+	{
+		std::string text =
+			"{\"service\":\"s\",\"addr\":\"127.0.0.1:" +
+			std::to_string(at.port) +
+			"\",\"zone\":\"d1\",\"version\":\"v1\",\"slots\":4,"
+			"\"state\":\"ready\",\"cold_left\":\"0ms\",\"seq\":1}";
+
+		store_stand_put(store, "servers", id.c_str(), text.c_str());
+	}
+
 	/* The list has another server at its address. */
 	void list_as(const App &app, const std::string &id)
 	{
@@ -428,6 +440,15 @@
 		       id + "\r\nLilacfield-Affinity-Key: 7\r\n" + more +
 		       "\r\n";
 	}
+	static std::string post(const std::string &id, const std::string &path,
+				size_t body_bytes, const std::string &more = "")
+	{
+		return get(id, path,
+			   more + "Content-Length: " +
+				   std::to_string(body_bytes) + "\r\n",
+			   "POST") +
+		       std::string(body_bytes, 'x');
+	}
 	/* Send, wait for the complete answer, and return it. */
 	std::string answer_to(const std::string &bytes)
 	{
--- a/tests/edge/hop_test.cc
+++ b/tests/edge/hop_test.cc
@@ -4,6 +4,7 @@
 #include "edge/edge_world.h"
 #include "edge/hops.h"
 #include "edge/reach_watch.h"
+#include "edge/unread_server.h"
 #include "standins/http_stand.h"
 
 namespace
@@ -387,6 +388,26 @@
 	EXPECT_EQ(0u, edge->exchanges);
 }
 
+/*
+ * The kernel went on sending a hop after its caller had got 504, and the peer
+ * ran it later.
+ */
+TEST_F(HopSenderTest, AHopThatTimedOutNeverReachesThePeerWhole)
+{
+	UnreadServer peer;
+	bool accepted = false;
+
+	start_partitioned();
+	add_member("peer", endpoint_at(peer.port));
+	auto caller = call(post("a1", "/o/", UnreadServer::LARGE_BYTES));
+	wait_for([&] { return accepted |= peer.accept_next(); }, "hop");
+	wait_for([&] { return is_whole(*caller); });
+	EXPECT_EQ(504, status_of(caller->got));
+	run_for(20);
+	peer.read_to_end();
+	EXPECT_LT(peer.got.size(), UnreadServer::LARGE_BYTES);
+}
+
 TEST_F(HopSenderTest, APeerThatFailedIsLeftAloneForAWhile)
 {
 	start_partitioned();
--- a/tests/edge/lane_test.cc
+++ b/tests/edge/lane_test.cc
@@ -2,6 +2,7 @@
 #include "edge/lane.h"
 
 #include "edge/large_document.h"
+#include "edge/unread_server.h"
 
 namespace
 {
@@ -51,6 +52,29 @@
 	run_for(20);
 }
 
+/*
+ * The kernel went on sending a call after it was aborted: a write reached the
+ * store after a later one of the same row.
+ */
+TEST_F(LaneTest, AbortedWriteNeverReachesTheStoreWhole)
+{
+	const std::string body(UnreadServer::LARGE_BYTES, 'x');
+	UnreadServer silent_store;
+	struct endpoint at = endpoint_at(silent_store.port);
+	struct lane lane;
+
+	lane_init(&lane, &loop, &at, 4000000);
+	lane_call(&lane, "POST", "/api/rows-put", body.c_str(), 300000, on_done,
+		  this);
+	wait_for([this] { return done; });
+	EXPECT_EQ("timeout", cause);
+	lane_close(&lane);
+	run_for(20);
+	ASSERT_TRUE(silent_store.accept_next());
+	silent_store.read_to_end();
+	EXPECT_LT(silent_store.got.size(), UnreadServer::LARGE_BYTES);
+}
+
 struct transfer_case {
 	const char *name;
 	uint64_t max_transfer_ms; /* maximum transfer time */
--- a/tests/edge/link_fault_test.cc
+++ b/tests/edge/link_fault_test.cc
@@ -24,16 +24,6 @@
 		relay_close(relay);
 		EdgeWorld::TearDown();
 	}
-	void list_at(const std::string &id, const struct endpoint &at)
-	{
-		std::string text =
-			"{\"service\":\"s\",\"addr\":\"127.0.0.1:" +
-			std::to_string(at.port) +
-			"\",\"zone\":\"d1\",\"version\":\"v1\",\"slots\":4,"
-			"\"state\":\"ready\",\"cold_left\":\"0ms\",\"seq\":1}";
-
-		store_stand_put(store, "servers", id.c_str(), text.c_str());
-	}
 	struct relay *relay = nullptr;
 };
 
