edge: the end of the process drops the requests that it leaves behind

Callers of a node that was killed, or that was still at work when the time of its stop was over, lost their connection; seconds later, and with the node long running again, servers of an evacuated failure domain ran their requests.

Cause: at the end of a process the kernel closes its sockets in order and goes on retransmitting what isn't acknowledged.

Change: link sets SO_LINGER with a time of 0 from the send of a request on, and takes it back before it closes a connection that awaits no answer. The kernel then resets the connection at any end of the process. A stop whose time is over cancels the requests that are left before the process exits.

Before the change both cases of ProcessEndTest (killed, exits) failed: the server got all 100,019 bytes of the request after the process had ended. Both pass now, and so do 75 tests of links, hops, lanes and early ends.

--- a/packages/edge/link.c
+++ b/packages/edge/link.c
@@ -4,7 +4,9 @@
 #include <stddef.h>
 #include <string.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
+#include "adapters/log.h"
 #include "edge/wire.h"
 
 static void on_released(uv_handle_t *handle)
@@ -203,6 +205,25 @@
 		end(link, uv_err_name(status));
 }
 
+/*
+ * Makes the kernel reset the connection, and drop what isn't acknowledged, when
+ * its socket is closed, also by the end of the process; or not any more.
+ */
+static void set_resets(struct link *link, bool resets)
+{
+	const struct linger linger = { .l_onoff = resets, .l_linger = 0 };
+	uv_os_fd_t fd;
+
+	if (link->resets == resets)
+		return;
+	if (uv_fileno((const uv_handle_t *)&link->tcp, &fd) ||
+	    setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger)))
+		log_event(LOG_WARNING, "link-resets", "set=no resets=%s",
+			  resets ? "yes" : "no");
+	else
+		link->resets = resets;
+}
+
 void link_send(struct link *link, GString *request, bool is_head)
 {
 	link_send_with_body(link, request, NULL, is_head);
@@ -215,6 +236,7 @@
 	link->awaiting = true;
 	link->got_bytes = 0;
 	link->writing = true;
+	set_resets(link, true);
 	wire_write_with_body((uv_stream_t *)&link->tcp, request, body,
 			     on_written, link);
 }
@@ -242,13 +264,11 @@
 
 void link_close(struct link *link)
 {
-	uv_handle_t *handle = (uv_handle_t *)&link->tcp;
-
 	if (link->closing)
 		return;
 	link->closing = true;
 	link->open = false;
 	byte_account_close(&link->account);
-	if (!link->awaiting || uv_tcp_close_reset(&link->tcp, on_released))
-		uv_close(handle, on_released);
+	set_resets(link, link->awaiting);
+	uv_close((uv_handle_t *)&link->tcp, on_released);
 }
--- a/packages/edge/link.h
+++ b/packages/edge/link.h
@@ -55,6 +55,7 @@
 	bool closing;
 	bool awaiting; /* a request was sent and its answer isn't complete */
 	bool writing; /* a request isn't written completely */
+	bool resets; /* closing the socket resets the connection */
 	bool invalid; /* ended, as the bytes received were no valid answer */
 	bool extra_bytes; /* bytes followed the answer: don't reuse the
 			     connection */
@@ -71,6 +72,7 @@
 
 /*
  * Sends a request and takes ownership of its text. is_head: the method is HEAD.
+ * If the process ends before the answer, the kernel resets the connection.
  */
 void link_send(struct link *link, GString *request, bool is_head);
 
--- a/packages/edge/run.c
+++ b/packages/edge/run.c
@@ -118,10 +118,12 @@
 
 /* --- stopping ----------------------------------------------------------- */
 
+/* Cancels the requests that are left: no server is to run them later. */
 static void finish_stop(struct run *run)
 {
 	uint32_t i;
 
+	callers_close_all(&run->edge);
 	for (i = 0; i < LISTENERS; i++)
 		listener_close(&run->listeners[i]);
 	uv_stop(&run->loop);
--- a/tests/edge/abandoned_test.cc
+++ b/tests/edge/abandoned_test.cc
@@ -2,6 +2,8 @@
  * Requests that were given up while the kernel still held bytes of them: the
  * other side must never get the rest.
  */
+#include <sys/wait.h>
+
 #include "edge/edge_world.h"
 #include "edge/unread_server.h"
 
@@ -110,4 +112,114 @@
 			 ::testing::ValuesIn(abandoned_cases),
 			 [](const auto &info) { return info.param.name; });
 
+/* A process that sends a large request, and ends before it is answered. */
+class SendingProcess
+{
+      public:
+	explicit SendingProcess(const struct endpoint &to)
+	{
+		int ends[2];
+
+		if (pipe(ends))
+			return;
+		pid_ = fork();
+		if (!pid_)
+			send_and_wait(to, ends[1]);
+		close(ends[1]);
+		sent_ = ends[0];
+	}
+	~SendingProcess()
+	{
+		close(sent_);
+	}
+	/* Waits until the kernel has the whole request. */
+	bool wait_sent()
+	{
+		char byte;
+
+		return read(sent_, &byte, 1) == 1;
+	}
+	void end(int number)
+	{
+		kill(pid_, number);
+		waitpid(pid_, nullptr, 0);
+	}
+
+      private:
+	static void on_opened(struct link *link)
+	{
+		GByteArray *body = g_byte_array_new();
+
+		g_byte_array_set_size(body, UnreadServer::LARGE_BYTES);
+		link_send_with_body(link, g_string_new("POST /o/ HTTP/1.1\r\n"),
+				    body, false);
+		g_byte_array_unref(body);
+	}
+	static void on_ended(struct link *, const char *)
+	{
+		_exit(1);
+	}
+	/* SIGTERM ends it in order, as after a stop that took too long. */
+	[[noreturn]] static void send_and_wait(const struct endpoint &to,
+					       int sent)
+	{
+		static const struct link_vtable events = { on_opened, nullptr,
+							   nullptr, on_ended,
+							   nullptr };
+		const struct message_limits limits = { 1000, 1000 };
+		struct link link = {};
+		uv_loop_t loop;
+
+		signal(SIGTERM, [](int) { _exit(0); });
+		uv_loop_init(&loop);
+		link_open(&link, &events, &loop, &to, &limits);
+		do {
+			uv_run(&loop, UV_RUN_ONCE);
+		} while (!link.awaiting || link.writing);
+		if (write(sent, "s", 1) != 1)
+			_exit(1);
+		for (;;)
+			pause();
+	}
+	pid_t pid_ = -1;
+	int sent_ = -1;
+};
+
+struct process_end_case {
+	const char *name;
+	int number; /* of the signal */
+};
+
+const process_end_case process_end_cases[] = {
+	{ "Killed", SIGKILL },
+	{ "Exits", SIGTERM },
+};
+
+class ProcessEndTest : public ::testing::TestWithParam<process_end_case>
+{
+};
+
+/*
+ * After the end of a node the kernel went on sending its requests, and servers
+ * ran them when the node had long started again.
+ */
+TEST_P(ProcessEndTest, DropsWhatIsUnacknowledged)
+{
+	UnreadServer server;
+	struct endpoint at = {};
+
+	g_strlcpy(at.address, "127.0.0.1", sizeof(at.address));
+	at.port = server.port;
+	SendingProcess process(at);
+	ASSERT_TRUE(process.wait_sent());
+	process.end(GetParam().number);
+	ASSERT_TRUE(server.accept_next());
+	server.read_to_end();
+	EXPECT_LT(server.got.size(), UnreadServer::LARGE_BYTES);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, ProcessEndTest,
+			 ::testing::ValuesIn(process_end_cases),
+			 [](const auto &info) { return info.param.name; });
+
 } // namespace
