edge: a request that nothing acknowledges in time is given up

Callers with long timeouts had no answer, and the request could still arrive after the server had to be closed.

An idempotent one goes to another server if it has the time, others get 502. One of which a part is acknowledged goes on: its server may be reading a long body slowly, and a TCP_USER_TIMEOUT would end that, too.

Before the change UnackedTest/Idempotent and /Once failed: no answer after 3 s of 8 s, and the server read the whole request then; /PartlyAcknowledged held.

--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -61,6 +61,8 @@
 		at = exchange->connect_deadline_us;
 	if (exchange->held_until_us && exchange->held_until_us < at)
 		at = exchange->held_until_us;
+	if (exchange->ack_deadline_us && exchange->ack_deadline_us < at)
+		at = exchange->ack_deadline_us;
 	uv_timer_start(&exchange->timer, on_timer,
 		       at > now ? (at - now) / US_PER_MS + 1 : 0, 0);
 }
@@ -136,6 +138,8 @@
 	exchange->took_token = false;
 	exchange_spend_account_token(exchange);
 	exchange->sent_us = exchange_now_us(exchange);
+	exchange->ack_deadline_us =
+		exchange->sent_us + exchange->edge->settings.leave_within_us;
 	exchange->strays = 0;
 	exchange->retry.sends++;
 	exchange->unsettled++;
@@ -529,6 +533,21 @@
 	exchange_arm_timer(exchange);
 }
 
+/*
+ * Nothing of the request has arrived. If it did from now on, its server might
+ * have left, or its failure domain been evacuated, for longer than allowed.
+ */
+static void check_acked(struct exchange *exchange)
+{
+	exchange->ack_deadline_us = 0;
+	if (!link_is_unacked(&exchange->conn->link)) {
+		exchange_arm_timer(exchange);
+		return;
+	}
+	record_timeout(exchange);
+	after_failure(exchange, SEND_BROKEN, "unacknowledged");
+}
+
 /*
  * The grace counts from now, not from due_us: after a pause of the VM, timers
  * fire before received bytes are read, and a request whose answer has already
@@ -551,6 +570,9 @@
 		   exchange_now_us(exchange) >= exchange->held_until_us) {
 		exchange->held_until_us = 0;
 		exchange_dispatch(exchange);
+	} else if (exchange_left_us(exchange) && exchange->ack_deadline_us &&
+		   exchange_now_us(exchange) >= exchange->ack_deadline_us) {
+		check_acked(exchange);
 	} else if (exchange_left_us(exchange)) {
 		exchange_arm_timer(exchange);
 	} else if (exchange->sent_us && !exchange->grace_until_us) {
--- a/packages/edge/exchange_end.c
+++ b/packages/edge/exchange_end.c
@@ -35,6 +35,7 @@
 void exchange_detach_conn(struct exchange *exchange)
 {
 	exchange->sent_us = 0;
+	exchange->ack_deadline_us = 0;
 	exchange->conn = NULL;
 	exchange->peer = NULL;
 	exchange_release_choice(exchange);
--- a/packages/edge/link.c
+++ b/packages/edge/link.c
@@ -234,6 +234,7 @@
 {
 	message_reader_next(&link->reader, is_head);
 	link->awaiting = true;
+	link->request_bytes = request->len + (body ? body->len : 0);
 	link->got_bytes = 0;
 	link->writing = true;
 	set_resets(link, true);
@@ -262,6 +263,15 @@
 	backlog->unacked_bytes = (uint64_t)unacked_bytes;
 }
 
+bool link_is_unacked(const struct link *link)
+{
+	struct link_backlog backlog;
+
+	link_get_backlog(link, &backlog);
+	return backlog.queued_bytes + backlog.unacked_bytes >=
+	       link->request_bytes;
+}
+
 void link_close(struct link *link)
 {
 	if (link->closing)
--- a/packages/edge/link.h
+++ b/packages/edge/link.h
@@ -59,6 +59,7 @@
 	bool invalid; /* ended, as the bytes received were no valid answer */
 	bool extra_bytes; /* bytes followed the answer: don't reuse the
 			     connection */
+	uint64_t request_bytes; /* of the latest request */
 	uint64_t got_bytes; /* received of the awaited answer */
 };
 
@@ -95,6 +96,9 @@
 /* Fields are 0 once the connection has failed. */
 void link_get_backlog(const struct link *link, struct link_backlog *backlog);
 
+/* Whether the other side has acknowledged no byte of the latest request. */
+bool link_is_unacked(const struct link *link);
+
 /*
  * Closes the connection: with a TCP reset while an answer is awaited. After a
  * close in order the kernel would retransmit the request for minutes, and the
--- a/tests/edge/abandoned_test.cc
+++ b/tests/edge/abandoned_test.cc
@@ -1,7 +1,4 @@
-/*
- * Requests that were given up while the kernel still held bytes of them: the
- * other side must never get the rest.
- */
+/* Requests that were given up while the kernel still held bytes of them. */
 #include <sys/wait.h>
 
 #include "edge/edge_world.h"
@@ -77,10 +74,7 @@
 {
 };
 
-/*
- * The kernel went on sending a request after the node had given it up, and the
- * server ran it seconds later.
- */
+/* Guards against servers that run a request after it was given up. */
 TEST_P(AbandonedCaseTest, NeverReachesTheServerWhole)
 {
 	const abandoned_case &c = GetParam();
@@ -112,6 +106,77 @@
 			 ::testing::ValuesIn(abandoned_cases),
 			 [](const auto &info) { return info.param.name; });
 
+struct unacked_case {
+	const char *name;
+	const char *path; /* "/r/" is idempotent, "/o/" is not */
+	bool behind_another; /* else the server's kernel has a part of it */
+	int status;
+	const char *answered_by; /* "": nobody */
+};
+
+const unacked_case unacked_cases[] = {
+	{ "Idempotent", "/r/", true, 200, "a1 by i-2" },
+	{ "Once", "/o/", true, 502, "" },
+	{ "PartlyAcknowledged", "/o/", false, 200, "late" },
+};
+
+class UnackedTest : public AbandonedTest,
+		    public ::testing::WithParamInterface<unacked_case>
+{
+      protected:
+	/*
+	 * Leaves the node with a connection whose server has answered a
+	 * request of which its kernel hasn't got all.
+	 */
+	void keep_connection_with_backlog()
+	{
+		auto caller =
+			call(post("a0", "/o/", UnreadServer::LARGE_BYTES));
+
+		wait_for_connection();
+		server.write_answer(answer_for("a0"));
+		wait_for([&] { return is_whole(*caller); });
+	}
+};
+
+/* Guards against requests that arrive after their server had to be closed. */
+TEST_P(UnackedTest, IsGivenUpOnceAServerMayHaveLeft)
+{
+	const unacked_case &c = GetParam();
+
+	timeout = "8000ms";
+	put_routes(2);
+	start_with_server();
+	if (c.behind_another)
+		keep_connection_with_backlog();
+	auto caller = call(post("a1", c.path, UnreadServer::LARGE_BYTES));
+	if (!c.behind_another)
+		wait_for_connection();
+	wait_for([&] {
+		return metric_value(edge->stats.sent) > c.behind_another;
+	});
+	add_app("i-2");
+	run_for(3000);
+	if (!c.behind_another) {
+		server.read_to_end();
+		server.write_answer("HTTP/1.1 200 OK\r\n"
+				    "Lilacfield-Response-Seal: s\r\n"
+				    "Lilacfield-Attempt-Id: a1\r\n"
+				    "Content-Length: 4\r\n\r\nlate");
+		wait_for([&] { return is_whole(*caller); });
+	}
+	EXPECT_TRUE(is_whole(*caller));
+	EXPECT_EQ(c.status, status_of(caller->got)) << caller->got;
+	EXPECT_NE(std::string::npos, body_of(caller->got).find(c.answered_by));
+	if (c.behind_another) {
+		server.read_to_end();
+		EXPECT_EQ(std::string::npos, server.got.find("a1"));
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, UnackedTest, ::testing::ValuesIn(unacked_cases),
+			 [](const auto &info) { return info.param.name; });
+
 /* A process that sends a large request, and ends before it is answered. */
 class SendingProcess
 {
@@ -199,10 +264,7 @@
 {
 };
 
-/*
- * After the end of a node the kernel went on sending its requests, and servers
- * ran them when the node had long started again.
- */
+/* Guards against servers that run requests of a process that has ended. */
 TEST_P(ProcessEndTest, DropsWhatIsUnacknowledged)
 {
 	UnreadServer server;
--- a/tests/edge/hop_test.cc
+++ b/tests/edge/hop_test.cc
@@ -388,10 +388,7 @@
 	EXPECT_EQ(0u, edge->exchanges);
 }
 
-/*
- * The kernel went on sending a hop after its caller had got 504, and the peer
- * ran it later.
- */
+/* Guards against peers that run a hop after its caller has got 504. */
 TEST_F(HopSenderTest, AHopThatTimedOutNeverReachesThePeerWhole)
 {
 	UnreadServer peer;
--- a/tests/edge/lane_test.cc
+++ b/tests/edge/lane_test.cc
@@ -52,10 +52,7 @@
 	run_for(20);
 }
 
-/*
- * The kernel went on sending a call after it was aborted: a write reached the
- * store after a later one of the same row.
- */
+/* Guards against writes that reach the store after they were aborted. */
 TEST_F(LaneTest, AbortedWriteNeverReachesTheStoreWhole)
 {
 	const std::string body(UnreadServer::LARGE_BYTES, 'x');
