tests: a lost server's port stays its own in LossTest

Cause, from the log of a failure that was caught in 360 runs, six at a time: the port of a closed server goes to another program on the machine, here another test's server. A probe is accepted, the node is connected by what it sees, and a request gets the foreign answer (stray-answer, status=404).

The test now binds the port of each lost server, without listening, until its end: connections are refused, and no other program gets it.

--- a/tests/edge/reach_watch_test.cc
+++ b/tests/edge/reach_watch_test.cc
@@ -1,4 +1,7 @@
 /* What a node concludes where servers, or its own way to them, are lost. */
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "edge/edge_world.h"
 #include "edge/reach_watch.h"
 
@@ -31,6 +34,8 @@
 			reach_watch_close(reach);
 		EdgeWorld::TearDown();
 		g_free(reach);
+		for (int held : held_ports)
+			close(held);
 	}
 	void start()
 	{
@@ -68,13 +73,28 @@
 		}
 		FAIL() << "a server got no request";
 	}
+	/* Refuses connections, and keeps other programs off the port. */
+	void hold_port(uint16_t port)
+	{
+		struct sockaddr_in at;
+		int held = socket(AF_INET, SOCK_STREAM, 0);
+
+		uv_ip4_addr("127.0.0.1", port, &at);
+		ASSERT_EQ(0,
+			  bind(held, (const struct sockaddr *)&at, sizeof(at)));
+		held_ports.push_back(held);
+	}
 	void lose(int count)
 	{
 		for (int i = 0; i < count; i++) {
+			uint16_t port = app_stand_at(apps[i].stand)->port;
+
 			app_stand_close(apps[i].stand);
 			apps[i].stand = nullptr;
+			hold_port(port);
 		}
 	}
+	std::vector<int> held_ports;
 	std::vector<std::unique_ptr<RawCaller>> callers;
 	struct reach_watch *reach = nullptr;
 };
