--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -534,8 +534,9 @@
 }
 
 /*
- * Nothing of the request has arrived. If it did from now on, its server might
- * have left, or its failure domain been evacuated, for longer than allowed.
+ * Gives a request up of which nothing has arrived. If it arrived from now on,
+ * its server might have left, or its failure domain been evacuated, for longer
+ * than allowed.
  */
 static void check_acked(struct exchange *exchange)
 {
--- a/packages/edge/exchange_internal.h
+++ b/packages/edge/exchange_internal.h
@@ -44,7 +44,8 @@
 	bool was_held;
 	bool was_offered; /* counted by chooser_offered() */
 	uint64_t sent_us; /* 0: not sent on conn yet */
-	uint64_t ack_deadline_us; /* for the server's kernel; 0: none */
+	uint64_t ack_deadline_us; /* for the first acknowledged byte of the
+				     request; 0: not checked */
 	uint32_t strays; /* other requests' answers on conn */
 	uint64_t grace_until_us; /* end of the wait past due_us; 0: none */
 
--- a/packages/edge/link.c
+++ b/packages/edge/link.c
@@ -206,8 +206,9 @@
 }
 
 /*
- * Makes the kernel reset the connection, and drop what isn't acknowledged, when
- * its socket is closed, also by the end of the process; or not any more.
+ * resets: when the socket is closed, also by the end of the process, the kernel
+ * resets the connection and drops what isn't acknowledged. Otherwise it closes
+ * in order and goes on sending.
  */
 static void set_resets(struct link *link, bool resets)
 {
