--- a/tests/edge/abandoned_test.cc
+++ b/tests/edge/abandoned_test.cc
@@ -11,11 +11,14 @@
 {
       protected:
 	/* The answer of a server that keeps its connection. */
-	static std::string answer_for(const std::string &id)
+	static std::string answer_for(const std::string &id,
+				      const std::string &body = "")
 	{
 		return "HTTP/1.1 200 OK\r\nLilacfield-Response-Seal: s\r\n"
 		       "Lilacfield-Attempt-Id: " +
-		       id + "\r\nContent-Length: 0\r\n\r\n";
+		       id +
+		       "\r\nContent-Length: " + std::to_string(body.size()) +
+		       "\r\n\r\n" + body;
 	}
 	void start_with_server()
 	{
@@ -159,10 +162,7 @@
 	run_for(3000);
 	if (!c.behind_another) {
 		server.read_to_end();
-		server.write_answer("HTTP/1.1 200 OK\r\n"
-				    "Lilacfield-Response-Seal: s\r\n"
-				    "Lilacfield-Attempt-Id: a1\r\n"
-				    "Content-Length: 4\r\n\r\nlate");
+		server.write_answer(answer_for("a1", "late"));
 		wait_for([&] { return is_whole(*caller); });
 	}
 	EXPECT_TRUE(is_whole(*caller));
