edge: log what the end of a stop cuts, and how late the stop began

A stop that ended whole=no named no request; the requests it cut appeared as caller-left, though no caller had left; and nothing said whether the stop began late, in a loop that was busy when the signal came. stop-cuts names each request with the times of its reading and of its deadline, stop-begins says by how much later than its signal it may have begun, stop-closes when the listener closed; lilacfield_stop_cut_total counts.

--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -758,6 +758,11 @@
 {
 	GList *at;
 
-	for (at = edge->callers.head; at; at = at->next)
-		caller_close(at->data);
+	for (at = edge->callers.head; at; at = at->next) {
+		struct caller *caller = at->data;
+
+		if (edge->stopping && caller->exchange)
+			exchange_log_cut(caller->exchange);
+		caller_close(caller);
+	}
 }
--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -61,6 +61,9 @@
  */
 void exchange_cancel(struct exchange *exchange);
 
+/* Logs a request that the end of this node's stop is about to cut. */
+void exchange_log_cut(const struct exchange *exchange);
+
 #ifdef __cplusplus
 }
 #endif
--- a/packages/edge/exchange_end.c
+++ b/packages/edge/exchange_end.c
@@ -272,6 +272,21 @@
 	g_string_free(headers, TRUE);
 }
 
+void exchange_log_cut(const struct exchange *exchange)
+{
+	const struct edge *edge = exchange->edge;
+
+	metric_add(edge->stats.stop_cut, 1);
+	log_event(LOG_WARNING, "stop-cuts",
+		  "request=%s read_us=%" PRId64 " due_us=%" PRId64
+		  " sent=%s sends=%u unsettled=%u",
+		  exchange->request_id,
+		  (int64_t)(exchange->arrived_us - edge->stopping_us),
+		  (int64_t)(exchange->due_us - edge->stopping_us),
+		  exchange->sent_us ? "yes" : "no", exchange->retry.sends,
+		  exchange->unsettled);
+}
+
 void exchange_cancel(struct exchange *exchange)
 {
 	metric_add(exchange->edge->stats.cancelled, 1);
--- a/packages/edge/run.c
+++ b/packages/edge/run.c
@@ -52,6 +52,9 @@
 	struct gossip *gossip;
 	uv_signal_t signals[3];
 	uv_timer_t tick;
+	uv_prepare_t turn;
+	uint64_t turns_us[2]; /* when this turn of the loop and the one before
+				 began to wait for events */
 	const char *settings_path;
 	uint64_t last_tick_us; /* of the last tick */
 	uint64_t settings_read_us; /* when the settings file was last read */
@@ -137,8 +140,10 @@
 		return;
 	edge->stopping = true;
 	edge->stopping_us = edge_now_us(edge);
-	log_event(LOG_INFO, "stop-begins", "in_flight=%u callers=%u",
-		  edge->exchanges, g_queue_get_length(&edge->callers));
+	log_event(LOG_INFO, "stop-begins",
+		  "in_flight=%u callers=%u late_us=%" PRIu64, edge->exchanges,
+		  g_queue_get_length(&edge->callers),
+		  edge->stopping_us - run->turns_us[0]);
 	gossip_send_heartbeat_now(run->gossip);
 }
 
@@ -163,6 +168,10 @@
 		return;
 	if (!run->front_closed) {
 		run->front_closed = true;
+		log_event(LOG_INFO, "stop-closes",
+			  "in_flight=%u callers=%u took_us=%" PRIu64,
+			  edge->exchanges, g_queue_get_length(&edge->callers),
+			  passed_us);
 		listener_close(&run->listeners[AT_FRONT]);
 	}
 	callers_close_idle(edge);
@@ -282,6 +291,23 @@
 	}
 }
 
+static void on_turn(uv_prepare_t *turn)
+{
+	struct run *run = turn->data;
+
+	run->turns_us[0] = run->turns_us[1];
+	run->turns_us[1] = edge_now_us(&run->edge);
+}
+
+static void watch_turns(struct run *run)
+{
+	run->turns_us[0] = edge_now_us(&run->edge);
+	run->turns_us[1] = run->turns_us[0];
+	uv_prepare_init(&run->loop, &run->turn);
+	run->turn.data = run;
+	uv_prepare_start(&run->turn, on_turn);
+}
+
 static void start_tick(struct run *run)
 {
 	uv_timer_init(&run->loop, &run->tick);
@@ -304,6 +330,7 @@
 		  settings);
 	stats_init(&edge->stats);
 	run->settings_path = settings_path;
+	watch_turns(run);
 	watch_signals(run);
 	if (!open_listeners(run, error))
 		return false;
--- a/packages/edge/stats.c
+++ b/packages/edge/stats.c
@@ -29,6 +29,8 @@
 	  AT(sent) },
 	{ "lilacfield_extra_total", "of these, beyond a request's first",
 	  AT(extra) },
+	{ "lilacfield_stop_cut_total",
+	  "requests in flight when the stop of the node ended", AT(stop_cut) },
 	{ "lilacfield_abandoned_total", "sends given up before their answer",
 	  AT(abandoned) },
 	{ "lilacfield_abandoned_unacked_total",
--- a/packages/edge/stats.h
+++ b/packages/edge/stats.h
@@ -28,6 +28,7 @@
 	struct metric *cancelled; /* the caller disconnected */
 	struct metric *sent; /* requests sent to backend servers */
 	struct metric *extra; /* of these, beyond the first per request */
+	struct metric *stop_cut; /* in flight when this node's stop ended */
 	struct metric *abandoned; /* sends given up before their answer */
 	struct metric *abandoned_unacked; /* of these, not acknowledged */
 	struct metric *connects; /* connections opened to backend servers */
