edge: a stopping node sends only what ends before its stop does

Callers saw connections closed without an answer, for requests that backend servers had in work, when a node was stopped.

Cause: the decision to send didn't know of the stop's end. A stopping node took requests until 3.0 s and later (a tick of 0.2 s, late ticks), and sent each with its route's whole timeout; what ran at 5.7 to 5.9 s was cut without an answer. A route's timeout of 6 s never fits.

Now a stop is a plan that is made once (core/stop_plan): closes, ends, exits. A request that is due after the end isn't sent: it is refused at once, 503 with Retry-After 0.010, at each place where one may be sent (dispatch, also after a hold or a retry; a connection that opens later, to a server or a peer); a peer's request is refused for another peer. The plan counts from the turn of the loop before the signal was seen, so that a busy loop doesn't move its end past the kill, and settings that are read again don't move it. What still runs at the end was sent before the stop, and is answered: 504 at a server, 503 otherwise. The stop also waits for requests whose bodies come, and for callers that haven't closed after their last answer: an exit with unread bytes resets the connection and drops the answer. Idle connections of peers stay open, as a hop that crosses the close counts as sent.

Ruled out: the deadline of such requests could be shortened to the stop's end instead; a request that must not run twice would then be ended at a server that could have finished it, where another node has the whole time for it.

Two tests that set the flag of a stop begin a plan instead.

--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -166,7 +166,7 @@
 static void write_answer(struct caller *caller,
 			 const struct exchange_answer *answer)
 {
-	bool keep = caller->keep_alive && !caller->edge->stopping &&
+	bool keep = caller->keep_alive && !caller->edge->stop.begun &&
 		    !answer->until_close;
 	GByteArray *body = has_no_body(caller, answer->status) ? NULL :
 								 answer->body;
@@ -727,13 +727,56 @@
 		struct caller *caller = at->data;
 
 		next = at->next;
-		if (takes_requests(caller) && !caller->exchange &&
+		if (caller->kind == LISTENER_FRONT && !caller->exchange &&
 		    !caller->head_since_us && !caller->closing &&
 		    !caller->lingering)
 			caller_linger(caller);
 	}
 }
 
+/* Of a request that isn't complete, so nothing was sent on. */
+static void end_unfinished(struct caller *caller)
+{
+	reject(caller, 503, "stopping");
+	message_reader_next(&caller->reader, false);
+	update_reading(caller);
+}
+
+uint32_t callers_end_requests(struct edge *edge)
+{
+	uint32_t ended = 0;
+	GList *at;
+
+	for (at = edge->callers.head; at; at = at->next) {
+		struct caller *caller = at->data;
+
+		if (!takes_requests(caller) || caller->closing)
+			continue;
+		if (caller->exchange)
+			exchange_end_by_stop(caller->exchange);
+		else if (caller->head_since_us && !caller->lingering)
+			end_unfinished(caller);
+		else
+			continue;
+		ended++;
+	}
+	return ended;
+}
+
+bool callers_are_lingering(const struct edge *edge)
+{
+	const GList *at;
+
+	for (at = edge->callers.head; at; at = at->next) {
+		const struct caller *caller = at->data;
+
+		if (takes_requests(caller) && caller->lingering &&
+		    !caller->closing)
+			return true;
+	}
+	return false;
+}
+
 bool callers_may_have_unread(const struct edge *edge)
 {
 	return edge_reads_may_be_stale(edge);
@@ -748,7 +791,8 @@
 		const uv_stream_t *stream = (const uv_stream_t *)&caller->tcp;
 
 		if (takes_requests(caller) && !caller->closing &&
-		    uv_stream_get_write_queue_size(stream))
+		    ((caller->head_since_us && !caller->lingering) ||
+		     uv_stream_get_write_queue_size(stream)))
 			return true;
 	}
 	return edge->exchanges > 0;
@@ -758,11 +802,6 @@
 {
 	GList *at;
 
-	for (at = edge->callers.head; at; at = at->next) {
-		struct caller *caller = at->data;
-
-		if (edge->stopping && caller->exchange)
-			exchange_log_cut(caller->exchange);
-		caller_close(caller);
-	}
+	for (at = edge->callers.head; at; at = at->next)
+		caller_close(at->data);
 }
--- a/packages/edge/caller.h
+++ b/packages/edge/caller.h
@@ -43,15 +43,31 @@
  */
 void callers_sweep(struct edge *edge);
 
-/* Closes idle connections of callers and peers, with lingering. */
+/*
+ * Closes idle connections of callers, with lingering. Those of peers stay: a
+ * request that crosses the close would count as sent there.
+ */
 void callers_close_idle(struct edge *edge);
 
 /*
- * Whether a request is in flight or an answer isn't completely written yet. If
- * the process exits earlier, the answer is truncated.
+ * Whether a request is being read or in flight, or an answer isn't completely
+ * written yet. If the process exits earlier, the answer is truncated.
  */
 bool callers_are_waiting(const struct edge *edge);
 
+/*
+ * Whether a caller hasn't closed its side after the last answer. If the process
+ * exits with unread bytes, the kernel resets the connection and drops the
+ * answer.
+ */
+bool callers_are_lingering(const struct edge *edge);
+
+/*
+ * Answers all requests that are being read or in flight, as the stop ends.
+ * Returns their number.
+ */
+uint32_t callers_end_requests(struct edge *edge);
+
 /*
  * Whether requests that arrived during a pause of the process may still be
  * unread, on connections that look idle or aren't accepted yet.
--- a/packages/edge/edge.c
+++ b/packages/edge/edge.c
@@ -82,7 +82,7 @@
 
 bool edge_is_ready(const struct edge *edge)
 {
-	return edge->routes && edge->backends->loaded && !edge->stopping;
+	return edge->routes && edge->backends->loaded && !edge->stop.begun;
 }
 
 void edge_record_refusal(struct edge *edge, const char *cause, uint16_t status,
--- a/packages/edge/edge.h
+++ b/packages/edge/edge.h
@@ -18,6 +18,7 @@
 #include "core/extra_budget.h"
 #include "core/member_table.h"
 #include "core/route_table.h"
+#include "core/stop_plan.h"
 #include "core/suspect_table.h"
 #include "core/warmth.h"
 #include "edge/byte_budget.h"
@@ -89,8 +90,7 @@
 	bool was_listed; /* the platform listed it before it started */
 	bool any_rate_limited; /* some backend server may have set a rate */
 	uint32_t rates_sent; /* rates sent in this round of heartbeats */
-	bool stopping;
-	uint64_t stopping_us; /* when the stop began */
+	struct stop_plan stop;
 	uint32_t exchanges; /* requests in flight */
 	uint32_t hops_taken; /* of these, handed over by other nodes */
 	GQueue callers; /* of struct caller, connections that are open */
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -339,12 +339,24 @@
 		exchange->query.spent_before_us = 0;
 }
 
+bool exchange_outlasts_stop(const struct exchange *exchange)
+{
+	return !stop_plan_allows(&exchange->edge->stop,
+				 exchange->due_us + ANSWER_GRACE_US);
+}
+
 void exchange_dispatch(struct exchange *exchange)
 {
 	struct edge *edge = exchange->edge;
 	const char *cause;
 
 	exchange_stop_waiting(exchange);
+	if (exchange_outlasts_stop(exchange)) {
+		exchange->not_run = HOP_NOT_RUN_PEER;
+		exchange_finish_unserved(exchange, EXCHANGE_STOP_RETRY_AFTER_US,
+					 "stopping");
+		return;
+	}
 	if (exchange_must_hop(exchange) && !reach_watch_may_use_kept(edge)) {
 		exchange_hop(exchange);
 		return;
@@ -811,8 +823,12 @@
 		chooser_link_measured(&edge->chooser, conn->backend->region,
 				      exchange_now_us(exchange) -
 					      conn->opening_us);
-	/* It may have begun to leave or rest, or set a rate, meanwhile. */
-	if (backend_is_closed(edge->backends, conn->backend) ||
+	/*
+	 * It may have begun to leave or rest, or set a rate, meanwhile; or this
+	 * node to stop.
+	 */
+	if (exchange_outlasts_stop(exchange) ||
+	    backend_is_closed(edge->backends, conn->backend) ||
 	    backend_is_resting(conn->backend, exchange_now_us(exchange)) ||
 	    !ensure_token(exchange)) {
 		exchange_drop_conn(exchange);
--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -61,8 +61,11 @@
  */
 void exchange_cancel(struct exchange *exchange);
 
-/* Logs a request that the end of this node's stop is about to cut. */
-void exchange_log_cut(const struct exchange *exchange);
+/*
+ * Answers the caller as this node's stop ends: 504 if the request is at a
+ * backend server, else 503, or what an earlier send led to.
+ */
+void exchange_end_by_stop(struct exchange *exchange);
 
 #ifdef __cplusplus
 }
--- a/packages/edge/exchange_end.c
+++ b/packages/edge/exchange_end.c
@@ -272,7 +272,7 @@
 	g_string_free(headers, TRUE);
 }
 
-void exchange_log_cut(const struct exchange *exchange)
+static void log_cut(const struct exchange *exchange)
 {
 	const struct edge *edge = exchange->edge;
 
@@ -281,12 +281,24 @@
 		  "request=%s read_us=%" PRId64 " due_us=%" PRId64
 		  " sent=%s sends=%u unsettled=%u",
 		  exchange->request_id,
-		  (int64_t)(exchange->arrived_us - edge->stopping_us),
-		  (int64_t)(exchange->due_us - edge->stopping_us),
+		  (int64_t)(exchange->arrived_us - edge->stop.began_us),
+		  (int64_t)(exchange->due_us - edge->stop.began_us),
 		  exchange->sent_us ? "yes" : "no", exchange->retry.sends,
 		  exchange->unsettled);
 }
 
+void exchange_end_by_stop(struct exchange *exchange)
+{
+	log_cut(exchange);
+	if (exchange->sent_us) {
+		exchange_finish_failed(exchange, 504, "stopping");
+		return;
+	}
+	exchange->not_run = HOP_NOT_RUN_PEER;
+	exchange_finish_unserved(exchange, EXCHANGE_STOP_RETRY_AFTER_US,
+				 "stopping");
+}
+
 void exchange_cancel(struct exchange *exchange)
 {
 	metric_add(exchange->edge->stats.cancelled, 1);
--- a/packages/edge/exchange_hop.c
+++ b/packages/edge/exchange_hop.c
@@ -160,8 +160,16 @@
 
 static void on_opened(struct conn_user *user, struct conn *conn)
 {
+	struct exchange *exchange = (struct exchange *)user;
+
+	if (exchange_outlasts_stop(exchange)) {
+		exchange_drop_conn(exchange);
+		exchange->connect_deadline_us = 0;
+		exchange_dispatch(exchange);
+		return;
+	}
 	detect_silence(conn);
-	send_hop((struct exchange *)user);
+	send_hop(exchange);
 }
 
 static uint64_t retry_after_us(const struct message *answer)
--- a/packages/edge/exchange_internal.h
+++ b/packages/edge/exchange_internal.h
@@ -109,6 +109,12 @@
  */
 void exchange_dispatch(struct exchange *exchange);
 
+/*
+ * Whether this node's stop may end before the request does, so that the request
+ * may not be sent any more.
+ */
+bool exchange_outlasts_stop(const struct exchange *exchange);
+
 /* Starts the timer for whatever is due next. */
 void exchange_arm_timer(struct exchange *exchange);
 
@@ -127,6 +133,10 @@
 /* Retry-After of requests that may find another way soon. */
 #define EXCHANGE_RETRY_AFTER_US (500 * US_PER_MS)
 
+/* Retry-After of a stopping node: any other one may take the request at once.
+ */
+#define EXCHANGE_STOP_RETRY_AFTER_US (10 * US_PER_MS)
+
 /* Connect timeout to a region. */
 uint64_t exchange_connect_timeout_us(const struct exchange *exchange,
 				     const char *region);
--- a/packages/edge/run.c
+++ b/packages/edge/run.c
@@ -32,15 +32,8 @@
  */
 #define SUSPENDED_MIN_US (1500 * US_PER_MS)
 
-/*
- * Callers cache lookups for up to this many times the TTL they were given. A
- * node that stops accepts requests for that long, then finishes those in
- * flight.
- */
-#define STOP_LOOKUP_PERIODS 3
-
-/* The stop ends this long before its deadline, when it would be killed. */
-#define STOP_MARGIN_US (300 * US_PER_MS)
+/* How often a stop is continued. */
+#define STOP_STEP_MS 50
 
 enum { AT_FRONT, AT_READY, AT_LOOKUP, AT_OPERATORS, AT_PEERS, LISTENERS };
 
@@ -52,6 +45,7 @@
 	struct gossip *gossip;
 	uv_signal_t signals[3];
 	uv_timer_t tick;
+	uv_timer_t stop_step;
 	uv_prepare_t turn;
 	uint64_t turns_us[2]; /* when this turn of the loop and the one before
 				 began to wait for events */
@@ -59,6 +53,9 @@
 	uint64_t last_tick_us; /* of the last tick */
 	uint64_t settings_read_us; /* when the settings file was last read */
 	bool front_closed;
+	bool stop_rechecked; /* its end was put off once */
+	bool requests_ended; /* by the stop; see requests_cut */
+	uint32_t requests_cut;
 	bool was_ready;
 };
 
@@ -122,7 +119,7 @@
 /* --- stopping ----------------------------------------------------------- */
 
 /* Cancels the requests that are left: no server is to run them later. */
-static void finish_stop(struct run *run)
+static void exit_loop(struct run *run)
 {
 	uint32_t i;
 
@@ -132,61 +129,93 @@
 	uv_stop(&run->loop);
 }
 
-static void begin_stop(struct run *run)
+/* Not whole: requests were cut, or answers may be. */
+static void finish_stop(struct run *run, bool written)
 {
-	struct edge *edge = &run->edge;
+	const struct edge *edge = &run->edge;
+	bool whole = written && !run->requests_cut;
+
+	log_event(whole ? LOG_INFO : LOG_WARNING, "stop-ends",
+		  "whole=%s cut=%u written=%s took_us=%" PRIu64,
+		  whole ? "yes" : "no", run->requests_cut,
+		  written ? "yes" : "no",
+		  edge_now_us(edge) - edge->stop.began_us);
+	exit_loop(run);
+}
+
+static void close_front(struct run *run)
+{
+	const struct edge *edge = &run->edge;
 
-	if (edge->stopping)
+	if (run->front_closed)
 		return;
-	edge->stopping = true;
-	edge->stopping_us = edge_now_us(edge);
-	log_event(LOG_INFO, "stop-begins",
-		  "in_flight=%u callers=%u late_us=%" PRIu64, edge->exchanges,
-		  g_queue_get_length(&edge->callers),
-		  edge->stopping_us - run->turns_us[0]);
-	gossip_send_heartbeat_now(run->gossip);
+	run->front_closed = true;
+	log_event(LOG_INFO, "stop-closes",
+		  "in_flight=%u callers=%u took_us=%" PRIu64, edge->exchanges,
+		  g_queue_get_length((GQueue *)&edge->callers),
+		  edge_now_us(edge) - edge->stop.began_us);
+	listener_close(&run->listeners[AT_FRONT]);
+}
+
+static void end_requests(struct run *run)
+{
+	if (run->requests_ended)
+		return;
+	run->requests_ended = true;
+	run->requests_cut = callers_end_requests(&run->edge);
 }
 
 /*
  * The loop runs timers before reads. While a stopping node reads a large
- * document, requests may arrive at its listener and on idle connections; if
- * these were closed at the next tick, the requests would get no answer. So
- * nothing is closed until a tick is on time, unless the stop's time is over.
+ * document, requests and answers may arrive that a step would close out or cut
+ * before they are read. So no step is taken until the loop is on time; at the
+ * end of the stop it turns once more.
  */
-static void continue_stop(struct run *run)
+static void on_stop_step(uv_timer_t *timer)
 {
+	struct run *run = timer->data;
 	struct edge *edge = &run->edge;
-	uint64_t passed_us = edge_now_us(edge) - edge->stopping_us;
-	uint64_t accept_us =
-		STOP_LOOKUP_PERIODS * edge->settings.lookup_keep_us;
+	const struct stop_plan *plan = &edge->stop;
+	uint64_t now_us = edge_now_us(edge);
+	bool was_closed = run->front_closed;
 
-	accept_us = MIN(accept_us, edge->settings.max_stop_us / 2);
-	if (passed_us < accept_us)
+	if (now_us < plan->closes_us ||
+	    (callers_may_have_unread(edge) && now_us < plan->ends_us))
 		return;
-	if (callers_may_have_unread(edge) &&
-	    passed_us + STOP_MARGIN_US <= edge->settings.max_stop_us)
-		return;
-	if (!run->front_closed) {
-		run->front_closed = true;
-		log_event(LOG_INFO, "stop-closes",
-			  "in_flight=%u callers=%u took_us=%" PRIu64,
-			  edge->exchanges, g_queue_get_length(&edge->callers),
-			  passed_us);
-		listener_close(&run->listeners[AT_FRONT]);
-	}
+	close_front(run);
 	callers_close_idle(edge);
-	if (!callers_are_waiting(edge) && passed_us > accept_us + TICK_US) {
-		log_event(LOG_INFO, "stop-ends", "whole=yes took_us=%" PRIu64,
-			  passed_us);
-		finish_stop(run);
-	} else if (passed_us + STOP_MARGIN_US > edge->settings.max_stop_us) {
-		log_event(LOG_WARNING, "stop-ends",
-			  "whole=no in_flight=%u took_us=%" PRIu64,
-			  edge->exchanges, passed_us);
-		finish_stop(run);
+	if (was_closed && !callers_are_waiting(edge) &&
+	    !callers_are_lingering(edge)) {
+		finish_stop(run, true);
+	} else if (now_us >= plan->exits_us) {
+		end_requests(run);
+		finish_stop(run, !callers_are_waiting(edge));
+	} else if (now_us >= plan->ends_us) {
+		if (run->stop_rechecked)
+			end_requests(run);
+		run->stop_rechecked = true;
 	}
 }
 
+/* The signal may have come at any time since the previous turn of the loop. */
+static void begin_stop(struct run *run)
+{
+	struct edge *edge = &run->edge;
+	const struct edge_settings *settings = &edge->settings;
+
+	if (edge->stop.begun)
+		return;
+	stop_plan_begin(&edge->stop, run->turns_us[0], settings->lookup_keep_us,
+			settings->max_stop_us);
+	log_event(LOG_INFO, "stop-begins",
+		  "in_flight=%u callers=%u late_us=%" PRIu64, edge->exchanges,
+		  g_queue_get_length(&edge->callers),
+		  edge_now_us(edge) - edge->stop.began_us);
+	gossip_send_heartbeat_now(run->gossip);
+	uv_timer_start(&run->stop_step, on_stop_step, STOP_STEP_MS,
+		       STOP_STEP_MS);
+}
+
 /* --- events ------------------------------------------------------------- */
 
 static void on_signal(uv_signal_t *handle, int number)
@@ -249,8 +278,6 @@
 		reload_settings(run);
 		sync_remove_lost_member(run->sync);
 	}
-	if (edge->stopping)
-		continue_stop(run);
 }
 
 /* --- start -------------------------------------------------------------- */
@@ -308,10 +335,12 @@
 	uv_prepare_start(&run->turn, on_turn);
 }
 
-static void start_tick(struct run *run)
+static void start_timers(struct run *run)
 {
 	uv_timer_init(&run->loop, &run->tick);
 	run->tick.data = run;
+	uv_timer_init(&run->loop, &run->stop_step);
+	run->stop_step.data = run;
 	run->last_tick_us = edge_now_us(&run->edge);
 	run->settings_read_us = run->last_tick_us;
 	uv_timer_start(&run->tick, on_tick, TICK_US / US_PER_MS,
@@ -342,7 +371,7 @@
 	crash_watch_open(edge);
 	reach_watch_open(edge);
 	quarantine_store_open(edge);
-	start_tick(run);
+	start_timers(run);
 	log_event(LOG_INFO, "start", "domain=%s region=%s front=%s:%u",
 		  settings->domain, settings->region, settings->front.address,
 		  settings->front.port);
--- a/packages/edge/sync_tables.c
+++ b/packages/edge/sync_tables.c
@@ -320,7 +320,7 @@
 	sync->own_row_lost = false;
 	if (!known && !row->deleted)
 		sync->edge->was_listed = true;
-	if (known && !sync->edge->stopping)
+	if (known && !sync->edge->stop.begun)
 		sync_write_own_row(sync);
 }
 
--- a/tests/edge/early_ends_test.cc
+++ b/tests/edge/early_ends_test.cc
@@ -205,7 +205,7 @@
 	EXPECT_FALSE(callers_are_waiting(edge));
 	auto caller = call(get("a1", "/r/"));
 	wait_for([&] { return !caller->got.empty(); });
-	edge->stopping = true;
+	begin_stop();
 	caller->pause();
 	run_for(300);
 	EXPECT_EQ(0u, edge->exchanges);
--- a/tests/edge/edge_world.h
+++ b/tests/edge/edge_world.h
@@ -481,6 +481,13 @@
 		return head == std::string::npos ? "" : answer.substr(head + 4);
 	}
 
+	/* As a signal that comes after_us from now, or came before. */
+	void begin_stop(int64_t after_us = 0)
+	{
+		stop_plan_begin(&edge->stop,
+				edge_now_us(edge) + (uint64_t)after_us,
+				settings.lookup_keep_us, settings.max_stop_us);
+	}
 	void stop_node()
 	{
 		if (!node_runs)
--- a/tests/edge/hop_test.cc
+++ b/tests/edge/hop_test.cc
@@ -630,7 +630,7 @@
 
 	sender.send(get("a1", "/r/", "Hop-Sends: 0\r\n"));
 	wait_for([this] { return edge->hops_taken == 1; });
-	edge->stopping = true;
+	begin_stop();
 	callers_close_idle(edge);
 	EXPECT_TRUE(callers_are_waiting(edge));
 	wait_for([&] { return is_whole(sender); });
