tests: answers that end at each byte of head and body

From the report of other operators: a server stopped in the middle of its answer's head and closed, and clients got a 200 with a short body, framed as whole.

--- a/tests/edge/unread_server.h
+++ b/tests/edge/unread_server.h
@@ -78,6 +78,16 @@
 		ASSERT_EQ((ssize_t)text.size(),
 			  write(connection_, text.data(), text.size()));
 	}
+	/* Close the connection, in order once all is read, or by a reset. */
+	void end(bool by_reset)
+	{
+		const struct linger linger = { by_reset, 0 };
+
+		setsockopt(connection_, SOL_SOCKET, SO_LINGER, &linger,
+			   sizeof(linger));
+		close(connection_);
+		connection_ = -1;
+	}
 	std::string got; /* on the latest connection */
 	uint16_t port;
 
