edge: one function each for what the stop wrote again

Refusing a request that isn't complete stood twice in caller.c, and choosing again after a connection opened too late in exchange.c and exchange_hop.c. exchange_release_choice() behind exchange_drop_conn() did nothing: detaching the connection releases the choice.

--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -339,16 +339,19 @@
 	update_reading(caller_of(account));
 }
 
-/* Nothing of the request was sent on. */
-static void on_drop(struct byte_account *account)
+/* Of a request that isn't complete, so nothing was sent on. */
+static void refuse_unfinished(struct caller *caller, const char *cause)
 {
-	struct caller *caller = caller_of(account);
-
-	reject(caller, 503, "no bytes left for the request");
+	reject(caller, 503, cause);
 	message_reader_next(&caller->reader, false);
 	update_reading(caller);
 }
 
+static void on_drop(struct byte_account *account)
+{
+	refuse_unfinished(caller_of(account), "no bytes left for the request");
+}
+
 static const struct byte_account_vtable account_events = {
 	.resume = on_resume,
 	.drop = on_drop,
@@ -734,14 +737,6 @@
 	}
 }
 
-/* Of a request that isn't complete, so nothing was sent on. */
-static void end_unfinished(struct caller *caller)
-{
-	reject(caller, 503, "stopping");
-	message_reader_next(&caller->reader, false);
-	update_reading(caller);
-}
-
 uint32_t callers_end_requests(struct edge *edge)
 {
 	uint32_t ended = 0;
@@ -755,7 +750,7 @@
 		if (caller->exchange)
 			exchange_end_by_stop(caller->exchange);
 		else if (caller->head_since_us && !caller->lingering)
-			end_unfinished(caller);
+			refuse_unfinished(caller, "stopping");
 		else
 			continue;
 		ended++;
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -410,6 +410,13 @@
 	send_or_connect(exchange);
 }
 
+void exchange_dispatch_unsent(struct exchange *exchange)
+{
+	exchange_drop_conn(exchange);
+	exchange->connect_deadline_us = 0;
+	exchange_dispatch(exchange);
+}
+
 /* --- failures ----------------------------------------------------------- */
 
 static const char *outcome_name(enum send_outcome outcome)
@@ -829,10 +836,7 @@
 	    backend_is_closed(edge->backends, conn->backend) ||
 	    backend_is_resting(conn->backend, exchange_now_us(exchange)) ||
 	    !ensure_token(exchange)) {
-		exchange_drop_conn(exchange);
-		exchange_release_choice(exchange);
-		exchange->connect_deadline_us = 0;
-		exchange_dispatch(exchange);
+		exchange_dispatch_unsent(exchange);
 		return;
 	}
 	send_request(exchange);
--- a/packages/edge/exchange.h
+++ b/packages/edge/exchange.h
@@ -63,7 +63,7 @@
 
 /*
  * Answers the caller as this node's stop ends: 504 if the request is at a
- * backend server, else 503, or what an earlier send led to.
+ * backend server or a peer, else 503, or what an earlier send led to.
  */
 void exchange_end_by_stop(struct exchange *exchange);
 
--- a/packages/edge/exchange_hop.c
+++ b/packages/edge/exchange_hop.c
@@ -163,9 +163,7 @@
 	struct exchange *exchange = (struct exchange *)user;
 
 	if (exchange_outlasts_stop(exchange)) {
-		exchange_drop_conn(exchange);
-		exchange->connect_deadline_us = 0;
-		exchange_dispatch(exchange);
+		exchange_dispatch_unsent(exchange);
 		return;
 	}
 	detect_silence(conn);
--- a/packages/edge/exchange_internal.h
+++ b/packages/edge/exchange_internal.h
@@ -109,6 +109,9 @@
  */
 void exchange_dispatch(struct exchange *exchange);
 
+/* Closes a connection on which nothing was sent, and dispatches again. */
+void exchange_dispatch_unsent(struct exchange *exchange);
+
 /*
  * Whether this node's stop may end before the request does, so that the request
  * may not be sent any more.
@@ -136,8 +139,7 @@
 /* Retry-After of requests that may find another way soon. */
 #define EXCHANGE_RETRY_AFTER_US (500 * US_PER_MS)
 
-/* Retry-After of a stopping node: any other one may take the request at once.
- */
+/* Retry-After of a stopping node: any other may take the request at once. */
 #define EXCHANGE_STOP_RETRY_AFTER_US (10 * US_PER_MS)
 
 /* Connect timeout to a region. */
