--- a/tests/edge/edge_world.h
+++ b/tests/edge/edge_world.h
@@ -481,6 +481,16 @@
 		return head == std::string::npos ? "" : answer.substr(head + 4);
 	}
 
+	/* How often the request ran, at all servers that haven't ended. */
+	uint32_t runs_of(const std::string &id)
+	{
+		uint32_t runs = 0;
+
+		for (const App &app : apps)
+			if (app.stand)
+				runs += app_stand_runs(app.stand, id.c_str());
+		return runs;
+	}
 	/* As a signal that comes after_us from now, or came before. */
 	void begin_stop(int64_t after_us = 0)
 	{
--- a/tests/edge/hop_test.cc
+++ b/tests/edge/hop_test.cc
@@ -192,15 +192,6 @@
 		wait_for([&] { return is_whole(caller); }, bytes.c_str());
 		return caller.got;
 	}
-	uint32_t runs_of(const char *id)
-	{
-		uint32_t runs = 0;
-
-		for (const App &app : apps)
-			if (app.stand)
-				runs += app_stand_runs(app.stand, id);
-		return runs;
-	}
 	std::string caller_headers; /* of the first caller */
 	std::vector<std::unique_ptr<FakePeer>> peers_;
 	struct reach_watch *reach_ = nullptr;
--- a/tests/edge/stop_test.cc
+++ b/tests/edge/stop_test.cc
@@ -13,19 +13,6 @@
 		timeout = "6000ms";
 		put_routes(2);
 	}
-	uint32_t runs_of(const std::string &id)
-	{
-		uint32_t runs = 0;
-
-		for (const App &app : apps)
-			runs += app_stand_runs(app.stand, id.c_str());
-		return runs;
-	}
-	/* As if the stop had taken all its time. */
-	void end_stop()
-	{
-		callers_end_requests(edge);
-	}
 };
 
 enum stop_moment {
@@ -125,7 +112,7 @@
 	auto caller = call(get("a1", "/o/"));
 	wait_for([&] { return app_stand_running(app.stand) == 1; });
 	begin_stop();
-	end_stop();
+	callers_end_requests(edge);
 	wait_for([&] { return is_whole(*caller); });
 	EXPECT_EQ(504, status_of(caller->got)) << caller->got;
 	EXPECT_EQ(1u, metric_value(edge->stats.stop_cut));
@@ -145,7 +132,7 @@
 	EXPECT_TRUE(callers_are_waiting(edge));
 	run_for(20);
 	EXPECT_FALSE(caller->ended);
-	end_stop();
+	callers_end_requests(edge);
 	wait_for([&] { return is_whole(*caller); });
 	EXPECT_EQ(503, status_of(caller->got)) << caller->got;
 	EXPECT_EQ(0u, runs_of("a1"));
