edge: a reset never ends an answer without a length as a complete one

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written; the caller got the part as a complete answer.

Cause: libuv (1.44) reports UV_EOF without asking the socket when it polls a hang-up together with the last bytes. on_read() took each UV_EOF for a close in order, which ends an answer without a length. A reset that was seen one poll later was read as ECONNRESET and handled, which is all that CutAnswerTest played. The upload isn't needed for it: a GET shows the same.

Evidence: EarlyAnswerTest plays four framings, four ends, four moments of the end and uploads of 0, 0.1 and 1 MB on real sockets.

Why this works: the socket's error is read before an end completes an answer; RFC 9112, 8 has an answer without a length complete unless the connection indicated an error. An error that a write learns of first ends the link already.

Ruled out: the state of the TCP connection by TCP_INFO, which the error says as well; treating each end while an upload is pending as an error: a server may answer early and close in order.

--- a/packages/edge/link.c
+++ b/packages/edge/link.c
@@ -1,5 +1,6 @@
 #include "edge/link.h"
 
+#include <errno.h>
 #include <linux/sockios.h>
 #include <stddef.h>
 #include <string.h>
@@ -134,6 +135,24 @@
 	}
 }
 
+/*
+ * UV_EOF where the other side closed the connection in order, else an error.
+ * libuv reports the end for both: a reset that it polls together with the last
+ * bytes, and one that a write has learned of.
+ */
+static int end_cause(const struct link *link)
+{
+	socklen_t length = sizeof(int);
+	uv_os_fd_t fd;
+	int error = 0;
+
+	if (uv_fileno((const uv_handle_t *)&link->tcp, &fd))
+		return UV_EBADF;
+	if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &length))
+		return uv_translate_sys_error(errno);
+	return error ? uv_translate_sys_error(error) : UV_EOF;
+}
+
 static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
 {
 	struct link *link = stream->data;
@@ -153,8 +172,11 @@
 		count_bytes(link);
 		return;
 	}
+	if (count == UV_EOF && whole_at_end)
+		count = end_cause(link);
 	/*
-	 * An answer without a length is complete at the end of the connection.
+	 * An answer without a length is complete at the end of the connection,
+	 * unless that indicated an error (RFC 9112, 8).
 	 */
 	if (count == UV_EOF && whole_at_end)
 		feed(link, NULL, 0);
--- /dev/null
+++ b/tests/edge/early_answer_test.cc
@@ -0,0 +1,205 @@
+/*
+ * Servers that answer while the request is still being written, and end the
+ * connection.
+ */
+#include "edge/edge_world.h"
+#include "edge/unread_server.h"
+
+namespace
+{
+
+enum end_by {
+	BY_FIN,
+	BY_RESET,
+	BY_CLOSE, /* which resets it where the request wasn't all read */
+	BY_FIN_AND_RESET,
+};
+
+enum end_at {
+	BEFORE_REQUEST, /* answer and end are there when it is written */
+	WITH_ANSWER, /* the end is seen together with the last bytes */
+	AFTER_ANSWER,
+	AS_ROOM_COMES, /* WITH_ANSWER, and the request can be written on */
+};
+
+const char *const by_names[] = { "ByFin", "ByReset", "ByClose",
+				 "ByFinAndReset" };
+const char *const at_names[] = { "BeforeRequest", "WithAnswer", "AfterAnswer",
+				 "AsRoomComes" };
+
+const size_t upload_sizes[] = { 0, UnreadServer::LARGE_BYTES, 1000 * 1000 };
+
+struct framing {
+	const char *name;
+	const char *head; /* behind the id and the seal */
+	const char *body;
+	bool until_close;
+	size_t cut_bytes; /* of the body, that a partial answer lacks */
+};
+
+const framing framings[] = {
+	{ "WithoutLength", "", "twelve bytes", true, 6 },
+	{ "WithoutLengthAndBody", "", "", true, 0 },
+	{ "Length", "Content-Length: 12\r\n", "twelve bytes", false, 6 },
+	{ "Chunked", "Transfer-Encoding: chunked\r\n",
+	  "c\r\ntwelve bytes\r\n0\r\n\r\n", false, 6 },
+};
+
+struct early_end {
+	enum end_by by;
+	enum end_at at;
+	size_t upload_bytes;
+};
+
+class EarlyAnswerTest : public EdgeWorld,
+			public ::testing::WithParamInterface<
+				std::tuple<framing, enum end_by, enum end_at>>
+{
+      protected:
+	static std::string head_for(const std::string &id, const char *more)
+	{
+		return "HTTP/1.1 200 OK\r\nLilacfield-Attempt-Id: " + id +
+		       "\r\nLilacfield-Response-Seal: s\r\n" + more + "\r\n";
+	}
+	void wait_for_connection()
+	{
+		bool accepted = false;
+
+		wait_for([&] { return accepted |= server.accept_next(); },
+			 "connection");
+	}
+	void wait_for_head()
+	{
+		wait_for(
+			[&] {
+				server.accept_next();
+				server.read_some(4096);
+				return server.got.find("\r\n\r\n") !=
+				       std::string::npos;
+			},
+			"head");
+		server.got.clear();
+	}
+	/* A whole answer, so that the server doesn't count as failing. */
+	void answer_one(const std::string &id)
+	{
+		auto caller = call(get(id, "/o/"));
+
+		wait_for_head();
+		server.write_answer(head_for(
+			id, "Content-Length: 0\r\nConnection: close\r\n"));
+		wait_for([&] { return is_whole(*caller); });
+		/* Probes, whether it still accepts, that bring no request. */
+		run_for(30);
+		while (server.accept_next())
+			;
+	}
+	void end_connection(enum end_by by)
+	{
+		if (by == BY_FIN || by == BY_FIN_AND_RESET)
+			server.shut_down();
+		if (by != BY_FIN)
+			server.end(by != BY_CLOSE);
+	}
+	/* What the caller gets of an answer that is sent and ended so. */
+	std::string answer_early(const std::string &id,
+				 const std::string &answer,
+				 const struct early_end &end)
+	{
+		auto caller = call(end.upload_bytes ?
+					   post(id, "/o/", end.upload_bytes) :
+					   get(id, "/o/"));
+
+		if (end.at == BEFORE_REQUEST) {
+			wait_for_connection();
+		} else {
+			wait_for_head();
+			run_for(5);
+		}
+		if (end.at == AS_ROOM_COMES)
+			server.read_some(end.upload_bytes / 2);
+		server.write_answer(answer);
+		if (end.at == AFTER_ANSWER)
+			run_for(10);
+		end_connection(end.by);
+		wait_for([&] { return is_whole(*caller); });
+		server.end(false);
+		return caller->got;
+	}
+	static void expect_failure(const std::string &got, enum end_at at)
+	{
+		/* Before a connection has opened, nothing has run. */
+		if (at != BEFORE_REQUEST || status_of(got) != 503) {
+			EXPECT_EQ(502, status_of(got)) << got;
+		}
+		EXPECT_EQ(std::string::npos, got.find("Seal")) << got;
+		EXPECT_EQ(std::string::npos, got.find("twelve")) << got;
+	}
+	/* With each size of an upload; false once none gets through. */
+	bool play(size_t cut_bytes)
+	{
+		const struct framing &c = std::get<0>(GetParam());
+		struct early_end end = { std::get<1>(GetParam()),
+					 std::get<2>(GetParam()), 0 };
+		bool is_whole = !cut_bytes &&
+				(!c.until_close || end.by == BY_FIN);
+
+		for (size_t bytes : upload_sizes) {
+			std::string id = "a" + std::to_string(bytes);
+			std::string answer = head_for(id, c.head) + c.body;
+
+			/* All was read: no reset. */
+			if (end.by == BY_CLOSE && !bytes)
+				continue;
+			SCOPED_TRACE(id);
+			answer.resize(answer.size() - cut_bytes);
+			end.upload_bytes = bytes;
+			answer_one("k" + id);
+			std::string got = answer_early(id, answer, end);
+			if (!is_whole) {
+				expect_failure(got, end.at);
+			} else if (end.at != BEFORE_REQUEST ||
+				   end.by == BY_FIN) {
+				EXPECT_EQ(200, status_of(got)) << got;
+			}
+			if (status_of(got) == 200) {
+				EXPECT_EQ(c.body[0] ? "twelve bytes" : "",
+					  body_of(got));
+			}
+			/* The server counts as unreachable. */
+			if (status_of(got) == 503)
+				return false;
+		}
+		return true;
+	}
+	UnreadServer server;
+};
+
+/* Guards against a part of an answer that is delivered as a complete one. */
+TEST_P(EarlyAnswerTest, ResetOrPartialOneIsNeverDelivered)
+{
+	const struct framing &c = std::get<0>(GetParam());
+
+	list_at("i-1", endpoint_at(server.port));
+	start_node();
+	bool goes_on = play(0);
+	/* A close in order ends any answer without a length. */
+	if (goes_on && c.cut_bytes &&
+	    !(c.until_close && std::get<1>(GetParam()) == BY_FIN))
+		play(c.cut_bytes);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+	Cases, EarlyAnswerTest,
+	::testing::Combine(::testing::ValuesIn(framings),
+			   ::testing::Values(BY_FIN, BY_RESET, BY_CLOSE,
+					     BY_FIN_AND_RESET),
+			   ::testing::Values(BEFORE_REQUEST, WITH_ANSWER,
+					     AFTER_ANSWER, AS_ROOM_COMES)),
+	[](const auto &info) {
+		return std::string(std::get<0>(info.param).name) +
+		       by_names[std::get<1>(info.param)] +
+		       at_names[std::get<2>(info.param)];
+	});
+
+} // namespace
--- a/tests/edge/unread_server.h
+++ b/tests/edge/unread_server.h
@@ -67,6 +67,21 @@
 			got.append(bytes, (size_t)count);
 		return count < 0 && errno == EAGAIN;
 	}
+	/* Read once, so many bytes at most; false as read_more(). */
+	bool read_some(size_t bytes)
+	{
+		std::string buffer(bytes, 0);
+		ssize_t count = read(connection_, &buffer[0], bytes);
+
+		if (count > 0)
+			got.append(buffer, 0, (size_t)count);
+		return count > 0 || (count < 0 && errno == EAGAIN);
+	}
+	/* Close the sending side only. */
+	void shut_down()
+	{
+		shutdown(connection_, SHUT_WR);
+	}
 	/* Read until the connection ends, for 500 ms at most. */
 	void read_to_end()
 	{
