edge: bytes that are no answer by the grammar of HTTP never reach a caller

What callers saw: an answer whose status was 000 as an answer; answers in whose head the name of a field held a blank, with that line passed on, or with a body that was not the server's where the line was a length or a coding; field lines that were folded into one, reason phrases, extensions and first values with control bytes; chunks with two bytes more than their size, which were dropped.

Cause: http-parser is packaged without its strict checks (HTTP_PARSER_STRICT=0): blanks are characters of names, line ends behind chunk sizes and data aren't looked at, a status is any number up to 999, a version any two digits, the first byte of a value any. The reader believed what the parser let through, in heads, interim answers and trailers, of servers, peers and the store.

Fix: message_grammar checks each byte that isn't the body's by RFC 9112, as the parser reads on, in the one reader that all connections share; what it doesn't take is malformed, and nothing that its head says counts. Requests go through it as well, but for their first line: a blank before a colon is 400 (RFC 9112, 5.1). A status is 100 to 599. A line may end by LF alone where the RFC allows it.

Ruled out: llhttp, the parser's successor, isn't packaged; RFC 9112, 5.1 has a proxy remove blanks before the colon of an answer's field, but then its framing is whatever the sender didn't mean: it is refused.

--- a/packages/edge/message.c
+++ b/packages/edge/message.c
@@ -111,6 +111,22 @@
 	return 0;
 }
 
+/*
+ * Checks the bytes up to end, which aren't the body's. Where they are invalid,
+ * nothing that the head says counts.
+ */
+static int check_grammar(struct message_reader *reader, const char *end)
+{
+	const char *begin = reader->unchecked;
+
+	reader->unchecked = end;
+	if (message_grammar_check(&reader->grammar, begin,
+				  (size_t)(end - begin)))
+		return 0;
+	reader->message->status = 0;
+	return stop(reader, MESSAGE_MALFORMED);
+}
+
 static int on_target(http_parser *parser, const char *at, size_t length)
 {
 	struct message_reader *reader = parser->data;
@@ -238,6 +254,9 @@
 	struct message_reader *reader = parser->data;
 	GByteArray *body = reader->message->body;
 
+	if (check_grammar(reader, at))
+		return -1;
+	reader->unchecked = at + length;
 	if (body->len + length > reader->limits.body_bytes)
 		return stop(reader, MESSAGE_BODY_TOO_LARGE);
 	g_byte_array_append(body, (const guint8 *)at, (guint)length);
@@ -271,6 +290,7 @@
 {
 	memset(reader, 0, sizeof(*reader));
 	http_parser_init(&reader->parser, type);
+	message_grammar_init(&reader->grammar, type == HTTP_RESPONSE);
 	reader->parser.data = reader;
 	reader->limits = *limits;
 	reader->message = message_new();
@@ -309,15 +329,26 @@
 	reader->framing_bytes = framing_bytes;
 }
 
+/* It is paused behind a complete message. */
+static bool has_parser_failed(const struct message_reader *reader)
+{
+	enum http_errno error = HTTP_PARSER_ERRNO(&reader->parser);
+
+	return error != HPE_OK && error != HPE_PAUSED;
+}
+
 /* Returns how many bytes were consumed. */
 static size_t parse(struct message_reader *reader, const char *bytes,
 		    size_t length)
 {
 	const GByteArray *body = reader->message->body;
 	guint body_before = body->len;
-	size_t used =
-		http_parser_execute(&reader->parser, &callbacks, bytes, length);
+	size_t used;
 
+	reader->unchecked = bytes;
+	used = http_parser_execute(&reader->parser, &callbacks, bytes, length);
+	if (!has_parser_failed(reader))
+		check_grammar(reader, bytes + used);
 	reader->framing_bytes += used - MIN(used, body->len - body_before);
 	return used;
 }
--- a/packages/edge/message.h
+++ b/packages/edge/message.h
@@ -14,6 +14,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "edge/message_grammar.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -42,7 +44,7 @@
 	MESSAGE_PARTIAL, /* needs more bytes */
 	MESSAGE_HEAD, /* unused: no reader reports it */
 	MESSAGE_COMPLETE,
-	MESSAGE_MALFORMED, /* not HTTP, or ambiguous length */
+	MESSAGE_MALFORMED, /* not HTTP/1.x, or ambiguous length */
 	MESSAGE_HEAD_TOO_LARGE,
 	MESSAGE_BODY_TOO_LARGE,
 };
@@ -58,6 +60,8 @@
 
 struct message_reader {
 	http_parser parser;
+	struct message_grammar grammar;
+	const char *unchecked; /* first byte that the grammar hasn't seen */
 	struct message *message;
 	struct message_limits limits;
 	uint64_t head_bytes; /* read so far */
