edge: an answer in a coding that isn't taken off is no answer

What callers saw: bodies that weren't the server's, compressed or with their chunks' framing in them, as if they had no coding; what followed a switch to another protocol that nobody had asked for.

Cause: Transfer-Encoding isn't passed on, and the reader only took chunks off: any other coding, one beside chunked, or a misspelt one was dropped with its field. A 101 was read as an interim answer. Chunks in HTTP/1.0 were taken off, where RFC 9112, 6.1 has the framing count as faulty.

Fix: the field is either missing or "chunked", from HTTP/1.1 on, in answers and requests; a 101 is malformed, as no request of ours has an Upgrade.

--- a/packages/edge/message.c
+++ b/packages/edge/message.c
@@ -208,12 +208,33 @@
 	return found;
 }
 
-static bool framing_is_unambiguous(const struct message *message)
+/*
+ * Whether the coding can be taken off. The field isn't passed on, so a body in
+ * another coding would be taken for one without any. A sender of HTTP/1.0
+ * doesn't know chunks (RFC 9112, 6.1).
+ */
+static bool is_coding_known(const http_parser *parser, const char *coding)
+{
+	return !coding ||
+	       (!g_ascii_strcasecmp(coding, "chunked") &&
+		(parser->flags & F_CHUNKED) && parser->http_minor >= 1);
+}
+
+static bool framing_is_unambiguous(const http_parser *parser,
+				   const struct message *message)
 {
-	return message_count_headers(message, "Content-Length") <= 1 &&
+	const char *coding = message_header(message, "Transfer-Encoding");
+
+	return is_coding_known(parser, coding) &&
+	       message_count_headers(message, "Content-Length") <= 1 &&
 	       message_count_headers(message, "Transfer-Encoding") <= 1 &&
-	       !(message_header(message, "Content-Length") &&
-		 message_header(message, "Transfer-Encoding"));
+	       !(message_header(message, "Content-Length") && coding);
+}
+
+/* No request asks for another protocol: Upgrade isn't passed on. */
+static bool switches_protocol(const http_parser *parser)
+{
+	return parser->type == HTTP_RESPONSE && parser->status_code == 101;
 }
 
 /*
@@ -234,7 +255,8 @@
 	const char *expect;
 
 	end_value(reader);
-	if (!framing_is_unambiguous(message))
+	if (!framing_is_unambiguous(parser, message) ||
+	    switches_protocol(parser))
 		return stop(reader, MESSAGE_MALFORMED);
 	message->status = (uint16_t)parser->status_code;
 	message->method = (uint8_t)parser->method;
--- a/tests/edge/broken_answer_test.cc
+++ b/tests/edge/broken_answer_test.cc
@@ -143,6 +143,29 @@
 	  "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n" LAST_CHUNK
 	  "\r\n",
 	  false },
+	/* codings */
+	{ "CodingUnknown", OK_HEAD "Transfer-Encoding: gzip\r\n\r\nbody",
+	  true },
+	{ "CodingIdentity", OK_HEAD "Transfer-Encoding: identity\r\n\r\nbody",
+	  true },
+	{ "CodingBeforeChunked",
+	  OK_HEAD "Transfer-Encoding: gzip, chunked\r\n\r\n" LAST_CHUNK "\r\n",
+	  false },
+	{ "CodingBehindChunked",
+	  OK_HEAD "Transfer-Encoding: chunked, gzip\r\n\r\n" LAST_CHUNK "\r\n",
+	  true },
+	{ "CodingMisspelt",
+	  OK_HEAD "Transfer-Encoding: xchunked\r\n\r\n" LAST_CHUNK "\r\n",
+	  true },
+	{ "CodingEmpty", OK_HEAD "Transfer-Encoding: \r\n\r\nbody", true },
+	{ "CodingTwice",
+	  OK_HEAD "Transfer-Encoding: chunked\r\n"
+		  "Transfer-Encoding: chunked\r\n\r\n" LAST_CHUNK "\r\n",
+	  false },
+	{ "CodingInVersion10",
+	  "HTTP/1.0 200 OK\r\n" IDS
+	  "Transfer-Encoding: chunked\r\n\r\n" LAST_CHUNK "\r\n",
+	  true },
 	/* chunks */
 	{ "ChunkSizeMissing", IN_CHUNKS "\r\nbody\r\n0\r\n\r\n", false },
 	{ "ChunkSizeNoNumber", IN_CHUNKS "g\r\nbody\r\n0\r\n\r\n", false },
@@ -185,6 +208,10 @@
 	  true },
 	{ "BlankBehindInterim",
 	  "HTTP/1.1 100 Continue\r\n\r\n" OK_HEAD "X Name: y\r\n" FOUR, false },
+	{ "UnaskedUpgrade",
+	  "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+	  "Connection: upgrade\r\n\r\n" OK_HEAD FOUR,
+	  false },
 };
 
 class BrokenAnswerTest : public AnswerTest,
