message: trailers never become fields of the head

Cause: on_name() began no new header after the head's end, so a trailer's name was appended to the text and its value took the place of the last header's.

Fix: fields behind the head are counted and dropped, as RFC 9110, 6.5.1 has it for fields that aren't known to be wanted, in answers and requests.

--- a/packages/edge/message.c
+++ b/packages/edge/message.c
@@ -169,12 +169,15 @@
 			      message->headers->len - 1);
 }
 
+/* Trailers are read and dropped (RFC 9110, 6.5.1). */
 static int on_name(http_parser *parser, const char *at, size_t length)
 {
 	struct message_reader *reader = parser->data;
 	struct message *message = reader->message;
 	bool is_new = reader->in_value || !message->headers->len;
 
+	if (reader->head_read)
+		return count_head(reader, length + 4);
 	end_value(reader);
 	if (is_new)
 		begin_header(reader);
@@ -187,6 +190,8 @@
 	struct message_reader *reader = parser->data;
 	struct message *message = reader->message;
 
+	if (reader->head_read)
+		return count_head(reader, length);
 	if (!reader->in_value) {
 		g_string_append_c(message->text, '\0');
 		last_header(message)->value = (uint32_t)message->text->len;
@@ -255,6 +260,7 @@
 	const char *expect;
 
 	end_value(reader);
+	reader->head_read = true;
 	if (!framing_is_unambiguous(parser, message) ||
 	    switches_protocol(parser))
 		return stop(reader, MESSAGE_MALFORMED);
--- a/tests/edge/broken_answer_test.cc
+++ b/tests/edge/broken_answer_test.cc
@@ -329,6 +329,19 @@
 	  IN_CHUNKS "a\r\n0123456789\r\nB\r\n0123456789\n\r\n"
 		    "0;last\r\n\r\n",
 	  false, 200, "01234567890123456789\n", SEAL },
+	{ "Trailer",
+	  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" IDS
+	  "\r\n" LAST_CHUNK "X-End: yes\r\n\r\n",
+	  false, 200, "body", SEAL },
+	{ "TrailerOfObsText",
+	  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" IDS
+	  "\r\n" LAST_CHUNK "X-End: \xe9\t!\r\nX-Two:\r\n\r\n",
+	  false, 200, "body", SEAL },
+	{ "TrailerNamedLikeAField",
+	  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" IDS
+	  "\r\n" LAST_CHUNK "Content-Length: 1\r\n"
+	  "Lilacfield-Attempt-Id: b\r\n\r\n",
+	  false, 200, "body", SEAL },
 	{ "Interim",
 	  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"
 	  "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" OK_HEAD FOUR,
--- a/tests/edge/message_test.cc
+++ b/tests/edge/message_test.cc
@@ -91,6 +91,21 @@
 	  "GET / HTTP/1.1\r\nHost: h\r\nConnection: X-One, close\r\n"
 	  "X-One: 1\r\nX-Two: 2\r\nTE: x\r\n\r\n",
 	  false, MESSAGE_COMPLETE, "/|0|Host: h\r\nX-Two: 2\r\n|" },
+	{ "TrailersGo", HTTP_REQUEST,
+	  "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nA: 1\r\n\r\n"
+	  "1\r\na\r\n0\r\nB: 2\r\n\r\n",
+	  false, MESSAGE_COMPLETE, "/|0|A: 1\r\n|a|keep" },
+	{ "EmptyLineBeforeIt", HTTP_REQUEST,
+	  "\r\nGET / HTTP/1.1\r\nA: 1\r\n\r\n", false, MESSAGE_COMPLETE,
+	  "/|0|A: 1\r\n||keep" },
+	{ "BlankBehindCoding", HTTP_REQUEST,
+	  "POST / HTTP/1.1\r\nTransfer-Encoding : chunked\r\n\r\n"
+	  "1\r\na\r\n0\r\n\r\n",
+	  false, MESSAGE_MALFORMED, "" },
+	{ "CodingBeforeChunked", HTTP_REQUEST,
+	  "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+	  "1\r\na\r\n0\r\n\r\n",
+	  false, MESSAGE_MALFORMED, "" },
 	{ "HalfAHead", HTTP_REQUEST, "GET / HTTP/1.1\r\nHost:", false,
 	  MESSAGE_PARTIAL, "" },
 	{ "HeadTooLarge", HTTP_REQUEST,
