tests: answers that are broken at other readers; endless ones beside others

Broken answers of the store and of a peer, by the reader that all connections share; endless heads and bodies of 100 servers' answers while callers of another service are answered; a second request on a connection of a stopping node; odd entries of the servers' table (nested 20,000 deep, numbers beyond any type, a port of 65536) among good ones, in the list and in the feed.

--- a/tests/edge/endless_stream_test.cc
+++ b/tests/edge/endless_stream_test.cc
@@ -134,14 +134,18 @@
 				return false;
 		return true;
 	}
+	void send_all(const std::string &path)
+	{
+		for (int i = 0; i < CALLERS; i++)
+			callers.push_back(
+				call(get("a" + std::to_string(i), path)));
+	}
 	/* Sends all requests at once and waits for their ends. */
 	void call_all(const std::string &path)
 	{
 		size_t before_bytes = allocated_bytes();
 
-		for (int i = 0; i < CALLERS; i++)
-			callers.push_back(
-				call(get("a" + std::to_string(i), path)));
+		send_all(path);
 		wait_for([&] { return all_have_ended(); }, "all have ended");
 		grown_bytes = peak_bytes - std::min(peak_bytes, before_bytes);
 	}
@@ -264,4 +268,37 @@
 			 ::testing::ValuesIn(endless_bodies),
 			 [](const auto &info) { return info.param.name; });
 
+class EndlessBesideOthersTest : public EndlessStreamTest
+{
+};
+
+/* Guards against clients of other servers that pay for endless answers. */
+TEST_P(EndlessBesideOthersTest, OtherServicesAnswerAtOnce)
+{
+	extra_routes = ",\"other\":{\"host\":\"h.example\",\"prefix\":"
+		       "\"/t/\",\"kind\":\"idempotent\",\"timeout\":"
+		       "\"2000ms\",\"target_latency\":\"600ms\","
+		       "\"priority\":2,\"service\":\"t\","
+		       "\"max_attempts\":2,\"allowed_regions\":[]}";
+	put_routes(2);
+	held_bytes = 2 * 1024 * 1024;
+	add_app("i-2", 10, "t", "d1", 50);
+	start_node();
+	send_all("/o/");
+	for (int i = 0; i < 10; i++) {
+		std::string id = "b" + std::to_string(i);
+		uint64_t began_us = edge_now_us(edge);
+
+		EXPECT_EQ(200, status_of(answer_to(get(id, "/t/"))));
+		EXPECT_LT(edge_now_us(edge) - began_us, 600000u);
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(Heads, EndlessBesideOthersTest,
+			 ::testing::ValuesIn(endless_heads),
+			 [](const auto &info) { return info.param.name; });
+INSTANTIATE_TEST_SUITE_P(Bodies, EndlessBesideOthersTest,
+			 ::testing::ValuesIn(endless_bodies),
+			 [](const auto &info) { return info.param.name; });
+
 } // namespace
--- a/tests/edge/entry_test.cc
+++ b/tests/edge/entry_test.cc
@@ -18,6 +18,10 @@
 	/* Entries of each kind that name no server, one to a key. */
 	void put_bad_entries(const std::string &prefix)
 	{
+		const std::string nested =
+			"{\"service\":\"s\",\"addr\":\"127.0.0.1:9\",\"zone\":"
+			"\"d1\",\"slots\":4,\"state\":\"ready\",\"more\":" +
+			std::string(20000, '[') + std::string(20000, ']') + "}";
 		const char *const values[] = {
 			"",
 			"null",
@@ -34,6 +38,14 @@
 			"\"d1\",\"slots\":4,\"state\":\"ready\",\"born\":1.5}",
 			"{\"service\":\"s\",\"addr\":\"127.0.0.1:9\",\"zone\":"
 			"\"d1\",\"slots\":4,\"state\":\"unsure\"}",
+			"{\"service\":\"s\",\"addr\":\"127.0.0.1:65536\","
+			"\"zone\":\"d1\",\"slots\":4,\"state\":\"ready\"}",
+			"{\"service\":\"s\",\"addr\":\"127.0.0.1:9\",\"zone\":"
+			"\"d1\",\"slots\":1e999,\"state\":\"ready\"}",
+			"{\"service\":\"s\",\"addr\":\"127.0.0.1:9\",\"zone\":"
+			"\"d1\",\"slots\":4,\"state\":\"ready\",\"seq\":"
+			"999999999999999999999999999999}",
+			nested.c_str(),
 		};
 
 		for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
--- a/tests/edge/hop_test.cc
+++ b/tests/edge/hop_test.cc
@@ -421,6 +421,58 @@
 	EXPECT_EQ(1u, runs_of("a2"));
 }
 
+struct broken_peer_case {
+	const char *name;
+	const char *answer;
+	bool by_reset; /* how the peer ends the connection */
+	int status;
+};
+
+#define PEER_HEAD "Lilacfield-Response-Seal: s\r\nHop-Room: 5\r\n"
+
+const broken_peer_case broken_peer_cases[] = {
+	{ "Status000", "HTTP/1.1 000 OK\r\n" PEER_HEAD "\r\nserved", false,
+	  504 },
+	{ "NameWithBlank",
+	  "HTTP/1.1 200 OK\r\n" PEER_HEAD "X Name: y\r\n\r\nserved", false,
+	  504 },
+	{ "ResetWithoutLength", "HTTP/1.1 200 OK\r\n" PEER_HEAD "\r\nserved",
+	  true, 504 },
+	{ "EndWithoutLength", "HTTP/1.1 200 OK\r\n" PEER_HEAD "\r\nserved",
+	  false, 200 },
+};
+
+class BrokenPeerTest : public HopWorld,
+		       public ::testing::WithParamInterface<broken_peer_case>
+{
+};
+
+/* Guards against a peer's bytes that are no answer and reach a caller. */
+TEST_P(BrokenPeerTest, NeverReachesTheCaller)
+{
+	const broken_peer_case &c = GetParam();
+	UnreadServer peer;
+
+	start_partitioned();
+	add_member("peer0", endpoint_at(peer.port));
+	auto caller = call(get("a1", "/o/"));
+	wait_for([&] {
+		peer.accept_next();
+		peer.read_more();
+		return peer.got.find("\r\n\r\n") != std::string::npos;
+	});
+	peer.write_answer(c.answer);
+	peer.end(c.by_reset);
+	wait_for([&] { return is_whole(*caller); });
+	EXPECT_EQ(c.status, status_of(caller->got)) << caller->got;
+	EXPECT_EQ(c.status == 200,
+		  caller->got.find("served") != std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, BrokenPeerTest,
+			 ::testing::ValuesIn(broken_peer_cases),
+			 [](const auto &info) { return info.param.name; });
+
 class HopReceiverTest : public HopWorld
 {
       protected:
--- a/tests/edge/lane_test.cc
+++ b/tests/edge/lane_test.cc
@@ -72,6 +72,57 @@
 	EXPECT_LT(silent_store.got.size(), UnreadServer::LARGE_BYTES);
 }
 
+struct broken_call_case {
+	const char *name;
+	const char *answer;
+	bool by_reset; /* how the store ends the connection */
+	bool complete;
+};
+
+const broken_call_case broken_call_cases[] = {
+	{ "Status000", "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}", false,
+	  false },
+	{ "NameWithBlank",
+	  "HTTP/1.1 200 OK\r\nX Name: y\r\nContent-Length: 2\r\n\r\n{}", false,
+	  false },
+	{ "ResetWithoutLength", "HTTP/1.1 200 OK\r\n\r\n{}", true, false },
+	{ "EndWithoutLength", "HTTP/1.1 200 OK\r\n\r\n{}", false, true },
+};
+
+class BrokenCallTest : public LaneTest,
+		       public ::testing::WithParamInterface<broken_call_case>
+{
+};
+
+/* Guards against bytes of the store that are no answer and are believed. */
+TEST_P(BrokenCallTest, EndsWithoutAnAnswer)
+{
+	const broken_call_case &c = GetParam();
+	UnreadServer broken_store;
+	struct endpoint at = endpoint_at(broken_store.port);
+	bool accepted = false;
+	struct lane lane;
+
+	lane_init(&lane, &loop, &at, 4000000);
+	lane_call(&lane, "GET", "/api/rows-get", nullptr, 1000000, on_done,
+		  this);
+	wait_for([&] {
+		accepted |= broken_store.accept_next();
+		broken_store.read_more();
+		return broken_store.got.find("\r\n\r\n") != std::string::npos;
+	});
+	broken_store.write_answer(c.answer);
+	broken_store.end(c.by_reset);
+	wait_for([this] { return done; });
+	EXPECT_EQ(c.complete, complete) << cause;
+	lane_close(&lane);
+	run_for(20);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, BrokenCallTest,
+			 ::testing::ValuesIn(broken_call_cases),
+			 [](const auto &info) { return info.param.name; });
+
 struct transfer_case {
 	const char *name;
 	uint64_t max_transfer_ms; /* maximum transfer time */
--- a/tests/edge/stop_test.cc
+++ b/tests/edge/stop_test.cc
@@ -156,4 +156,28 @@
 	wait_for([this] { return !callers_are_lingering(edge); });
 }
 
+/*
+ * Guards against a second request on a connection that is passed on during a
+ * stop, and ends without an answer.
+ */
+TEST_F(StopTest, SecondRequestOnAConnectionNeverRuns)
+{
+	App &app = add_app("i-1", 300);
+
+	start_node();
+	auto caller = call(get("a1", "/o/"));
+	wait_for([&] { return app_stand_running(app.stand) == 1; });
+	caller->send(get("a2", "/o/"));
+	run_for(50);
+	begin_stop();
+	wait_for([&] { return caller->ended; });
+	EXPECT_EQ(200, status_of(caller->got)) << caller->got;
+	EXPECT_NE(std::string::npos, caller->got.find("Connection: close\r\n"));
+	EXPECT_EQ(1u, runs_of("a1"));
+	EXPECT_EQ(0u, runs_of("a2"));
+	caller->send(get("a3", "/o/"));
+	run_for(100);
+	EXPECT_EQ(0u, runs_of("a3"));
+}
+
 } // namespace
