--- a/tests/edge/broken_answer_test.cc
+++ b/tests/edge/broken_answer_test.cc
@@ -28,19 +28,10 @@
 	/* Sends a request, of which the node's first try is at i-1. */
 	std::unique_ptr<RawCaller> call_server(const std::string &request)
 	{
-		bool accepted = false;
-
 		list_at("i-1", endpoint_at(server.port));
 		start_node();
 		auto caller = call(request);
-		wait_for(
-			[&] {
-				accepted |= server.accept_next();
-				server.read_more();
-				return server.got.find("\r\n\r\n") !=
-				       std::string::npos;
-			},
-			"request");
+		wait_for([this] { return server.take_head(); }, "request");
 		return caller;
 	}
 	void add_sound_server()
--- a/tests/edge/cut_answer_test.cc
+++ b/tests/edge/cut_answer_test.cc
@@ -51,16 +51,7 @@
 	}
 	void read_request()
 	{
-		bool accepted = false;
-
-		wait_for(
-			[&] {
-				accepted |= server.accept_next();
-				server.read_more();
-				return server.got.find("\r\n\r\n") !=
-				       std::string::npos;
-			},
-			"request");
+		wait_for([this] { return server.take_head(); }, "request");
 		server.got.clear();
 	}
 	/*
--- a/tests/edge/early_answer_test.cc
+++ b/tests/edge/early_answer_test.cc
@@ -202,4 +202,69 @@
 		       at_names[std::get<2>(info.param)];
 	});
 
+/* A link whose request is still being written, and which isn't read. */
+class PausedLinkTest : public EdgeWorld
+{
+      protected:
+	struct Owner {
+		struct link link; /* first member */
+		bool opened = false;
+		bool answered = false;
+		bool released = false;
+		std::string cause;
+	};
+	static void on_opened(struct link *link)
+	{
+		((Owner *)link)->opened = true;
+	}
+	static void on_answered(struct link *link, struct message *answer)
+	{
+		((Owner *)link)->answered = true;
+		message_free(answer);
+	}
+	static void on_ended(struct link *link, const char *cause)
+	{
+		((Owner *)link)->cause = cause;
+		link_close(link);
+	}
+	static void on_released(struct link *link)
+	{
+		((Owner *)link)->released = true;
+	}
+	static constexpr struct link_vtable events = { on_opened, nullptr,
+						       on_answered, on_ended,
+						       on_released };
+};
+
+constexpr struct link_vtable PausedLinkTest::events;
+
+/* Guards against a reset that a write learns of, and an answer that hides it.
+ */
+TEST_F(PausedLinkTest, ErrorOfAWriteEndsTheAnswer)
+{
+	const struct message_limits limits = { 65536, 65536 };
+	GByteArray *body = g_byte_array_new();
+	UnreadServer server;
+	struct endpoint at = endpoint_at(server.port);
+	bool accepted = false;
+	Owner owner = {};
+
+	g_byte_array_set_size(body, 8 * 1000 * 1000);
+	ASSERT_EQ(0, link_open(&owner.link, &events, &loop, &at, &limits));
+	wait_for([&] { return owner.opened; });
+	link_send_with_body(&owner.link,
+			    g_string_new(post("a1", "/", 0).c_str()), body,
+			    false);
+	g_byte_array_unref(body);
+	wait_for([&] { return accepted |= server.accept_next(); });
+	run_for(20);
+	ASSERT_TRUE(owner.link.writing);
+	uv_read_stop((uv_stream_t *)&owner.link.tcp);
+	server.write_answer("HTTP/1.1 200 OK\r\n\r\npart");
+	server.end(true);
+	wait_for([&] { return owner.released; });
+	EXPECT_FALSE(owner.answered);
+	EXPECT_EQ("ECONNRESET", owner.cause);
+}
+
 } // namespace
--- a/tests/edge/hop_test.cc
+++ b/tests/edge/hop_test.cc
@@ -456,11 +456,7 @@
 	start_partitioned();
 	add_member("peer0", endpoint_at(peer.port));
 	auto caller = call(get("a1", "/o/"));
-	wait_for([&] {
-		peer.accept_next();
-		peer.read_more();
-		return peer.got.find("\r\n\r\n") != std::string::npos;
-	});
+	wait_for([&] { return peer.take_head(); });
 	peer.write_answer(c.answer);
 	peer.end(c.by_reset);
 	wait_for([&] { return is_whole(*caller); });
--- a/tests/edge/lane_test.cc
+++ b/tests/edge/lane_test.cc
@@ -100,17 +100,12 @@
 	const broken_call_case &c = GetParam();
 	UnreadServer broken_store;
 	struct endpoint at = endpoint_at(broken_store.port);
-	bool accepted = false;
 	struct lane lane;
 
 	lane_init(&lane, &loop, &at, 4000000);
 	lane_call(&lane, "GET", "/api/rows-get", nullptr, 1000000, on_done,
 		  this);
-	wait_for([&] {
-		accepted |= broken_store.accept_next();
-		broken_store.read_more();
-		return broken_store.got.find("\r\n\r\n") != std::string::npos;
-	});
+	wait_for([&] { return broken_store.take_head(); });
 	broken_store.write_answer(c.answer);
 	broken_store.end(c.by_reset);
 	wait_for([this] { return done; });
--- a/tests/edge/unread_server.h
+++ b/tests/edge/unread_server.h
@@ -77,6 +77,13 @@
 			got.append(buffer, 0, (size_t)count);
 		return count > 0 || (count < 0 && errno == EAGAIN);
 	}
+	/* Take connections, and read, until one has brought a head. */
+	bool take_head()
+	{
+		accept_next();
+		read_more();
+		return got.find("\r\n\r\n") != std::string::npos;
+	}
 	/* Close the sending side only. */
 	void shut_down()
 	{
