--- a/packages/edge/link.c
+++ b/packages/edge/link.c
@@ -137,8 +137,8 @@
 
 /*
  * UV_EOF where the other side closed the connection in order, else an error.
- * libuv reports the end for both: a reset that it polls together with the last
- * bytes, and one that a write has learned of.
+ * libuv reports an end for a reset as well, if it polls that together with the
+ * last bytes.
  */
 static int end_cause(const struct link *link)
 {
