message: what the parser and the check know already isn't kept twice

The reader had its own mark of a read head, which http-parser keeps as F_TRAILING. The grammar had two states and a second pass for what the byte that ends a line decides already, a flag for trailers that follow from a last chunk, and one for a begun request line that is a state. The reader asks in one place whether the parser failed.

--- a/packages/edge/message.c
+++ b/packages/edge/message.c
@@ -170,13 +170,18 @@
 }
 
 /* Trailers are read and dropped (RFC 9110, 6.5.1). */
+static bool is_trailer(const http_parser *parser)
+{
+	return parser->flags & F_TRAILING;
+}
+
 static int on_name(http_parser *parser, const char *at, size_t length)
 {
 	struct message_reader *reader = parser->data;
 	struct message *message = reader->message;
 	bool is_new = reader->in_value || !message->headers->len;
 
-	if (reader->head_read)
+	if (is_trailer(parser))
 		return count_head(reader, length + 4);
 	end_value(reader);
 	if (is_new)
@@ -190,7 +195,7 @@
 	struct message_reader *reader = parser->data;
 	struct message *message = reader->message;
 
-	if (reader->head_read)
+	if (is_trailer(parser))
 		return count_head(reader, length);
 	if (!reader->in_value) {
 		g_string_append_c(message->text, '\0');
@@ -260,7 +265,6 @@
 	const char *expect;
 
 	end_value(reader);
-	reader->head_read = true;
 	if (!framing_is_unambiguous(parser, message) ||
 	    switches_protocol(parser))
 		return stop(reader, MESSAGE_MALFORMED);
@@ -415,8 +419,7 @@
 	} while (offset < length);
 	if (reader->state == MESSAGE_PARTIAL && is_framing_too_large(reader))
 		return reader->state = MESSAGE_HEAD_TOO_LARGE;
-	if (reader->state == MESSAGE_PARTIAL &&
-	    HTTP_PARSER_ERRNO(&reader->parser) != HPE_OK)
+	if (reader->state == MESSAGE_PARTIAL && has_parser_failed(reader))
 		reader->state = HTTP_PARSER_ERRNO(&reader->parser) ==
 						HPE_HEADER_OVERFLOW ?
 					MESSAGE_HEAD_TOO_LARGE :
--- a/packages/edge/message.h
+++ b/packages/edge/message.h
@@ -68,7 +68,6 @@
 	uint64_t framing_bytes; /* all that were read but the body's */
 	enum message_state state;
 	bool in_value; /* the last header's value has begun */
-	bool head_read; /* fields that follow are trailers */
 	bool no_body; /* the answer to a HEAD request */
 	bool started; /* a byte of the message was read */
 	bool at_end; /* the connection has ended */
--- a/packages/edge/message_grammar.c
+++ b/packages/edge/message_grammar.c
@@ -64,14 +64,20 @@
 		       GRAMMAR_STATUS_END;
 }
 
-/* Empty lines may precede it (RFC 9112, 2.2). */
-static enum grammar_state in_request_line(struct message_grammar *grammar,
-					  char byte)
+/* Behind a head, only chunks have bytes that aren't the body's. */
+static enum grammar_state end_fields(struct message_grammar *grammar, char byte)
+{
+	return end_line(grammar, byte,
+			grammar->last_chunk ? GRAMMAR_END :
+					      GRAMMAR_CHUNK_START);
+}
+
+static enum grammar_state end_chunk_head(struct message_grammar *grammar,
+					 char byte)
 {
-	if (byte == '\n' && grammar->line_begun)
-		return GRAMMAR_FIELD_START;
-	grammar->line_begun |= byte != '\r' && byte != '\n';
-	return GRAMMAR_REQUEST_LINE;
+	return end_chunk_line(grammar, byte,
+			      grammar->last_chunk ? GRAMMAR_FIELD_START :
+						    GRAMMAR_CHUNK_END);
 }
 
 static enum grammar_state in_chunk_head(struct message_grammar *grammar,
@@ -81,7 +87,7 @@
 		return GRAMMAR_CHUNK_EXTENSION;
 	if (byte == ' ' || byte == '\t')
 		return GRAMMAR_CHUNK_BLANK;
-	return end_chunk_line(grammar, byte, GRAMMAR_CHUNK_HEAD_END);
+	return end_chunk_head(grammar, byte);
 }
 
 static enum grammar_state in_chunk_size(struct message_grammar *grammar,
@@ -106,12 +112,16 @@
 		if (is_text_byte(byte))
 			return GRAMMAR_REASON;
 		return end_line(grammar, byte, GRAMMAR_FIELD_START);
+	case GRAMMAR_REQUEST_START:
+		return byte == '\r' || byte == '\n' ? GRAMMAR_REQUEST_START :
+						      GRAMMAR_REQUEST_LINE;
 	case GRAMMAR_REQUEST_LINE:
-		return in_request_line(grammar, byte);
+		return byte == '\n' ? GRAMMAR_FIELD_START :
+				      GRAMMAR_REQUEST_LINE;
 	case GRAMMAR_FIELD_START:
 		if (is_token_byte(byte))
 			return GRAMMAR_FIELD_NAME;
-		return end_line(grammar, byte, GRAMMAR_FIELDS_END);
+		return end_fields(grammar, byte);
 	case GRAMMAR_FIELD_NAME:
 		if (is_token_byte(byte))
 			return GRAMMAR_FIELD_NAME;
@@ -131,35 +141,22 @@
 	case GRAMMAR_CHUNK_EXTENSION:
 		if (is_text_byte(byte))
 			return GRAMMAR_CHUNK_EXTENSION;
-		return end_chunk_line(grammar, byte, GRAMMAR_CHUNK_HEAD_END);
+		return end_chunk_head(grammar, byte);
 	case GRAMMAR_CHUNK_END:
 		return end_chunk_line(grammar, byte, GRAMMAR_CHUNK_START);
 	case GRAMMAR_LF:
 		return byte == '\n' ? grammar->behind_lf : GRAMMAR_INVALID;
-	case GRAMMAR_FIELDS_END:
-	case GRAMMAR_CHUNK_HEAD_END:
+	case GRAMMAR_END:
 	case GRAMMAR_INVALID:
 		break;
 	}
 	return GRAMMAR_INVALID;
 }
 
-/* Behind a head, only chunks have bytes that aren't the body's. */
-static enum grammar_state behind_line(struct message_grammar *grammar,
-				      enum grammar_state state)
-{
-	if (state == GRAMMAR_FIELDS_END && !grammar->in_trailers)
-		return GRAMMAR_CHUNK_START;
-	if (state != GRAMMAR_CHUNK_HEAD_END)
-		return state;
-	grammar->in_trailers = grammar->last_chunk;
-	return grammar->last_chunk ? GRAMMAR_FIELD_START : GRAMMAR_CHUNK_END;
-}
-
 void message_grammar_init(struct message_grammar *grammar, bool is_answer)
 {
 	memset(grammar, 0, sizeof(*grammar));
-	grammar->state = is_answer ? GRAMMAR_START_LINE : GRAMMAR_REQUEST_LINE;
+	grammar->state = is_answer ? GRAMMAR_START_LINE : GRAMMAR_REQUEST_START;
 }
 
 bool message_grammar_check(struct message_grammar *grammar, const char *bytes,
@@ -168,7 +165,6 @@
 	size_t i;
 
 	for (i = 0; i < length && grammar->state != GRAMMAR_INVALID; i++)
-		grammar->state =
-			behind_line(grammar, next_state(grammar, bytes[i]));
+		grammar->state = next_state(grammar, bytes[i]);
 	return grammar->state != GRAMMAR_INVALID;
 }
--- a/packages/edge/message_grammar.h
+++ b/packages/edge/message_grammar.h
@@ -22,18 +22,18 @@
 	GRAMMAR_START_LINE, /* of an answer */
 	GRAMMAR_STATUS_END,
 	GRAMMAR_REASON,
+	GRAMMAR_REQUEST_START, /* empty lines before a request's first one */
 	GRAMMAR_REQUEST_LINE, /* not checked */
 	GRAMMAR_FIELD_START,
 	GRAMMAR_FIELD_NAME,
 	GRAMMAR_FIELD_VALUE,
-	GRAMMAR_FIELDS_END,
 	GRAMMAR_CHUNK_START,
 	GRAMMAR_CHUNK_SIZE,
 	GRAMMAR_CHUNK_BLANK, /* behind the size */
 	GRAMMAR_CHUNK_EXTENSION,
-	GRAMMAR_CHUNK_HEAD_END,
 	GRAMMAR_CHUNK_END, /* behind the data */
 	GRAMMAR_LF, /* the line end's second byte */
+	GRAMMAR_END, /* behind the trailers */
 	GRAMMAR_INVALID,
 };
 
@@ -41,9 +41,7 @@
 	enum grammar_state state;
 	enum grammar_state behind_lf;
 	uint8_t start_bytes; /* read of an answer's start line */
-	bool line_begun; /* the request line has a byte */
-	bool last_chunk; /* the chunk's size is 0 so far */
-	bool in_trailers;
+	bool last_chunk; /* a chunk's size is 0 so far */
 };
 
 /* Start to check a message. */
