tests: early answers while a part of the upload still waits in the node

A trace showed that the kernel takes an upload of 1 MB at once on a loopback: in none of EarlyAnswerTest's plays was a write pending in the node, as the issue's report has it; PausedLinkTest alone had that. With 12 MB one is, which the test now sees before the server answers; where room comes, a quarter is read, of which a part has to come from there.

No product code changes.

--- a/tests/edge/early_answer_test.cc
+++ b/tests/edge/early_answer_test.cc
@@ -27,7 +27,11 @@
 const char *const at_names[] = { "BeforeRequest", "WithAnswer", "AfterAnswer",
 				 "AsRoomComes" };
 
-const size_t upload_sizes[] = { 0, UnreadServer::LARGE_BYTES, 1000 * 1000 };
+/* More than the kernel takes: the rest waits in the node. */
+const size_t PENDING_BYTES = 12 * 1000 * 1000;
+
+const size_t upload_sizes[] = { 0, UnreadServer::LARGE_BYTES, 1000 * 1000,
+				PENDING_BYTES };
 
 struct framing {
 	const char *name;
@@ -56,6 +60,22 @@
 				std::tuple<framing, enum end_by, enum end_at>>
 {
       protected:
+	/* Of all connections. */
+	size_t unwritten_bytes()
+	{
+		size_t bytes = 0;
+
+		uv_walk(
+			&loop,
+			[](uv_handle_t *handle, void *sum) {
+				if (uv_handle_get_type(handle) == UV_TCP)
+					*(size_t *)sum +=
+						uv_stream_get_write_queue_size(
+							(uv_stream_t *)handle);
+			},
+			&bytes);
+		return bytes;
+	}
 	void wait_for_connection()
 	{
 		bool accepted = false;
@@ -110,9 +130,11 @@
 		} else {
 			wait_for_head();
 			run_for(5);
+			EXPECT_TRUE(end.upload_bytes < PENDING_BYTES ||
+				    unwritten_bytes() > 0);
 		}
 		if (end.at == AS_ROOM_COMES)
-			server.read_some(end.upload_bytes / 2);
+			server.read_some(end.upload_bytes / 4);
 		server.write_answer(answer);
 		if (end.at == AFTER_ANSWER)
 			run_for(10);
@@ -175,6 +197,8 @@
 {
 	const struct framing &c = std::get<0>(GetParam());
 
+	max_body_bytes = std::to_string(PENDING_BYTES);
+	put_routes(2);
 	list_at("i-1", endpoint_at(server.port));
 	start_node();
 	bool goes_on = play(0);
@@ -244,7 +268,7 @@
 	bool accepted = false;
 	Owner owner = {};
 
-	g_byte_array_set_size(body, 8 * 1000 * 1000);
+	g_byte_array_set_size(body, PENDING_BYTES);
 	ASSERT_EQ(0, link_open(&owner.link, &events, &loop, &at, &limits));
 	wait_for([&] { return owner.opened; });
 	link_send_with_body(&owner.link,
--- a/tests/edge/edge_world.h
+++ b/tests/edge/edge_world.h
@@ -239,6 +239,7 @@
 	std::string timeout = "2000ms";
 	std::string idle_timeout = "15000ms";
 	std::string max_header_bytes = "16384";
+	std::string max_body_bytes = "1048576";
 	std::string extra_routes;
 	std::string extra_fields; /* of the document itself */
 	void put_routes(int version)
@@ -265,7 +266,8 @@
 			"\"cold_per_s\":5.6}},"
 			"\"limits\":{\"max_header_bytes\":" +
 			max_header_bytes +
-			",\"max_body_bytes\":1048576,"
+			",\"max_body_bytes\":" + max_body_bytes +
+			","
 			"\"header_timeout\":\"3000ms\","
 			"\"idle_timeout\":\"" +
 			idle_timeout + "\"}" + extra_fields + "}";
--- a/tests/edge/unread_server.h
+++ b/tests/edge/unread_server.h
@@ -67,14 +67,18 @@
 			got.append(bytes, (size_t)count);
 		return count < 0 && errno == EAGAIN;
 	}
-	/* Read once, so many bytes at most. */
-	void read_some(size_t bytes)
+	/* Read what is there, so many bytes at most. */
+	void read_some(size_t most)
 	{
-		std::string buffer(bytes, 0);
-		ssize_t count = read(connection_, &buffer[0], bytes);
+		std::string bytes(most, 0);
+		size_t length = 0;
+		ssize_t count;
 
-		if (count > 0)
-			got.append(buffer, 0, (size_t)count);
+		while (length < most &&
+		       (count = read(connection_, &bytes[length],
+				     most - length)) > 0)
+			length += (size_t)count;
+		got.append(bytes, 0, length);
 	}
 	/* Take connections, and read, until one has brought a head. */
 	bool take_head()
