--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p build-review-2
-for name in unframed; do
+for name in unframed reborn; do
 	gcc -std=gnu11 -O1 -g -Wall -Wextra -pthread \
 		-o "build-review-2/$name" \
 		"review/standin-2/$name.c" review/standin-2/stand.c
--- a/review/standin-2/stand.c
+++ b/review/standin-2/stand.c
@@ -562,7 +562,7 @@
 		"[listen]\nfront = \"%s:%d\"\nready = \"%s:%d\"\n"
 		"lookup = \"%s:%d\"\noperators = \"%s:%d\"\npeer = \"%s:%d\"\n"
 		"[registry]\naddress = \"127.0.0.1:%d\"\n"
-		"leave_within = \"2500ms\"\nconfig_within = \"2500ms\"\n"
+		"leave_within = \"2000ms\"\nconfig_within = \"2000ms\"\n"
 		"[extra]\nratio = \"0.2\"\nallowance = \"56\"\n"
 		"window = \"10s\"\n[lookup]\nkeep = \"1s\"\n"
 		"[stop]\nmost = \"6s\"\n[memory]\nmemory_mb = \"260\"\n"
