--- a/review/standin-2/stand.h
+++ b/review/standin-2/stand.h
@@ -1,6 +1,6 @@
 /*
  * stand - a small platform store, backend servers, clients and the control of
- * node processes, for the scripts review/6 to review/10
+ * node processes, for review/6/run.sh
  *
  * The store speaks what PROTOCOL.md says of rows-get, rows-feed and rows-tx.
  * All addresses are loopback addresses, all ports are free ones that the
