--- a/review/standin-2/reborn.c
+++ b/review/standin-2/reborn.c
@@ -2,271 +2,25 @@
  * reborn - a backend server that starts again under its id while its machine's
  * time of day has jumped back, and drains later
  */
-#define _GNU_SOURCE
-#include "stand.h"
+#include "desk.h"
 
-#include <errno.h>
-#include <pthread.h>
-#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <time.h>
-#include <unistd.h>
 
-#define HOST "posting.example"
-#define WORK_MS 60
-#define DRAIN_S 2.0 /* bounds.drain of the site */
 #define STEP_MS 2400 /* the time of day jumps back by so much */
-#define CLIENTS 6
-#define MAX_CONNECTIONS 256
-
-/* A backend server's process, in one life after the other. */
-struct server {
-	const char *id;
-	int port;
-	int fd;
-	int life; /* 0: it isn't running */
-	int64_t clock_offset_ms;
-	bool leaving;
-	pthread_mutex_t lock;
-	int connections[MAX_CONNECTIONS];
-	atomic_int late; /* requests that it ran later than it should */
-	atomic_int runs;
-};
 
 static struct server sound = { .id = "i-02d9e6b4",
+			       .tells_born = true,
 			       .lock = PTHREAD_MUTEX_INITIALIZER };
 static struct server reborn = { .id = "i-7f3a91c2",
+				.tells_born = true,
 				.lock = PTHREAD_MUTEX_INITIALIZER };
-static _Atomic double drain_confirmed_s;
-static atomic_int cut; /* requests that ran and were cut off by the exit */
-static atomic_bool over;
-
-static int64_t unix_ms(const struct server *server)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_REALTIME, &now);
-	return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000 +
-	       server->clock_offset_ms;
-}
-
-static int64_t write_row(struct server *server, int64_t born_ms, int seq)
-{
-	char row[512];
-
-	snprintf(row, sizeof(row),
-		 "{\"service\":\"kredit-post\",\"addr\":\"127.0.0.1:%d\","
-		 "\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":7,"
-		 "\"state\":\"%s\",\"cold_left\":\"0s\",\"seq\":%d,"
-		 "\"born\":%lld}",
-		 server->port, server->leaving ? "draining" : "ready", seq,
-		 (long long)born_ms);
-	store_put("servers", server->id, row);
-	record("store: confirms servers/%s = %s", server->id, row);
-	return born_ms;
-}
-
-static void note_run(struct server *server, const char *attempt)
-{
-	double confirmed_s = drain_confirmed_s;
-	double late_s = now_s() - confirmed_s - DRAIN_S;
-
-	server->runs++;
-	if (server != &reborn || !confirmed_s || late_s <= 0)
-		return;
-	if (!server->late++)
-		record("%s runs %s, %.3f s after its draining was confirmed",
-		       server->id, attempt, late_s + DRAIN_S);
-}
-
-struct connection {
-	struct server *server;
-	int fd;
-	int life;
-};
-
-static bool answer_one(struct connection *at, const struct http *request)
-{
-	struct server *server = at->server;
-	char attempt[64] = "";
-	char expected[64] = "";
-	char answer[512];
-
-	http_header(request, "Lilacfield-Attempt-Id", attempt, sizeof(attempt));
-	http_header(request, "Lilacfield-Expect-Instance", expected,
-		    sizeof(expected));
-	if (!strncmp(request->head, "GET /health ", 12)) {
-		snprintf(answer, sizeof(answer),
-			 "HTTP/1.1 %s\r\nLilacfield-Instance-Id: %s\r\n"
-			 "Content-Length: 0\r\n\r\n",
-			 server->leaving ? "503 Draining" : "200 OK",
-			 server->id);
-	} else if (*expected && strcmp(expected, server->id) != 0) {
-		snprintf(answer, sizeof(answer),
-			 "HTTP/1.1 421 Misdirected Request\r\n"
-			 "Lilacfield-Attempt-Id: %s\r\n"
-			 "Lilacfield-Instance-Id: %s\r\n"
-			 "Content-Length: 0\r\n\r\n",
-			 attempt, server->id);
-	} else {
-		note_run(server, attempt);
-		sleep_ms(WORK_MS);
-		if (server->life != at->life) {
-			if (drain_confirmed_s)
-				cut++;
-			return false;
-		}
-		snprintf(answer, sizeof(answer),
-			 "HTTP/1.1 200 OK\r\nLilacfield-Attempt-Id: %s\r\n"
-			 "Lilacfield-Response-Seal: 3e1b.07.5a2.2.0.c9f2\r\n"
-			 "%sContent-Length: 2\r\n\r\nok",
-			 attempt,
-			 server->leaving ? "Connection: close\r\n" : "");
-	}
-	return send_all(at->fd, answer, strlen(answer)) &&
-	       !strstr(answer, "Connection: close");
-}
-
-static void keep(struct server *server, int fd, int other)
-{
-	pthread_mutex_lock(&server->lock);
-	for (int i = 0; i < MAX_CONNECTIONS; i++)
-		if (server->connections[i] == other) {
-			server->connections[i] = fd;
-			break;
-		}
-	pthread_mutex_unlock(&server->lock);
-}
-
-static void *serve(void *context)
-{
-	struct connection *at = context;
-	struct http request;
-
-	keep(at->server, at->fd, 0);
-	while (http_read_request(at->fd, &request)) {
-		bool more = answer_one(at, &request);
-
-		http_release(&request);
-		if (!more)
-			break;
-	}
-	keep(at->server, 0, at->fd);
-	close(at->fd);
-	free(at);
-	return NULL;
-}
-
-static void *accept_all(void *context)
-{
-	struct server *server = context;
-	int listener = server->fd;
-	int life = server->life;
-
-	for (;;) {
-		int fd = accept4(listener, NULL, NULL, SOCK_CLOEXEC);
-		struct connection *at;
-		pthread_t thread;
-
-		if (fd < 0 || server->life != life)
-			break;
-		at = calloc(1, sizeof(*at));
-		*at = (struct connection){ server, fd, life };
-		pthread_create(&thread, NULL, serve, at);
-		pthread_detach(thread);
-	}
-	return NULL;
-}
-
-/* Returns the Unix millisecond of its start, by its machine's clock. */
-static int64_t server_begin(struct server *server, int life)
-{
-	int64_t born_ms = unix_ms(server);
-	pthread_t thread;
-
-	server->fd = listen_at("127.0.0.1", &server->port);
-	server->life = life;
-	pthread_create(&thread, NULL, accept_all, server);
-	pthread_detach(thread);
-	record("%s starts, life %d, born %lld", server->id, life,
-	       (long long)born_ms);
-	return write_row(server, born_ms, 1);
-}
-
-static void server_end(struct server *server)
-{
-	server->life = 0;
-	shutdown(server->fd, SHUT_RDWR);
-	close(server->fd);
-	pthread_mutex_lock(&server->lock);
-	for (int i = 0; i < MAX_CONNECTIONS; i++)
-		if (server->connections[i])
-			shutdown(server->connections[i], SHUT_RDWR);
-	pthread_mutex_unlock(&server->lock);
-}
-
-/* --- clients ------------------------------------------------------------- */
-
 static struct node node = { .name = "n1",
 			    .address = "127.0.0.1",
 			    .zone = "zone-a" };
-static atomic_int statuses[600];
-static atomic_int unanswered;
-static atomic_int sent;
-
-static void *call(void *context)
-{
-	int client = (int)(intptr_t)context;
-
-	for (int i = 0; !over; i++) {
-		char request[512];
-		char answer[4096];
-		ssize_t got;
-		int fd = dial("127.0.0.1", node.front, 0, 0);
-
-		if (fd < 0)
-			continue;
-		snprintf(request, sizeof(request),
-			 "POST /rente/%d HTTP/1.1\r\nHost: " HOST "\r\n"
-			 "Lilacfield-Attempt-Id: %04x%012x\r\n"
-			 "Lilacfield-Affinity-Key: %d\r\n"
-			 "Lilacfield-Deadline-Ms: 4000\r\n"
-			 "Content-Length: 2\r\n\r\n{}",
-			 i, client, i, (i * 7 + client * 13) % 97);
-		sent++;
-		send_all(fd, request, strlen(request));
-		got = recv(fd, answer, sizeof(answer) - 1, 0);
-		answer[got > 0 ? got : 0] = '\0';
-		if (got > 12)
-			statuses[atoi(answer + 9) % 600]++;
-		else
-			unanswered++;
-		close(fd);
-		sleep_ms(15 + client * 3);
-	}
-	return NULL;
-}
-
-static void write_config(void)
-{
-	store_put("op", "config",
-		  "{\"version\":7,\"routes\":{\"columns\":[\"name\",\"host\","
-		  "\"prefix\",\"service\",\"kind\",\"timeout\","
-		  "\"target_latency\",\"max_attempts\",\"priority\"],\"rows\":"
-		  "[[\"ranta-credit\",\"" HOST "\",\"/rente/\",\"kredit-post\","
-		  "\"non_idempotent\",\"4000ms\",\"600ms\",2,0]]},"
-		  "\"services\":{\"columns\":[\"name\",\"warmup\",\"cold_per_s\","
-		  "\"health_path\"],\"rows\":[[\"kredit-post\",\"0s\",100,"
-		  "\"/health\"]]},\"limits\":{\"max_header_bytes\":16384,"
-		  "\"max_body_bytes\":1048576,\"header_timeout\":\"3s\","
-		  "\"idle_timeout\":\"15s\"}}");
-}
 
 int main(int argc, char **argv)
 {
-	pthread_t clients[CLIENTS];
 	int64_t born_ms;
 
 	if (argc != 3)
@@ -275,14 +29,13 @@
 	record_open(argv[2]);
 	trouble = !getenv("TROUBLE") || strcmp(getenv("TROUBLE"), "0") != 0;
 	store_start("127.0.0.1");
-	write_config();
+	desk_write_config();
 	server_begin(&sound, 1);
 	node_start(&node, "sthlm", "\"zone-a\" = \"sthlm\"\n", "");
 	if (!node_wait_ready(&node, 20))
 		cannot_run("the node isn't ready");
 	sleep_ms(1000);
-	for (int i = 0; i < CLIENTS; i++)
-		pthread_create(&clients[i], NULL, call, (void *)(intptr_t)i);
+	desk_clients_begin(&node);
 	server_begin(&reborn, 1);
 	sleep_ms(1000);
 	if (trouble) {
@@ -299,24 +52,16 @@
 	sleep_ms(5000);
 	record("%s has run %d requests, %s %d", reborn.id, reborn.runs,
 	       sound.id, sound.runs);
-	reborn.leaving = true;
-	write_row(&reborn, born_ms, 5);
-	drain_confirmed_s = now_s();
+	server_drain(&reborn, born_ms, 5);
 	sleep_ms(10000);
 	server_end(&reborn);
 	store_delete("servers", reborn.id);
 	record("%s exits, its entry is removed", reborn.id);
 	sleep_ms(2000);
-	over = true;
-	for (int i = 0; i < CLIENTS; i++)
-		pthread_join(clients[i], NULL);
-	record("clients: sent %d; not answered %d", sent, unanswered);
-	for (int i = 0; i < 600; i++)
-		if (statuses[i])
-			record("clients: answers %d: %d", i, statuses[i]);
+	desk_clients_end();
 	record("%s: %d requests reached it later than %.1f s after its "
 	       "draining was confirmed; %d of them were cut off by its exit",
-	       reborn.id, reborn.late, DRAIN_S, cut);
+	       reborn.id, reborn.late, DRAIN_S, reborn.cut);
 	record(reborn.late ? "DRAIN is broken" : "the rule held");
 	nodes_end();
 	return reborn.late ? 1 : 0;
--- a/review/standin-2/stand.c
+++ b/review/standin-2/stand.c
@@ -5,6 +5,7 @@
 #include <ctype.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <pthread.h>
@@ -232,7 +233,7 @@
 	struct change changes[MAX_CHANGES];
 	size_t count;
 	uint64_t version;
-	int fd;
+	const char *address;
 	int port;
 } store = { .lock = PTHREAD_MUTEX_INITIALIZER };
 
@@ -458,18 +459,111 @@
 	}
 }
 
+/* A connection to the store; door: the port at which it came in. */
+struct store_connection {
+	int fd;
+	int door;
+	bool busy;
+	double idle_since_s;
+};
+
+#define MAX_CONNECTIONS 256
+
+static struct {
+	pthread_mutex_t lock;
+	struct store_connection *list[MAX_CONNECTIONS];
+	struct store_answer last[MAX_CONNECTIONS];
+	int last_count;
+} doors = { .lock = PTHREAD_MUTEX_INITIALIZER };
+
+static void keep_connection(struct store_connection *at,
+			    struct store_connection *with)
+{
+	pthread_mutex_lock(&doors.lock);
+	for (int i = 0; i < MAX_CONNECTIONS; i++)
+		if (doors.list[i] == at) {
+			doors.list[i] = with;
+			break;
+		}
+	pthread_mutex_unlock(&doors.lock);
+}
+
+static void set_busy(struct store_connection *at, bool busy)
+{
+	pthread_mutex_lock(&doors.lock);
+	at->busy = busy;
+	at->idle_since_s = now_s();
+	pthread_mutex_unlock(&doors.lock);
+}
+
+static void note_answer(int door, const struct http *call)
+{
+	char table[32];
+	int i;
+
+	parameter(call->head, "table", table, sizeof(table));
+	pthread_mutex_lock(&doors.lock);
+	for (i = 0; i < doors.last_count; i++)
+		if (doors.last[i].door == door &&
+		    !strcmp(doors.last[i].table, table))
+			break;
+	if (i == doors.last_count && i + 1 < MAX_CONNECTIONS)
+		doors.last_count++;
+	doors.last[i].door = door;
+	snprintf(doors.last[i].table, sizeof(doors.last[i].table), "%s", table);
+	doors.last[i].at_s = now_s();
+	pthread_mutex_unlock(&doors.lock);
+}
+
+double store_answered_s(int door, const char *table)
+{
+	double at_s = 0;
+
+	pthread_mutex_lock(&doors.lock);
+	for (int i = 0; i < doors.last_count; i++)
+		if (doors.last[i].door == door &&
+		    !strcmp(doors.last[i].table, table))
+			at_s = doors.last[i].at_s;
+	pthread_mutex_unlock(&doors.lock);
+	return at_s;
+}
+
+int store_silence_idle(int door, double idle_s)
+{
+	struct sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
+	struct sock_fprog filter = { 1, &drop_all };
+	int count = 0;
+
+	pthread_mutex_lock(&doors.lock);
+	for (int i = 0; i < MAX_CONNECTIONS; i++) {
+		struct store_connection *at = doors.list[i];
+
+		if (!at || at->busy || at->door != door ||
+		    now_s() - at->idle_since_s < idle_s)
+			continue;
+		if (setsockopt(at->fd, SOL_SOCKET, SO_ATTACH_FILTER, &filter,
+			       sizeof(filter)))
+			cannot_run("filter: %s", strerror(errno));
+		count++;
+	}
+	pthread_mutex_unlock(&doors.lock);
+	return count;
+}
+
 static void *serve_store(void *context)
 {
-	int fd = (int)(intptr_t)context;
+	struct store_connection *at = context;
 	struct http call;
 
-	while (http_read_request(fd, &call)) {
+	keep_connection(NULL, at);
+	while (http_read_request(at->fd, &call)) {
 		char *body = NULL;
 		size_t length = 0;
 		FILE *out = open_memstream(&body, &length);
 		char head[160];
 		bool sent;
 
+		set_busy(at, true);
 		answer_call(out, &call);
 		fclose(out);
 		snprintf(head, sizeof(head),
@@ -477,38 +571,62 @@
 			 "Content-Length: %zu\r\n\r\n",
 			 length);
 		sleep_ms(4);
-		sent = send_all(fd, head, strlen(head)) &&
-		       send_all(fd, body, length);
+		sent = send_all(at->fd, head, strlen(head)) &&
+		       send_all(at->fd, body, length);
+		note_answer(at->door, &call);
+		set_busy(at, false);
 		free(body);
 		http_release(&call);
 		if (!sent)
 			break;
 	}
 	http_release(&call);
-	close(fd);
+	keep_connection(at, NULL);
+	close(at->fd);
+	free(at);
 	return NULL;
 }
 
+struct store_door {
+	int fd;
+	int port;
+};
+
 static void *accept_store(void *context)
 {
-	(void)context;
+	struct store_door *door = context;
+
 	for (;;) {
-		int fd = accept4(store.fd, NULL, NULL, SOCK_CLOEXEC);
+		int fd = accept4(door->fd, NULL, NULL, SOCK_CLOEXEC);
+		struct store_connection *at;
 		pthread_t thread;
 
-		if (fd >= 0 && !pthread_create(&thread, NULL, serve_store,
-					       (void *)(intptr_t)fd))
+		if (fd < 0)
+			continue;
+		at = calloc(1, sizeof(*at));
+		*at = (struct store_connection){ .fd = fd,
+						 .door = door->port,
+						 .idle_since_s = now_s() };
+		if (!pthread_create(&thread, NULL, serve_store, at))
 			pthread_detach(thread);
 	}
 	return NULL;
 }
 
-void store_start(const char *address)
+int store_open_door(void)
 {
+	struct store_door *door = calloc(1, sizeof(*door));
 	pthread_t thread;
 
-	store.fd = listen_at(address, &store.port);
-	pthread_create(&thread, NULL, accept_store, NULL);
+	door->fd = listen_at(store.address, &door->port);
+	pthread_create(&thread, NULL, accept_store, door);
+	return door->port;
+}
+
+void store_start(const char *address)
+{
+	store.address = address;
+	store.port = store_open_door();
 }
 
 int store_port(void)
@@ -570,7 +688,7 @@
 		node->name, node->zone, region, node->address, node->front,
 		node->address, node->ready, node->address, node->lookup,
 		node->address, node->operators, node->address, node->peer,
-		store.port, more, zones);
+		node->store ? node->store : store.port, more, zones);
 	fclose(file);
 	started[started_count++] = node;
 	spawn(node);
--- a/review/standin-2/stand.h
+++ b/review/standin-2/stand.h
@@ -1,6 +1,6 @@
 /*
  * stand - a small platform store, backend servers, clients and the control of
- * node processes, for review/6/run.sh
+ * node processes, for the scripts of review/6 and above
  *
  * The store speaks what PROTOCOL.md says of rows-get, rows-feed and rows-tx.
  * All addresses are loopback addresses, all ports are free ones that the
@@ -57,6 +57,28 @@
 void store_delete(const char *table, const char *key);
 uint64_t store_count(const char *table);
 
+/*
+ * Another port of the same store, for one node: its calls can be told from
+ * those of others. Returns the port.
+ */
+int store_open_door(void);
+
+struct store_answer {
+	int door;
+	char table[32];
+	double at_s;
+};
+
+/* When a call for the table was last answered there; 0: never. */
+double store_answered_s(int door, const char *table);
+
+/*
+ * Connections of that port which have been idle for so long go silent: nothing
+ * that arrives on them is acknowledged any more, as behind a lost path. They
+ * aren't reset, and new ones work. Returns how many.
+ */
+int store_silence_idle(int door, double idle_s);
+
 /* --- nodes --------------------------------------------------------------- */
 
 struct node {
@@ -68,6 +90,7 @@
 	int lookup;
 	int operators;
 	int peer;
+	int store; /* its port of the store; 0: the common one */
 	pid_t pid;
 	char settings[512];
 };
