--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,10 +1,11 @@
 #!/bin/sh
-# Builds the stand-ins of the scripts review/6 and above into build-review-2/.
+# Builds the stand-ins of review/6 and review/7 into build-review-2/. Case 7
+# shares those of case 6.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p build-review-2
-for name in reborn silent; do
-	gcc -std=gnu11 -O1 -g -Wall -Wextra -pthread \
-		-o "build-review-2/$name" \
-		"review/standin-2/$name.c" review/standin-2/desk.c review/standin-2/stand.c
+for source in review/6/reborn.c review/7/silent.c; do
+	gcc -std=gnu11 -O1 -g -Wall -Wextra -pthread -I review/6 \
+		-o "build-review-2/$(basename "$source" .c)" \
+		"$source" review/6/desk.c review/6/stand.c
 done
