--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Builds the stand-ins of review/6 and review/7 into build-review-2/. Case 7
-# shares those of case 6.
+# Builds the stand-ins of review/6, review/7 and review/9 into build-review-2/.
+# Case 7 shares those of case 6.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p build-review-2
@@ -9,3 +9,5 @@
 		-o "build-review-2/$(basename "$source" .c)" \
 		"$source" review/6/desk.c review/6/stand.c
 done
+gcc -std=gnu11 -O1 -g -Wall -Wextra -D_GNU_SOURCE -pthread \
+	-o build-review-2/world review/9/world.c
