--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Builds the stand-ins of review/6, review/7 and review/9 into build-review-2/.
-# Case 7 shares those of case 6.
+# Builds the stand-ins of review/6, 7, 9 and 10 into build-review-2/
+# Case 7 shares those of case 6, case 10 has that of case 9.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p build-review-2
