core, platform: a weight of a split is any number

The shares are relative to the largest weight, so sums stay finite and tiny weights keep their proportion. lilacctl showed a weight of 0.04 as 0.0; numbers below 1 have three significant digits now.

The case Beyond32Bits had two equal weights then, and passed; with 1 as the other one it is new. ASplitKeepsItsWeights seals its table now, as every user does: that computes the shares; its bound is as it was.

--- a/packages/core/route_table.c
+++ b/packages/core/route_table.c
@@ -1,5 +1,6 @@
 #include "core/route_table.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "core/result.h"
@@ -37,10 +38,22 @@
 	return length && prefix[0] == '/' && prefix[length - 1] == '/';
 }
 
+static double largest_weight(const struct route *route)
+{
+	double largest = 0;
+	guint i;
+
+	for (i = 0; i < route->services->len; i++) {
+		const struct route_service *entry = route->services->pdata[i];
+
+		largest = fmax(largest, entry->weight);
+	}
+	return largest;
+}
+
 static bool route_is_valid(const struct route_table *table,
 			   const struct route *route, GError **error)
 {
-	uint64_t weight = 0;
 	guint i;
 
 	if (!*route->host || !prefix_is_well_formed(route->prefix)) {
@@ -60,7 +73,6 @@
 	for (i = 0; i < route->services->len; i++) {
 		const struct route_service *entry = route->services->pdata[i];
 
-		weight += entry->weight;
 		if (route_table_service(table, entry->service))
 			continue;
 		g_set_error(error, RESULT_ERROR, RESULT_CONFIG_INVALID,
@@ -68,7 +80,7 @@
 			    entry->service);
 		return false;
 	}
-	if (!weight) {
+	if (largest_weight(route) <= 0) {
 		g_set_error(error, RESULT_ERROR, RESULT_CONFIG_INVALID,
 			    "route %s: no service with a weight above 0",
 			    route->name);
@@ -130,8 +142,7 @@
 	return route;
 }
 
-void route_add_service(struct route *route, const char *service,
-		       uint32_t weight)
+void route_add_service(struct route *route, const char *service, double weight)
 {
 	struct route_service *entry = g_new0(struct route_service, 1);
 
@@ -185,6 +196,24 @@
 	}
 }
 
+/* Relative to the largest weight, so that no sum of weights is infinite. */
+static void set_shares(struct route *route)
+{
+	double largest = largest_weight(route);
+	double sum = 0;
+	guint i;
+
+	for (i = 0; i < route->services->len; i++) {
+		struct route_service *entry = route->services->pdata[i];
+
+		entry->share = entry->weight / largest;
+		sum += entry->share;
+	}
+	for (i = 0; i < route->services->len; i++)
+		((struct route_service *)route->services->pdata[i])->share /=
+			sum;
+}
+
 bool route_table_seal(struct route_table *table, GError **error)
 {
 	GHashTableIter iter;
@@ -198,6 +227,7 @@
 		for (i = 0; i < routes->len; i++) {
 			if (!route_is_valid(table, routes->pdata[i], error))
 				return false;
+			set_shares(routes->pdata[i]);
 			index_route(table, routes->pdata[i]);
 			mark_coordinating(table, routes->pdata[i]);
 		}
@@ -254,20 +284,18 @@
 const char *route_next_service(struct route *route)
 {
 	struct route_service *best = route->services->pdata[0];
-	int64_t total = 0;
 	guint i;
 
 	for (i = 0; i < route->services->len; i++) {
 		struct route_service *entry = route->services->pdata[i];
 
-		entry->credit += entry->weight;
-		total += entry->weight;
+		entry->credit += entry->share;
 		/* A service of weight 0 gets no request, not even the first. */
-		if (entry->weight &&
-		    (!best->weight || entry->credit > best->credit))
+		if (entry->share > 0 &&
+		    (best->share <= 0 || entry->credit > best->credit))
 			best = entry;
 	}
-	best->credit -= total;
+	best->credit -= 1;
 	return best->service;
 }
 
--- a/packages/core/route_table.h
+++ b/packages/core/route_table.h
@@ -21,8 +21,9 @@
 /* A service that gets a weighted share of a route's requests. */
 struct route_service {
 	char *service;
-	uint32_t weight;
-	int64_t credit; /* state of the smooth weighted round robin */
+	double weight; /* relative to the route's others; 0: no requests */
+	double share; /* of the route's requests, 0 to 1 */
+	double credit; /* state of the smooth weighted round robin */
 };
 
 struct route {
@@ -76,8 +77,7 @@
 struct route_table *route_table_new(uint64_t version);
 struct route *route_new(const char *name, const char *host, const char *prefix);
 struct route *route_table_add(struct route_table *table, struct route *route);
-void route_add_service(struct route *route, const char *service,
-		       uint32_t weight);
+void route_add_service(struct route *route, const char *service, double weight);
 void route_free(struct route *route);
 struct service *route_table_add_service(struct route_table *table,
 					const char *name);
--- a/packages/ctl/format.c
+++ b/packages/ctl/format.c
@@ -1,6 +1,7 @@
 #include "ctl/format.h"
 
 #include <glib.h>
+#include <math.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -35,6 +36,14 @@
 	return text;
 }
 
+/* One decimal would show a small weight of a split as 0. */
+static char *real_text(double value)
+{
+	if (value != 0 && fabs(value) < 1)
+		return g_strdup_printf("%.3g", value);
+	return g_strdup_printf("%.1f", value);
+}
+
 static char *cell_text(const json_t *value);
 
 static char *list_text(const json_t *list)
@@ -64,7 +73,7 @@
 		return g_strdup_printf("%" JSON_INTEGER_FORMAT,
 				       json_integer_value(value));
 	case JSON_REAL:
-		return g_strdup_printf("%.1f", json_real_value(value));
+		return real_text(json_real_value(value));
 	case JSON_TRUE:
 		return g_strdup("yes");
 	case JSON_FALSE:
--- a/tests/core/edge_core_test.cc
+++ b/tests/core/edge_core_test.cc
@@ -171,6 +171,7 @@
 	static_cast<struct route_service *>(route->services->pdata[0])->weight =
 		90;
 	route_add_service(route, "t", 10);
+	ASSERT_TRUE(route_table_seal(table, nullptr));
 	for (int i = 1; i <= 200; i++) {
 		counts[route_next_service(route)]++;
 		EXPECT_LE(abs(counts["t"] * 10 - i), 10);
--- a/tests/ctl/format_test.cc
+++ b/tests/ctl/format_test.cc
@@ -34,6 +34,17 @@
 		  "i-1      2.2\n"
 		  "1 server\n",
 		  format_answer },
+		{ R"({"result":0,"message":"3 parts","version":3,
+		      "columns":["service","weight"],
+		      "rows":[{"service":"a","weight":99.5},
+			      {"service":"b","weight":0.04},
+			      {"service":"c","weight":0.0}]})",
+		  "service  weight\n"
+		  "a          99.5\n"
+		  "b          0.04\n"
+		  "c           0.0\n"
+		  "3 parts\n",
+		  format_answer },
 		{ R"({"result":0,"message":"0 shifts","version":3,
 		      "columns":["shift","cap"],"rows":[]})",
 		  "shift  cap\n0 shifts\n", format_answer },
--- a/tests/edge/documents_test.cc
+++ b/tests/edge/documents_test.cc
@@ -365,6 +365,61 @@
 			 ::testing::ValuesIn(columns_cases),
 			 [](const auto &info) { return info.param.name; });
 
+struct weight_case {
+	const char *name;
+	const char *weights[2]; /* of "s" and "t", as JSON */
+	double share; /* of "t" */
+};
+
+const weight_case weight_cases[] = {
+	{ "Whole", { "199", "1" }, 0.005 },
+	{ "Fractions", { "99.5", "0.5" }, 0.005 },
+	{ "WholeWithAFraction", { "199.0", "1.0" }, 0.005 },
+	{ "OneOfThemWhole", { "99", "1.0" }, 0.01 },
+	{ "Exponents", { "1e2", "2.5E1" }, 0.2 },
+	{ "Small", { "1e-9", "3e-9" }, 0.75 },
+	{ "Beyond32Bits", { "4294967297", "1" }, 1 / 4294967298. },
+	{ "MultipleOf32Bits", { "4294967296", "12884901888" }, 0.75 },
+	{ "Beyond64Bits", { "1e30", "3e30" }, 0.75 },
+	{ "SumBeyondADouble", { "1.7e308", "1.7e308" }, 0.5 },
+	{ "FarApart", { "1e300", "1e-300" }, 0 },
+	{ "Zero", { "0.0", "0.25" }, 1 },
+};
+
+class SplitWeightTest : public ::testing::TestWithParam<weight_case>
+{
+};
+
+/* Guards against a version refused, or a split changed, by a weight's form. */
+TEST_P(SplitWeightTest, ServicesGetTheirShares)
+{
+	const weight_case &c = GetParam();
+	const std::string text =
+		std::string("{\"version\":7,\"routes\":{\"a\":{\"host\":\"h\","
+			    "\"prefix\":\"/p/\",\"kind\":\"idempotent\","
+			    "\"timeout\":\"2s\",\"target_latency\":\"1s\","
+			    "\"split\":[{\"service\":\"s\",\"weight\":") +
+		c.weights[0] +
+		"},{\"service\":\"t\",\"weight\":" + c.weights[1] +
+		"}]}}," SERVICES "," LIMITS "}";
+	GError *error = nullptr;
+	struct route_table *table = document_parse_routes(text.c_str(), &error);
+	int count = 0;
+
+	ASSERT_NE(nullptr, table) << error->message;
+	struct route *route = route_table_find(table, "h", "/p/");
+	ASSERT_NE(nullptr, route);
+	for (int i = 1; i <= 1000; i++) {
+		count += !strcmp(route_next_service(route), "t");
+		EXPECT_NEAR(c.share * i, count, 1 + 1e-9) << i;
+	}
+	route_table_unref(table);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, SplitWeightTest,
+			 ::testing::ValuesIn(weight_cases),
+			 [](const auto &info) { return info.param.name; });
+
 struct tenants_case {
 	const char *name;
 	std::string tenants;
