core: small parts of a split get their share of many short sequences

What callers saw: nothing yet; found by asking which splits lose their shares. The smooth round robin began anew at each node and with each version, always with the largest weight: a part of 1 in 200 got no request where each node has fewer than some 100 between two versions, and one of 1 in 10 none of the first requests.

Cause: all credits start at 0. Now each service but the last takes its share of the requests that the services before it leave, by a credit that starts at random: the expected share is exact from the first request on, and two services stay within one request of it, as before. Carrying the credits over to the next version was ruled out: it helps no node with few requests.

--- a/packages/core/route_table.c
+++ b/packages/core/route_table.c
@@ -196,22 +196,24 @@
 	}
 }
 
-/* Relative to the largest weight, so that no sum of weights is infinite. */
-static void set_shares(struct route *route)
+/*
+ * Sets the shares, and credits at random. Weights are taken relative to the
+ * largest one, so that no sum of them is infinite.
+ */
+static void start_split(struct route *route)
 {
 	double largest = largest_weight(route);
 	double sum = 0;
 	guint i;
 
-	for (i = 0; i < route->services->len; i++) {
-		struct route_service *entry = route->services->pdata[i];
+	for (i = route->services->len; i > 0; i--) {
+		struct route_service *entry = route->services->pdata[i - 1];
+		double weight = entry->weight / largest;
 
-		entry->share = entry->weight / largest;
-		sum += entry->share;
+		sum += weight;
+		entry->share = sum > 0 ? weight / sum : 0;
+		entry->credit = g_random_double();
 	}
-	for (i = 0; i < route->services->len; i++)
-		((struct route_service *)route->services->pdata[i])->share /=
-			sum;
 }
 
 bool route_table_seal(struct route_table *table, GError **error)
@@ -227,7 +229,7 @@
 		for (i = 0; i < routes->len; i++) {
 			if (!route_is_valid(table, routes->pdata[i], error))
 				return false;
-			set_shares(routes->pdata[i]);
+			start_split(routes->pdata[i]);
 			index_route(table, routes->pdata[i]);
 			mark_coordinating(table, routes->pdata[i]);
 		}
@@ -283,20 +285,18 @@
 
 const char *route_next_service(struct route *route)
 {
-	struct route_service *best = route->services->pdata[0];
+	struct route_service *entry = route->services->pdata[0];
 	guint i;
 
+	/* The last one with a weight has a share of 1. */
 	for (i = 0; i < route->services->len; i++) {
-		struct route_service *entry = route->services->pdata[i];
-
+		entry = route->services->pdata[i];
 		entry->credit += entry->share;
-		/* A service of weight 0 gets no request, not even the first. */
-		if (entry->share > 0 &&
-		    (best->share <= 0 || entry->credit > best->credit))
-			best = entry;
+		if (entry->credit >= 1)
+			break;
 	}
-	best->credit -= 1;
-	return best->service;
+	entry->credit -= 1;
+	return entry->service;
 }
 
 bool route_allows_region(const struct route *route, const char *region)
--- a/packages/core/route_table.h
+++ b/packages/core/route_table.h
@@ -1,7 +1,7 @@
 /*
  * route_table - one version of the routes, services and limits in force
  *
- * Immutable once sealed, apart from the credits of the weighted round robin.
+ * Immutable once sealed, apart from the credits of the services.
  * Reference-counted: a request holds a reference, so that it ends under the
  * version it began with. Not thread-safe.
  */
@@ -22,8 +22,9 @@
 struct route_service {
 	char *service;
 	double weight; /* relative to the route's others; 0: no requests */
-	double share; /* of the route's requests, 0 to 1 */
-	double credit; /* state of the smooth weighted round robin */
+	double share; /* of the requests that no service before it gets, 0 to 1
+		       */
+	double credit; /* of a request, below 1; at 1 it gets the next one */
 };
 
 struct route {
@@ -111,9 +112,11 @@
 					  const char *name);
 
 /*
- * Choose the service of the next request by smooth weighted round robin. In any
- * sequence of requests each service gets its share by weight, give or take one
- * request.
+ * Choose the service of the next request. In any sequence of requests each of
+ * two services gets its share by weight, give or take one request; of more
+ * services, give or take a few. Where a sequence starts is random, so services
+ * with small weights also get their share of many short sequences: many nodes,
+ * or versions that follow each other quickly.
  */
 const char *route_next_service(struct route *route);
 
--- a/tests/core/edge_core_test.cc
+++ b/tests/core/edge_core_test.cc
@@ -179,6 +179,69 @@
 	EXPECT_EQ(20, counts["t"]);
 }
 
+struct split_case {
+	const char *name;
+	std::vector<double> weights;
+	int requests; /* of each table */
+};
+
+const split_case split_cases[] = {
+	{ "OneIn200", { 199, 1 }, 10 },
+	{ "OneIn200First", { 1, 199 }, 10 },
+	{ "OneRequest", { 9, 1 }, 1 },
+	{ "Three", { 98, 1, 1 }, 10 },
+	{ "ThreeByOneRequest", { 5, 3, 2 }, 1 },
+	{ "OneWithoutWeight", { 3, 0, 1 }, 1 },
+	{ "LastWithoutWeight", { 3, 1, 0 }, 3 },
+};
+
+class SplitStartTest : public ::testing::TestWithParam<split_case>
+{
+};
+
+/*
+ * Guards against a small part of a split that gets nothing where many nodes
+ * have few requests each, or versions follow each other quickly.
+ */
+TEST_P(SplitStartTest, ManyTablesKeepTheSharesTogether)
+{
+	const split_case &c = GetParam();
+	const int tables = 20000;
+	std::map<std::string, int> counts;
+	double sum = 0;
+
+	g_random_set_seed(1);
+	for (int n = 0; n < tables; n++) {
+		struct route_table *table = route_table_new(1);
+		struct route *route =
+			route_table_add(table, route_new("r", "h", "/"));
+
+		route->timeout_us = 1;
+		route->target_us = 1;
+		for (size_t i = 0; i < c.weights.size(); i++) {
+			const std::string name = std::to_string(i);
+
+			route_table_add_service(table, name.c_str());
+			route_add_service(route, name.c_str(), c.weights[i]);
+		}
+		ASSERT_TRUE(route_table_seal(table, nullptr));
+		for (int i = 0; i < c.requests; i++)
+			counts[route_next_service(route)]++;
+		route_table_unref(table);
+	}
+	for (double weight : c.weights)
+		sum += weight;
+	for (size_t i = 0; i < c.weights.size(); i++) {
+		double due = c.weights[i] / sum * tables * c.requests;
+
+		EXPECT_NEAR(due, counts[std::to_string(i)], 0.15 * due) << i;
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, SplitStartTest,
+			 ::testing::ValuesIn(split_cases),
+			 [](const auto &info) { return info.param.name; });
+
 struct retry_case {
 	const char *name;
 	bool idempotent;
