platform: whole numbers are read in any form of JSON

Cause: jansson has a type of its own for integers, and only that was read, or the field counted as absent. Now a whole number is one in any form. Maxima drop a fraction, a rank between two is the lower one; priorities and attempts beyond 32 bits no longer wrap around to 0. A slot or a start that isn't whole is refused as before.

--- a/tests/edge/documents_test.cc
+++ b/tests/edge/documents_test.cc
@@ -83,6 +83,8 @@
 	{ "NegativeSlots", entry_with("slots", "-4"), false },
 	{ "SlotsWithAFraction", entry_with("slots", "4.5"), false },
 	{ "SlotsAsTrue", entry_with("slots", "true"), false },
+	{ "SlotsAsAReal", entry_with("slots", "4.0"), true },
+	{ "SlotsWithAnExponent", entry_with("slots", "0.4e1"), true },
 	{ "OneSlot", entry_with("slots", "1"), true },
 	{ "MostSlots", entry_with("slots", "65535"), true },
 	{ "TooManySlots", entry_with("slots", "65536"), false },
@@ -101,12 +103,16 @@
 	  false },
 	{ "StartAsNull", entry_with("born", "null"), false },
 	{ "StartAsList", entry_with("born", "[]"), false },
+	{ "StartAsAReal", entry_with("born", "1777081648000.0"), true },
+	{ "StartWithAnExponent", entry_with("born", "1.777081648e12"), true },
 	{ "LatestStart", entry_with("born", "4102444800000"), true },
 	{ "AbsurdStart", entry_with("born", "4102444800001"), false },
 	{ "StartBeyond64Bits", entry_with("born", "9223372036854775808"),
 	  false },
 	{ "ColdForAWeek", entry_with("cold_left", "\"604800s\""), false },
 	{ "UnknownField", entry_with("colour", "{\"a\":[1]}"), true },
+	{ "UnknownFieldBeyond64Bits",
+	  entry_with("revision", "18446744073709551616"), true },
 	{ "FieldTwice", entry_with("state", "\"ready\",\"state\":\"draining\""),
 	  false },
 	{ "Truncated", "{\"service\":\"s\",\"addr\":\"10.0.0.1:80\"", false },
@@ -149,13 +155,40 @@
 
 TEST(BackendStartTimeTest, StartTimeIsRead)
 {
-	struct backend_record record;
+	for (const char *start :
+	     { "1777081648000", "1777081648000.0", "1.777081648e12" }) {
+		struct backend_record record;
+
+		ASSERT_TRUE(document_parse_backend(
+			entry_with("born", start).c_str(), &record, nullptr))
+			<< start;
+		EXPECT_EQ(1777081648000u, record.started_ms);
+		EXPECT_EQ(4u, record.slots);
+		backend_record_release(&record);
+	}
+}
 
-	ASSERT_TRUE(document_parse_backend(BACKEND("4", "\"ready\"",
-						   ",\"born\":1777081648000"),
-					   &record, nullptr));
-	EXPECT_EQ(1777081648000u, record.started_ms);
-	backend_record_release(&record);
+/* Guards against a store whose versions in another form stop all reading. */
+TEST(StoreDecodeTest, VersionsInAnyFormAreRead)
+{
+	const struct registry *store = platform_store();
+
+	for (const char *version : { "700", "700.0", "7e2" }) {
+		const std::string body =
+			std::string("{\"ver\":") + version +
+			",\"rows\":[{\"key\":\"i-1\",\"ver\":" + version +
+			",\"value\":\"e30=\"}]}";
+		struct registry_rows rows;
+
+		ASSERT_EQ(REGISTRY_OK,
+			  store->vtable->decode(store, 200, body.c_str(),
+						body.size(), &rows))
+			<< version;
+		EXPECT_EQ(700u, rows.version);
+		EXPECT_EQ(700u, g_array_index(rows.rows, struct registry_row, 0)
+					.version);
+		registry_rows_release(&rows);
+	}
 }
 
 /*
@@ -382,6 +415,9 @@
 	{ "MultipleOf32Bits", { "4294967296", "12884901888" }, 0.75 },
 	{ "Beyond64Bits", { "1e30", "3e30" }, 0.75 },
 	{ "SumBeyondADouble", { "1.7e308", "1.7e308" }, 0.5 },
+	{ "IntegersBeyond64Bits",
+	  { "18446744073709551616", "55340232221128654848" },
+	  0.75 },
 	{ "FarApart", { "1e300", "1e-300" }, 0 },
 	{ "Zero", { "0.0", "0.25" }, 1 },
 };
@@ -420,6 +456,91 @@
 			 ::testing::ValuesIn(weight_cases),
 			 [](const auto &info) { return info.param.name; });
 
+/* Numbers of a version and what is read. */
+struct number_case {
+	const char *name;
+	const char *field; /* that has the value */
+	const char *value;
+	uint64_t expected;
+};
+
+const number_case number_cases[] = {
+	{ "VersionAsAReal", "version", "7.0", 7 },
+	{ "VersionWithAnExponent", "version", "7e2", 700 },
+	{ "HeadBytesAsAReal", "max_header_bytes", "16384.0", 16384 },
+	{ "HeadBytesWithAnExponent", "max_header_bytes", "1.6e4", 16000 },
+	{ "HeadBytesWithAFraction", "max_header_bytes", "16384.5", 16384 },
+	{ "BodyBytesBeyond64Bits", "max_body_bytes", "1e30", UINT64_MAX },
+	{ "BodyBytesAsLongDigits", "max_body_bytes", "18446744073709551616",
+	  UINT64_MAX },
+	{ "PriorityAsAReal", "priority", "2.0", 2 },
+	{ "PriorityWithAnExponent", "priority", "1e1", 10 },
+	{ "PriorityBetweenRanks", "priority", "0.5", 1 },
+	{ "PriorityBeyond32Bits", "priority", "4294967296", UINT32_MAX },
+	{ "AttemptsAsAReal", "max_attempts", "3.0", 3 },
+	{ "AttemptsWithAnExponent", "max_attempts", "0.3e1", 3 },
+	{ "AttemptsBeyond32Bits", "max_attempts", "4294967298", UINT32_MAX },
+	{ "UnknownFieldBeyond64Bits", "revision", "18446744073709551616", 0 },
+};
+
+class NumberTest : public ::testing::TestWithParam<number_case>
+{
+      protected:
+	static std::string text_with(const std::string &field,
+				     const std::string &value)
+	{
+		auto number = [&](const char *name, const char *usual) {
+			return std::string("\"") + name +
+			       "\":" + (field == name ? value : usual);
+		};
+
+		return "{" + number("version", "7") + "," +
+		       number("revision", "1") +
+		       ",\"services\":{\"s\":{}},\"limits\":{" +
+		       number("max_header_bytes", "1") + "," +
+		       number("max_body_bytes", "1") +
+		       ",\"header_timeout\":\"1s\",\"idle_timeout\":\"1s\"},"
+		       "\"routes\":{\"r\":{\"host\":\"h\",\"prefix\":\"/\","
+		       "\"kind\":\"idempotent\",\"timeout\":\"1s\","
+		       "\"target_latency\":\"1s\",\"service\":\"s\"," +
+		       number("priority", "1") + "," +
+		       number("max_attempts", "1") + "}}}";
+	}
+	static uint64_t read(const struct route_table *table,
+			     const std::string &field)
+	{
+		const struct route *route = route_table_find(table, "h", "/");
+
+		if (field == "version")
+			return table->version;
+		if (field == "max_header_bytes")
+			return table->limits.max_header_bytes;
+		if (field == "max_body_bytes")
+			return table->limits.max_body_bytes;
+		if (field == "priority")
+			return route->priority;
+		if (field == "max_attempts")
+			return route->max_attempts;
+		return 0;
+	}
+};
+
+/* Guards against a version refused, or a value replaced, by a number's form. */
+TEST_P(NumberTest, IsReadInAnyForm)
+{
+	const number_case &c = GetParam();
+	const std::string text = text_with(c.field, c.value);
+	GError *error = nullptr;
+	struct route_table *table = document_parse_routes(text.c_str(), &error);
+
+	ASSERT_NE(nullptr, table) << error->message;
+	EXPECT_EQ(c.expected, read(table, c.field));
+	route_table_unref(table);
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, NumberTest, ::testing::ValuesIn(number_cases),
+			 [](const auto &info) { return info.param.name; });
+
 struct tenants_case {
 	const char *name;
 	std::string tenants;
