--- a/packages/core/duration.h
+++ b/packages/core/duration.h
@@ -17,6 +17,9 @@
 /* Parses a number with the unit "ms" or "s"; false unless from 0 s to 1 day. */
 bool duration_parse(const char *text, uint64_t *span_us);
 
+/* The same, but more than 1 day counts as 1 day. */
+bool duration_parse_capped(const char *text, uint64_t *span_us);
+
 /*
  * Parses seconds without a unit: digits with at most one decimal point, as in
  * the header Retry-After. More than 1 day counts as 1 day.
--- a/tests/core/edge_core_test.cc
+++ b/tests/core/edge_core_test.cc
@@ -48,6 +48,32 @@
 	EXPECT_FALSE(duration_parse(nullptr, nullptr));
 }
 
+TEST(DurationTest, CappedDurationsCountAsADay)
+{
+	const uint64_t day_us = 86400 * US_PER_S;
+	const span_case cases[] = {
+		{ "2.5s", true, 2500000 },
+		{ "1e3ms", true, US_PER_S },
+		{ "86400s", true, day_us },
+		{ "86401s", true, day_us },
+		{ "172800000ms", true, day_us },
+		{ "1e999s", true, day_us },
+		{ "0s", true, 0 },
+		{ "-1s", false, 0 },
+		{ "1", false, 0 },
+		{ "1h", false, 0 },
+		{ "", false, 0 },
+	};
+
+	for (const span_case &c : cases) {
+		uint64_t us = 0;
+
+		EXPECT_EQ(c.good, duration_parse_capped(c.text, &us)) << c.text;
+		EXPECT_EQ(c.us, us) << c.text;
+	}
+	EXPECT_FALSE(duration_parse_capped(nullptr, nullptr));
+}
+
 TEST(DurationTest, ParsesSecondsWithoutAUnit)
 {
 	const uint64_t day_us = 86400 * US_PER_S;
--- a/tests/edge/documents_test.cc
+++ b/tests/edge/documents_test.cc
@@ -541,6 +541,26 @@
 INSTANTIATE_TEST_SUITE_P(Cases, NumberTest, ::testing::ValuesIn(number_cases),
 			 [](const auto &info) { return info.param.name; });
 
+/* Guards against a version refused for a limit of more than a day. */
+TEST(DurationFieldTest, LongLimitsAreRead)
+{
+	const uint64_t day_us = 86400 * UINT64_C(1000000);
+	std::string text = ROUTES(ROW("\"a\"", "null,[],\"s\""));
+	struct route_table *table;
+
+	for (const auto &[usual, longer] :
+	     { std::pair{ "\"2s\",\"1s\"", "\"172800s\",\"1e9ms\"" },
+	       std::pair{ "\"4s\"", "\"31536000s\"" } })
+		text.replace(text.find(usual), strlen(usual), longer);
+	table = document_parse_routes(text.c_str(), nullptr);
+	ASSERT_NE(nullptr, table);
+	const struct route *route = route_table_find(table, "h", "/p/");
+	EXPECT_EQ(day_us, route->timeout_us);
+	EXPECT_EQ(day_us, route->target_us);
+	EXPECT_EQ(day_us, table->limits.idle_timeout_us);
+	route_table_unref(table);
+}
+
 struct tenants_case {
 	const char *name;
 	std::string tenants;
