core: names of client accounts may have spaces

They are sent as a header's value, which may hold spaces between other bytes (RFC 9110, 5.5); spaces at the ends would be lost on the way and control characters would end the line, so those aren't names, as before.

--- a/packages/core/account.c
+++ b/packages/core/account.c
@@ -36,15 +36,17 @@
 	g_free(table);
 }
 
+/* As the value of a header, where spaces at the ends aren't part of it. */
 static bool name_is_well_formed(const char *name)
 {
 	size_t length = strlen(name);
 	size_t i;
 
-	if (!length || length > ACCOUNT_NAME_MAX_BYTES)
+	if (!length || length > ACCOUNT_NAME_MAX_BYTES || name[0] == ' ' ||
+	    name[length - 1] == ' ')
 		return false;
 	for (i = 0; i < length; i++)
-		if ((unsigned char)name[i] <= ' ' || name[i] == 0x7f)
+		if (g_ascii_iscntrl(name[i]))
 			return false;
 	return true;
 }
@@ -56,8 +58,8 @@
 
 	if (!name_is_well_formed(name)) {
 		g_set_error(error, RESULT_ERROR, RESULT_CONFIG_INVALID,
-			    "an account's name is empty, longer than %d bytes "
-			    "or has spaces or control characters",
+			    "an account's name is empty, longer than %d bytes, "
+			    "has control characters or ends in a space",
 			    ACCOUNT_NAME_MAX_BYTES);
 		return NULL;
 	}
--- a/packages/core/account.h
+++ b/packages/core/account.h
@@ -44,7 +44,7 @@
 
 /*
  * Adds an account. NULL with RESULT_CONFIG_INVALID if the name is taken, empty,
- * too long, or has spaces or control characters.
+ * too long, or has control characters or a space at either end.
  */
 struct account *account_table_add(struct account_table *table, const char *name,
 				  GError **error);
--- a/tests/edge/account_test.cc
+++ b/tests/edge/account_test.cc
@@ -159,6 +159,24 @@
 INSTANTIATE_TEST_SUITE_P(Cases, KeyTest, ::testing::ValuesIn(key_cases),
 			 [](const auto &info) { return info.param.name; });
 
+/* Guards against a version refused for the name of an account. */
+TEST_F(AccountWorld, NameMayHaveSpaces)
+{
+	App &app = add_app("i-1");
+
+	start(tenants());
+	extra_fields = ",\"tenants\":{\"Acme & Sons (Chile)\":{\"api_keys\":["
+		       "\"apjsujqurtyiikdrbn4r\"],\"rate_per_s\":1e2}}";
+	put_routes(3);
+	wait_for([&] { return edge->routes->version == 3; });
+	EXPECT_EQ(200, status_of(answer_to(get("q1", "/r/", with_key(KEY)))));
+	EXPECT_NE(std::string::npos,
+		  headers_of(app).find(
+			  "Lilacfield-Tenant: Acme & Sons (Chile)\r\n"));
+	EXPECT_EQ(401,
+		  status_of(answer_to(get("q2", "/r/", with_key(OTHER_KEY)))));
+}
+
 /* Guards against callers turned away where no accounts are kept. */
 TEST_F(AccountWorld, NoKeyIsNeededWithoutAccounts)
 {
