core, edge: an entry that can't be read is a fault of its own

What callers saw: one odd field of one route or account kept a whole version out of force: new routes were refused, and keys that it takes away went on working. Optional fields hid it: an allowed_regions that isn't a list opened a route to all regions, and a keyless that isn't a flag was taken for false, without a line in the log. The operator had one log line a node.

Cause: the reader gave up the document at the first field it couldn't read, or took the default. Now what can't be read of an entry is a fault of the version, which is in force otherwise (docs/design/unreadable-entries.md): a route whose services, regions or keyless are unknown, and an account whose rate or regions are, are refused at once as not run, never run by guess or by an older version; other fields take a cautious default, limits those in force before. A key of two accounts, or of one without a usable name, is refused, and belongs to nobody. While routes or keys can't be told, 404 and 401 are 503. Only a document without a version or a table is refused whole. Each fault is logged (routes-fault), counted (lilacfield_routes_faults, _refused, _version) and listed (show faults).

--- a/packages/core/account.c
+++ b/packages/core/account.c
@@ -16,6 +16,16 @@
 	g_free(account);
 }
 
+static struct account *account_new(const char *name)
+{
+	struct account *account = g_new0(struct account, 1);
+
+	account->name = g_strdup(name);
+	account->hash = hash_text(name);
+	account->regions = g_ptr_array_new_with_free_func(g_free);
+	return account;
+}
+
 struct account_table *account_table_new(void)
 {
 	struct account_table *table = g_new0(struct account_table, 1);
@@ -24,6 +34,8 @@
 					       account_free);
 	table->by_key =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	table->unusable = account_new("");
+	table->unusable->unusable = true;
 	return table;
 }
 
@@ -33,6 +45,7 @@
 		return;
 	g_hash_table_destroy(table->by_key);
 	g_hash_table_destroy(table->by_name);
+	account_free(table->unusable);
 	g_free(table);
 }
 
@@ -68,10 +81,7 @@
 			    "account %s: the name is used twice", name);
 		return NULL;
 	}
-	account = g_new0(struct account, 1);
-	account->name = g_strdup(name);
-	account->hash = hash_text(name);
-	account->regions = g_ptr_array_new_with_free_func(g_free);
+	account = account_new(name);
 	g_hash_table_insert(table->by_name, account->name, account);
 	return account;
 }
@@ -101,6 +111,8 @@
 		g_set_error(error, RESULT_ERROR, RESULT_CONFIG_INVALID,
 			    "accounts %s and %s have the same key",
 			    holder->name, account->name);
+		g_hash_table_insert(table->by_key, g_strdup(digest),
+				    table->unusable);
 		return false;
 	}
 	g_hash_table_insert(table->by_key, g_strdup(digest), account);
--- a/packages/core/account.h
+++ b/packages/core/account.h
@@ -32,11 +32,15 @@
 	double per_s; /* requests per second of all nodes; 0: unlimited */
 	double burst; /* requests beyond that at one time */
 	GPtrArray *regions; /* of char *: allowed regions; empty: all */
+	bool unusable; /* its rate or regions are unknown: its requests are
+			  refused */
 };
 
 struct account_table {
 	GHashTable *by_name; /* name -> struct account, owned */
 	GHashTable *by_key; /* digest of a key -> struct account */
+	struct account *unusable; /* of keys whose account is unknown */
+	bool lacks_keys; /* some could not be read */
 };
 
 struct account_table *account_table_new(void);
@@ -51,7 +55,8 @@
 
 /*
  * Adds a key's digest to an account. False with RESULT_CONFIG_INVALID if it is
- * malformed, or if another account has it.
+ * malformed, or if another account has it: then neither may use it, and it
+ * belongs to the table's unusable account.
  */
 bool account_table_add_digest(struct account_table *table,
 			      struct account *account, const char *digest,
--- a/packages/core/query.c
+++ b/packages/core/query.c
@@ -407,14 +407,14 @@
 	static const char *const tables[] = {
 		"places",   "nodes",  "backends", "services", "shifts",
 		"version",  "routes", "refusals", "suspects", "limits",
-		"accounts", "room",   "memory",	  NULL
+		"accounts", "room",   "memory",	  "faults",   NULL
 	};
 	static const enum query_verb verbs[] = {
 		QUERY_SHOW_PLACES,   QUERY_SHOW_NODES,	  QUERY_SHOW_BACKENDS,
 		QUERY_SHOW_SERVICES, QUERY_SHOW_SHIFTS,	  QUERY_SHOW_VERSION,
 		QUERY_SHOW_ROUTES,   QUERY_SHOW_REFUSALS, QUERY_SHOW_SUSPECTS,
 		QUERY_SHOW_LIMITS,   QUERY_SHOW_ACCOUNTS, QUERY_SHOW_ROOM,
-		QUERY_SHOW_MEMORY,
+		QUERY_SHOW_MEMORY,   QUERY_SHOW_FAULTS,
 	};
 	uint32_t index;
 
--- a/packages/core/query.h
+++ b/packages/core/query.h
@@ -42,6 +42,7 @@
 	QUERY_SHOW_ACCOUNTS, /* client accounts: quotas and counts */
 	QUERY_SHOW_ROOM, /* capacity and demand of a service */
 	QUERY_SHOW_MEMORY, /* held bytes of requests and answers */
+	QUERY_SHOW_FAULTS, /* parts of the configuration that aren't usable */
 	QUERY_QUARANTINE, /* quarantine a request by its fingerprint */
 	QUERY_RELEASE, /* end a quarantine */
 	QUERY_CMD_SHIFT, /* the first command; see query_is_command() */
--- a/packages/core/route_table.c
+++ b/packages/core/route_table.c
@@ -3,8 +3,6 @@
 #include <math.h>
 #include <string.h>
 
-#include "core/result.h"
-
 static void route_service_free(gpointer data)
 {
 	struct route_service *entry = data;
@@ -21,6 +19,15 @@
 	g_free(service);
 }
 
+static void fault_free(gpointer data)
+{
+	struct route_fault *fault = data;
+
+	g_free(fault->entry);
+	g_free(fault->cause);
+	g_free(fault);
+}
+
 static gint compare_prefix_length(gconstpointer a, gconstpointer b)
 {
 	const struct route *left = *(struct route *const *)a;
@@ -51,42 +58,25 @@
 	return largest;
 }
 
-static bool route_is_valid(const struct route_table *table,
-			   const struct route *route, GError **error)
+/* What makes the route unusable, for g_free(); NULL: nothing. */
+static char *find_defect(const struct route_table *table,
+			 const struct route *route)
 {
 	guint i;
 
-	if (!*route->host || !prefix_is_well_formed(route->prefix)) {
-		g_set_error(error, RESULT_ERROR, RESULT_CONFIG_INVALID,
-			    "route %s: host is empty, or prefix does not begin "
-			    "and end with a slash",
-			    route->name);
-		return false;
-	}
-	if (!route->timeout_us || !route->target_us || !route->max_attempts) {
-		g_set_error(error, RESULT_ERROR, RESULT_CONFIG_INVALID,
-			    "route %s: timeout, latency target and max "
-			    "attempts must be above 0",
-			    route->name);
-		return false;
-	}
+	if (!route->timeout_us || !route->target_us || !route->max_attempts)
+		return g_strdup("timeout, latency target and max attempts must "
+				"be above 0");
 	for (i = 0; i < route->services->len; i++) {
 		const struct route_service *entry = route->services->pdata[i];
 
-		if (route_table_service(table, entry->service))
-			continue;
-		g_set_error(error, RESULT_ERROR, RESULT_CONFIG_INVALID,
-			    "route %s: unknown service %s", route->name,
-			    entry->service);
-		return false;
+		if (!route_table_service(table, entry->service))
+			return g_strdup_printf("unknown service %s",
+					       entry->service);
 	}
-	if (largest_weight(route) <= 0) {
-		g_set_error(error, RESULT_ERROR, RESULT_CONFIG_INVALID,
-			    "route %s: no service with a weight above 0",
-			    route->name);
-		return false;
-	}
-	return true;
+	if (largest_weight(route) <= 0)
+		return g_strdup("no service with a weight above 0");
+	return NULL;
 }
 
 struct route_table *route_table_new(uint64_t version)
@@ -101,9 +91,30 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	table->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						service_free);
+	table->faults = g_ptr_array_new_with_free_func(fault_free);
+	table->limits = (struct route_limits){
+		ROUTE_LIMIT_UNKNOWN,
+		ROUTE_LIMIT_UNKNOWN,
+		ROUTE_LIMIT_UNKNOWN,
+		ROUTE_LIMIT_UNKNOWN,
+	};
 	return table;
 }
 
+void route_table_add_fault(struct route_table *table, const char *entry,
+			   const char *cause)
+{
+	struct route_fault *fault;
+
+	table->fault_count++;
+	if (table->faults->len >= ROUTE_TABLE_MAX_FAULTS)
+		return;
+	fault = g_new0(struct route_fault, 1);
+	fault->entry = g_strdup(entry);
+	fault->cause = g_strdup(cause);
+	g_ptr_array_add(table->faults, fault);
+}
+
 struct route *route_new(const char *name, const char *host, const char *prefix)
 {
 	struct route *route = g_new0(struct route, 1);
@@ -111,6 +122,8 @@
 	route->name = g_strdup(name);
 	route->host = g_ascii_strdown(host, -1);
 	route->prefix = g_strdup(prefix);
+	route->timeout_us = ROUTE_DEFAULT_TIMEOUT_US;
+	route->target_us = ROUTE_DEFAULT_TIMEOUT_US;
 	route->max_attempts = 1;
 	route->services = g_ptr_array_new_with_free_func(route_service_free);
 	route->regions = g_ptr_array_new_with_free_func(g_free);
@@ -216,7 +229,38 @@
 	}
 }
 
-bool route_table_seal(struct route_table *table, GError **error)
+/* Whether the route can be found by requests. */
+static bool place_route(struct route_table *table, struct route *route)
+{
+	if (*route->host && prefix_is_well_formed(route->prefix)) {
+		index_route(table, route);
+		return true;
+	}
+	table->lacks_routes = true;
+	route_table_add_fault(table, route->name,
+			      "host is empty, or prefix does not begin and end "
+			      "with a slash");
+	return false;
+}
+
+static void seal_route(struct route_table *table, struct route *route)
+{
+	char *defect;
+
+	if (!place_route(table, route) || route->unusable)
+		return;
+	defect = find_defect(table, route);
+	if (defect) {
+		route->unusable = true;
+		route_table_add_fault(table, route->name, defect);
+		g_free(defect);
+		return;
+	}
+	start_split(route);
+	mark_coordinating(table, route);
+}
+
+void route_table_seal(struct route_table *table)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -226,16 +270,27 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		GPtrArray *routes = value;
 
-		for (i = 0; i < routes->len; i++) {
-			if (!route_is_valid(table, routes->pdata[i], error))
-				return false;
-			start_split(routes->pdata[i]);
-			index_route(table, routes->pdata[i]);
-			mark_coordinating(table, routes->pdata[i]);
-		}
+		for (i = 0; i < routes->len; i++)
+			seal_route(table, routes->pdata[i]);
 		g_ptr_array_sort(routes, compare_prefix_length);
 	}
-	return true;
+}
+
+static void fill_limit(uint64_t *limit, uint64_t other)
+{
+	if (*limit == ROUTE_LIMIT_UNKNOWN)
+		*limit = other;
+}
+
+void route_table_fill_limits(struct route_table *table,
+			     const struct route_limits *others)
+{
+	struct route_limits *limits = &table->limits;
+
+	fill_limit(&limits->max_header_bytes, others->max_header_bytes);
+	fill_limit(&limits->max_body_bytes, others->max_body_bytes);
+	fill_limit(&limits->header_timeout_us, others->header_timeout_us);
+	fill_limit(&limits->idle_timeout_us, others->idle_timeout_us);
 }
 
 struct route_table *route_table_ref(struct route_table *table)
@@ -252,6 +307,7 @@
 	g_hash_table_destroy(table->hosts);
 	g_hash_table_destroy(table->services);
 	account_table_free(table->accounts);
+	g_ptr_array_unref(table->faults);
 	g_free(table);
 }
 
--- a/packages/core/route_table.h
+++ b/packages/core/route_table.h
@@ -37,6 +37,8 @@
 	uint64_t target_us; /* latency objective */
 	uint32_t priority; /* 0 is the highest */
 	bool keyless; /* takes requests that name no account */
+	bool unusable; /* a part that decides who may get or run its requests
+			  is unknown: they are refused */
 	uint32_t max_attempts; /* backend servers tried per request */
 	GPtrArray *services; /* of struct route_service, at least one */
 	GPtrArray *regions; /* of char *: allowed regions; empty: all */
@@ -53,7 +55,7 @@
 	bool coordinates;
 };
 
-/* Limits on a caller's request and on its connection. */
+/* Limits on a caller's request and on its connection; 0 allows nothing. */
 struct route_limits {
 	uint64_t max_header_bytes;
 	uint64_t max_body_bytes;
@@ -61,6 +63,14 @@
 	uint64_t idle_timeout_us;
 };
 
+/* An entry of the configuration, or a field of it, that is not usable. */
+struct route_fault {
+	char *entry;
+	char *cause;
+};
+
+#define ROUTE_TABLE_MAX_FAULTS 16
+
 struct route_table {
 	uint32_t references;
 	uint64_t version;
@@ -72,8 +82,23 @@
 	GHashTable *services; /* name -> struct service */
 	struct account_table *accounts; /* NULL: requests need no account */
 	uint32_t route_count;
+	GPtrArray *faults; /* of struct route_fault, at most
+			      ROUTE_TABLE_MAX_FAULTS */
+	uint32_t fault_count; /* also of those that aren't kept */
+	bool lacks_routes; /* some have no usable host or prefix */
 };
 
+/* Value of a limit that is not known, see route_table_fill_limits(). */
+#define ROUTE_LIMIT_UNKNOWN UINT64_MAX
+
+/*
+ * Defaults of a new route and service: limits that hold where the configured
+ * ones can't be read.
+ */
+#define ROUTE_DEFAULT_TIMEOUT_US (60 * UINT64_C(1000000))
+#define ROUTE_LOWEST_PRIORITY UINT32_MAX
+#define SERVICE_CAUTIOUS_WARMUP_US (60 * UINT64_C(1000000))
+
 /* Build a table; it takes ownership of routes and services. */
 struct route_table *route_table_new(uint64_t version);
 struct route *route_new(const char *name, const char *host, const char *prefix);
@@ -83,12 +108,20 @@
 struct service *route_table_add_service(struct route_table *table,
 					const char *name);
 
+/* Notes what is not usable, for operators. */
+void route_table_add_fault(struct route_table *table, const char *entry,
+			   const char *cause);
+
 /*
- * Validate and index a table, after which it may be searched. False with
- * RESULT_CONFIG_INVALID if a route has a malformed host or prefix, a limit of
- * 0, an unknown service or no service with a weight above 0.
+ * Index a table, after which it may be searched. A route with an unknown
+ * service, a limit of 0 or no service with a weight above 0 becomes unusable;
+ * one without a host or a well-formed prefix is left out. Both are faults.
  */
-bool route_table_seal(struct route_table *table, GError **error);
+void route_table_seal(struct route_table *table);
+
+/* Take the limits that are not known from others, such as those in force. */
+void route_table_fill_limits(struct route_table *table,
+			     const struct route_limits *others);
 
 /* Add or drop a reference; the last one frees the table. */
 struct route_table *route_table_ref(struct route_table *table);
--- a/packages/edge/admin_show.c
+++ b/packages/edge/admin_show.c
@@ -389,6 +389,35 @@
 	return admin_finish_table(edge, &table, "tables of the platform");
 }
 
+static json_t *show_faults(const struct edge *edge)
+{
+	static const char *const columns[] = { "version", "entry", "cause" };
+	struct admin_table table = ADMIN_TABLE_NEW(columns);
+	const GPtrArray *faults = edge->routes->faults;
+	guint i;
+
+	if (edge->routes_error) {
+		json_t *const values[] = {
+			json_null(),
+			json_string("newest version"),
+			admin_json_text(edge->routes_error),
+		};
+
+		ADMIN_TABLE_ADD(&table, columns, values);
+	}
+	for (i = 0; i < faults->len; i++) {
+		const struct route_fault *fault = faults->pdata[i];
+		json_t *const values[] = {
+			admin_json_number(edge->routes->version),
+			admin_json_text(fault->entry),
+			admin_json_text(fault->cause),
+		};
+
+		ADMIN_TABLE_ADD(&table, columns, values);
+	}
+	return admin_finish_table(edge, &table, "faults");
+}
+
 static json_t *show_refusals(const struct edge *edge)
 {
 	static const char *const columns[] = { "cause", "status", "count",
@@ -431,6 +460,8 @@
 		return show_version(edge);
 	case QUERY_SHOW_REFUSALS:
 		return show_refusals(edge);
+	case QUERY_SHOW_FAULTS:
+		return show_faults(edge);
 	case QUERY_SHOW_SUSPECTS:
 		return admin_show_suspects(edge);
 	case QUERY_SHOW_LIMITS:
--- a/packages/edge/admin_where.c
+++ b/packages/edge/admin_where.c
@@ -24,6 +24,8 @@
 		for (i = 0; i < routes->len; i++) {
 			struct route *route = routes->pdata[i];
 
+			if (route->unusable)
+				continue;
 			for (j = 0; j < route->services->len; j++) {
 				const struct route_service *route_service =
 					route->services->pdata[j];
--- a/packages/edge/caller.c
+++ b/packages/edge/caller.c
@@ -52,14 +52,6 @@
  */
 #define PAUSE_MIN_US (500 * US_PER_MS)
 
-/* Limits until the first configuration is loaded. */
-static const struct route_limits initial_limits = {
-	.max_header_bytes = 16 * 1024,
-	.max_body_bytes = 1024 * 1024,
-	.header_timeout_us = 3 * US_PER_S,
-	.idle_timeout_us = 15 * US_PER_S,
-};
-
 struct caller {
 	struct exchange_sink sink; /* first member */
 	struct edge *edge;
@@ -90,11 +82,6 @@
 			size_t length);
 static void update_reading(struct caller *caller);
 
-static const struct route_limits *limits(const struct edge *edge)
-{
-	return edge->routes ? &edge->routes->limits : &initial_limits;
-}
-
 /* --- closing ------------------------------------------------------------ */
 
 static void on_closed(uv_handle_t *handle)
@@ -469,7 +456,7 @@
 
 static void set_limits(struct caller *caller)
 {
-	const struct route_limits *current = limits(caller->edge);
+	const struct route_limits *current = edge_limits(caller->edge);
 	uint64_t head_bytes = current->max_header_bytes;
 
 	if (caller->kind == LISTENER_PEERS)
@@ -620,7 +607,7 @@
 
 static void sweep(struct caller *caller, uint64_t now_us)
 {
-	const struct route_limits *current_limits = limits(caller->edge);
+	const struct route_limits *current_limits = edge_limits(caller->edge);
 	uint64_t idle_us;
 
 	if (caller->closing)
--- a/packages/edge/edge.c
+++ b/packages/edge/edge.c
@@ -78,6 +78,20 @@
 	backend_table_free(edge->backends);
 	member_table_free(edge->members);
 	route_table_unref(edge->routes);
+	g_free(edge->routes_error);
+}
+
+/* Limits until the first configuration is loaded. */
+static const struct route_limits initial_limits = {
+	.max_header_bytes = 16 * 1024,
+	.max_body_bytes = 1024 * 1024,
+	.header_timeout_us = 3 * US_PER_S,
+	.idle_timeout_us = 15 * US_PER_S,
+};
+
+const struct route_limits *edge_limits(const struct edge *edge)
+{
+	return edge->routes ? &edge->routes->limits : &initial_limits;
 }
 
 bool edge_is_ready(const struct edge *edge)
--- a/packages/edge/edge.h
+++ b/packages/edge/edge.h
@@ -67,6 +67,7 @@
 	struct edge_settings settings;
 
 	struct route_table *routes; /* NULL until the first is known */
+	char *routes_error; /* why the newest version can't be read, or NULL */
 	struct backend_table *backends;
 	struct member_table *members;
 	struct warmth warmth;
@@ -137,6 +138,9 @@
 	       const struct edge_settings *settings);
 void edge_release(struct edge *edge);
 
+/* Limits on callers in force: the configuration's, or those before it. */
+const struct route_limits *edge_limits(const struct edge *edge);
+
 /*
  * Whether requests can be served: routes are known, the backend servers are
  * loaded and the node isn't stopping.
--- a/packages/edge/exchange.c
+++ b/packages/edge/exchange.c
@@ -897,6 +897,8 @@
 		return false;
 	exchange->query.route = route;
 	exchange->hops.route = route;
+	if (route->unusable)
+		return true;
 	exchange->query.priority = route->priority;
 	exchange->query.service = route_table_service(
 		exchange->routes, route_next_service(route));
@@ -934,7 +936,8 @@
 static void finish_without_route(struct exchange *exchange)
 {
 	exchange->not_run = HOP_NOT_RUN_PEER;
-	if (sync_may_deny(exchange->edge->sync))
+	if (sync_may_deny(exchange->edge->sync) &&
+	    !exchange->routes->lacks_routes)
 		exchange_finish_denied(exchange, 404, "no route");
 	else
 		exchange_finish_refused(exchange, EXCHANGE_RETRY_AFTER_US,
@@ -979,6 +982,10 @@
 		exchange_finish_denied(exchange, 400, "the request has no id");
 	} else if (!find_route(exchange)) {
 		finish_without_route(exchange);
+	} else if (exchange->query.route->unusable) {
+		exchange->not_run = HOP_NOT_RUN_PEER;
+		exchange_finish_refused(exchange, EXCHANGE_UNUSABLE_RETRY_US,
+					"route unusable");
 	} else if (!exchange_identify(exchange)) {
 		return;
 	} else if (exchange->is_hop) {
--- a/packages/edge/exchange_account.c
+++ b/packages/edge/exchange_account.c
@@ -10,9 +10,16 @@
 
 /* --- identity ----------------------------------------------------------- */
 
-static void set_account(struct exchange *exchange,
+/* Returns whether the request may go on. */
+static bool set_account(struct exchange *exchange,
 			const struct account *account)
 {
+	if (account->unusable) {
+		exchange->not_run = HOP_NOT_RUN_PEER;
+		exchange_finish_refused(exchange, EXCHANGE_UNUSABLE_RETRY_US,
+					"account unusable");
+		return false;
+	}
 	exchange->query.account = account;
 	exchange->hops.account = account;
 	if (account->has_priority)
@@ -20,12 +27,14 @@
 	exchange->account = accounts_state(exchange->edge->accounts, account);
 	exchange->account->users++;
 	exchange->account->requests++;
+	return true;
 }
 
 /* A final error only if the key can't have been added meanwhile. */
 static bool deny_key(struct exchange *exchange, const char *cause)
 {
-	if (sync_may_deny(exchange->edge->sync))
+	if (sync_may_deny(exchange->edge->sync) &&
+	    !exchange->routes->accounts->lacks_keys)
 		exchange_finish_denied(exchange, 401, cause);
 	else
 		exchange_finish_refused(exchange, EXCHANGE_RETRY_AFTER_US,
@@ -48,8 +57,8 @@
 		account =
 			account_table_find_key(exchange->routes->accounts, key);
 	if (account)
-		set_account(exchange, account);
-	else if (!exchange->query.route->keyless)
+		return set_account(exchange, account);
+	if (!exchange->query.route->keyless)
 		return deny_key(exchange, key ? "unknown key" : "no key");
 	return true;
 }
@@ -62,10 +71,8 @@
 
 	if (name)
 		account = account_table_find(exchange->routes->accounts, name);
-	if (account) {
-		set_account(exchange, account);
-		return true;
-	}
+	if (account)
+		return set_account(exchange, account);
 	if (!name && exchange->query.route->keyless)
 		return true;
 	exchange->not_run = HOP_NOT_RUN_PEER;
--- a/packages/edge/exchange_internal.h
+++ b/packages/edge/exchange_internal.h
@@ -139,6 +139,9 @@
 /* Retry-After of requests that may find another way soon. */
 #define EXCHANGE_RETRY_AFTER_US (500 * US_PER_MS)
 
+/* Retry-After of requests that the next version of the routes may let run. */
+#define EXCHANGE_UNUSABLE_RETRY_US (5 * US_PER_S)
+
 /* Retry-After of a stopping node: any other may take the request at once. */
 #define EXCHANGE_STOP_RETRY_AFTER_US (10 * US_PER_MS)
 
--- a/packages/edge/stats.c
+++ b/packages/edge/stats.c
@@ -152,6 +152,16 @@
 	stats->partitioned = metric_gauge("lilacfield_partitioned",
 					  "1 if no backend server is reachable",
 					  NULL);
+	stats->routes_version =
+		metric_gauge("lilacfield_routes_version",
+			     "version of the configuration in force", NULL);
+	stats->routes_faults = metric_gauge(
+		"lilacfield_routes_faults",
+		"entries and fields of that version that aren't usable", NULL);
+	stats->routes_refused = metric_gauge(
+		"lilacfield_routes_refused",
+		"1 if the newest version of the configuration can't be read",
+		NULL);
 	stats->held_bytes = metric_gauge("lilacfield_held_bytes",
 					 "bytes of requests and answers held",
 					 NULL);
--- a/packages/edge/stats.h
+++ b/packages/edge/stats.h
@@ -44,6 +44,9 @@
 					servers are reachable */
 	struct metric *room_short; /* services that are short of room */
 	struct metric *partitioned; /* 1: this node reaches no server */
+	struct metric *routes_version; /* in force */
+	struct metric *routes_faults; /* of that version */
+	struct metric *routes_refused; /* 1: the newest can't be read at all */
 	struct metric *held_bytes; /* of requests and answers */
 	struct metric *drawn_bytes; /* of these, beyond the allowances */
 	struct metric *bytes_waiting; /* connections that wait for bytes */
--- a/packages/edge/sync_tables.c
+++ b/packages/edge/sync_tables.c
@@ -9,6 +9,35 @@
 
 /* --- the operator's rows ------------------------------------------------ */
 
+static void log_faults(const struct route_table *table)
+{
+	guint i;
+
+	for (i = 0; i < table->faults->len; i++) {
+		const struct route_fault *fault = table->faults->pdata[i];
+
+		log_event(LOG_ERROR, "routes-fault",
+			  "version=%" PRIu64 " entry=%s cause=%s",
+			  table->version, fault->entry, fault->cause);
+	}
+}
+
+static void set_routes_error(struct edge *edge, const char *cause)
+{
+	g_free(edge->routes_error);
+	edge->routes_error = g_strdup(cause);
+	metric_set(edge->stats.routes_refused, cause != NULL);
+}
+
+static void put_in_force(struct edge *edge, struct route_table *table)
+{
+	route_table_fill_limits(table, edge_limits(edge));
+	route_table_unref(edge->routes);
+	edge->routes = table;
+	metric_set(edge->stats.routes_version, (int64_t)table->version);
+	metric_set(edge->stats.routes_faults, table->fault_count);
+}
+
 static bool apply_routes(struct sync *sync, const struct registry_row *row)
 {
 	struct edge *edge = sync->edge;
@@ -20,6 +49,7 @@
 		return false;
 	table = registry->vtable->decode_routes(registry, row->value, &error);
 	sync->routes_unreadable = !table;
+	set_routes_error(edge, table ? NULL : error->message);
 	if (!table) {
 		log_event(LOG_ERROR, "routes-invalid",
 			  "row_version=%" PRIu64 " cause=%s", row->version,
@@ -38,11 +68,13 @@
 		return !sync->routes_reverted;
 	}
 	log_event(LOG_INFO, "routes-in-force",
-		  "version=%" PRIu64 " routes=%u services=%u bytes=%zu",
+		  "version=%" PRIu64 " routes=%u services=%u bytes=%zu "
+		  "faults=%u",
 		  table->version, table->route_count,
-		  g_hash_table_size(table->services), strlen(row->value));
-	route_table_unref(edge->routes);
-	edge->routes = table;
+		  g_hash_table_size(table->services), strlen(row->value),
+		  table->fault_count);
+	log_faults(table);
+	put_in_force(edge, table);
 	return true;
 }
 
--- a/tests/core/account_test.cc
+++ b/tests/core/account_test.cc
@@ -66,6 +66,8 @@
 	EXPECT_TRUE(
 		g_error_matches(error, RESULT_ERROR, RESULT_CONFIG_INVALID));
 	EXPECT_EQ(nullptr, strstr(error->message, digest));
+	EXPECT_EQ(table->unusable, account_table_find_key(table, "k1"));
+	EXPECT_TRUE(table->unusable->unusable);
 	g_clear_error(&error);
 	g_free(digest);
 }
--- a/tests/edge/admin_test.cc
+++ b/tests/edge/admin_test.cc
@@ -106,6 +106,7 @@
 	{ "Routes", "show routes", 200, 0, "2 parts of routes" },
 	{ "Version", "show version", 200, 0, "3 tables" },
 	{ "Refusals", "show refusals", 200, 0, "0 causes" },
+	{ "Faults", "show faults", 200, 0, "0 faults" },
 	{ "Suspects", "show suspects", 200, 0, "0 suspects" },
 	{ "Limits", "show limits", 200, 0, "0 limits" },
 	{ "Room", "show room s", 200, 0, "0 rows" },
