platform: keys are hidden under an escaped field name, too

A configuration that writes api_keys with an escape ("api\u005fkeys", the same name in JSON) reached the node's tables and its peers with the keys as they are, and each caller of these accounts got 401: the keys were taken for digests.

Cause: the field was looked for in the text.

--- a/tests/edge/documents_test.cc
+++ b/tests/edge/documents_test.cc
@@ -767,6 +767,7 @@
 	for (const char *tenants :
 	     { "{\"a\":{\"api_keys\":\"secret\"}}",
 	       "{\"a\":{\"api_keys\":{\"secret\":1}}}",
+	       "{\"a\":{\"api\\u005fkeys\":[\"secret\"]}}",
 	       "{\"a\":{\"api_keys\":[[\"secret\"]]}}",
 	       "{\"a\":{\"api_keys\":[\"secret\\u0000\"]}}",
 	       "[{\"name\":\"a\",\"api_keys\":\"secret\"}]",
@@ -788,7 +789,7 @@
 {
 	for (const char *more : { "", ",\"revision\":18446744073709551616" }) {
 		const std::string text =
-			ROUTES_AND(",\"tenants\":{\"a\":{\"api_keys\":"
+			ROUTES_AND(",\"tenants\":{\"a\":{\"api\\u005fkeys\":"
 				   "[\"k\"],\"rate_per_s\":1e2}}" +
 				   std::string(more));
 		char *hidden = document_hide_keys(text.c_str());
