tests: EarlyAnswerTest reads the connection that brings its request

The server keeps accepted connections until one has bytes now, and a head or a connection, once taken, stays taken.

--- a/tests/edge/early_answer_test.cc
+++ b/tests/edge/early_answer_test.cc
@@ -80,17 +80,27 @@
 	{
 		bool accepted = false;
 
-		wait_for([&] { return accepted |= server.accept_next(); },
-			 "connection");
+		wait_for(
+			[&] {
+				return accepted = accepted ||
+						  server.accept_next();
+			},
+			"connection");
 	}
 	void wait_for_head()
 	{
+		bool taken = false;
+		bool found = false;
+
+		/* A connection that comes later is a probe, not a request. */
 		wait_for(
 			[&] {
-				server.accept_next();
-				server.read_some(4096);
-				return server.got.find("\r\n\r\n") !=
-				       std::string::npos;
+				taken = taken || server.accept_request();
+				if (taken && !found)
+					server.read_some(4096);
+				found = found || server.got.find("\r\n\r\n") !=
+							 std::string::npos;
+				return found;
 			},
 			"head");
 		server.got.clear();
--- a/tests/edge/unread_server.h
+++ b/tests/edge/unread_server.h
@@ -8,6 +8,7 @@
 #define TESTS_EDGE_UNREAD_SERVER_H
 
 #include <string>
+#include <vector>
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -41,6 +42,8 @@
 	{
 		if (connection_ >= 0)
 			close(connection_);
+		for (int waiting : waiting_)
+			close(waiting);
 		close(listener_);
 	}
 	/* Take the next connection, in place of the one before. */
@@ -57,6 +60,31 @@
 		got.clear();
 		return true;
 	}
+	/*
+	 * Take the first of the connections that has unread bytes, in place of
+	 * the one before. Probes bring none; those that wait stay open.
+	 */
+	bool accept_request()
+	{
+		int accepted;
+
+		while ((accepted = accept4(listener_, nullptr, nullptr,
+					   SOCK_NONBLOCK)) >= 0)
+			waiting_.push_back(accepted);
+		for (size_t i = 0; i < waiting_.size(); i++) {
+			char byte;
+
+			if (recv(waiting_[i], &byte, 1, MSG_PEEK) <= 0)
+				continue;
+			if (connection_ >= 0)
+				close(connection_);
+			connection_ = waiting_[i];
+			waiting_.erase(waiting_.begin() + (ptrdiff_t)i);
+			got.clear();
+			return true;
+		}
+		return false;
+	}
 	/* Read what is there; false once the connection has ended. */
 	bool read_more()
 	{
@@ -119,6 +147,7 @@
       private:
 	int listener_;
 	int connection_ = -1;
+	std::vector<int> waiting_; /* accepted, without a byte so far */
 };
 
 #endif
