--- a/packages/core/account.c
+++ b/packages/core/account.c
@@ -72,7 +72,7 @@
 	if (!name_is_well_formed(name)) {
 		g_set_error(error, RESULT_ERROR, RESULT_CONFIG_INVALID,
 			    "an account's name is empty, longer than %d bytes, "
-			    "has control characters or ends in a space",
+			    "has control characters or a space at an end",
 			    ACCOUNT_NAME_MAX_BYTES);
 		return NULL;
 	}
--- a/packages/core/route_table.h
+++ b/packages/core/route_table.h
@@ -91,10 +91,7 @@
 /* Value of a limit that is not known, see route_table_fill_limits(). */
 #define ROUTE_LIMIT_UNKNOWN UINT64_MAX
 
-/*
- * Defaults of a new route and service: limits that hold where the configured
- * ones can't be read.
- */
+/* Values that hold where the configured ones can't be read. */
 #define ROUTE_DEFAULT_TIMEOUT_US (60 * UINT64_C(1000000))
 #define ROUTE_LOWEST_PRIORITY UINT32_MAX
 #define SERVICE_CAUTIOUS_WARMUP_US (60 * UINT64_C(1000000))
