--- a/tests/core/query_test.cc
+++ b/tests/core/query_test.cc
@@ -66,11 +66,11 @@
 static std::string render(const struct query &query)
 {
 	static const char *const verbs[] = {
-		"where",   "places",   "nodes",	 "backends", "services",
-		"shifts",  "version",  "routes", "refusals", "suspects",
-		"limits",  "accounts", "room",	 "memory",   "quarantine",
-		"release", "shift",    "cancel", "drain",    "undrain",
-		"stop",	   "start",    "load",
+		"where",      "places",	  "nodes",  "backends", "services",
+		"shifts",     "version",  "routes", "refusals", "suspects",
+		"limits",     "accounts", "room",   "memory",	"faults",
+		"quarantine", "release",  "shift",  "cancel",	"drain",
+		"undrain",    "stop",	  "start",  "load",
 	};
 	static const char *const objects[] = { "", " place", " node",
 					       " backend", " service" };
@@ -117,6 +117,7 @@
 	{ "show suspects", "suspects", false },
 	{ "show limits", "limits", false },
 	{ "show memory", "memory", false },
+	{ "show faults", "faults", false },
 	{ "show accounts", "accounts", false },
 	{ "show room svc-a", "room service=svc-a", false },
 	{ "quarantine 00000000000000ff", "quarantine fingerprint=255", false },
@@ -204,7 +205,7 @@
 	  "expected the end at word 7, found '2'" },
 	{ "show place", RESULT_SYNTAX,
 	  "expected 'places', 'nodes', 'backends', 'services', 'shifts', "
-	  "'version', 'routes', 'refusals', 'suspects', 'limits', 'accounts', 'room' or 'memory' at word 2, found 'place'; did you mean 'places'?" },
+	  "'version', 'routes', 'refusals', 'suspects', 'limits', 'accounts', 'room', 'memory' or 'faults' at word 2, found 'place'; did you mean 'places'?" },
 	{ "show backends at p1", RESULT_SYNTAX,
 	  "expected 'of', 'in' or the end at word 3, found 'at'" },
 	{ "show backends of svc-a of p1", RESULT_SYNTAX,
